feat(schema): lay the workspace, the message schema, platform and engine traits, transport

Cause: the repository is empty; every later part needs shared messages, traits and lints. Ruled out: separate hand-written wire types beside the generated ones (two truths to keep equal). Before: nothing. Conclusion: crates can now be filled in side by side.

--- /dev/null
+++ b/crates/mgs-observe/src/lib.rs
@@ -0,0 +1,4 @@
+//! Counters, histograms and JSON-line logs shared by every role.
+
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/mgs-sidecar/src/lib.rs
@@ -0,0 +1,4 @@
+//! The sidecar role: the only door to one endpoint.
+
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/crates/mgs-testing/src/lib.rs
@@ -0,0 +1,4 @@
+//! Tools that test the product and are never shipped: fault proxy, history checker, chaos, load and slopes.
+
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
--- /dev/null
+++ b/src/main.rs
@@ -0,0 +1,3 @@
+//! The `marigoldstage` command.
+
+fn main() {}
