feat(routing): lay the borders of fleet view, routing policy and admission

Cause: gateway and decisions are built side by side and must agree on their borders first. Before: no trait. Conclusion: the gateway can start with the simplest implementations behind the same traits.

--- /dev/null
+++ b/crates/mgs-fleet/src/view.rs
@@ -0,0 +1,85 @@
+//! An immutable picture of the fleet, read by request threads.
+
+use std::collections::HashMap;
+use std::collections::HashSet;
+use std::net::SocketAddr;
+
+use mgs_schema::settings::EndpointKind;
+use mgs_schema::wire::EndpointState;
+
+/// Key of an endpoint in a [`View`]; stable for as long as the process knows the endpoint.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct EndpointKey(pub u32);
+
+/// Load of an endpoint as last reported.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Load {
+    /// Requests that wait at the sidecar.
+    pub waiting_requests: u32,
+    /// Requests that run.
+    pub running_requests: u32,
+    /// Prompt tokens accepted and not yet processed.
+    pub prefill_waiting_tokens: u64,
+    /// Engine memory in use or reserved.
+    pub kv_used_tokens: u64,
+    /// Engine memory in all.
+    pub kv_capacity_tokens: u64,
+    /// Rate of prompt processing; 0 while unknown.
+    pub prefill_tokens_per_s: f64,
+    /// Time of one decoding step, in milliseconds; 0 while unknown.
+    pub decode_step_ms: f64,
+}
+
+/// One endpoint.
+#[derive(Debug, Clone)]
+pub struct Endpoint {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Its name.
+    pub name: String,
+    /// What stands behind it.
+    pub kind: EndpointKind,
+    /// Address of its sidecar.
+    pub sidecar_address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Models that it can serve now, or the name of its service.
+    pub models: Vec<String>,
+    /// Whether it can hold a part of a prompt that exceeds one engine's memory.
+    pub span: bool,
+    /// Incarnation of its sidecar; 0 while it has never been reached.
+    pub incarnation: u64,
+    /// State as its sidecar last said, or `Down` while it can't be reached.
+    pub state: EndpointState,
+    /// Load as last reported.
+    pub load: Load,
+    /// When the load was reported, on the process's monotonic clock, in milliseconds.
+    pub reported_ms: u64,
+    /// Hashes of the prompt blocks believed to be cached.
+    pub cached: std::sync::Arc<HashSet<u64>>,
+}
+
+/// The fleet at one moment.
+#[derive(Debug, Clone, Default)]
+pub struct View {
+    /// Endpoints by key; `None` for keys whose endpoint is gone.
+    pub endpoints: Vec<Option<std::sync::Arc<Endpoint>>>,
+    /// Keys by model or service name.
+    pub by_model: HashMap<String, Vec<EndpointKey>>,
+    /// Version of the settings that it was made from.
+    pub settings_version: u64,
+}
+
+impl View {
+    /// The endpoint of a key, if the fleet still has it.
+    ///
+    /// ```
+    /// use mgs_fleet::view::EndpointKey;
+    /// use mgs_fleet::view::View;
+    ///
+    /// assert!(View::default().get(EndpointKey(3)).is_none());
+    /// ```
+    pub fn get(&self, key: EndpointKey) -> Option<&Endpoint> {
+        self.endpoints.get(key.0 as usize)?.as_deref()
+    }
+}
--- a/crates/mgs-routing/src/lib.rs
+++ b/crates/mgs-routing/src/lib.rs
@@ -1,4 +1,9 @@
 //! Which endpoint serves a request: candidates, predicted time to first token, and the choice.
+//!
+//! A [`policy::Policy`] is a trait object; the gateway holds one, the baselines beside it are
+//! there to be measured against.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod policy;
