feat(testing): a TCP proxy that injects faults

Cause: silent, half-dead and broken connections are what fails between the processes; nothing in the workspace could bring them about on purpose, one connection at a time. Ruled out: refusing by accepting and resetting (a client that never connected knows that nothing was sent, one that was reset doesn't); closing and rebinding the port (another process may take it in between, so a bound socket that never listens keeps the number). Conclusion: bytes are held, never dropped, so that late frames of a lost connection can be tried as well.

--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -2,3 +2,5 @@
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod proxy;
