feat(testing): record a run's history and check what must always hold

Cause: the promises are about concurrent runs under faults; a test of one case can't show them. Ruled out: checking while the run goes on (a run of a refused request may come much later); one checker with many ifs (nine pure functions can each be shown to catch its own violation). Conclusion: each finding also counts what it judged, so that a run that shows nothing is seen.

--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -3,4 +3,6 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod check;
+pub mod history;
 pub mod proxy;
