feat(cli): command tree, settings checked together, exit codes, completions

Cause: roles and operators' commands need one place for flags, environment variables and exit codes. Ruled out: the parser's own value checks, which stop at the first bad value, so that an operator mends settings one start at a time; clap's derive, which the house list rules out. Conclusion: values are read as text and checked through one reader that collects every fault. table, endpoint, organisation and request are declared and not filled in.

--- /dev/null
+++ b/src/lib.rs
@@ -0,0 +1,14 @@
+//! The command line of marigoldstage: one binary with the serving roles, the operators' commands and
+//! a demonstration.
+//!
+//! Each subcommand is a module of [`command`] with a `command()` that declares it and a `run()` that
+//! does it. Settings are read and checked by [`setting`]; what a command does beyond that is plumbing
+//! of the library crates.
+
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod command;
+pub mod error;
+pub mod setting;
+pub mod stop;
--- a/src/main.rs
+++ b/src/main.rs
@@ -1,3 +1,7 @@
 //! The `marigoldstage` command.
 
-fn main() {}
+use std::process::ExitCode;
+
+fn main() -> ExitCode {
+    marigoldstage::command::main(std::env::args_os())
+}
