--- /dev/null
+++ b/crates/mgs-standin/src/engine/mod.rs
@@ -0,0 +1,1 @@
+//! A model engine.
