--- a/crates/mgs-schema/tests/generated.rs
+++ b/crates/mgs-schema/tests/generated.rs
@@ -9,6 +9,11 @@
 /// Messages whose serde is written by hand in `src/hot.rs`.
 const HOT: [&str; 2] = ["TokenFrame", "LoadReport"];
 
+/// Settings are kept as JSON; a field that an older record lacks takes its default.
+const SERDE_DEFAULT: &str = "#[serde(default)]";
+
+const SETTINGS_PACKAGE: &str = "mgs.settings";
+
 const SERDE: &str = "#[derive(serde::Serialize, serde::Deserialize)]";
 
 fn generate(out: &Path) {
@@ -24,6 +29,9 @@
             if !HOT.contains(&name) {
                 config.type_attribute(format!(".{package}.{name}"), SERDE);
             }
+            if package == SETTINGS_PACKAGE {
+                config.message_attribute(format!(".{package}.{name}"), SERDE_DEFAULT);
+            }
         }
     }
     config
