feat(cli): run a sidecar and the stand-ins for platform and plain service

Cause: the whole path needs each role as a process. Figures: none taken; each command was started and stopped by SIGTERM once by hand.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -16,6 +16,9 @@
 pub mod organisation;
 pub mod process;
 pub mod request;
+pub mod sidecar;
+#[cfg(feature = "demo")]
+pub mod standin;
 pub mod table;
 
 const ABOUT: &str =
@@ -54,10 +57,13 @@
 
 fn entries() -> Vec<Entry> {
     vec![
+        entry(sidecar::command(), sidecar::run),
         entry(table::command(), table::run),
         entry(endpoint::command(), endpoint::run),
         entry(organisation::command(), organisation::run),
         entry(request::command(), request::run),
+        #[cfg(feature = "demo")]
+        entry(standin::command(), standin::run),
         entry(completions::command(), completions::run),
     ]
 }
--- /dev/null
+++ b/src/command/standin.rs
@@ -0,0 +1,143 @@
+//! `marigoldstage standin`: an engine, a plain service or the platform, in memory, for trials.
+
+use std::io::Write;
+
+use clap::Arg;
+use clap::ArgMatches;
+use clap::Command;
+use mgs_standin::platform;
+use mgs_standin::platform::faults;
+use mgs_standin::platform::Platform;
+use mgs_standin::service;
+use mgs_standin::service::Service;
+
+use super::process;
+use crate::error::Error;
+use crate::setting::switch;
+use crate::setting::value;
+use crate::setting::Values;
+use crate::stop::Stop;
+
+const LISTEN: &str = "listen";
+const DELAY_MS: &str = "delay-ms";
+const HOSTS_LAG_MS: &str = "hosts-lag-ms";
+const OUTAGE: &str = "outage";
+
+const DELAY_MS_MAX: u64 = 3_600_000;
+
+const EXAMPLES: &str = "\
+Examples:
+  marigoldstage standin platform --listen 127.0.0.1:7400
+  marigoldstage standin engine --listen 127.0.0.1:7500 --kv-capacity-tokens 2000000
+  marigoldstage standin service --listen 127.0.0.1:7600 --delay-ms 20
+
+A stand-in keeps nothing: what it holds ends with the process. It is no part of a deployment.
+Its first line on standard output is its base address.";
+
+/// Declares the subcommand.
+pub fn command() -> Command {
+    Command::new("standin")
+        .about("Run a stand-in for an engine, a plain service or the platform, for trials")
+        .after_help(EXAMPLES)
+        .subcommand_required(true)
+        .arg_required_else_help(true)
+        .subcommand(service_command())
+        .subcommand(platform_command())
+}
+
+/// Runs until a signal.
+pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    match matches.subcommand() {
+        Some(("service", matches)) => run_service(matches, out),
+        Some(("platform", matches)) => run_platform(matches, out),
+        _ => unreachable!("BUG: the parser requires one of them"),
+    }
+}
+
+fn listen_argument(default: &'static str) -> Arg {
+    value(
+        LISTEN,
+        "IP:PORT",
+        "Where to listen; port 0 takes a free one",
+    )
+    .default_value(default)
+}
+
+fn service_command() -> Command {
+    Command::new("service")
+        .about("A plain service that answers each call with how often it has run it")
+        .arg(listen_argument("127.0.0.1:7600"))
+        .arg(value(DELAY_MS, "MS", "Time that a call takes").default_value("0"))
+        .arg(process::log_argument())
+}
+
+fn run_service(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let mut values = Values::new(matches);
+    let logs = process::log_options(&mut values);
+    let options = service::Options {
+        listen: values.address(LISTEN).to_string(),
+        delay_ms: values.number(DELAY_MS, 0..=DELAY_MS_MAX),
+    };
+    values.finish()?;
+
+    let mut stop = Stop::new()?;
+    let _logs = process::start_log(&logs)?;
+    let service =
+        Service::start(options.clone()).map_err(|e| not_listening(&options.listen, &e))?;
+    announce(out, &service.url())?;
+    stop.wait();
+    Ok(())
+}
+
+fn platform_command() -> Command {
+    Command::new("platform")
+        .about("The platform's table service, object store, weight store and list of hosts")
+        .arg(listen_argument("127.0.0.1:7400"))
+        .arg(
+            value(
+                HOSTS_LAG_MS,
+                "MS",
+                "How long a change of the hosts stays unseen",
+            )
+            .default_value("0"),
+        )
+        .arg(value(DELAY_MS, "MS", "Wait before a call takes effect").default_value("0"))
+        .arg(switch(OUTAGE, "Start in an outage; POST /faults ends it"))
+        .arg(process::log_argument())
+}
+
+fn run_platform(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let mut values = Values::new(matches);
+    let logs = process::log_options(&mut values);
+    let options = platform::Options {
+        listen: values.address(LISTEN).to_string(),
+        hosts_lag_ms: values.number(HOSTS_LAG_MS, 0..=DELAY_MS_MAX),
+        faults: faults::Settings {
+            outage: values.switch(OUTAGE),
+            delay_ms: values.number(DELAY_MS, 0..=DELAY_MS_MAX),
+            ..faults::Settings::default()
+        },
+        ..platform::Options::default()
+    };
+    values.finish()?;
+
+    let mut stop = Stop::new()?;
+    let _logs = process::start_log(&logs)?;
+    let platform =
+        Platform::start(options.clone()).map_err(|e| not_listening(&options.listen, &e))?;
+    announce(out, &platform.url())?;
+    stop.wait();
+    Ok(())
+}
+
+fn announce(out: &mut dyn Write, url: &str) -> Result<(), Error> {
+    writeln!(out, "{url}")?;
+    out.flush()?;
+    Ok(())
+}
+
+fn not_listening(listen: &str, error: &std::io::Error) -> Error {
+    Error::Failed(format!(
+        "can't listen on {listen}: {error}; give another --listen"
+    ))
+}
--- a/src/setting.rs
+++ b/src/setting.rs
@@ -39,6 +39,7 @@
         .env(variable(flag))
         .value_name(placeholder)
         .action(ArgAction::Set)
+        .allow_negative_numbers(true)
         .help(help)
 }
 
