--- a/crates/mgs-settings/src/lib.rs
+++ b/crates/mgs-settings/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod check;
 pub mod follow;
 pub mod hold;
 pub mod row;
--- a/crates/mgs-settings/src/store/edit.rs
+++ b/crates/mgs-settings/src/store/edit.rs
@@ -16,6 +16,7 @@
 use super::Head;
 use super::HeadRow;
 use super::HEAD_KEY;
+use crate::check;
 use crate::row::change_key;
 use crate::row::change_value;
 use crate::row::RowKey;
@@ -94,22 +95,16 @@
 impl std::error::Error for Error {}
 
 /// Makes an edit that was begun on `base`. Rows that others changed meanwhile end in a conflict;
-/// edits of other rows don't matter. `check` lists the faults of the table as it would become.
+/// edits of other rows don't matter. The table as it would become must pass [`check::faults`].
 ///
 /// An answer that was lost is settled by reading the log: the transaction was made on a version
 /// of the head, so it either is in the log after that version or never will be once the head
 /// has moved.
-pub fn commit(
-    store: Store<'_>,
-    base: &Table,
-    options: &Options,
-    check: &dyn Fn(&Table) -> Vec<String>,
-) -> Result<Outcome, Error> {
+pub fn commit(store: Store<'_>, base: &Table, options: &Options) -> Result<Outcome, Error> {
     let mut attempt = Attempt {
         store,
         base,
         options,
-        check,
         current: base.clone(),
         unsettled: None,
     };
@@ -126,7 +121,6 @@
     store: Store<'a>,
     base: &'a Table,
     options: &'a Options,
-    check: &'a dyn Fn(&Table) -> Vec<String>,
     /// The newest table that was read.
     current: Table,
     /// Version of the head's row on which a transaction was made whose answer was lost.
@@ -153,10 +147,7 @@
         keys.sort();
         let doubled = keys.windows(2).filter(|pair| pair[0] == pair[1]);
         faults.extend(doubled.map(|pair| format!("{} is changed twice", pair[0])));
-        if faults.is_empty() {
-            return Ok(());
-        }
-        Err(Error::Faults(faults.len(), faults))
+        refuse_faults(faults)
     }
 
     fn step(&mut self) -> Result<Option<Outcome>, Error> {
@@ -247,11 +238,8 @@
         let edits = std::slice::from_ref(edit);
         let next = self.current.after(edits);
         let next = next.map_err(|_| self.fail(StoreError::Gap(edit.version)))?;
-        let faults = (self.check)(&next);
-        if faults.is_empty() {
-            return Ok(());
-        }
-        Err(Error::Faults(faults.len(), faults))
+        let faults = check::faults(next.snapshot());
+        refuse_faults(faults.iter().map(ToString::to_string).collect())
     }
 
     fn transact(&mut self, head: &HeadRow, edit: &Edit) -> Result<Option<Outcome>, Error> {
@@ -279,6 +267,13 @@
     }
 }
 
+fn refuse_faults(faults: Vec<String>) -> Result<(), Error> {
+    if faults.is_empty() {
+        return Ok(());
+    }
+    Err(Error::Faults(faults.len(), faults))
+}
+
 fn txn(head: &HeadRow, edit: &Edit) -> Result<Txn, StoreError> {
     let next = Head {
         version: edit.version,
