--- a/crates/mgs-sidecar/tests/serve.rs
+++ b/crates/mgs-sidecar/tests/serve.rs
@@ -132,6 +132,7 @@
         next_seq: 50,
         session: 1,
         gateway_incarnation: GATEWAY,
+        ..Resume::default()
     };
     let call = second.connection.call(Body::Resume(resume)).unwrap();
     fake.allow(100);
