fix(request): look for the last failure from the end

Cause: clippy rejects last() on an iterator that can be read from its end. Ruled out: an allow line.

--- a/crates/mgs-request/src/life.rs
+++ b/crates/mgs-request/src/life.rs
@@ -414,7 +414,7 @@
         self.set(number, State::Asking { at_ms, resume });
         let open = self.attempts.iter().filter(|attempt| attempt.is_open());
         let alone = open.count() == 1;
-        if self.options.idempotent && self.winner.is_none() && alone {
+        if self.may_run_twice() && self.winner.is_none() && alone {
             self.again(step, RetryReason::Path);
         }
     }
@@ -454,12 +454,14 @@
         }
     }
 
+    fn may_run_twice(&self) -> bool {
+        self.options.idempotent || self.options.plant == Plant::RetryAfterUnknown
+    }
+
     /// Makes one more attempt if the rules, the count and the budget allow it.
     fn again(&mut self, step: &mut Step<'_>, reason: RetryReason) -> bool {
-        let may_run_twice =
-            self.options.idempotent || self.options.plant == Plant::RetryAfterUnknown;
         let may_have_run = self.attempts.iter().any(Attempt::may_run);
-        let forbidden = self.winner.is_some() || (may_have_run && !may_run_twice);
+        let forbidden = self.winner.is_some() || (may_have_run && !self.may_run_twice());
         if forbidden
             || self.attempts.len() >= self.options.attempts_max
             || step.now_ms >= self.options.deadline_ms
@@ -490,14 +492,11 @@
 
     /// The reason of the last attempt that is known to have failed.
     fn failure(&self) -> Option<FailureReason> {
-        let failures = self
-            .attempts
-            .iter()
-            .filter_map(|attempt| match attempt.state {
-                State::Failed(reason) => Some(reason),
-                _ => None,
-            });
-        failures.last()
+        let failure = |attempt: &Attempt| match attempt.state {
+            State::Failed(reason) => Some(reason),
+            _ => None,
+        };
+        self.attempts.iter().rev().find_map(failure)
     }
 
     /// Ends the request now, with what is known of its attempts.
