feat(routing): choose endpoints by name of a policy, three baselines and the first own one

Cause: the gateway needs a choice of endpoint, and the product's policy needs baselines to be measured against. Ruled out: asking every sidecar before each dispatch (a round trip on the path to the first token); a lock around learned state.

--- a/crates/mgs-fleet/src/fleet.rs
+++ b/crates/mgs-fleet/src/fleet.rs
@@ -295,6 +295,7 @@
         waiting_requests: report.waiting_requests,
         running_requests: report.running_requests,
         prefill_waiting_tokens: report.prefill_waiting_tokens,
+        short_prefill_waiting_tokens: report.short_prefill_waiting_tokens,
         kv_used_tokens: report.kv_used_tokens,
         kv_capacity_tokens: report.kv_capacity_tokens,
         prefill_tokens_per_s: report.prefill_tokens_per_s,
--- a/crates/mgs-fleet/src/view.rs
+++ b/crates/mgs-fleet/src/view.rs
@@ -21,6 +21,8 @@
     pub running_requests: u32,
     /// Prompt tokens accepted and not yet processed.
     pub prefill_waiting_tokens: u64,
+    /// The part of them that belongs to short prompts.
+    pub short_prefill_waiting_tokens: u64,
     /// Engine memory in use or reserved.
     pub kv_used_tokens: u64,
     /// Engine memory in all.
--- a/crates/mgs-routing/src/lib.rs
+++ b/crates/mgs-routing/src/lib.rs
@@ -6,4 +6,12 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod baseline;
+pub mod candidate;
+pub mod lane;
+pub mod marigold;
+pub mod outlier;
+pub mod outstanding;
 pub mod policy;
+pub mod predict;
+pub mod recent;
--- a/crates/mgs-routing/src/policy.rs
+++ b/crates/mgs-routing/src/policy.rs
@@ -1,11 +1,18 @@
 //! The border between a gateway and the way it chooses endpoints.
 
+use std::sync::Arc;
+
 use displaydoc::Display;
 use mgs_fleet::view::EndpointKey;
 use mgs_fleet::view::View;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::wire::Outcome;
 
+use crate::baseline::LeastOutstanding;
+use crate::baseline::PrefixAffinity;
+use crate::baseline::RoundRobin;
+use crate::marigold::Marigold;
+
 /// What is asked for.
 #[derive(Debug, Clone)]
 pub struct Ask<'a> {
@@ -27,7 +34,7 @@
     pub excluded: &'a [EndpointKey],
     /// What is left of the allotted time, in milliseconds.
     pub budget_ms: u64,
-    /// Now, on the process's monotonic clock, in milliseconds.
+    /// Now, on the process's monotonic clock, in milliseconds: when the policy is asked or told.
     pub now_ms: u64,
 }
 
@@ -67,9 +74,36 @@
     /// A request was dispatched to an endpoint; reports don't show it yet.
     fn dispatched(&self, endpoint: EndpointKey, ask: &Ask<'_>);
 
-    /// The first token came `took_ms` after the dispatch.
-    fn first_token(&self, endpoint: EndpointKey, ask: &Ask<'_>, took_ms: u64);
+    /// The first token came `took_ms` after the dispatch; `predicted_ms` is the
+    /// [`Choice::first_token_ms`] that led to it, 0 if there was none.
+    fn first_token(&self, endpoint: EndpointKey, ask: &Ask<'_>, predicted_ms: u64, took_ms: u64);
 
-    /// The attempt at an endpoint ended.
+    /// The attempt at an endpoint ended; follows each [`Policy::dispatched`] once. `Failed` and
+    /// `Unknown` are held against the endpoint; an attempt that its caller or its deadline ended
+    /// is told as `Unspecified`.
     fn finished(&self, endpoint: EndpointKey, ask: &Ask<'_>, outcome: Outcome);
 }
+
+/// Names that [`by_name`] knows; the first is the product's own.
+pub const NAMES: [&str; 4] = [
+    "marigold",
+    "round-robin",
+    "least-outstanding",
+    "prefix-affinity",
+];
+
+/// A fresh policy of a name.
+///
+/// ```
+/// assert!(mgs_routing::policy::by_name("marigold").is_some());
+/// assert!(mgs_routing::policy::by_name("other").is_none());
+/// ```
+pub fn by_name(name: &str) -> Option<Arc<dyn Policy>> {
+    match name {
+        "marigold" => Some(Arc::new(Marigold::default())),
+        "round-robin" => Some(Arc::new(RoundRobin::default())),
+        "least-outstanding" => Some(Arc::new(LeastOutstanding::default())),
+        "prefix-affinity" => Some(Arc::new(PrefixAffinity::default())),
+        _ => None,
+    }
+}
--- a/crates/mgs-schema/src/hot.rs
+++ b/crates/mgs-schema/src/hot.rs
@@ -63,7 +63,7 @@
 tuple_serde!(
     LoadReport,
     LoadReportVisitor,
-    17,
+    18,
     incarnation,
     report,
     state,
@@ -80,5 +80,6 @@
     cached_hashes,
     evicted_hashes,
     cache_reset,
-    failed_requests
+    failed_requests,
+    short_prefill_waiting_tokens
 );
--- a/crates/mgs-schema/src/prefix.rs
+++ b/crates/mgs-schema/src/prefix.rs
@@ -14,6 +14,9 @@
 /// Bytes in one block.
 pub const BLOCK_BYTES: usize = BYTES_PER_TOKEN * 256;
 
+/// Longest prompt that counts as short, in tokens.
+pub const SHORT_PROMPT_TOKENS: u64 = 16_384;
+
 /// Tokens of a text, rounded up.
 ///
 /// ```
