feat(cli): show what each process says of itself

Cause: operators need one look at readiness and counters of all processes. Ruled out: reading the platform only, which says nothing when the platform is out.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -19,6 +19,7 @@
 pub mod sidecar;
 #[cfg(feature = "demo")]
 pub mod standin;
+pub mod status;
 pub mod table;
 
 const ABOUT: &str =
@@ -62,6 +63,7 @@
         entry(endpoint::command(), endpoint::run),
         entry(organisation::command(), organisation::run),
         entry(request::command(), request::run),
+        entry(status::command(), status::run),
         #[cfg(feature = "demo")]
         entry(standin::command(), standin::run),
         entry(completions::command(), completions::run),
--- /dev/null
+++ b/src/command/status.rs
@@ -0,0 +1,91 @@
+//! `marigoldstage status`: what each process says of itself.
+
+use std::io::Write;
+use std::time::Duration;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use serde::Serialize;
+
+use crate::error::Error;
+use crate::setting::switch;
+use crate::setting::value;
+use crate::setting::Values;
+use crate::status;
+use crate::status::Process;
+
+const ADMIN: &str = "admin-address";
+const TIMEOUT_MS: &str = "status-timeout-ms";
+const JSON: &str = "json";
+
+const EXAMPLES: &str = "\
+Examples:
+  marigoldstage status --admin-address 10.0.0.5:7101,10.0.1.7:7301
+  marigoldstage status --admin-address 10.0.0.5:7101 --json | jq '.[].metrics'
+
+Exit code 0 if every process is ready, 1 if one isn't, 4 if none can be reached.";
+
+/// Declares the subcommand.
+pub fn command() -> Command {
+    Command::new("status")
+        .about("Show what each process says of itself: readiness and main counters")
+        .after_help(EXAMPLES)
+        .arg(admin_argument())
+        .arg(value(TIMEOUT_MS, "MS", "Longest wait for each process").default_value("2000"))
+        .arg(switch(
+            JSON,
+            "Print JSON with every metric, instead of a table",
+        ))
+}
+
+fn admin_argument() -> Arg {
+    value(
+        ADMIN,
+        "IP:PORT",
+        "Operators' address (--admin) of a process; several by commas or by repeating the flag",
+    )
+    .action(ArgAction::Append)
+    .value_delimiter(',')
+}
+
+/// Asks each process and prints what it says.
+pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let mut values = Values::new(matches);
+    let addresses = values.addresses(ADMIN);
+    let timeout_ms = values.number(TIMEOUT_MS, 1..=3_600_000);
+    let json = values.switch(JSON);
+    values.finish()?;
+
+    let timeout = Duration::from_millis(timeout_ms);
+    let ask = |address| status::ask(address, timeout);
+    let processes: Vec<Process> = addresses.into_iter().map(ask).collect();
+    if json {
+        print_json(&processes, out)?;
+    } else {
+        status::print_table(&processes, out)?;
+    }
+    judge(&processes)
+}
+
+fn print_json<T: Serialize>(value: &T, out: &mut dyn Write) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(value);
+    let text = text.map_err(|error| Error::Failed(error.to_string()))?;
+    writeln!(out, "{text}")?;
+    Ok(())
+}
+
+fn judge(processes: &[Process]) -> Result<(), Error> {
+    let ready = processes.iter().filter(|process| process.ready).count();
+    if ready == processes.len() {
+        return Ok(());
+    }
+    let of = format!("{ready} of {} processes are ready", processes.len());
+    if processes.iter().any(|process| process.reached) {
+        return Err(Error::Failed(of));
+    }
+    Err(Error::Unavailable(format!(
+        "{of}; none could be reached; check --admin-address"
+    )))
+}
--- /dev/null
+++ b/src/demo/load.rs
@@ -0,0 +1,142 @@
+//! Sends the planned requests at their times and collects how each one ended.
+
+use std::net::SocketAddr;
+use std::sync::mpsc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mgs_standin::engine::text::expected;
+use serde_json::json;
+
+use super::client;
+use super::client::Ended;
+use super::client::Outcome;
+use super::client::Request;
+use super::plan;
+use super::plan::Call;
+use super::plan::Planned;
+use super::progress::Progress;
+
+/// Where requests go.
+#[derive(Debug, Clone)]
+pub struct Target {
+    /// Gateways; requests take turns.
+    pub gateways: Vec<SocketAddr>,
+    /// Bearer keys by organisation.
+    pub bearer_keys: Vec<String>,
+}
+
+/// One request and its end.
+#[derive(Debug, Clone)]
+pub struct Record {
+    /// What was sent.
+    pub planned: Planned,
+    /// How it ended.
+    pub outcome: Outcome,
+}
+
+/// Sends everything and waits for every end.
+pub fn run(planned: Vec<Planned>, target: &Target, progress: &Progress) -> Vec<Record> {
+    let begun = Instant::now();
+    let (ended, records) = mpsc::channel();
+    thread::scope(|scope| {
+        for planned in planned {
+            wait_until(begun, planned.at_ms);
+            progress.sent(planned.number);
+            let ended = ended.clone();
+            scope.spawn(move || {
+                let record = send(planned, target);
+                progress.ended();
+                // The receiver lives until all senders are gone.
+                let _ = ended.send(record);
+            });
+        }
+    });
+    drop(ended);
+    records.into_iter().collect()
+}
+
+fn wait_until(begun: Instant, at_ms: u64) {
+    let at = Duration::from_millis(at_ms);
+    thread::sleep(at.saturating_sub(begun.elapsed()));
+}
+
+fn send(planned: Planned, target: &Target) -> Record {
+    let gateway = target.gateways[planned.number as usize % target.gateways.len()];
+    let mut outcome = match planned.call {
+        Call::Completion {
+            prompt_tokens,
+            shared_prefix,
+            max_tokens,
+            streamed,
+        } => {
+            let prompt = plan::prompt(&planned, prompt_tokens, shared_prefix);
+            let request = completion(&planned, target, gateway, &prompt, max_tokens, streamed);
+            let outcome = client::send(&request);
+            drop(request);
+            compared(outcome, &expected(&prompt, max_tokens))
+        }
+        Call::Service => client::send(&service(&planned, target, gateway)),
+    };
+    if let Ended::Answered { text, .. } = &mut outcome.ended {
+        // Compared above; kept texts would only take memory.
+        text.clear();
+    }
+    Record { planned, outcome }
+}
+
+fn completion(
+    planned: &Planned,
+    target: &Target,
+    gateway: SocketAddr,
+    prompt: &str,
+    max_tokens: u64,
+    streamed: bool,
+) -> Request {
+    let body = json!({
+        "model": plan::MODEL,
+        "prompt": prompt,
+        "max_tokens": max_tokens,
+        "stream": streamed,
+    });
+    Request {
+        url: format!("http://{gateway}/v1/completions"),
+        body: body.to_string(),
+        streamed,
+        ..base(planned, target)
+    }
+}
+
+fn service(planned: &Planned, target: &Target, gateway: SocketAddr) -> Request {
+    let path = format!("/services/{}/items/{}", plan::SERVICE, planned.number);
+    Request {
+        url: format!("http://{gateway}{path}"),
+        body: json!({ "item": planned.number }).to_string(),
+        ..base(planned, target)
+    }
+}
+
+fn base(planned: &Planned, target: &Target) -> Request {
+    let kind = &plan::KINDS[planned.kind];
+    Request {
+        url: String::new(),
+        bearer_key: target.bearer_keys[planned.organisation].clone(),
+        kind: kind.name.to_string(),
+        body: String::new(),
+        streamed: false,
+        idempotent: planned.idempotent,
+        allotted_ms: kind.allotted_ms,
+    }
+}
+
+/// An answer that isn't the engine's is no outcome.
+fn compared(outcome: Outcome, wanted: &str) -> Outcome {
+    match &outcome.ended {
+        Ended::Answered { text, .. } if text != wanted => Outcome {
+            ended: Ended::Lost("the answer isn't the one that the engine gave".to_string()),
+            ..outcome
+        },
+        _ => outcome,
+    }
+}
--- /dev/null
+++ b/src/demo/progress.rs
@@ -0,0 +1,45 @@
+//! The progress display, shown when standard error is a terminal.
+
+use std::io::IsTerminal;
+
+use indicatif::ProgressBar;
+use indicatif::ProgressDrawTarget;
+use indicatif::ProgressStyle;
+
+const TEMPLATE: &str = "{elapsed_precise} {bar:30} {pos}/{len} ended  {msg}";
+
+/// A display of how many requests have ended.
+#[derive(Debug, Clone)]
+pub struct Progress {
+    bar: ProgressBar,
+}
+
+impl Progress {
+    /// A display for `total` requests; silent unless standard error is a terminal.
+    pub fn new(total: u64) -> Self {
+        let target = if std::io::stderr().is_terminal() {
+            ProgressDrawTarget::stderr()
+        } else {
+            ProgressDrawTarget::hidden()
+        };
+        let bar = ProgressBar::with_draw_target(Some(total), target);
+        let style = ProgressStyle::with_template(TEMPLATE);
+        bar.set_style(style.expect("BUG: the template is well formed"));
+        Self { bar }
+    }
+
+    /// Counts a request that was sent.
+    pub fn sent(&self, number: u64) {
+        self.bar.set_message(format!("{} sent", number + 1));
+    }
+
+    /// Counts a request that ended.
+    pub fn ended(&self) {
+        self.bar.inc(1);
+    }
+
+    /// Takes the display away.
+    pub fn finish(&self) {
+        self.bar.finish_and_clear();
+    }
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -11,4 +11,5 @@
 pub mod command;
 pub mod error;
 pub mod setting;
+pub mod status;
 pub mod stop;
--- a/src/setting.rs
+++ b/src/setting.rs
@@ -126,6 +126,25 @@
             .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
+    /// One or more addresses, each `IP:PORT`.
+    pub fn addresses(&mut self, flag: &str) -> Vec<SocketAddr> {
+        let given: Vec<String> = match self.matches.get_many::<String>(flag) {
+            Some(texts) => texts.cloned().collect(),
+            None => Vec::new(),
+        };
+        if given.is_empty() {
+            self.fault(flag, "give at least one IP:PORT");
+        }
+        let mut addresses = Vec::new();
+        for text in given {
+            match text.trim().parse() {
+                Ok(address) => addresses.push(address),
+                Err(_) => self.fault(flag, format!("{text:?} is no IP:PORT")),
+            }
+        }
+        addresses
+    }
+
     /// An address that others are told; it must name one host and one port.
     pub fn reachable_address(&mut self, flag: &str) -> SocketAddr {
         let address = self.address(flag);
