--- /dev/null
+++ b/src/command/demo.rs
@@ -0,0 +1,126 @@
+//! `marigoldstage demo`: the whole system in one process, under a mixed load.
+
+use std::io::Write;
+use std::net::SocketAddr;
+
+use clap::ArgMatches;
+use clap::Command;
+
+use super::process;
+use crate::demo;
+use crate::demo::fleet;
+use crate::demo::fleet::Fleet;
+use crate::demo::load::Target;
+use crate::demo::plan;
+use crate::error::Error;
+use crate::setting::switch;
+use crate::setting::value;
+use crate::setting::Values;
+use crate::stop::Stop;
+
+const SERVE: &str = "serve";
+const LISTEN: &str = "listen";
+const LOAD_MS: &str = "load-ms";
+const REQUESTS_PER_S: &str = "requests-per-s";
+const SEED: &str = "seed";
+const ENGINES: &str = "engines";
+const TIME_SCALE: &str = "time-scale";
+
+const EXAMPLES: &str = "\
+Examples:
+  marigoldstage demo                                  about 15 seconds of mixed load
+  marigoldstage demo --load-ms 60000 --requests-per-s 30
+  marigoldstage demo --serve --listen 127.0.0.1:7100  stay up and print a curl line
+
+It brings up 2 gateways, 4 engines with their sidecars in 2 availability zones, a plain service and
+the platform, all in this process, on loopback sockets. Engines and platform are stand-ins: answers
+are words without sense, and times are those of a stated cost model, sped up by --time-scale.
+
+The last line of standard output is JSON:
+  admitted   requests that the gateways admitted
+  answered   callers that got the whole answer, compared with what the engine gave
+  refused    callers told that their request was not run
+  failed     callers told that it ran, or partly ran, without a whole answer
+  unknown    callers told that it may have run
+  lost       requests that were sent and got no outcome
+  ran_twice  non-idempotent requests that the endpoints ran more than once, by their own count
+Exit code 1 if lost or ran_twice is not 0.";
+
+/// Declares the subcommand.
+pub fn command() -> Command {
+    Command::new("demo")
+        .about("Run the whole system in this process, under a mixed load")
+        .after_help(EXAMPLES)
+        .arg(switch(SERVE, "Send no load; stay up until a signal and print a curl line that works"))
+        .arg(
+            value(LISTEN, "IP:PORT", "Where the first gateway listens; port 0 takes a free one")
+                .default_value("127.0.0.1:0"),
+        )
+        .arg(value(LOAD_MS, "MS", "Time over which requests are sent").default_value("10000"))
+        .arg(value(REQUESTS_PER_S, "N", "Requests sent in a second").default_value("20"))
+        .arg(value(SEED, "N", "Seed of the mix; the same seed sends the same").default_value("1"))
+        .arg(value(ENGINES, "N", "Engines, each with its sidecar").default_value("4"))
+        .arg(value(TIME_SCALE, "X", "How much faster than their model engines run").default_value("20"))
+        .arg(process::log_argument().default_value("error"))
+}
+
+/// Runs the demonstration.
+pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let mut values = Values::new(matches);
+    let logs = process::log_options(&mut values);
+    let options = options(&mut values);
+    let serve_only = values.switch(SERVE);
+    values.finish()?;
+
+    let _logs = process::start_log(&logs)?;
+    if serve_only {
+        return serve(options, out);
+    }
+    let summary = demo::run(options, out)?;
+    if summary.is_good() {
+        return Ok(());
+    }
+    let text = format!("{} lost, {} ran twice", summary.lost, summary.ran_twice);
+    Err(Error::Failed(text))
+}
+
+fn options(values: &mut Values<'_>) -> demo::Options {
+    let first = values.address(LISTEN);
+    let second = SocketAddr::from(([127, 0, 0, 1], 0));
+    demo::Options {
+        fleet: fleet::Options {
+            gateways: vec![first, second],
+            engines: values.number(ENGINES, 1..=64),
+            time_scale: values.number(TIME_SCALE, 0.01..=1_000.0),
+            ..fleet::Options::default()
+        },
+        plan: plan::Options {
+            load_ms: values.number(LOAD_MS, 1..=86_400_000),
+            requests_per_s: values.number(REQUESTS_PER_S, 0.1..=10_000.0),
+            seed: values.number(SEED, 0..=u64::MAX),
+        },
+    }
+}
+
+fn serve(options: demo::Options, out: &mut dyn Write) -> Result<(), Error> {
+    let mut stop = Stop::new()?;
+    let fleet = Fleet::start(options.fleet)?;
+    writeln!(out, "up: {}; stop with Ctrl-C", fleet.describe())?;
+    writeln!(out, "{}", curl(&fleet.target()))?;
+    out.flush()?;
+    stop.wait();
+    Ok(())
+}
+
+fn curl(target: &Target) -> String {
+    format!(
+        "curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {}' \
+         -H 'Request-Kind: {}' -H 'Content-Type: application/json' \
+         -d '{{\"model\":\"{}\",\"stream\":true,\"max_tokens\":16,\
+         \"messages\":[{{\"role\":\"user\",\"content\":\"hello\"}}]}}'",
+        target.gateways[0],
+        target.bearer_keys[0],
+        plan::KINDS[0].name,
+        plan::MODEL,
+    )
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -12,7 +12,10 @@
 use crate::error::EXIT_CODES;
 
 pub mod completions;
+#[cfg(feature = "demo")]
+pub mod demo;
 pub mod endpoint;
+pub mod gateway;
 pub mod organisation;
 pub mod process;
 pub mod request;
@@ -58,6 +61,7 @@
 
 fn entries() -> Vec<Entry> {
     vec![
+        entry(gateway::command(), gateway::run),
         entry(sidecar::command(), sidecar::run),
         entry(table::command(), table::run),
         entry(endpoint::command(), endpoint::run),
@@ -65,6 +69,8 @@
         entry(request::command(), request::run),
         entry(status::command(), status::run),
         #[cfg(feature = "demo")]
+        entry(demo::command(), demo::run),
+        #[cfg(feature = "demo")]
         entry(standin::command(), standin::run),
         entry(completions::command(), completions::run),
     ]
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -13,6 +13,7 @@
 use mgs_platform::http;
 
 use crate::error::Error;
+use crate::setting::switch;
 use crate::setting::value;
 use crate::setting::Values;
 
@@ -130,3 +131,24 @@
     let admin = admin::serve(options, registry, health);
     admin.map_err(|error| Error::Failed(error.to_string()))
 }
+
+/// Names a deliberate bug.
+pub const PLANT: &str = "plant";
+const ALLOW_PLANT: &str = "allow-plant";
+
+/// Declares the hidden settings by which those who check the checks plant a bug.
+pub fn plant_arguments() -> [Arg; 2] {
+    [
+        value(PLANT, "NAME", "A deliberate bug, to show that checks find it").hide(true),
+        switch(ALLOW_PLANT, "Without it --plant is refused").hide(true),
+    ]
+}
+
+/// Name of the bug to plant; empty for none.
+pub fn plant_name(values: &mut Values<'_>) -> String {
+    let name = values.optional(PLANT).unwrap_or_default();
+    if !name.is_empty() && !values.switch(ALLOW_PLANT) {
+        values.fault(PLANT, "a deliberate bug is planted only together with --allow-plant");
+    }
+    name
+}
--- /dev/null
+++ b/src/demo/fleet.rs
@@ -0,0 +1,369 @@
+//! The processes of the demonstration, as threads of this one.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+use std::time::SystemTime;
+use std::time::UNIX_EPOCH;
+
+use mgs_gateway::gateway;
+use mgs_observe::metrics::Registry;
+use mgs_platform::http;
+use mgs_schema::settings::Change;
+use mgs_schema::settings::EndpointKind;
+use mgs_schema::settings::EndpointRow;
+use mgs_schema::settings::LimitRow;
+use mgs_schema::settings::OrganisationRow;
+use mgs_settings::follow;
+use mgs_settings::row::RowValue;
+use mgs_settings::row::ANY;
+use mgs_settings::store::edit;
+use mgs_settings::store::read::Store;
+use mgs_settings::table::key_digest;
+use mgs_settings::table::Table;
+use mgs_sidecar::sidecar;
+use mgs_sidecar::sidecar::Sidecar;
+use mgs_standin::engine;
+use mgs_standin::engine::text::prompt_hash;
+use mgs_standin::engine::Engine;
+use mgs_standin::platform;
+use mgs_standin::platform::Platform;
+use mgs_standin::service;
+use mgs_standin::service::Service;
+
+use super::load::Record;
+use super::load::Target;
+use super::plan;
+use super::plan::Call;
+use super::plan::Planned;
+use super::report::Summary;
+use crate::error::Error;
+use crate::role::gateway::Options as RoleOptions;
+use crate::role::gateway::Running;
+use crate::status::parse_metrics;
+
+const ZONES: [&str; 2] = ["zone-1", "zone-2"];
+const SERVICE_ENDPOINT: &str = "stock-1";
+const READY_TIMEOUT: Duration = Duration::from_secs(30);
+const READY_LOOK: Duration = Duration::from_millis(20);
+const SETTLE_TIMEOUT: Duration = Duration::from_secs(10);
+
+/// Settings of the fleet.
+#[derive(Debug, Clone)]
+pub struct Options {
+    /// Addresses of the gateways for callers; port 0 takes a free one.
+    pub gateways: Vec<SocketAddr>,
+    /// Engines, each with its sidecar; they take turns among the availability zones.
+    pub engines: usize,
+    /// Memory of each engine.
+    pub kv_capacity_tokens: u64,
+    /// How much faster than a real engine's the stand-ins' times are.
+    pub time_scale: f64,
+    /// Time that a call of the plain service takes, in milliseconds.
+    pub service_delay_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            gateways: vec![any_port, any_port],
+            engines: 4,
+            kv_capacity_tokens: 1_200_000,
+            time_scale: 20.0,
+            service_delay_ms: 5,
+        }
+    }
+}
+
+/// The running fleet; it stops when dropped.
+pub struct Fleet {
+    gateways: Vec<(Running, Registry)>,
+    sidecars: Vec<Sidecar>,
+    engines: Vec<Engine>,
+    service: Service,
+    _platform: Platform,
+    bearer_keys: Vec<String>,
+}
+
+impl Fleet {
+    /// Starts everything and waits until the gateways serve and reach each sidecar.
+    pub fn start(options: Options) -> Result<Self, Error> {
+        let platform = Platform::start(platform::Options::default()).map_err(failed)?;
+        let engines: Vec<Engine> = (0..options.engines)
+            .map(|_| start_engine(&options))
+            .collect::<Result<_, _>>()?;
+        let service = start_service(&options)?;
+        let sidecars = start_sidecars(&engines, &service, &platform)?;
+        let bearer_keys: Vec<String> = plan::ORGANISATIONS.map(bearer_key).into();
+        write_table(&platform, changes(&sidecars, &bearer_keys))?;
+        let gateways: Vec<_> = options
+            .gateways
+            .iter()
+            .enumerate()
+            .map(|(index, listen)| start_gateway(index, *listen, &platform))
+            .collect::<Result<_, _>>()?;
+        let fleet = Self {
+            gateways,
+            sidecars: sidecars.into_iter().map(|(_, sidecar)| sidecar).collect(),
+            engines,
+            service,
+            _platform: platform,
+            bearer_keys,
+        };
+        fleet.wait_until_ready()?;
+        Ok(fleet)
+    }
+
+    fn wait_until_ready(&self) -> Result<(), Error> {
+        let end = Instant::now() + READY_TIMEOUT;
+        while !self.gateways.iter().all(|gateway| self.serves(gateway)) {
+            if Instant::now() >= end {
+                let text = "the gateways didn't get ready; see the log with --log-level info";
+                return Err(Error::Failed(text.to_string()));
+            }
+            thread::sleep(READY_LOOK);
+        }
+        Ok(())
+    }
+
+    fn serves(&self, (running, registry): &(Running, Registry)) -> bool {
+        let sessions = metric(registry, "mgs_gateway_sessions");
+        running.gateway().health().ready().is_ok() && sessions as usize == self.sidecars.len()
+    }
+
+    /// Where the load goes.
+    pub fn target(&self) -> Target {
+        let address = |(running, _): &(Running, Registry)| running.gateway().address();
+        Target {
+            gateways: self.gateways.iter().map(address).collect(),
+            bearer_keys: self.bearer_keys.clone(),
+        }
+    }
+
+    /// A line for people.
+    pub fn describe(&self) -> String {
+        format!(
+            "{} gateways, {} engines in {} availability zones and 1 plain service",
+            self.gateways.len(),
+            self.engines.len(),
+            ZONES.len()
+        )
+    }
+
+    /// Counts what callers saw, what the gateways admitted and what the endpoints ran.
+    pub fn audit(&self, records: &[Record]) -> Summary {
+        self.wait_until_settled();
+        let admitted = self.total("mgs_gateway_admitted_total");
+        let open = self.total("mgs_gateway_open_requests");
+        let seen = Summary::of(records);
+        Summary {
+            admitted: admitted as u64,
+            lost: seen.lost.max(open as u64),
+            ran_twice: self.ran_twice(records),
+            ..seen
+        }
+    }
+
+    /// A gateway counts an end just after the caller has read it.
+    fn wait_until_settled(&self) {
+        let end = Instant::now() + SETTLE_TIMEOUT;
+        while self.total("mgs_gateway_open_requests") > 0.0 && Instant::now() < end {
+            thread::sleep(READY_LOOK);
+        }
+    }
+
+    fn total(&self, name: &str) -> f64 {
+        let values = self.gateways.iter().map(|(_, registry)| metric(registry, name));
+        values.sum()
+    }
+
+    /// Non-idempotent requests that the endpoints ran more than once, by the endpoints' own count.
+    fn ran_twice(&self, records: &[Record]) -> u64 {
+        let mut prompts: HashMap<u64, u64> = HashMap::new();
+        for execution in self.engines.iter().flat_map(Engine::executions) {
+            *prompts.entry(execution.prompt_hash).or_default() += 1;
+        }
+        let calls = self.service.executions();
+        let ran = |record: &Record| match record.planned.call {
+            Call::Completion { .. } => {
+                let hash = prompt_hash(&prompt_of(&record.planned));
+                prompts.get(&hash).copied().unwrap_or_default()
+            }
+            Call::Service => {
+                let id = &record.outcome.request_id;
+                calls.get(id).copied().unwrap_or_default()
+            }
+        };
+        let non_idempotent = records.iter().filter(|record| !record.planned.idempotent);
+        non_idempotent.filter(|record| ran(record) > 1).count() as u64
+    }
+}
+
+fn prompt_of(planned: &Planned) -> String {
+    match planned.call {
+        Call::Completion {
+            prompt_tokens,
+            shared_prefix,
+            ..
+        } => plan::prompt(planned, prompt_tokens, shared_prefix),
+        Call::Service => String::new(),
+    }
+}
+
+fn metric(registry: &Registry, name: &str) -> f64 {
+    let metrics = parse_metrics(&registry.encode());
+    metrics.get(name).copied().unwrap_or_default()
+}
+
+fn failed(error: impl std::fmt::Display) -> Error {
+    Error::Failed(error.to_string())
+}
+
+fn start_engine(options: &Options) -> Result<Engine, Error> {
+    let options = engine::Options {
+        models: vec![plan::MODEL.to_string()],
+        kv_capacity_tokens: options.kv_capacity_tokens,
+        time_scale: options.time_scale,
+        ..engine::Options::default()
+    };
+    Engine::start(options).map_err(failed)
+}
+
+fn start_service(options: &Options) -> Result<Service, Error> {
+    let options = service::Options {
+        delay_ms: options.service_delay_ms,
+        ..service::Options::default()
+    };
+    Service::start(options).map_err(failed)
+}
+
+/// Starts a sidecar beside each endpoint, with the endpoint's row for the table.
+fn start_sidecars(
+    engines: &[Engine],
+    service: &Service,
+    platform: &Platform,
+) -> Result<Vec<(EndpointRow, Sidecar)>, Error> {
+    let engine_row = |index: usize| EndpointRow {
+        name: format!("engine-{}", index + 1),
+        kind: EndpointKind::Engine.into(),
+        zone: ZONES[index % ZONES.len()].to_string(),
+        models: vec![plan::MODEL.to_string()],
+        checks_orders: true,
+        started: true,
+        ..EndpointRow::default()
+    };
+    let service_row = EndpointRow {
+        name: SERVICE_ENDPOINT.to_string(),
+        kind: EndpointKind::Service.into(),
+        zone: ZONES[0].to_string(),
+        models: vec![plan::SERVICE.to_string()],
+        started: true,
+        ..EndpointRow::default()
+    };
+    let endpoints = engines.iter().enumerate();
+    let mut endpoints: Vec<_> = endpoints
+        .map(|(index, engine)| (engine_row(index), engine.url()))
+        .collect();
+    endpoints.push((service_row, service.url()));
+    let start = |(row, url)| start_sidecar(row, url, platform);
+    endpoints.into_iter().map(start).collect()
+}
+
+fn start_sidecar(
+    row: EndpointRow,
+    endpoint_url: String,
+    platform: &Platform,
+) -> Result<(EndpointRow, Sidecar), Error> {
+    let options = sidecar::Options {
+        name: row.name.clone(),
+        zone: row.zone.clone(),
+        kind: row.kind(),
+        endpoint_url,
+        platform_url: Some(platform.url()),
+        ..sidecar::Options::default()
+    };
+    let sidecar = Sidecar::start(options).map_err(failed)?;
+    let row = EndpointRow {
+        sidecar_address: sidecar.address().to_string(),
+        ..row
+    };
+    Ok((row, sidecar))
+}
+
+fn start_gateway(
+    index: usize,
+    listen: SocketAddr,
+    platform: &Platform,
+) -> Result<(Running, Registry), Error> {
+    let registry = Registry::new();
+    let running = Running::start(RoleOptions {
+        gateway: gateway::Options {
+            name: format!("gateway-{}", index + 1),
+            zone: ZONES[index % ZONES.len()].to_string(),
+            listen,
+            peer_listen: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
+            registry: registry.clone(),
+            ..gateway::Options::default()
+        },
+        platform: platform_options(platform),
+        follow: follow::Options::default(),
+    })?;
+    Ok((running, registry))
+}
+
+fn platform_options(platform: &Platform) -> http::Options {
+    http::Options {
+        base_url: platform.url(),
+        ..http::Options::default()
+    }
+}
+
+/// The demonstration's keys are no secret.
+fn bearer_key(organisation: &str) -> String {
+    format!("demo-key-{organisation}")
+}
+
+fn changes(sidecars: &[(EndpointRow, Sidecar)], bearer_keys: &[String]) -> Vec<Change> {
+    let endpoints = sidecars.iter().map(|(row, _)| RowValue::Endpoint(row.clone()));
+    let organisations = plan::ORGANISATIONS.iter().zip(bearer_keys);
+    let organisations = organisations.map(|(name, key)| {
+        RowValue::Organisation(OrganisationRow {
+            name: name.to_string(),
+            key_digests: vec![key_digest(key)],
+            version: 0,
+        })
+    });
+    let limits = plan::KINDS.iter().map(|kind| {
+        RowValue::Limit(LimitRow {
+            organisation: ANY.to_string(),
+            kind: kind.name.to_string(),
+            weight: kind.weight,
+            priority: kind.priority,
+            allotted_ms: kind.allotted_ms,
+            ..LimitRow::default()
+        })
+    });
+    let rows = endpoints.chain(organisations).chain(limits);
+    rows.map(RowValue::set).collect()
+}
+
+fn write_table(platform: &Platform, changes: Vec<Change>) -> Result<(), Error> {
+    let client = http::Client::new(platform_options(platform));
+    let store = Store {
+        table: &client,
+        objects: &client,
+    };
+    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
+    let options = edit::Options {
+        edit_id: "demo-1".to_string(),
+        author: "demo".to_string(),
+        at_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
+        changes,
+        retried: false,
+    };
+    edit::commit(store, &Table::default(), &options, &|_| Vec::new()).map_err(failed)?;
+    Ok(())
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -9,7 +9,10 @@
 #![forbid(unsafe_code)]
 
 pub mod command;
+#[cfg(feature = "demo")]
+pub mod demo;
 pub mod error;
+pub mod role;
 pub mod setting;
 pub mod status;
 pub mod stop;
--- /dev/null
+++ b/tests/command.rs
@@ -0,0 +1,160 @@
+//! The command line as a newcomer meets it: help, errors, exit codes, completions.
+
+mod common;
+
+use common::code;
+use common::marigoldstage;
+use common::run;
+use common::stderr;
+use common::stdout;
+use rstest::rstest;
+
+const SERVING: [&str; 2] = ["gateway", "sidecar"];
+
+#[test]
+fn help_names_every_subcommand_and_exit_code() {
+    let output = run(&["--help"]);
+    assert_eq!(code(&output), 0);
+    let text = stdout(&output);
+    let names = [
+        "gateway",
+        "sidecar",
+        "table",
+        "endpoint",
+        "organisation",
+        "request",
+        "status",
+        "demo",
+        "standin",
+        "completions",
+    ];
+    for name in names {
+        assert!(text.contains(&format!("\n  {name}")), "{name} in {text}");
+    }
+    for code in 0..=6 {
+        assert!(text.contains(&format!("\n  {code}  ")), "{code} in {text}");
+    }
+}
+
+#[rstest]
+#[case("gateway")]
+#[case("sidecar")]
+#[case("table")]
+#[case("endpoint")]
+#[case("organisation")]
+#[case("request")]
+#[case("status")]
+#[case("demo")]
+#[case("standin")]
+#[case("completions")]
+fn every_subcommand_teaches_by_examples(#[case] name: &str) {
+    let output = run(&[name, "--help"]);
+    assert_eq!(code(&output), 0);
+    let text = stdout(&output);
+    assert!(text.contains(&format!("marigoldstage {name}")), "{text}");
+    assert!(text.contains("Examples:"), "{text}");
+}
+
+#[test]
+fn every_setting_of_a_role_has_its_variable() {
+    for name in SERVING {
+        let text = stdout(&run(&[name, "--help"]));
+        let flags = text.split_whitespace().filter(|word| {
+            word.starts_with("--") && word[2..].starts_with(|c: char| c.is_ascii_lowercase())
+        });
+        let options = text.split("Options:").nth(1).unwrap();
+        let options = options.split("Examples:").next().unwrap();
+        for flag in flags.filter(|flag| options.contains(&format!("\n      {flag}"))) {
+            let variable = flag[2..].replace('-', "_").to_ascii_uppercase();
+            let variable = format!("MARIGOLDSTAGE_{variable}");
+            assert!(options.contains(&variable), "{flag} of {name}");
+        }
+    }
+}
+
+#[rstest]
+#[case(&[], 2, "Usage")]
+#[case(&["gatewya"], 2, "gateway")]
+#[case(&["sidecar", "--nonsense"], 2, "--nonsense")]
+#[case(&["completions", "tcsh"], 2, "bash")]
+#[case(&["standin"], 2, "Usage")]
+#[case(&["status"], 2, "--admin-address")]
+#[case(&["--version"], 0, "")]
+fn usage_errors_exit_with_2(#[case] arguments: &[&str], #[case] wanted: i32, #[case] says: &str) {
+    let output = run(arguments);
+    assert_eq!(code(&output), wanted, "{}", stderr(&output));
+    assert!(stderr(&output).contains(says), "{}", stderr(&output));
+}
+
+#[test]
+fn all_wrong_settings_are_reported_at_once() {
+    let output = marigoldstage()
+        .args(["sidecar", "--listen", "here", "--drain-ms", "-3"])
+        .args(["--log-level", "loud", "--name", " "])
+        .env("MARIGOLDSTAGE_ENDPOINT_KIND", "toaster")
+        .env("MARIGOLDSTAGE_PLATFORM", "127.0.0.1:7400")
+        .output()
+        .unwrap();
+    assert_eq!(code(&output), 2);
+    let text = stderr(&output);
+    assert!(text.contains("6 settings are wrong"), "{text}");
+    for part in [
+        "--listen \"here\": give IP:PORT",
+        "--drain-ms \"-3\": give a number from 0 to",
+        "--log-level \"loud\": give error, warn",
+        "--name \" \": must be given",
+        "MARIGOLDSTAGE_ENDPOINT_KIND=\"toaster\": give engine or service",
+        "MARIGOLDSTAGE_PLATFORM=\"127.0.0.1:7400\": give http://IP:PORT",
+    ] {
+        assert!(text.contains(part), "{part} in {text}");
+    }
+}
+
+#[test]
+fn a_flag_goes_before_its_variable() {
+    let output = marigoldstage()
+        .args(["sidecar", "--drain-ms", "5", "--listen", "x"])
+        .env("MARIGOLDSTAGE_DRAIN_MS", "soon")
+        .output()
+        .unwrap();
+    let text = stderr(&output);
+    assert!(text.contains("a setting is wrong"), "{text}");
+    assert!(!text.contains("drain"), "{text}");
+}
+
+#[test]
+fn a_taken_port_fails_with_the_address_in_the_message() {
+    let taken = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = taken.local_addr().unwrap().to_string();
+    for name in ["platform", "service", "engine"] {
+        let output = run(&["standin", name, "--listen", &address]);
+        assert_eq!(code(&output), 1);
+        assert!(stderr(&output).contains(&address), "{}", stderr(&output));
+    }
+}
+
+#[test]
+fn status_of_a_closed_port_is_unavailable() {
+    let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
+    let address = closed.local_addr().unwrap().to_string();
+    drop(closed);
+    let output = run(&["status", "--admin-address", &address]);
+    assert_eq!(code(&output), 4);
+    assert!(stdout(&output).contains("silent"), "{}", stdout(&output));
+    let output = run(&["status", "--admin-address", &address, "--json"]);
+    assert!(stdout(&output).contains("\"reached\": false"));
+}
+
+#[rstest]
+#[case("bash")]
+#[case("zsh")]
+#[case("fish")]
+#[case("elvish")]
+#[case("powershell")]
+fn completions_know_the_subcommands(#[case] shell: &str) {
+    let output = run(&["completions", shell]);
+    assert_eq!(code(&output), 0);
+    let text = stdout(&output);
+    assert!(text.contains("organisation"), "{text}");
+    assert!(text.contains("endpoint-url"), "{text}");
+}
--- /dev/null
+++ b/tests/common/mod.rs
@@ -0,0 +1,35 @@
+//! Runs the binary.
+
+use std::process::Command;
+use std::process::Output;
+
+/// The binary with an environment that holds none of its variables.
+pub fn marigoldstage() -> Command {
+    let mut command = Command::new(env!("CARGO_BIN_EXE_marigoldstage"));
+    for (name, _) in std::env::vars() {
+        if name.starts_with("MARIGOLDSTAGE_") {
+            command.env_remove(name);
+        }
+    }
+    command
+}
+
+/// Runs the binary to its end.
+pub fn run(arguments: &[&str]) -> Output {
+    marigoldstage().args(arguments).output().unwrap()
+}
+
+/// Exit code of an ended process.
+pub fn code(output: &Output) -> i32 {
+    output.status.code().unwrap()
+}
+
+/// What was written to standard error.
+pub fn stderr(output: &Output) -> String {
+    String::from_utf8(output.stderr.clone()).unwrap()
+}
+
+/// What was written to standard output.
+pub fn stdout(output: &Output) -> String {
+    String::from_utf8(output.stdout.clone()).unwrap()
+}
