--- /dev/null
+++ b/crates/mgs-gateway/src/core.rs
@@ -0,0 +1,205 @@
+//! What the gateway's threads share.
+
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use mgs_admission::queue::Admission;
+use mgs_fleet::fleet;
+use mgs_fleet::fleet::Fleet;
+use mgs_fleet::view::View;
+use mgs_observe::admin::Health;
+use mgs_request::budget::Budget;
+use mgs_request::outcome::Refusal;
+use mgs_routing::policy::NoChoice;
+use mgs_routing::policy::Policy;
+use mgs_schema::key::RequestId;
+use mgs_schema::settings::EndpointKind;
+use mgs_schema::wire::RefusalReason;
+use mgs_settings::hold::Holder;
+use mgs_transport::runtime::Runtime;
+
+use crate::gateway::Options;
+use crate::http::body;
+use crate::hub::Hub;
+use crate::job::Job;
+use crate::metrics::Metrics;
+use crate::parting::Parting;
+use crate::session::Sessions;
+
+/// State shared by the threads of one gateway.
+pub struct Core {
+    pub(crate) options: Options,
+    pub(crate) incarnation: u64,
+    pub(crate) settings: Arc<Holder>,
+    pub(crate) policy: Arc<dyn Policy>,
+    pub(crate) budget: Budget,
+    pub(crate) runtime: Runtime,
+    pub(crate) metrics: Metrics,
+    pub(crate) hub: Hub,
+    pub(crate) sessions: Sessions,
+    pub(crate) parting: Parting,
+    fleet: Mutex<Fleet>,
+    view: ArcSwap<View>,
+    started: Instant,
+    next_serial: AtomicU64,
+    next_session: AtomicU64,
+    /// Requests that have a thread.
+    pub(crate) open: AtomicUsize,
+    leaving: AtomicBool,
+    closed: AtomicBool,
+    stopped: AtomicBool,
+}
+
+impl Core {
+    pub(crate) fn new(
+        options: Options,
+        policy: Arc<dyn Policy>,
+        admission: Box<dyn Admission>,
+        runtime: Runtime,
+        parting: Parting,
+    ) -> Self {
+        let fleet = Fleet::new(fleet::Options {
+            process: options.name.clone(),
+            zone: options.zone.clone(),
+            ..fleet::Options::default()
+        });
+        Self {
+            incarnation: rand::random_range(1..=u64::MAX),
+            settings: options.settings.clone(),
+            policy,
+            budget: Budget::new(options.retry_budget.clone()),
+            runtime,
+            metrics: Metrics::new(&options.registry),
+            hub: Hub::new(admission),
+            sessions: Sessions::default(),
+            parting,
+            fleet: Mutex::new(fleet),
+            view: ArcSwap::default(),
+            started: Instant::now(),
+            next_serial: AtomicU64::new(1),
+            next_session: AtomicU64::new(1),
+            open: AtomicUsize::new(0),
+            leaving: AtomicBool::new(false),
+            closed: AtomicBool::new(false),
+            stopped: AtomicBool::new(false),
+            options,
+        }
+    }
+
+    /// The process's monotonic clock, in milliseconds.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// The fleet as known now.
+    pub fn view(&self) -> Arc<View> {
+        self.view.load_full()
+    }
+
+    /// A fresh identifier.
+    pub fn next_id(&self) -> RequestId {
+        RequestId {
+            origin: self.incarnation,
+            serial: self.next_serial.fetch_add(1, Ordering::Relaxed),
+        }
+    }
+
+    pub(crate) fn next_session(&self) -> u64 {
+        self.next_session.fetch_add(1, Ordering::Relaxed)
+    }
+
+    /// Changes the fleet and publishes its new picture.
+    pub(crate) fn change_fleet<T>(&self, change: impl FnOnce(&mut Fleet) -> T) -> T {
+        let mut fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        let result = change(&mut fleet);
+        self.view.store(fleet.view());
+        result
+    }
+
+    /// Whether the gateway wants no new requests.
+    pub fn is_leaving(&self) -> bool {
+        self.leaving.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn leave(&self) {
+        self.leaving.store(true, Ordering::Release);
+    }
+
+    /// Whether new requests are refused.
+    pub(crate) fn is_closed(&self) -> bool {
+        self.closed.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn close(&self) {
+        self.closed.store(true, Ordering::Release);
+    }
+
+    /// Requests that are open now.
+    pub fn open_requests(&self) -> usize {
+        self.open.load(Ordering::Acquire)
+    }
+
+    /// Bounds of a caller's body.
+    pub(crate) fn body(&self) -> body::Options {
+        body::Options {
+            max_bytes: self.options.callers.body_max_bytes,
+            timeout_ms: self.options.callers.body_timeout_ms,
+        }
+    }
+
+    /// Refuses at once what no endpoint can serve now, without a place in the queue.
+    pub(crate) fn check_fleet(&self, job: &Job) -> Result<(), Refusal> {
+        let view = self.view();
+        let ask = job.ask(&self.options.zone, &[], self.now_ms());
+        let no_choice = match self.policy.choose(&view, &ask, rand::random()) {
+            Ok(_) | Err(NoChoice::AllBusy) => return Ok(()),
+            Err(no_choice) => no_choice,
+        };
+        let reason = match (no_choice, job.endpoint_kind) {
+            (NoChoice::UnknownModel, EndpointKind::Service) => RefusalReason::UnknownService,
+            (NoChoice::UnknownModel, _) => RefusalReason::UnknownModel,
+            (NoChoice::PromptExceedsMemory, _) => RefusalReason::PromptExceedsMemory,
+            _ => RefusalReason::NoEndpoint,
+        };
+        Err(Refusal::new(reason, &no_choice.to_string()))
+    }
+
+    /// Whether its threads must end.
+    pub(crate) fn is_stopped(&self) -> bool {
+        self.stopped.load(Ordering::Acquire)
+    }
+
+    pub(crate) fn stop(&self) {
+        self.leave();
+        self.close();
+        self.stopped.store(true, Ordering::Release);
+    }
+
+    /// Whether there are settings to serve by.
+    pub(crate) fn has_settings(&self) -> bool {
+        self.settings.version() > 0 && (self.options.ready)()
+    }
+}
+
+impl Health for Core {
+    fn healthy(&self) -> bool {
+        !self.is_stopped()
+    }
+
+    fn ready(&self) -> Result<(), String> {
+        if self.is_leaving() {
+            return Err("leaving".to_string());
+        }
+        if !self.has_settings() {
+            return Err("no settings that are fresh enough".to_string());
+        }
+        Ok(())
+    }
+}
--- /dev/null
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -0,0 +1,264 @@
+//! Starting and stopping a gateway.
+
+use std::fmt;
+use std::io;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::sync::Arc;
+use std::time::Duration;
+use std::time::Instant;
+
+use displaydoc::Display;
+use mgs_observe::admin;
+use mgs_observe::admin::Admin;
+use mgs_observe::admin::Health;
+use mgs_observe::metrics::Registry;
+use mgs_request::budget;
+use mgs_request::plant::Plant;
+use mgs_routing::policy;
+use mgs_settings::hold::Holder;
+use mgs_transport::client;
+use mgs_transport::runtime;
+use mgs_transport::runtime::Runtime;
+use mgs_transport::server;
+use mgs_transport::server::Server;
+
+use crate::core::Core;
+use crate::fifo::Fifo;
+use crate::hub;
+use crate::keeper;
+use crate::listen;
+use crate::parting::Parting;
+use crate::peer::Leases;
+use crate::peer::Peers;
+
+/// Says whether the settings are fresh enough to serve by.
+pub type Ready = Arc<dyn Fn() -> bool + Send + Sync>;
+
+/// Settings of a gateway.
+#[derive(Clone)]
+pub struct Options {
+    /// Name of the process.
+    pub name: String,
+    /// Availability zone.
+    pub zone: String,
+    /// Where callers reach it.
+    pub listen: SocketAddr,
+    /// Where other gateways reach it; nowhere if not given.
+    pub peer_listen: Option<SocketAddr>,
+    /// Where `/metrics`, `/healthz` and `/readyz` are served; nowhere if not given.
+    pub admin_listen: Option<SocketAddr>,
+    /// The table in force, which someone keeps up to date.
+    pub settings: Arc<Holder>,
+    /// Whether that table may be served by.
+    pub ready: Ready,
+    /// Name of the routing policy.
+    pub policy: String,
+    /// Bounds on callers.
+    pub callers: listen::Options,
+    /// Time between load reports that it asks of sidecars, in milliseconds.
+    pub report_interval_ms: u64,
+    /// Connections to sidecars.
+    pub transport: client::Options,
+    /// Threads that drive those connections.
+    pub transport_threads: usize,
+    /// Whether idempotent requests are attempted a second time beside a slow first attempt.
+    pub hedge: bool,
+    /// Retries as a share of traffic.
+    pub retry_budget: budget::Options,
+    /// Time between the first sign of leaving and the refusal of new requests, in milliseconds.
+    pub leave_grace_ms: u64,
+    /// Grants shares of limits to other gateways; none are granted if not given.
+    pub leases: Option<Arc<dyn Leases>>,
+    /// Where its metrics are registered.
+    pub registry: Registry,
+    /// A deliberate bug, for fault runs only.
+    pub plant: Plant,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            name: "gateway-1".to_string(),
+            zone: "zone-1".to_string(),
+            listen: SocketAddr::from(([127, 0, 0, 1], 0)),
+            peer_listen: None,
+            admin_listen: None,
+            settings: Arc::default(),
+            ready: Arc::new(|| true),
+            policy: policy::NAMES[0].to_string(),
+            callers: listen::Options::default(),
+            report_interval_ms: 200,
+            transport: client::Options::default(),
+            transport_threads: 2,
+            hedge: true,
+            retry_budget: budget::Options::default(),
+            leave_grace_ms: 1_000,
+            leases: None,
+            registry: Registry::new(),
+            plant: Plant::None,
+        }
+    }
+}
+
+impl fmt::Debug for Options {
+    fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
+        f.debug_struct("Options")
+            .field("name", &self.name)
+            .field("zone", &self.zone)
+            .field("listen", &self.listen)
+            .field("policy", &self.policy)
+            .finish_non_exhaustive()
+    }
+}
+
+/// Why a gateway can't start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// unknown policy: {0}
+    UnknownPolicy(String),
+    /// can't listen on {0}: {1}
+    Listen(SocketAddr, io::Error),
+    /// can't start threads: {0}
+    Threads(io::Error),
+    /// {0}
+    Admin(admin::Error),
+}
+
+impl std::error::Error for Error {}
+
+/// A running gateway. Dropping it stops it at once and cuts off what it serves.
+pub struct Gateway {
+    core: Arc<Core>,
+    address: SocketAddr,
+    peers: Option<Server>,
+    admin: Option<Admin>,
+}
+
+/// Time between looks at what is still open while draining.
+const DRAIN_LOOK: Duration = Duration::from_millis(10);
+
+impl Gateway {
+    /// Starts a gateway.
+    ///
+    /// ```
+    /// use mgs_gateway::gateway::Gateway;
+    /// use mgs_gateway::gateway::Options;
+    ///
+    /// let gateway = Gateway::start(Options::default()).unwrap();
+    /// assert_ne!(gateway.address().port(), 0);
+    /// assert!(gateway.health().ready().is_err(), "no settings yet");
+    /// ```
+    pub fn start(options: Options) -> Result<Self, Error> {
+        let policy = policy::by_name(&options.policy)
+            .ok_or_else(|| Error::UnknownPolicy(options.policy.clone()))?;
+        let listen = options.listen;
+        let listener =
+            listen::bind(listen, &options.callers).map_err(|error| Error::Listen(listen, error))?;
+        let address = listener
+            .local_addr()
+            .map_err(|error| Error::Listen(listen, error))?;
+        let runtime = Runtime::new(&runtime::Options {
+            threads: options.transport_threads,
+        })
+        .map_err(Error::Threads)?;
+        let parting = Parting::start().map_err(Error::Threads)?;
+        let admission = Box::<Fifo>::default();
+        let core = Arc::new(Core::new(options, policy, admission, runtime, parting));
+        let mut gateway = Self {
+            core,
+            address,
+            peers: None,
+            admin: None,
+        };
+        gateway.open(listener)?;
+        Ok(gateway)
+    }
+
+    fn open(&mut self, listener: TcpListener) -> Result<(), Error> {
+        let core = &self.core;
+        keeper::start(core).map_err(Error::Threads)?;
+        hub::start(core).map_err(Error::Threads)?;
+        self.peers = core
+            .options
+            .peer_listen
+            .map(|at| serve_peers(core, at))
+            .transpose()?;
+        self.admin = core
+            .options
+            .admin_listen
+            .map(|at| serve_admin(core, at))
+            .transpose()?;
+        listen::start(core, listener).map_err(Error::Threads)
+    }
+
+    /// Where callers reach it.
+    pub fn address(&self) -> SocketAddr {
+        self.address
+    }
+
+    /// Where other gateways reach it.
+    pub fn peer_address(&self) -> Option<SocketAddr> {
+        self.peers.as_ref().map(Server::address)
+    }
+
+    /// Where operators reach it.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(Admin::address)
+    }
+
+    /// Number that this start has and no other.
+    pub fn incarnation(&self) -> u64 {
+        self.core.incarnation
+    }
+
+    /// Its health, as operators see it.
+    pub fn health(&self) -> Arc<dyn Health> {
+        self.core.clone()
+    }
+
+    /// What its threads share, for other parts of the role.
+    pub fn core(&self) -> &Arc<Core> {
+        &self.core
+    }
+
+    /// Leaves: `/readyz` fails at once, new requests are refused after the grace, and what is open
+    /// is finished. Returns whether nothing was open when the limit was reached.
+    pub fn drain(&self, limit_ms: u64) -> bool {
+        let until = Instant::now() + Duration::from_millis(limit_ms);
+        self.core.leave();
+        log::info!("leaving");
+        std::thread::sleep(Duration::from_millis(
+            self.core.options.leave_grace_ms.min(limit_ms),
+        ));
+        self.core.close();
+        while self.core.open_requests() > 0 {
+            if Instant::now() >= until {
+                return false;
+            }
+            std::thread::sleep(DRAIN_LOOK);
+        }
+        true
+    }
+}
+
+impl Drop for Gateway {
+    fn drop(&mut self) {
+        self.core.stop();
+    }
+}
+
+fn serve_peers(core: &Arc<Core>, at: SocketAddr) -> Result<Server, Error> {
+    let listener = TcpListener::bind(at).map_err(|error| Error::Listen(at, error))?;
+    let handler = Arc::new(Peers { core: core.clone() });
+    let options = server::Options::default();
+    Server::start(&core.runtime, listener, &options, handler).map_err(Error::Threads)
+}
+
+fn serve_admin(core: &Arc<Core>, at: SocketAddr) -> Result<Admin, Error> {
+    let options = admin::Options {
+        listen: at.to_string(),
+    };
+    let registry = core.options.registry.clone();
+    admin::serve(options, registry, core.clone()).map_err(Error::Admin)
+}
--- /dev/null
+++ b/crates/mgs-gateway/src/http/sse.rs
@@ -0,0 +1,143 @@
+//! Server-sent events, written and flushed one by one.
+
+use std::io;
+use std::io::Write;
+
+use chunked_transfer::Encoder;
+use mgs_schema::wire::Finished;
+use mgs_schema::wire::TokenFrame;
+use tiny_http::Request;
+
+use crate::drive::CallerGone;
+use crate::drive::Sink;
+use crate::http::completion::Answer;
+use crate::http::problem::Problem;
+
+/// A streamed answer. Its head is sent with the first event, so that a request that ends without
+/// one still gets a status of its own.
+pub(crate) struct Stream {
+    answer: Answer,
+    request: Option<Request>,
+    head: String,
+    output: Option<Output>,
+}
+
+/// Callers of HTTP/1.0 don't know chunks; their answer ends with the connection.
+enum Output {
+    Chunked(Encoder<Box<dyn Write + Send>>),
+    Plain(Box<dyn Write + Send>),
+}
+
+impl Output {
+    fn send(&mut self, text: &str) -> io::Result<()> {
+        match self {
+            Self::Chunked(encoder) => {
+                encoder.write_all(text.as_bytes())?;
+                encoder.flush()?;
+                encoder.get_mut().flush()
+            }
+            Self::Plain(writer) => {
+                writer.write_all(text.as_bytes())?;
+                writer.flush()
+            }
+        }
+    }
+}
+
+impl Stream {
+    /// A stream to a caller; `headers` are whole lines of the head.
+    pub(crate) fn new(request: Request, answer: Answer, headers: &str) -> Self {
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
+             {headers}"
+        );
+        Self {
+            answer,
+            request: Some(request),
+            head,
+            output: None,
+        }
+    }
+
+    /// Whether something was sent.
+    pub(crate) fn has_begun(&self) -> bool {
+        self.output.is_some()
+    }
+
+    /// The request, to be answered in another way, if nothing was sent.
+    pub(crate) fn into_request(self) -> Option<Request> {
+        self.request
+    }
+
+    fn send(&mut self, text: &str) -> io::Result<()> {
+        if self.output.is_none() {
+            self.begin()?;
+        }
+        match &mut self.output {
+            Some(output) => output.send(text),
+            None => Err(io::ErrorKind::NotConnected.into()),
+        }
+    }
+
+    fn begin(&mut self) -> io::Result<()> {
+        let Some(request) = self.request.take() else {
+            return Err(io::ErrorKind::NotConnected.into());
+        };
+        let chunked = *request.http_version() >= tiny_http::HTTPVersion(1, 1);
+        let mut writer = request.into_writer();
+        let framing = match chunked {
+            true => "Transfer-Encoding: chunked",
+            false => "Connection: close",
+        };
+        write!(writer, "{}{framing}\r\n\r\n", self.head)?;
+        self.output = Some(match chunked {
+            true => Output::Chunked(Encoder::new(writer)),
+            false => Output::Plain(writer),
+        });
+        Ok(())
+    }
+
+    /// Sends the end of a whole answer.
+    pub(crate) fn finish(&mut self, finished: &Finished) -> io::Result<()> {
+        let last = self.answer.last_piece(finished);
+        self.send(&format!("data: {last}\n\ndata: [DONE]\n\n"))
+    }
+
+    /// Sends an error as the last event.
+    pub(crate) fn fail(&mut self, problem: &Problem) -> io::Result<()> {
+        self.send(&format!("event: error\ndata: {}\n\n", problem.json()))
+    }
+}
+
+impl Sink for Stream {
+    fn deliver(&mut self, frame: &TokenFrame) -> Result<(), CallerGone> {
+        let piece = self.answer.piece(&frame.text);
+        self.send(&format!("data: {piece}\n\n")).map_err(|error| {
+            log::info!(request_id:% = self.answer.id, error:% = error; "caller gone");
+            CallerGone
+        })
+    }
+
+    fn idle(&mut self) -> Result<(), CallerGone> {
+        // A comment, which clients skip.
+        self.send(": \n\n").map_err(|_| CallerGone)
+    }
+}
+
+/// An answer that is collected and sent whole.
+#[derive(Debug, Default)]
+pub(crate) struct Collect {
+    /// The text so far.
+    pub(crate) text: String,
+}
+
+impl Sink for Collect {
+    fn deliver(&mut self, frame: &TokenFrame) -> Result<(), CallerGone> {
+        self.text.push_str(&frame.text);
+        Ok(())
+    }
+
+    fn idle(&mut self) -> Result<(), CallerGone> {
+        Ok(())
+    }
+}
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -1,4 +1,23 @@
 //! The gateway role: callers' HTTP, queues, dispatch and answers.
+//!
+//! [`gateway::Gateway`] wires the decision crates to sockets and threads. A caller's request is
+//! read and checked by [`http`], waits in the queue (`hub`), and is then driven by its own thread
+//! (`drive`) through a [`mgs_request::life::Life`] over the sessions with sidecars (`session`).
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod core;
+mod drive;
+pub mod fifo;
+pub mod gateway;
+pub mod http;
+mod hub;
+pub mod job;
+mod keeper;
+mod listen;
+pub mod metrics;
+mod parting;
+pub mod peer;
+mod room;
+mod session;
--- /dev/null
+++ b/crates/mgs-gateway/src/room.rs
@@ -0,0 +1,57 @@
+//! What the fleet can take, as the queue asks for it.
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::sync::Arc;
+
+use mgs_admission::queue::Offer;
+use mgs_admission::queue::Room;
+use mgs_fleet::view::View;
+use mgs_routing::policy::Choice;
+use mgs_routing::policy::Policy;
+use mgs_schema::key::RequestId;
+
+use crate::hub::Waiting;
+
+/// Asks the policy for each offer, and keeps its choices for the requests that start.
+pub(crate) struct FleetRoom<'a> {
+    pub(crate) policy: &'a dyn Policy,
+    pub(crate) view: Arc<View>,
+    pub(crate) zone: &'a str,
+    pub(crate) now_ms: u64,
+    pub(crate) waiting: &'a HashMap<RequestId, Waiting>,
+    /// The last choice, which [`Room::taken`] most likely takes up.
+    pub(crate) last: RefCell<Option<(RequestId, Choice)>>,
+    /// Choices for the requests that took their room.
+    pub(crate) chosen: HashMap<RequestId, Choice>,
+}
+
+impl FleetRoom<'_> {
+    fn choose(&self, id: RequestId) -> Option<Choice> {
+        let job = &self.waiting.get(&id)?.job;
+        let ask = job.ask(self.zone, &[], self.now_ms);
+        self.policy.choose(&self.view, &ask, rand::random()).ok()
+    }
+}
+
+impl Room for FleetRoom<'_> {
+    fn first_token_ms(&self, offer: &Offer) -> Option<u64> {
+        let choice = self.choose(offer.id);
+        let first_token_ms = choice.as_ref().map(|choice| choice.first_token_ms);
+        self.last.replace(choice.map(|choice| (offer.id, choice)));
+        first_token_ms
+    }
+
+    fn taken(&mut self, offer: &Offer) {
+        let last = self.last.take().filter(|(id, _)| *id == offer.id);
+        let choice = last.map(|(_, choice)| choice);
+        let Some(choice) = choice.or_else(|| self.choose(offer.id)) else {
+            return;
+        };
+        if let Some(waiting) = self.waiting.get(&offer.id) {
+            let ask = waiting.job.ask(self.zone, &[], self.now_ms);
+            self.policy.dispatched(choice.endpoint, &ask);
+        }
+        self.chosen.insert(offer.id, choice);
+    }
+}
--- /dev/null
+++ b/crates/mgs-gateway/src/session.rs
@@ -0,0 +1,242 @@
+//! One session with each sidecar: a connection, its load reports, and its replacement.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+use std::time::Duration;
+
+use arc_swap::ArcSwapOption;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Sender;
+use mgs_fleet::view::EndpointKey;
+use mgs_fleet::view::View;
+use mgs_schema::wire::envelope::Body;
+use mgs_schema::wire::Hello;
+use mgs_schema::wire::Welcome;
+use mgs_transport::client::Call;
+use mgs_transport::client::Connection;
+use mgs_transport::client::Error;
+
+use crate::core::Core;
+
+/// Stack of a session's thread, in bytes.
+const STACK_BYTES: usize = 128 * 1024;
+
+/// Longest wait for the answer to a hello.
+const WELCOME_WAIT: Duration = Duration::from_millis(1_500);
+
+/// Reports that may be missing before a second connection is opened beside the first.
+const REPORTS_MISSING_MAX: u64 = 4;
+
+/// Time beside the missing reports, for a sidecar that is slow to send them, in milliseconds.
+const REPORT_SLACK_MS: u64 = 200;
+
+const BACKOFF_MIN_MS: u64 = 50;
+const BACKOFF_MAX_MS: u64 = 1_000;
+
+/// An open session.
+#[derive(Debug)]
+pub(crate) struct Session {
+    /// Its connection.
+    pub(crate) connection: Connection,
+    /// Its number, growing within the gateway's incarnation.
+    pub(crate) number: u64,
+    /// Incarnation of the sidecar.
+    pub(crate) incarnation: u64,
+    /// Disconnected when the session is over; nothing is ever sent.
+    pub(crate) over: Receiver<()>,
+}
+
+/// Where the present session with a sidecar is found.
+#[derive(Debug)]
+pub(crate) struct Slot {
+    /// Key of the endpoint.
+    pub(crate) key: EndpointKey,
+    address: SocketAddr,
+    current: ArcSwapOption<Session>,
+    /// The endpoint is gone from the settings.
+    retired: AtomicBool,
+}
+
+impl Slot {
+    /// The session, if one works.
+    pub(crate) fn session(&self) -> Option<Arc<Session>> {
+        let session = self.current.load_full()?;
+        session.connection.is_open().then_some(session)
+    }
+}
+
+/// The sessions of a gateway.
+#[derive(Debug, Default)]
+pub(crate) struct Sessions {
+    slots: Mutex<HashMap<EndpointKey, Arc<Slot>>>,
+}
+
+impl Sessions {
+    fn lock(&self) -> MutexGuard<'_, HashMap<EndpointKey, Arc<Slot>>> {
+        self.slots.lock().unwrap_or_else(PoisonError::into_inner)
+    }
+
+    /// The slot of an endpoint.
+    pub(crate) fn slot(&self, key: EndpointKey) -> Option<Arc<Slot>> {
+        self.lock().get(&key).cloned()
+    }
+
+    /// Opens sessions with new endpoints, and retires those of endpoints that are gone or have
+    /// moved. A retired session works until no request holds its slot.
+    pub(crate) fn reconcile(&self, core: &Arc<Core>, view: &View) {
+        let mut slots = self.lock();
+        slots.retain(|key, slot| {
+            let endpoint = view.get(*key);
+            let stays = endpoint.is_some_and(|endpoint| endpoint.sidecar_address == slot.address);
+            if !stays {
+                slot.retired.store(true, Ordering::Release);
+            }
+            stays
+        });
+        for endpoint in view.endpoints.iter().flatten() {
+            slots.entry(endpoint.key).or_insert_with(|| {
+                let slot = Arc::new(Slot {
+                    key: endpoint.key,
+                    address: endpoint.sidecar_address,
+                    current: ArcSwapOption::empty(),
+                    retired: AtomicBool::new(false),
+                });
+                spawn(core.clone(), slot.clone());
+                slot
+            });
+        }
+    }
+}
+
+fn spawn(core: Arc<Core>, slot: Arc<Slot>) {
+    let address = slot.address;
+    let spawned = std::thread::Builder::new()
+        .name("session".to_string())
+        .stack_size(STACK_BYTES)
+        .spawn(move || Keeping::new(core, slot).run());
+    if let Err(error) = spawned {
+        log::error!(sidecar:% = address, error:% = error; "no thread for a session");
+    }
+}
+
+/// Keeps one session alive; what its thread runs.
+struct Keeping {
+    core: Arc<Core>,
+    slot: Arc<Slot>,
+    /// Disconnects the present session's `over` when it is replaced.
+    alive: Option<Sender<()>>,
+}
+
+impl Keeping {
+    fn new(core: Arc<Core>, slot: Arc<Slot>) -> Self {
+        Self {
+            core,
+            slot,
+            alive: None,
+        }
+    }
+
+    fn run(mut self) {
+        let mut backoff_ms = BACKOFF_MIN_MS;
+        while !self.is_over() {
+            match self.open() {
+                Ok((call, incarnation)) => {
+                    backoff_ms = BACKOFF_MIN_MS;
+                    let why = self.follow(&call, incarnation);
+                    log::info!(sidecar:% = self.slot.address, why:% = why; "session ended");
+                    self.core.metrics.sessions_lost.inc();
+                }
+                Err(error) => {
+                    self.end();
+                    log::debug!(sidecar:% = self.slot.address, error:% = error; "no session");
+                    std::thread::sleep(Duration::from_millis(backoff_ms));
+                    backoff_ms = (backoff_ms * 2).min(BACKOFF_MAX_MS);
+                }
+            }
+        }
+        self.end();
+    }
+
+    fn is_over(&self) -> bool {
+        // The thread itself holds one.
+        let unused = Arc::strong_count(&self.slot) == 1;
+        self.core.is_stopped() || (self.slot.retired.load(Ordering::Acquire) && unused)
+    }
+
+    /// Opens a connection, beside the present one if there is one, and makes it the session.
+    fn open(&mut self) -> Result<(Call, u64), Error> {
+        let options = &self.core.options.transport;
+        let connection = Connection::open(&self.core.runtime, self.slot.address, options)?;
+        let number = self.core.next_session();
+        let hello = Hello {
+            incarnation: self.core.incarnation,
+            process: self.core.options.name.clone(),
+            session: number,
+            settings_version: self.core.settings.version(),
+            report_interval_ms: self.core.options.report_interval_ms,
+        };
+        let call = connection.call(Body::Hello(hello))?;
+        let Body::Welcome(welcome) = call.recv_timeout(WELCOME_WAIT)? else {
+            return Err(Error::Broken("no welcome".to_string()));
+        };
+        self.begin(connection, number, &welcome);
+        Ok((call, welcome.incarnation))
+    }
+
+    fn begin(&mut self, connection: Connection, number: u64, welcome: &Welcome) {
+        let (alive, over) = crossbeam::channel::bounded(0);
+        let session = Session {
+            connection,
+            number,
+            incarnation: welcome.incarnation,
+            over,
+        };
+        self.slot.current.store(Some(Arc::new(session)));
+        if self.alive.replace(alive).is_none() {
+            self.core.metrics.sessions.inc();
+        }
+        let key = self.slot.key;
+        self.core
+            .change_fleet(|fleet| fleet.welcome(key, welcome.incarnation, &welcome.zone));
+    }
+
+    /// Takes load reports until the session must be replaced; says why.
+    fn follow(&self, call: &Call, incarnation: u64) -> Error {
+        let options = &self.core.options;
+        let wait_ms = options.report_interval_ms * REPORTS_MISSING_MAX + REPORT_SLACK_MS;
+        let wait = Duration::from_millis(wait_ms);
+        loop {
+            let report = match call.recv_timeout(wait) {
+                Ok(Body::LoadReport(report)) => report,
+                Ok(_) => continue,
+                Err(error) => return error,
+            };
+            if self.is_over() {
+                return Error::Ended;
+            }
+            if report.incarnation == incarnation {
+                let (now_ms, key) = (self.core.now_ms(), self.slot.key);
+                self.core
+                    .change_fleet(|fleet| fleet.report(now_ms, key, &report));
+                self.core.hub.wake();
+            }
+        }
+    }
+
+    /// No connection works: requests that wait on the session go on without it.
+    fn end(&mut self) {
+        if self.alive.take().is_none() {
+            return;
+        }
+        self.slot.current.store(None);
+        self.core.metrics.sessions.dec();
+        let (now_ms, key) = (self.core.now_ms(), self.slot.key);
+        self.core.change_fleet(|fleet| fleet.lost(now_ms, key));
+    }
+}
