--- a/crates/mgs-settings/src/lib.rs
+++ b/crates/mgs-settings/src/lib.rs
@@ -9,8 +9,11 @@
 #![forbid(unsafe_code)]
 
 pub mod check;
+pub mod confirm;
 pub mod follow;
 pub mod hold;
+pub mod host;
+pub mod member;
 pub mod row;
 pub mod store;
 pub mod table;
