feat(cli): gateway and demo commands over the first gateway

Cause: the whole path as one binary. Ruled out: a thread for settings inside the gateway crate, since tests want to hold the table themselves; the role module ties both together for the commands. Conclusion: builds without the demo feature; two seams of the gateway mended on the way (the resume's new budget field, a public options type in a private module).

--- a/crates/mgs-gateway/src/drive.rs
+++ b/crates/mgs-gateway/src/drive.rs
@@ -286,6 +286,7 @@
         self.core.metrics.resumes.inc();
         let (origin, serial) = (self.job.id.origin, self.job.id.serial);
         let gateway_incarnation = self.core.incarnation;
+        let budget_ms = self.job.deadline_ms.saturating_sub(self.core.now_ms());
         self.ask(number, |_, session| {
             Body::Resume(Resume {
                 request_origin: origin,
@@ -293,6 +294,7 @@
                 next_seq,
                 session: session.number,
                 gateway_incarnation,
+                budget_ms,
             })
         });
     }
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -15,7 +15,7 @@
 mod hub;
 pub mod job;
 mod keeper;
-mod listen;
+pub mod listen;
 pub mod metrics;
 mod parting;
 pub mod peer;
--- a/crates/mgs-settings/src/lib.rs
+++ b/crates/mgs-settings/src/lib.rs
@@ -8,8 +8,12 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod check;
+pub mod confirm;
 pub mod follow;
 pub mod hold;
+pub mod host;
+pub mod member;
 pub mod row;
 pub mod store;
 pub mod table;
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -51,16 +51,30 @@
     Command::new("demo")
         .about("Run the whole system in this process, under a mixed load")
         .after_help(EXAMPLES)
-        .arg(switch(SERVE, "Send no load; stay up until a signal and print a curl line that works"))
+        .arg(switch(
+            SERVE,
+            "Send no load; stay up until a signal and print a curl line that works",
+        ))
         .arg(
-            value(LISTEN, "IP:PORT", "Where the first gateway listens; port 0 takes a free one")
-                .default_value("127.0.0.1:0"),
+            value(
+                LISTEN,
+                "IP:PORT",
+                "Where the first gateway listens; port 0 takes a free one",
+            )
+            .default_value("127.0.0.1:0"),
         )
         .arg(value(LOAD_MS, "MS", "Time over which requests are sent").default_value("10000"))
         .arg(value(REQUESTS_PER_S, "N", "Requests sent in a second").default_value("20"))
         .arg(value(SEED, "N", "Seed of the mix; the same seed sends the same").default_value("1"))
         .arg(value(ENGINES, "N", "Engines, each with its sidecar").default_value("4"))
-        .arg(value(TIME_SCALE, "X", "How much faster than their model engines run").default_value("20"))
+        .arg(
+            value(
+                TIME_SCALE,
+                "X",
+                "How much faster than their model engines run",
+            )
+            .default_value("20"),
+        )
         .arg(process::log_argument().default_value("error"))
 }
 
--- a/src/command/gateway.rs
+++ b/src/command/gateway.rs
@@ -80,59 +80,127 @@
 
 fn host_arguments() -> [Arg; 6] {
     [
-        value(NAME, "NAME", "Name of this process, unique among gateways").default_value("gateway-1"),
+        value(NAME, "NAME", "Name of this process, unique among gateways")
+            .default_value("gateway-1"),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
-        value(LISTEN, "IP:PORT", "Where callers reach this process").default_value("127.0.0.1:7100"),
-        value(PEER_LISTEN, "IP:PORT", "Where other gateways reach this process")
-            .default_value("127.0.0.1:7101"),
-        value(LEAVE_GRACE_MS, "MS", "Time from the signal to stop to the refusal of new requests")
-            .default_value("1000"),
-        value(POLICY, "NAME", "How endpoints are chosen: marigold, round-robin, least-outstanding or prefix-affinity")
-            .default_value(policy::NAMES[0]),
+        value(LISTEN, "IP:PORT", "Where callers reach this process")
+            .default_value("127.0.0.1:7100"),
+        value(
+            PEER_LISTEN,
+            "IP:PORT",
+            "Where other gateways reach this process",
+        )
+        .default_value("127.0.0.1:7101"),
+        value(
+            LEAVE_GRACE_MS,
+            "MS",
+            "Time from the signal to stop to the refusal of new requests",
+        )
+        .default_value("1000"),
+        value(
+            POLICY,
+            "NAME",
+            "How endpoints are chosen: marigold, round-robin, least-outstanding or prefix-affinity",
+        )
+        .default_value(policy::NAMES[0]),
     ]
 }
 
 fn caller_arguments() -> [Arg; 5] {
     [
-        value(READ_TIMEOUT_MS, "MS", "Longest silence of a caller within and between requests")
-            .default_value("30000"),
-        value(WRITE_TIMEOUT_MS, "MS", "Longest time that a caller takes no byte of its answer")
-            .default_value("10000"),
+        value(
+            READ_TIMEOUT_MS,
+            "MS",
+            "Longest silence of a caller within and between requests",
+        )
+        .default_value("30000"),
+        value(
+            WRITE_TIMEOUT_MS,
+            "MS",
+            "Longest time that a caller takes no byte of its answer",
+        )
+        .default_value("10000"),
         value(BODY_TIMEOUT_MS, "MS", "Longest time for a whole body").default_value("60000"),
-        value(BODY_MAX_BYTES, "BYTES", "Largest body; a million tokens need over 4 MB")
-            .default_value("8388608"),
-        value(OPEN_MAX, "N", "Most requests open at once; more are refused").default_value("4096"),
+        value(
+            BODY_MAX_BYTES,
+            "BYTES",
+            "Largest body; a million tokens need over 4 MB",
+        )
+        .default_value("8388608"),
+        value(
+            OPEN_MAX,
+            "N",
+            "Most requests open at once; more are refused",
+        )
+        .default_value("4096"),
     ]
 }
 
 fn sidecar_arguments() -> [Arg; 5] {
     [
-        value(REPORT_INTERVAL_MS, "MS", "Time between load reports asked of sidecars")
-            .default_value("200"),
-        value(CONNECT_TIMEOUT_MS, "MS", "Longest wait for a connection to a sidecar")
-            .default_value("500"),
-        value(PING_INTERVAL_MS, "MS", "Time between pings of each connection").default_value("1000"),
-        value(PING_TIMEOUT_MS, "MS", "Silence after which a connection is given up")
-            .default_value("1500"),
-        value(TRANSPORT_THREADS, "N", "Threads that drive connections to sidecars")
-            .default_value("2"),
+        value(
+            REPORT_INTERVAL_MS,
+            "MS",
+            "Time between load reports asked of sidecars",
+        )
+        .default_value("200"),
+        value(
+            CONNECT_TIMEOUT_MS,
+            "MS",
+            "Longest wait for a connection to a sidecar",
+        )
+        .default_value("500"),
+        value(
+            PING_INTERVAL_MS,
+            "MS",
+            "Time between pings of each connection",
+        )
+        .default_value("1000"),
+        value(
+            PING_TIMEOUT_MS,
+            "MS",
+            "Silence after which a connection is given up",
+        )
+        .default_value("1500"),
+        value(
+            TRANSPORT_THREADS,
+            "N",
+            "Threads that drive connections to sidecars",
+        )
+        .default_value("2"),
     ]
 }
 
 fn retry_arguments() -> [Arg; 3] {
     [
-        switch(NO_HEDGE, "Never attempt an idempotent request beside a slow first attempt"),
-        value(RETRY_EARNED_MILLI, "N", "Retries allowed per 1000 first attempts").default_value("200"),
+        switch(
+            NO_HEDGE,
+            "Never attempt an idempotent request beside a slow first attempt",
+        ),
+        value(
+            RETRY_EARNED_MILLI,
+            "N",
+            "Retries allowed per 1000 first attempts",
+        )
+        .default_value("200"),
         value(RETRY_SAVED_MAX, "N", "Most retries saved up for a burst").default_value("50"),
     ]
 }
 
 fn settings_arguments() -> [Arg; 2] {
     [
-        value(POLL_INTERVAL_MS, "MS", "Time between looks for edits of the settings")
-            .default_value("1000"),
-        value(POLL_READS_PER_S, "N", "Reads per second that all gateways together spend on them")
-            .default_value("200"),
+        value(
+            POLL_INTERVAL_MS,
+            "MS",
+            "Time between looks for edits of the settings",
+        )
+        .default_value("1000"),
+        value(
+            POLL_READS_PER_S,
+            "N",
+            "Reads per second that all gateways together spend on them",
+        )
+        .default_value("200"),
     ]
 }
 
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -139,7 +139,12 @@
 /// Declares the hidden settings by which those who check the checks plant a bug.
 pub fn plant_arguments() -> [Arg; 2] {
     [
-        value(PLANT, "NAME", "A deliberate bug, to show that checks find it").hide(true),
+        value(
+            PLANT,
+            "NAME",
+            "A deliberate bug, to show that checks find it",
+        )
+        .hide(true),
         switch(ALLOW_PLANT, "Without it --plant is refused").hide(true),
     ]
 }
@@ -148,7 +153,10 @@
 pub fn plant_name(values: &mut Values<'_>) -> String {
     let name = values.optional(PLANT).unwrap_or_default();
     if !name.is_empty() && !values.switch(ALLOW_PLANT) {
-        values.fault(PLANT, "a deliberate bug is planted only together with --allow-plant");
+        values.fault(
+            PLANT,
+            "a deliberate bug is planted only together with --allow-plant",
+        );
     }
     name
 }
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -176,7 +176,10 @@
     }
 
     fn total(&self, name: &str) -> f64 {
-        let values = self.gateways.iter().map(|(_, registry)| metric(registry, name));
+        let values = self
+            .gateways
+            .iter()
+            .map(|(_, registry)| metric(registry, name));
         values.sum()
     }
 
@@ -327,7 +330,9 @@
 }
 
 fn changes(sidecars: &[(EndpointRow, Sidecar)], bearer_keys: &[String]) -> Vec<Change> {
-    let endpoints = sidecars.iter().map(|(row, _)| RowValue::Endpoint(row.clone()));
+    let endpoints = sidecars
+        .iter()
+        .map(|(row, _)| RowValue::Endpoint(row.clone()));
     let organisations = plan::ORGANISATIONS.iter().zip(bearer_keys);
     let organisations = organisations.map(|(name, key)| {
         RowValue::Organisation(OrganisationRow {
@@ -364,6 +369,6 @@
         changes,
         retried: false,
     };
-    edit::commit(store, &Table::default(), &options, &|_| Vec::new()).map_err(failed)?;
+    edit::commit(store, &Table::default(), &options).map_err(failed)?;
     Ok(())
 }
--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -35,10 +35,30 @@
 
 /// The kinds of request, which are the rows of the demonstration's table.
 pub const KINDS: [Kind; 4] = [
-    Kind { name: "query", priority: 0, weight: 4, allotted_ms: 20_000 },
-    Kind { name: "order", priority: 1, weight: 2, allotted_ms: 20_000 },
-    Kind { name: "review", priority: 4, weight: 2, allotted_ms: 60_000 },
-    Kind { name: "audit", priority: 7, weight: 1, allotted_ms: 120_000 },
+    Kind {
+        name: "query",
+        priority: 0,
+        weight: 4,
+        allotted_ms: 20_000,
+    },
+    Kind {
+        name: "order",
+        priority: 1,
+        weight: 2,
+        allotted_ms: 20_000,
+    },
+    Kind {
+        name: "review",
+        priority: 4,
+        weight: 2,
+        allotted_ms: 60_000,
+    },
+    Kind {
+        name: "audit",
+        priority: 7,
+        weight: 1,
+        allotted_ms: 120_000,
+    },
 ];
 
 /// A class of prompt lengths.
@@ -50,11 +70,36 @@
 }
 
 const CLASSES: [Class; 5] = [
-    Class { share_percent: 60, least_tokens: 1_000, most_tokens: 4_000, kind: 0 },
-    Class { share_percent: 20, least_tokens: 4_000, most_tokens: 16_000, kind: 0 },
-    Class { share_percent: 12, least_tokens: 16_000, most_tokens: 64_000, kind: 2 },
-    Class { share_percent: 6, least_tokens: 64_000, most_tokens: 256_000, kind: 2 },
-    Class { share_percent: 2, least_tokens: 256_000, most_tokens: PROMPT_TOKENS_MAX, kind: 3 },
+    Class {
+        share_percent: 60,
+        least_tokens: 1_000,
+        most_tokens: 4_000,
+        kind: 0,
+    },
+    Class {
+        share_percent: 20,
+        least_tokens: 4_000,
+        most_tokens: 16_000,
+        kind: 0,
+    },
+    Class {
+        share_percent: 12,
+        least_tokens: 16_000,
+        most_tokens: 64_000,
+        kind: 2,
+    },
+    Class {
+        share_percent: 6,
+        least_tokens: 64_000,
+        most_tokens: 256_000,
+        kind: 2,
+    },
+    Class {
+        share_percent: 2,
+        least_tokens: 256_000,
+        most_tokens: PROMPT_TOKENS_MAX,
+        kind: 3,
+    },
 ];
 
 const SERVICE_PERCENT: u32 = 15;
--- a/src/role/gateway.rs
+++ b/src/role/gateway.rs
@@ -33,7 +33,12 @@
     /// Starts the role.
     pub fn start(options: Options) -> Result<Self, Error> {
         let platform = Arc::new(http::Client::new(options.platform));
-        let follower = Follower::new(options.follow, platform.clone(), platform, Box::new(NoPeers));
+        let follower = Follower::new(
+            options.follow,
+            platform.clone(),
+            platform,
+            Box::new(NoPeers),
+        );
         let following = Following::start(follower)?;
         let follower = following.follower().clone();
         let gateway = gateway::Options {
