--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -12,13 +12,17 @@
 use crate::error::EXIT_CODES;
 
 pub mod completions;
+#[cfg(feature = "demo")]
+pub mod demo;
 pub mod endpoint;
+pub mod gateway;
 pub mod organisation;
 pub mod process;
 pub mod request;
 pub mod sidecar;
 #[cfg(feature = "demo")]
 pub mod standin;
+pub mod status;
 pub mod table;
 
 const ABOUT: &str =
@@ -57,11 +61,15 @@
 
 fn entries() -> Vec<Entry> {
     vec![
+        entry(gateway::command(), gateway::run),
         entry(sidecar::command(), sidecar::run),
         entry(table::command(), table::run),
         entry(endpoint::command(), endpoint::run),
         entry(organisation::command(), organisation::run),
         entry(request::command(), request::run),
+        entry(status::command(), status::run),
+        #[cfg(feature = "demo")]
+        entry(demo::command(), demo::run),
         #[cfg(feature = "demo")]
         entry(standin::command(), standin::run),
         entry(completions::command(), completions::run),
