feat(admission): limit, queue and refuse by row, with fair queueing and ageing

Cause: requests of all organisations and lengths share one fleet; one that floods, or one long prompt, must not hold up the rest. Ruled out: one queue for all (a long prompt at its head blocks the short ones, kept as the baseline fifo); refusing only at the deadline (the caller waits for nothing and work is wasted); fresh limits for each kind of request named by a caller. Conclusion: virtual time per row charged at the start, queues per row and class of priority, length and model, a share of starts for aged requests, refusal at the offer by how fast the row's own queue has been moving.

--- /dev/null
+++ b/crates/mgs-admission/src/arena.rs
@@ -0,0 +1,97 @@
+//! Storage by small keys that are never mistaken for their successors.
+
+/// Key of a value in an [`Arena`].
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
+pub struct Key {
+    slot: u32,
+    generation: u32,
+}
+
+#[derive(Debug)]
+struct Slot<T> {
+    generation: u32,
+    value: Option<T>,
+}
+
+/// Values in slots that are used again; a key of a removed value finds nothing.
+///
+/// ```
+/// use mgs_admission::arena::Arena;
+///
+/// let mut arena = Arena::default();
+/// let old = arena.insert("a");
+/// arena.remove(old);
+/// let new = arena.insert("b");
+/// assert_eq!(arena.get(old), None);
+/// assert_eq!(arena.get(new), Some(&"b"));
+/// ```
+#[derive(Debug)]
+pub struct Arena<T> {
+    slots: Vec<Slot<T>>,
+    free: Vec<u32>,
+}
+
+impl<T> Default for Arena<T> {
+    fn default() -> Self {
+        Self {
+            slots: Vec::new(),
+            free: Vec::new(),
+        }
+    }
+}
+
+impl<T> Arena<T> {
+    /// Stores a value.
+    pub fn insert(&mut self, value: T) -> Key {
+        if let Some(index) = self.free.pop() {
+            let slot = &mut self.slots[index as usize];
+            slot.value = Some(value);
+            return Key {
+                slot: index,
+                generation: slot.generation,
+            };
+        }
+        self.slots.push(Slot {
+            generation: 0,
+            value: Some(value),
+        });
+        Key {
+            slot: self.slots.len() as u32 - 1,
+            generation: 0,
+        }
+    }
+
+    /// The value of a key, unless it was removed.
+    pub fn get(&self, key: Key) -> Option<&T> {
+        let slot = self.slots.get(key.slot as usize)?;
+        (slot.generation == key.generation).then_some(slot.value.as_ref())?
+    }
+
+    /// The value of a key for change.
+    pub fn get_mut(&mut self, key: Key) -> Option<&mut T> {
+        let slot = self.slots.get_mut(key.slot as usize)?;
+        (slot.generation == key.generation).then_some(slot.value.as_mut())?
+    }
+
+    /// Takes a value out.
+    pub fn remove(&mut self, key: Key) -> Option<T> {
+        let slot = self.slots.get_mut(key.slot as usize)?;
+        if slot.generation != key.generation {
+            return None;
+        }
+        let value = slot.value.take()?;
+        slot.generation = slot.generation.wrapping_add(1);
+        self.free.push(key.slot);
+        Some(value)
+    }
+
+    /// Count of values.
+    pub fn len(&self) -> usize {
+        self.slots.len() - self.free.len()
+    }
+
+    /// Whether there is no value.
+    pub fn is_empty(&self) -> bool {
+        self.len() == 0
+    }
+}
--- /dev/null
+++ b/crates/mgs-admission/src/fair.rs
@@ -0,0 +1,400 @@
+//! Limits, then fair queueing between rows within each priority, with ageing and early refusal.
+
+use std::collections::BTreeSet;
+use std::collections::HashMap;
+use std::collections::VecDeque;
+
+use mgs_schema::key::RequestId;
+use mgs_schema::prefix::SHORT_PROMPT_TOKENS;
+use mgs_schema::settings::Snapshot;
+use mgs_schema::wire::RefusalReason;
+
+use crate::arena::Arena;
+use crate::arena::Key;
+use crate::flows::Charge;
+use crate::flows::Class;
+use crate::flows::ClassKey;
+use crate::flows::Flows;
+use crate::queue::Action;
+use crate::queue::Admission;
+use crate::queue::Offer;
+use crate::queue::Room;
+use crate::queue::Verdict;
+use crate::rows::RowKey;
+use crate::rows::Rows;
+
+/// Shortest prompt of the last band, in tokens.
+const LONG_PROMPT_TOKENS: u64 = 100_000;
+
+/// Settings of a [`FairQueue`].
+#[derive(Debug, Clone, Copy)]
+pub struct Options {
+    /// Most requests queued for one row and class.
+    pub flow_max: usize,
+    /// Most requests queued in all.
+    pub queue_max: usize,
+    /// Share of the time left that a request may be predicted to wait in the queue.
+    pub wait_share_max: f64,
+    /// Share of its time after which a queued request of low priority is aged.
+    pub aged_share: f64,
+    /// Share of the started tokens that aged requests may take out of their turn.
+    pub aged_tokens_share: f64,
+    /// Bounds of a `Retry-After`, in milliseconds.
+    pub retry_after_min_ms: u64,
+    /// See [`Options::retry_after_min_ms`].
+    pub retry_after_max_ms: u64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            flow_max: 2_000,
+            queue_max: 20_000,
+            wait_share_max: 0.5,
+            aged_share: 0.5,
+            aged_tokens_share: 0.1,
+            retry_after_min_ms: 200,
+            retry_after_max_ms: 60_000,
+        }
+    }
+}
+
+/// Most tokens that aged requests may save up.
+const AGED_CREDIT_MAX: f64 = 200_000.0;
+
+/// Smoothing of the mean answer length of a row.
+const ANSWER_SMOOTHING: f64 = 0.1;
+
+/// An admitted request.
+#[derive(Debug)]
+struct Entry {
+    offer: Offer,
+    row: RowKey,
+    class: ClassKey,
+    queued: bool,
+}
+
+impl Entry {
+    fn tokens(&self) -> u64 {
+        self.offer.prompt_tokens + self.offer.max_tokens
+    }
+}
+
+/// The product's admission.
+///
+/// ```
+/// use mgs_admission::queue::Admission;
+/// use mgs_admission::fair::FairQueue;
+/// use mgs_admission::fair::Options;
+///
+/// let queue = FairQueue::new(Options { flow_max: 10, ..Options::default() });
+/// # let _ = queue;
+/// ```
+#[derive(Debug, Default)]
+pub struct FairQueue {
+    options: Options,
+    rows: Rows,
+    answers: HashMap<RowKey, f64>,
+    flows: Flows,
+    entries: Arena<Entry>,
+    keys: HashMap<RequestId, Key>,
+    deadlines: BTreeSet<(u64, Key)>,
+    ageing: BTreeSet<(u64, Key)>,
+    aged: VecDeque<Key>,
+    aged_credit: f64,
+}
+
+impl FairQueue {
+    /// An empty queue without settings.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Rows in use with what they have in flight, for reports.
+    pub fn rows(&self) -> &Rows {
+        &self.rows
+    }
+
+    fn class_of(&mut self, row: RowKey, offer: &Offer) -> ClassKey {
+        self.flows.class(Class {
+            priority: self.rows.get(row).priority(),
+            band: band(offer.prompt_tokens),
+            model: offer.model.clone(),
+        })
+    }
+
+    /// Checks the limits of the row and takes what the request costs.
+    fn limit(&mut self, now_ms: u64, row: RowKey, offer: &Offer) -> Result<(), Verdict> {
+        let cost = (offer.prompt_tokens + offer.max_tokens) as f64;
+        let row = self.rows.get_mut(row);
+        let allowed = &row.limits.models;
+        if !allowed.is_empty() && !allowed.contains(&offer.model) {
+            return Err(refused(RefusalReason::UnknownModel, 0));
+        }
+        if row.concurrent_max > 0 && row.in_flight >= row.concurrent_max {
+            let retry_after_ms = self.options.retry_after_min_ms;
+            return Err(refused(RefusalReason::Concurrency, retry_after_ms));
+        }
+        if let Err(wait_ms) = row.requests.take(now_ms, 1.0) {
+            return Err(refused(RefusalReason::RequestRate, wait_ms));
+        }
+        if let Err(wait_ms) = row.tokens.take(now_ms, cost) {
+            row.requests.refund(1.0);
+            return Err(refused(RefusalReason::TokenRate, wait_ms));
+        }
+        Ok(())
+    }
+
+    /// Refuses what would wait too long, before it costs anything.
+    fn foresee(&mut self, now_ms: u64, row: RowKey, offer: &Offer) -> Result<ClassKey, Verdict> {
+        let class = self.class_of(row, offer);
+        let wait_ms = self.flows.wait_ms(now_ms, row, class);
+        let full = self.flows.queued() >= self.options.queue_max
+            || self.flows.queued_in(row, class) >= self.options.flow_max;
+        if full {
+            let retry_after_ms = self.bounded(wait_ms.unwrap_or(0));
+            return Err(refused(RefusalReason::QueueFull, retry_after_ms));
+        }
+        let left_ms = offer.deadline_ms.saturating_sub(now_ms);
+        let most_ms = (left_ms as f64 * self.options.wait_share_max) as u64;
+        match wait_ms {
+            Some(wait_ms) if wait_ms > most_ms => {
+                let retry_after_ms = self.bounded(wait_ms - most_ms);
+                Err(refused(RefusalReason::Deadline, retry_after_ms))
+            }
+            _ => Ok(class),
+        }
+    }
+
+    fn bounded(&self, retry_after_ms: u64) -> u64 {
+        let least_ms = self.options.retry_after_min_ms;
+        retry_after_ms.clamp(least_ms, self.options.retry_after_max_ms)
+    }
+
+    fn enqueue(&mut self, now_ms: u64, row: RowKey, class: ClassKey, offer: &Offer) {
+        let entry = Entry {
+            offer: offer.clone(),
+            row,
+            class,
+            queued: true,
+        };
+        let tokens = entry.tokens();
+        let key = self.entries.insert(entry);
+        self.keys.insert(offer.id, key);
+        self.deadlines.insert((offer.deadline_ms, key));
+        if self.rows.get(row).priority() > 0 {
+            self.ageing.insert((self.aged_ms(offer), key));
+        }
+        self.flows.push(now_ms, row, class, key, tokens);
+        self.rows.get_mut(row).in_flight += 1;
+    }
+
+    fn aged_ms(&self, offer: &Offer) -> u64 {
+        let allotted_ms = offer.deadline_ms.saturating_sub(offer.arrived_ms);
+        offer.arrived_ms + (allotted_ms as f64 * self.options.aged_share) as u64
+    }
+
+    /// Takes a queued request out of every structure but the arena.
+    fn unqueue(&mut self, now_ms: u64, key: Key) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.queued = false;
+        let (row, class, tokens) = (entry.row, entry.class, entry.tokens());
+        let deadline_ms = entry.offer.deadline_ms;
+        self.flows.remove(now_ms, row, class, key, tokens);
+        self.forget_times(deadline_ms, key);
+    }
+
+    fn forget_times(&mut self, deadline_ms: u64, key: Key) {
+        self.deadlines.remove(&(deadline_ms, key));
+        if let Some(entry) = self.entries.get(key) {
+            let aged_ms = self.aged_ms(&entry.offer);
+            self.ageing.remove(&(aged_ms, key));
+        }
+    }
+
+    /// Drops a queued request that will not run and gives back what it paid.
+    fn drop_queued(&mut self, now_ms: u64, key: Key) -> Option<RequestId> {
+        self.unqueue(now_ms, key);
+        let entry = self.entries.remove(key)?;
+        self.keys.remove(&entry.offer.id);
+        let row = self.rows.get_mut(entry.row);
+        row.in_flight = row.in_flight.saturating_sub(1);
+        row.tokens.refund(entry.tokens() as f64);
+        Some(entry.offer.id)
+    }
+
+    fn refuse_late(&mut self, now_ms: u64, key: Key, actions: &mut Vec<Action>) {
+        let retry_after_ms = match self.entries.get(key) {
+            Some(entry) => self.flows.wait_ms(now_ms, entry.row, entry.class),
+            None => None,
+        };
+        let retry_after_ms = self.bounded(retry_after_ms.unwrap_or(0));
+        if let Some(id) = self.drop_queued(now_ms, key) {
+            actions.push(Action::Refuse {
+                id,
+                reason: RefusalReason::Deadline,
+                retry_after_ms,
+            });
+        }
+    }
+
+    fn expire(&mut self, now_ms: u64, actions: &mut Vec<Action>) {
+        while let Some((deadline_ms, key)) = self.deadlines.first().copied() {
+            if deadline_ms > now_ms {
+                break;
+            }
+            self.refuse_late(now_ms, key, actions);
+        }
+    }
+
+    /// Starts a queued request if there is room, or refuses it if it would end too late. Returns
+    /// whether the queue moved.
+    fn try_start(
+        &mut self,
+        now_ms: u64,
+        key: Key,
+        room: &mut dyn Room,
+        actions: &mut Vec<Action>,
+    ) -> bool {
+        let Some(entry) = self.entries.get(key) else {
+            return false;
+        };
+        let Some(first_token_ms) = room.first_token_ms(&entry.offer) else {
+            return false;
+        };
+        if now_ms + first_token_ms > entry.offer.deadline_ms {
+            self.refuse_late(now_ms, key, actions);
+            return true;
+        }
+        room.taken(&entry.offer);
+        actions.push(Action::Start(entry.offer.id));
+        self.started(now_ms, key);
+        true
+    }
+
+    fn started(&mut self, now_ms: u64, key: Key) {
+        let Some(entry) = self.entries.get_mut(key) else {
+            return;
+        };
+        entry.queued = false;
+        let (row, class, tokens) = (entry.row, entry.class, entry.tokens());
+        let deadline_ms = entry.offer.deadline_ms;
+        let answer_tokens = match self.answers.get(&row) {
+            Some(mean) => mean.min(entry.offer.max_tokens as f64),
+            None => entry.offer.max_tokens as f64,
+        };
+        let charge = Charge {
+            tokens: entry.offer.prompt_tokens + answer_tokens as u64,
+            weight: self.rows.get(row).weight(),
+            waited: now_ms > entry.offer.arrived_ms,
+        };
+        self.flows.start(now_ms, row, class, key, tokens, charge);
+        self.forget_times(deadline_ms, key);
+        let credit = charge.tokens as f64 * self.options.aged_tokens_share;
+        self.aged_credit = (self.aged_credit + credit).min(AGED_CREDIT_MAX);
+    }
+
+    /// Lets aged requests of low priority start out of their turn, within their share.
+    fn start_aged(&mut self, now_ms: u64, room: &mut dyn Room, actions: &mut Vec<Action>) {
+        while let Some((aged_ms, key)) = self.ageing.first().copied() {
+            if aged_ms > now_ms {
+                break;
+            }
+            self.ageing.pop_first();
+            self.aged.push_back(key);
+        }
+        while let Some(key) = self.aged.front().copied() {
+            let queued = self.entries.get(key).filter(|entry| entry.queued);
+            let cost = queued.map(|entry| entry.offer.prompt_tokens as f64);
+            if let Some(cost) = cost {
+                if self.aged_credit <= 0.0 || !self.try_start(now_ms, key, room, actions) {
+                    break;
+                }
+                self.aged_credit -= cost;
+            }
+            self.aged.pop_front();
+        }
+    }
+}
+
+fn refused(reason: RefusalReason, retry_after_ms: u64) -> Verdict {
+    Verdict::Refused {
+        reason,
+        retry_after_ms,
+    }
+}
+
+fn band(prompt_tokens: u64) -> u32 {
+    if prompt_tokens <= SHORT_PROMPT_TOKENS {
+        0
+    } else if prompt_tokens < LONG_PROMPT_TOKENS {
+        1
+    } else {
+        2
+    }
+}
+
+impl Admission for FairQueue {
+    fn settings(&mut self, now_ms: u64, snapshot: &Snapshot) {
+        self.rows.settings(now_ms, snapshot);
+    }
+
+    fn offer(&mut self, now_ms: u64, offer: &Offer) -> Verdict {
+        let row = self.rows.find(now_ms, &offer.organisation, &offer.kind);
+        let class = match self.foresee(now_ms, row, offer) {
+            Ok(class) => class,
+            Err(verdict) => return verdict,
+        };
+        if let Err(verdict) = self.limit(now_ms, row, offer) {
+            return verdict;
+        }
+        self.enqueue(now_ms, row, class, offer);
+        Verdict::Queued
+    }
+
+    fn next(&mut self, now_ms: u64, room: &mut dyn Room) -> Vec<Action> {
+        let mut actions = Vec::new();
+        self.expire(now_ms, &mut actions);
+        self.start_aged(now_ms, room, &mut actions);
+        for place in 0..self.flows.classes() {
+            let class = self.flows.class_at(place);
+            while let Some((_, key)) = self.flows.first(class) {
+                if !self.try_start(now_ms, key, room, &mut actions) {
+                    break;
+                }
+            }
+        }
+        actions
+    }
+
+    fn cancel(&mut self, now_ms: u64, id: RequestId) -> bool {
+        let Some(key) = self.keys.get(&id).copied() else {
+            return false;
+        };
+        let queued = self.entries.get(key).is_some_and(|entry| entry.queued);
+        queued && self.drop_queued(now_ms, key).is_some()
+    }
+
+    fn finished(&mut self, _now_ms: u64, id: RequestId, generated_tokens: u64) {
+        let Some(key) = self.keys.remove(&id) else {
+            return;
+        };
+        let Some(entry) = self.entries.remove(key) else {
+            return;
+        };
+        let unused = entry.offer.max_tokens.saturating_sub(generated_tokens);
+        let row = self.rows.get_mut(entry.row);
+        row.in_flight = row.in_flight.saturating_sub(1);
+        row.tokens.refund(unused as f64);
+        let mean = self
+            .answers
+            .entry(entry.row)
+            .or_insert(generated_tokens as f64);
+        *mean += ANSWER_SMOOTHING * (generated_tokens as f64 - *mean);
+    }
+}
--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -6,4 +6,11 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod arena;
+pub mod bucket;
+pub mod drain;
+pub mod fair;
+pub mod fifo;
+pub mod flows;
 pub mod queue;
+pub mod rows;
--- a/crates/mgs-admission/src/queue.rs
+++ b/crates/mgs-admission/src/queue.rs
@@ -4,6 +4,9 @@
 use mgs_schema::settings::Snapshot;
 use mgs_schema::wire::RefusalReason;
 
+use crate::fair::FairQueue;
+use crate::fifo::Fifo;
+
 /// A request that asks to be admitted.
 #[derive(Debug, Clone)]
 pub struct Offer {
@@ -83,3 +86,20 @@
     /// A started request has ended.
     fn finished(&mut self, now_ms: u64, id: RequestId, generated_tokens: u64);
 }
+
+/// Names that [`by_name`] knows; the first is the product's own.
+pub const NAMES: [&str; 2] = ["fair", "fifo"];
+
+/// A fresh queue of a name.
+///
+/// ```
+/// assert!(mgs_admission::queue::by_name("fair").is_some());
+/// assert!(mgs_admission::queue::by_name("other").is_none());
+/// ```
+pub fn by_name(name: &str) -> Option<Box<dyn Admission>> {
+    match name {
+        "fair" => Some(Box::new(FairQueue::default())),
+        "fifo" => Some(Box::new(Fifo::default())),
+        _ => None,
+    }
+}
