--- /dev/null
+++ b/crates/mgs-durable/src/keeper.rs
@@ -0,0 +1,206 @@
+//! The thread that beats for its gateway, watches the others, moves the shared clock on and
+//! settles tenures that were given up.
+
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use mgs_platform::table::scan_all;
+use mgs_platform::table::Row;
+use mgs_platform::table::TxnOutcome;
+
+use crate::batch::Op;
+use crate::batch::Written;
+use crate::clock;
+use crate::core::lock;
+use crate::core::Core;
+use crate::core::Surrender;
+use crate::entry::id_of;
+use crate::entry::Entry;
+use crate::entry::State;
+use crate::entry::ASYNC_PREFIX;
+use crate::lease;
+use crate::lease::Beat;
+
+/// Wait between two looks at whether something is due.
+const PAUSE: Duration = Duration::from_millis(50);
+
+/// Rows of gone gateways that one pass deletes, at most.
+const REMAINS_MAX: usize = 4;
+
+/// State of the thread.
+pub(crate) struct Keeper {
+    core: Arc<Core>,
+    beat: u64,
+    version: u64,
+}
+
+impl Keeper {
+    /// A keeper that hasn't beaten yet.
+    pub(crate) fn new(core: Arc<Core>) -> Self {
+        Self {
+            core,
+            beat: 0,
+            version: 0,
+        }
+    }
+
+    /// Runs until the process stops.
+    pub(crate) fn run(mut self) {
+        while !self.core.stopping() {
+            let began = Instant::now();
+            let period_ms = self.pass();
+            let period = Duration::from_millis(period_ms);
+            while began.elapsed() < period && !self.core.stopping() {
+                thread::sleep(PAUSE);
+            }
+        }
+        self.settle();
+        self.withdraw();
+    }
+
+    /// One pass: returns the time until the next one, in milliseconds.
+    pub(crate) fn pass(&mut self) -> u64 {
+        let now_ms = self.core.now_ms();
+        let live = lock(&self.core.watch).live(now_ms);
+        let period_ms = lease::period_ms(live.len()).min(self.core.options.beat_max_ms);
+        self.beat(period_ms);
+        if let Err(error) = self.look() {
+            log::warn!(error:% = error; "the store can't be read; no lease is judged anew");
+        }
+        self.tick(&live);
+        self.settle();
+        self.clear_remains();
+        period_ms
+    }
+
+    /// Rewrites the gateway's row. A row that another process deleted is written anew.
+    fn beat(&mut self, period_ms: u64) {
+        self.beat += 1;
+        let beat = Beat {
+            beat: self.beat,
+            period_ms,
+        };
+        let value = serde_json::to_string(&beat).expect("a beat has only JSON's types");
+        let key = lease::key(self.core.options.gateway);
+        let op = Op {
+            key,
+            expected: self.version,
+            value: Some(value),
+        };
+        match self.core.write(op) {
+            Written::Done(version) => {
+                self.version = version;
+                self.core.beaten.store(true, Ordering::Relaxed);
+            }
+            Written::Conflict(row) => self.version = row.map_or(0, |row| row.version),
+            Written::Unavailable | Written::Unknown => {}
+        }
+    }
+
+    fn look(&self) -> Result<(), mgs_platform::Error> {
+        let rows = scan_all(self.core.table.as_ref(), lease::PREFIX)?;
+        let now_ms = self.core.now_ms();
+        lock(&self.core.watch).scanned(&rows, now_ms);
+        let row = self.core.table.get(clock::KEY)?;
+        let now_ms = self.core.now_ms();
+        lock(&self.core.clock).read(row.as_ref(), now_ms);
+        Ok(())
+    }
+
+    fn tick(&self, live: &[u64]) {
+        let me = self.core.options.gateway;
+        let rank = live.iter().position(|&gateway| gateway == me);
+        let rank = rank.unwrap_or(live.len()) as u64;
+        let now_ms = self.core.now_ms();
+        let Some(tick) = lock(&self.core.clock).due(rank, now_ms) else {
+            return;
+        };
+        // Whatever comes of it, the next look shows the row as it is. Two gateways may write the
+        // same value, which is as good as one having done so.
+        self.core.write(Op {
+            key: clock::KEY.to_string(),
+            expected: tick.version,
+            value: Some(tick.value),
+        });
+    }
+
+    /// Frees tenures that were given up, in case the store has them.
+    fn settle(&self) {
+        let given_up = std::mem::take(&mut *lock(&self.core.surrendered));
+        for surrender in given_up {
+            let settled = self.settle_one(&surrender);
+            if !settled || self.core.now_ms() < surrender.until_ms {
+                lock(&self.core.surrendered).push(surrender);
+            }
+        }
+    }
+
+    fn settle_one(&self, surrender: &Surrender) -> bool {
+        let Ok(found) = self.core.read(&surrender.key) else {
+            return false;
+        };
+        let Some((row, entry)) = found.filter(|(_, entry)| entry.nonce == surrender.nonce) else {
+            return true;
+        };
+        let Some(op) = free(&row, entry) else {
+            return true;
+        };
+        matches!(self.core.write(op), Written::Done(_) | Written::Conflict(_))
+    }
+
+    fn clear_remains(&self) {
+        let now_ms = self.core.now_ms();
+        let remains = lock(&self.core.watch).remains(now_ms);
+        for (gateway, version) in remains.into_iter().take(REMAINS_MAX) {
+            self.core.write(Op {
+                key: lease::key(gateway),
+                expected: version,
+                value: None,
+            });
+        }
+    }
+
+    /// Says that this gateway holds nothing more.
+    fn withdraw(&self) {
+        if !lock(&self.core.active).is_empty() {
+            return;
+        }
+        let key = lease::key(self.core.options.gateway);
+        let txn = mgs_platform::table::Txn::default()
+            .when(&key, self.version)
+            .delete(&key);
+        match self.core.table.commit(&txn) {
+            Ok(TxnOutcome::Committed(_)) => {}
+            other => log::info!(outcome:? = other; "the gateway's row stays until its lease ends"),
+        }
+    }
+}
+
+/// The write that frees an entry from a tenure that dispatched nothing under it. One that names
+/// an endpoint keeps it, so that the next holder asks there.
+fn free(row: &Row, mut entry: Entry) -> Option<Op> {
+    let durable = row.key.starts_with(ASYNC_PREFIX);
+    let value = match (&entry.state, durable) {
+        (State::Held, true) => {
+            entry.state = State::Queued;
+            Some(entry)
+        }
+        (State::Held | State::Submitting | State::Async, _) => None,
+        (State::Dispatched(_), _) => Some(entry),
+        (State::Queued | State::Done(_), _) => return None,
+    };
+    log::info!(id = id_of(&row.key); "a tenure that was given up is freed");
+    let value = value.map(|mut entry| {
+        entry.holder = 0;
+        entry.write += 1;
+        entry.to_text()
+    });
+    Some(Op {
+        key: row.key.clone(),
+        expected: row.version,
+        value,
+    })
+}
--- /dev/null
+++ b/crates/mgs-durable/src/shard.rs
@@ -0,0 +1,36 @@
+//! Which gateway scans which shard.
+//!
+//! Rows of durable requests lie in [`SHARDS`] shards. Each shard has one scanner, chosen among the
+//! live gateways by rendezvous hashing, so that scanning costs as much as there are rows, however
+//! many gateways run, and a gateway that comes or goes moves only its own shards. Gateways whose
+//! views differ for a while may both scan a shard, or neither; claims of rows are conditional
+//! writes, so the first costs reads only, and the second time.
+
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+/// Count of shards.
+pub const SHARDS: u32 = 256;
+
+/// Name of a shard, as rows' keys spell it.
+pub fn name(shard: u32) -> String {
+    format!("{shard:02x}")
+}
+
+/// The scanner of a shard among the live gateways.
+///
+/// ```
+/// use mgs_durable::shard::scanner;
+///
+/// assert_eq!(scanner(0, &[]), None);
+/// assert_eq!(scanner(0, &[42]), Some(42));
+/// ```
+pub fn scanner(shard: u32, live: &[u64]) -> Option<u64> {
+    let score = |gateway: u64| xxh3_64_with_seed(&shard.to_le_bytes(), gateway);
+    live.iter().copied().max_by_key(|&g| (score(g), g))
+}
+
+/// The shards of one gateway.
+pub fn owned(gateway: u64, live: &[u64]) -> Vec<u32> {
+    let mine = |&shard: &u32| scanner(shard, live) == Some(gateway);
+    (0..SHARDS).filter(mine).collect()
+}
--- a/crates/mgs-platform/src/table.rs
+++ b/crates/mgs-platform/src/table.rs
@@ -12,7 +12,7 @@
 pub const PAGE_ROWS_MAX: usize = 1000;
 
 /// One row.
-#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Row {
     /// Key; keys are ordered by their bytes.
     pub key: String,
