feat(ledger): decide at-most-once, engine memory and the local order of work

Cause: a sidecar needs one place that knows what started, what never will, who owns which engine memory, and what starts next, free of I/O so that every interleaving can be tried. Ruled out: forgetting tombstones when room is short (a later start would break a promise already given; 'cannot tell' is answered instead); one tombstone for all attempts of a refused request (a single endpoint could never take it again); freeing memory on a cancel's sending instead of its confirmation.

--- /dev/null
+++ b/crates/mgs-ledger/src/queue.rs
@@ -0,0 +1,168 @@
+//! The local order of work: priority with ageing, then urgency, then fairness between
+//! organisations.
+//!
+//! A request's level starts at its priority and falls to 0 in step with the share of its allotted
+//! time that is left, so that low priority gets its turn before its time is over. Within a level,
+//! requests that would miss their deadline unless started soon go first, the earliest deadline
+//! ahead. The others follow start-time fair queueing by token cost and weight.
+
+use std::collections::BTreeMap;
+
+use mgs_schema::key::RequestId;
+
+use crate::job::Job;
+use crate::job::OrganisationKey;
+use crate::job::Sender;
+
+/// A token's cost to an organisation of weight 1.
+const COST_SCALE: u64 = 1_000;
+
+/// Prompt tokens that cost as much as one generated token.
+const GENERATED_COST: u64 = 8;
+
+/// A request that waits.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct Waiting {
+    /// The request.
+    pub job: Job,
+    /// When it arrived.
+    pub arrived_ms: u64,
+    /// When its allotted time ends.
+    pub deadline_ms: u64,
+    /// Starts that went past it because it didn't fit.
+    pub bypassed: u32,
+    start_tag: u64,
+}
+
+impl Waiting {
+    /// A request that arrived now, outside any queue.
+    pub(crate) fn new(now_ms: u64, job: Job) -> Self {
+        Self {
+            job,
+            arrived_ms: now_ms,
+            deadline_ms: now_ms.saturating_add(job.budget_ms),
+            bypassed: 0,
+            start_tag: 0,
+        }
+    }
+
+    /// Its level now: its priority, less what ageing has taken off.
+    pub fn level(&self, now_ms: u64) -> u32 {
+        let allotted = self.deadline_ms.saturating_sub(self.arrived_ms).max(1);
+        let left = self.deadline_ms.saturating_sub(now_ms).min(allotted);
+        let level = u128::from(self.job.priority) * u128::from(left) / u128::from(allotted);
+        u32::try_from(level).unwrap_or(self.job.priority)
+    }
+}
+
+/// The requests that wait.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
+pub struct Queue {
+    waiting: Vec<Waiting>,
+    finish_tags: BTreeMap<OrganisationKey, u64>,
+    virtual_time: u64,
+}
+
+impl Queue {
+    /// Adds a request.
+    ///
+    /// ```
+    /// use mgs_ledger::queue::Queue;
+    ///
+    /// let queue = Queue::default();
+    /// assert!(queue.order(0, 500).is_empty());
+    /// ```
+    pub fn push(&mut self, now_ms: u64, job: Job) {
+        let finished = self.finish_tags.get(&job.organisation).copied();
+        let start_tag = finished.unwrap_or(0).max(self.virtual_time);
+        let generated = job.max_tokens.saturating_mul(GENERATED_COST);
+        let cost = job.prefill_tokens().saturating_add(generated);
+        let cost = cost.saturating_mul(COST_SCALE) / u64::from(job.weight.max(1));
+        self.finish_tags
+            .insert(job.organisation, start_tag.saturating_add(cost));
+        self.waiting.push(Waiting {
+            start_tag,
+            ..Waiting::new(now_ms, job)
+        });
+    }
+
+    /// Takes a request out; it gets no further turn.
+    pub fn remove(&mut self, id: RequestId) -> Option<Waiting> {
+        let at = self.waiting.iter().position(|w| w.job.id == id)?;
+        let removed = self.waiting.swap_remove(at);
+        if self.waiting.is_empty() {
+            self.finish_tags.clear();
+            self.virtual_time = 0;
+        }
+        Some(removed)
+    }
+
+    /// Takes a request out because it starts, past the given ones that didn't fit.
+    pub fn start(&mut self, id: RequestId, bypassed: &[RequestId]) -> Option<Waiting> {
+        let at = self.waiting.iter().position(|w| w.job.id == id)?;
+        self.virtual_time = self.virtual_time.max(self.waiting[at].start_tag);
+        for waiting in &mut self.waiting {
+            if bypassed.contains(&waiting.job.id) {
+                waiting.bypassed += 1;
+            }
+        }
+        let virtual_time = self.virtual_time;
+        self.finish_tags.retain(|_, tag| *tag > virtual_time);
+        self.remove(id)
+    }
+
+    /// Puts a request back that was proved not to have started.
+    pub fn put_back(&mut self, waiting: Waiting) {
+        self.waiting.push(waiting);
+    }
+
+    /// Another gateway, or another session, now owns a request.
+    pub(crate) fn set_sender(&mut self, id: RequestId, sender: &Sender) {
+        for waiting in self.waiting.iter_mut().filter(|w| w.job.id == id) {
+            waiting.job.sender = *sender;
+        }
+    }
+
+    /// Requests in the order in which they should start; `urgent_ms` is how close to its deadline
+    /// a request goes ahead of its level.
+    pub fn order(&self, now_ms: u64, urgent_ms: u64) -> Vec<Waiting> {
+        let mut order = self.waiting.clone();
+        order.sort_by_key(|waiting| {
+            let urgent = waiting.deadline_ms <= now_ms.saturating_add(urgent_ms);
+            let deadline_ms = if urgent {
+                waiting.deadline_ms
+            } else {
+                u64::MAX
+            };
+            let level = waiting.level(now_ms);
+            (
+                level,
+                deadline_ms,
+                waiting.start_tag,
+                waiting.arrived_ms,
+                waiting.job.id,
+            )
+        });
+        order
+    }
+
+    /// All that wait, in no order.
+    pub fn iter(&self) -> impl Iterator<Item = &Waiting> {
+        self.waiting.iter()
+    }
+
+    /// Whether a request waits.
+    pub fn contains(&self, id: RequestId) -> bool {
+        self.waiting.iter().any(|waiting| waiting.job.id == id)
+    }
+
+    /// Count of requests that wait.
+    pub fn len(&self) -> usize {
+        self.waiting.len()
+    }
+
+    /// Whether none waits.
+    pub fn is_empty(&self) -> bool {
+        self.waiting.is_empty()
+    }
+}
--- /dev/null
+++ b/crates/mgs-ledger/src/schedule.rs
@@ -0,0 +1,236 @@
+//! What starts next, what is refused early, and the predictions for both.
+
+use mgs_schema::key::RequestId;
+use mgs_schema::wire::RefusalReason;
+
+use crate::action::Action;
+use crate::job::Job;
+use crate::ledger::Ledger;
+use crate::ledger::Live;
+use crate::memory::Allocation;
+use crate::memory::Holding;
+use crate::queue::Waiting;
+use crate::record::Fate;
+
+/// Shortest and longest time after which a refused caller is asked to come back.
+const RETRY_AFTER_MIN_MS: u64 = 50;
+const RETRY_AFTER_MAX_MS: u64 = 30_000;
+
+/// How long the endpoint is given to come back before callers ask again, in milliseconds.
+const DOWN_RETRY_MS: u64 = 1_000;
+
+impl Ledger {
+    /// Why there is no room for the request, and when to come back.
+    pub(crate) fn room_refusal(&self, now_ms: u64, job: &Job) -> Option<(RefusalReason, u64)> {
+        if self.closed.leaving {
+            return Some((RefusalReason::Leaving, 0));
+        }
+        if self.closed.down {
+            return Some((RefusalReason::EndpointDown, DOWN_RETRY_MS));
+        }
+        if let Some(refusal) = self.memory_refusal(now_ms, job) {
+            return Some(refusal);
+        }
+        if self.queue.len() >= self.options.waiting_max {
+            return Some((RefusalReason::Busy, self.place_free_ms()));
+        }
+        let first_token_ms = self.first_token_ms(now_ms, job);
+        if first_token_ms > job.budget_ms {
+            let late_ms = first_token_ms - job.budget_ms;
+            return Some((RefusalReason::Deadline, clamp_retry(late_ms)));
+        }
+        None
+    }
+
+    fn memory_refusal(&self, now_ms: u64, job: &Job) -> Option<(RefusalReason, u64)> {
+        if job.span != 0 {
+            let held = self.memory.get(&Holding::Span(job.span)).is_some();
+            return (!held).then_some((RefusalReason::Memory, 0));
+        }
+        let capacity = self.memory.capacity_tokens()?;
+        let need = job.need_tokens();
+        if need > capacity {
+            return Some((RefusalReason::PromptExceedsMemory, 0));
+        }
+        let (reserved, first_ms) = self.memory.reserved();
+        if need > capacity.saturating_sub(reserved) {
+            let wait_ms = first_ms.unwrap_or(now_ms).saturating_sub(now_ms);
+            return Some((RefusalReason::Memory, clamp_retry(wait_ms)));
+        }
+        None
+    }
+
+    /// Predicted time until one of the waiting requests starts, in milliseconds.
+    fn place_free_ms(&self) -> u64 {
+        let tokens: u64 = self.queue.iter().map(|w| w.job.prefill_tokens()).sum();
+        let waiting = self.queue.len().max(1) as u64;
+        clamp_retry(self.rates.prefill_ms(tokens / waiting) + self.slot_ms())
+    }
+
+    /// Most requests that run at once.
+    pub(crate) fn slots(&self) -> usize {
+        self.options.running_max.min(self.streams_max)
+    }
+
+    /// Predicted time between two ends of requests while all slots are taken, in milliseconds.
+    fn slot_ms(&self) -> u64 {
+        self.mean_run_ms / self.slots().max(1) as u64
+    }
+
+    /// Predicted time to the first token of a request that came now, in milliseconds.
+    pub fn first_token_ms(&self, now_ms: u64, job: &Job) -> u64 {
+        let ahead = |waiting: &&Waiting| waiting.level(now_ms) <= job.priority;
+        let waiting_tokens: u64 = self
+            .queue
+            .iter()
+            .filter(ahead)
+            .map(|waiting| waiting.job.prefill_tokens())
+            .sum();
+        let tokens = self.prefilling_tokens() + waiting_tokens + job.prefill_tokens();
+        let prefill_ms = self.rates.prefill_ms(tokens);
+        if self.live.len() < self.slots() {
+            return prefill_ms;
+        }
+        let turns = self.queue.iter().filter(ahead).count() as u64 + 1;
+        prefill_ms.max(turns * self.slot_ms())
+    }
+
+    /// Prompt tokens handed to the endpoint and not yet processed.
+    pub(crate) fn prefilling_tokens(&self) -> u64 {
+        self.prefilling().map(Job::prefill_tokens).sum()
+    }
+
+    fn prefilling(&self) -> impl Iterator<Item = &Job> {
+        let lives = self.live.values();
+        lives.filter(|l| l.first_token_ms.is_none()).map(Live::job)
+    }
+
+    /// Engine memory in use or reserved.
+    pub fn kv_used_tokens(&self) -> u64 {
+        self.memory.used_tokens()
+    }
+
+    /// Starts what may start.
+    pub(crate) fn schedule(&mut self, now_ms: u64) {
+        if self.closed.down || now_ms < self.full_until_ms {
+            return;
+        }
+        while self.live.len() < self.slots() {
+            let Some((next, bypassed)) = self.choose(now_ms) else {
+                return;
+            };
+            self.start(now_ms, next, &bypassed);
+        }
+    }
+
+    /// The next request to start, and those that it goes past because they don't fit.
+    fn choose(&self, now_ms: u64) -> Option<(RequestId, Vec<RequestId>)> {
+        let mut bypassed = Vec::new();
+        for waiting in self.queue.order(now_ms, self.options.urgent_ms) {
+            if waiting.deadline_ms <= now_ms || !self.long_prefill_allows(&waiting.job) {
+                continue;
+            }
+            if self.memory_allows(&waiting.job) {
+                return Some((waiting.job.id, bypassed));
+            }
+            if waiting.bypassed >= self.options.bypass_max {
+                return None;
+            }
+            bypassed.push(waiting.job.id);
+        }
+        None
+    }
+
+    fn memory_allows(&self, job: &Job) -> bool {
+        job.span != 0 || self.memory.fits(job.need_tokens())
+    }
+
+    fn is_long(&self, job: &Job) -> bool {
+        job.prefill_tokens() >= self.options.long_prompt_tokens
+    }
+
+    /// Whether a long prompt may be processed beside those that are.
+    fn long_prefill_allows(&self, job: &Job) -> bool {
+        if !self.is_long(job) {
+            return true;
+        }
+        let others = self.prefilling().filter(|other| self.is_long(other));
+        let tokens: u64 = others.map(Job::prefill_tokens).sum();
+        tokens == 0
+            || tokens.saturating_add(job.prefill_tokens()) <= self.options.long_prefill_max_tokens
+    }
+
+    fn start(&mut self, now_ms: u64, id: RequestId, bypassed: &[RequestId]) {
+        let Some(waiting) = self.queue.start(id, bypassed) else {
+            unreachable!("only a waiting request is chosen");
+        };
+        let job = waiting.job;
+        let span = self.memory.free(&Holding::Span(job.span));
+        let tokens = span.map_or(job.need_tokens(), |span| span.tokens);
+        let holding = Holding::Stream {
+            id,
+            attempt: job.attempt,
+        };
+        let allocation = Allocation {
+            tokens,
+            expires_ms: waiting.deadline_ms,
+            gateway: 0,
+            freeing_ms: None,
+        };
+        self.memory.hold(holding, allocation);
+        if self.prefilling().next().is_none() {
+            self.prefill_from_ms = now_ms;
+        }
+        let live = Live {
+            waiting,
+            running: false,
+            started_ms: now_ms,
+            first_token_ms: None,
+            told: false,
+        };
+        self.live.insert(id, live);
+        self.actions.push(Action::Start(id));
+    }
+
+    /// Refuses a waiting request, which then never starts under the attempts up to `attempt`.
+    pub(crate) fn refuse_waiting(
+        &mut self,
+        id: RequestId,
+        reason: RefusalReason,
+        attempt: u32,
+        until_ms: u64,
+    ) {
+        if self.queue.remove(id).is_none() {
+            return;
+        }
+        self.records
+            .set(id, Fate::NeverStarted { attempt }, until_ms);
+        let retry_after_ms = match reason {
+            RefusalReason::EndpointDown => DOWN_RETRY_MS,
+            RefusalReason::Deadline => self.place_free_ms(),
+            _ => 0,
+        };
+        self.actions.push(Action::Refuse {
+            id,
+            reason,
+            retry_after_ms,
+        });
+    }
+
+    /// Refuses all that waits.
+    pub(crate) fn refuse_all_waiting(&mut self, now_ms: u64, reason: RefusalReason) {
+        let all: Vec<(RequestId, u32)> = self
+            .queue
+            .iter()
+            .map(|waiting| (waiting.job.id, waiting.job.attempt))
+            .collect();
+        let until_ms = now_ms + self.options.record_keep_ms;
+        for (id, attempt) in all {
+            self.refuse_waiting(id, reason, attempt, until_ms);
+        }
+    }
+}
+
+fn clamp_retry(ms: u64) -> u64 {
+    ms.clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS)
+}
--- /dev/null
+++ b/crates/mgs-ledger/tests/model/mod.rs
@@ -0,0 +1,351 @@
+//! A ledger, an engine and what gateways were told, as one state that events change.
+
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
+
+use mgs_ledger::action::Action;
+use mgs_ledger::finish::NotStarted;
+use mgs_ledger::finish::Stream;
+use mgs_ledger::job::Job;
+use mgs_ledger::job::OrganisationKey;
+use mgs_ledger::job::Sender;
+use mgs_ledger::ledger::Ledger;
+use mgs_ledger::ledger::Options;
+use mgs_ledger::ledger::Verdict;
+use mgs_ledger::plant::Plant;
+use mgs_ledger::reconcile::parse_stream_name;
+use mgs_ledger::reconcile::stream_name;
+use mgs_ledger::reconcile::Listed;
+use mgs_schema::key::RequestId;
+use mgs_schema::wire::RefusalReason;
+use mgs_schema::wire::WithdrawState;
+
+/// Incarnation of the modelled sidecar.
+const SIDECAR: u64 = 9;
+const GATEWAY: u64 = 7;
+const NEED_TOKENS: u64 = 60;
+pub(crate) const CAPACITY_TOKENS: u64 = 100;
+const LEASE_MS: u64 = 10;
+const BUDGET_MS: u64 = 50;
+
+/// What may happen. A number names a request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Event {
+    /// A dispatch of the first attempt arrives, on a session.
+    Dispatch(u64, u64),
+    /// A withdrawal of all attempts arrives.
+    Withdraw(u64),
+    /// A cancel arrives.
+    Cancel(u64),
+    /// The gateway opens session 2.
+    NewSession,
+    /// The gateway's connections are lost.
+    GatewayLost,
+    /// A start in flight takes effect at the engine and is answered.
+    Started(u64),
+    /// A start in flight is proved not to have happened.
+    NotStarted(u64, NotStarted),
+    /// The path breaks; the start in flight has taken effect (or not).
+    StartBroke(u64, bool),
+    /// A start whose path broke takes effect all the same.
+    LateStart(u64),
+    /// The path to a running stream is given up.
+    PathGivenUp(u64),
+    /// The engine ends a stream, and its end is read.
+    Finished(u64),
+    /// Cancels in flight reach the engine.
+    CancelsArrive,
+    /// The engine's list is read.
+    Listed,
+    /// The engine starts anew with nothing.
+    EngineRestart,
+    /// The sidecar is told to leave.
+    Leave,
+    /// Longer than the gateway's lease passes.
+    WaitLease,
+    /// Longer than any allotted time passes.
+    WaitDeadline,
+}
+
+#[derive(Debug, Clone, PartialEq, Eq, Hash)]
+pub(crate) struct World {
+    now_ms: u64,
+    pub(crate) ledger: Ledger,
+    boot: u64,
+    /// Requests whose start was sent and not yet answered.
+    starting: BTreeSet<RequestId>,
+    /// Requests whose start was given up before it reached the engine, and still may.
+    late: BTreeSet<RequestId>,
+    /// Requests whose stream is read.
+    reading: BTreeSet<RequestId>,
+    /// Streams that the engine holds.
+    pub(crate) engine: BTreeSet<String>,
+    cancels: BTreeSet<String>,
+    /// How often the engine ran each request.
+    runs: BTreeMap<RequestId, u32>,
+    /// Requests of which a gateway was told that they were not run and never will be.
+    vouched: BTreeSet<RequestId>,
+}
+
+fn id(number: u64) -> RequestId {
+    RequestId {
+        origin: GATEWAY,
+        serial: number,
+    }
+}
+
+fn job(number: u64, session: u64) -> Job {
+    Job {
+        id: id(number),
+        attempt: 1,
+        sender: Sender {
+            gateway: GATEWAY,
+            session,
+            connection: session,
+        },
+        sidecar_incarnation: SIDECAR,
+        organisation: OrganisationKey(number as u32),
+        weight: 1,
+        priority: 1,
+        prompt_tokens: NEED_TOKENS,
+        cached_tokens: 0,
+        max_tokens: 0,
+        budget_ms: BUDGET_MS,
+        orphan_ms: 0,
+        idempotent: false,
+        span: 0,
+    }
+}
+
+impl World {
+    pub(crate) fn new(plant: Plant) -> Self {
+        let options = Options {
+            gateway_lease_ms: LEASE_MS,
+            free_retry_ms: 5,
+            full_pause_ms: 1,
+            adopt_ms: LEASE_MS,
+            plant,
+            ..Options::default()
+        };
+        let mut ledger = Ledger::new(SIDECAR, options);
+        ledger.engine_up(0, 1, CAPACITY_TOKENS, 2);
+        Self {
+            now_ms: 0,
+            ledger,
+            boot: 1,
+            starting: BTreeSet::new(),
+            late: BTreeSet::new(),
+            reading: BTreeSet::new(),
+            engine: BTreeSet::new(),
+            cancels: BTreeSet::new(),
+            runs: BTreeMap::new(),
+            vouched: BTreeSet::new(),
+        }
+    }
+
+    /// Whether the event can happen now.
+    pub(crate) fn can(&self, event: Event) -> bool {
+        match event {
+            Event::Started(n) | Event::NotStarted(n, _) | Event::StartBroke(n, _) => {
+                self.starting.contains(&id(n))
+            }
+            Event::LateStart(n) => self.late.contains(&id(n)),
+            Event::PathGivenUp(n) | Event::Finished(n) => self.reading.contains(&id(n)),
+            Event::CancelsArrive => !self.cancels.is_empty(),
+            _ => true,
+        }
+    }
+
+    /// Makes the event happen; an error names the invariant that it broke.
+    pub(crate) fn step(&mut self, event: Event) -> Result<(), String> {
+        self.now_ms += 1;
+        let now_ms = self.now_ms;
+        match event {
+            Event::Dispatch(n, session) => self.dispatch(n, session)?,
+            Event::Withdraw(n) => {
+                let state = self
+                    .ledger
+                    .withdraw(now_ms, id(n), 0, SIDECAR, BUDGET_MS * 100);
+                if state == WithdrawState::NeverStarted {
+                    self.vouch(id(n))?;
+                }
+            }
+            Event::Cancel(n) => {
+                self.ledger.cancel(now_ms, id(n));
+            }
+            Event::NewSession => {
+                self.ledger.heard(&job(0, 2).sender);
+            }
+            Event::GatewayLost => {
+                self.ledger.connection_closed(now_ms, 1);
+                self.ledger.connection_closed(now_ms, 2);
+            }
+            Event::Started(n) => {
+                self.run(id(n))?;
+                self.starting.remove(&id(n));
+                self.reading.insert(id(n));
+                self.ledger.started(now_ms, id(n));
+                self.ledger.first_token(now_ms, id(n));
+            }
+            Event::NotStarted(n, why) => {
+                self.starting.remove(&id(n));
+                self.ledger.not_started(now_ms, id(n), why);
+            }
+            Event::StartBroke(n, took_effect) => {
+                if took_effect {
+                    self.run(id(n))?;
+                } else {
+                    self.late.insert(id(n));
+                }
+                self.starting.remove(&id(n));
+                self.ledger.ended(now_ms, id(n), Stream::Lost, 0, 0);
+            }
+            Event::LateStart(n) => {
+                self.late.remove(&id(n));
+                self.run(id(n))?;
+            }
+            Event::PathGivenUp(n) => {
+                self.reading.remove(&id(n));
+                self.ledger.ended(now_ms, id(n), Stream::Lost, 0, 0);
+            }
+            Event::Finished(n) => {
+                self.reading.remove(&id(n));
+                self.engine.remove(&stream_name(id(n), 1));
+                self.ledger.ended(now_ms, id(n), Stream::Gone, 10, 5);
+            }
+            Event::CancelsArrive => self.cancels_arrive(),
+            Event::Listed => self.listed(),
+            Event::EngineRestart => self.engine_restart(),
+            Event::Leave => self.ledger.set_leaving(now_ms, true),
+            Event::WaitLease => self.pass(LEASE_MS + 1),
+            Event::WaitDeadline => self.pass(BUDGET_MS + 1),
+        }
+        self.obey()
+    }
+
+    fn dispatch(&mut self, number: u64, session: u64) -> Result<(), String> {
+        let id = id(number);
+        let begun = self.starting.contains(&id) || self.runs.contains_key(&id);
+        let verdict = self.ledger.dispatch(self.now_ms, &job(number, session));
+        match verdict {
+            Verdict::Queued { .. } if begun => Err(format!("{id} was queued again")),
+            // What is said of a duplicate is no proof; anything else is.
+            Verdict::Refused { reason, .. } if begun && reason != RefusalReason::Duplicate => Err(
+                format!("{id} was refused as {reason:?} although it had begun"),
+            ),
+            _ => Ok(()),
+        }
+    }
+
+    fn pass(&mut self, ms: u64) {
+        self.now_ms += ms;
+        self.ledger.tick(self.now_ms);
+    }
+
+    fn listed(&mut self) {
+        let listed: Vec<Listed> = self
+            .engine
+            .iter()
+            .map(|name| Listed {
+                name: name.clone(),
+                tokens: NEED_TOKENS,
+            })
+            .collect();
+        self.ledger.reconcile(self.now_ms, &listed, &[]);
+    }
+
+    fn engine_restart(&mut self) {
+        self.engine.clear();
+        self.boot += 1;
+        let (boot, now_ms) = (self.boot, self.now_ms);
+        self.ledger.engine_up(now_ms, boot, CAPACITY_TOKENS, 2);
+        for id in std::mem::take(&mut self.reading) {
+            self.ledger.ended(now_ms, id, Stream::Gone, 0, 0);
+        }
+    }
+
+    fn cancels_arrive(&mut self) {
+        for name in std::mem::take(&mut self.cancels) {
+            self.engine.remove(&name);
+            let Some((id, attempt)) = parse_stream_name(&name) else {
+                unreachable!("only requests' streams are modelled");
+            };
+            if self.reading.remove(&id) {
+                self.ledger.ended(self.now_ms, id, Stream::Gone, 0, 0);
+            }
+            self.ledger.stream_freed(self.now_ms, id, attempt);
+            self.ledger.foreign_freed(self.now_ms, &name);
+        }
+    }
+
+    fn run(&mut self, id: RequestId) -> Result<(), String> {
+        self.engine.insert(stream_name(id, 1));
+        let runs = self.runs.entry(id).or_default();
+        *runs += 1;
+        if *runs > 1 {
+            return Err(format!("{id} ran twice"));
+        }
+        match self.vouched.contains(&id) {
+            true => Err(format!("{id} ran after it was said not to")),
+            false => Ok(()),
+        }
+    }
+
+    fn vouch(&mut self, id: RequestId) -> Result<(), String> {
+        self.vouched.insert(id);
+        match self.runs.contains_key(&id) {
+            true => Err(format!("{id} had run when it was said not to have")),
+            false => Ok(()),
+        }
+    }
+
+    fn obey(&mut self) -> Result<(), String> {
+        for action in self.ledger.take_actions() {
+            match action {
+                Action::Start(id) => {
+                    if self.vouched.contains(&id) {
+                        return Err(format!("{id} started after it was said not to"));
+                    }
+                    self.starting.insert(id);
+                }
+                Action::Refuse { id, .. } => self.vouch(id)?,
+                Action::CancelStream { id, attempt } => {
+                    self.cancels.insert(stream_name(id, attempt));
+                }
+                Action::CancelForeign(name) => {
+                    self.cancels.insert(name);
+                }
+                Action::Fail { .. } | Action::FreeKv(_) | Action::Forget(_) => {}
+            }
+        }
+        match self.ledger.kv_used_tokens() > CAPACITY_TOKENS * 2 {
+            true => Err("memory is counted beyond all bounds".to_string()),
+            false => Ok(()),
+        }
+    }
+
+    /// Lets time pass with a willing engine and no gateway, and checks that nothing is held.
+    pub(crate) fn settle(mut self) -> Result<(), String> {
+        for _ in 0..4 {
+            for id in self.starting.clone() {
+                self.step(Event::Started(id.serial))?;
+            }
+            for id in self.late.clone() {
+                self.step(Event::LateStart(id.serial))?;
+            }
+            self.step(Event::GatewayLost)?;
+            self.step(Event::WaitDeadline)?;
+            self.step(Event::Listed)?;
+            if self.can(Event::CancelsArrive) {
+                self.step(Event::CancelsArrive)?;
+            }
+        }
+        if !self.engine.is_empty() {
+            return Err(format!("the engine still holds {:?}", self.engine));
+        }
+        match (self.ledger.kv_used_tokens(), self.ledger.is_idle()) {
+            (0, true) => Ok(()),
+            (used, idle) => Err(format!("ledger holds {used} tokens, idle: {idle}")),
+        }
+    }
+}
