--- a/crates/mgs-request/src/life.rs
+++ b/crates/mgs-request/src/life.rs
@@ -255,7 +255,6 @@
         };
         if matches!(attempt.state, State::Dispatched | State::Resuming) {
             attempt.state = State::Running;
-            attempt.asked = 0;
         }
     }
 
@@ -285,7 +284,6 @@
         }
         if let Some(attempt) = self.attempt(number) {
             attempt.ran = true;
-            attempt.asked = 0;
             attempt.state = State::Running;
         }
         if !self.wins(step, number) {
@@ -293,12 +291,19 @@
         }
         for frame in self.delivery.take(frame) {
             step.act(Action::Deliver(frame));
+            self.progressed(number);
         }
         if self.delivery.announced().is_some() {
             self.check_whole(step, number);
         }
     }
 
+    fn progressed(&mut self, number: AttemptNumber) {
+        if let Some(attempt) = self.attempt(number) {
+            attempt.asked = 0;
+        }
+    }
+
     /// Whether the answer of this attempt goes to the caller; the first to have one wins.
     fn wins(&mut self, step: &mut Step<'_>, number: AttemptNumber) -> bool {
         if self.winner.is_none() {
