test(routing): trial bench of policies against modelled engines

Cause: policies must be compared before and after each change, more often and more evenly than over real sockets. Ruled out: tuning by the load command alone (other work on the machine moves its figures by more than the changes do).

--- /dev/null
+++ b/crates/mgs-routing/benches/trial/main.rs
@@ -0,0 +1,102 @@
+//! Trials of policies against modelled engines, without sockets or clocks, to choose what the
+//! `load` command then measures. Its figures are trials, not results.
+//!
+//! `cargo bench -p mgs-routing --bench trial -- [load=0.8] [seconds=120] [seed=1] [flood=1]
+//! [slow=1] [only=NAME]`
+
+#![allow(clippy::print_stdout)]
+
+mod engine;
+mod run;
+mod workload;
+
+use std::sync::Arc;
+
+use mgs_admission::queue;
+use mgs_admission::queue::Admission;
+use mgs_routing::marigold::Marigold;
+use mgs_routing::policy;
+use mgs_routing::policy::Policy;
+
+use crate::run::Figures;
+use crate::run::Run;
+use crate::run::Subject;
+
+const GATEWAYS: usize = 3;
+
+/// Tokens a second that 20 engines process when prefill and decode share their steps.
+const CAPACITY_TOKENS_PER_S: f64 = 270_000.0;
+
+fn setting(name: &str, default: f64) -> f64 {
+    let prefix = format!("{name}=");
+    let found = std::env::args().find_map(|a| a.strip_prefix(&prefix).map(str::to_owned));
+    found.and_then(|v| v.parse().ok()).unwrap_or(default)
+}
+
+fn subject(name: &str) -> Subject {
+    let own = name.starts_with("marigold");
+    let policy = |_| -> Arc<dyn Policy> {
+        match policy::by_name(name) {
+            Some(policy) => policy,
+            None => Arc::new(Marigold::default()),
+        }
+    };
+    let admission = |_| -> Box<dyn Admission> {
+        queue::by_name(if own { "fair" } else { "fifo" }).expect("both are known")
+    };
+    Subject {
+        policies: (0..GATEWAYS).map(policy).collect(),
+        admissions: (0..GATEWAYS).map(admission).collect(),
+        lanes: own,
+    }
+}
+
+fn share(figures: &Figures) -> f64 {
+    let got = figures.by_organisation[1..].iter();
+    got.map(|(offered, got)| *got as f64 / (*offered).max(1) as f64)
+        .fold(1.0, f64::min)
+}
+
+fn main() {
+    let load = setting("load", 0.8);
+    let seconds = setting("seconds", 120.0) as u64;
+    let options = |short_only| workload::Options {
+        seed: setting("seed", 1.0) as u64,
+        seconds,
+        tokens_per_s: CAPACITY_TOKENS_PER_S * load,
+        short_only,
+        flood: setting("flood", 1.0),
+        gateways: GATEWAYS,
+    };
+    let mixed = workload::generate(&options(false));
+    let alone = workload::generate(&options(true));
+    println!(
+        "load {load}, {seconds} s, {} requests, trial figures",
+        mixed.len()
+    );
+    let only = std::env::args().find_map(|a| a.strip_prefix("only=").map(str::to_owned));
+    for name in policy::NAMES {
+        if only.as_ref().is_some_and(|only| only != name) {
+            continue;
+        }
+        let run =
+            |arrivals| Run::new(arrivals, subject(name), seconds, setting("slow", 1.0)).finish();
+        let figures = run(&mixed);
+        let short_alone = run(&alone);
+        let p95 = |f: &Figures, band: usize| f.first_token_ms[band].value_at_quantile(0.95);
+        let slowdown = p95(&figures, 0) as f64 / p95(&short_alone, 0).max(1) as f64;
+        print!("{name:18}");
+        for band in 0..3 {
+            let histogram = &figures.first_token_ms[band];
+            let at = |q| histogram.value_at_quantile(q);
+            print!(" | {:>6} {:>6} {:>6}", at(0.5), at(0.95), at(0.99));
+        }
+        println!(
+            " | slowdown {slowdown:5.2} goodput {:>7.0}/s least share {:.2} late {} refused {:?}",
+            figures.answered_tokens as f64 / (seconds as f64 * 0.9),
+            share(&figures),
+            figures.late,
+            figures.refused,
+        );
+    }
+}
