--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -2,3 +2,7 @@
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
+
+pub mod check;
+pub mod history;
+pub mod proxy;
