feat(gateway): take the queue by name, show the settings version, fill the new wire fields

Ruled out: keeping a first-come queue in the gateway beside the one of mgs-admission. Conclusion: the queue is chosen by Options.admission; a declared model is no_endpoint until reached.

--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -163,6 +163,9 @@
             Err(no_choice) => no_choice,
         };
         let reason = match (no_choice, job.endpoint_kind) {
+            (NoChoice::UnknownModel, _) if view.by_model.contains_key(&job.model) => {
+                RefusalReason::NoEndpoint
+            }
             (NoChoice::UnknownModel, EndpointKind::Service) => RefusalReason::UnknownService,
             (NoChoice::UnknownModel, _) => RefusalReason::UnknownModel,
             (NoChoice::PromptExceedsMemory, _) => RefusalReason::PromptExceedsMemory,
--- a/crates/mgs-gateway/src/drive.rs
+++ b/crates/mgs-gateway/src/drive.rs
@@ -278,6 +278,7 @@
                 request_serial: serial,
                 sidecar_incarnation: attempt.incarnation,
                 tombstone_ms: left_ms + TOMBSTONE_SLACK_MS,
+                attempt: number,
             })
         });
     }
@@ -286,6 +287,7 @@
         self.core.metrics.resumes.inc();
         let (origin, serial) = (self.job.id.origin, self.job.id.serial);
         let gateway_incarnation = self.core.incarnation;
+        let budget_ms = self.job.sidecar_budget_ms(self.core.now_ms());
         self.ask(number, |_, session| {
             Body::Resume(Resume {
                 request_origin: origin,
@@ -293,6 +295,7 @@
                 next_seq,
                 session: session.number,
                 gateway_incarnation,
+                budget_ms,
             })
         });
     }
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -9,6 +9,7 @@
 use std::time::Instant;
 
 use displaydoc::Display;
+use mgs_admission::queue;
 use mgs_observe::admin;
 use mgs_observe::admin::Admin;
 use mgs_observe::admin::Health;
@@ -24,7 +25,6 @@
 use mgs_transport::server::Server;
 
 use crate::core::Core;
-use crate::fifo::Fifo;
 use crate::hub;
 use crate::keeper;
 use crate::listen;
@@ -54,6 +54,8 @@
     pub ready: Ready,
     /// Name of the routing policy.
     pub policy: String,
+    /// Name of the queue.
+    pub admission: String,
     /// Bounds on callers.
     pub callers: listen::Options,
     /// Time between load reports that it asks of sidecars, in milliseconds.
@@ -87,6 +89,7 @@
             settings: Arc::default(),
             ready: Arc::new(|| true),
             policy: policy::NAMES[0].to_string(),
+            admission: queue::NAMES[0].to_string(),
             callers: listen::Options::default(),
             report_interval_ms: 200,
             transport: client::Options::default(),
@@ -117,6 +120,8 @@
 pub enum Error {
     /// unknown policy: {0}
     UnknownPolicy(String),
+    /// unknown queue: {0}
+    UnknownAdmission(String),
     /// can't listen on {0}: {1}
     Listen(SocketAddr, io::Error),
     /// can't start threads: {0}
@@ -152,6 +157,8 @@
     pub fn start(options: Options) -> Result<Self, Error> {
         let policy = policy::by_name(&options.policy)
             .ok_or_else(|| Error::UnknownPolicy(options.policy.clone()))?;
+        let admission = queue::by_name(&options.admission)
+            .ok_or_else(|| Error::UnknownAdmission(options.admission.clone()))?;
         let listen = options.listen;
         let listener =
             listen::bind(listen, &options.callers).map_err(|error| Error::Listen(listen, error))?;
@@ -163,7 +170,6 @@
         })
         .map_err(Error::Threads)?;
         let parting = Parting::start().map_err(Error::Threads)?;
-        let admission = Box::<Fifo>::default();
         let core = Arc::new(Core::new(options, policy, admission, runtime, parting));
         let mut gateway = Self {
             core,
--- a/crates/mgs-gateway/src/job.rs
+++ b/crates/mgs-gateway/src/job.rs
@@ -106,7 +106,7 @@
     }
 
     /// What is left for the sidecar, so that its word on the outcome still comes in time.
-    fn sidecar_budget_ms(&self, now_ms: u64) -> u64 {
+    pub fn sidecar_budget_ms(&self, now_ms: u64) -> u64 {
         let left_ms = self.deadline_ms.saturating_sub(now_ms);
         left_ms - (left_ms / RETURN_DIVISOR).min(RETURN_MAX_MS)
     }
--- a/crates/mgs-gateway/src/keeper.rs
+++ b/crates/mgs-gateway/src/keeper.rs
@@ -35,4 +35,6 @@
     core.sessions.reconcile(core, &core.view());
     core.hub.settings(core);
     core.hub.wake();
+    let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
+    core.metrics.settings_version.set(version);
 }
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -9,13 +9,12 @@
 
 pub mod core;
 mod drive;
-pub mod fifo;
 pub mod gateway;
 pub mod http;
 mod hub;
 pub mod job;
 mod keeper;
-mod listen;
+pub mod listen;
 pub mod metrics;
 mod parting;
 pub mod peer;
--- a/crates/mgs-gateway/src/metrics.rs
+++ b/crates/mgs-gateway/src/metrics.rs
@@ -31,6 +31,8 @@
     pub resumes: Counter,
     /// Requests open now.
     pub open: Gauge,
+    /// Version of the settings in force.
+    pub settings_version: Gauge,
     /// Sessions with sidecars that work now.
     pub sessions: Gauge,
     /// Sessions that were lost.
@@ -68,6 +70,10 @@
             retries: registry.counters("gateway_retries", "Attempts made again", "reason"),
             resumes: registry.counter("gateway_resumes", "Answers resumed on a new connection"),
             open: registry.gauge("gateway_open_requests", "Requests open now"),
+            settings_version: registry.gauge(
+                "gateway_settings_version",
+                "Version of the settings in force",
+            ),
             sessions: registry.gauge("gateway_sessions", "Sidecars connected now"),
             sessions_lost: registry.counter("gateway_sessions_lost", "Sessions lost"),
             accept_failures: registry.counter("gateway_accept_failures", "Accepts that failed"),
