--- a/crates/mgs-fleet/src/view.rs
+++ b/crates/mgs-fleet/src/view.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 use std::collections::HashSet;
 use std::net::SocketAddr;
+use std::sync::Arc;
 
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::wire::EndpointState;
@@ -20,6 +21,8 @@
     pub running_requests: u32,
     /// Prompt tokens accepted and not yet processed.
     pub prefill_waiting_tokens: u64,
+    /// The part of them that belongs to short prompts.
+    pub short_prefill_waiting_tokens: u64,
     /// Engine memory in use or reserved.
     pub kv_used_tokens: u64,
     /// Engine memory in all.
@@ -56,16 +59,17 @@
     /// When the load was reported, on the process's monotonic clock, in milliseconds.
     pub reported_ms: u64,
     /// Hashes of the prompt blocks believed to be cached.
-    pub cached: std::sync::Arc<HashSet<u64>>,
+    pub cached: Arc<HashSet<u64>>,
 }
 
 /// The fleet at one moment.
 #[derive(Debug, Clone, Default)]
 pub struct View {
     /// Endpoints by key; `None` for keys whose endpoint is gone.
-    pub endpoints: Vec<Option<std::sync::Arc<Endpoint>>>,
-    /// Keys by model or service name.
-    pub by_model: HashMap<String, Vec<EndpointKey>>,
+    pub endpoints: Vec<Option<Arc<Endpoint>>>,
+    /// Started endpoints by model or service name; empty for a name that is declared and that no
+    /// endpoint can serve now.
+    pub by_model: Arc<HashMap<String, Vec<EndpointKey>>>,
     /// Version of the settings that it was made from.
     pub settings_version: u64,
 }
