feat(settings): sheets of the table as CSV, and what a sheet would change

Ruled out: one sheet for all rows (their columns differ); a comment line with the version of the export (spreadsheets drop it) against a column with each row's version.

--- a/crates/mgs-settings/src/lib.rs
+++ b/crates/mgs-settings/src/lib.rs
@@ -14,6 +14,8 @@
 pub mod hold;
 pub mod host;
 pub mod member;
+pub mod plan;
 pub mod row;
+pub mod sheet;
 pub mod store;
 pub mod table;
