--- a/crates/mgs-settings/src/store/read.rs
+++ b/crates/mgs-settings/src/store/read.rs
@@ -169,6 +169,14 @@
     Ok(edits)
 }
 
+/// The version of an edit, searched in what the log still has.
+pub fn find_edit(table: &dyn TableService, edit_id: &str) -> Result<Option<u64>, Error> {
+    let (_, compacted) = compacted(table)?;
+    let edits = all_edits_after(table, compacted.first - 1)?;
+    let found = edits.iter().find(|edit| edit.edit_id == edit_id);
+    Ok(found.map(|edit| edit.version))
+}
+
 fn archived(objects: &dyn Objects, first: u64) -> Result<Vec<Edit>, Error> {
     let key = archive_key(first);
     let body = objects.get(&key)?.ok_or(Error::Gap(first))?;
--- /dev/null
+++ b/src/command/table/change.rs
@@ -0,0 +1,181 @@
+//! Subcommands that change rows.
+
+use std::io::Write;
+
+use clap::ArgMatches;
+use clap::Command;
+use mgs_schema::settings::Change;
+use mgs_schema::settings::Snapshot;
+use mgs_settings::plan;
+use mgs_settings::plan::Missing;
+use mgs_settings::row;
+use mgs_settings::row::RowKey;
+use mgs_settings::row::RowValue;
+use mgs_settings::sheet::cell;
+use mgs_settings::sheet::Sheet;
+use mgs_settings::store::edit::EDIT_CHANGES_MAX;
+use mgs_settings::table::Table;
+
+use super::cells_argument;
+use super::file_argument;
+use super::key_arguments;
+use super::read;
+use super::sheet;
+use super::sheet_argument;
+use super::text;
+use super::CELLS;
+use super::FILE;
+use super::KIND;
+use super::ORGANISATION;
+use crate::error::Error;
+use crate::operator::edit;
+use crate::operator::edit::Editor;
+use crate::operator::print;
+
+const JSON_SUFFIX: &str = ".json";
+
+pub(super) fn commands() -> Vec<Command> {
+    vec![
+        Command::new("set")
+            .about("Set cells of one row of limits; the row is created if there is none")
+            .args(key_arguments())
+            .arg(cells_argument())
+            .args(edit::arguments()),
+        Command::new("remove")
+            .about("Remove one row of limits")
+            .args(key_arguments())
+            .args(edit::arguments()),
+        Command::new("edit")
+            .about("Set the cells that a CSV gives, in one edit; other rows and cells stay")
+            .arg(sheet_argument())
+            .arg(file_argument())
+            .args(edit::arguments()),
+        Command::new("apply")
+            .about("Make a sheet what a CSV says, in one edit; rows that it lacks are removed")
+            .arg(sheet_argument())
+            .arg(file_argument())
+            .args(edit::arguments()),
+        Command::new("import")
+            .about("Set many rows from a CSV or an exported .json, in as many edits as needed")
+            .arg(sheet_argument())
+            .arg(file_argument())
+            .args(edit::arguments()),
+    ]
+}
+
+/// Sets cells of a row, given as `COLUMN=VALUE`; lists every fault.
+pub(crate) fn set_cells(row: &mut RowValue, matches: &ArgMatches) -> Result<(), Error> {
+    let cells = matches.get_many::<String>(CELLS).unwrap_or_default();
+    let mut faults = Vec::new();
+    for given in cells {
+        let result = match given.split_once('=') {
+            Some((column, value)) => cell::set(row, column.trim(), value.trim()),
+            None => Err("give COLUMN=VALUE".to_string()),
+        };
+        faults.extend(result.err().map(|detail| format!("{given}: {detail}")));
+    }
+    if faults.is_empty() {
+        return Ok(());
+    }
+    let text = faults.join("\n  ");
+    Err(Error::Usage(format!("{} faults:\n  {text}", faults.len())))
+}
+
+pub(super) fn set(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let editor = Editor::open(matches)?;
+    let table = editor.session().load()?;
+    let key = RowKey::limit(text(matches, ORGANISATION), text(matches, KIND));
+    let mut row = table.row(&key).unwrap_or_else(|| new_limit(&key));
+    let before = row.clone();
+    set_cells(&mut row, matches)?;
+    if row.key() != key {
+        let text = "the organisation and the kind name the row; they can't be set";
+        return Err(Error::Usage(text.to_string()));
+    }
+    let unchanged = table.row(&key).is_some() && row == before;
+    let changes = if unchanged { vec![] } else { vec![row.set()] };
+    editor.make(&table, changes, out)
+}
+
+fn new_limit(key: &RowKey) -> RowValue {
+    let mut row = Sheet::Limits.new_row();
+    if let (RowValue::Limit(row), RowKey::Limit { organisation, kind }) = (&mut row, key) {
+        row.organisation.clone_from(organisation);
+        row.kind.clone_from(kind);
+    }
+    row
+}
+
+pub(super) fn remove(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let key = RowKey::limit(text(matches, ORGANISATION), text(matches, KIND));
+    remove_row(matches, &key, out)
+}
+
+/// Removes a row, which must be there.
+pub(crate) fn remove_row(
+    matches: &ArgMatches,
+    key: &RowKey,
+    out: &mut dyn Write,
+) -> Result<(), Error> {
+    let editor = Editor::open(matches)?;
+    let table = editor.session().load()?;
+    if table.row(key).is_none() {
+        return Err(Error::Failed(format!("there is no {key}")));
+    }
+    editor.make(&table, vec![row::remove(key)], out)
+}
+
+pub(super) fn edit(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    change_sheet(matches, Missing::Keep, out)
+}
+
+pub(super) fn apply(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    change_sheet(matches, Missing::Remove, out)
+}
+
+fn change_sheet(matches: &ArgMatches, missing: Missing, out: &mut dyn Write) -> Result<(), Error> {
+    let sheet = sheet(matches)?;
+    let editor = Editor::open(matches)?;
+    let table = editor.session().load()?;
+    let lines = read::read_sheet(sheet, &read::read_file(matches)?, &table)?;
+    let plan = plan::compare(sheet, &lines, &table, missing);
+    print::differences(sheet, &plan.differences, out)?;
+    read::print_newer(&plan, out)?;
+    editor.make(&plan.base, plan.changes(), out)
+}
+
+pub(super) fn import(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let editor = Editor::open(matches)?;
+    let mut table = editor.session().load()?;
+    let file = read::read_file(matches)?;
+    let changes = if text(matches, FILE).ends_with(JSON_SUFFIX) {
+        json_changes(&file, &table)?
+    } else {
+        let sheet = sheet(matches)?;
+        let lines = read::read_sheet(sheet, &file, &table)?;
+        plan::compare(sheet, &lines, &table, Missing::Keep).changes()
+    };
+    for chunk in changes.chunks(EDIT_CHANGES_MAX) {
+        editor.make(&table, chunk.to_vec(), out)?;
+        table = editor.session().load()?;
+    }
+    writeln!(out, "{} rows imported", changes.len())?;
+    Ok(())
+}
+
+/// Organisations come first: rows of limits refer to them.
+fn json_changes(file: &str, table: &Table) -> Result<Vec<Change>, Error> {
+    let snapshot: Snapshot =
+        serde_json::from_str(file).map_err(|error| Error::Usage(error.to_string()))?;
+    let mut rows = Table::new(snapshot).rows();
+    rows.sort_by_key(|row| !matches!(row, RowValue::Organisation(_)));
+    let differs = |row: &RowValue| {
+        let known = table.row(&row.key());
+        known.map(|known| known.at_version(0)) != Some(row.clone().at_version(0))
+    };
+    Ok(rows
+        .into_iter()
+        .filter(differs)
+        .map(RowValue::set)
+        .collect())
+}
--- /dev/null
+++ b/src/command/table/read.rs
@@ -0,0 +1,141 @@
+//! Subcommands that only read.
+
+use std::io::Read;
+use std::io::Write;
+
+use clap::ArgMatches;
+use clap::Command;
+use mgs_settings::plan;
+use mgs_settings::plan::Missing;
+use mgs_settings::plan::Plan;
+use mgs_settings::row::RowValue;
+use mgs_settings::sheet;
+use mgs_settings::sheet::Line;
+use mgs_settings::sheet::Sheet;
+use mgs_settings::table::Table;
+
+use super::file_argument;
+use super::is_json;
+use super::key_arguments;
+use super::sheet;
+use super::sheet_argument;
+use super::text;
+use super::FILE;
+use super::KIND;
+use super::ORGANISATION;
+use crate::error::Error;
+use crate::operator;
+use crate::operator::print;
+use crate::operator::Session;
+
+const STANDARD_INPUT: &str = "-";
+
+pub(super) fn commands() -> Vec<Command> {
+    vec![
+        Command::new("show")
+            .about("Show a sheet")
+            .arg(sheet_argument())
+            .args(operator::arguments()),
+        Command::new("get")
+            .about("Show the row of limits that holds for an organisation and a kind of request")
+            .args(key_arguments())
+            .args(operator::arguments()),
+        Command::new("export")
+            .about("Print a sheet as CSV, or with --json the whole table")
+            .arg(sheet_argument())
+            .args(operator::arguments()),
+        Command::new("diff")
+            .about("Show what `apply` would change; it changes nothing")
+            .arg(sheet_argument())
+            .arg(file_argument())
+            .args(operator::arguments()),
+    ]
+}
+
+pub(super) fn show(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let sheet = sheet(matches)?;
+    let table = Session::open(matches)?.load()?;
+    let rows = sheet.rows(&table);
+    if is_json(matches) {
+        return print::json_rows(&rows, out);
+    }
+    print::rows(sheet, &rows, out)?;
+    writeln!(
+        out,
+        "{} rows, table version {}",
+        rows.len(),
+        table.version()
+    )?;
+    Ok(())
+}
+
+pub(super) fn get(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let (organisation, kind) = (text(matches, ORGANISATION), text(matches, KIND));
+    let table = Session::open(matches)?.load()?;
+    let Some(row) = table.limit(organisation, kind) else {
+        let text =
+            format!("no row holds for {organisation} and {kind}, nor is there one for `* *`");
+        return Err(Error::Failed(text));
+    };
+    if is_json(matches) {
+        return print::json(row, out);
+    }
+    print::rows(Sheet::Limits, &[RowValue::Limit(row.clone())], out)
+}
+
+pub(super) fn export(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let sheet = sheet(matches)?;
+    let table = Session::open(matches)?.load()?;
+    if is_json(matches) {
+        return print::json(table.snapshot(), out);
+    }
+    let csv = sheet::to_csv(sheet, &sheet.rows(&table));
+    let csv = csv.map_err(|error| Error::Failed(error.to_string()))?;
+    out.write_all(csv.as_bytes())?;
+    Ok(())
+}
+
+pub(super) fn diff(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let sheet = sheet(matches)?;
+    let table = Session::open(matches)?.load()?;
+    let lines = read_sheet(sheet, &read_file(matches)?, &table)?;
+    let plan = plan::compare(sheet, &lines, &table, Missing::Remove);
+    print::differences(sheet, &plan.differences, out)?;
+    print_newer(&plan, out)?;
+    writeln!(
+        out,
+        "{} rows differ from table version {}",
+        plan.differences.len(),
+        table.version()
+    )?;
+    Ok(())
+}
+
+/// Names rows that a sheet lacks and that stay.
+pub(super) fn print_newer(plan: &Plan, out: &mut dyn Write) -> Result<(), Error> {
+    for key in &plan.newer {
+        writeln!(
+            out,
+            "! {key} isn't in the sheet, but is newer than it: it stays"
+        )?;
+    }
+    Ok(())
+}
+
+pub(super) fn read_file(matches: &ArgMatches) -> Result<String, Error> {
+    let file = text(matches, FILE);
+    let text = if file == STANDARD_INPUT {
+        let mut text = String::new();
+        std::io::stdin().read_to_string(&mut text).map(|_| text)
+    } else {
+        std::fs::read_to_string(file)
+    };
+    text.map_err(|error| Error::Usage(format!("{file}: {error}")))
+}
+
+pub(super) fn read_sheet(sheet: Sheet, text: &str, table: &Table) -> Result<Vec<Line>, Error> {
+    sheet::from_csv(sheet, text, table).map_err(|faults| {
+        let texts: Vec<String> = faults.iter().map(ToString::to_string).collect();
+        Error::Usage(format!("{} faults:\n  {}", texts.len(), texts.join("\n  ")))
+    })
+}
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(feature = "demo")]
 pub mod demo;
 pub mod error;
+pub mod operator;
 pub mod role;
 pub mod setting;
 pub mod status;
