--- a/src/command/table/history.rs
+++ b/src/command/table/history.rs
@@ -37,10 +37,8 @@
 pub(super) fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
     let mut values = Values::new(matches);
     let last = values.number(LAST, 1..=1_000_000_u64);
-    let since = match values.optional(SINCE) {
-        Some(_) => Some(values.number(SINCE, 0..=u64::MAX)),
-        None => None,
-    };
+    let given = values.optional(SINCE).is_some();
+    let since = given.then(|| values.number(SINCE, 0..=u64::MAX));
     let options = operator::options(&mut values);
     values.finish()?;
     let session = Session::new(options);
