feat(sidecar): obey the ledger with threads of their own

Ruled out: a start made again after its answer was lost (the first may still be on its way; the engine's list is read, and 'unknown' is said when it doesn't show); cancels on transport threads; one recursive reader per broken connection. A server counts answers not yet handed to connections, so that draining can wait for them.

--- a/crates/mgs-ledger/src/lib.rs
+++ b/crates/mgs-ledger/src/lib.rs
@@ -10,6 +10,9 @@
 //! - [`queue`]: the local order of work.
 //! - [`rate`]: measured rates and the predictions made from them.
 //! - [`fence`]: the highest fencing number seen.
+//! - [`schedule`]: what starts next, and what is refused early.
+//! - [`reconcile`]: the engine's own lists against the ledger.
+//! - [`finish`]: what the endpoint did with a request.
 //! - [`cache`]: the engine's cache events, with their gaps found.
 
 #![deny(missing_docs)]
@@ -27,6 +30,6 @@
 pub mod rate;
 pub mod reconcile;
 pub mod record;
-mod schedule;
+pub mod schedule;
 pub mod session;
 mod tick;
--- a/crates/mgs-ledger/src/schedule.rs
+++ b/crates/mgs-ledger/src/schedule.rs
@@ -19,7 +19,55 @@
 /// How long the endpoint is given to come back before callers ask again, in milliseconds.
 const DOWN_RETRY_MS: u64 = 1_000;
 
+/// Load of the endpoint as the ledger knows it at once.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Load {
+    /// Requests that wait.
+    pub waiting: usize,
+    /// Requests handed to the endpoint.
+    pub running: usize,
+    /// Prompt tokens accepted and not yet processed.
+    pub prefill_tokens: u64,
+    /// The part of them that belongs to short prompts.
+    pub short_prefill_tokens: u64,
+    /// Engine memory in use or reserved.
+    pub kv_used_tokens: u64,
+    /// Engine memory in all; 0 if unknown.
+    pub kv_capacity_tokens: u64,
+    /// Rate of prompt processing.
+    pub prefill_tokens_per_s: f64,
+    /// Time of one decoding step, in milliseconds.
+    pub decode_step_ms: f64,
+}
+
 impl Ledger {
+    /// What a request would meet now: the predicted time to its first token, in milliseconds, and
+    /// whether it would be taken.
+    pub fn quote(&self, now_ms: u64, job: &Job) -> (u64, bool) {
+        let refusal = self.room_refusal(now_ms, job);
+        (self.first_token_ms(now_ms, job), refusal.is_none())
+    }
+
+    /// Requests that wait, requests at the endpoint, and the prompt tokens of both that aren't
+    /// processed, in all and of prompts of up to `short_tokens`.
+    pub fn load(&self, short_tokens: u64) -> Load {
+        let waiting = self.queue.iter().map(|waiting| &waiting.job);
+        let unprocessed: Vec<&Job> = waiting.chain(self.prefilling()).collect();
+        let short = unprocessed
+            .iter()
+            .filter(|job| job.prompt_tokens <= short_tokens);
+        Load {
+            waiting: self.queue.len(),
+            running: self.live.len(),
+            prefill_tokens: unprocessed.iter().map(|job| job.prefill_tokens()).sum(),
+            short_prefill_tokens: short.map(|job| job.prefill_tokens()).sum(),
+            kv_used_tokens: self.memory.used_tokens(),
+            kv_capacity_tokens: self.memory.capacity_tokens().unwrap_or(0),
+            prefill_tokens_per_s: self.rates.prefill_tokens_per_s(),
+            decode_step_ms: self.rates.decode_step_ms(),
+        }
+    }
+
     /// Why there is no room for the request, and when to come back.
     pub(crate) fn room_refusal(&self, now_ms: u64, job: &Job) -> Option<(RefusalReason, u64)> {
         if self.closed.leaving {
--- a/crates/mgs-ledger/src/session.rs
+++ b/crates/mgs-ledger/src/session.rs
@@ -18,11 +18,17 @@
 #[derive(Debug, Clone, Default, PartialEq, Eq, Hash)]
 pub struct Sessions {
     gateways: BTreeMap<u64, Gateway>,
+    /// The last connections that ended; a call of theirs may still be on its way.
+    closed: BTreeSet<u64>,
 }
 
+/// Most ended connections that are remembered.
+const CLOSED_MAX: usize = 1_024;
+
 impl Sessions {
-    /// Notes a message of a gateway. Returns whether its session is still open: a newer session
-    /// of the same gateway closes the older ones for good.
+    /// Notes a message of a gateway. Returns whether its session is still open: the end of its
+    /// connection closes a session, and a newer one of the same gateway closes the older ones for
+    /// good.
     ///
     /// ```
     /// use mgs_ledger::job::Sender;
@@ -41,7 +47,7 @@
             connections: BTreeSet::new(),
             lost_ms: 0,
         });
-        if sender.session < gateway.session {
+        if sender.session < gateway.session || self.closed.contains(&sender.connection) {
             return false;
         }
         gateway.session = sender.session;
@@ -51,6 +57,10 @@
 
     /// A connection has ended.
     pub fn closed(&mut self, now_ms: u64, connection: u64) {
+        self.closed.insert(connection);
+        if self.closed.len() > CLOSED_MAX {
+            self.closed.pop_first();
+        }
         for gateway in self.gateways.values_mut() {
             if gateway.connections.remove(&connection) && gateway.connections.is_empty() {
                 gateway.lost_ms = now_ms;
--- a/crates/mgs-sidecar/src/answer.rs
+++ b/crates/mgs-sidecar/src/answer.rs
@@ -5,7 +5,6 @@
 use std::sync::PoisonError;
 
 use mgs_schema::wire::envelope::Body;
-use mgs_schema::wire::Finished;
 use mgs_schema::wire::TokenFrame;
 use mgs_transport::server::Reply;
 
@@ -18,6 +17,8 @@
 
 #[derive(Debug, Default)]
 struct Inner {
+    /// Sequence number of the first kept frame.
+    start_seq: u64,
     frames: Vec<TokenFrame>,
     bytes: usize,
     end: Option<Body>,
@@ -25,6 +26,10 @@
 }
 
 impl Inner {
+    fn next_seq(&self) -> u64 {
+        self.start_seq + self.frames.len() as u64
+    }
+
     fn send(&mut self, body: Body) {
         let gone = match &self.reader {
             Some(reader) => reader.send(body).is_err(),
@@ -48,6 +53,13 @@
         Self::default()
     }
 
+    /// An empty answer whose frames before `start_seq` went elsewhere.
+    pub fn starting_at(start_seq: u64) -> Self {
+        let answer = Self::default();
+        answer.lock().start_seq = start_seq;
+        answer
+    }
+
     fn lock(&self) -> MutexGuard<'_, Inner> {
         self.inner.lock().unwrap_or_else(PoisonError::into_inner)
     }
@@ -60,7 +72,7 @@
     /// Adds a frame if it is the next one; others were seen before.
     pub fn push(&self, frame: TokenFrame) {
         let mut inner = self.lock();
-        if frame.seq != inner.frames.len() as u64 || inner.end.is_some() {
+        if frame.seq != inner.next_seq() || inner.end.is_some() {
             return;
         }
         inner.bytes += std::mem::size_of::<TokenFrame>() + frame.text.len();
@@ -70,7 +82,7 @@
 
     /// Sequence number of the next frame.
     pub fn next_seq(&self) -> u64 {
-        self.lock().frames.len() as u64
+        self.lock().next_seq()
     }
 
     /// Memory that the frames take, in bytes.
@@ -78,15 +90,20 @@
         self.lock().bytes
     }
 
-    /// Ends the answer with a `Finished` or `Refused` and lets its reader go; the first end counts.
-    pub fn end(&self, end: Body) {
+    /// Ends the answer with a `Finished` or `Refused` and lets its reader go. The first end counts;
+    /// returns whether it was this one.
+    pub fn end(&self, end: Body) -> bool {
         let mut inner = self.lock();
         if inner.end.is_some() {
-            return;
+            return false;
+        }
+        if let Body::Finished(finished) = &end {
+            inner.bytes += finished.body.len();
         }
         inner.end = Some(end.clone());
         inner.send(end);
         inner.reader = None;
+        true
     }
 
     /// Whether the end is known.
@@ -94,11 +111,15 @@
         self.lock().end.is_some()
     }
 
-    /// Replaces the reader, and gives it what there is from `next_seq` on.
-    pub fn attach(&self, reader: Reply, next_seq: u64) {
+    /// Replaces the reader, and gives it what there is from `next_seq` on; or gives the new reader
+    /// back if frames that it wants went elsewhere.
+    pub fn attach(&self, reader: Reply, next_seq: u64) -> Result<(), Reply> {
         let mut inner = self.lock();
+        if next_seq < inner.start_seq {
+            return Err(reader);
+        }
         inner.reader = Some(reader);
-        let first = usize::try_from(next_seq).unwrap_or(usize::MAX);
+        let first = usize::try_from(next_seq - inner.start_seq).unwrap_or(usize::MAX);
         let known: Vec<TokenFrame> = inner.frames.iter().skip(first).cloned().collect();
         for frame in known {
             inner.send(Body::TokenFrame(frame));
@@ -107,13 +128,6 @@
             inner.send(end);
             inner.reader = None;
         }
-    }
-
-    /// Forgets the frames of an ended answer; a later reader gets `end` alone.
-    pub fn discard(&self, end: Finished) {
-        let mut inner = self.lock();
-        inner.frames = Vec::new();
-        inner.bytes = 0;
-        inner.end = Some(Body::Finished(end));
+        Ok(())
     }
 }
--- a/crates/mgs-sidecar/src/service.rs
+++ b/crates/mgs-sidecar/src/service.rs
@@ -11,6 +11,9 @@
 use mgs_schema::wire::Finished;
 use mgs_schema::wire::Outcome;
 
+/// Names the request to the service.
+const REQUEST_ID_HEADER: &str = "x-request-id";
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Error {
@@ -61,6 +64,18 @@
         Self { options }
     }
 
+    /// Its settings.
+    pub fn options(&self) -> &Options {
+        &self.options
+    }
+
+    /// The service's `HOST:PORT`.
+    pub fn authority(&self) -> &str {
+        let url = &self.options.base_url;
+        let rest = url.split_once("://").map_or(url.as_str(), |(_, rest)| rest);
+        rest.split('/').next().unwrap_or(rest)
+    }
+
     /// Makes the call once, waiting for at most `budget_ms`.
     pub fn call(&self, dispatch: &Dispatch, budget_ms: u64) -> Result<Finished, Error> {
         let method = Method::from_bytes(dispatch.method.as_bytes())
@@ -72,7 +87,8 @@
             .connect_timeout(Duration::from_millis(self.options.connect_timeout_ms).min(limit))
             .read_timeout(limit)
             .timeout(limit)
-            .follow_redirects(false);
+            .follow_redirects(false)
+            .header(REQUEST_ID_HEADER, dispatch.request_id().to_string());
         if !dispatch.content_type.is_empty() {
             request = request
                 .try_header("Content-Type", &dispatch.content_type)
--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -1,25 +1,36 @@
 //! Starting and stopping a sidecar.
 
+use std::io;
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread::JoinHandle;
 use std::time::Duration;
 
 use displaydoc::Display;
 use mgs_engine::engine::Engine;
+use mgs_ledger::cache;
+use mgs_ledger::ledger;
+use mgs_observe::admin;
+use mgs_observe::admin::Admin;
+use mgs_observe::admin::Health;
+use mgs_observe::metrics::Registry;
+use mgs_platform::host::Hosts;
+use mgs_platform::table::Table;
 use mgs_schema::settings::EndpointKind;
 use mgs_transport::runtime;
 use mgs_transport::runtime::Runtime;
 use mgs_transport::server;
 use mgs_transport::server::Server;
 
+use crate::caller;
 use crate::handler::Door;
-use crate::report::load_report;
+use crate::member::Membership;
+use crate::order::Orders;
 use crate::service;
 use crate::state::Endpoint;
 use crate::state::Shared;
+use crate::watcher::Watcher;
 
 /// Settings of a sidecar.
 #[derive(Debug, Clone)]
@@ -40,10 +51,30 @@
     pub platform_url: Option<String>,
     /// Time between looks at what is due, in milliseconds.
     pub tick_ms: u64,
+    /// Time between looks at whether the endpoint is there, in milliseconds.
+    pub endpoint_poll_ms: u64,
+    /// Time between comparisons with the engine's own lists, in milliseconds.
+    pub reconcile_ms: u64,
+    /// Longest silence of a stream before it is read on over a new connection, in milliseconds.
+    pub stream_silence_ms: u64,
+    /// How long an engine that doesn't answer is asked for a stream, in milliseconds.
+    pub endpoint_silence_ms: u64,
+    /// How long a start whose answer was lost is looked up, in milliseconds.
+    pub start_lookup_ms: u64,
+    /// Time between looks at the sidecar's own row in the table service, in milliseconds.
+    pub member_poll_ms: u64,
+    /// Time between readings of the platform's list of hosts, in milliseconds.
+    pub hosts_poll_ms: u64,
     /// Threads that drive connections.
     pub transport_threads: usize,
     /// Settings of the connections from gateways.
     pub server: server::Options,
+    /// Settings of the ledger.
+    pub ledger: ledger::Options,
+    /// Settings of the index of the engine's cache.
+    pub cache: cache::Options,
+    /// Where the metrics are registered.
+    pub registry: Registry,
 }
 
 impl Default for Options {
@@ -57,32 +88,59 @@
             endpoint_url: "http://127.0.0.1:7500".to_string(),
             platform_url: None,
             tick_ms: 20,
+            endpoint_poll_ms: 250,
+            reconcile_ms: 2_000,
+            stream_silence_ms: 5_000,
+            endpoint_silence_ms: 10_000,
+            start_lookup_ms: 3_000,
+            member_poll_ms: 10_000,
+            hosts_poll_ms: 5_000,
             transport_threads: 2,
             server: server::Options {
                 reply_backlog_max: 1 << 20,
                 ..server::Options::default()
             },
+            ledger: ledger::Options::default(),
+            cache: cache::Options::default(),
+            registry: Registry::new(),
         }
     }
 }
 
+/// What stands around a sidecar, as trait objects.
+#[derive(Default)]
+pub struct Parts {
+    /// The engine; the one at `endpoint_url` if not given.
+    pub engine: Option<Box<dyn Engine>>,
+    /// The table service; the one at `platform_url` if not given.
+    pub table: Option<Arc<dyn Table>>,
+    /// The list of hosts; the one at `platform_url` if not given.
+    pub hosts: Option<Arc<dyn Hosts>>,
+}
+
 /// Why a sidecar can't start.
 #[derive(Debug, Display)]
 pub enum Error {
     /// can't listen on {0}: {1}
-    Listen(SocketAddr, std::io::Error),
+    Listen(SocketAddr, io::Error),
     /// can't start threads: {0}
-    Threads(std::io::Error),
+    Threads(io::Error),
+    /// {0}
+    Admin(admin::Error),
 }
 
 impl std::error::Error for Error {}
 
+/// Time given to the transport to send what was answered last, in milliseconds.
+const FLUSH_MS: u64 = 250;
+
 /// A running sidecar; stops when dropped.
 pub struct Sidecar {
     shared: Arc<Shared>,
     server: Option<Server>,
     address: SocketAddr,
-    timer: Option<JoinHandle<()>>,
+    admin: Option<Admin>,
+    threads: Vec<JoinHandle<()>>,
     _runtime: Runtime,
 }
 
@@ -98,48 +156,86 @@
     /// sidecar.stop();
     /// ```
     pub fn start(options: Options) -> Result<Self, Error> {
-        let endpoint = match options.kind {
-            EndpointKind::Service => Endpoint::Service(service::Client::new(service::Options {
-                base_url: options.endpoint_url.clone(),
-                ..service::Options::default()
-            })),
-            _ => Endpoint::Engine(Box::new(mgs_engine::http::Client::new(
-                mgs_engine::http::Options {
-                    base_url: options.endpoint_url.clone(),
-                    ..mgs_engine::http::Options::default()
-                },
-            ))),
-        };
-        Self::run(options, endpoint)
+        Self::start_with(options, Parts::default())
     }
 
     /// Starts a sidecar before a given engine.
     pub fn start_with_engine(options: Options, engine: Box<dyn Engine>) -> Result<Self, Error> {
-        Self::run(options, Endpoint::Engine(engine))
+        let parts = Parts {
+            engine: Some(engine),
+            ..Parts::default()
+        };
+        Self::start_with(options, parts)
     }
 
-    fn run(options: Options, endpoint: Endpoint) -> Result<Self, Error> {
+    /// Starts a sidecar among given parts.
+    pub fn start_with(options: Options, mut parts: Parts) -> Result<Self, Error> {
         let listen = options.listen;
         let listener = TcpListener::bind(listen).map_err(|error| Error::Listen(listen, error))?;
-        let runtime = Runtime::new(&runtime::Options {
+        let runtime_options = runtime::Options {
             threads: options.transport_threads,
-        })
-        .map_err(Error::Threads)?;
+        };
+        let runtime = Runtime::new(&runtime_options).map_err(Error::Threads)?;
+        let endpoint = endpoint(&options, parts.engine.take());
+        add_platform(&options, &mut parts);
+        let orders = Orders::new(options.ledger.plant, parts.table.clone());
         let incarnation = rand::random_range(1..=u64::MAX);
-        let shared = Arc::new(Shared::new(options, incarnation, endpoint));
+        let shared = Arc::new(Shared::new(options, incarnation, endpoint, orders));
+        let mut watcher = Watcher::default();
+        // What the engine holds is known before the first gateway asks.
+        watcher.look(&shared);
         let door = Arc::new(Door {
             shared: shared.clone(),
         });
         let server = Server::start(&runtime, listener, &shared.options.server, door)
             .map_err(Error::Threads)?;
-        let timer = spawn_timer(&shared)?;
-        Ok(Self {
+        let mut sidecar = Self {
             address: server.address(),
             shared,
             server: Some(server),
-            timer: Some(timer),
+            admin: None,
+            threads: Vec::new(),
             _runtime: runtime,
-        })
+        };
+        sidecar.spawn(watcher, parts).map_err(Error::Threads)?;
+        sidecar.serve_admin().map_err(Error::Admin)?;
+        Ok(sidecar)
+    }
+
+    fn spawn(&mut self, watcher: Watcher, parts: Parts) -> io::Result<()> {
+        self.threads.extend(caller::spawn(&self.shared)?);
+        let shared = self.shared.clone();
+        self.spawn_one("sidecar-watcher", move || watcher.run(&shared))?;
+        let shared = self.shared.clone();
+        self.spawn_one("sidecar-timer", move || run_timer(&shared))?;
+        if let (Some(table), Some(hosts)) = (parts.table, parts.hosts) {
+            let membership = Membership {
+                table,
+                hosts,
+                address: self.address.to_string(),
+            };
+            let shared = self.shared.clone();
+            self.spawn_one("sidecar-platform", move || membership.run(&shared))?;
+        }
+        Ok(())
+    }
+
+    fn spawn_one(&mut self, name: &str, run: impl FnOnce() + Send + 'static) -> io::Result<()> {
+        let builder = std::thread::Builder::new().name(name.to_string());
+        self.threads.push(builder.spawn(run)?);
+        Ok(())
+    }
+
+    fn serve_admin(&mut self) -> Result<(), admin::Error> {
+        let Some(listen) = self.shared.options.admin_listen else {
+            return Ok(());
+        };
+        let options = admin::Options {
+            listen: listen.to_string(),
+        };
+        let registry = self.shared.options.registry.clone();
+        self.admin = Some(admin::serve(options, registry, self.health())?);
+        Ok(())
     }
 
     /// Where gateways reach it.
@@ -147,23 +243,33 @@
         self.address
     }
 
+    /// Where operators reach it.
+    pub fn admin_address(&self) -> Option<SocketAddr> {
+        self.admin.as_ref().map(Admin::address)
+    }
+
     /// Number that this start has and no other.
     pub fn incarnation(&self) -> u64 {
         self.shared.incarnation
     }
 
-    /// Refuses new work from now on, tells the gateways, and waits until what runs has ended.
+    /// What it says of itself.
+    pub fn health(&self) -> Arc<dyn Health> {
+        Arc::new(Readiness {
+            shared: self.shared.clone(),
+        })
+    }
+
+    /// Refuses new work from now on, tells the gateways, and waits until what runs has ended and
+    /// its answers are sent.
     pub fn drain(&self) {
-        self.shared.leaving.store(true, Ordering::Release);
-        let shared = &self.shared;
-        let now_ms = shared.now_ms();
-        shared
-            .reporter
-            .send(now_ms, true, |first| load_report(shared, first));
-        let pause = Duration::from_millis(shared.options.tick_ms);
-        while shared.entries().values().any(|e| !e.answer.is_ended()) {
+        self.shared.set_leaving(|leaving| leaving.drain = true);
+        let pause = Duration::from_millis(self.shared.options.tick_ms);
+        let sent = || self.server.as_ref().is_none_or(|s| s.unsent() == 0);
+        while !self.shared.look(|ledger| ledger.is_idle()) || !sent() {
             std::thread::sleep(pause);
         }
+        std::thread::sleep(Duration::from_millis(FLUSH_MS));
     }
 
     /// Stops at once; what runs is cut off from its readers.
@@ -172,11 +278,12 @@
     }
 
     fn halt(&mut self) {
-        self.shared.stopped.store(true, Ordering::Release);
+        self.shared.stop();
         self.server = None;
-        if let Some(timer) = self.timer.take() {
-            // A panic of the timer was logged by its thread.
-            let _ = timer.join();
+        for thread in self.threads.drain(..) {
+            if thread.join().is_err() {
+                log::error!("a thread of the sidecar panicked");
+            }
         }
     }
 }
@@ -187,19 +294,69 @@
     }
 }
 
-fn spawn_timer(shared: &Arc<Shared>) -> Result<JoinHandle<()>, Error> {
-    let shared = shared.clone();
-    std::thread::Builder::new()
-        .name("sidecar-timer".to_string())
-        .spawn(move || {
-            let pause = Duration::from_millis(shared.options.tick_ms);
-            while !shared.is_stopped() {
-                let now_ms = shared.now_ms();
-                shared
-                    .reporter
-                    .send(now_ms, false, |first| load_report(&shared, first));
-                std::thread::sleep(pause);
-            }
-        })
-        .map_err(Error::Threads)
+fn endpoint(options: &Options, engine: Option<Box<dyn Engine>>) -> Endpoint {
+    if let Some(engine) = engine {
+        return Endpoint::Engine(engine);
+    }
+    match options.kind {
+        EndpointKind::Service => Endpoint::Service(service::Client::new(service::Options {
+            base_url: options.endpoint_url.clone(),
+            ..service::Options::default()
+        })),
+        EndpointKind::Engine | EndpointKind::Unspecified => {
+            let client = mgs_engine::http::Client::new(mgs_engine::http::Options {
+                base_url: options.endpoint_url.clone(),
+                silence_timeout_ms: options.stream_silence_ms,
+                ..mgs_engine::http::Options::default()
+            });
+            Endpoint::Engine(Box::new(client))
+        }
+    }
+}
+
+fn add_platform(options: &Options, parts: &mut Parts) {
+    let Some(base_url) = &options.platform_url else {
+        return;
+    };
+    let client = Arc::new(mgs_platform::http::Client::new(
+        mgs_platform::http::Options {
+            base_url: base_url.clone(),
+            ..mgs_platform::http::Options::default()
+        },
+    ));
+    parts.table.get_or_insert(client.clone());
+    parts.hosts.get_or_insert(client);
+}
+
+fn run_timer(shared: &Arc<Shared>) {
+    let pause = Duration::from_millis(shared.options.tick_ms);
+    while !shared.is_stopped() {
+        shared.tell(|ledger, now_ms| ledger.tick(now_ms));
+        shared.reporter.send_due(shared);
+        std::thread::sleep(pause);
+    }
+}
+
+/// The sidecar as operators' probes see it.
+struct Readiness {
+    shared: Arc<Shared>,
+}
+
+impl Health for Readiness {
+    fn healthy(&self) -> bool {
+        !self.shared.is_stopped()
+    }
+
+    fn ready(&self) -> Result<(), String> {
+        let (is_leaving, is_down) = self
+            .shared
+            .look(|ledger| (ledger.is_leaving(), ledger.is_down()));
+        if is_leaving {
+            return Err("the endpoint is leaving".to_string());
+        }
+        if is_down {
+            return Err("the endpoint doesn't answer".to_string());
+        }
+        Ok(())
+    }
 }
--- a/crates/mgs-transport/src/server.rs
+++ b/crates/mgs-transport/src/server.rs
@@ -81,17 +81,45 @@
 #[derive(Debug)]
 pub struct Reply {
     sender: UnboundedSender<Body>,
-    backlog: Arc<AtomicUsize>,
+    backlog: Arc<Backlog>,
     backlog_max: usize,
 }
 
+/// Messages that wait for a call's reader, counted for the call and for its server.
+#[derive(Debug)]
+struct Backlog {
+    call: AtomicUsize,
+    server: Arc<AtomicUsize>,
+}
+
+impl Backlog {
+    fn add(&self) -> usize {
+        self.server.fetch_add(1, Ordering::AcqRel);
+        self.call.fetch_add(1, Ordering::AcqRel)
+    }
+
+    fn remove(&self) {
+        self.server.fetch_sub(1, Ordering::AcqRel);
+        self.call.fetch_sub(1, Ordering::AcqRel);
+    }
+}
+
+impl Drop for Backlog {
+    /// What was never sent is no longer waited for.
+    fn drop(&mut self) {
+        let left = self.call.load(Ordering::Acquire);
+        self.server.fetch_sub(left, Ordering::AcqRel);
+    }
+}
+
 impl Reply {
     /// Sends a message; never blocks.
     pub fn send(&self, body: Body) -> Result<(), Closed> {
-        if self.backlog.fetch_add(1, Ordering::AcqRel) >= self.backlog_max {
+        if self.backlog.add() >= self.backlog_max || self.sender.send(body).is_err() {
+            self.backlog.remove();
             return Err(Closed);
         }
-        self.sender.send(body).map_err(|_| Closed)
+        Ok(())
     }
 
     /// Whether the caller is known to be gone.
@@ -104,6 +132,7 @@
 #[derive(Debug)]
 pub struct Server {
     address: SocketAddr,
+    unsent: Arc<AtomicUsize>,
     _stop: watch::Sender<bool>,
 }
 
@@ -123,7 +152,9 @@
             let _context = handle.enter();
             tokio::net::TcpListener::from_std(listener)?
         };
+        let unsent = Arc::new(AtomicUsize::new(0));
         let acceptor = Acceptor {
+            unsent: unsent.clone(),
             options: options.clone(),
             handler,
             stopped,
@@ -131,6 +162,7 @@
         handle.spawn(acceptor.run(listener));
         Ok(Self {
             address,
+            unsent,
             _stop: stop,
         })
     }
@@ -139,6 +171,11 @@
     pub fn address(&self) -> SocketAddr {
         self.address
     }
+
+    /// Count of answers that haven't been handed to their connections yet.
+    pub fn unsent(&self) -> usize {
+        self.unsent.load(Ordering::Acquire)
+    }
 }
 
 /// Pause after a failed accept (no file descriptors left, say).
@@ -148,6 +185,7 @@
 
 struct Acceptor {
     options: Options,
+    unsent: Arc<AtomicUsize>,
     handler: Arc<dyn Handler>,
     stopped: watch::Receiver<bool>,
 }
@@ -173,11 +211,12 @@
     fn spawn(&self, stream: TcpStream) {
         let options = self.options.clone();
         let handler = self.handler.clone();
+        let unsent = self.unsent.clone();
         let mut stopped = self.stopped.clone();
         tokio::spawn(async move {
             let connection = NEXT_CONNECTION.fetch_add(1, Ordering::Relaxed);
             tokio::select! {
-                end = serve(stream, connection, &options, &handler) => {
+                end = serve(stream, connection, &options, &handler, &unsent) => {
                     if let Err(error) = end {
                         log::debug!(error:% = error; "connection ended");
                     }
@@ -194,6 +233,7 @@
     connection: u64,
     options: &Options,
     handler: &Arc<dyn Handler>,
+    unsent: &Arc<AtomicUsize>,
 ) -> Result<(), h2::Error> {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "no TCP_NODELAY");
@@ -229,11 +269,13 @@
         let (request, respond) = accepted?;
         let handler = handler.clone();
         let backlog_max = options.reply_backlog_max;
+        let unsent = unsent.clone();
         tokio::spawn(async move {
             let call = Answering {
                 connection,
                 handler,
                 backlog_max,
+                unsent,
             };
             if let Err(error) = call.run(request.into_body(), respond).await {
                 log::debug!(error:% = error; "call ended");
@@ -246,6 +288,7 @@
     connection: u64,
     handler: Arc<dyn Handler>,
     backlog_max: usize,
+    unsent: Arc<AtomicUsize>,
 }
 
 impl Answering {
@@ -256,7 +299,10 @@
     ) -> Result<(), crate::client::Error> {
         let body = receive_one(body).await?;
         let (sender, receiver) = mpsc::unbounded_channel();
-        let backlog = Arc::new(AtomicUsize::new(0));
+        let backlog = Arc::new(Backlog {
+            call: AtomicUsize::new(0),
+            server: self.unsent,
+        });
         let reply = Reply {
             sender,
             backlog: backlog.clone(),
@@ -277,7 +323,7 @@
 async fn send_replies(
     mut stream: h2::SendStream<Bytes>,
     mut receiver: UnboundedReceiver<Body>,
-    backlog: &AtomicUsize,
+    backlog: &Backlog,
 ) -> Result<(), crate::client::Error> {
     loop {
         let body = tokio::select! {
@@ -285,10 +331,10 @@
             _ = std::future::poll_fn(|context| stream.poll_reset(context)) => return Ok(()),
         };
         let Some(body) = body else { break };
-        backlog.fetch_sub(1, Ordering::AcqRel);
         let bytes = frame::encode(body);
         let mut bytes = bytes.map_err(|error| crate::client::Error::Codec(error.to_string()))?;
         send_part(&mut stream, &mut bytes).await?;
+        backlog.remove();
     }
     stream
         .send_data(Bytes::new(), true)
