--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -66,8 +66,15 @@
 
 /// Prints time to first token by prompt length.
 pub fn print_first_tokens(records: &[Record], out: &mut dyn Write) -> io::Result<()> {
-    writeln!(out, "time to first token of streamed answers, in ms, by prompt length in tokens")?;
-    writeln!(out, "{:<14}{:>8}{:>10}{:>10}{:>10}", "prompt", "count", "p50", "p90", "max")?;
+    writeln!(
+        out,
+        "time to first token of streamed answers, in ms, by prompt length in tokens"
+    )?;
+    writeln!(
+        out,
+        "{:<14}{:>8}{:>10}{:>10}{:>10}",
+        "prompt", "count", "p50", "p90", "max"
+    )?;
     let mut least = 0;
     for (bound, name) in ROWS {
         let histogram = first_tokens(records, least, bound);
