feat(sidecar): judge orders by the endpoint's record, plant faults by flag

Cause: the controller writes the order in force to the endpoint's row; the sidecar must obey only that one. History checks need the sidecar's deliberate faults on real processes. Ruled out: reading the lease's number alone, which lets a late copy of an older order of the same holder through. Conclusion: mgs_controller::gate judges; without a platform the highest number seen does.

--- a/crates/mgs-ledger/src/plant.rs
+++ b/crates/mgs-ledger/src/plant.rs
@@ -29,7 +29,7 @@
 
     fn from_str(text: &str) -> Result<Self, Self::Err> {
         match text {
-            "none" => Ok(Self::None),
+            "" | "none" => Ok(Self::None),
             "dropped-tombstone" => Ok(Self::DroppedTombstone),
             "forgotten-cancel" => Ok(Self::ForgottenCancel),
             "ignored-fence" => Ok(Self::IgnoredFence),
--- a/crates/mgs-sidecar/src/order.rs
+++ b/crates/mgs-sidecar/src/order.rs
@@ -1,9 +1,15 @@
 //! Orders to the engine, safe before engines that don't check the fencing number themselves.
+//!
+//! The record of the endpoint in the table service names the order in force, and is read before
+//! each order: a holder that was paused may send one long after its lease went to another. Where
+//! there is no platform, the highest number seen by this process and by the engine counts.
 
-use std::collections::VecDeque;
 use std::sync::Arc;
 use std::sync::Mutex;
 
+use mgs_controller::gate;
+use mgs_controller::gate::Gate;
+use mgs_controller::gate::Judgement;
 use mgs_engine::engine::Engine;
 use mgs_engine::engine::Error;
 use mgs_engine::message;
@@ -16,30 +22,29 @@
 
 use crate::state::locked;
 
-/// Most orders that are remembered, to answer a repeated one.
-const DONE_MAX: usize = 32;
-
-/// Key of the row that names the highest fencing number ever given out.
-const LEASE_KEY: &str = "controller/lease";
-
-/// The gate for orders; one passes at a time.
+/// The door for orders; one passes at a time.
 pub(crate) struct Orders {
+    /// Name of the endpoint.
+    endpoint: String,
     table: Option<Arc<dyn Table>>,
+    plant: Plant,
     inner: Mutex<Inner>,
 }
 
 struct Inner {
+    gate: Gate,
     fence: Fence,
-    done: VecDeque<String>,
 }
 
 impl Orders {
-    pub(crate) fn new(plant: Plant, table: Option<Arc<dyn Table>>) -> Self {
+    pub(crate) fn new(endpoint: &str, table: Option<Arc<dyn Table>>, plant: Plant) -> Self {
         Self {
+            endpoint: endpoint.to_string(),
             table,
+            plant,
             inner: Mutex::new(Inner {
+                gate: Gate::default(),
                 fence: Fence::new(plant),
-                done: VecDeque::new(),
             }),
         }
     }
@@ -50,7 +55,7 @@
         let result = self.try_obey(&mut inner, engine, order);
         OrderReply {
             done: result.is_ok(),
-            highest_fencing: inner.fence.highest(),
+            highest_fencing: inner.gate.highest().max(inner.fence.highest()),
             detail: result.err().unwrap_or_default(),
         }
     }
@@ -61,53 +66,34 @@
         engine: &dyn Engine,
         order: &Order,
     ) -> Result<(), String> {
-        self.learn(inner, engine);
-        match inner.fence.check(order.fencing) {
-            Verdict::Obey => {}
-            Verdict::Stale => return Err("a higher fencing number was seen".to_string()),
-            Verdict::NotReady => {
-                return Err("no earlier fencing number could be read".to_string());
+        let judgement = match &self.table {
+            _ if self.plant == Plant::IgnoredFence => Judgement::Obey,
+            Some(table) => {
+                let recorded = gate::recorded(table.as_ref(), &self.endpoint);
+                let recorded = recorded.map_err(|error| format!("store unavailable: {error}"))?;
+                inner.gate.judge(order, recorded.as_ref())
             }
-        }
-        if inner.done.contains(&order.order_id) {
-            return Ok(());
+            None => judge_alone(&mut inner.fence, engine, order)?,
+        };
+        match judgement {
+            Judgement::AlreadyDone => return Ok(()),
+            Judgement::Refuse => return Err("not the order in force".to_string()),
+            Judgement::Obey => {}
         }
         give(engine, order).map_err(|error| error.to_string())?;
-        inner.done.push_back(order.order_id.clone());
-        if inner.done.len() > DONE_MAX {
-            inner.done.pop_front();
-        }
+        inner.gate.obeyed(order.fencing);
         Ok(())
     }
-
-    /// Reads what is kept elsewhere, before each order: orders are rare, and a holder that was
-    /// paused may send one long after its lease went to another.
-    fn learn(&self, inner: &mut Inner, engine: &dyn Engine) {
-        if let Ok(info) = engine.info() {
-            if info.fencing > 0 {
-                inner.fence.learn(info.fencing);
-            }
-        }
-        match self
-            .table
-            .as_ref()
-            .map(|table| lease_fencing(table.as_ref()))
-        {
-            Some(Ok(number)) => inner.fence.learn(number),
-            Some(Err(error)) => log::warn!(error = error; "the fencing number can't be read"),
-            // Without a platform nothing was ever kept.
-            None => inner.fence.learn(0),
-        }
-    }
 }
 
-fn lease_fencing(table: &dyn Table) -> Result<u64, String> {
-    let row = table.get(LEASE_KEY).map_err(|error| error.to_string())?;
-    let Some(row) = row else { return Ok(0) };
-    let value: serde_json::Value =
-        serde_json::from_str(&row.value).map_err(|error| error.to_string())?;
-    let number = value.get("fencing").and_then(serde_json::Value::as_u64);
-    number.ok_or_else(|| "the lease has no fencing number".to_string())
+/// Judges an order without a platform.
+fn judge_alone(fence: &mut Fence, engine: &dyn Engine, order: &Order) -> Result<Judgement, String> {
+    let info = engine.info().map_err(|error| error.to_string())?;
+    fence.learn(info.fencing);
+    match fence.check(order.fencing) {
+        Verdict::Obey => Ok(Judgement::Obey),
+        Verdict::Stale | Verdict::NotReady => Ok(Judgement::Refuse),
+    }
 }
 
 fn give(engine: &dyn Engine, order: &Order) -> Result<(), Error> {
--- a/src/command/sidecar.rs
+++ b/src/command/sidecar.rs
@@ -5,6 +5,8 @@
 
 use clap::ArgMatches;
 use clap::Command;
+use mgs_ledger::ledger;
+use mgs_ledger::plant::Plant;
 use mgs_schema::settings::EndpointKind;
 use mgs_sidecar::sidecar;
 use mgs_sidecar::sidecar::Sidecar;
@@ -43,6 +45,7 @@
         .args(arguments())
         .args(process::platform_arguments())
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .args(process::plant_arguments())
 }
 
 fn arguments() -> Vec<clap::Arg> {
@@ -82,6 +85,10 @@
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
         transport_threads: values.number(TRANSPORT_THREADS, 1..=64),
+        ledger: ledger::Options {
+            plant: plant(&mut values),
+            ..ledger::Options::default()
+        },
         ..sidecar::Options::default()
     };
     values.finish()?;
@@ -106,3 +113,11 @@
         }
     }
 }
+
+fn plant(values: &mut Values<'_>) -> Plant {
+    let name = process::plant_name(values);
+    name.parse().unwrap_or_else(|_| {
+        values.fault(process::PLANT, "no such deliberate bug in a sidecar");
+        Plant::None
+    })
+}
