--- a/crates/mgs-sidecar/tests/serve.rs
+++ b/crates/mgs-sidecar/tests/serve.rs
@@ -1,141 +1,138 @@
-//! A gateway's view of a sidecar over real sockets.
+//! Answers and reports over real sockets.
 
+mod common;
 mod fake;
 
-use std::time::Duration;
-
+use common::frames;
+use common::options;
+use common::read;
+use common::start;
+use common::Gateway;
+use common::WAIT;
 use fake::Fake;
+use mgs_engine::message::CacheEvent;
 use mgs_schema::wire::envelope::Body;
-use mgs_schema::wire::Dispatch;
-use mgs_schema::wire::Finished;
-use mgs_schema::wire::Hello;
 use mgs_schema::wire::Outcome;
-use mgs_schema::wire::Resume;
-use mgs_schema::wire::Welcome;
-use mgs_sidecar::sidecar::Options;
-use mgs_sidecar::sidecar::Sidecar;
-use mgs_transport::client::Call;
-use mgs_transport::client::Connection;
-use mgs_transport::runtime::Runtime;
+use mgs_schema::wire::Probe;
+use mgs_transport::client::Error;
 
-const WAIT: Duration = Duration::from_secs(30);
-const GATEWAY: u64 = 77;
+#[test]
+fn reports_follow_the_welcome() {
+    let sidecar = start(options(), &Fake::new(9));
+    let gateway = Gateway::connect(&sidecar, 1);
+    let report = gateway.any_report(|report| report.models_known);
+    assert_eq!(report.report, 1);
+    assert_eq!(report.incarnation, sidecar.incarnation());
+    assert_eq!(report.models, ["m"]);
+    assert_eq!(report.kv_capacity_tokens, fake::CAPACITY_TOKENS);
+    assert_eq!(gateway.any_report(|_| true).report, 2);
+}
 
-struct Gateway {
-    _runtime: Runtime,
-    connection: Connection,
-    hello: Call,
-    incarnation: u64,
+#[test]
+fn an_answer_is_streamed_whole() {
+    let sidecar = start(options(), &Fake::new(500));
+    let gateway = Gateway::connect(&sidecar, 1);
+    let call = gateway.send(gateway.message(1, 200));
+    let (frames, finished) = read(&call, 0);
+    assert_eq!((frames, finished.frames), (200, 200));
+    assert_eq!(finished.outcome(), Outcome::Answered);
+    assert_eq!(call.recv_timeout(WAIT), Err(Error::Ended));
 }
 
-fn gateway(sidecar: &Sidecar) -> Gateway {
-    let runtime = Runtime::new(&Default::default()).unwrap();
-    let connection = Connection::open(&runtime, sidecar.address(), &Default::default()).unwrap();
-    let hello = connection
-        .call(Body::Hello(Hello {
-            incarnation: GATEWAY,
-            process: "gateway-1".into(),
-            session: 1,
-            report_interval_ms: 10,
-            ..Hello::default()
-        }))
-        .unwrap();
-    let Body::Welcome(Welcome { incarnation, .. }) = hello.recv_timeout(WAIT).unwrap() else {
-        panic!("no welcome");
-    };
-    Gateway {
-        _runtime: runtime,
-        connection,
-        hello,
-        incarnation,
-    }
+#[test]
+fn a_resumed_answer_goes_on_from_the_wanted_frame() {
+    let fake = Fake::new(50);
+    let sidecar = start(options(), &fake);
+    let first = Gateway::connect(&sidecar, 1);
+    let call = first.accepted(first.message(1, 100));
+    frames(&call, 50);
+    let second = Gateway::connect(&sidecar, 2);
+    drop(call);
+    drop(first);
+    let call = second.resume(1, 30);
+    fake.allow(100);
+    let (frames, finished) = read(&call, 30);
+    assert_eq!((frames, finished.frames), (100, 100));
 }
 
-fn dispatch(gateway: &Gateway, serial: u64, max_tokens: u64) -> Dispatch {
-    Dispatch {
-        request_origin: GATEWAY,
-        request_serial: serial,
-        attempt: 1,
-        sidecar_incarnation: gateway.incarnation,
-        session: 1,
-        gateway_incarnation: GATEWAY,
-        organisation: "o".into(),
-        kind: "k".into(),
-        weight: 1,
-        model: "m".into(),
-        body: b"prompt".to_vec(),
-        prompt_tokens: 2,
-        max_tokens,
-        budget_ms: 60_000,
-        ..Dispatch::default()
-    }
+#[test]
+fn an_ended_answer_is_kept_for_a_resume() {
+    let sidecar = start(options(), &Fake::new(50));
+    let gateway = Gateway::connect(&sidecar, 1);
+    read(&gateway.send(gateway.message(1, 20)), 0);
+    let (frames, finished) = read(&gateway.resume(1, 7), 7);
+    assert_eq!((frames, finished.outcome()), (20, Outcome::Answered));
 }
 
-/// Reads an answer from frame `first` to its end.
-fn read(call: &Call, first: u64) -> (u64, Finished) {
-    let mut next = first;
+#[test]
+fn an_answer_that_is_no_longer_kept_is_an_honest_failure() {
+    let mut options = options();
+    options.ledger.answer_keep_ms = 0;
+    let sidecar = start(options, &Fake::new(50));
+    let gateway = Gateway::connect(&sidecar, 1);
+    read(&gateway.send(gateway.message(1, 20)), 0);
     loop {
+        let call = gateway.resume(1, 0);
         match call.recv_timeout(WAIT).unwrap() {
-            Body::Accepted(_) => {}
-            Body::TokenFrame(frame) => {
-                assert_eq!(frame.seq, next);
-                next += 1;
+            Body::Finished(finished) => {
+                assert_eq!(finished.outcome(), Outcome::Failed);
+                return;
             }
-            Body::Finished(finished) => return (next, finished),
+            Body::TokenFrame(_) => {}
             other => panic!("unexpected {other:?}"),
         }
     }
 }
 
 #[test]
-fn reports_follow_the_welcome() {
-    let sidecar = Sidecar::start_with_engine(Options::default(), Box::new(Fake::new(9))).unwrap();
-    let gateway = gateway(&sidecar);
-    for wanted in 1..=3 {
-        match gateway.hello.recv_timeout(WAIT).unwrap() {
-            Body::LoadReport(report) => {
-                assert_eq!(report.report, wanted);
-                assert_eq!(report.incarnation, sidecar.incarnation());
-            }
-            other => panic!("unexpected {other:?}"),
-        }
-    }
+fn a_broken_read_goes_on_at_the_engine() {
+    let fake = Fake::new(30);
+    let sidecar = start(options(), &fake);
+    let gateway = Gateway::connect(&sidecar, 1);
+    let call = gateway.accepted(gateway.message(1, 60));
+    frames(&call, 30);
+    fake.change(|state| state.break_reads = 3);
+    fake.allow(60);
+    let (frames, finished) = read(&call, 30);
+    assert_eq!((frames, finished.outcome()), (60, Outcome::Answered));
+    assert_eq!(fake.change(|state| state.started.len()), 1);
 }
 
 #[test]
-fn an_answer_is_streamed_whole() {
-    let sidecar = Sidecar::start_with_engine(Options::default(), Box::new(Fake::new(500))).unwrap();
-    let gateway = gateway(&sidecar);
-    let request = dispatch(&gateway, 1, 200);
-    let call = gateway.connection.call(Body::Dispatch(request)).unwrap();
-    let (frames, finished) = read(&call, 0);
-    assert_eq!((frames, finished.frames), (200, 200));
-    assert_eq!(finished.outcome, Outcome::Answered as i32);
+fn cache_events_reach_gateways_and_a_gap_resets_them() {
+    let fake = Fake::new(9);
+    let event = |number, block| CacheEvent {
+        number,
+        block,
+        cached: true,
+    };
+    fake.change(|state| state.cache.events = vec![event(1, 10), event(2, 20)]);
+    let sidecar = start(options(), &fake);
+    let gateway = Gateway::connect(&sidecar, 1);
+    gateway.any_report(|report| report.cached_hashes == [10, 20]);
+    fake.change(|state| state.cache.events = vec![event(5, 50)]);
+    gateway.any_report(|report| report.cache_reset && report.cached_hashes == [50]);
 }
 
 #[test]
-fn a_resumed_answer_goes_on_from_the_wanted_frame() {
-    let fake = Fake::new(50);
-    let sidecar = Sidecar::start_with_engine(Options::default(), Box::new(fake.clone())).unwrap();
-    let first = gateway(&sidecar);
-    let request = dispatch(&first, 1, 100);
-    let call = first.connection.call(Body::Dispatch(request)).unwrap();
-    for _ in 0..=50 {
-        call.recv_timeout(WAIT).unwrap();
-    }
-    drop(call);
-    drop(first);
-    let second = gateway(&sidecar);
-    let resume = Resume {
-        request_origin: GATEWAY,
-        request_serial: 1,
-        next_seq: 50,
-        session: 1,
-        gateway_incarnation: GATEWAY,
-        ..Resume::default()
+fn a_probe_predicts_without_reserving() {
+    let sidecar = start(options(), &Fake::new(9));
+    let gateway = Gateway::connect(&sidecar, 1);
+    let ask = |prompt_tokens| {
+        let probe = Probe {
+            model: "m".into(),
+            prompt_tokens,
+            ..Probe::default()
+        };
+        match gateway.connection.ask(Body::Probe(probe), WAIT).unwrap() {
+            Body::Quote(quote) => quote,
+            other => panic!("unexpected {other:?}"),
+        }
     };
-    let call = second.connection.call(Body::Resume(resume)).unwrap();
-    fake.allow(100);
-    let (frames, finished) = read(&call, 50);
-    assert_eq!((frames, finished.frames), (100, 100));
+    let small = ask(1_000);
+    let large = ask(50_000);
+    assert!(small.first_token_ms < large.first_token_ms);
+    assert!(small.would_accept && large.would_accept);
+    assert!(!ask(2 * fake::CAPACITY_TOKENS).would_accept);
+    assert_eq!(gateway.report(|_| true).kv_used_tokens, 0);
 }
