--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -9,7 +9,6 @@
 
 pub mod core;
 mod drive;
-pub mod fifo;
 pub mod gateway;
 pub mod http;
 mod hub;
