--- a/crates/mgs-standin/src/gate.rs
+++ b/crates/mgs-standin/src/gate.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Condvar;
 use std::sync::Mutex;
+use std::time::Instant;
 
 #[derive(Debug, Clone, Copy, Default)]
 struct State {
@@ -24,6 +25,20 @@
         state.expect("no holder panics").life
     }
 
+    /// Says which life this is, frozen or not.
+    pub(crate) fn life(&self) -> u64 {
+        self.state.lock().expect("no holder panics").life
+    }
+
+    /// Sleeps until a time, or until the life ends.
+    pub(crate) fn sleep_until(&self, life: u64, until: Instant) {
+        let state = self.state.lock().expect("no holder panics");
+        let timeout = until.saturating_duration_since(Instant::now());
+        let lives = |state: &mut State| state.life == life;
+        let slept = self.changed.wait_timeout_while(state, timeout, lives);
+        drop(slept.expect("no holder panics"));
+    }
+
     /// Freezes or thaws.
     pub(crate) fn freeze(&self, frozen: bool) {
         self.state.lock().expect("no holder panics").frozen = frozen;
--- a/crates/mgs-standin/src/service.rs
+++ b/crates/mgs-standin/src/service.rs
@@ -5,13 +5,14 @@
 //! `POST /control/crash`, `POST /control/freeze`, `POST /control/thaw`,
 //! `GET /control/executions`.
 
-use std::collections::BTreeMap;
 use std::io;
 use std::net::SocketAddr;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::MutexGuard;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -51,15 +52,45 @@
     /// Identifier of the request.
     pub request_id: String,
     /// How often the service has run a call with this identifier, this one included.
-    pub executions: u64,
+    pub executions: usize,
     /// Body of the call as text.
     pub body: String,
 }
 
+/// One run of a call.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Execution {
+    /// Identifier of the request.
+    pub request_id: String,
+    /// Method.
+    pub method: String,
+    /// Path and query.
+    pub path: String,
+    /// Body as text.
+    pub body: String,
+    /// When it began.
+    pub started: Instant,
+    /// When it ended, if it has.
+    pub ended: Option<Instant>,
+    /// Whether it was cut by a crash.
+    pub crashed: bool,
+}
+
+/// A run in the list of `GET /control/executions`.
+#[derive(Debug, Serialize)]
+struct ExecutionLine {
+    request_id: String,
+    method: String,
+    path: String,
+    body: String,
+    ended: bool,
+    crashed: bool,
+}
+
 struct State {
     options: Options,
     gate: Gate,
-    executions: Mutex<BTreeMap<String, u64>>,
+    executions: Mutex<Vec<Execution>>,
 }
 
 /// The plain service as a server; it stops when dropped.
@@ -103,9 +134,14 @@
         format!("http://{}", self.address())
     }
 
-    /// How often each request has run; a crash doesn't forget it.
-    pub fn executions(&self) -> BTreeMap<String, u64> {
-        self.state.executions()
+    /// Everything that ever ran here; a crash doesn't forget it.
+    pub fn executions(&self) -> Vec<Execution> {
+        self.state.lock().clone()
+    }
+
+    /// How often a request ran here.
+    pub fn executions_of(&self, request_id: &str) -> usize {
+        count(&self.state.lock(), request_id)
     }
 
     /// Cuts the calls under way without an answer.
@@ -132,41 +168,79 @@
 }
 
 impl State {
-    fn executions(&self) -> BTreeMap<String, u64> {
-        self.executions.lock().expect("no holder panics").clone()
+    fn lock(&self) -> MutexGuard<'_, Vec<Execution>> {
+        self.executions.lock().expect("no holder panics")
+    }
+
+    /// Notes a run; says its place and how often its request has run.
+    fn begin(&self, execution: Execution) -> (usize, usize) {
+        let mut executions = self.lock();
+        let request_id = execution.request_id.clone();
+        executions.push(execution);
+        (executions.len() - 1, count(&executions, &request_id))
+    }
+
+    fn end(&self, place: usize, crashed: bool) {
+        let execution = &mut self.lock()[place];
+        execution.ended = Some(Instant::now());
+        execution.crashed = crashed;
     }
 
-    fn count(&self, request_id: &str) -> u64 {
-        let mut executions = self.executions.lock().expect("no holder panics");
-        let count = executions.entry(request_id.to_string()).or_default();
-        *count += 1;
-        *count
+    fn lines(&self) -> Vec<ExecutionLine> {
+        let line = |execution: &Execution| ExecutionLine {
+            request_id: execution.request_id.clone(),
+            method: execution.method.clone(),
+            path: execution.path.clone(),
+            body: execution.body.clone(),
+            ended: execution.ended.is_some(),
+            crashed: execution.crashed,
+        };
+        self.lock().iter().map(line).collect()
     }
 }
 
+fn count(executions: &[Execution], request_id: &str) -> usize {
+    let runs = executions.iter();
+    runs.filter(|run| run.request_id == request_id).count()
+}
+
 struct ServiceHandler {
     state: Arc<State>,
 }
 
 impl ServiceHandler {
     fn run(&self, mut request: Request) {
-        let life = self.state.gate.pass();
-        let Ok(body) = http::body(&mut request) else {
-            return http::cut(request);
-        };
-        let request_id = request_id(&request);
-        let executions = self.state.count(&request_id);
-        thread::sleep(Duration::from_millis(self.state.options.delay_ms));
+        let life = self.state.gate.life();
         if self.state.gate.pass() != life {
             return http::cut(request);
         }
-        let answer = Answer {
-            path: request.url().to_string(),
+        let Ok(body) = http::body(&mut request) else {
+            return http::cut(request);
+        };
+        let execution = Execution {
+            request_id: request_id(&request),
             method: request.method().to_string(),
-            request_id,
-            executions,
+            path: request.url().to_string(),
             body: String::from_utf8_lossy(&body).into_owned(),
+            started: Instant::now(),
+            ended: None,
+            crashed: false,
+        };
+        let mut answer = Answer {
+            path: execution.path.clone(),
+            method: execution.method.clone(),
+            request_id: execution.request_id.clone(),
+            executions: 0,
+            body: execution.body.clone(),
         };
+        let (place, executions) = self.state.begin(execution);
+        answer.executions = executions;
+        thread::sleep(Duration::from_millis(self.state.options.delay_ms));
+        let crashed = self.state.gate.pass() != life;
+        self.state.end(place, crashed);
+        if crashed {
+            return http::cut(request);
+        }
         http::json(request, 200, &answer);
     }
 }
@@ -179,7 +253,7 @@
             (Method::Post, "/control/freeze") => self.state.gate.freeze(true),
             (Method::Post, "/control/thaw") => self.state.gate.freeze(false),
             (Method::Get, "/control/executions") => {
-                return http::json(request, 200, &self.state.executions());
+                return http::json(request, 200, &self.state.lines());
             }
             _ => return self.run(request),
         }
--- a/crates/mgs-standin/tests/service.rs
+++ b/crates/mgs-standin/tests/service.rs
@@ -27,7 +27,7 @@
     assert_eq!(answer.executions, 2);
     assert_eq!(answer.body, "two lorries");
     assert_eq!(answer.path, "/orders?a=1");
-    assert_eq!(service.executions()["l"], 1);
+    assert_eq!(service.executions_of("l"), 1);
 }
 
 #[test]
@@ -53,5 +53,6 @@
         slow.crash();
         assert!(caller.join().expect("no panic").is_err());
     });
-    assert_eq!(slow.executions()["k"], 1);
+    assert_eq!(slow.executions_of("k"), 1);
+    assert!(slow.executions()[0].crashed);
 }
