fix(gateway): name the attempt in a withdraw and the budget in a resume

Cause: the schema gained Withdraw.attempt and Resume.budget_ms while the gateway's first version was written; the workspace did not build with both. Ruled out: defaults of 0 (0 withdraws all attempts, so a later attempt at the same sidecar would be refused). Before: 2 compile errors. After: the workspace's tests pass.

--- a/crates/mgs-gateway/src/drive.rs
+++ b/crates/mgs-gateway/src/drive.rs
@@ -278,12 +278,14 @@
                 request_serial: serial,
                 sidecar_incarnation: attempt.incarnation,
                 tombstone_ms: left_ms + TOMBSTONE_SLACK_MS,
+                attempt: number,
             })
         });
     }
 
     fn resume(&mut self, number: AttemptNumber, next_seq: u64) {
         self.core.metrics.resumes.inc();
+        let left_ms = self.job.deadline_ms.saturating_sub(self.core.now_ms());
         let (origin, serial) = (self.job.id.origin, self.job.id.serial);
         let gateway_incarnation = self.core.incarnation;
         self.ask(number, |_, session| {
@@ -293,6 +295,7 @@
                 next_seq,
                 session: session.number,
                 gateway_incarnation,
+                budget_ms: left_ms,
             })
         });
     }
--- a/crates/mgs-routing/benches/decision.rs
+++ b/crates/mgs-routing/benches/decision.rs
@@ -1,1 +1,3 @@
+//! Cost of a decision.
+
 fn main() {}
