feat(testing): chaos runs real processes under a seeded schedule of faults

Cause: the promises hold or fail in the interplay of processes, sockets and engines under faults; no test of one crate shows that. Ruled out: faults by hooks in the product; counting runs by the callers' view (the stand-ins' own list of runs, which a crash doesn't forget, is the witness); callers that send to gateways which are leaving (they do what the balancer does and ask /readyz).

--- /dev/null
+++ b/crates/mgs-testing/src/cluster/process.rs
@@ -0,0 +1,82 @@
+//! One running process and the signals that it is sent.
+
+use std::fs::File;
+use std::io;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::ExitStatus;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+
+const POLL_MS: u64 = 5;
+
+/// A process that is killed when it is dropped.
+#[derive(Debug)]
+pub(super) struct Process {
+    child: Child,
+}
+
+impl Process {
+    /// Starts the binary; its output goes to the end of a file.
+    pub(super) fn start(binary: &Path, arguments: &[String], log: &Path) -> io::Result<Self> {
+        let log = File::options().create(true).append(true).open(log)?;
+        let child = Command::new(binary)
+            .args(arguments)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone()?)
+            .stderr(log)
+            .spawn()?;
+        Ok(Self { child })
+    }
+
+    /// Kills it at once and waits for its end.
+    pub(super) fn kill(&mut self) -> io::Result<()> {
+        self.child.kill()?;
+        self.child.wait().map(|_| ())
+    }
+
+    /// Stops its threads until [`Process::resume`].
+    pub(super) fn pause(&self) -> io::Result<()> {
+        self.signal(Signal::STOP)
+    }
+
+    /// Lets it go on.
+    pub(super) fn resume(&self) -> io::Result<()> {
+        self.signal(Signal::CONT)
+    }
+
+    /// Asks it to stop gracefully.
+    pub(super) fn terminate(&self) -> io::Result<()> {
+        self.signal(Signal::TERM)
+    }
+
+    /// Waits for its end; `None` if it still runs after the limit.
+    pub(super) fn wait(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
+        let end = Instant::now() + limit;
+        loop {
+            let status = self.child.try_wait()?;
+            if status.is_some() || Instant::now() >= end {
+                return Ok(status);
+            }
+            thread::sleep(Duration::from_millis(POLL_MS));
+        }
+    }
+
+    fn signal(&self, signal: Signal) -> io::Result<()> {
+        Ok(kill_process(Pid::from_child(&self.child), signal)?)
+    }
+}
+
+impl Drop for Process {
+    fn drop(&mut self) {
+        // Fails only when it has ended already.
+        let _ = self.kill();
+    }
+}
--- a/crates/mgs-testing/src/history/event.rs
+++ b/crates/mgs-testing/src/history/event.rs
@@ -3,6 +3,16 @@
 /// The place of faults of the platform's services.
 pub const PLATFORM: &str = "platform";
 
+/// The place of faults on the way of gateways to a sidecar, or of a sidecar to its endpoint.
+pub fn path_to(place: &str) -> String {
+    format!("path to {place}")
+}
+
+/// The place of faults on the way of one process to the platform.
+pub fn platform_path_of(place: &str) -> String {
+    format!("path of {place} to the platform")
+}
+
 /// Number of a request: one intention of a caller, however often it was sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Request(pub u32);
--- a/crates/mgs-testing/src/history/mod.rs
+++ b/crates/mgs-testing/src/history/mod.rs
@@ -6,6 +6,8 @@
 mod event;
 mod recorder;
 
+pub use event::path_to;
+pub use event::platform_path_of;
 pub use event::Call;
 pub use event::Ending;
 pub use event::Event;
--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -3,6 +3,10 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod caller;
+pub mod chaos;
 pub mod check;
+pub mod cluster;
 pub mod history;
+pub mod port;
 pub mod proxy;
--- a/crates/mgs-testing/src/port.rs
+++ b/crates/mgs-testing/src/port.rs
@@ -1,4 +1,7 @@
-//! A listening port that can be closed and opened again without losing its number.
+//! Ports that keep their number while nobody listens on them.
+//!
+//! A process that is killed and started again, or a listener that refuses for a while, must find
+//! its port free.
 
 use std::io;
 use std::net::Ipv4Addr;
@@ -14,15 +17,26 @@
 const BACKLOG: i32 = 1024;
 
 /// Keeps a port number: bound, never listening, so that connections to it are refused while no
-/// listener of [`Port::listen`] is open.
-pub(super) struct Port {
+/// other listener is open. Listeners must allow the address to be reused, as those of the standard
+/// library do.
+///
+/// ```
+/// use mgs_testing::port::Port;
+///
+/// let port = Port::take()?;
+/// drop(std::net::TcpListener::bind(port.address())?);
+/// drop(std::net::TcpListener::bind(port.address())?);
+/// # Ok::<(), std::io::Error>(())
+/// ```
+#[derive(Debug)]
+pub struct Port {
     address: SocketAddr,
     _guard: Socket,
 }
 
 impl Port {
     /// Takes a free port of the loopback address.
-    pub(super) fn take() -> io::Result<Self> {
+    pub fn take() -> io::Result<Self> {
         let any = SocketAddr::from((Ipv4Addr::LOCALHOST, 0));
         let guard = bound(any)?;
         let address = guard.local_addr()?.as_socket();
@@ -35,11 +49,13 @@
         })
     }
 
-    pub(super) fn address(&self) -> SocketAddr {
+    /// The address that it keeps.
+    pub fn address(&self) -> SocketAddr {
         self.address
     }
 
-    pub(super) fn listen(&self) -> io::Result<TcpListener> {
+    /// Listens on it.
+    pub fn listen(&self) -> io::Result<TcpListener> {
         let socket = bound(self.address)?;
         socket.listen(BACKLOG)?;
         Ok(socket.into())
@@ -55,7 +71,7 @@
 }
 
 /// Wakes a thread that waits in `accept`.
-pub(super) fn wake(listener: &TcpListener) {
+pub(crate) fn wake(listener: &TcpListener) {
     // Fails only when the listener was woken before.
     let _ = SockRef::from(listener).shutdown(Shutdown::Both);
 }
--- a/crates/mgs-testing/src/proxy/mod.rs
+++ b/crates/mgs-testing/src/proxy/mod.rs
@@ -19,7 +19,6 @@
 
 mod connection;
 mod faults;
-mod listener;
 mod pump;
 mod route;
 
--- a/crates/mgs-testing/src/proxy/route.rs
+++ b/crates/mgs-testing/src/proxy/route.rs
@@ -14,12 +14,12 @@
 use std::thread::JoinHandle;
 use std::time::Duration;
 
+use crate::port;
+use crate::port::Port;
 use crate::proxy::connection::Connection;
 use crate::proxy::connection::ConnectionInfo;
 use crate::proxy::faults::Direction;
 use crate::proxy::faults::Faults;
-use crate::proxy::listener;
-use crate::proxy::listener::Port;
 use crate::proxy::pump;
 
 const CONNECT_TIMEOUT_MS: u64 = 1_000;
@@ -183,7 +183,7 @@
 impl Accepting {
     /// Closes the listener before it returns.
     fn stop(self) {
-        listener::wake(&self.listener);
+        port::wake(&self.listener);
         // A panic of the thread has been printed by the runtime.
         let _ = self.thread.join();
     }
