style(testing): say it as the linter wants

Cause: the minimum Rust version was raised, and with it a lint applies. Ruled out: allowing it. Conclusion: no change of behaviour.

--- a/crates/mgs-testing/src/chaos/inject.rs
+++ b/crates/mgs-testing/src/chaos/inject.rs
@@ -255,7 +255,7 @@
         let place = history::platform_path_of(member.place());
         let route = member.platform();
         let begin = || {
-            route.refuse(fault.variant % 2 == 0)?;
+            route.refuse(fault.variant.is_multiple_of(2))?;
             route.set_all(Faults::silent());
             Ok(())
         };
