--- a/src/command/standin.rs
+++ b/src/command/standin.rs
@@ -5,6 +5,8 @@
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_standin::engine;
+use mgs_standin::engine::Engine;
 use mgs_standin::platform;
 use mgs_standin::platform::faults;
 use mgs_standin::platform::Platform;
@@ -21,6 +23,12 @@
 const LISTEN: &str = "listen";
 const DELAY_MS: &str = "delay-ms";
 const HOSTS_LAG_MS: &str = "hosts-lag-ms";
+const MODELS: &str = "models";
+const KV_CAPACITY: &str = "kv-capacity-tokens";
+const PREFILL_RATE: &str = "prefill-tokens-per-s";
+const DECODE_STEP_MS: &str = "decode-step-ms";
+const TIME_SCALE: &str = "time-scale";
+const IGNORE_FENCING: &str = "ignore-fencing";
 const OUTAGE: &str = "outage";
 
 const DELAY_MS_MAX: u64 = 3_600_000;
@@ -41,6 +49,7 @@
         .after_help(EXAMPLES)
         .subcommand_required(true)
         .arg_required_else_help(true)
+        .subcommand(engine_command())
         .subcommand(service_command())
         .subcommand(platform_command())
 }
@@ -48,6 +57,7 @@
 /// Runs until a signal.
 pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
     match matches.subcommand() {
+        Some(("engine", matches)) => run_engine(matches, out),
         Some(("service", matches)) => run_service(matches, out),
         Some(("platform", matches)) => run_platform(matches, out),
         _ => unreachable!("BUG: the parser requires one of them"),
@@ -63,6 +73,49 @@
     .default_value(default)
 }
 
+fn engine_command() -> Command {
+    Command::new("engine")
+        .about("A model engine with a stated cost model; it answers words without sense")
+        .arg(listen_argument("127.0.0.1:7500"))
+        .arg(value(MODELS, "NAMES", "Models served, by commas").default_value("model-a"))
+        .arg(value(KV_CAPACITY, "N", "Memory in all, in tokens").default_value("400000"))
+        .arg(value(PREFILL_RATE, "N", "Prompt tokens processed in a second").default_value("20000"))
+        .arg(value(DECODE_STEP_MS, "MS", "Time of a decode step for any batch").default_value("12"))
+        .arg(value(TIME_SCALE, "X", "How much faster than this it runs").default_value("1"))
+        .arg(switch(
+            IGNORE_FENCING,
+            "Obey orders whatever their fencing number",
+        ))
+        .arg(process::log_argument())
+}
+
+fn run_engine(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let mut values = Values::new(matches);
+    let logs = process::log_options(&mut values);
+    let models = values.text(MODELS);
+    let options = engine::Options {
+        listen: values.address(LISTEN).to_string(),
+        models: models
+            .split(',')
+            .map(|name| name.trim().to_string())
+            .collect(),
+        kv_capacity_tokens: values.number(KV_CAPACITY, 1..=1_000_000_000),
+        prefill_tokens_per_s: values.number(PREFILL_RATE, 1.0..=1e9),
+        decode_step_ms: values.number(DECODE_STEP_MS, 0.0..=60_000.0),
+        time_scale: values.number(TIME_SCALE, 0.01..=1_000.0),
+        check_fencing: !values.switch(IGNORE_FENCING),
+        ..engine::Options::default()
+    };
+    values.finish()?;
+
+    let mut stop = Stop::new()?;
+    let _logs = process::start_log(&logs)?;
+    let engine = Engine::start(options.clone()).map_err(|e| not_listening(&options.listen, &e))?;
+    announce(out, &engine.url())?;
+    stop.wait();
+    Ok(())
+}
+
 fn service_command() -> Command {
     Command::new("service")
         .about("A plain service that answers each call with how often it has run it")
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -196,8 +196,8 @@
                 prompts.get(&hash).copied().unwrap_or_default()
             }
             Call::Service => {
-                let id = &record.outcome.request_id;
-                calls.get(id).copied().unwrap_or_default()
+                let path = plan::service_path(&record.planned);
+                calls.iter().filter(|call| call.path == path).count() as u64
             }
         };
         let non_idempotent = records.iter().filter(|record| !record.planned.idempotent);
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -109,9 +109,9 @@
 }
 
 fn service(planned: &Planned, target: &Target, gateway: SocketAddr) -> Request {
-    let path = format!("/services/{}/items/{}", plan::SERVICE, planned.number);
+    let path = plan::service_path(planned);
     Request {
-        url: format!("http://{gateway}{path}"),
+        url: format!("http://{gateway}/services/{}{path}", plan::SERVICE),
         body: json!({ "item": planned.number }).to_string(),
         ..base(planned, target)
     }
--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -260,6 +260,11 @@
     text
 }
 
+/// Path of a planned call as the plain service sees it, unlike any other's.
+pub fn service_path(planned: &Planned) -> String {
+    format!("/items/{}", planned.number)
+}
+
 /// Appends words until the text has `length` bytes or more.
 fn fill(text: &mut String, seed: u64, length: usize) {
     let mut random = ChaCha8Rng::seed_from_u64(seed);
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -12,6 +12,7 @@
 use super::plan::Call;
 
 const US_PER_MS: f64 = 1_000.0;
+const MAX_US: u64 = 3_600_000_000;
 const SIGNIFICANT_DIGITS: u8 = 3;
 
 /// Upper bounds of the rows of the table, in prompt tokens.
@@ -88,8 +89,8 @@
 }
 
 fn first_tokens(records: &[Record], least: u64, bound: u64) -> Histogram<u64> {
-    let mut histogram = Histogram::new(SIGNIFICANT_DIGITS)
-        .expect("BUG: the number of digits is one that the library takes");
+    let mut histogram = Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS)
+        .expect("BUG: the bounds are ones that the library takes");
     for record in records {
         let Call::Completion {
             prompt_tokens,
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -1,5 +1,9 @@
 //! Runs the binary.
 
+#![allow(dead_code, reason = "each test file uses a part")]
+
+pub(crate) mod process;
+
 use std::process::Command;
 use std::process::Output;
 
--- /dev/null
+++ b/tests/process.rs
@@ -0,0 +1,230 @@
+//! The whole path as real processes: stand-ins, sidecars and a gateway, each on its own.
+
+mod common;
+
+use std::io::BufRead;
+use std::io::BufReader;
+use std::net::SocketAddr;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use common::process::Process;
+use marigoldstage::demo::client;
+use marigoldstage::demo::client::Ended;
+use marigoldstage::demo::client::Request;
+use mgs_platform::http;
+use mgs_schema::settings::Change;
+use mgs_schema::settings::EndpointKind;
+use mgs_schema::settings::EndpointRow;
+use mgs_schema::settings::LimitRow;
+use mgs_schema::settings::OrganisationRow;
+use mgs_settings::row::RowValue;
+use mgs_settings::row::ANY;
+use mgs_settings::store::edit;
+use mgs_settings::store::read::Store;
+use mgs_settings::table::key_digest;
+use mgs_settings::table::Table;
+use mgs_standin::engine::text::expected;
+use serde_json::json;
+
+const KEY: &str = "key-of-org-1";
+const READY_TIMEOUT: Duration = Duration::from_secs(60);
+const ANY_PORT: &str = "127.0.0.1:0";
+
+struct Cluster {
+    gateway: Process,
+    address: SocketAddr,
+    sidecar: Process,
+    _others: Vec<Process>,
+}
+
+impl Cluster {
+    /// One engine, one plain service, a sidecar beside each, and a gateway.
+    fn start() -> Self {
+        let (platform, platform_url) = Process::standin("platform", &[]);
+        let (engine, engine_url) = Process::standin("engine", &["--time-scale", "10"]);
+        let (service, service_url) = Process::standin("service", &[]);
+        let (sidecar, engine_at) = start_sidecar("engine-1", "engine", &engine_url, &platform_url);
+        let (other, service_at) = start_sidecar("stock-1", "service", &service_url, &platform_url);
+        let endpoints = [
+            endpoint("engine-1", EndpointKind::Engine, engine_at, "model-a"),
+            endpoint("stock-1", EndpointKind::Service, service_at, "stock"),
+        ];
+        write_table(&platform_url, &endpoints);
+        let (gateway, address) = Process::role(
+            "gateway",
+            &[
+                "--listen",
+                ANY_PORT,
+                "--peer-listen",
+                ANY_PORT,
+                "--admin",
+                ANY_PORT,
+                "--platform",
+                &platform_url,
+                "--leave-grace-ms",
+                "100",
+            ],
+        );
+        let cluster = Self {
+            gateway,
+            address,
+            sidecar,
+            _others: vec![platform, engine, service, other],
+        };
+        cluster.wait_until_serving();
+        cluster
+    }
+
+    /// The first request may come before the settings and the sessions are there.
+    fn wait_until_serving(&self) {
+        let end = Instant::now() + READY_TIMEOUT;
+        loop {
+            let outcome = client::send(&self.completion("are you there", 1, false));
+            if matches!(outcome.ended, Ended::Answered { .. }) {
+                return;
+            }
+            assert!(Instant::now() < end, "not serving: {outcome:?}");
+            thread::sleep(Duration::from_millis(50));
+        }
+    }
+
+    fn completion(&self, prompt: &str, max_tokens: u64, streamed: bool) -> Request {
+        let body = json!({
+            "model": "model-a",
+            "prompt": prompt,
+            "max_tokens": max_tokens,
+            "stream": streamed,
+        });
+        Request {
+            url: format!("http://{}/v1/completions", self.address),
+            bearer_key: KEY.to_string(),
+            kind: "query".to_string(),
+            body: body.to_string(),
+            streamed,
+            idempotent: false,
+            allotted_ms: 60_000,
+        }
+    }
+}
+
+fn start_sidecar(name: &str, kind: &str, url: &str, platform: &str) -> (Process, SocketAddr) {
+    Process::role(
+        "sidecar",
+        &[
+            "--name",
+            name,
+            "--endpoint-kind",
+            kind,
+            "--endpoint-url",
+            url,
+            "--listen",
+            ANY_PORT,
+            "--admin",
+            ANY_PORT,
+            "--platform",
+            platform,
+        ],
+    )
+}
+
+fn endpoint(name: &str, kind: EndpointKind, at: SocketAddr, model: &str) -> EndpointRow {
+    EndpointRow {
+        name: name.to_string(),
+        kind: kind.into(),
+        sidecar_address: at.to_string(),
+        zone: "zone-1".to_string(),
+        models: vec![model.to_string()],
+        started: true,
+        ..EndpointRow::default()
+    }
+}
+
+fn write_table(platform_url: &str, endpoints: &[EndpointRow]) {
+    let client = http::Client::new(http::Options {
+        base_url: platform_url.to_string(),
+        ..http::Options::default()
+    });
+    let organisation = OrganisationRow {
+        name: "org-1".to_string(),
+        key_digests: vec![key_digest(KEY)],
+        version: 0,
+    };
+    let limit = LimitRow {
+        organisation: ANY.to_string(),
+        kind: ANY.to_string(),
+        weight: 1,
+        allotted_ms: 60_000,
+        ..LimitRow::default()
+    };
+    let mut changes: Vec<Change> = vec![
+        RowValue::Organisation(organisation).set(),
+        RowValue::Limit(limit).set(),
+    ];
+    let endpoints = endpoints.iter().cloned().map(RowValue::Endpoint);
+    changes.extend(endpoints.map(RowValue::set));
+    let options = edit::Options {
+        edit_id: "test-1".to_string(),
+        author: "test".to_string(),
+        changes,
+        ..edit::Options::default()
+    };
+    let store = Store {
+        table: &client,
+        objects: &client,
+    };
+    edit::commit(store, &Table::default(), &options).unwrap();
+}
+
+#[test]
+fn a_streamed_answer_comes_whole_through_all_processes() {
+    let cluster = Cluster::start();
+    let outcome = client::send(&cluster.completion("which trees are in stock", 40, true));
+    let Ended::Answered { text, .. } = outcome.ended else {
+        panic!("{outcome:?}");
+    };
+    assert_eq!(text, expected("which trees are in stock", 40));
+
+    let request = Request {
+        url: format!("http://{}/services/stock/items/7", cluster.address),
+        body: "{\"count\":2}".to_string(),
+        ..cluster.completion("", 0, false)
+    };
+    let outcome = client::send(&request);
+    let Ended::Answered { text, .. } = outcome.ended else {
+        panic!("{outcome:?}");
+    };
+    assert!(text.contains("/items/7"), "{text}");
+
+    let wrong = Request {
+        bearer_key: "nobody's".to_string(),
+        ..cluster.completion("x", 1, false)
+    };
+    let refused = Ended::Refused("unauthenticated".to_string());
+    assert_eq!(client::send(&wrong).ended, refused);
+}
+
+#[test]
+fn a_signal_to_stop_cuts_off_no_request() {
+    let mut cluster = Cluster::start();
+    let request = cluster.completion("a long answer, please", 2_000, true);
+    let response = attohttpc::post(&request.url)
+        .header("Authorization", format!("Bearer {KEY}"))
+        .header("Request-Kind", "query")
+        .text(&request.body)
+        .send()
+        .unwrap();
+    assert!(response.is_success(), "{:?}", response.status());
+    let (_, _, reader) = response.split();
+    let mut lines = BufReader::new(reader).lines();
+    let first = lines.next().unwrap().unwrap();
+    assert!(first.starts_with("data: "), "{first}");
+
+    cluster.sidecar.terminate();
+    cluster.gateway.terminate();
+    let last = lines.map(Result::unwrap).filter(|line| !line.is_empty());
+    assert_eq!(last.last().unwrap(), "data: [DONE]");
+    assert!(cluster.gateway.wait().success());
+    assert!(cluster.sidecar.wait().success());
+}
