--- a/src/command/sidecar.rs
+++ b/src/command/sidecar/mod.rs
@@ -1,26 +1,30 @@
 //! `marigoldstage sidecar`: the process beside one endpoint.
 
+mod numbers;
+
 use std::io::Write;
 use std::sync::Arc;
 
 use clap::ArgMatches;
 use clap::Command;
+use mgs_ledger::plant::Plant;
 use mgs_schema::settings::EndpointKind;
 use mgs_sidecar::sidecar;
 use mgs_sidecar::sidecar::Sidecar;
 
 use super::process;
 use crate::error::Error;
+use crate::setting::number;
 use crate::setting::value;
 use crate::setting::Values;
 use crate::stop::Stop;
+use numbers::NUMBERS;
 
 const NAME: &str = "name";
 const ZONE: &str = "zone";
 const LISTEN: &str = "listen";
 const ENDPOINT_KIND: &str = "endpoint-kind";
 const ENDPOINT_URL: &str = "endpoint-url";
-const TRANSPORT_THREADS: &str = "transport-threads";
 
 const EXAMPLES: &str = "\
 Examples:
@@ -43,6 +47,8 @@
         .args(arguments())
         .args(process::platform_arguments())
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .args(number::arguments(&NUMBERS))
+        .args(process::plant_arguments())
 }
 
 fn arguments() -> Vec<clap::Arg> {
@@ -59,12 +65,6 @@
         .default_value("engine"),
         value(ENDPOINT_URL, "URL", "Base address of the endpoint itself")
             .default_value("http://127.0.0.1:7500"),
-        value(
-            TRANSPORT_THREADS,
-            "N",
-            "Threads that drive connections from gateways",
-        )
-        .default_value("2"),
     ]
 }
 
@@ -73,7 +73,7 @@
     let mut values = Values::new(matches);
     let process = process::options(&mut values);
     let platform = process::platform_options(&mut values);
-    let options = sidecar::Options {
+    let mut options = sidecar::Options {
         name: values.text(NAME),
         zone: values.text(ZONE),
         kind: kind(&mut values),
@@ -81,9 +81,10 @@
         admin_listen: Some(process.admin),
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
-        transport_threads: values.number(TRANSPORT_THREADS, 1..=64),
         ..sidecar::Options::default()
     };
+    number::read(&NUMBERS, &mut values, &mut options);
+    options.ledger.plant = plant(&mut values);
     values.finish()?;
 
     let mut stop = Stop::new()?;
@@ -106,3 +107,14 @@
         }
     }
 }
+
+fn plant(values: &mut Values<'_>) -> Plant {
+    let name = process::plant_name(values);
+    if name.is_empty() {
+        return Plant::None;
+    }
+    name.parse().unwrap_or_else(|_| {
+        values.fault(process::PLANT, "no such deliberate bug in a sidecar");
+        Plant::None
+    })
+}
--- a/src/setting.rs
+++ b/src/setting/mod.rs
@@ -4,6 +4,8 @@
 //! as text by the parser and read through [`Values`], which collects every fault, so that an
 //! operator sees all of them at once.
 
+pub mod number;
+
 use std::fmt::Display;
 use std::net::SocketAddr;
 use std::ops::RangeInclusive;
