--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -28,8 +28,8 @@
 const EXAMPLES: &str = "\
 Examples:
   marigoldstage table show                               every row of limits
-  marigoldstage table get verdure stock                  the row that holds for these requests
-  marigoldstage table set verdure stock priority=0 weight=8 --wait
+  marigoldstage table get org-1 query                    the row that holds for these requests
+  marigoldstage table set org-1 query priority=0 weight=8 --wait
   marigoldstage table export limits > limits.csv         edit it in a spreadsheet, then
   marigoldstage table diff limits limits.csv             see what it would change, and
   marigoldstage table apply limits limits.csv --wait     make the sheet so
@@ -74,6 +74,13 @@
         .default_value("limits")
 }
 
+/// A sheet before a file must be given: which of two is meant would be unclear else.
+fn sheet_and_file_arguments() -> [Arg; 2] {
+    let none: Option<&str> = None;
+    let sheet = sheet_argument().default_value(none).required(true);
+    [sheet, file_argument()]
+}
+
 fn file_argument() -> Arg {
     Arg::new(FILE)
         .value_name("FILE")
--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -14,10 +14,10 @@
 use mgs_settings::sheet::Sheet;
 use mgs_settings::table::Table;
 
-use super::file_argument;
 use super::is_json;
 use super::key_arguments;
 use super::sheet;
+use super::sheet_and_file_arguments;
 use super::sheet_argument;
 use super::text;
 use super::FILE;
@@ -46,8 +46,7 @@
             .args(operator::arguments()),
         Command::new("diff")
             .about("Show what `apply` would change; it changes nothing")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(operator::arguments()),
     ]
 }
