--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod numbers;
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use clap::Arg;
@@ -68,8 +69,11 @@
 
 fn host_arguments() -> [Arg; 5] {
     [
-        value(NAME, "NAME", "Name of this process, unique among gateways")
-            .default_value("gateway-1"),
+        value(
+            NAME,
+            "NAME",
+            "Name of this process, unique among gateways [default: gateway-IP:PORT of --listen]",
+        ),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
         value(LISTEN, "IP:PORT", "Where callers reach this process")
             .default_value("127.0.0.1:7100"),
@@ -142,10 +146,11 @@
 }
 
 fn gateway_options(values: &mut Values<'_>) -> gateway::Options {
+    let listen = values.address(LISTEN);
     let mut options = gateway::Options {
-        name: values.text(NAME),
+        name: name(values, listen),
         zone: values.text(ZONE),
-        listen: values.address(LISTEN),
+        listen,
         peer_listen: Some(values.address(PEER_LISTEN)),
         policy: policy_name(values),
         hedge: !values.switch(NO_HEDGE),
@@ -155,6 +160,14 @@
     options
 }
 
+/// Two gateways of one name would each take the other for its successor, so no fixed default.
+fn name(values: &mut Values<'_>, listen: SocketAddr) -> String {
+    if values.optional(NAME).is_none() {
+        return format!("gateway-{listen}");
+    }
+    values.text(NAME)
+}
+
 fn policy_name(values: &mut Values<'_>) -> String {
     let name = values.text(POLICY);
     if !policy::NAMES.contains(&name.as_str()) {
--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -53,7 +53,11 @@
 
 fn arguments() -> Vec<clap::Arg> {
     vec![
-        value(NAME, "NAME", "Name of the endpoint").default_value("endpoint-1"),
+        value(
+            NAME,
+            "NAME",
+            "Name of the endpoint, as in its row; must be given",
+        ),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
         value(LISTEN, "IP:PORT", "Where gateways reach this process")
             .default_value("127.0.0.1:7300"),
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -7,13 +7,16 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_platform::http::Client;
 use serde::Serialize;
 
+use super::process;
 use crate::error::Error;
 use crate::setting::switch;
 use crate::setting::value;
 use crate::setting::Values;
 use crate::status;
+use crate::status::member;
 use crate::status::Process;
 
 const ADMIN: &str = "admin-address";
@@ -22,10 +25,14 @@
 
 const EXAMPLES: &str = "\
 Examples:
+  marigoldstage status --platform http://10.0.0.2:7400     processes that have a row there
   marigoldstage status --admin-address 10.0.0.5:7101,10.0.1.7:7301
   marigoldstage status --admin-address 10.0.0.5:7101 --json | jq '.[].metrics'
 
-Exit code 0 if every process is ready, 1 if one isn't, 4 if none can be reached.";
+With --admin-address each process is asked itself: exit code 0 if every one is ready, 1 if one
+isn't, 4 if none can be reached. Without it the platform is asked, which knows names, addresses and
+the version of the settings that each process has confirmed; a process that died may still be
+listed for a while.";
 
 /// Declares the subcommand.
 pub fn command() -> Command {
@@ -33,6 +40,7 @@
         .about("Show what each process says of itself: readiness and main counters")
         .after_help(EXAMPLES)
         .arg(admin_argument())
+        .args(process::platform_arguments())
         .arg(value(TIMEOUT_MS, "MS", "Longest wait for each process").default_value("2000"))
         .arg(switch(
             JSON,
@@ -54,10 +62,14 @@
 pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
     let mut values = Values::new(matches);
     let addresses = values.addresses(ADMIN);
+    let platform = process::platform_options(&mut values);
     let timeout_ms = values.number(TIMEOUT_MS, 1..=3_600_000);
     let json = values.switch(JSON);
     values.finish()?;
 
+    if addresses.is_empty() {
+        return run_platform(&Client::new(platform), json, out);
+    }
     let timeout = Duration::from_millis(timeout_ms);
     let ask = |address| status::ask(address, timeout);
     let processes: Vec<Process> = addresses.into_iter().map(ask).collect();
@@ -69,6 +81,16 @@
     judge(&processes)
 }
 
+/// Prints what the platform knows.
+fn run_platform(client: &Client, json: bool, out: &mut dyn Write) -> Result<(), Error> {
+    let known = member::read(client)?;
+    if json {
+        return print_json(&known, out);
+    }
+    member::print_table(&known, out)?;
+    Ok(())
+}
+
 fn print_json<T: Serialize>(value: &T, out: &mut dyn Write) -> Result<(), Error> {
     let text = serde_json::to_string_pretty(value);
     let text = text.map_err(|error| Error::Failed(error.to_string()))?;
--- a/src/setting/mod.rs
+++ b/src/setting/mod.rs
@@ -128,15 +128,12 @@
             .unwrap_or_else(|| SocketAddr::from(([0, 0, 0, 0], 0)))
     }
 
-    /// One or more addresses, each `IP:PORT`.
+    /// Any number of addresses, each `IP:PORT`.
     pub fn addresses(&mut self, flag: &str) -> Vec<SocketAddr> {
         let given: Vec<String> = match self.matches.get_many::<String>(flag) {
             Some(texts) => texts.cloned().collect(),
             None => Vec::new(),
         };
-        if given.is_empty() {
-            self.fault(flag, "give at least one IP:PORT");
-        }
         let mut addresses = Vec::new();
         for text in given {
             match text.trim().parse() {
--- a/src/status.rs
+++ b/src/status/mod.rs
@@ -1,4 +1,6 @@
-//! Reads `/readyz` and `/metrics` of processes.
+//! Reads `/readyz` and `/metrics` of processes, and their rows on the platform.
+
+pub mod member;
 
 use std::collections::BTreeMap;
 use std::io;
