feat(demo): print lines for operators beside the curl line

Cause: a newcomer who keeps the demo up has nothing to look at but answers. Ruled out: fixed ports, which clash with what else runs.

--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -28,9 +28,9 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  marigoldstage demo                                  about 15 seconds of mixed load
+  marigoldstage demo                                  10 seconds of mixed load
   marigoldstage demo --load-ms 60000 --requests-per-s 30
-  marigoldstage demo --serve --listen 127.0.0.1:7100  stay up and print a curl line
+  marigoldstage demo --serve --listen 127.0.0.1:7100  stay up and print lines to try
 
 It brings up 2 gateways, 4 engines with their sidecars in 2 availability zones, a plain service and
 the platform, all in this process, on loopback sockets. Engines and platform are stand-ins: answers
@@ -53,7 +53,7 @@
         .after_help(EXAMPLES)
         .arg(switch(
             SERVE,
-            "Send no load; stay up until a signal and print a curl line that works",
+            "Send no load; stay up until a signal and print lines to try",
         ))
         .arg(
             value(
@@ -120,12 +120,37 @@
     let mut stop = Stop::new()?;
     let fleet = Fleet::start(options.fleet)?;
     writeln!(out, "up: {}; stop with Ctrl-C", fleet.describe())?;
+    writeln!(out, "\nas an operator, in another shell:")?;
+    let binary = binary();
+    let admin: Vec<String> = fleet
+        .admin_addresses()
+        .iter()
+        .map(ToString::to_string)
+        .collect();
+    writeln!(
+        out,
+        "marigoldstage status --admin-address {}",
+        admin.join(",")
+    )?;
+    writeln!(
+        out,
+        "{binary} table show --platform {}",
+        fleet.platform_url()
+    )?;
+    writeln!(out, "\nas a caller:")?;
     writeln!(out, "{}", curl(&fleet.target()))?;
     out.flush()?;
     stop.wait();
     Ok(())
 }
 
+/// This program as a shell can call it.
+fn binary() -> String {
+    let path = std::env::current_exe().ok();
+    let path = path.and_then(|path| path.into_os_string().into_string().ok());
+    path.unwrap_or_else(|| "marigoldstage".to_string())
+}
+
 fn curl(target: &Target) -> String {
     format!(
         "curl -N http://{}/v1/chat/completions -H 'Authorization: Bearer {}' \
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -67,9 +67,8 @@
 
 impl Default for Options {
     fn default() -> Self {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
-            gateways: vec![any_port, any_port],
+            gateways: vec![any_port(), any_port()],
             engines: 4,
             kv_capacity_tokens: 1_200_000,
             time_scale: 20.0,
@@ -84,7 +83,7 @@
     sidecars: Vec<Sidecar>,
     engines: Vec<Engine>,
     service: Service,
-    _platform: Platform,
+    platform: Platform,
     bearer_keys: Vec<String>,
 }
 
@@ -110,7 +109,7 @@
             sidecars: sidecars.into_iter().map(|(_, sidecar)| sidecar).collect(),
             engines,
             service,
-            _platform: platform,
+            platform,
             bearer_keys,
         };
         fleet.wait_until_ready()?;
@@ -143,6 +142,19 @@
         }
     }
 
+    /// Operators' addresses of gateways and sidecars.
+    pub fn admin_addresses(&self) -> Vec<SocketAddr> {
+        let gateways = self.gateways.iter();
+        let gateways = gateways.map(|(running, _)| running.gateway().admin_address());
+        let sidecars = self.sidecars.iter().map(Sidecar::admin_address);
+        gateways.chain(sidecars).flatten().collect()
+    }
+
+    /// Base address of the platform.
+    pub fn platform_url(&self) -> String {
+        self.platform.url()
+    }
+
     /// A line for people.
     pub fn describe(&self) -> String {
         format!(
@@ -216,6 +228,10 @@
     }
 }
 
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 fn metric(registry: &Registry, name: &str) -> f64 {
     let metrics = parse_metrics(&registry.encode());
     metrics.get(name).copied().unwrap_or_default()
@@ -286,6 +302,7 @@
         kind: row.kind(),
         endpoint_url,
         platform_url: Some(platform.url()),
+        admin_listen: Some(any_port()),
         ..sidecar::Options::default()
     };
     let sidecar = Sidecar::start(options).map_err(failed)?;
@@ -307,7 +324,8 @@
             name: format!("gateway-{}", index + 1),
             zone: ZONES[index % ZONES.len()].to_string(),
             listen,
-            peer_listen: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
+            peer_listen: Some(any_port()),
+            admin_listen: Some(any_port()),
             registry: registry.clone(),
             ..gateway::Options::default()
         },
