feat(fleet): give endpoints on leaving hosts no new work

Cause: the platform's list says which hosts leave; only the row's own switch was known. Ruled out: removing them from the picture, which would lose the way to their running requests. Conclusion: Fleet::leaving takes the whole set, and reports bring an endpoint back.

--- a/crates/mgs-fleet/src/fleet.rs
+++ b/crates/mgs-fleet/src/fleet.rs
@@ -52,6 +52,14 @@
     retired: Vec<u64>,
     declared_models: Vec<String>,
     started: bool,
+    /// The platform says that its host is leaving.
+    host_leaving: bool,
+}
+
+impl Session {
+    fn takes_work(&self) -> bool {
+        self.started && !self.host_leaving
+    }
 }
 
 /// What a process knows of the fleet.
@@ -212,7 +220,7 @@
             endpoint.models.clone_from(&report.models);
         }
         endpoint.state = match report.state() {
-            EndpointState::Live if !session.started => EndpointState::Leaving,
+            EndpointState::Live if !session.takes_work() => EndpointState::Leaving,
             state => state,
         };
         endpoint.load = load_of(report);
@@ -234,6 +242,24 @@
         self.changed = true;
     }
 
+    /// Takes the names of all endpoints whose host is leaving. They get no new work from the next
+    /// view on, and stay in it so that their running requests can be followed.
+    pub fn leaving(&mut self, names: &[String]) {
+        for endpoint in self.picture.endpoints.iter_mut().flatten() {
+            let session = &mut self.sessions[endpoint.key.0 as usize];
+            let leaves = names.contains(&endpoint.name);
+            if session.host_leaving == leaves {
+                continue;
+            }
+            session.host_leaving = leaves;
+            if leaves && endpoint.state == EndpointState::Live {
+                Arc::make_mut(endpoint).state = EndpointState::Leaving;
+            }
+            self.models_changed = true;
+            self.changed = true;
+        }
+    }
+
     /// The picture now. Cheap when nothing has changed; otherwise pointers are copied.
     pub fn view(&mut self) -> Arc<View> {
         if self.models_changed {
@@ -256,7 +282,7 @@
             for model in &session.declared_models {
                 index.entry(model.clone()).or_default();
             }
-            if !session.started {
+            if !session.takes_work() {
                 continue;
             }
             for model in &endpoint.models {
--- a/crates/mgs-fleet/tests/fleet.rs
+++ b/crates/mgs-fleet/tests/fleet.rs
@@ -97,6 +97,21 @@
     assert_eq!(view.get(key).unwrap().state, EndpointState::Leaving);
 }
 
+#[test]
+fn an_endpoint_on_a_leaving_host_gets_no_new_work() {
+    let (mut fleet, key) = live_fleet();
+    fleet.leaving(&["engine-1".to_string()]);
+    fleet.report(130, key, &report(7, 2));
+    let view = fleet.view();
+    assert!(view.by_model["small"].is_empty());
+    assert_eq!(view.get(key).unwrap().state, EndpointState::Leaving);
+    fleet.leaving(&[]);
+    fleet.report(140, key, &report(7, 3));
+    let view = fleet.view();
+    assert_eq!(view.by_model["small"], [key]);
+    assert_eq!(view.get(key).unwrap().state, EndpointState::Live);
+}
+
 #[test]
 fn settings_never_go_back() {
     let (mut fleet, key) = live_fleet();
