feat(gateway): follow the settings, hold the name, confirm, read hosts, be the controller

Cause: each was a pure part that no thread drove, so edits reached the gateway and no sidecar. Ruled out: threads in the binary, which would know the gateway's sessions and peers from outside. Conclusion: Options.platform starts all duties; edits reach sidecars with the load reports' version, and a start without the store takes the settings from a peer.

--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -7,9 +7,13 @@
 use std::sync::Arc;
 use std::sync::Mutex;
 use std::sync::PoisonError;
+use std::time::Duration;
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use crossbeam::channel::Receiver;
+use crossbeam::channel::RecvTimeoutError;
+use crossbeam::channel::Sender;
 use mgs_admission::queue::Admission;
 use mgs_fleet::fleet;
 use mgs_fleet::fleet::Fleet;
@@ -22,15 +26,19 @@
 use mgs_schema::key::RequestId;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::wire::RefusalReason;
+use mgs_settings::confirm;
+use mgs_settings::confirm::Reporter;
 use mgs_settings::hold::Holder;
 use mgs_transport::runtime::Runtime;
 
+use crate::duty::demand::Demand;
 use crate::gateway::Options;
 use crate::http::body;
 use crate::hub::Hub;
 use crate::job::Job;
 use crate::metrics::Metrics;
 use crate::parting::Parting;
+use crate::session::Session;
 use crate::session::Sessions;
 
 /// State shared by the threads of one gateway.
@@ -45,6 +53,8 @@
     pub(crate) hub: Hub,
     pub(crate) sessions: Sessions,
     pub(crate) parting: Parting,
+    pub(crate) demand: Demand,
+    reporter: Mutex<Reporter>,
     fleet: Mutex<Fleet>,
     view: ArcSwap<View>,
     started: Instant,
@@ -54,7 +64,10 @@
     pub(crate) open: AtomicUsize,
     leaving: AtomicBool,
     closed: AtomicBool,
-    stopped: AtomicBool,
+    superseded: AtomicBool,
+    /// Taken, and so disconnected, when the gateway stops.
+    stopper: Mutex<Option<Sender<()>>>,
+    stopped: Receiver<()>,
 }
 
 impl Core {
@@ -70,8 +83,10 @@
             zone: options.zone.clone(),
             ..fleet::Options::default()
         });
+        let incarnation = rand::random_range(1..=u64::MAX);
+        let (stopper, stopped) = crossbeam::channel::bounded(0);
         Self {
-            incarnation: rand::random_range(1..=u64::MAX),
+            incarnation,
             settings: options.settings.clone(),
             policy,
             budget: Budget::new(options.retry_budget.clone()),
@@ -80,6 +95,8 @@
             hub: Hub::new(admission),
             sessions: Sessions::default(),
             parting,
+            demand: Demand::default(),
+            reporter: Mutex::new(Reporter::new(confirm::Options::default(), incarnation)),
             fleet: Mutex::new(fleet),
             view: ArcSwap::default(),
             started: Instant::now(),
@@ -88,7 +105,9 @@
             open: AtomicUsize::new(0),
             leaving: AtomicBool::new(false),
             closed: AtomicBool::new(false),
-            stopped: AtomicBool::new(false),
+            superseded: AtomicBool::new(false),
+            stopper: Mutex::new(Some(stopper)),
+            stopped,
             options,
         }
     }
@@ -176,13 +195,49 @@
 
     /// Whether its threads must end.
     pub(crate) fn is_stopped(&self) -> bool {
-        self.stopped.load(Ordering::Acquire)
+        !matches!(
+            self.stopped.try_recv(),
+            Err(crossbeam::channel::TryRecvError::Empty)
+        )
+    }
+
+    /// Waits; returns whether the gateway still runs.
+    pub(crate) fn pause(&self, wait_ms: u64) -> bool {
+        let waited = self.stopped.recv_timeout(Duration::from_millis(wait_ms));
+        waited == Err(RecvTimeoutError::Timeout)
+    }
+
+    /// Another process has this one's name: it takes no new requests and must be stopped.
+    pub(crate) fn supersede(&self) {
+        self.superseded.store(true, Ordering::Release);
+        self.leave();
+        self.close();
+    }
+
+    /// Whether another process has taken this gateway's name.
+    pub fn is_superseded(&self) -> bool {
+        self.superseded.load(Ordering::Acquire)
+    }
+
+    /// Notes or asks for what is to be confirmed.
+    pub(crate) fn report<T>(&self, change: impl FnOnce(&mut Reporter) -> T) -> T {
+        let mut reporter = self.reporter.lock().unwrap_or_else(PoisonError::into_inner);
+        change(&mut reporter)
+    }
+
+    /// The session with the sidecar of an endpoint.
+    pub(crate) fn session_of(&self, endpoint: &str) -> Option<Arc<Session>> {
+        let fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
+        let key = fleet.find(endpoint)?;
+        drop(fleet);
+        self.sessions.slot(key)?.session()
     }
 
     pub(crate) fn stop(&self) {
         self.leave();
         self.close();
-        self.stopped.store(true, Ordering::Release);
+        let mut stopper = self.stopper.lock().unwrap_or_else(PoisonError::into_inner);
+        stopper.take();
     }
 
     /// Whether there are settings to serve by.
@@ -193,7 +248,7 @@
 
 impl Health for Core {
     fn healthy(&self) -> bool {
-        !self.is_stopped()
+        !self.is_stopped() && !self.is_superseded()
     }
 
     fn ready(&self) -> Result<(), String> {
--- /dev/null
+++ b/crates/mgs-gateway/src/duty/member.rs
@@ -0,0 +1,78 @@
+//! Holds the gateway's name, and finds the other gateways.
+
+use std::net::SocketAddr;
+use std::sync::Arc;
+
+use mgs_platform::table::scan_all;
+use mgs_settings::member::Claim;
+use mgs_settings::member::Error;
+use mgs_settings::member::Member;
+use mgs_settings::member::Observer;
+use mgs_settings::member::Role;
+use mgs_settings::member::GATEWAY_PREFIX;
+
+use crate::duty::Duties;
+
+/// Pause after an error of the store, in milliseconds.
+const AGAIN_MS: u64 = 1_000;
+
+/// Renews the claim until the gateway stops or its name is taken over.
+pub(crate) fn run(duties: &Arc<Duties>) {
+    let core = &duties.core;
+    let mut claim = Claim::new(Role::Gateway, &core.options.name, member(duties));
+    let mut observer = Observer::default();
+    let mut since_ms = core.now_ms();
+    loop {
+        let now_ms = core.now_ms();
+        let demand = core
+            .demand
+            .take(now_ms - since_ms, &core.hub.waiting_tokens());
+        since_ms = now_ms;
+        let wait_ms = match claim.renew(duties.platform.table.as_ref(), demand) {
+            Ok(()) => {
+                observe(duties, &mut observer);
+                core.options.member.renew_interval_ms
+            }
+            Err(Error::Superseded { incarnation }) => {
+                log::error!(by = incarnation; "another process has this gateway's name; leaving");
+                return core.supersede();
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "the claim of the name can't be renewed");
+                AGAIN_MS.min(core.options.member.renew_interval_ms)
+            }
+        };
+        if !core.pause(wait_ms) {
+            break;
+        }
+    }
+    if let Err(error) = claim.leave(duties.platform.table.as_ref()) {
+        log::info!(error:% = error; "the name wasn't given up; its lease runs out");
+    }
+}
+
+fn member(duties: &Duties) -> Member {
+    Member {
+        incarnation: duties.core.incarnation,
+        address: duties.peer_address.clone(),
+        zone: duties.core.options.zone.clone(),
+        ..Member::default()
+    }
+}
+
+fn observe(duties: &Duties, observer: &mut Observer) {
+    let now_ms = duties.core.now_ms();
+    let rows = match scan_all(duties.platform.table.as_ref(), GATEWAY_PREFIX) {
+        Ok(rows) => rows,
+        Err(error) => return log::info!(error:% = error; "gateways can't be listed"),
+    };
+    if let Err(error) = observer.observe(now_ms, &rows) {
+        return log::warn!(error:% = error; "a gateway's row can't be read");
+    }
+    let lease_ms = duties.core.options.member.lease_ms;
+    let live = observer.live(now_ms, lease_ms);
+    let own = duties.core.options.name.as_str();
+    let others = live.into_iter().filter(|(name, _)| *name != own);
+    let addresses = others.filter_map(|(_, member)| member.address.parse::<SocketAddr>().ok());
+    duties.links.found(addresses.collect());
+}
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -17,14 +17,23 @@
 use mgs_request::budget;
 use mgs_request::plant::Plant;
 use mgs_routing::policy;
+use mgs_settings::follow;
+use mgs_settings::follow::Follower;
 use mgs_settings::hold::Holder;
+use mgs_settings::member;
 use mgs_transport::client;
+use mgs_transport::pool::Pool;
 use mgs_transport::runtime;
 use mgs_transport::runtime::Runtime;
 use mgs_transport::server;
 use mgs_transport::server::Server;
 
 use crate::core::Core;
+use crate::duty;
+use crate::duty::links::Links;
+use crate::duty::links::SettingsPeers;
+use crate::duty::Duties;
+use crate::duty::Platform;
 use crate::hub;
 use crate::keeper;
 use crate::listen;
@@ -48,10 +57,21 @@
     pub peer_listen: Option<SocketAddr>,
     /// Where `/metrics`, `/healthz` and `/readyz` are served; nowhere if not given.
     pub admin_listen: Option<SocketAddr>,
-    /// The table in force, which someone keeps up to date.
+    /// The platform's services. With them, the gateway follows the settings itself, holds its
+    /// name, confirms what is in force and may be the controller.
+    pub platform: Option<Platform>,
+    /// The table in force, which someone keeps up to date; replaced if there is a platform.
     pub settings: Arc<Holder>,
-    /// Whether that table may be served by.
+    /// Whether that table may be served by; replaced if there is a platform.
     pub ready: Ready,
+    /// How settings are followed.
+    pub follow: follow::Options,
+    /// How the name is held.
+    pub member: member::Options,
+    /// Other gateways' `peer_listen` addresses, asked for settings at a start without the store.
+    pub peers: Vec<SocketAddr>,
+    /// Whether it may be the controller.
+    pub control: bool,
     /// Name of the routing policy.
     pub policy: String,
     /// Name of the queue.
@@ -86,6 +106,11 @@
             listen: SocketAddr::from(([127, 0, 0, 1], 0)),
             peer_listen: None,
             admin_listen: None,
+            platform: None,
+            follow: follow::Options::default(),
+            member: member::Options::default(),
+            peers: Vec::new(),
+            control: true,
             settings: Arc::default(),
             ready: Arc::new(|| true),
             policy: policy::NAMES[0].to_string(),
@@ -140,6 +165,41 @@
     admin: Option<Admin>,
 }
 
+/// What follows the settings, before there is a gateway.
+struct Following {
+    platform: Platform,
+    follower: Arc<Follower>,
+    links: Arc<Links>,
+}
+
+impl Following {
+    fn new(platform: Platform, options: &Options, runtime: &Runtime) -> Self {
+        let pool = Pool::new(runtime.clone(), options.transport.clone());
+        let links = Arc::new(Links::new(pool, options.peers.clone()));
+        let follower = Follower::new(
+            options.follow.clone(),
+            platform.table.clone(),
+            platform.objects.clone(),
+            Box::new(SettingsPeers(links.clone())),
+        );
+        Self {
+            platform,
+            follower: Arc::new(follower),
+            links,
+        }
+    }
+
+    fn duties(self, core: &Arc<Core>, peer_address: SocketAddr) -> Duties {
+        Duties {
+            core: core.clone(),
+            platform: self.platform,
+            follower: self.follower,
+            links: self.links,
+            peer_address: peer_address.to_string(),
+        }
+    }
+}
+
 /// Time between looks at what is still open while draining.
 const DRAIN_LOOK: Duration = Duration::from_millis(10);
 
@@ -154,7 +214,7 @@
     /// assert_ne!(gateway.address().port(), 0);
     /// assert!(gateway.health().ready().is_err(), "no settings yet");
     /// ```
-    pub fn start(options: Options) -> Result<Self, Error> {
+    pub fn start(mut options: Options) -> Result<Self, Error> {
         let policy = policy::by_name(&options.policy)
             .ok_or_else(|| Error::UnknownPolicy(options.policy.clone()))?;
         let admission = queue::by_name(&options.admission)
@@ -170,6 +230,13 @@
         })
         .map_err(Error::Threads)?;
         let parting = Parting::start().map_err(Error::Threads)?;
+        let following = options.platform.clone().map(|platform| {
+            let following = Following::new(platform, &options, &runtime);
+            let follower = following.follower.clone();
+            options.settings = follower.holder().clone();
+            options.ready = Arc::new(move || follower.ready());
+            following
+        });
         let core = Arc::new(Core::new(options, policy, admission, runtime, parting));
         let mut gateway = Self {
             core,
@@ -177,11 +244,11 @@
             peers: None,
             admin: None,
         };
-        gateway.open(listener)?;
+        gateway.open(listener, following)?;
         Ok(gateway)
     }
 
-    fn open(&mut self, listener: TcpListener) -> Result<(), Error> {
+    fn open(&mut self, listener: TcpListener, following: Option<Following>) -> Result<(), Error> {
         let core = &self.core;
         keeper::start(core).map_err(Error::Threads)?;
         hub::start(core).map_err(Error::Threads)?;
@@ -195,6 +262,10 @@
             .admin_listen
             .map(|at| serve_admin(core, at))
             .transpose()?;
+        if let Some(following) = following {
+            let peer_address = self.peer_address().unwrap_or(self.address);
+            duty::start(following.duties(core, peer_address)).map_err(Error::Threads)?;
+        }
         listen::start(core, listener).map_err(Error::Threads)
     }
 
--- a/crates/mgs-gateway/src/hub.rs
+++ b/crates/mgs-gateway/src/hub.rs
@@ -1,6 +1,7 @@
 //! The queue and its dispatcher: requests wait here until the fleet has room for them.
 
 use std::cell::RefCell;
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::io;
 use std::sync::Arc;
@@ -87,6 +88,8 @@
     /// Offers a request and waits until it may start; a refusal comes as an error.
     pub(crate) fn admit(&self, core: &Core, job: &Arc<Job>) -> Result<Option<Choice>, Refusal> {
         let (signal, signalled) = crossbeam::channel::bounded(1);
+        core.demand
+            .add(&job.model, job.prompt_tokens + job.max_tokens);
         self.offer(core, job, signal)?;
         self.wake();
         let wait_ms = job.deadline_ms.saturating_sub(core.now_ms());
@@ -140,6 +143,15 @@
         self.wake();
     }
 
+    /// Prompt tokens that wait, by model.
+    pub(crate) fn waiting_tokens(&self) -> BTreeMap<String, u64> {
+        let mut tokens = BTreeMap::new();
+        for waiting in self.lock().waiting.values() {
+            *tokens.entry(waiting.job.model.clone()).or_default() += waiting.job.prompt_tokens;
+        }
+        tokens
+    }
+
     /// Looks at the queue once.
     fn look(&self, core: &Core) {
         let mut queue = self.lock();
--- a/crates/mgs-gateway/src/keeper.rs
+++ b/crates/mgs-gateway/src/keeper.rs
@@ -2,7 +2,6 @@
 
 use std::io;
 use std::sync::Arc;
-use std::time::Duration;
 
 use crate::core::Core;
 
@@ -17,8 +16,7 @@
         .name("settings".to_string())
         .spawn(move || {
             let mut applied = core.view().settings_version;
-            while !core.is_stopped() {
-                std::thread::sleep(Duration::from_millis(LOOK_MS));
+            while core.pause(LOOK_MS) {
                 let version = core.settings.version();
                 if version != applied {
                     apply(&core);
@@ -37,4 +35,5 @@
     core.hub.wake();
     let version = i64::try_from(table.version()).unwrap_or(i64::MAX);
     core.metrics.settings_version.set(version);
+    core.report(|reporter| reporter.own(table.version()));
 }
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -9,6 +9,7 @@
 
 pub mod core;
 mod drive;
+pub mod duty;
 pub mod gateway;
 pub mod http;
 mod hub;
--- a/crates/mgs-gateway/src/session.rs
+++ b/crates/mgs-gateway/src/session.rs
@@ -17,6 +17,8 @@
 use mgs_fleet::view::View;
 use mgs_schema::wire::envelope::Body;
 use mgs_schema::wire::Hello;
+use mgs_schema::wire::LoadReport;
+use mgs_schema::wire::SettingsRequest;
 use mgs_schema::wire::Welcome;
 use mgs_transport::client::Call;
 use mgs_transport::client::Connection;
@@ -36,6 +38,9 @@
 /// Time beside the missing reports, for a sidecar that is slow to send them, in milliseconds.
 const REPORT_SLACK_MS: u64 = 200;
 
+/// Shortest time between two messages with settings, in milliseconds.
+const PUSH_INTERVAL_MS: u64 = 500;
+
 const BACKOFF_MIN_MS: u64 = 50;
 const BACKOFF_MAX_MS: u64 = 1_000;
 
@@ -57,6 +62,8 @@
 pub(crate) struct Slot {
     /// Key of the endpoint.
     pub(crate) key: EndpointKey,
+    /// Name of the endpoint.
+    name: String,
     address: SocketAddr,
     current: ArcSwapOption<Session>,
     /// The endpoint is gone from the settings.
@@ -103,6 +110,7 @@
             slots.entry(endpoint.key).or_insert_with(|| {
                 let slot = Arc::new(Slot {
                     key: endpoint.key,
+                    name: endpoint.name.clone(),
                     address: endpoint.sidecar_address,
                     current: ArcSwapOption::empty(),
                     retired: AtomicBool::new(false),
@@ -125,6 +133,14 @@
     }
 }
 
+/// The last time that a sidecar was sent settings.
+#[derive(Debug, Default)]
+struct Pushed {
+    at_ms: u64,
+    /// The version that it had.
+    to: Option<u64>,
+}
+
 /// Keeps one session alive; what its thread runs.
 struct Keeping {
     core: Arc<Core>,
@@ -155,7 +171,7 @@
                 Err(error) => {
                     self.end();
                     log::debug!(sidecar:% = self.slot.address, error:% = error; "no session");
-                    std::thread::sleep(Duration::from_millis(backoff_ms));
+                    self.core.pause(backoff_ms);
                     backoff_ms = (backoff_ms * 2).min(BACKOFF_MAX_MS);
                 }
             }
@@ -185,6 +201,10 @@
         let Body::Welcome(welcome) = call.recv_timeout(WELCOME_WAIT)? else {
             return Err(Error::Broken("no welcome".to_string()));
         };
+        if welcome.process != self.slot.name {
+            let why = format!("{} answers at its address", welcome.process);
+            return Err(Error::Broken(why));
+        }
         self.begin(connection, number, &welcome);
         Ok((call, welcome.incarnation))
     }
@@ -211,6 +231,7 @@
         let options = &self.core.options;
         let wait_ms = options.report_interval_ms * REPORTS_MISSING_MAX + REPORT_SLACK_MS;
         let wait = Duration::from_millis(wait_ms);
+        let mut pushed = Pushed::default();
         loop {
             let report = match call.recv_timeout(wait) {
                 Ok(Body::LoadReport(report)) => report,
@@ -225,10 +246,39 @@
                 self.core
                     .change_fleet(|fleet| fleet.report(now_ms, key, &report));
                 self.core.hub.wake();
+                self.settings(&report, &mut pushed);
             }
         }
     }
 
+    /// Sends the sidecar newer settings than it reports; the whole table if the edits since its
+    /// version didn't help.
+    fn settings(&self, report: &LoadReport, pushed: &mut Pushed) {
+        let core = &self.core;
+        let name = &self.slot.name;
+        let has = report.settings_version;
+        core.report(|reporter| reporter.sidecar(name, has));
+        let now_ms = core.now_ms();
+        let waits = now_ms < pushed.at_ms + PUSH_INTERVAL_MS && pushed.at_ms != 0;
+        if !core.has_settings() || has >= core.settings.version() || waits {
+            return;
+        }
+        let since_version = match pushed.to == Some(has) {
+            true => 0,
+            false => has,
+        };
+        let reply = core.settings.answer(&SettingsRequest { since_version });
+        let session = self.slot.session();
+        let call = session.and_then(|s| s.connection.call(Body::SettingsReply(reply)).ok());
+        if let Some(call) = call {
+            core.parting.keep(call);
+        }
+        *pushed = Pushed {
+            at_ms: now_ms,
+            to: Some(has),
+        };
+    }
+
     /// No connection works: requests that wait on the session go on without it.
     fn end(&mut self) {
         if self.alive.take().is_none() {
@@ -238,5 +288,7 @@
         self.core.metrics.sessions.dec();
         let (now_ms, key) = (self.core.now_ms(), self.slot.key);
         self.core.change_fleet(|fleet| fleet.lost(now_ms, key));
+        let name = &self.slot.name;
+        self.core.report(|reporter| reporter.lost(name));
     }
 }
--- a/crates/mgs-gateway/tests/path.rs
+++ b/crates/mgs-gateway/tests/path.rs
@@ -32,8 +32,7 @@
     let first = sidecar(&runtime, first);
     let second = sidecar(&runtime, second);
     let service = sidecar(&runtime, Script::Answer(0));
-    let engines = [first.server.address(), second.server.address()];
-    let table = snapshot(&engines, &[service.server.address()]);
+    let table = snapshot(&[&first, &second], &[&service]);
     let gateway = gateway(table, Options::default());
     Bench {
         _runtime: runtime,
--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -3,7 +3,6 @@
 #![allow(dead_code)]
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -67,11 +66,15 @@
 
 pub(crate) struct Fake {
     pub(crate) incarnation: u64,
+    /// Name of the endpoint, as the table has it.
+    pub(crate) name: Mutex<String>,
     script: Mutex<Script>,
     /// Requests that ran here, and how often.
     pub(crate) ran: Mutex<HashMap<RequestId, u32>>,
     pub(crate) dispatches: Mutex<Vec<Dispatch>>,
     pub(crate) cancels: Mutex<Vec<RequestId>>,
+    /// Settings that it was sent.
+    pub(crate) settings: Arc<Holder>,
     /// Replies kept open by `Stall`.
     stalled: Mutex<Vec<Reply>>,
 }
@@ -85,9 +88,11 @@
 
     fn hello(&self, reply: Reply) {
         let incarnation = self.incarnation;
+        let settings = self.settings.clone();
         let welcome = Welcome {
             incarnation,
             zone: "zone-1".into(),
+            process: self.name.lock().unwrap().clone(),
             ..Welcome::default()
         };
         let _ = reply.send(Body::Welcome(welcome));
@@ -100,6 +105,7 @@
                     kv_capacity_tokens: 4_000_000,
                     prefill_tokens_per_s: 1e6,
                     decode_step_ms: 1.0,
+                    settings_version: settings.version(),
                     ..LoadReport::default()
                 };
                 if reply.send(Body::LoadReport(load)).is_err() {
@@ -199,6 +205,9 @@
                 };
                 let _ = reply.send(Body::Refused(refused));
             }
+            Body::SettingsReply(settings) => {
+                let _ = self.settings.adopt_reply(settings);
+            }
             Body::Cancel(cancel) => self.cancels.lock().unwrap().push(cancel.request_id()),
             _ => {}
         }
@@ -214,10 +223,12 @@
 pub(crate) fn sidecar(runtime: &Runtime, script: Script) -> Sidecar {
     let fake = Arc::new(Fake {
         incarnation: NEXT_INCARNATION.fetch_add(1, Ordering::Relaxed),
+        name: Mutex::default(),
         script: Mutex::new(script),
         ran: Mutex::default(),
         dispatches: Mutex::default(),
         cancels: Mutex::default(),
+        settings: Arc::default(),
         stalled: Mutex::default(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -225,15 +236,19 @@
     Sidecar { fake, server }
 }
 
-pub(crate) fn snapshot(engines: &[SocketAddr], services: &[SocketAddr]) -> Snapshot {
-    let endpoint = |kind: EndpointKind, model: &str, index: usize, at: &SocketAddr| EndpointRow {
-        name: format!("{model}-{index}"),
-        kind: kind.into(),
-        sidecar_address: at.to_string(),
-        zone: "zone-1".into(),
-        models: vec![model.into()],
-        started: true,
-        ..EndpointRow::default()
+pub(crate) fn snapshot(engines: &[&Sidecar], services: &[&Sidecar]) -> Snapshot {
+    let endpoint = |kind: EndpointKind, model: &str, index: usize, at: &Sidecar| {
+        let name = format!("{model}-{index}");
+        at.fake.name.lock().unwrap().clone_from(&name);
+        EndpointRow {
+            name,
+            kind: kind.into(),
+            sidecar_address: at.server.address().to_string(),
+            zone: "zone-1".into(),
+            models: vec![model.into()],
+            started: true,
+            ..EndpointRow::default()
+        }
     };
     let engines = engines.iter().enumerate();
     let engines = engines.map(|(i, at)| endpoint(EndpointKind::Engine, "m", i, at));
