test(gateway): let go of slow, silent, absurd and gone callers

Cause: tiny_http reads without a timeout, stops accepting after one failed accept, and sets aside memory for all of an announced body when a request is dropped. Ruled out: TCP user timeout alone (a silent peer that is alive isn't dead to TCP). Conclusion: a caller holds a thread for one read timeout after its last byte.

--- a/crates/mgs-gateway/src/http/head.rs
+++ b/crates/mgs-gateway/src/http/head.rs
@@ -118,8 +118,10 @@
     if lengths > 1 || encodings > 1 || (lengths == 1 && encodings == 1) {
         return Err(bad("one Content-Length or one Transfer-Encoding, not more"));
     }
-    let digits = |text: &str| !text.is_empty() && text.bytes().all(|b| b.is_ascii_digit());
-    if named("Content-Length").any(|header| !digits(header.value.as_str().trim())) {
+    // Stricter than `parse`, which takes a sign.
+    let number =
+        |text: &str| text.bytes().all(|b| b.is_ascii_digit()) && text.parse::<usize>().is_ok();
+    if named("Content-Length").any(|header| !number(header.value.as_str().trim())) {
         return Err(bad("Content-Length must be a number"));
     }
     let chunked = |text: &str| text.trim().eq_ignore_ascii_case("chunked");
--- a/crates/mgs-gateway/src/listen.rs
+++ b/crates/mgs-gateway/src/listen.rs
@@ -37,6 +37,9 @@
     /// Longest silence of a caller in the middle of a request, and between two requests on one
     /// connection, in milliseconds.
     pub read_timeout_ms: u64,
+    /// Time between connections of the gateway to itself, which keep the read timeout from ending
+    /// an accept, in milliseconds.
+    pub probe_interval_ms: u64,
     /// Longest time that a caller takes no byte of its answer, in milliseconds.
     pub write_timeout_ms: u64,
     /// Longest time for a whole body, in milliseconds.
@@ -53,6 +56,7 @@
     fn default() -> Self {
         Self {
             read_timeout_ms: 30_000,
+            probe_interval_ms: 10_000,
             write_timeout_ms: 10_000,
             body_timeout_ms: 60_000,
             body_max_bytes: 8 * 1024 * 1024,
@@ -129,14 +133,8 @@
 
 /// Connects now and then, so that no accept waits for as long as the read timeout.
 fn probe(core: &Core, address: SocketAddr) {
-    let every = Duration::from_millis(core.options.callers.read_timeout_ms / 3);
-    let mut last = Instant::now();
-    while !core.is_stopped() {
-        std::thread::sleep(POLL.min(every));
-        if last.elapsed() < every {
-            continue;
-        }
-        last = Instant::now();
+    let every = core.options.callers.probe_interval_ms;
+    while core.pause(every) {
         if let Err(error) = TcpStream::connect_timeout(&address, POLL) {
             log::warn!(error:% = error; "the callers' own socket can't be reached");
         }
--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -57,6 +57,8 @@
     LoseAfter(u64),
     /// Ends the call after one frame, and knows nothing of it from then on.
     Forget,
+    /// Answers without an end, until nobody reads.
+    Drip,
     /// Accepts and says nothing more.
     Stall,
 }
@@ -142,6 +144,7 @@
                 send_frames(&reply, 0, 1);
                 self.ran.lock().unwrap().remove(&id);
             }
+            Script::Drip => drip(reply),
             _ => self.stalled.lock().unwrap().push(reply),
         }
     }
@@ -162,6 +165,18 @@
     }
 }
 
+fn drip(reply: Reply) {
+    std::thread::spawn(move || {
+        for seq in 0.. {
+            send_frames(&reply, seq, seq + 1);
+            if reply.is_closed() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(5));
+        }
+    });
+}
+
 fn answer(reply: &Reply, from: u64, frames: u64, body_bytes: u64) {
     send_frames(reply, from, frames);
     let finished = Finished {
