--- a/crates/mgs-gateway/src/drive.rs
+++ b/crates/mgs-gateway/src/drive.rs
@@ -285,9 +285,9 @@
 
     fn resume(&mut self, number: AttemptNumber, next_seq: u64) {
         self.core.metrics.resumes.inc();
-        let left_ms = self.job.deadline_ms.saturating_sub(self.core.now_ms());
         let (origin, serial) = (self.job.id.origin, self.job.id.serial);
         let gateway_incarnation = self.core.incarnation;
+        let budget_ms = self.job.sidecar_budget_ms(self.core.now_ms());
         self.ask(number, |_, session| {
             Body::Resume(Resume {
                 request_origin: origin,
@@ -295,7 +295,7 @@
                 next_seq,
                 session: session.number,
                 gateway_incarnation,
-                budget_ms: left_ms,
+                budget_ms,
             })
         });
     }
--- a/src/demo/client.rs
+++ b/src/demo/client.rs
@@ -73,7 +73,7 @@
         .header("Content-Type", "application/json")
         .header("Request-Kind", &request.kind)
         .header("Request-Timeout-Ms", request.allotted_ms)
-        .header("Idempotent", request.idempotent)
+        .header("Idempotent", request.idempotent.to_string())
         .read_timeout(wait)
         .timeout(wait)
         .text(&request.body)
