--- a/crates/mgs-controller/src/runner.rs
+++ b/crates/mgs-controller/src/runner.rs
@@ -231,7 +231,7 @@
         let table = self.platform.table.as_ref();
         let gateways = scan_all(table, member::GATEWAY_PREFIX)?;
         self.observer.observe(now_ms, &gateways)?;
-        let live = self.observer.live(now_ms, self.options.member_lease_ms);
+        let live = self.observer.live(self.options.member_lease_ms);
         let rates = demand::sum(live.values().copied());
         let half_life_ms = self.options.placement.half_life_ms;
         duty.demand.update(now_ms, &rates, half_life_ms);
@@ -308,10 +308,7 @@
             objects: self.platform.objects.as_ref(),
         };
         compact::run(store, &self.options.compact)?;
-        for (key, version) in self
-            .observer
-            .older_than(now_ms, self.options.member_keep_ms)
-        {
+        for (key, version) in self.observer.older_than(self.options.member_keep_ms) {
             let name = key.trim_start_matches(member::GATEWAY_PREFIX);
             let txn = Txn::default()
                 .when(&key, version)
--- a/crates/mgs-settings/src/member.rs
+++ b/crates/mgs-settings/src/member.rs
@@ -256,10 +256,29 @@
     }
 }
 
-/// Judges by its owner's clock which gateways are live.
+const MS_PER_S: u64 = 1_000;
+
+/// Bytes of one gateway's row, about.
+const ROW_BYTES: u64 = 300;
+
+/// When to look at the gateways' rows again, in milliseconds: at each renewal, or as often as a
+/// budget of bytes per second allows for so many gateways.
+///
+/// ```
+/// use mgs_settings::member;
+///
+/// assert_eq!(member::look_interval_ms(6, 10_000, 3_000), 10_000);
+/// assert_eq!(member::look_interval_ms(450, 10_000, 3_000), 45_000);
+/// ```
+pub fn look_interval_ms(gateways: u64, renew_interval_ms: u64, bytes_per_s: u64) -> u64 {
+    renew_interval_ms.max(gateways * ROW_BYTES * MS_PER_S / bytes_per_s.max(1))
+}
+
+/// Judges by its owner's clock which gateways are live, as of its last look at their rows.
 #[derive(Debug, Default)]
 pub struct Observer {
     seen: HashMap<String, Seen>,
+    looked_ms: u64,
 }
 
 #[derive(Debug)]
@@ -288,21 +307,23 @@
             seen.insert(name, next);
         }
         self.seen = seen;
+        self.looked_ms = now_ms;
         Ok(())
     }
 
-    /// Gateways whose row changed within the lease, by name.
-    pub fn live(&self, now_ms: u64, lease_ms: u64) -> BTreeMap<&str, &Member> {
-        let live = |seen: &Seen| now_ms < seen.since_ms + lease_ms;
+    /// Gateways by name, but for those whose row had been unchanged for the lease at the last
+    /// look.
+    pub fn live(&self, lease_ms: u64) -> BTreeMap<&str, &Member> {
+        let live = |seen: &Seen| self.looked_ms < seen.since_ms + lease_ms;
         let rows = self.seen.iter().filter(|(_, seen)| live(seen));
         rows.map(|(name, seen)| (name.as_str(), &seen.member))
             .collect()
     }
 
-    /// Keys and versions of rows that have been unchanged for `age_ms`; they may be removed on
-    /// the condition that they still have that version.
-    pub fn older_than(&self, now_ms: u64, age_ms: u64) -> Vec<(String, u64)> {
-        let old = |seen: &Seen| now_ms >= seen.since_ms + age_ms;
+    /// Keys and versions of rows that had been unchanged for `age_ms` at the last look; they may
+    /// be removed on the condition that they still have that version.
+    pub fn older_than(&self, age_ms: u64) -> Vec<(String, u64)> {
+        let old = |seen: &Seen| self.looked_ms >= seen.since_ms + age_ms;
         let rows = self.seen.iter().filter(|(_, seen)| old(seen));
         rows.map(|(name, seen)| (key(Role::Gateway, name), seen.version))
             .collect()
--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -6,3 +6,4 @@
 pub mod check;
 pub mod history;
 pub mod proxy;
+pub mod settings;
--- /dev/null
+++ b/crates/mgs-testing/src/settings/propagation.rs
@@ -0,0 +1,1 @@
+//! Measures.
--- a/src/operator/wait.rs
+++ b/src/operator/wait.rs
@@ -71,7 +71,7 @@
     let table = session.store().table;
     let members = scan_all(table, member::GATEWAY_PREFIX)?;
     observer.observe(now_ms, &members).map_err(store_error)?;
-    let live = observer.live(now_ms, member::Options::default().lease_ms);
+    let live = observer.live(member::Options::default().lease_ms);
     let incarnations = live
         .iter()
         .map(|(name, m)| ((*name).to_string(), m.incarnation));
