feat(cli): a sheet that was exported earlier conflicts row by row

Cause: a process test showed that an old sheet overwrote a newer row: the versions in the sheet were taken for those of the table. Ruled out: a table made up from the sheet (its version isn't one that ever was). Conclusion: an edit names the versions that its editor saw.

--- a/crates/mgs-settings/src/plan.rs
+++ b/crates/mgs-settings/src/plan.rs
@@ -1,5 +1,6 @@
 //! From sheets to changes: what an edit of many rows would do.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use mgs_schema::settings::Change;
@@ -38,9 +39,8 @@
     pub differences: Vec<Difference>,
     /// Rows that the sheet lacks and that are newer than it; they stay.
     pub newer: Vec<RowKey>,
-    /// The table that the sheet was made from, as far as it says: a row whose version isn't the
-    /// one in the sheet is left as the sheet has it, so that the edit ends in a conflict.
-    pub base: Table,
+    /// Versions of the rows that the sheet was made from, as far as it gives them.
+    pub seen: BTreeMap<RowKey, u64>,
 }
 
 impl Plan {
@@ -70,16 +70,13 @@
 /// ```
 pub fn compare(sheet: Sheet, lines: &[Line], table: &Table, missing: Missing) -> Plan {
     let mut plan = Plan::default();
-    let mut base = table.snapshot().clone();
     for line in lines {
         let key = line.row.key();
         let before = table.row(&key);
         let version = before.as_ref().map_or(0, RowValue::version);
         let after = line.row.clone().at_version(version);
-        if line.version.is_some_and(|given| given != version) {
-            let given = line.version.unwrap_or_default();
-            let change = line.row.clone().set();
-            crate::table::apply_change(&mut base, &change, given);
+        if let Some(given) = line.version {
+            plan.seen.insert(key.clone(), given);
         }
         if before.as_ref() != Some(&after) {
             plan.differences.push(Difference {
@@ -89,7 +86,6 @@
             });
         }
     }
-    plan.base = Table::new(base);
     if missing == Missing::Remove {
         plan_removals(sheet, lines, table, &mut plan);
     }
--- a/crates/mgs-settings/src/store/edit.rs
+++ b/crates/mgs-settings/src/store/edit.rs
@@ -1,5 +1,6 @@
 //! Making edits: optimistic by row, conflicts that show both values, lost replies settled.
 
+use std::collections::BTreeMap;
 use std::fmt;
 
 use displaydoc::Display;
@@ -40,6 +41,9 @@
     pub at_ms: u64,
     /// The rows that it changes, each at most once.
     pub changes: Vec<Change>,
+    /// Versions of rows that the editor looked at, where they aren't those of the base: those of
+    /// a sheet that was exported earlier.
+    pub seen: BTreeMap<RowKey, u64>,
     /// Whether it was tried before under this identifier and that try's answer was lost.
     pub retried: bool,
 }
@@ -58,7 +62,9 @@
 pub struct Conflict {
     /// The row.
     pub key: RowKey,
-    /// Its value when the edit was begun; `None` if there was no row.
+    /// Version of the row that the editor looked at; 0 if there was no row.
+    pub seen: u64,
+    /// Its value then, where it is known.
     pub base: Option<RowValue>,
     /// Its value now.
     pub theirs: Option<RowValue>,
@@ -73,7 +79,11 @@
             None => "(no row)".to_string(),
         };
         writeln!(f, "{} was changed by another edit", self.key)?;
-        writeln!(f, "  before: {}", text(&self.base))?;
+        match &self.base {
+            Some(base) => writeln!(f, "  before: {base}")?,
+            None if self.seen > 0 => writeln!(f, "  before: as of version {}", self.seen)?,
+            None => writeln!(f, "  before: (no row)")?,
+        }
         writeln!(f, "  theirs: {}", text(&self.theirs))?;
         write!(f, "  yours:  {}", text(&self.ours))
     }
@@ -209,15 +219,19 @@
 
     fn conflict(&self, change: &Change) -> Option<Conflict> {
         let key = change_key(change)?;
+        let version = |row: &Option<RowValue>| row.as_ref().map_or(0, RowValue::version);
         let base = self.base.row(&key);
         let theirs = self.current.row(&key);
-        if base == theirs {
+        let given = self.options.seen.get(&key).copied();
+        let seen = given.unwrap_or(version(&base));
+        if seen == version(&theirs) {
             return None;
         }
         let ours = change_value(change);
         Some(Conflict {
             key,
-            base,
+            seen,
+            base: base.filter(|row| row.version() == seen),
             theirs,
             ours,
         })
--- a/crates/mgs-settings/tests/edit.rs
+++ b/crates/mgs-settings/tests/edit.rs
@@ -98,6 +98,22 @@
     assert!(matches!(error, Err(edit::Error::Conflict(1, _))));
 }
 
+#[test]
+fn a_row_that_is_newer_than_the_sheet_conflicts() {
+    let memory = Memory::default();
+    fill(store(&memory), 2);
+    let base = read::load(store(&memory)).unwrap();
+    let key = RowKey::limit("*", "fill");
+    for (seen, conflicts) in [(1, true), (2, false)] {
+        let options = edit::Options {
+            seen: [(key.clone(), seen)].into(),
+            ..options("sheet", vec![set_limit("fill", 9)])
+        };
+        let result = commit(store(&memory), &base, &options);
+        assert_eq!(matches!(result, Err(edit::Error::Conflict(..))), conflicts);
+    }
+}
+
 #[test]
 fn a_lost_reply_is_settled_and_nothing_applied_twice() {
     let memory = Memory::default();
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -71,7 +71,11 @@
     Arg::new(SHEET)
         .value_name("SHEET")
         .help("limits, organisations or endpoints")
-        .default_value("limits")
+        .required(true)
+}
+
+fn optional_sheet_argument() -> Arg {
+    sheet_argument().required(false).default_value("limits")
 }
 
 fn file_argument() -> Arg {
--- a/src/command/table/change.rs
+++ b/src/command/table/change.rs
@@ -141,7 +141,7 @@
     let plan = plan::compare(sheet, &lines, &table, missing);
     print::differences(sheet, &plan.differences, out)?;
     read::print_newer(&plan, out)?;
-    editor.make(&plan.base, plan.changes(), out)
+    editor.make_sheet(&table, plan.changes(), plan.seen, out)
 }
 
 pub(super) fn import(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -17,6 +17,7 @@
 use super::file_argument;
 use super::is_json;
 use super::key_arguments;
+use super::optional_sheet_argument;
 use super::sheet;
 use super::sheet_argument;
 use super::text;
@@ -34,7 +35,7 @@
     vec![
         Command::new("show")
             .about("Show a sheet")
-            .arg(sheet_argument())
+            .arg(optional_sheet_argument())
             .args(operator::arguments()),
         Command::new("get")
             .about("Show the row of limits that holds for an organisation and a kind of request")
@@ -42,7 +43,7 @@
             .args(operator::arguments()),
         Command::new("export")
             .about("Print a sheet as CSV, or with --json the whole table")
-            .arg(sheet_argument())
+            .arg(optional_sheet_argument())
             .args(operator::arguments()),
         Command::new("diff")
             .about("Show what `apply` would change; it changes nothing")
--- a/src/operator/edit.rs
+++ b/src/operator/edit.rs
@@ -1,5 +1,6 @@
 //! Making an edit, with its lost replies settled.
 
+use std::collections::BTreeMap;
 use std::io::Write;
 use std::thread;
 use std::time::Duration;
@@ -11,6 +12,7 @@
 use clap::ArgMatches;
 use mgs_platform::http;
 use mgs_schema::settings::Change;
+use mgs_settings::row::RowKey;
 use mgs_settings::store::edit;
 use mgs_settings::store::edit::commit;
 use mgs_settings::store::edit::Conflict;
@@ -124,6 +126,17 @@
         base: &Table,
         changes: Vec<Change>,
         out: &mut dyn Write,
+    ) -> Result<(), Error> {
+        self.make_sheet(base, changes, BTreeMap::new(), out)
+    }
+
+    /// Makes an edit whose rows were seen at the versions given.
+    pub fn make_sheet(
+        &self,
+        base: &Table,
+        changes: Vec<Change>,
+        seen: BTreeMap<RowKey, u64>,
+        out: &mut dyn Write,
     ) -> Result<(), Error> {
         let outcome = match self.made_before()? {
             Some(version) => Outcome {
@@ -135,7 +148,7 @@
                 writeln!(out, "nothing changes; the table stays at version {version}")?;
                 return Ok(());
             }
-            None => self.commit(base, self.edit_options(changes))?,
+            None => self.commit(base, self.edit_options(changes, seen))?,
         };
         let already = if outcome.already { " before" } else { "" };
         writeln!(out, "accepted{already} as version {}", outcome.version)?;
@@ -145,7 +158,7 @@
         }
     }
 
-    fn edit_options(&self, changes: Vec<Change>) -> edit::Options {
+    fn edit_options(&self, changes: Vec<Change>, seen: BTreeMap<RowKey, u64>) -> edit::Options {
         let now = SystemTime::now().duration_since(UNIX_EPOCH);
         let at_ms = now.map_or(0, |since| since.as_millis() as u64);
         let edit_id = self.options.edit_id.clone();
@@ -154,6 +167,7 @@
             author: self.options.author.clone(),
             at_ms,
             changes,
+            seen,
             retried: self.options.edit_id.is_some(),
         }
     }
--- a/tests/command_table.rs
+++ b/tests/command_table.rs
@@ -8,6 +8,7 @@
 
 use common::code;
 use common::marigoldstage;
+use common::run;
 use common::stderr;
 use common::stdout;
 use mgs_platform::table::Table as _;
@@ -78,6 +79,13 @@
     }
 }
 
+#[test]
+fn a_subcommand_must_be_given() {
+    for command in ["table", "endpoint", "organisation"] {
+        assert_eq!(code(&run(&[command])), 2);
+    }
+}
+
 #[test]
 fn rows_are_set_shown_and_removed() {
     let shell = Shell::new();
