feat(cli): rows that an old sheet left as they were aren't in conflict

Cause: who applies a sheet changes few of its rows; a conflict on a row that only others changed says nothing to them. Ruled out: leaving such rows out by the text of the export (the sheet's own versions lead to the edit that made them, in the log or its archive).

--- a/crates/mgs-settings/src/plan.rs
+++ b/crates/mgs-settings/src/plan.rs
@@ -4,6 +4,7 @@
 use std::collections::BTreeSet;
 
 use mgs_schema::settings::Change;
+use mgs_schema::settings::Edit;
 
 use crate::row;
 use crate::row::RowKey;
@@ -44,6 +45,30 @@
 }
 
 impl Plan {
+    /// Versions of rows in the sheet that others have changed since.
+    pub fn stale_versions(&self) -> BTreeSet<u64> {
+        let stale = self.differences.iter().filter_map(|difference| {
+            let now = difference.before.as_ref().map_or(0, RowValue::version);
+            let seen = self.seen.get(&difference.key).copied();
+            seen.filter(|seen| *seen != now)
+        });
+        stale.collect()
+    }
+
+    /// Leaves out rows that others have changed since the export and that the sheet still has as
+    /// they were then: its editor didn't touch them. `edits` are those of
+    /// [`Self::stale_versions`].
+    pub fn leave_out_untouched(&mut self, edits: &[Edit]) {
+        let seen = &self.seen;
+        self.differences.retain(|difference| {
+            let version = seen.get(&difference.key).copied().unwrap_or(0);
+            let edit = edits.iter().find(|edit| edit.version == version);
+            let old = edit.and_then(|edit| value_in(edit, &difference.key));
+            let stays = |old: RowValue| Some(old.at_version(0)) == unversioned(&difference.after);
+            !old.is_some_and(stays)
+        });
+    }
+
     /// The changes of the edit.
     pub fn changes(&self) -> Vec<Change> {
         let change = |difference: &Difference| match &difference.after {
@@ -92,6 +117,16 @@
     plan
 }
 
+fn value_in(edit: &Edit, key: &RowKey) -> Option<RowValue> {
+    let mut changes = edit.changes.iter();
+    let change = changes.find(|change| row::change_key(change).as_ref() == Some(key))?;
+    row::change_value(change)
+}
+
+fn unversioned(row: &Option<RowValue>) -> Option<RowValue> {
+    row.clone().map(|row| row.at_version(0))
+}
+
 fn plan_removals(sheet: Sheet, lines: &[Line], table: &Table, plan: &mut Plan) {
     let kept: BTreeSet<RowKey> = lines.iter().map(|line| line.row.key()).collect();
     let newest = lines.iter().filter_map(|line| line.version).max();
--- a/src/command/table/change.rs
+++ b/src/command/table/change.rs
@@ -138,7 +138,7 @@
     let editor = Editor::open(matches)?;
     let table = editor.session().load()?;
     let lines = read::read_sheet(sheet, &read::read_file(matches)?, &table)?;
-    let plan = plan::compare(sheet, &lines, &table, missing);
+    let plan = read::plan(editor.session(), sheet, &lines, &table, missing)?;
     print::differences(sheet, &plan.differences, out)?;
     read::print_newer(&plan, out)?;
     editor.make_sheet(&table, plan.changes(), plan.seen, out)
--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -12,6 +12,7 @@
 use mgs_settings::sheet;
 use mgs_settings::sheet::Line;
 use mgs_settings::sheet::Sheet;
+use mgs_settings::store::read;
 use mgs_settings::table::Table;
 
 use super::file_argument;
@@ -27,6 +28,7 @@
 use crate::error::Error;
 use crate::operator;
 use crate::operator::print;
+use crate::operator::store_error;
 use crate::operator::Session;
 
 const STANDARD_INPUT: &str = "-";
@@ -98,9 +100,10 @@
 
 pub(super) fn diff(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
     let sheet = sheet(matches)?;
-    let table = Session::open(matches)?.load()?;
+    let session = Session::open(matches)?;
+    let table = session.load()?;
     let lines = read_sheet(sheet, &read_file(matches)?, &table)?;
-    let plan = plan::compare(sheet, &lines, &table, Missing::Remove);
+    let plan = plan(&session, sheet, &lines, &table, Missing::Remove)?;
     print::differences(sheet, &plan.differences, out)?;
     print_newer(&plan, out)?;
     writeln!(
@@ -112,6 +115,24 @@
     Ok(())
 }
 
+/// What a sheet changes, without the rows that others changed and its editor left as they were.
+pub(super) fn plan(
+    session: &Session,
+    sheet: Sheet,
+    lines: &[Line],
+    table: &Table,
+    missing: Missing,
+) -> Result<Plan, Error> {
+    let mut plan = plan::compare(sheet, lines, table, missing);
+    let mut edits = Vec::new();
+    for version in plan.stale_versions() {
+        let edit = read::history(session.store(), version, version);
+        edits.extend(edit.map_err(store_error)?);
+    }
+    plan.leave_out_untouched(&edits);
+    Ok(plan)
+}
+
 /// Names rows that a sheet lacks and that stay.
 pub(super) fn print_newer(plan: &Plan, out: &mut dyn Write) -> Result<(), Error> {
     for key in &plan.newer {
--- a/tests/command_table.rs
+++ b/tests/command_table.rs
@@ -150,6 +150,23 @@
     assert_eq!(shell.table().limit("*", "*").unwrap().weight, 5);
 }
 
+#[test]
+fn rows_that_an_old_sheet_left_as_they_were_keep_what_others_made_of_them() {
+    let shell = Shell::new();
+    shell.ok("table set * * weight=2");
+    shell.ok("table set * audit weight=3");
+    let sheet = shell.ok("table export limits");
+    shell.ok("table set * * weight=5");
+    let output = shell.run_with(
+        "table apply limits -",
+        &sheet.replace("*,audit,3", "*,audit,4"),
+    );
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let table = shell.table();
+    let weight = |kind| table.limit("*", kind).unwrap().weight;
+    assert_eq!((weight("*"), weight("audit")), (5, 4));
+}
+
 #[test]
 fn lost_replies_are_settled_and_outages_told() {
     let shell = Shell::new();
