feat(admission): predict the wait by class and the answer's time, let long prompts take turns

Conclusion: wait predicted by flow and by the row's share of its class, the smaller counts; answer time learned by row and class.

--- a/crates/mgs-admission/src/drain.rs
+++ b/crates/mgs-admission/src/drain.rs
@@ -1,26 +1,34 @@
 //! How fast a queue has been moving.
 
-/// Time over which the rate is remembered, in milliseconds.
-const MEMORY_MS: f64 = 4_000.0;
-
 /// Backlogged time that must have been seen before a rate is told, in milliseconds.
 const SEEN_MIN_MS: f64 = 100.0;
 
 /// Work that left a queue and the time during which the queue wasn't empty, both forgotten
 /// exponentially.
-#[derive(Debug, Clone, Copy, Default)]
+#[derive(Debug, Clone, Copy)]
 pub struct Drain {
+    memory_ms: f64,
     work: f64,
     busy_ms: f64,
     at_ms: u64,
 }
 
 impl Drain {
+    /// Nothing was seen yet; the rate is remembered over `memory_ms`.
+    pub fn new(memory_ms: f64) -> Self {
+        Self {
+            memory_ms,
+            work: 0.0,
+            busy_ms: 0.0,
+            at_ms: 0,
+        }
+    }
+
     /// Lets time pass; `busy` tells whether the queue had work all the while.
     pub fn pass(&mut self, now_ms: u64, busy: bool) {
         let passed_ms = now_ms.saturating_sub(self.at_ms) as f64;
         self.at_ms = self.at_ms.max(now_ms);
-        let kept = (-passed_ms / MEMORY_MS).exp();
+        let kept = (-passed_ms / self.memory_ms).exp();
         self.work *= kept;
         self.busy_ms *= kept;
         if busy {
@@ -38,7 +46,7 @@
     /// ```
     /// use mgs_admission::drain::Drain;
     ///
-    /// let mut drain = Drain::default();
+    /// let mut drain = Drain::new(4_000.0);
     /// assert_eq!(drain.time_ms(10.0), None);
     /// drain.pass(1_000, true);
     /// drain.left(500.0);
--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -3,6 +3,7 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::VecDeque;
+use std::ops::Range;
 
 use mgs_schema::key::RequestId;
 use mgs_schema::prefix::SHORT_PROMPT_TOKENS;
@@ -15,6 +16,7 @@
 use crate::flows::Class;
 use crate::flows::ClassKey;
 use crate::flows::Flows;
+use crate::flows::Waiting;
 use crate::queue::Action;
 use crate::queue::Admission;
 use crate::queue::Offer;
@@ -50,7 +52,7 @@
         Self {
             flow_max: 2_000,
             queue_max: 20_000,
-            wait_share_max: 0.5,
+            wait_share_max: 0.25,
             aged_share: 0.5,
             aged_tokens_share: 0.1,
             retry_after_min_ms: 200,
@@ -71,13 +73,42 @@
     offer: Offer,
     row: RowKey,
     class: ClassKey,
+    weight: u32,
     queued: bool,
+    /// When its first token was predicted to come, set at the start.
+    first_token_at_ms: u64,
+}
+
+/// What was learned of the answers of one row in one class.
+#[derive(Debug, Clone, Copy)]
+struct Answers {
+    /// Mean length.
+    tokens: f64,
+    /// Mean time for each token after the first.
+    token_ms: f64,
+}
+
+impl Answers {
+    /// Length that is expected of an answer of at most `max_tokens`.
+    fn expected_tokens(&self, max_tokens: u64) -> f64 {
+        self.tokens.min(max_tokens as f64)
+    }
 }
 
 impl Entry {
     fn tokens(&self) -> u64 {
         self.offer.prompt_tokens + self.offer.max_tokens
     }
+
+    fn waiting(&self, key: Key) -> Waiting {
+        Waiting {
+            row: self.row,
+            class: self.class,
+            entry: key,
+            tokens: self.tokens(),
+            weight: self.weight,
+        }
+    }
 }
 
 /// The product's admission.
@@ -94,7 +125,7 @@
 pub struct FairQueue {
     options: Options,
     rows: Rows,
-    answers: HashMap<RowKey, f64>,
+    answers: HashMap<(RowKey, ClassKey), Answers>,
     flows: Flows,
     entries: Arena<Entry>,
     keys: HashMap<RequestId, Key>,
@@ -121,8 +152,9 @@
     fn class_of(&mut self, row: RowKey, offer: &Offer) -> ClassKey {
         self.flows.class(Class {
             priority: self.rows.get(row).priority(),
-            band: band(offer.prompt_tokens),
+            is_long: offer.prompt_tokens > SHORT_PROMPT_TOKENS,
             model: offer.model.clone(),
+            band: u32::from(offer.prompt_tokens >= LONG_PROMPT_TOKENS),
         })
     }
 
@@ -151,7 +183,8 @@
     /// Refuses what would wait too long, before it costs anything.
     fn foresee(&mut self, now_ms: u64, row: RowKey, offer: &Offer) -> Result<ClassKey, Verdict> {
         let class = self.class_of(row, offer);
-        let wait_ms = self.flows.wait_ms(now_ms, row, class);
+        let tokens = offer.prompt_tokens + offer.max_tokens;
+        let wait_ms = self.flows.wait_ms(now_ms, row, class, tokens);
         let full = self.flows.queued() >= self.options.queue_max
             || self.flows.queued_in(row, class) >= self.options.flow_max;
         if full {
@@ -179,16 +212,19 @@
             offer: offer.clone(),
             row,
             class,
+            weight: self.rows.get(row).weight(),
             queued: true,
+            first_token_at_ms: 0,
         };
-        let tokens = entry.tokens();
         let key = self.entries.insert(entry);
         self.keys.insert(offer.id, key);
         self.deadlines.insert((offer.deadline_ms, key));
         if self.rows.get(row).priority() > 0 {
             self.ageing.insert((self.aged_ms(offer), key));
         }
-        self.flows.push(now_ms, row, class, key, tokens);
+        if let Some(entry) = self.entries.get(key) {
+            self.flows.push(now_ms, entry.waiting(key));
+        }
         self.rows.get_mut(row).in_flight += 1;
     }
 
@@ -203,9 +239,9 @@
             return;
         };
         entry.queued = false;
-        let (row, class, tokens) = (entry.row, entry.class, entry.tokens());
+        let waiting = entry.waiting(key);
         let deadline_ms = entry.offer.deadline_ms;
-        self.flows.remove(now_ms, row, class, key, tokens);
+        self.flows.remove(now_ms, waiting);
         self.forget_times(deadline_ms, key);
     }
 
@@ -230,7 +266,7 @@
 
     fn refuse_late(&mut self, now_ms: u64, key: Key, actions: &mut Vec<Action>) {
         let retry_after_ms = match self.entries.get(key) {
-            Some(entry) => self.flows.wait_ms(now_ms, entry.row, entry.class),
+            Some(entry) => self.flows.wait_ms(now_ms, entry.row, entry.class, 0),
             None => None,
         };
         let retry_after_ms = self.bounded(retry_after_ms.unwrap_or(0));
@@ -267,38 +303,83 @@
         let Some(first_token_ms) = room.first_token_ms(&entry.offer) else {
             return false;
         };
-        if now_ms + first_token_ms > entry.offer.deadline_ms {
+        let answer_ms = self.answer_ms(entry);
+        if now_ms + first_token_ms + answer_ms > entry.offer.deadline_ms {
             self.refuse_late(now_ms, key, actions);
             return true;
         }
         room.taken(&entry.offer);
         actions.push(Action::Start(entry.offer.id));
-        self.started(now_ms, key);
+        self.started(now_ms, key, first_token_ms);
         true
     }
 
-    fn started(&mut self, now_ms: u64, key: Key) {
+    /// Time that the answer is expected to take after its first token.
+    fn answer_ms(&self, entry: &Entry) -> u64 {
+        let Some(answers) = self.answers.get(&(entry.row, entry.class)) else {
+            return 0;
+        };
+        (answers.expected_tokens(entry.offer.max_tokens) * answers.token_ms) as u64
+    }
+
+    fn started(&mut self, now_ms: u64, key: Key, first_token_ms: u64) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
         };
         entry.queued = false;
-        let (row, class, tokens) = (entry.row, entry.class, entry.tokens());
+        entry.first_token_at_ms = now_ms + first_token_ms;
+        let waiting = entry.waiting(key);
         let deadline_ms = entry.offer.deadline_ms;
-        let answer_tokens = match self.answers.get(&row) {
-            Some(mean) => mean.min(entry.offer.max_tokens as f64),
+        let answer_tokens = match self.answers.get(&(entry.row, entry.class)) {
+            Some(answers) => answers.expected_tokens(entry.offer.max_tokens),
             None => entry.offer.max_tokens as f64,
         };
         let charge = Charge {
             tokens: entry.offer.prompt_tokens + answer_tokens as u64,
-            weight: self.rows.get(row).weight(),
             waited: now_ms > entry.offer.arrived_ms,
         };
-        self.flows.start(now_ms, row, class, key, tokens, charge);
+        self.flows.start(now_ms, waiting, charge);
         self.forget_times(deadline_ms, key);
         let credit = charge.tokens as f64 * self.options.aged_tokens_share;
         self.aged_credit = (self.aged_credit + credit).min(AGED_CREDIT_MAX);
     }
 
+    /// Starts what there is room for in classes that share their turns.
+    fn start_classes(
+        &mut self,
+        now_ms: u64,
+        places: Range<usize>,
+        room: &mut dyn Room,
+        actions: &mut Vec<Action>,
+    ) {
+        let mut open: Vec<ClassKey> = places.map(|place| self.flows.class_at(place)).collect();
+        loop {
+            let first = |class: &ClassKey| Some((self.flows.first(*class)?, *class));
+            let Some(((_, key), class)) = open.iter().filter_map(first).min() else {
+                return;
+            };
+            if !self.try_start(now_ms, key, room, actions) {
+                open.retain(|other| *other != class);
+            }
+        }
+    }
+
+    fn learn(&mut self, now_ms: u64, entry: &Entry, generated_tokens: u64) {
+        if generated_tokens == 0 {
+            return;
+        }
+        let tokens = generated_tokens as f64;
+        let took_ms = now_ms.saturating_sub(entry.first_token_at_ms) as f64;
+        let token_ms = took_ms / tokens;
+        let first = Answers { tokens, token_ms };
+        let answers = self
+            .answers
+            .entry((entry.row, entry.class))
+            .or_insert(first);
+        answers.tokens += ANSWER_SMOOTHING * (tokens - answers.tokens);
+        answers.token_ms += ANSWER_SMOOTHING * (token_ms - answers.token_ms);
+    }
+
     /// Lets aged requests of low priority start out of their turn, within their share.
     fn start_aged(&mut self, now_ms: u64, room: &mut dyn Room, actions: &mut Vec<Action>) {
         while let Some((aged_ms, key)) = self.ageing.first().copied() {
@@ -329,16 +410,6 @@
     }
 }
 
-fn band(prompt_tokens: u64) -> u32 {
-    if prompt_tokens <= SHORT_PROMPT_TOKENS {
-        0
-    } else if prompt_tokens < LONG_PROMPT_TOKENS {
-        1
-    } else {
-        2
-    }
-}
-
 impl Admission for FairQueue {
     fn settings(&mut self, now_ms: u64, snapshot: &Snapshot) {
         self.rows.settings(now_ms, snapshot);
@@ -361,13 +432,11 @@
         let mut actions = Vec::new();
         self.expire(now_ms, &mut actions);
         self.start_aged(now_ms, room, &mut actions);
-        for place in 0..self.flows.classes() {
-            let class = self.flows.class_at(place);
-            while let Some((_, key)) = self.flows.first(class) {
-                if !self.try_start(now_ms, key, room, &mut actions) {
-                    break;
-                }
-            }
+        let mut place = 0;
+        while place < self.flows.classes() {
+            let end = self.flows.turn_end(place);
+            self.start_classes(now_ms, place..end, room, &mut actions);
+            place = end;
         }
         actions
     }
@@ -380,7 +449,7 @@
         queued && self.drop_queued(now_ms, key).is_some()
     }
 
-    fn finished(&mut self, _now_ms: u64, id: RequestId, generated_tokens: u64) {
+    fn finished(&mut self, now_ms: u64, id: RequestId, generated_tokens: u64) {
         let Some(key) = self.keys.remove(&id) else {
             return;
         };
@@ -391,10 +460,6 @@
         let row = self.rows.get_mut(entry.row);
         row.in_flight = row.in_flight.saturating_sub(1);
         row.tokens.refund(unused as f64);
-        let mean = self
-            .answers
-            .entry(entry.row)
-            .or_insert(generated_tokens as f64);
-        *mean += ANSWER_SMOOTHING * (generated_tokens as f64 - *mean);
+        self.learn(now_ms, &entry, generated_tokens);
     }
 }
--- a/crates/mgs-routing/benches/trial/main.rs
+++ b/crates/mgs-routing/benches/trial/main.rs
@@ -91,6 +91,14 @@
             let at = |q| histogram.value_at_quantile(q);
             print!(" | {:>6} {:>6} {:>6}", at(0.5), at(0.95), at(0.99));
         }
+        for band in 0..3 {
+            let count = figures.first_token_ms[band].len().max(1);
+            let means = [
+                figures.queued_ms[band] / count,
+                figures.engine_ms[band] / count,
+            ];
+            print!(" {means:?}");
+        }
         println!(
             " | slowdown {slowdown:5.2} goodput {:>7.0}/s least share {:.2} late {} refused {:?}",
             figures.answered_tokens as f64 / (seconds as f64 * 0.9),
--- a/crates/mgs-routing/src/predict.rs
+++ b/crates/mgs-routing/src/predict.rs
@@ -31,6 +31,8 @@
     pub own_ms: f64,
     /// Wait for all prompts that the endpoint has, of any length.
     pub backlog_ms: f64,
+    /// The part of it that belongs to prompts that aren't short.
+    pub other_ms: f64,
 }
 
 impl Prediction {
@@ -67,6 +69,7 @@
         wait_ms: ahead / rate,
         own_ms: uncached / rate + load.decode_step_ms,
         backlog_ms: all / rate,
+        other_ms: other_left / rate,
     }
 }
 
