feat(routing): keep short prompts off endpoints that work on long ones, decide faster

Conclusion: a price for the delay caused, room beside long work only when no short prompt waits there; block sets that don't hash hashes again, no sort.

--- a/crates/mgs-fleet/src/cache.rs
+++ b/crates/mgs-fleet/src/cache.rs
@@ -1,15 +1,16 @@
 //! What is believed of an endpoint's prefix cache, from late events with gaps.
 
-use std::collections::HashSet;
 use std::sync::Arc;
 
 use mgs_schema::wire::LoadReport;
 
+use crate::block::BlockSet;
+
 /// Applies the cache events of a report to `cached`, which never grows past `blocks_max`.
 ///
 /// A block that is believed cached and isn't costs a prompt some processing; so a full set drops
 /// what comes next until evictions or a reset make room.
-pub fn apply(cached: &mut Arc<HashSet<u64>>, report: &LoadReport, blocks_max: usize) {
+pub fn apply(cached: &mut Arc<BlockSet>, report: &LoadReport, blocks_max: usize) {
     if report.cache_reset {
         *cached = Arc::default();
     }
@@ -34,12 +35,12 @@
 /// search doubles its step and then halves it, which looks at a handful of blocks of a long prompt.
 ///
 /// ```
-/// use std::collections::HashSet;
+/// use mgs_fleet::block::BlockSet;
 ///
-/// let cached = HashSet::from([1, 2, 3]);
+/// let cached = BlockSet::from_iter([1, 2, 3]);
 /// assert_eq!(mgs_fleet::cache::leading(&cached, &[1, 2, 3, 9]), 3);
 /// ```
-pub fn leading(cached: &HashSet<u64>, hashes: &[u64]) -> usize {
+pub fn leading(cached: &BlockSet, hashes: &[u64]) -> usize {
     if cached.is_empty() || hashes.first().is_none_or(|first| !cached.contains(first)) {
         return 0;
     }
--- a/crates/mgs-fleet/src/lib.rs
+++ b/crates/mgs-fleet/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod block;
 pub mod cache;
 pub mod fleet;
 pub mod subset;
--- a/crates/mgs-fleet/src/view.rs
+++ b/crates/mgs-fleet/src/view.rs
@@ -1,13 +1,14 @@
 //! An immutable picture of the fleet, read by request threads.
 
 use std::collections::HashMap;
-use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::wire::EndpointState;
 
+use crate::block::BlockSet;
+
 /// Key of an endpoint in a [`View`]; stable for as long as the process knows the endpoint.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct EndpointKey(pub u32);
@@ -59,7 +60,7 @@
     /// When the load was reported, on the process's monotonic clock, in milliseconds.
     pub reported_ms: u64,
     /// Hashes of the prompt blocks believed to be cached.
-    pub cached: Arc<HashSet<u64>>,
+    pub cached: Arc<BlockSet>,
 }
 
 /// The fleet at one moment.
--- a/crates/mgs-routing/benches/decision.rs
+++ b/crates/mgs-routing/benches/decision.rs
@@ -1,1 +1,210 @@
-fn main() {}
+//! Cost of one decision: admit a request, choose its endpoint, and note its end.
+//!
+//! `cargo bench -p mgs-routing --bench decision`
+
+#![allow(missing_docs)]
+
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use criterion::criterion_group;
+use criterion::criterion_main;
+use criterion::BenchmarkId;
+use criterion::Criterion;
+use mgs_admission::fair::FairQueue;
+use mgs_admission::queue::Admission;
+use mgs_admission::queue::Offer;
+use mgs_admission::queue::Room;
+use mgs_fleet::fleet::Fleet;
+use mgs_fleet::fleet::Options;
+use mgs_fleet::view::View;
+use mgs_routing::marigold::Marigold;
+use mgs_routing::policy::Ask;
+use mgs_routing::policy::Choice;
+use mgs_routing::policy::Policy;
+use mgs_schema::key::RequestId;
+use mgs_schema::settings::EndpointKind;
+use mgs_schema::settings::EndpointRow;
+use mgs_schema::settings::LimitRow;
+use mgs_schema::settings::Snapshot;
+use mgs_schema::wire::EndpointState;
+use mgs_schema::wire::LoadReport;
+use mgs_schema::wire::Outcome;
+
+const ORGANISATIONS: usize = 4_400;
+const ZONES: usize = 19;
+const PROMPT_BLOCKS: u64 = 32;
+
+/// When the load was reported, in milliseconds.
+const REPORTED_MS: u64 = 1_000_000;
+
+/// Age of the reports when an endpoint is chosen, in milliseconds.
+const REPORT_AGE_MS: u64 = 100;
+
+/// Dispatches are dated before the reports, which thus account for them: the bench dispatches far
+/// more in a second than the fleet that it describes could take.
+const DISPATCHED_MS: u64 = REPORTED_MS - 1_000;
+
+struct FleetRoom<'a> {
+    policy: &'a Marigold,
+    view: &'a View,
+    hashes: &'a [u64],
+    now_ms: u64,
+    random: u64,
+    last: RefCell<Option<Choice>>,
+}
+
+impl FleetRoom<'_> {
+    fn ask(&self, offer: &Offer) -> Ask<'_> {
+        Ask {
+            kind: EndpointKind::Engine,
+            model: "m",
+            prompt_tokens: offer.prompt_tokens,
+            max_tokens: offer.max_tokens,
+            priority: 1,
+            prefix_hashes: self.hashes,
+            zone: "zone-0",
+            excluded: &[],
+            budget_ms: 10_000,
+            now_ms: self.now_ms,
+        }
+    }
+}
+
+impl Room for FleetRoom<'_> {
+    fn first_token_ms(&self, offer: &Offer) -> Option<u64> {
+        let choice = self.policy.choose(self.view, &self.ask(offer), self.random);
+        let choice = choice.ok()?;
+        let first_token_ms = choice.first_token_ms;
+        self.last.replace(Some(choice));
+        Some(first_token_ms)
+    }
+
+    fn taken(&mut self, offer: &Offer) {
+        if let Some(choice) = self.last.borrow().as_ref() {
+            let ask = Ask {
+                now_ms: DISPATCHED_MS,
+                ..self.ask(offer)
+            };
+            self.policy.dispatched(choice.endpoint, &ask);
+        }
+    }
+}
+
+fn settings(endpoints: usize) -> Snapshot {
+    let endpoint = |i: usize| EndpointRow {
+        name: format!("engine-{i}"),
+        kind: EndpointKind::Engine.into(),
+        sidecar_address: "127.0.0.1:7000".into(),
+        zone: format!("zone-{}", i % ZONES),
+        models: vec!["m".into()],
+        started: true,
+        ..EndpointRow::default()
+    };
+    let limit = |i: usize| LimitRow {
+        organisation: format!("organisation-{i}"),
+        kind: "*".into(),
+        weight: 1,
+        priority: 1,
+        requests_per_s: 1e9,
+        tokens_per_s: 1e12,
+        concurrent_requests: 1_000_000,
+        ..LimitRow::default()
+    };
+    Snapshot {
+        version: 1,
+        limits: (0..ORGANISATIONS).map(limit).collect(),
+        endpoints: (0..endpoints).map(endpoint).collect(),
+        ..Snapshot::default()
+    }
+}
+
+fn live_view(settings: &Snapshot) -> Arc<View> {
+    let mut fleet = Fleet::new(Options {
+        process: "gateway".into(),
+        zone: "zone-0".into(),
+        ..Options::default()
+    });
+    fleet.settings(settings);
+    let keys: Vec<_> = fleet
+        .view()
+        .endpoints
+        .iter()
+        .flatten()
+        .map(|e| e.key)
+        .collect();
+    for key in keys {
+        fleet.welcome(key, 1, "");
+        let report = LoadReport {
+            incarnation: 1,
+            report: 1,
+            state: EndpointState::Live.into(),
+            prefill_waiting_tokens: u64::from(key.0) * 37 % 4_000,
+            short_prefill_waiting_tokens: u64::from(key.0) * 37 % 4_000,
+            kv_capacity_tokens: 400_000,
+            prefill_tokens_per_s: 20_000.0,
+            decode_step_ms: 12.0,
+            cached_hashes: (0..u64::from(key.0 % 20)).collect(),
+            ..LoadReport::default()
+        };
+        fleet.report(REPORTED_MS, key, &report);
+    }
+    fleet.view()
+}
+
+fn decide(c: &mut Criterion) {
+    let mut group = c.benchmark_group("admit_and_route");
+    for endpoints in [20, 5_300] {
+        let settings = settings(endpoints);
+        let view = live_view(&settings);
+        let policy = Marigold::default();
+        let mut admission = FairQueue::default();
+        admission.settings(0, &settings);
+        let hashes: Vec<u64> = (0..PROMPT_BLOCKS).collect();
+        let offers: Vec<Offer> = (0..ORGANISATIONS)
+            .map(|i| Offer {
+                id: RequestId {
+                    origin: 1,
+                    serial: 0,
+                },
+                organisation: format!("organisation-{i}"),
+                kind: "chat".into(),
+                model: "m".into(),
+                prompt_tokens: PROMPT_BLOCKS * 256,
+                max_tokens: 256,
+                arrived_ms: 0,
+                deadline_ms: u64::MAX / 2,
+            })
+            .collect();
+        let mut serial = 0u64;
+        let id = BenchmarkId::from_parameter(endpoints);
+        group.bench_function(id, |b| {
+            b.iter(|| {
+                serial += 1;
+                let now_ms = serial;
+                let mut offer = offers[serial as usize % ORGANISATIONS].clone();
+                offer.id.serial = serial;
+                admission.offer(now_ms, &offer);
+                let mut room = FleetRoom {
+                    policy: &policy,
+                    view: &view,
+                    hashes: &hashes,
+                    now_ms: REPORTED_MS + REPORT_AGE_MS,
+                    random: serial.wrapping_mul(0x9e37_79b9_7f4a_7c15),
+                    last: RefCell::new(None),
+                };
+                let actions = admission.next(now_ms, &mut room);
+                assert_eq!(actions.len(), 1);
+                let endpoint = room.last.borrow().as_ref().map(|c| c.endpoint);
+                let endpoint = endpoint.expect("it was chosen");
+                let ask = room.ask(&offer);
+                policy.finished(endpoint, &ask, Outcome::Answered);
+                admission.finished(now_ms, offer.id, 100);
+            });
+        });
+    }
+    group.finish();
+}
+
+criterion_group!(benches, decide);
+criterion_main!(benches);
--- a/crates/mgs-routing/src/marigold.rs
+++ b/crates/mgs-routing/src/marigold.rs
@@ -32,7 +32,15 @@
     pub work_cost: f64,
     /// Wait at an endpoint beyond which a short prompt is kept in the gateway's queue.
     pub short_wait_max_ms: f64,
-    /// The same for other prompts, counting all work at the endpoint.
+    /// The same at an endpoint that has a long prompt to process: short prompts go past it there,
+    /// so they must leave it time.
+    pub short_wait_beside_long_ms: f64,
+    /// Work for other prompts from which an endpoint counts as having a long one, in milliseconds.
+    pub long_work_ms: f64,
+    /// Price of delaying the other prompts of an endpoint, as a share of the delay.
+    pub delay_cost: f64,
+    /// Wait beyond which other prompts are kept in the gateway's queue, counting all work at the
+    /// endpoint; more than that of short prompts, which otherwise would keep them out.
     pub other_wait_max_ms: f64,
     /// Requests in flight from this process beyond which a plain service gets no more.
     pub service_requests_max: u32,
@@ -51,8 +59,11 @@
         Self {
             zone_cost_ms: 2.0,
             work_cost: 0.5,
-            short_wait_max_ms: 1_000.0,
-            other_wait_max_ms: 500.0,
+            short_wait_max_ms: 400.0,
+            short_wait_beside_long_ms: 1.0,
+            long_work_ms: 1_000.0,
+            delay_cost: 0.5,
+            other_wait_max_ms: 600.0,
             service_requests_max: 256,
             near_ms: 2.0,
             near_share: 0.05,
@@ -130,10 +141,16 @@
         } else {
             self.options.zone_cost_ms
         };
-        let work_ms = self.options.work_cost * predicted.own_ms;
+        let passes_others = lane::of(ask.prompt_tokens) == Lane::Short && predicted.other_ms > 0.0;
+        let delay_cost = if passes_others {
+            self.options.delay_cost
+        } else {
+            0.0
+        };
+        let cost_ms = (self.options.work_cost + delay_cost) * predicted.own_ms;
         Scored {
             endpoint: endpoint.key,
-            score_ms: predicted.first_token_ms() + work_ms + zone_ms,
+            score_ms: predicted.first_token_ms() + cost_ms + zone_ms,
             predicted,
             cached_tokens,
             requests: learned.outstanding.requests(),
@@ -145,11 +162,13 @@
         if ask.kind == EndpointKind::Service {
             return scored.requests >= self.options.service_requests_max;
         }
+        let predicted = &scored.predicted;
         let wait_is_long = match lane::of(ask.prompt_tokens) {
-            Lane::Short => scored.predicted.wait_ms > self.options.short_wait_max_ms,
-            Lane::Medium | Lane::Long => {
-                scored.predicted.backlog_ms > self.options.other_wait_max_ms
+            Lane::Short if predicted.other_ms > self.options.long_work_ms => {
+                predicted.wait_ms > self.options.short_wait_beside_long_ms
             }
+            Lane::Short => predicted.wait_ms > self.options.short_wait_max_ms,
+            Lane::Medium | Lane::Long => predicted.backlog_ms > self.options.other_wait_max_ms,
         };
         wait_is_long || memory_is_full(endpoint, ask)
     }
@@ -184,22 +203,23 @@
 
     /// Of two drawn from those near the best, the one with fewer requests of this process: many
     /// processes that see the same reports don't all go to the same endpoint.
-    fn pick(&self, mut scored: Vec<Scored>, random: u64) -> Option<Choice> {
-        scored.sort_by(|a, b| a.score_ms.total_cmp(&b.score_ms));
-        let best = scored.first()?;
+    fn pick(&self, scored: &[Scored], random: u64) -> Option<Choice> {
+        let by_score = |a: &&Scored, b: &&Scored| a.score_ms.total_cmp(&b.score_ms);
+        let best = scored.iter().min_by(by_score)?;
         let reach_ms = best.score_ms * (1.0 + self.options.near_share) + self.options.near_ms;
-        let near = scored.partition_point(|s| s.score_ms <= reach_ms) as u64;
-        let first = scored[(random % near) as usize];
-        let other = scored[(random.rotate_left(32) % near) as usize];
+        let near = || scored.iter().filter(|s| s.score_ms <= reach_ms);
+        let count = near().count() as u64;
+        let first = near().nth((random % count) as usize)?;
+        let other = near().nth((random.rotate_left(32) % count) as usize)?;
         let chosen = if other.requests < first.requests {
             other
         } else {
             first
         };
-        let second = scored.iter().find(|s| s.endpoint != chosen.endpoint);
+        let rest = scored.iter().filter(|s| s.endpoint != chosen.endpoint);
         Some(Choice {
             endpoint: chosen.endpoint,
-            second: second.map(|s| s.endpoint),
+            second: rest.min_by(by_score).map(|s| s.endpoint),
             first_token_ms: chosen.predicted.first_token_ms().ceil() as u64,
             cached_tokens: chosen.cached_tokens,
         })
@@ -216,8 +236,8 @@
 impl Policy for Marigold {
     fn choose(&self, view: &View, ask: &Ask<'_>, random: u64) -> Result<Choice, NoChoice> {
         let usable = self.usable(view, ask)?;
-        self.pick(usable.fresh, random)
-            .or_else(|| self.pick(usable.stale, random))
+        self.pick(&usable.fresh, random)
+            .or_else(|| self.pick(&usable.stale, random))
             .ok_or(NoChoice::AllBusy)
     }
 
--- a/crates/mgs-routing/src/recent.rs
+++ b/crates/mgs-routing/src/recent.rs
@@ -4,10 +4,10 @@
 use std::sync::atomic::Ordering;
 
 /// Length of one bucket of time, in milliseconds.
-const BUCKET_MS: u64 = 16;
+const BUCKET_MS: u64 = 32;
 
 /// Buckets kept; older work must be in the reports by now.
-const BUCKETS: usize = 128;
+const BUCKETS: usize = 64;
 
 /// Bits of a bucket's value; the bits above hold the bucket's number.
 const VALUE_BITS: u32 = 32;
