--- a/crates/mgs-routing/benches/decision.rs
+++ b/crates/mgs-routing/benches/decision.rs
@@ -1,4 +1,3 @@
-<<<<<<< HEAD
 //! Cost of one decision: admit a request, choose its endpoint, and note its end.
 //!
 //! `cargo bench -p mgs-routing --bench decision`
@@ -209,8 +208,3 @@
 
 criterion_group!(benches, decide);
 criterion_main!(benches);
-=======
-//! Cost of a decision.
-
-fn main() {}
->>>>>>> main
