--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -5,4 +5,5 @@
 
 pub mod check;
 pub mod history;
+pub mod load;
 pub mod proxy;
--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -34,7 +34,6 @@
 const POLL_INTERVAL_MS: &str = "settings-poll-interval-ms";
 const POLL_READS_PER_S: &str = "settings-reads-per-s";
 
-
 const EXAMPLES: &str = "\
 Examples:
   # on an entry host, behind the balancer
@@ -57,7 +56,10 @@
         .after_help(EXAMPLES)
         .args(host_arguments())
         .args(number::arguments(&NUMBERS))
-        .arg(switch(NO_HEDGE, "Never attempt an idempotent request beside a slow first attempt"))
+        .arg(switch(
+            NO_HEDGE,
+            "Never attempt an idempotent request beside a slow first attempt",
+        ))
         .args(settings_arguments())
         .args(process::platform_arguments())
         .args(process::arguments("127.0.0.1:7102", "600000"))
