--- a/crates/mgs-ledger/src/ledger.rs
+++ b/crates/mgs-ledger/src/ledger.rs
@@ -49,7 +49,7 @@
     pub long_prefill_max_tokens: u64,
     /// Most later starts that go past a request that doesn't fit into the memory left.
     pub bypass_max: u32,
-    /// How close to its deadline a request is urgent, beyond its own predicted prefill, in
+    /// How close to its deadline a request goes ahead of the fair order of its level, in
     /// milliseconds.
     pub urgent_ms: u64,
     /// How long a stream or KV that nobody owns is left for its owner to come back, in
--- /dev/null
+++ b/crates/mgs-ledger/tests/record.rs
@@ -0,0 +1,57 @@
+//! Records stay true when they are forgotten early.
+
+use mgs_ledger::record::Fate;
+use mgs_ledger::record::Options;
+use mgs_ledger::record::Records;
+use mgs_schema::key::RequestId;
+
+const RAN: Fate = Fate::Ran {
+    attempt: 1,
+    answer_bytes: None,
+};
+
+fn id(origin: u64, serial: u64) -> RequestId {
+    RequestId { origin, serial }
+}
+
+#[test]
+fn nothing_is_vouched_for_below_a_forgotten_record() {
+    let mut records = Records::new(Options {
+        ran_max: 2,
+        ..Options::default()
+    });
+    for serial in [5, 6, 7] {
+        records.set(id(1, serial), RAN, 100);
+    }
+    assert_eq!(records.fate(id(1, 5)), None);
+    assert!(!records.may_vouch_for(id(1, 5)));
+    assert!(!records.may_vouch_for(id(1, 4)));
+    assert!(records.may_vouch_for(id(1, 8)));
+    assert!(records.may_vouch_for(id(2, 4)));
+}
+
+#[test]
+fn tombstones_last_their_time_and_no_longer() {
+    let mut records = Records::new(Options::default());
+    let fate = Fate::NeverStarted { attempt: 1 };
+    records.set(id(1, 1), fate, 100);
+    records.set(id(1, 1), fate, 50);
+    assert!(records.expire(99).is_empty());
+    assert_eq!(records.fate(id(1, 1)), Some(fate));
+    records.expire(100);
+    assert!(records.is_empty());
+    assert!(records.may_vouch_for(id(1, 1)));
+}
+
+#[test]
+fn with_too_many_floors_nothing_unknown_is_vouched_for() {
+    let mut records = Records::new(Options {
+        floors_max: 1,
+        ..Options::default()
+    });
+    for origin in [1, 2] {
+        records.set(id(origin, 1), RAN, 100);
+    }
+    records.expire(100);
+    assert!(!records.may_vouch_for(id(3, 9)));
+}
