--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -20,7 +20,6 @@
 use super::optional_sheet_argument;
 use super::sheet;
 use super::sheet_and_file_arguments;
-use super::sheet_argument;
 use super::text;
 use super::FILE;
 use super::KIND;
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -1,5 +1,6 @@
 //! The processes of the demonstration, as threads of this one.
 
+use std::collections::BTreeMap;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::thread;
@@ -385,6 +386,7 @@
         author: "demo".to_string(),
         at_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
         changes,
+        seen: BTreeMap::new(),
         retried: false,
     };
     edit::commit(store, &Table::default(), &options).map_err(failed)?;
