--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -8,5 +8,7 @@
 pub mod check;
 pub mod cluster;
 pub mod history;
+pub mod load;
 pub mod port;
 pub mod proxy;
+pub mod settings;
--- a/src/command/table/change.rs
+++ b/src/command/table/change.rs
@@ -17,11 +17,10 @@
 use mgs_settings::table::Table;
 
 use super::cells_argument;
-use super::file_argument;
 use super::key_arguments;
 use super::read;
 use super::sheet;
-use super::sheet_argument;
+use super::sheet_and_file_arguments;
 use super::text;
 use super::CELLS;
 use super::FILE;
@@ -47,18 +46,15 @@
             .args(edit::arguments()),
         Command::new("edit")
             .about("Set the cells that a CSV gives, in one edit; other rows and cells stay")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
         Command::new("apply")
             .about("Make a sheet what a CSV says, in one edit; rows that it lacks are removed")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
         Command::new("import")
             .about("Set many rows from a CSV or an exported .json, in as many edits as needed")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
     ]
 }
@@ -138,10 +134,10 @@
     let editor = Editor::open(matches)?;
     let table = editor.session().load()?;
     let lines = read::read_sheet(sheet, &read::read_file(matches)?, &table)?;
-    let plan = plan::compare(sheet, &lines, &table, missing);
+    let plan = read::plan(editor.session(), sheet, &lines, &table, missing)?;
     print::differences(sheet, &plan.differences, out)?;
     read::print_newer(&plan, out)?;
-    editor.make(&plan.base, plan.changes(), out)
+    editor.make_sheet(&table, plan.changes(), plan.seen, out)
 }
 
 pub(super) fn import(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
