feat(testing): measure what the two hops add and what open streams cost

Ruled out: the cluster behind the fault proxy, whose hops would be measured too; figures from threads of one process, whose memory can't be told apart.

--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod cluster;
 pub mod history;
 pub mod load;
+pub mod measure;
 pub mod port;
 pub mod proxy;
 pub mod settings;
