test(gateway): measure open streams, frames and whole answers

Cause: the memory of an open stream and the delay of a frame were unknown. Ruled out: a gateway alone in its process: caller and sidecar share it, so memory is an upper bound.

--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -8,6 +8,7 @@
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -84,6 +85,16 @@
 static NEXT_INCARNATION: AtomicU64 = AtomicU64::new(100);
 
 impl Fake {
+    /// Requests that stall.
+    pub(crate) fn stalled(&self) -> usize {
+        self.stalled.lock().unwrap().len()
+    }
+
+    /// Ends the calls of all that stall.
+    pub(crate) fn let_go(&self) {
+        self.stalled.lock().unwrap().clear();
+    }
+
     pub(crate) fn script(&self, script: Script) {
         *self.script.lock().unwrap() = script;
     }
@@ -165,14 +176,26 @@
     }
 }
 
+static STARTED: OnceLock<Instant> = OnceLock::new();
+
+/// A clock for all threads of the test, in microseconds.
+pub(crate) fn now_us() -> u64 {
+    STARTED.get_or_init(Instant::now).elapsed().as_micros() as u64
+}
+
 fn drip(reply: Reply) {
     std::thread::spawn(move || {
         for seq in 0.. {
-            send_frames(&reply, seq, seq + 1);
+            let frame = TokenFrame {
+                seq,
+                tokens: 1,
+                text: now_us().to_string(),
+            };
+            let _ = reply.send(Body::TokenFrame(frame));
             if reply.is_closed() {
                 return;
             }
-            std::thread::sleep(Duration::from_millis(5));
+            std::thread::sleep(Duration::from_millis(1));
         }
     });
 }
