--- a/crates/mgs-settings/src/plan.rs
+++ b/crates/mgs-settings/src/plan.rs
@@ -1,8 +1,10 @@
 //! From sheets to changes: what an edit of many rows would do.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 
 use mgs_schema::settings::Change;
+use mgs_schema::settings::Edit;
 
 use crate::row;
 use crate::row::RowKey;
@@ -38,12 +40,35 @@
     pub differences: Vec<Difference>,
     /// Rows that the sheet lacks and that are newer than it; they stay.
     pub newer: Vec<RowKey>,
-    /// The table that the sheet was made from, as far as it says: a row whose version isn't the
-    /// one in the sheet is left as the sheet has it, so that the edit ends in a conflict.
-    pub base: Table,
+    /// Versions of the rows that the sheet was made from, as far as it gives them.
+    pub seen: BTreeMap<RowKey, u64>,
 }
 
 impl Plan {
+    /// Versions of rows in the sheet that others have changed since.
+    pub fn stale_versions(&self) -> BTreeSet<u64> {
+        let stale = self.differences.iter().filter_map(|difference| {
+            let now = difference.before.as_ref().map_or(0, RowValue::version);
+            let seen = self.seen.get(&difference.key).copied();
+            seen.filter(|seen| *seen != now)
+        });
+        stale.collect()
+    }
+
+    /// Leaves out rows that others have changed since the export and that the sheet still has as
+    /// they were then: its editor didn't touch them. `edits` are those of
+    /// [`Self::stale_versions`].
+    pub fn leave_out_untouched(&mut self, edits: &[Edit]) {
+        let seen = &self.seen;
+        self.differences.retain(|difference| {
+            let version = seen.get(&difference.key).copied().unwrap_or(0);
+            let edit = edits.iter().find(|edit| edit.version == version);
+            let old = edit.and_then(|edit| value_in(edit, &difference.key));
+            let stays = |old: RowValue| Some(old.at_version(0)) == unversioned(&difference.after);
+            !old.is_some_and(stays)
+        });
+    }
+
     /// The changes of the edit.
     pub fn changes(&self) -> Vec<Change> {
         let change = |difference: &Difference| match &difference.after {
@@ -70,16 +95,13 @@
 /// ```
 pub fn compare(sheet: Sheet, lines: &[Line], table: &Table, missing: Missing) -> Plan {
     let mut plan = Plan::default();
-    let mut base = table.snapshot().clone();
     for line in lines {
         let key = line.row.key();
         let before = table.row(&key);
         let version = before.as_ref().map_or(0, RowValue::version);
         let after = line.row.clone().at_version(version);
-        if line.version.is_some_and(|given| given != version) {
-            let given = line.version.unwrap_or_default();
-            let change = line.row.clone().set();
-            crate::table::apply_change(&mut base, &change, given);
+        if let Some(given) = line.version {
+            plan.seen.insert(key.clone(), given);
         }
         if before.as_ref() != Some(&after) {
             plan.differences.push(Difference {
@@ -89,13 +111,22 @@
             });
         }
     }
-    plan.base = Table::new(base);
     if missing == Missing::Remove {
         plan_removals(sheet, lines, table, &mut plan);
     }
     plan
 }
 
+fn value_in(edit: &Edit, key: &RowKey) -> Option<RowValue> {
+    let mut changes = edit.changes.iter();
+    let change = changes.find(|change| row::change_key(change).as_ref() == Some(key))?;
+    row::change_value(change)
+}
+
+fn unversioned(row: &Option<RowValue>) -> Option<RowValue> {
+    row.clone().map(|row| row.at_version(0))
+}
+
 fn plan_removals(sheet: Sheet, lines: &[Line], table: &Table, plan: &mut Plan) {
     let kept: BTreeSet<RowKey> = lines.iter().map(|line| line.row.key()).collect();
     let newest = lines.iter().filter_map(|line| line.version).max();
--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -7,3 +7,4 @@
 pub mod history;
 pub mod load;
 pub mod proxy;
+pub mod settings;
