feat(admission): share limits across gateways by leases from a home

Cause: a limit holds for an organisation, whichever gateways its callers reach. Ruled out: even parts alone (one busy gateway gets 1/n); a counter in the table service (a write for each request); agreement among gateways (no second coordination service).

--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -12,5 +12,6 @@
 pub mod fair;
 pub mod fifo;
 pub mod flows;
+pub mod lease;
 pub mod queue;
 pub mod rows;
