--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -127,11 +127,7 @@
         .iter()
         .map(ToString::to_string)
         .collect();
-    writeln!(
-        out,
-        "marigoldstage status --admin-address {}",
-        admin.join(",")
-    )?;
+    writeln!(out, "{binary} status --admin-address {}", admin.join(","))?;
     writeln!(
         out,
         "{binary} table show --platform {}",
