--- a/crates/mgs-settings/src/row.rs
+++ b/crates/mgs-settings/src/row.rs
@@ -33,7 +33,7 @@
     /// ```
     /// use mgs_settings::row::RowKey;
     ///
-    /// assert_eq!(RowKey::limit("verdure", "stock").to_string(), "limit verdure/stock");
+    /// assert_eq!(RowKey::limit("org-1", "chat").to_string(), "limit org-1/chat");
     /// ```
     pub fn limit(organisation: &str, kind: &str) -> Self {
         Self::Limit {
--- a/crates/mgs-settings/src/sheet.rs
+++ b/crates/mgs-settings/src/sheet.rs
@@ -168,11 +168,11 @@
 /// use mgs_settings::sheet::Sheet;
 /// use mgs_settings::table::Table;
 ///
-/// let row = LimitRow { organisation: "verdure".into(), kind: "*".into(), ..LimitRow::default() };
+/// let row = LimitRow { organisation: "org-1".into(), kind: "*".into(), ..LimitRow::default() };
 /// let table = Table::new(Snapshot { limits: vec![row], ..Snapshot::default() });
 /// let text = sheet::to_csv(Sheet::Limits, &Sheet::Limits.rows(&table)).unwrap();
 /// assert!(text.starts_with("organisation,kind,weight,"));
-/// assert!(text.contains("\nverdure,*,0,"));
+/// assert!(text.contains("\norg-1,*,0,"));
 /// ```
 pub fn to_csv(sheet: Sheet, rows: &[RowValue]) -> Result<String, csv::Error> {
     let mut writer = WriterBuilder::new().from_writer(Vec::new());
--- a/crates/mgs-settings/src/table.rs
+++ b/crates/mgs-settings/src/table.rs
@@ -46,7 +46,7 @@
 /// let row = LimitRow { organisation: "*".into(), kind: "*".into(), ..LimitRow::default() };
 /// let table = Table::new(Snapshot { version: 3, limits: vec![row], ..Snapshot::default() });
 /// assert_eq!(table.version(), 3);
-/// assert!(table.limit("verdure", "stock").is_some());
+/// assert!(table.limit("org-1", "chat").is_some());
 /// ```
 #[derive(Debug, Clone, Default)]
 pub struct Table {
--- a/crates/mgs-settings/tests/check.rs
+++ b/crates/mgs-settings/tests/check.rs
@@ -14,8 +14,8 @@
 
 fn valid() -> Snapshot {
     Snapshot {
-        limits: vec![limit("stock", 1)],
-        organisations: vec![organisation("verdure", "key")],
+        limits: vec![limit("chat", 1)],
+        organisations: vec![organisation("org-1", "key")],
         endpoints: vec![engine("e1", 1)],
         ..Snapshot::default()
     }
@@ -65,7 +65,7 @@
 #[case("key_digests", OrganisationRow { key_digests: vec!["AB".into()], ..organisation("x", "y") })]
 fn faults_of_an_organisation(#[case] column: &str, #[case] row: OrganisationRow) {
     let table = Snapshot {
-        organisations: vec![organisation("verdure", "key"), row],
+        organisations: vec![organisation("org-1", "key"), row],
         ..valid()
     };
     assert_eq!(columns(&table), [column]);
--- a/crates/mgs-settings/tests/sheet.rs
+++ b/crates/mgs-settings/tests/sheet.rs
@@ -26,7 +26,7 @@
     Table::new(Snapshot {
         version: 5,
         limits: vec![row("a", 2), row("b", 4)],
-        organisations: vec![organisation("verdure", "k")],
+        organisations: vec![organisation("org-1", "k")],
         endpoints: vec![engine("e1", 1)],
     })
 }
--- a/crates/mgs-settings/tests/table.rs
+++ b/crates/mgs-settings/tests/table.rs
@@ -26,19 +26,19 @@
     Table::new(Snapshot {
         limits: vec![
             row("*", "*", 1),
-            row("*", "audit", 2),
-            row("verdure", "*", 3),
-            row("verdure", "stock", 4),
+            row("*", "batch", 2),
+            row("org-1", "*", 3),
+            row("org-1", "chat", 4),
         ],
         ..Snapshot::default()
     })
 }
 
 #[rstest]
-#[case("verdure", "stock", 4)]
-#[case("verdure", "audit", 3)]
-#[case("brasov", "audit", 2)]
-#[case("brasov", "notice", 1)]
+#[case("org-1", "chat", 4)]
+#[case("org-1", "batch", 3)]
+#[case("org-2", "batch", 2)]
+#[case("org-2", "lookup", 1)]
 fn the_nearest_row_holds(#[case] organisation: &str, #[case] kind: &str, #[case] weight: u32) {
     let table = limits();
     assert_eq!(table.limit(organisation, kind).unwrap().weight, weight);
@@ -47,12 +47,12 @@
 #[test]
 fn a_key_leads_to_its_organisation_only() {
     let table = Table::new(Snapshot {
-        organisations: vec![organisation("verdure", "k1"), organisation("brasov", "k2")],
+        organisations: vec![organisation("org-1", "k1"), organisation("org-2", "k2")],
         ..Snapshot::default()
     });
     let name = |key| table.organisation_of(key).map(|row| row.name.as_str());
-    assert_eq!(name("k1"), Some("verdure"));
-    assert_eq!(name("k2"), Some("brasov"));
+    assert_eq!(name("k1"), Some("org-1"));
+    assert_eq!(name("k2"), Some("org-2"));
     assert_eq!(name("k3"), None);
     assert_eq!(name(""), None);
 }
--- a/src/command/organisation.rs
+++ b/src/command/organisation.rs
@@ -31,10 +31,10 @@
 
 const EXAMPLES: &str = "\
 Examples:
-  marigoldstage organisation create verdure       prints its first bearer key, once
-  marigoldstage organisation key verdure          prints another one, for a change of keys
+  marigoldstage organisation create org-1       prints its first bearer key, once
+  marigoldstage organisation key org-1          prints another one, for a change of keys
   marigoldstage organisation list                 digests of the keys, never the keys
-  marigoldstage organisation key verdure --revoke 3f9a2c01 --wait
+  marigoldstage organisation key org-1 --revoke 3f9a2c01 --wait
 
 Only the SHA-256 digest of a key is kept; a key that is lost can't be shown again.";
 
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -28,8 +28,8 @@
 const EXAMPLES: &str = "\
 Examples:
   marigoldstage table show                               every row of limits
-  marigoldstage table get verdure stock                  the row that holds for these requests
-  marigoldstage table set verdure stock priority=0 weight=8 --wait
+  marigoldstage table get org-1 chat                  the row that holds for these requests
+  marigoldstage table set org-1 chat priority=0 weight=8 --wait
   marigoldstage table export limits > limits.csv         edit it in a spreadsheet, then
   marigoldstage table diff limits limits.csv             see what it would change, and
   marigoldstage table apply limits limits.csv --wait     make the sheet so
--- a/tests/command_table.rs
+++ b/tests/command_table.rs
@@ -90,15 +90,15 @@
 fn rows_are_set_shown_and_removed() {
     let shell = Shell::new();
     assert!(shell.ok("table set * * weight=2").contains("version 1"));
-    shell.ok("organisation create verdure");
-    shell.ok("table set verdure stock priority=0 allotted_ms=4000 models=m1");
-    assert!(shell.ok("table get verdure stock").contains("4000"));
-    assert!(shell.ok("table get verdure audit").contains("*"));
+    shell.ok("organisation create org-1");
+    shell.ok("table set org-1 chat priority=0 allotted_ms=4000 models=m1");
+    assert!(shell.ok("table get org-1 chat").contains("4000"));
+    assert!(shell.ok("table get org-1 batch").contains("*"));
     assert!(shell
-        .ok("table set verdure stock priority=0")
+        .ok("table set org-1 chat priority=0")
         .contains("nothing changes"));
     assert!(shell.ok("table show").contains("2 rows, table version 3"));
-    shell.ok("table remove verdure stock");
+    shell.ok("table remove org-1 chat");
     assert_eq!(shell.table().snapshot().limits.len(), 1);
 }
 
@@ -123,15 +123,15 @@
 fn a_sheet_goes_to_the_spreadsheet_and_back() {
     let shell = Shell::new();
     shell.ok("table set * * weight=2");
-    shell.ok("table set * audit weight=3");
+    shell.ok("table set * batch weight=3");
     let sheet = shell.ok("table export limits");
-    let sheet = sheet.replace("*,audit,3", "*,audit,9");
+    let sheet = sheet.replace("*,batch,3", "*,batch,9");
     let output = shell.run_with("table diff limits -", &sheet);
-    assert!(stdout(&output).contains(r#"~ limit */audit weight: "3" -> "9""#));
+    assert!(stdout(&output).contains(r#"~ limit */batch weight: "3" -> "9""#));
     assert_eq!(shell.table().version(), 2);
     let output = shell.run_with("table apply limits -", &sheet);
     assert_eq!(code(&output), 0, "{}", stderr(&output));
-    assert_eq!(shell.table().limit("*", "audit").unwrap().weight, 9);
+    assert_eq!(shell.table().limit("*", "batch").unwrap().weight, 9);
     let output = shell.run_with("table edit limits -", "kind,organisation,weight\n*,*,4\n");
     assert_eq!(code(&output), 0, "{}", stderr(&output));
     assert_eq!(shell.table().snapshot().limits.len(), 2);
@@ -154,17 +154,17 @@
 fn rows_that_an_old_sheet_left_as_they_were_keep_what_others_made_of_them() {
     let shell = Shell::new();
     shell.ok("table set * * weight=2");
-    shell.ok("table set * audit weight=3");
+    shell.ok("table set * batch weight=3");
     let sheet = shell.ok("table export limits");
     shell.ok("table set * * weight=5");
     let output = shell.run_with(
         "table apply limits -",
-        &sheet.replace("*,audit,3", "*,audit,4"),
+        &sheet.replace("*,batch,3", "*,batch,4"),
     );
     assert_eq!(code(&output), 0, "{}", stderr(&output));
     let table = shell.table();
     let weight = |kind| table.limit("*", kind).unwrap().weight;
-    assert_eq!((weight("*"), weight("audit")), (5, 4));
+    assert_eq!((weight("*"), weight("batch")), (5, 4));
 }
 
 #[test]
@@ -208,10 +208,10 @@
 #[test]
 fn a_key_is_printed_once_and_only_its_digest_kept() {
     let shell = Shell::new();
-    let printed = shell.ok("organisation create verdure");
+    let printed = shell.ok("organisation create org-1");
     let key = printed.split_whitespace().last().unwrap();
     assert!(key.starts_with("mgs_"));
-    assert_eq!(shell.table().organisation_of(key).unwrap().name, "verdure");
+    assert_eq!(shell.table().organisation_of(key).unwrap().name, "org-1");
     for line in [
         "organisation list",
         "table export organisations",
@@ -219,13 +219,10 @@
     ] {
         assert!(!shell.ok(line).contains(key));
     }
-    let second = shell.ok("organisation key verdure");
+    let second = shell.ok("organisation key org-1");
     let second = second.split_whitespace().last().unwrap();
     let digest = mgs_settings::table::key_digest(key);
-    shell.ok(&format!(
-        "organisation key verdure --revoke {}",
-        &digest[..8]
-    ));
+    shell.ok(&format!("organisation key org-1 --revoke {}", &digest[..8]));
     assert!(shell.table().organisation_of(key).is_none());
     assert!(shell.table().organisation_of(second).is_some());
 }
@@ -247,8 +244,8 @@
 #[test]
 fn an_exported_table_is_imported_elsewhere() {
     let shell = Shell::new();
-    shell.ok("organisation create verdure");
-    shell.ok("table set verdure * weight=4");
+    shell.ok("organisation create org-1");
+    shell.ok("table set org-1 * weight=4");
     shell.ok("endpoint set e1 kind=engine sidecar_address=10.0.0.1:7300 zone=a models=m");
     let file = std::env::temp_dir().join(format!("mgs-import-{}.json", std::process::id()));
     std::fs::write(&file, shell.ok("table export --json")).unwrap();
