--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -5,5 +5,6 @@
 
 pub mod check;
 pub mod history;
+pub mod load;
 pub mod proxy;
 pub mod settings;
