--- a/crates/mgs-gateway/src/duty/member.rs
+++ b/crates/mgs-gateway/src/duty/member.rs
@@ -70,7 +70,7 @@
         return log::warn!(error:% = error; "a gateway's row can't be read");
     }
     let lease_ms = duties.core.options.member.lease_ms;
-    let live = observer.live(now_ms, lease_ms);
+    let live = observer.live(lease_ms);
     let own = duties.core.options.name.as_str();
     let others = live.into_iter().filter(|(name, _)| *name != own);
     let addresses = others.filter_map(|(_, member)| member.address.parse::<SocketAddr>().ok());
--- a/crates/mgs-standin/src/engine/report.rs
+++ b/crates/mgs-standin/src/engine/report.rs
@@ -83,7 +83,7 @@
     pub(super) fn note(&mut self, now: Instant, changes: Vec<Change>) {
         for change in changes {
             self.last_number += 1;
-            let lost = self.lose_every > 0 && self.last_number % self.lose_every == 0;
+            let lost = self.lose_every > 0 && self.last_number.is_multiple_of(self.lose_every);
             if lost {
                 continue;
             }
--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -7,19 +7,19 @@
 use std::sync::Arc;
 
 use clap::Arg;
+use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_admission::queue;
+use mgs_gateway::duty::Platform;
 use mgs_gateway::gateway;
+use mgs_gateway::gateway::Gateway;
 use mgs_request::plant::Plant;
 use mgs_routing::policy;
-use mgs_settings::follow;
 
 use super::process;
 use crate::error::Error;
-use crate::role::gateway::Options;
-use crate::role::gateway::Running;
 use crate::setting::number;
-use crate::setting::number::MS_MAX;
 use crate::setting::switch;
 use crate::setting::value;
 use crate::setting::Values;
@@ -30,10 +30,11 @@
 const ZONE: &str = "zone";
 const LISTEN: &str = "listen";
 const PEER_LISTEN: &str = "peer-listen";
+const PEERS: &str = "peers";
 const POLICY: &str = "policy";
+const ADMISSION: &str = "admission";
+const NO_CONTROL: &str = "no-control";
 const NO_HEDGE: &str = "no-hedge";
-const POLL_INTERVAL_MS: &str = "settings-poll-interval-ms";
-const POLL_READS_PER_S: &str = "settings-reads-per-s";
 
 const EXAMPLES: &str = "\
 Examples:
@@ -61,13 +62,13 @@
             NO_HEDGE,
             "Never attempt an idempotent request beside a slow first attempt",
         ))
-        .args(settings_arguments())
+        .arg(switch(NO_CONTROL, "Never hold the controller's lease"))
         .args(process::platform_arguments())
         .args(process::arguments("127.0.0.1:7102", "600000"))
         .args(process::plant_arguments())
 }
 
-fn host_arguments() -> [Arg; 5] {
+fn host_arguments() -> [Arg; 7] {
     [
         value(
             NAME,
@@ -84,28 +85,16 @@
         )
         .default_value("127.0.0.1:7101"),
         value(
-            POLICY,
-            "NAME",
-            "How endpoints are chosen: marigold, round-robin, least-outstanding or prefix-affinity",
-        )
-        .default_value(policy::NAMES[0]),
-    ]
-}
-
-fn settings_arguments() -> [Arg; 2] {
-    [
-        value(
-            POLL_INTERVAL_MS,
-            "MS",
-            "Time between looks for edits of the settings",
-        )
-        .default_value("1000"),
-        value(
-            POLL_READS_PER_S,
-            "N",
-            "Reads per second that all gateways together spend on them",
+            PEERS,
+            "IP:PORT",
+            "Peer addresses of other gateways, by commas, asked for settings at a start without the platform",
         )
-        .default_value("200"),
+        .action(ArgAction::Append)
+        .value_delimiter(','),
+        value(POLICY, "NAME", format!("How endpoints are chosen: {}", policy::NAMES.join(", ")))
+            .default_value(policy::NAMES[0]),
+        value(ADMISSION, "NAME", format!("How requests are queued: {}", queue::NAMES.join(", ")))
+            .default_value(queue::NAMES[0]),
     ]
 }
 
@@ -113,36 +102,37 @@
 pub fn run(matches: &ArgMatches, _out: &mut dyn Write) -> Result<(), Error> {
     let mut values = Values::new(matches);
     let process = process::options(&mut values);
-    let options = Options {
-        gateway: gateway::Options {
-            admin_listen: Some(process.admin),
-            plant: plant(&mut values),
-            ..gateway_options(&mut values)
-        },
-        platform: process::platform_options(&mut values),
-        follow: follow::Options {
-            poll_interval_ms: values.number(POLL_INTERVAL_MS, 10..=MS_MAX),
-            reads_per_s: values.number(POLL_READS_PER_S, 1..=100_000),
-        },
+    let platform = process::platform_options(&mut values);
+    let options = gateway::Options {
+        admin_listen: Some(process.admin),
+        platform: Some(Platform::over_http(platform)),
+        plant: plant(&mut values),
+        ..gateway_options(&mut values)
     };
     values.finish()?;
 
     let mut stop = Stop::new()?;
     let _logs = process::start_log(&process.logs)?;
-    let running = Arc::new(Running::start(options)?);
-    let gateway = running.gateway();
+    let gateway = Gateway::start(options).map_err(|error| Error::Failed(error.to_string()))?;
+    let gateway = Arc::new(gateway);
     log::info!(
         address:% = gateway.address(),
+        peer_address:? = gateway.peer_address(),
         admin_address:? = gateway.admin_address(),
         incarnation = gateway.incarnation();
         "gateway started"
     );
-    stop.wait();
+    stop.wait_unless(|| gateway.core().is_superseded());
+    let superseded = gateway.core().is_superseded();
     let drain_ms = process.drain_ms;
-    let draining = running.clone();
     stop.drain(drain_ms, move || {
-        draining.gateway().drain(drain_ms);
-    })
+        gateway.drain(drain_ms);
+    })?;
+    if superseded {
+        let text = "another process took this one's name over; give each gateway its own --name";
+        return Err(Error::Failed(text.to_string()));
+    }
+    Ok(())
 }
 
 fn gateway_options(values: &mut Values<'_>) -> gateway::Options {
@@ -152,7 +142,10 @@
         zone: values.text(ZONE),
         listen,
         peer_listen: Some(values.address(PEER_LISTEN)),
-        policy: policy_name(values),
+        peers: values.addresses(PEERS),
+        control: !values.switch(NO_CONTROL),
+        policy: one_of(values, POLICY, &policy::NAMES),
+        admission: one_of(values, ADMISSION, &queue::NAMES),
         hedge: !values.switch(NO_HEDGE),
         ..gateway::Options::default()
     };
@@ -168,10 +161,10 @@
     values.text(NAME)
 }
 
-fn policy_name(values: &mut Values<'_>) -> String {
-    let name = values.text(POLICY);
-    if !policy::NAMES.contains(&name.as_str()) {
-        values.fault(POLICY, format!("give one of {}", policy::NAMES.join(", ")));
+fn one_of(values: &mut Values<'_>, flag: &str, names: &[&str]) -> String {
+    let name = values.text(flag);
+    if !names.contains(&name.as_str()) {
+        values.fault(flag, format!("give one of {}", names.join(", ")));
     }
     name
 }
--- a/src/command/gateway/numbers.rs
+++ b/src/command/gateway/numbers.rs
@@ -6,7 +6,7 @@
 use crate::setting::number::MS_MAX;
 
 /// Every number, in the order of the help.
-pub(super) const NUMBERS: [Number<Options>; 13] = [
+pub(super) const NUMBERS: [Number<Options>; 17] = [
     Number {
         flag: "leave-grace-ms",
         unit: "MS",
@@ -124,4 +124,40 @@
         get: |o| o.retry_budget.saved_max,
         set: |o, n| o.retry_budget.saved_max = n,
     },
+    Number {
+        flag: "settings-poll-interval-ms",
+        unit: "MS",
+        help: "Time between looks for edits of the settings",
+        least: 10,
+        most: MS_MAX,
+        get: |o| o.follow.poll_interval_ms,
+        set: |o, n| o.follow.poll_interval_ms = n,
+    },
+    Number {
+        flag: "settings-reads-per-s",
+        unit: "N",
+        help: "Reads per second that all gateways together spend on them",
+        least: 1,
+        most: 100_000,
+        get: |o| o.follow.reads_per_s,
+        set: |o, n| o.follow.reads_per_s = n,
+    },
+    Number {
+        flag: "member-renew-ms",
+        unit: "MS",
+        help: "Time between renewals of this gateway's row on the platform",
+        least: 100,
+        most: MS_MAX,
+        get: |o| o.member.renew_interval_ms,
+        set: |o, n| o.member.renew_interval_ms = n,
+    },
+    Number {
+        flag: "member-lease-ms",
+        unit: "MS",
+        help: "How long another gateway's row may stay unchanged before it counts as dead",
+        least: 100,
+        most: MS_MAX,
+        get: |o| o.member.lease_ms,
+        set: |o, n| o.member.lease_ms = n,
+    },
 ];
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -8,7 +8,9 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use mgs_gateway::duty;
 use mgs_gateway::gateway;
+use mgs_gateway::gateway::Gateway;
 use mgs_observe::metrics::Registry;
 use mgs_platform::http;
 use mgs_schema::settings::Change;
@@ -16,7 +18,6 @@
 use mgs_schema::settings::EndpointRow;
 use mgs_schema::settings::LimitRow;
 use mgs_schema::settings::OrganisationRow;
-use mgs_settings::follow;
 use mgs_settings::row::RowValue;
 use mgs_settings::row::ANY;
 use mgs_settings::store::edit;
@@ -40,8 +41,6 @@
 use super::plan::Planned;
 use super::report::Summary;
 use crate::error::Error;
-use crate::role::gateway::Options as RoleOptions;
-use crate::role::gateway::Running;
 use crate::status::parse_metrics;
 
 const ZONES: [&str; 2] = ["zone-1", "zone-2"];
@@ -79,7 +78,7 @@
 
 /// The running fleet; it stops when dropped.
 pub struct Fleet {
-    gateways: Vec<(Running, Registry)>,
+    gateways: Vec<(Gateway, Registry)>,
     sidecars: Vec<Sidecar>,
     engines: Vec<Engine>,
     service: Service,
@@ -128,14 +127,14 @@
         Ok(())
     }
 
-    fn serves(&self, (running, registry): &(Running, Registry)) -> bool {
+    fn serves(&self, (gateway, registry): &(Gateway, Registry)) -> bool {
         let sessions = metric(registry, "mgs_gateway_sessions");
-        running.gateway().health().ready().is_ok() && sessions as usize == self.sidecars.len()
+        gateway.health().ready().is_ok() && sessions as usize == self.sidecars.len()
     }
 
     /// Where the load goes.
     pub fn target(&self) -> Target {
-        let address = |(running, _): &(Running, Registry)| running.gateway().address();
+        let address = |(gateway, _): &(Gateway, Registry)| gateway.address();
         Target {
             gateways: self.gateways.iter().map(address).collect(),
             bearer_keys: self.bearer_keys.clone(),
@@ -145,7 +144,7 @@
     /// Operators' addresses of gateways and sidecars.
     pub fn admin_addresses(&self) -> Vec<SocketAddr> {
         let gateways = self.gateways.iter();
-        let gateways = gateways.map(|(running, _)| running.gateway().admin_address());
+        let gateways = gateways.map(|(gateway, _)| gateway.admin_address());
         let sidecars = self.sidecars.iter().map(Sidecar::admin_address);
         gateways.chain(sidecars).flatten().collect()
     }
@@ -317,22 +316,19 @@
     index: usize,
     listen: SocketAddr,
     platform: &Platform,
-) -> Result<(Running, Registry), Error> {
+) -> Result<(Gateway, Registry), Error> {
     let registry = Registry::new();
-    let running = Running::start(RoleOptions {
-        gateway: gateway::Options {
-            name: format!("gateway-{}", index + 1),
-            zone: ZONES[index % ZONES.len()].to_string(),
-            listen,
-            peer_listen: Some(any_port()),
-            admin_listen: Some(any_port()),
-            registry: registry.clone(),
-            ..gateway::Options::default()
-        },
-        platform: platform_options(platform),
-        follow: follow::Options::default(),
-    })?;
-    Ok((running, registry))
+    let gateway = Gateway::start(gateway::Options {
+        name: format!("gateway-{}", index + 1),
+        zone: ZONES[index % ZONES.len()].to_string(),
+        listen,
+        peer_listen: Some(any_port()),
+        admin_listen: Some(any_port()),
+        platform: Some(duty::Platform::over_http(platform_options(platform))),
+        registry: registry.clone(),
+        ..gateway::Options::default()
+    });
+    Ok((gateway.map_err(failed)?, registry))
 }
 
 fn platform_options(platform: &Platform) -> http::Options {
@@ -385,7 +381,7 @@
         author: "demo".to_string(),
         at_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
         changes,
-        retried: false,
+        ..edit::Options::default()
     };
     edit::commit(store, &Table::default(), &options).map_err(failed)?;
     Ok(())
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -13,7 +13,6 @@
 pub mod demo;
 pub mod error;
 pub mod operator;
-pub mod role;
 pub mod setting;
 pub mod status;
 pub mod stop;
--- a/src/setting/mod.rs
+++ b/src/setting/mod.rs
@@ -35,14 +35,14 @@
 }
 
 /// Declares a setting with a value.
-pub fn value(flag: &'static str, placeholder: &'static str, help: &'static str) -> Arg {
+pub fn value(flag: &'static str, placeholder: &'static str, help: impl Into<String>) -> Arg {
     Arg::new(flag)
         .long(flag)
         .env(variable(flag))
         .value_name(placeholder)
         .action(ArgAction::Set)
         .allow_negative_numbers(true)
-        .help(help)
+        .help(help.into())
 }
 
 /// Declares a setting that is either given or not.
--- a/src/stop.rs
+++ b/src/stop.rs
@@ -32,6 +32,13 @@
         self.signals.forever().next();
     }
 
+    /// Blocks until one of the signals comes or `is_over` says that there is no use in going on.
+    pub fn wait_unless(&mut self, is_over: impl Fn() -> bool) {
+        while !self.is_asked() && !is_over() {
+            thread::sleep(Duration::from_millis(SIGNAL_CHECK_MS));
+        }
+    }
+
     /// Whether one of the signals came since the last look.
     pub fn is_asked(&mut self) -> bool {
         self.signals.pending().next().is_some()
