feat(cli): help in groups, addresses that others are told, tests of every fault's advice

Cause: forty flags in one list teach nobody; a peer address of 0.0.0.0 would be told to other hosts and reach nothing. Ruled out: hiding the tuning flags, which operators then can't find. Conclusion: help has the headings Options, Platform, Operators and Tuning.

--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -57,14 +57,17 @@
         .about("Run the entry host's process, which callers talk to")
         .after_help(EXAMPLES)
         .args(host_arguments())
-        .args(number::arguments(&NUMBERS))
+        .next_help_heading(process::PLATFORM_HEADING)
+        .args(process::platform_arguments())
+        .next_help_heading(process::OPERATORS_HEADING)
+        .args(process::arguments("127.0.0.1:7102", "600000"))
+        .next_help_heading(process::TUNING_HEADING)
         .arg(switch(
             NO_HEDGE,
             "Never attempt an idempotent request beside a slow first attempt",
         ))
         .arg(switch(NO_CONTROL, "Never hold the controller's lease"))
-        .args(process::platform_arguments())
-        .args(process::arguments("127.0.0.1:7102", "600000"))
+        .args(number::arguments(&NUMBERS))
         .args(process::plant_arguments())
 }
 
@@ -141,7 +144,7 @@
         name: name(values, listen),
         zone: values.text(ZONE),
         listen,
-        peer_listen: Some(values.address(PEER_LISTEN)),
+        peer_listen: Some(values.told_address(PEER_LISTEN)),
         peers: values.addresses(PEERS),
         control: !values.switch(NO_CONTROL),
         policy: one_of(values, POLICY, &policy::NAMES),
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -17,6 +17,15 @@
 use crate::setting::value;
 use crate::setting::Values;
 
+/// Heading of the platform's settings in the help.
+pub const PLATFORM_HEADING: &str = "Platform";
+
+/// Heading of the settings for operators in the help.
+pub const OPERATORS_HEADING: &str = "Operators, log and end";
+
+/// Heading of the numbers that seldom need a change in the help.
+pub const TUNING_HEADING: &str = "Tuning";
+
 const PLATFORM: &str = "platform";
 const PLATFORM_CONNECT_TIMEOUT_MS: &str = "platform-connect-timeout-ms";
 const PLATFORM_CALL_TIMEOUT_MS: &str = "platform-call-timeout-ms";
--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -45,8 +45,11 @@
         .about("Run the process beside one endpoint, the only door to it")
         .after_help(EXAMPLES)
         .args(arguments())
+        .next_help_heading(process::PLATFORM_HEADING)
         .args(process::platform_arguments())
+        .next_help_heading(process::OPERATORS_HEADING)
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .next_help_heading(process::TUNING_HEADING)
         .args(number::arguments(&NUMBERS))
         .args(process::plant_arguments())
 }
@@ -81,7 +84,7 @@
         name: values.text(NAME),
         zone: values.text(ZONE),
         kind: kind(&mut values),
-        listen: values.address(LISTEN),
+        listen: values.told_address(LISTEN),
         admin_listen: Some(process.admin),
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
--- a/src/setting/mod.rs
+++ b/src/setting/mod.rs
@@ -11,6 +11,7 @@
 use std::ops::RangeInclusive;
 use std::str::FromStr;
 
+use clap::builder::BoolishValueParser;
 use clap::parser::ValueSource;
 use clap::Arg;
 use clap::ArgAction;
@@ -51,6 +52,7 @@
         .long(flag)
         .env(variable(flag))
         .action(ArgAction::SetTrue)
+        .value_parser(BoolishValueParser::new())
         .help(help)
 }
 
@@ -144,12 +146,13 @@
         addresses
     }
 
-    /// An address that others are told; it must name one host and one port.
-    pub fn reachable_address(&mut self, flag: &str) -> SocketAddr {
+    /// An address that other processes are told, so it must name one IP number; port 0 takes a
+    /// free port.
+    pub fn told_address(&mut self, flag: &str) -> SocketAddr {
         let address = self.address(flag);
-        let unspecified = address.ip().is_unspecified() || address.port() == 0;
-        if unspecified && !self.is_faulty(flag) {
-            self.fault(flag, "others must reach it: give one IP number and a port");
+        if address.ip().is_unspecified() && !self.is_faulty(flag) {
+            let advice = "other processes are told it: give this host's own IP number";
+            self.fault(flag, advice);
         }
         address
     }
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -111,6 +111,43 @@
     }
 }
 
+#[rstest]
+#[case(
+    "gateway",
+    "--peer-listen",
+    "0.0.0.0:7101",
+    "this host's own IP number"
+)]
+#[case("sidecar", "--listen", "[::]:7300", "this host's own IP number")]
+#[case("gateway", "--policy", "best", "give one of marigold")]
+#[case("gateway", "--admission", "none", "give one of ")]
+#[case("gateway", "--peers", "10.0.0.1:1,x", "\"x\" is no IP:PORT")]
+#[case("gateway", "--plant", "truncated-answer", "--allow-plant")]
+#[case("sidecar", "--plant", "ignored-fence", "--allow-plant")]
+#[case(
+    "gateway",
+    "--body-max-bytes",
+    "99999999999",
+    "from 1024 to 1073741824"
+)]
+#[case("demo", "--time-scale", "0", "from 0.01 to 1000")]
+fn a_fault_says_what_to_give_instead(
+    #[case] command: &str,
+    #[case] flag: &str,
+    #[case] given: &str,
+    #[case] advice: &str,
+) {
+    let mut arguments = vec![command, flag, given];
+    if command == "sidecar" {
+        arguments.extend(["--name", "engine-1"]);
+    }
+    let output = run(&arguments);
+    assert_eq!(code(&output), 2, "{}", stderr(&output));
+    let text = stderr(&output);
+    assert!(text.contains("a setting is wrong"), "{text}");
+    assert!(text.contains(flag) && text.contains(advice), "{text}");
+}
+
 #[test]
 fn a_flag_goes_before_its_variable() {
     let output = marigoldstage()
