--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -3,6 +3,7 @@
 mod numbers;
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use clap::Arg;
@@ -34,7 +35,6 @@
 const POLL_INTERVAL_MS: &str = "settings-poll-interval-ms";
 const POLL_READS_PER_S: &str = "settings-reads-per-s";
 
-
 const EXAMPLES: &str = "\
 Examples:
   # on an entry host, behind the balancer
@@ -57,7 +57,10 @@
         .after_help(EXAMPLES)
         .args(host_arguments())
         .args(number::arguments(&NUMBERS))
-        .arg(switch(NO_HEDGE, "Never attempt an idempotent request beside a slow first attempt"))
+        .arg(switch(
+            NO_HEDGE,
+            "Never attempt an idempotent request beside a slow first attempt",
+        ))
         .args(settings_arguments())
         .args(process::platform_arguments())
         .args(process::arguments("127.0.0.1:7102", "600000"))
@@ -66,8 +69,11 @@
 
 fn host_arguments() -> [Arg; 5] {
     [
-        value(NAME, "NAME", "Name of this process, unique among gateways")
-            .default_value("gateway-1"),
+        value(
+            NAME,
+            "NAME",
+            "Name of this process, unique among gateways [default: gateway-IP:PORT of --listen]",
+        ),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
         value(LISTEN, "IP:PORT", "Where callers reach this process")
             .default_value("127.0.0.1:7100"),
@@ -140,10 +146,11 @@
 }
 
 fn gateway_options(values: &mut Values<'_>) -> gateway::Options {
+    let listen = values.address(LISTEN);
     let mut options = gateway::Options {
-        name: values.text(NAME),
+        name: name(values, listen),
         zone: values.text(ZONE),
-        listen: values.address(LISTEN),
+        listen,
         peer_listen: Some(values.address(PEER_LISTEN)),
         policy: policy_name(values),
         hedge: !values.switch(NO_HEDGE),
@@ -153,6 +160,14 @@
     options
 }
 
+/// Two gateways of one name would each take the other for its successor, so no fixed default.
+fn name(values: &mut Values<'_>, listen: SocketAddr) -> String {
+    if values.optional(NAME).is_none() {
+        return format!("gateway-{listen}");
+    }
+    values.text(NAME)
+}
+
 fn policy_name(values: &mut Values<'_>) -> String {
     let name = values.text(POLICY);
     if !policy::NAMES.contains(&name.as_str()) {
