--- a/crates/mgs-testing/src/load/call.rs
+++ b/crates/mgs-testing/src/load/call.rs
@@ -55,7 +55,10 @@
         "stream": true,
     });
     let sent = attohttpc::post(format!("http://{address}/v1/completions"))
-        .header("Authorization", format!("Bearer {}", bearer_key(arrival.organisation)))
+        .header(
+            "Authorization",
+            format!("Bearer {}", bearer_key(arrival.organisation)),
+        )
         .header("Content-Type", "application/json")
         .header("Request-Timeout-Ms", allotted_ms)
         .read_timeout(limit)
--- a/crates/mgs-testing/src/load/cluster.rs
+++ b/crates/mgs-testing/src/load/cluster.rs
@@ -81,7 +81,9 @@
     /// queue first in, first out.
     pub fn start(options: &Options, policy: &str) -> Result<Self, Error> {
         let engine = |_| engine(options).map_err(Error::Engine);
-        let engines = (0..options.engines).map(engine).collect::<Result<Vec<_>, _>>()?;
+        let engines = (0..options.engines)
+            .map(engine)
+            .collect::<Result<Vec<_>, _>>()?;
         let sidecar = |(i, engine): (usize, &Engine)| {
             Sidecar::start(sidecar::Options {
                 name: endpoint(i),
@@ -92,7 +94,11 @@
             })
             .map_err(Error::Sidecar)
         };
-        let sidecars = engines.iter().enumerate().map(sidecar).collect::<Result<Vec<_>, _>>()?;
+        let sidecars = engines
+            .iter()
+            .enumerate()
+            .map(sidecar)
+            .collect::<Result<Vec<_>, _>>()?;
         let addresses: Vec<SocketAddr> = sidecars.iter().map(Sidecar::address).collect();
         let settings = Arc::new(Holder::default());
         settings.adopt_snapshot(settings_of(options, &addresses));
@@ -109,7 +115,9 @@
             })
             .map_err(Error::Gateway)
         };
-        let gateways = (0..options.gateways).map(gateway).collect::<Result<Vec<_>, _>>()?;
+        let gateways = (0..options.gateways)
+            .map(gateway)
+            .collect::<Result<Vec<_>, _>>()?;
         let cluster = Self {
             gateways,
             sidecars,
--- a/crates/mgs-testing/src/load/figures.rs
+++ b/crates/mgs-testing/src/load/figures.rs
@@ -119,7 +119,10 @@
 /// Quantiles of the short prompts among `samples`, without those of the start.
 pub fn short(samples: &[Sample], options: &Options) -> Quantiles {
     let mut all = histogram();
-    for sample in samples.iter().filter(|s| counts(s, options) && s.arrival.is_short()) {
+    for sample in samples
+        .iter()
+        .filter(|s| counts(s, options) && s.arrival.is_short())
+    {
         if let Some(ms) = first_token_ms(sample, options.time_scale) {
             all += ms;
         }
@@ -192,8 +195,17 @@
     let mut all = Vec::new();
     for (number, phase) in options.scenario.phases().iter().enumerate() {
         let end_s = start_s + phase.share * options.seconds;
-        let own: Vec<&Sample> = samples.iter().filter(|s| s.arrival.phase == number).collect();
-        all.push(phase_figures(phase, &own, samples, options, (start_s, end_s)));
+        let own: Vec<&Sample> = samples
+            .iter()
+            .filter(|s| s.arrival.phase == number)
+            .collect();
+        all.push(phase_figures(
+            phase,
+            &own,
+            samples,
+            options,
+            (start_s, end_s),
+        ));
         start_s = end_s;
     }
     all
@@ -301,7 +313,10 @@
 fn recovery_s(samples: &[Sample], options: &Options, figures: &[PhaseFigures]) -> Option<f64> {
     let phases = options.scenario.phases();
     let after = phases.iter().position(|phase| phase.name == "after")?;
-    let start_s: f64 = phases[..after].iter().map(|p| p.share * options.seconds).sum();
+    let start_s: f64 = phases[..after]
+        .iter()
+        .map(|p| p.share * options.seconds)
+        .sum();
     let normal_ms = figures.first()?.short.p95 as f64 * RECOVERED_FACTOR;
     let own = |s: &&Sample| s.arrival.phase == after && s.arrival.is_short();
     let own: Vec<&Sample> = samples.iter().filter(own).collect();
--- a/crates/mgs-testing/src/load/plot.rs
+++ b/crates/mgs-testing/src/load/plot.rs
@@ -50,7 +50,10 @@
         .margin(MARGIN_PIXELS)
         .x_label_area_size(LABELS_PIXELS)
         .y_label_area_size(LABELS_PIXELS)
-        .build_cartesian_2d(0.0..(BANDS.len() - 1) as f64, (LEAST_MS..MOST_MS).log_scale())
+        .build_cartesian_2d(
+            0.0..(BANDS.len() - 1) as f64,
+            (LEAST_MS..MOST_MS).log_scale(),
+        )
         .map_err(failed)?;
     chart
         .configure_mesh()
@@ -87,11 +90,19 @@
 }
 
 /// Draws each request's time to first token by its arrival, a colour for each band.
-pub fn requests(path: &Path, title: &str, samples: &[Sample], options: &Options) -> Result<(), Error> {
+pub fn requests(
+    path: &Path,
+    title: &str,
+    samples: &[Sample],
+    options: &Options,
+) -> Result<(), Error> {
     let root = SVGBackend::new(path, SIZE_PIXELS).into_drawing_area();
     root.fill(&WHITE).map_err(failed)?;
     let mut chart = ChartBuilder::on(&root)
-        .caption(format!("{title}: time to first token of each request"), FONT)
+        .caption(
+            format!("{title}: time to first token of each request"),
+            FONT,
+        )
         .margin(MARGIN_PIXELS)
         .x_label_area_size(LABELS_PIXELS)
         .y_label_area_size(LABELS_PIXELS)
@@ -108,7 +119,11 @@
         let own = samples.iter().filter(|s| s.arrival.band() == band);
         let point = |s: &Sample| {
             let ms = figures::first_token_ms(s, options.time_scale)?;
-            Some(Circle::new((s.arrival.at_s, (ms as f64).max(LEAST_MS)), 2, colour.filled()))
+            Some(Circle::new(
+                (s.arrival.at_s, (ms as f64).max(LEAST_MS)),
+                2,
+                colour.filled(),
+            ))
         };
         chart
             .draw_series(own.filter_map(point))
--- a/crates/mgs-testing/src/load/report.rs
+++ b/crates/mgs-testing/src/load/report.rs
@@ -69,7 +69,10 @@
         figures.refused, figures.refused_without_time, figures.failed, figures.lateness_p99_ms,
     );
     if figures.phases.len() > 1 {
-        figures.phases.iter().for_each(|figures| phase(text, figures));
+        figures
+            .phases
+            .iter()
+            .for_each(|figures| phase(text, figures));
     }
     if let Some(recovery_s) = figures.recovery_s {
         let _ = writeln!(text, "  back to normal {recovery_s} s after the overload");
--- a/crates/mgs-testing/src/load/workload.rs
+++ b/crates/mgs-testing/src/load/workload.rs
@@ -172,14 +172,20 @@
     let prefix_seed = arrival.organisation as u64 * 1_000 + arrival.prefix;
     let mut text = String::with_capacity(arrival.prompt_tokens as usize * 4);
     fill(&mut text, prefix_seed, arrival.prefix_tokens);
-    fill(&mut text, arrival.seed, arrival.prompt_tokens - arrival.prefix_tokens);
+    fill(
+        &mut text,
+        arrival.seed,
+        arrival.prompt_tokens - arrival.prefix_tokens,
+    );
     text
 }
 
 fn fill(text: &mut String, seed: u64, tokens: u64) {
     let mut state = seed | 1;
     for _ in 0..tokens {
-        state = state.wrapping_mul(6_364_136_223_846_793_005).wrapping_add(1);
+        state = state
+            .wrapping_mul(6_364_136_223_846_793_005)
+            .wrapping_add(1);
         for shift in [33, 39, 45] {
             text.push(char::from(b'a' + (state >> shift) as u8 % 26));
         }
