perf(controller): watch the lease within a budget of reads

Cause: each gateway read the lease's row once a second, 450 reads a second at 450 gateways, more than the settings' polls. Ruled out: fewer candidates for the duty (which ones would have to be agreed on).

--- a/crates/mgs-controller/src/lease.rs
+++ b/crates/mgs-controller/src/lease.rs
@@ -90,6 +90,8 @@
     incarnation: u64,
     seen: Option<Seen>,
     held: Option<Held>,
+    watch_interval_ms: u64,
+    watch_due_ms: u64,
 }
 
 #[derive(Debug, Clone, PartialEq, Eq)]
@@ -114,9 +116,17 @@
             incarnation,
             seen: None,
             held: None,
+            watch_interval_ms: 0,
+            watch_due_ms: 0,
         }
     }
 
+    /// Sets the least time between reads of a process that doesn't hold the lease, in
+    /// milliseconds, so that many processes together stay within the store's budget.
+    pub fn watch_every(&mut self, interval_ms: u64) {
+        self.watch_interval_ms = interval_ms;
+    }
+
     /// Whether the process may act as the holder now.
     pub fn held(&self, now_ms: u64) -> bool {
         self.held.is_some_and(|held| now_ms < held.until_ms)
@@ -137,7 +147,10 @@
             self.write(now_ms, table, Txn::default(), Number::Keep)?;
             return Ok(self.held(now_ms));
         }
-        self.held = None;
+        if self.held.take().is_none() && now_ms < self.watch_due_ms {
+            return Ok(false);
+        }
+        self.watch_due_ms = now_ms + self.watch_interval_ms;
         let row = table.get(LEASE_KEY)?;
         self.observe(now_ms, row.as_ref())?;
         if self.may_take(now_ms) {
--- a/crates/mgs-controller/src/runner.rs
+++ b/crates/mgs-controller/src/runner.rs
@@ -50,6 +50,8 @@
     pub compact: compact::Options,
     /// How long a gateway's row stays unchanged before the gateway counts as dead, in milliseconds.
     pub member_lease_ms: u64,
+    /// Reads per second that all gateways together may spend on watching the lease.
+    pub watch_reads_per_s: u64,
     /// Time between looks at the fleet, in milliseconds.
     pub look_interval_ms: u64,
     /// Time before an order without an answer is sent again, in milliseconds.
@@ -67,6 +69,7 @@
             placement: placement::Options::default(),
             compact: compact::Options::default(),
             member_lease_ms: member::Options::default().lease_ms,
+            watch_reads_per_s: 50,
             look_interval_ms: 5_000,
             resend_interval_ms: 5_000,
             clean_interval_ms: 60_000,
@@ -169,8 +172,10 @@
         &mut self.dispatcher
     }
 
-    /// Does what is due; call it about once a second. After an error what is known is read anew.
-    pub fn tick(&mut self, now_ms: u64) -> Result<Report, Error> {
+    /// Does what is due; call it about once a second. `gateways` is how many of them watch the
+    /// lease. After an error what is known is read anew.
+    pub fn tick(&mut self, now_ms: u64, gateways: u64) -> Result<Report, Error> {
+        self.lease.watch_every(self.watch_interval_ms(gateways));
         let result = self.step(now_ms);
         if result.is_err() {
             self.duty = None;
@@ -178,6 +183,12 @@
         result
     }
 
+    fn watch_interval_ms(&self, gateways: u64) -> u64 {
+        const MS_PER_S: u64 = 1_000;
+        let fair_ms = gateways * MS_PER_S / self.options.watch_reads_per_s.max(1);
+        self.options.lease.renew_interval_ms.max(fair_ms)
+    }
+
     fn step(&mut self, now_ms: u64) -> Result<Report, Error> {
         if !self.lease.tick(now_ms, self.platform.table.as_ref())? {
             self.duty = None;
--- a/crates/mgs-controller/tests/lease.rs
+++ b/crates/mgs-controller/tests/lease.rs
@@ -91,3 +91,17 @@
     assert_eq!(numbers.len(), 50);
     assert!(numbers.windows(2).all(|pair| pair[0] < pair[1]));
 }
+
+#[test]
+fn a_process_that_watches_reads_as_rarely_as_it_is_told() {
+    let memory = Memory::default();
+    let (mut first, mut second) = (lease(1), lease(2));
+    second.watch_every(9_000);
+    assert!(first.tick(0, &memory).unwrap());
+    let before = memory.faults().counters().reads;
+    let took = (0..)
+        .step_by(500)
+        .find(|now_ms| second.tick(*now_ms, &memory).unwrap());
+    assert_eq!(took, Some(18_000));
+    assert_eq!(memory.faults().counters().reads - before, 3);
+}
--- a/crates/mgs-controller/tests/runner.rs
+++ b/crates/mgs-controller/tests/runner.rs
@@ -222,7 +222,7 @@
         let mut reports = Vec::new();
         for now_ms in (from_ms..to_ms).step_by(1_000) {
             self.renew_gateway();
-            let Ok(report) = runner.tick(now_ms) else {
+            let Ok(report) = runner.tick(now_ms, 2) else {
                 continue;
             };
             reports.push(report);
@@ -295,7 +295,7 @@
     for (endpoint, order) in late {
         assert!(!bench.engines.deliver(&endpoint, &order).done);
     }
-    assert!(!old.tick(36_000).unwrap().held);
+    assert!(!old.tick(36_000, 2).unwrap().held);
     assert_eq!(bench.engines.effects(), moved());
     bench.engines.assert_at_most_one_effect_a_number();
 }
@@ -353,7 +353,10 @@
     let (mut first, mut second) = (bench.runner(1), bench.runner(2));
     for now_ms in (0..60_000).step_by(1_000) {
         bench.renew_gateway();
-        let held = [first.tick(now_ms).unwrap(), second.tick(now_ms).unwrap()];
+        let held = [
+            first.tick(now_ms, 2).unwrap(),
+            second.tick(now_ms, 2).unwrap(),
+        ];
         assert_eq!(held.map(|report| report.held), [true, false]);
         settle(&mut first);
     }
--- a/crates/mgs-gateway/src/duty/control.rs
+++ b/crates/mgs-gateway/src/duty/control.rs
@@ -42,7 +42,7 @@
         if !core.has_settings() || core.is_leaving() {
             continue;
         }
-        if let Err(error) = runner.tick(core.now_ms()) {
+        if let Err(error) = runner.tick(core.now_ms(), duties.links.gateways()) {
             log::info!(error:% = error; "the controller's step failed");
         }
     }
