--- a/crates/mgs-settings/src/row.rs
+++ b/crates/mgs-settings/src/row.rs
@@ -8,6 +8,9 @@
 use mgs_schema::settings::LimitRow;
 use mgs_schema::settings::OrganisationRow;
 
+use crate::sheet::cell;
+use crate::sheet::Sheet;
+
 /// Stands for any organisation or kind without a row of its own.
 pub const ANY: &str = "*";
 
@@ -106,12 +109,16 @@
 
 impl fmt::Display for RowValue {
     fn fmt(&self, f: &mut fmt::Formatter<'_>) -> fmt::Result {
-        let text = match self {
-            Self::Limit(row) => serde_json::to_string(row),
-            Self::Organisation(row) => serde_json::to_string(row),
-            Self::Endpoint(row) => serde_json::to_string(row),
-        };
-        f.write_str(&text.map_err(|_| fmt::Error)?)
+        let columns = Sheet::of(&self.key()).columns();
+        for (index, column) in columns.iter().enumerate() {
+            let space = if index == 0 { "" } else { " " };
+            let text = cell::text(self, column);
+            match text.contains(' ') || text.is_empty() {
+                true => write!(f, "{space}{column}={text:?}")?,
+                false => write!(f, "{space}{column}={text}")?,
+            }
+        }
+        Ok(())
     }
 }
 
--- a/crates/mgs-settings/src/sheet.rs
+++ b/crates/mgs-settings/src/sheet.rs
@@ -113,17 +113,16 @@
     /// Rows of the sheet.
     pub fn rows(self, table: &Table) -> Vec<RowValue> {
         let rows = table.rows().into_iter();
-        rows.filter(|row| self.has(&row.key())).collect()
+        rows.filter(|row| Self::of(&row.key()) == self).collect()
     }
 
-    /// Whether a row belongs to the sheet.
-    pub fn has(self, key: &RowKey) -> bool {
-        matches!(
-            (self, key),
-            (Self::Limits, RowKey::Limit { .. })
-                | (Self::Organisations, RowKey::Organisation(_))
-                | (Self::Endpoints, RowKey::Endpoint(_))
-        )
+    /// The sheet that a row belongs to.
+    pub fn of(key: &RowKey) -> Self {
+        match key {
+            RowKey::Limit { .. } => Self::Limits,
+            RowKey::Organisation(_) => Self::Organisations,
+            RowKey::Endpoint(_) => Self::Endpoints,
+        }
     }
 }
 
--- /dev/null
+++ b/crates/mgs-testing/src/bin/propagation.rs
@@ -0,0 +1,88 @@
+//! Measures how long an accepted edit takes to be in force everywhere, and what it costs the
+//! store. Prints one JSON line for each number of gateways.
+
+use std::process::ExitCode;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+use mgs_testing::settings::propagation;
+use mgs_testing::settings::propagation::Options;
+use mgs_testing::settings::propagation::Scenario;
+
+const SCENARIO: &str = "scenario";
+const GATEWAYS: &str = "gateways";
+const RUN_MS: &str = "run-ms";
+const OUTAGE_MS: &str = "outage-ms";
+const ROWS: &str = "rows";
+
+fn command() -> Command {
+    let number = |name: &'static str, default: &'static str, help: &'static str| {
+        Arg::new(name)
+            .long(name)
+            .default_value(default)
+            .value_parser(clap::value_parser!(u64))
+            .help(help)
+    };
+    Command::new("propagation")
+        .about(
+            "Time from an accepted edit to in force everywhere, and reads and writes of the store",
+        )
+        .arg(
+            Arg::new(SCENARIO)
+                .long(SCENARIO)
+                .value_parser(["calm", "paused", "outage"])
+                .default_value("calm")
+                .help("What happens during the run"),
+        )
+        .arg(
+            number(GATEWAYS, "20", "Gateways; several by commas")
+                .action(ArgAction::Append)
+                .value_delimiter(','),
+        )
+        .arg(number(
+            RUN_MS,
+            "20000",
+            "Length of the run without the outage",
+        ))
+        .arg(number(OUTAGE_MS, "60000", "Length of the outage"))
+        .arg(number(ROWS, "50", "Rows of limits at the start"))
+}
+
+fn options(matches: &ArgMatches, gateways: u64) -> Options {
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let scenario = matches.get_one::<String>(SCENARIO).map(String::as_str);
+    Options {
+        scenario: match scenario {
+            Some("paused") => Scenario::Paused,
+            Some("outage") => Scenario::Outage,
+            _ => Scenario::Calm,
+        },
+        gateways: gateways as usize,
+        run_ms: number(RUN_MS),
+        outage_ms: number(OUTAGE_MS),
+        rows: number(ROWS) as usize,
+        ..Options::default()
+    }
+}
+
+#[allow(clippy::print_stdout, clippy::print_stderr)]
+fn main() -> ExitCode {
+    let matches = command().get_matches();
+    for gateways in matches.get_many::<u64>(GATEWAYS).unwrap_or_default() {
+        let report = propagation::run(&options(&matches, *gateways));
+        match report.map(|report| serde_json::to_string(&report)) {
+            Ok(Ok(line)) => println!("{line}"),
+            Ok(Err(error)) => {
+                eprintln!("{error}");
+                return ExitCode::FAILURE;
+            }
+            Err(error) => {
+                eprintln!("{error}");
+                return ExitCode::FAILURE;
+            }
+        }
+    }
+    ExitCode::SUCCESS
+}
--- a/crates/mgs-testing/src/settings/race.rs
+++ b/crates/mgs-testing/src/settings/race.rs
@@ -311,7 +311,7 @@
     ));
 }
 
-fn set_row(kind: &str, number: u64) -> mgs_schema::settings::Change {
+pub(crate) fn set_row(kind: &str, number: u64) -> mgs_schema::settings::Change {
     let row = LimitRow {
         organisation: "*".to_string(),
         kind: kind.to_string(),
--- a/src/command/table/history.rs
+++ b/src/command/table/history.rs
@@ -71,7 +71,7 @@
             continue;
         };
         match change_value(change) {
-            Some(value) => writeln!(out, "  set {key}: {}", value.at_version(edit.version))?,
+            Some(value) => writeln!(out, "  set {key}: {value}")?,
             None => writeln!(out, "  remove {key}")?,
         }
     }
--- a/src/operator/print.rs
+++ b/src/operator/print.rs
@@ -67,7 +67,7 @@
 ) -> Result<(), Error> {
     for difference in differences {
         match (&difference.before, &difference.after) {
-            (None, Some(after)) => writeln!(out, "+ {} {}", difference.key, cells(sheet, after))?,
+            (None, Some(after)) => writeln!(out, "+ {} {after}", difference.key)?,
             (Some(_), None) => writeln!(out, "- {}", difference.key)?,
             (Some(before), Some(after)) => {
                 let changed = changed_cells(sheet, before, after);
@@ -79,12 +79,6 @@
     Ok(())
 }
 
-fn cells(sheet: Sheet, row: &RowValue) -> String {
-    let names = sheet.columns().iter();
-    let cells = names.map(|column| format!("{column}={:?}", sheet::cell::text(row, column)));
-    cells.collect::<Vec<_>>().join(" ")
-}
-
 fn changed_cells(sheet: Sheet, before: &RowValue, after: &RowValue) -> Vec<String> {
     let mut changed = Vec::new();
     for column in sheet.columns() {
--- a/src/operator/wait.rs
+++ b/src/operator/wait.rs
@@ -35,6 +35,13 @@
         let now_ms = begin.elapsed().as_millis() as u64;
         let seen = look(session, &mut observer, now_ms, version);
         match seen {
+            Ok(seen) if seen.gateways == 0 => {
+                writeln!(
+                    out,
+                    "no gateway is live; each reads the table before it serves"
+                )?;
+                return Ok(());
+            }
             Ok(seen) if seen.late.is_empty() => {
                 writeln!(
                     out,
