--- a/crates/mgs-testing/src/bin/propagation.rs
+++ b/crates/mgs-testing/src/bin/propagation.rs
@@ -1,17 +1,20 @@
 //! Measures how long an accepted edit takes to be in force everywhere, and what it costs the
 //! store. Prints one JSON line for each number of gateways.
 
+use std::error::Error;
 use std::process::ExitCode;
 
 use clap::Arg;
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_testing::settings::consistent;
 use mgs_testing::settings::propagation;
 use mgs_testing::settings::propagation::Options;
 use mgs_testing::settings::propagation::Scenario;
 
 const SCENARIO: &str = "scenario";
+const CONSISTENT: &str = "consistent";
 const GATEWAYS: &str = "gateways";
 const RUN_MS: &str = "run-ms";
 const OUTAGE_MS: &str = "outage-ms";
@@ -32,7 +35,7 @@
         .arg(
             Arg::new(SCENARIO)
                 .long(SCENARIO)
-                .value_parser(["calm", "paused", "outage"])
+                .value_parser(["calm", "paused", "outage", CONSISTENT])
                 .default_value("calm")
                 .help("What happens during the run"),
         )
@@ -67,17 +70,20 @@
     }
 }
 
+fn measure(matches: &ArgMatches, gateways: u64) -> Result<String, Box<dyn Error>> {
+    let options = options(matches, gateways);
+    if matches.get_one::<String>(SCENARIO).map(String::as_str) == Some(CONSISTENT) {
+        return Ok(serde_json::to_string(&consistent::run(options.rows))?);
+    }
+    Ok(serde_json::to_string(&propagation::run(&options)?)?)
+}
+
 #[allow(clippy::print_stdout, clippy::print_stderr)]
 fn main() -> ExitCode {
     let matches = command().get_matches();
     for gateways in matches.get_many::<u64>(GATEWAYS).unwrap_or_default() {
-        let report = propagation::run(&options(&matches, *gateways));
-        match report.map(|report| serde_json::to_string(&report)) {
-            Ok(Ok(line)) => println!("{line}"),
-            Ok(Err(error)) => {
-                eprintln!("{error}");
-                return ExitCode::FAILURE;
-            }
+        match measure(&matches, *gateways) {
+            Ok(line) => println!("{line}"),
             Err(error) => {
                 eprintln!("{error}");
                 return ExitCode::FAILURE;
