--- a/crates/mgs-testing/src/lib.rs
+++ b/crates/mgs-testing/src/lib.rs
@@ -3,8 +3,12 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod caller;
+pub mod chaos;
 pub mod check;
+pub mod cluster;
 pub mod history;
 pub mod load;
+pub mod port;
 pub mod proxy;
 pub mod settings;
