--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -28,7 +28,7 @@
 const EXAMPLES: &str = "\
 Examples:
   marigoldstage table show                               every row of limits
-  marigoldstage table get org-1 chat                  the row that holds for these requests
+  marigoldstage table get org-1 chat                     the row that holds for these requests
   marigoldstage table set org-1 chat priority=0 weight=8 --wait
   marigoldstage table export limits > limits.csv         edit it in a spreadsheet, then
   marigoldstage table diff limits limits.csv             see what it would change, and
@@ -71,11 +71,14 @@
     Arg::new(SHEET)
         .value_name("SHEET")
         .help("limits, organisations or endpoints")
-        .required(true)
+        .default_value("limits")
 }
 
-fn optional_sheet_argument() -> Arg {
-    sheet_argument().required(false).default_value("limits")
+/// A sheet before a file must be given: which of two is meant would be unclear else.
+fn sheet_and_file_arguments() -> [Arg; 2] {
+    let none: Option<&str> = None;
+    let sheet = sheet_argument().default_value(none).required(true);
+    [sheet, file_argument()]
 }
 
 fn file_argument() -> Arg {
