fix(transport): find silence sooner, and on every connection of a server

Cause: a server's ping was dropped with its future whenever a call arrived meanwhile; h2 then takes no further ping, the error counted as an answer, and the connection was never found silent again, so a dead gateway kept its lease. A client took up to 2.5 s to find a silent connection. Ruled out: shorter pings throughout (they would cost bandwidth on idle connections); taking reports that come in as proof of the way out, which may be dead alone. Conclusion: pings go out every 250 ms while an answer is owed, every 2 s otherwise; giving up is told as silence rather than as the break that follows it.

--- a/crates/mgs-transport/src/client.rs
+++ b/crates/mgs-transport/src/client.rs
@@ -22,6 +22,8 @@
 use tokio::sync::watch;
 use tokio::time::timeout;
 
+use crate::activity::Activity;
+use crate::activity::Heard;
 use crate::frame;
 use crate::frame::Decoder;
 use crate::runtime::Runtime;
@@ -31,8 +33,10 @@
 pub struct Options {
     /// Longest wait for a connection, in milliseconds.
     pub connect_timeout_ms: u64,
-    /// Time between pings, in milliseconds.
+    /// Time between pings while an answer is waited for and nothing comes, in milliseconds.
     pub ping_interval_ms: u64,
+    /// Time between pings otherwise, in milliseconds.
+    pub idle_ping_interval_ms: u64,
     /// Longest wait for the answer to a ping before the connection is given up, in milliseconds.
     pub ping_timeout_ms: u64,
     /// Window of one stream, in bytes.
@@ -45,8 +49,9 @@
     fn default() -> Self {
         Self {
             connect_timeout_ms: 500,
-            ping_interval_ms: 1_000,
-            ping_timeout_ms: 1_500,
+            ping_interval_ms: 250,
+            idle_ping_interval_ms: 2_000,
+            ping_timeout_ms: 750,
             stream_window_bytes: 1 << 20,
             connection_window_bytes: 4 << 20,
         }
@@ -82,6 +87,7 @@
     runtime: Runtime,
     send: SendRequest<Bytes>,
     state: Arc<AtomicU8>,
+    activity: Arc<Activity>,
     /// Falls when the connection is given up.
     given_up: watch::Receiver<bool>,
 }
@@ -129,16 +135,20 @@
 
     /// Sends a message and gives the call on which the answers come. Never blocks.
     pub fn call(&self, body: Body) -> Result<Call, Error> {
-        let bytes = frame::encode(body).map_err(|error| Error::Codec(error.to_string()))?;
         let (sender, receiver) = crossbeam::channel::unbounded();
         let (stop, stopped) = oneshot::channel();
         let connection = self.clone();
+        let waits = !matches!(body, Body::Hello(_));
+        let bytes = frame::encode(body).map_err(|error| Error::Codec(error.to_string()))?;
+        let heard = Heard::new(&self.activity, waits);
         self.runtime.handle().spawn(async move {
             let state = connection.state.clone();
             let mut given_up = connection.given_up.clone();
             let end = tokio::select! {
-                end = exchange(connection.send, bytes, &sender) => end,
+                // Giving up breaks the call as well, and is the better reason.
+                biased;
                 _ = given_up.wait_for(|given_up| *given_up) => gave_up(&state),
+                end = exchange(connection.send, bytes, &sender, heard) => end,
                 _ = stopped => Error::Ended,
             };
             // The receiver has gone only when nobody wants the end.
@@ -201,13 +211,15 @@
         .await
         .map_err(|error| Error::Connect(error.to_string()))?;
     let state = Arc::new(AtomicU8::new(STATE_OPEN));
+    let activity = Arc::new(Activity::new());
+    let watched = activity.clone();
     let (give_up, given_up) = watch::channel(false);
     let ping_pong = connection.ping_pong();
     let driver_state = state.clone();
     runtime.handle().spawn(async move {
         let silence = async {
             match ping_pong {
-                Some(ping_pong) => until_silent(ping_pong, &options).await,
+                Some(ping_pong) => until_silent(ping_pong, &options, &watched).await,
                 None => std::future::pending().await,
             }
         };
@@ -222,15 +234,23 @@
         runtime,
         send,
         state,
+        activity,
         given_up,
     })
 }
 
 /// Returns when a ping stays unanswered for too long.
-async fn until_silent(mut ping_pong: PingPong, options: &Options) {
+async fn until_silent(mut ping_pong: PingPong, options: &Options, activity: &Activity) {
+    let look = Duration::from_millis(options.ping_interval_ms);
+    let limit = Duration::from_millis(options.ping_timeout_ms);
+    let mut idle_ms = 0;
     loop {
-        tokio::time::sleep(Duration::from_millis(options.ping_interval_ms)).await;
-        let limit = Duration::from_millis(options.ping_timeout_ms);
+        tokio::time::sleep(look).await;
+        idle_ms += options.ping_interval_ms;
+        if idle_ms < options.idle_ping_interval_ms && !activity.is_waiting() {
+            continue;
+        }
+        idle_ms = 0;
         match timeout(limit, ping_pong.ping(Ping::opaque())).await {
             Ok(Ok(_)) => {}
             // The connection's own end says why.
@@ -249,8 +269,9 @@
     send: SendRequest<Bytes>,
     bytes: Bytes,
     sender: &Sender<Result<Body, Error>>,
+    heard: Heard,
 ) -> Error {
-    match try_exchange(send, bytes, sender).await {
+    match try_exchange(send, bytes, sender, heard).await {
         Ok(()) => Error::Ended,
         Err(error) => error,
     }
@@ -260,6 +281,7 @@
     send: SendRequest<Bytes>,
     bytes: Bytes,
     sender: &Sender<Result<Body, Error>>,
+    heard: Heard,
 ) -> Result<(), Error> {
     let mut send = send.ready().await.map_err(broken)?;
     let mut request = http::Request::new(());
@@ -269,7 +291,7 @@
     let upload = send_all(stream, bytes);
     let download = async {
         let response = response.await.map_err(broken)?;
-        receive_all(response.into_body(), sender).await
+        receive_all(response.into_body(), sender, heard).await
     };
     // A server may answer, and end, before it has read the whole request.
     let (uploaded, downloaded) = tokio::join!(upload, download);
@@ -305,10 +327,12 @@
 async fn receive_all(
     mut stream: RecvStream,
     sender: &Sender<Result<Body, Error>>,
+    mut heard: Heard,
 ) -> Result<(), Error> {
     let mut decoder = Decoder::default();
     while let Some(data) = stream.data().await {
         let data = data.map_err(broken)?;
+        heard.note();
         decoder.extend(&data);
         stream
             .flow_control()
--- a/crates/mgs-transport/src/lib.rs
+++ b/crates/mgs-transport/src/lib.rs
@@ -11,6 +11,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod activity;
 pub mod client;
 mod frame;
 pub mod pool;
--- a/crates/mgs-transport/src/server.rs
+++ b/crates/mgs-transport/src/server.rs
@@ -244,24 +244,13 @@
         .max_concurrent_streams(u32::MAX)
         .handshake::<_, Bytes>(stream)
         .await?;
-    let mut ping_pong = h2.ping_pong();
-    let silence = Duration::from_millis(options.silence_timeout_ms);
+    let silence = until_silent(h2.ping_pong(), options.silence_timeout_ms);
+    // The ping in flight must outlive the calls that come meanwhile: h2 takes no second one.
+    tokio::pin!(silence);
     loop {
-        let accepted = match &mut ping_pong {
-            Some(ping_pong) => {
-                let watch = async {
-                    tokio::time::sleep(silence / 2).await;
-                    tokio::time::timeout(silence / 2, ping_pong.ping(h2::Ping::opaque())).await
-                };
-                tokio::select! {
-                    accepted = h2.accept() => accepted,
-                    answer = watch => match answer {
-                        Ok(_) => continue,
-                        Err(_) => return Ok(()),
-                    },
-                }
-            }
-            None => h2.accept().await,
+        let accepted = tokio::select! {
+            accepted = h2.accept() => accepted,
+            () = &mut silence => return Ok(()),
         };
         let Some(accepted) = accepted else {
             return Ok(());
@@ -284,6 +273,23 @@
     }
 }
 
+/// Returns when a ping stays unanswered for half of the timeout; one is sent each half.
+async fn until_silent(ping_pong: Option<h2::PingPong>, silence_timeout_ms: u64) {
+    let Some(mut ping_pong) = ping_pong else {
+        return std::future::pending().await;
+    };
+    let half = Duration::from_millis(silence_timeout_ms / 2);
+    loop {
+        tokio::time::sleep(half).await;
+        match tokio::time::timeout(half, ping_pong.ping(h2::Ping::opaque())).await {
+            Ok(Ok(_)) => {}
+            // The connection's own end says why.
+            Ok(Err(_)) => std::future::pending().await,
+            Err(_) => return,
+        }
+    }
+}
+
 struct Answering {
     connection: u64,
     handler: Arc<dyn Handler>,
