--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -3,12 +3,12 @@
 #![allow(dead_code)]
 
 use std::collections::HashMap;
-use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::OnceLock;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -58,6 +58,8 @@
     LoseAfter(u64),
     /// Ends the call after one frame, and knows nothing of it from then on.
     Forget,
+    /// Answers without an end, until nobody reads.
+    Drip,
     /// Accepts and says nothing more.
     Stall,
 }
@@ -67,11 +69,15 @@
 
 pub(crate) struct Fake {
     pub(crate) incarnation: u64,
+    /// Name of the endpoint, as the table has it.
+    pub(crate) name: Mutex<String>,
     script: Mutex<Script>,
     /// Requests that ran here, and how often.
     pub(crate) ran: Mutex<HashMap<RequestId, u32>>,
     pub(crate) dispatches: Mutex<Vec<Dispatch>>,
     pub(crate) cancels: Mutex<Vec<RequestId>>,
+    /// Settings that it was sent.
+    pub(crate) settings: Arc<Holder>,
     /// Replies kept open by `Stall`.
     stalled: Mutex<Vec<Reply>>,
 }
@@ -79,15 +85,27 @@
 static NEXT_INCARNATION: AtomicU64 = AtomicU64::new(100);
 
 impl Fake {
+    /// Requests that stall.
+    pub(crate) fn stalled(&self) -> usize {
+        self.stalled.lock().unwrap().len()
+    }
+
+    /// Ends the calls of all that stall.
+    pub(crate) fn let_go(&self) {
+        self.stalled.lock().unwrap().clear();
+    }
+
     pub(crate) fn script(&self, script: Script) {
         *self.script.lock().unwrap() = script;
     }
 
     fn hello(&self, reply: Reply) {
         let incarnation = self.incarnation;
+        let settings = self.settings.clone();
         let welcome = Welcome {
             incarnation,
             zone: "zone-1".into(),
+            process: self.name.lock().unwrap().clone(),
             ..Welcome::default()
         };
         let _ = reply.send(Body::Welcome(welcome));
@@ -100,6 +118,7 @@
                     kv_capacity_tokens: 4_000_000,
                     prefill_tokens_per_s: 1e6,
                     decode_step_ms: 1.0,
+                    settings_version: settings.version(),
                     ..LoadReport::default()
                 };
                 if reply.send(Body::LoadReport(load)).is_err() {
@@ -136,6 +155,7 @@
                 send_frames(&reply, 0, 1);
                 self.ran.lock().unwrap().remove(&id);
             }
+            Script::Drip => drip(reply),
             _ => self.stalled.lock().unwrap().push(reply),
         }
     }
@@ -156,6 +176,30 @@
     }
 }
 
+static STARTED: OnceLock<Instant> = OnceLock::new();
+
+/// A clock for all threads of the test, in microseconds.
+pub(crate) fn now_us() -> u64 {
+    STARTED.get_or_init(Instant::now).elapsed().as_micros() as u64
+}
+
+fn drip(reply: Reply) {
+    std::thread::spawn(move || {
+        for seq in 0.. {
+            let frame = TokenFrame {
+                seq,
+                tokens: 1,
+                text: now_us().to_string(),
+            };
+            let _ = reply.send(Body::TokenFrame(frame));
+            if reply.is_closed() {
+                return;
+            }
+            std::thread::sleep(Duration::from_millis(1));
+        }
+    });
+}
+
 fn answer(reply: &Reply, from: u64, frames: u64, body_bytes: u64) {
     send_frames(reply, from, frames);
     let finished = Finished {
@@ -199,6 +243,9 @@
                 };
                 let _ = reply.send(Body::Refused(refused));
             }
+            Body::SettingsReply(settings) => {
+                let _ = self.settings.adopt_reply(settings);
+            }
             Body::Cancel(cancel) => self.cancels.lock().unwrap().push(cancel.request_id()),
             _ => {}
         }
@@ -214,10 +261,12 @@
 pub(crate) fn sidecar(runtime: &Runtime, script: Script) -> Sidecar {
     let fake = Arc::new(Fake {
         incarnation: NEXT_INCARNATION.fetch_add(1, Ordering::Relaxed),
+        name: Mutex::default(),
         script: Mutex::new(script),
         ran: Mutex::default(),
         dispatches: Mutex::default(),
         cancels: Mutex::default(),
+        settings: Arc::default(),
         stalled: Mutex::default(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
@@ -225,15 +274,19 @@
     Sidecar { fake, server }
 }
 
-pub(crate) fn snapshot(engines: &[SocketAddr], services: &[SocketAddr]) -> Snapshot {
-    let endpoint = |kind: EndpointKind, model: &str, index: usize, at: &SocketAddr| EndpointRow {
-        name: format!("{model}-{index}"),
-        kind: kind.into(),
-        sidecar_address: at.to_string(),
-        zone: "zone-1".into(),
-        models: vec![model.into()],
-        started: true,
-        ..EndpointRow::default()
+pub(crate) fn snapshot(engines: &[&Sidecar], services: &[&Sidecar]) -> Snapshot {
+    let endpoint = |kind: EndpointKind, model: &str, index: usize, at: &Sidecar| {
+        let name = format!("{model}-{index}");
+        at.fake.name.lock().unwrap().clone_from(&name);
+        EndpointRow {
+            name,
+            kind: kind.into(),
+            sidecar_address: at.server.address().to_string(),
+            zone: "zone-1".into(),
+            models: vec![model.into()],
+            started: true,
+            ..EndpointRow::default()
+        }
     };
     let engines = engines.iter().enumerate();
     let engines = engines.map(|(i, at)| endpoint(EndpointKind::Engine, "m", i, at));
--- a/src/command/sidecar.rs
+++ b/src/command/sidecar/mod.rs
@@ -1,11 +1,12 @@
 //! `marigoldstage sidecar`: the process beside one endpoint.
 
+mod numbers;
+
 use std::io::Write;
 use std::sync::Arc;
 
 use clap::ArgMatches;
 use clap::Command;
-use mgs_ledger::ledger;
 use mgs_ledger::plant::Plant;
 use mgs_schema::settings::EndpointKind;
 use mgs_sidecar::sidecar;
@@ -13,16 +14,17 @@
 
 use super::process;
 use crate::error::Error;
+use crate::setting::number;
 use crate::setting::value;
 use crate::setting::Values;
 use crate::stop::Stop;
+use numbers::NUMBERS;
 
 const NAME: &str = "name";
 const ZONE: &str = "zone";
 const LISTEN: &str = "listen";
 const ENDPOINT_KIND: &str = "endpoint-kind";
 const ENDPOINT_URL: &str = "endpoint-url";
-const TRANSPORT_THREADS: &str = "transport-threads";
 
 const EXAMPLES: &str = "\
 Examples:
@@ -43,14 +45,22 @@
         .about("Run the process beside one endpoint, the only door to it")
         .after_help(EXAMPLES)
         .args(arguments())
+        .next_help_heading(process::PLATFORM_HEADING)
         .args(process::platform_arguments())
+        .next_help_heading(process::OPERATORS_HEADING)
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .next_help_heading(process::TUNING_HEADING)
+        .args(number::arguments(&NUMBERS))
         .args(process::plant_arguments())
 }
 
 fn arguments() -> Vec<clap::Arg> {
     vec![
-        value(NAME, "NAME", "Name of the endpoint").default_value("endpoint-1"),
+        value(
+            NAME,
+            "NAME",
+            "Name of the endpoint, as in its row; must be given",
+        ),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
         value(LISTEN, "IP:PORT", "Where gateways reach this process")
             .default_value("127.0.0.1:7300"),
@@ -62,12 +72,6 @@
         .default_value("engine"),
         value(ENDPOINT_URL, "URL", "Base address of the endpoint itself")
             .default_value("http://127.0.0.1:7500"),
-        value(
-            TRANSPORT_THREADS,
-            "N",
-            "Threads that drive connections from gateways",
-        )
-        .default_value("2"),
     ]
 }
 
@@ -76,21 +80,18 @@
     let mut values = Values::new(matches);
     let process = process::options(&mut values);
     let platform = process::platform_options(&mut values);
-    let options = sidecar::Options {
+    let mut options = sidecar::Options {
         name: values.text(NAME),
         zone: values.text(ZONE),
         kind: kind(&mut values),
-        listen: values.address(LISTEN),
+        listen: values.told_address(LISTEN),
         admin_listen: Some(process.admin),
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
-        transport_threads: values.number(TRANSPORT_THREADS, 1..=64),
-        ledger: ledger::Options {
-            plant: plant(&mut values),
-            ..ledger::Options::default()
-        },
         ..sidecar::Options::default()
     };
+    number::read(&NUMBERS, &mut values, &mut options);
+    options.ledger.plant = plant(&mut values);
     values.finish()?;
 
     let mut stop = Stop::new()?;
@@ -116,6 +117,9 @@
 
 fn plant(values: &mut Values<'_>) -> Plant {
     let name = process::plant_name(values);
+    if name.is_empty() {
+        return Plant::None;
+    }
     name.parse().unwrap_or_else(|_| {
         values.fault(process::PLANT, "no such deliberate bug in a sidecar");
         Plant::None
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -8,7 +8,9 @@
 use std::time::SystemTime;
 use std::time::UNIX_EPOCH;
 
+use mgs_gateway::duty;
 use mgs_gateway::gateway;
+use mgs_gateway::gateway::Gateway;
 use mgs_observe::metrics::Registry;
 use mgs_platform::http;
 use mgs_schema::settings::Change;
@@ -16,7 +18,6 @@
 use mgs_schema::settings::EndpointRow;
 use mgs_schema::settings::LimitRow;
 use mgs_schema::settings::OrganisationRow;
-use mgs_settings::follow;
 use mgs_settings::row::RowValue;
 use mgs_settings::row::ANY;
 use mgs_settings::store::edit;
@@ -40,8 +41,6 @@
 use super::plan::Planned;
 use super::report::Summary;
 use crate::error::Error;
-use crate::role::gateway::Options as RoleOptions;
-use crate::role::gateway::Running;
 use crate::status::parse_metrics;
 
 const ZONES: [&str; 2] = ["zone-1", "zone-2"];
@@ -67,9 +66,8 @@
 
 impl Default for Options {
     fn default() -> Self {
-        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
         Self {
-            gateways: vec![any_port, any_port],
+            gateways: vec![any_port(), any_port()],
             engines: 4,
             kv_capacity_tokens: 1_200_000,
             time_scale: 20.0,
@@ -80,11 +78,11 @@
 
 /// The running fleet; it stops when dropped.
 pub struct Fleet {
-    gateways: Vec<(Running, Registry)>,
+    gateways: Vec<(Gateway, Registry)>,
     sidecars: Vec<Sidecar>,
     engines: Vec<Engine>,
     service: Service,
-    _platform: Platform,
+    platform: Platform,
     bearer_keys: Vec<String>,
 }
 
@@ -110,7 +108,7 @@
             sidecars: sidecars.into_iter().map(|(_, sidecar)| sidecar).collect(),
             engines,
             service,
-            _platform: platform,
+            platform,
             bearer_keys,
         };
         fleet.wait_until_ready()?;
@@ -129,20 +127,33 @@
         Ok(())
     }
 
-    fn serves(&self, (running, registry): &(Running, Registry)) -> bool {
+    fn serves(&self, (gateway, registry): &(Gateway, Registry)) -> bool {
         let sessions = metric(registry, "mgs_gateway_sessions");
-        running.gateway().health().ready().is_ok() && sessions as usize == self.sidecars.len()
+        gateway.health().ready().is_ok() && sessions as usize == self.sidecars.len()
     }
 
     /// Where the load goes.
     pub fn target(&self) -> Target {
-        let address = |(running, _): &(Running, Registry)| running.gateway().address();
+        let address = |(gateway, _): &(Gateway, Registry)| gateway.address();
         Target {
             gateways: self.gateways.iter().map(address).collect(),
             bearer_keys: self.bearer_keys.clone(),
         }
     }
 
+    /// Operators' addresses of gateways and sidecars.
+    pub fn admin_addresses(&self) -> Vec<SocketAddr> {
+        let gateways = self.gateways.iter();
+        let gateways = gateways.map(|(gateway, _)| gateway.admin_address());
+        let sidecars = self.sidecars.iter().map(Sidecar::admin_address);
+        gateways.chain(sidecars).flatten().collect()
+    }
+
+    /// Base address of the platform.
+    pub fn platform_url(&self) -> String {
+        self.platform.url()
+    }
+
     /// A line for people.
     pub fn describe(&self) -> String {
         format!(
@@ -196,8 +207,8 @@
                 prompts.get(&hash).copied().unwrap_or_default()
             }
             Call::Service => {
-                let id = &record.outcome.request_id;
-                calls.get(id).copied().unwrap_or_default()
+                let path = plan::service_path(&record.planned);
+                calls.iter().filter(|call| call.path == path).count() as u64
             }
         };
         let non_idempotent = records.iter().filter(|record| !record.planned.idempotent);
@@ -216,6 +227,10 @@
     }
 }
 
+fn any_port() -> SocketAddr {
+    SocketAddr::from(([127, 0, 0, 1], 0))
+}
+
 fn metric(registry: &Registry, name: &str) -> f64 {
     let metrics = parse_metrics(&registry.encode());
     metrics.get(name).copied().unwrap_or_default()
@@ -286,6 +301,7 @@
         kind: row.kind(),
         endpoint_url,
         platform_url: Some(platform.url()),
+        admin_listen: Some(any_port()),
         ..sidecar::Options::default()
     };
     let sidecar = Sidecar::start(options).map_err(failed)?;
@@ -300,21 +316,19 @@
     index: usize,
     listen: SocketAddr,
     platform: &Platform,
-) -> Result<(Running, Registry), Error> {
+) -> Result<(Gateway, Registry), Error> {
     let registry = Registry::new();
-    let running = Running::start(RoleOptions {
-        gateway: gateway::Options {
-            name: format!("gateway-{}", index + 1),
-            zone: ZONES[index % ZONES.len()].to_string(),
-            listen,
-            peer_listen: Some(SocketAddr::from(([127, 0, 0, 1], 0))),
-            registry: registry.clone(),
-            ..gateway::Options::default()
-        },
-        platform: platform_options(platform),
-        follow: follow::Options::default(),
-    })?;
-    Ok((running, registry))
+    let gateway = Gateway::start(gateway::Options {
+        name: format!("gateway-{}", index + 1),
+        zone: ZONES[index % ZONES.len()].to_string(),
+        listen,
+        peer_listen: Some(any_port()),
+        admin_listen: Some(any_port()),
+        platform: Some(duty::Platform::over_http(platform_options(platform))),
+        registry: registry.clone(),
+        ..gateway::Options::default()
+    });
+    Ok((gateway.map_err(failed)?, registry))
 }
 
 fn platform_options(platform: &Platform) -> http::Options {
@@ -367,7 +381,7 @@
         author: "demo".to_string(),
         at_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
         changes,
-        retried: false,
+        ..edit::Options::default()
     };
     edit::commit(store, &Table::default(), &options).map_err(failed)?;
     Ok(())
