--- a/crates/mgs-settings/src/sheet.rs
+++ b/crates/mgs-settings/src/sheet.rs
@@ -113,17 +113,16 @@
     /// Rows of the sheet.
     pub fn rows(self, table: &Table) -> Vec<RowValue> {
         let rows = table.rows().into_iter();
-        rows.filter(|row| self.has(&row.key())).collect()
+        rows.filter(|row| Self::of(&row.key()) == self).collect()
     }
 
-    /// Whether a row belongs to the sheet.
-    pub fn has(self, key: &RowKey) -> bool {
-        matches!(
-            (self, key),
-            (Self::Limits, RowKey::Limit { .. })
-                | (Self::Organisations, RowKey::Organisation(_))
-                | (Self::Endpoints, RowKey::Endpoint(_))
-        )
+    /// The sheet that a row belongs to.
+    pub fn of(key: &RowKey) -> Self {
+        match key {
+            RowKey::Limit { .. } => Self::Limits,
+            RowKey::Organisation(_) => Self::Organisations,
+            RowKey::Endpoint(_) => Self::Endpoints,
+        }
     }
 }
 
@@ -168,11 +167,11 @@
 /// use mgs_settings::sheet::Sheet;
 /// use mgs_settings::table::Table;
 ///
-/// let row = LimitRow { organisation: "verdure".into(), kind: "*".into(), ..LimitRow::default() };
+/// let row = LimitRow { organisation: "org-1".into(), kind: "*".into(), ..LimitRow::default() };
 /// let table = Table::new(Snapshot { limits: vec![row], ..Snapshot::default() });
 /// let text = sheet::to_csv(Sheet::Limits, &Sheet::Limits.rows(&table)).unwrap();
 /// assert!(text.starts_with("organisation,kind,weight,"));
-/// assert!(text.contains("\nverdure,*,0,"));
+/// assert!(text.contains("\norg-1,*,0,"));
 /// ```
 pub fn to_csv(sheet: Sheet, rows: &[RowValue]) -> Result<String, csv::Error> {
     let mut writer = WriterBuilder::new().from_writer(Vec::new());
--- a/src/command/table.rs
+++ b/src/command/table.rs
@@ -28,8 +28,8 @@
 const EXAMPLES: &str = "\
 Examples:
   marigoldstage table show                               every row of limits
-  marigoldstage table get org-1 query                    the row that holds for these requests
-  marigoldstage table set org-1 query priority=0 weight=8 --wait
+  marigoldstage table get org-1 chat                     the row that holds for these requests
+  marigoldstage table set org-1 chat priority=0 weight=8 --wait
   marigoldstage table export limits > limits.csv         edit it in a spreadsheet, then
   marigoldstage table diff limits limits.csv             see what it would change, and
   marigoldstage table apply limits limits.csv --wait     make the sheet so
@@ -71,11 +71,7 @@
     Arg::new(SHEET)
         .value_name("SHEET")
         .help("limits, organisations or endpoints")
-        .required(true)
-}
-
-fn optional_sheet_argument() -> Arg {
-    sheet_argument().required(false).default_value("limits")
+        .default_value("limits")
 }
 
 /// A sheet before a file must be given: which of two is meant would be unclear else.
