feat(testing): fit how the cost of control grows with the fleet

Ruled out: counters in the transport, since the kernel counts each socket's payload already (ss); calls of the platform are short connections and pass a counting relay instead.

--- a/crates/mgs-testing/src/measure/mod.rs
+++ b/crates/mgs-testing/src/measure/mod.rs
@@ -1,10 +1,13 @@
 //! Measuring real processes: what they hold, send and spend, and how it grows.
 
+pub mod control;
 pub mod fit;
 pub mod open;
 pub mod overhead;
+pub mod plot;
 pub mod process;
 pub mod relay;
+pub mod slopes;
 pub mod socket;
 pub mod system;
 
@@ -25,6 +28,8 @@
     Watch(String),
     /// a call ended without a whole answer: {0}
     Call(String),
+    /// a plot can't be written: {0}
+    Plot(String),
     /// not ready in time: {0}
     NotReady(String),
 }
