feat(gateway): bound the sessions and the reports of a gateway whatever the fleet

Cause: each session cost a gateway 326 B/s and 0.00076 of a core, and six models of 64 endpoints each made 384 sessions: 126 KB/s of a budget of 14 KB/s and 0.297 of 0.029 of a core, worked out from a fit at 10 to 160 sidecars. All models now share one bound of 96 sessions (a smaller fleet is still held whole), and the interval that a gateway asks of its sidecars grows by 10 ms with each session, up to 1 s, so that it takes about 100 reports a second. A report looks at the queue only if something waits in it. Ruled out: a longer interval for all, which today's fleets of 23 endpoints have no need of; pings slowed down with the reports, which find a silent connection later under an owed answer.

--- a/crates/mgs-fleet/src/fleet.rs
+++ b/crates/mgs-fleet/src/fleet.rs
@@ -28,7 +28,7 @@
     pub process: String,
     /// Availability zone of the process.
     pub zone: String,
-    /// Most endpoints held for each model.
+    /// Most endpoints held, shared evenly among the models.
     pub subset_max: usize,
     /// Most cached blocks remembered for each endpoint.
     pub cached_blocks_max: usize,
@@ -39,7 +39,7 @@
         Self {
             process: String::new(),
             zone: String::new(),
-            subset_max: 64,
+            subset_max: 96,
             cached_blocks_max: 8_192,
         }
     }
--- a/crates/mgs-fleet/tests/fleet.rs
+++ b/crates/mgs-fleet/tests/fleet.rs
@@ -207,6 +207,28 @@
     assert_ne!(before, other);
 }
 
+#[test]
+fn models_share_the_bound_evenly() {
+    let mut rows = large(5_300);
+    for (i, row) in rows.iter_mut().enumerate() {
+        row.models = vec![format!("model-{}", i % 6)];
+    }
+    let members = members("gateway-1", rows);
+    let bound = Options::default().subset_max;
+    assert_eq!(members.len(), bound);
+    let of_model = |model: usize| {
+        let number = |name: &String| name["engine-".len()..].parse::<usize>().unwrap();
+        members.iter().filter(|n| number(n) % 6 == model).count()
+    };
+    assert!((0..6).all(|model| of_model(model) == bound / 6));
+}
+
+#[test]
+fn a_fleet_within_the_bound_is_held_whole() {
+    let bound = Options::default().subset_max;
+    assert_eq!(members("gateway-1", large(bound)).len(), bound);
+}
+
 #[test]
 fn subsets_of_many_processes_leave_no_endpoint_out() {
     let mut holders = vec![0u32; 300];
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -80,6 +80,9 @@
     pub callers: listen::Options,
     /// Time between load reports that it asks of sidecars, in milliseconds.
     pub report_interval_ms: u64,
+    /// Time that each session adds to that in a larger fleet, in milliseconds, which bounds the
+    /// reports that the gateway takes in a second.
+    pub report_ms_per_session: u64,
     /// Connections to sidecars.
     pub transport: client::Options,
     /// Threads that drive those connections.
@@ -117,6 +120,7 @@
             admission: queue::NAMES[0].to_string(),
             callers: listen::Options::default(),
             report_interval_ms: 200,
+            report_ms_per_session: 10,
             transport: client::Options::default(),
             transport_threads: 2,
             hedge: true,
--- a/crates/mgs-gateway/src/hub.rs
+++ b/crates/mgs-gateway/src/hub.rs
@@ -78,6 +78,13 @@
         let _ = self.wake.try_send(());
     }
 
+    /// Has the queue looked at if anything waits in it; a load report changes nothing otherwise.
+    pub(crate) fn wake_waiting(&self) {
+        if !self.lock().waiting.is_empty() {
+            self.wake();
+        }
+    }
+
     /// Takes new settings.
     pub(crate) fn settings(&self, core: &Core) {
         let table = core.settings.table();
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -17,6 +17,7 @@
 mod keeper;
 pub mod listen;
 pub mod metrics;
+pub mod pace;
 mod parting;
 pub mod peer;
 mod room;
--- a/crates/mgs-gateway/src/session.rs
+++ b/crates/mgs-gateway/src/session.rs
@@ -25,6 +25,7 @@
 use mgs_transport::client::Error;
 
 use crate::core::Core;
+use crate::pace;
 
 /// Stack of a session's thread, in bytes.
 const STACK_BYTES: usize = 128 * 1024;
@@ -147,6 +148,8 @@
     slot: Arc<Slot>,
     /// Disconnects the present session's `over` when it is replaced.
     alive: Option<Sender<()>>,
+    /// Time between the reports of the present session, in milliseconds.
+    report_interval_ms: u64,
 }
 
 impl Keeping {
@@ -155,6 +158,7 @@
             core,
             slot,
             alive: None,
+            report_interval_ms: 0,
         }
     }
 
@@ -187,6 +191,7 @@
 
     /// Opens a connection, beside the present one if there is one, and makes it the session.
     fn open(&mut self) -> Result<(Call, u64), Error> {
+        let report_interval_ms = self.wanted_interval_ms();
         let options = &self.core.options.transport;
         let connection = Connection::open(&self.core.runtime, self.slot.address, options)?;
         let number = self.core.next_session();
@@ -195,7 +200,7 @@
             process: self.core.options.name.clone(),
             session: number,
             settings_version: self.core.settings.version(),
-            report_interval_ms: self.core.options.report_interval_ms,
+            report_interval_ms,
         };
         let call = connection.call(Body::Hello(hello))?;
         let Body::Welcome(welcome) = call.recv_timeout(WELCOME_WAIT)? else {
@@ -205,10 +210,17 @@
             let why = format!("{} answers at its address", welcome.process);
             return Err(Error::Broken(why));
         }
+        self.report_interval_ms = report_interval_ms;
         self.begin(connection, number, &welcome);
         Ok((call, welcome.incarnation))
     }
 
+    fn wanted_interval_ms(&self) -> u64 {
+        let view = self.core.view();
+        let sessions = view.endpoints.iter().flatten().count();
+        pace::report_interval_ms(&self.core.options, sessions)
+    }
+
     fn begin(&mut self, connection: Connection, number: u64, welcome: &Welcome) {
         let (alive, over) = crossbeam::channel::bounded(0);
         let session = Session {
@@ -228,8 +240,7 @@
 
     /// Takes load reports until the session must be replaced; says why.
     fn follow(&self, call: &Call, incarnation: u64) -> Error {
-        let options = &self.core.options;
-        let wait_ms = options.report_interval_ms * REPORTS_MISSING_MAX + REPORT_SLACK_MS;
+        let wait_ms = self.report_interval_ms * REPORTS_MISSING_MAX + REPORT_SLACK_MS;
         let wait = Duration::from_millis(wait_ms);
         let mut pushed = Pushed::default();
         loop {
@@ -241,11 +252,14 @@
             if self.is_over() {
                 return Error::Ended;
             }
+            if pace::is_off(self.report_interval_ms, self.wanted_interval_ms()) {
+                return Error::Broken("the fleet wants another report interval".to_string());
+            }
             if report.incarnation == incarnation {
                 let (now_ms, key) = (self.core.now_ms(), self.slot.key);
                 self.core
                     .change_fleet(|fleet| fleet.report(now_ms, key, &report));
-                self.core.hub.wake();
+                self.core.hub.wake_waiting();
                 self.settings(&report, &mut pushed);
             }
         }
--- /dev/null
+++ b/crates/mgs-gateway/tests/pace.rs
@@ -0,0 +1,27 @@
+//! The pace of reports.
+
+use mgs_gateway::gateway::Options;
+use mgs_gateway::pace::report_interval_ms;
+use rstest::rstest;
+
+#[rstest]
+#[case(0, 200)]
+#[case(20, 200)]
+#[case(21, 210)]
+#[case(96, 960)]
+#[case(5_300, 1_000)]
+fn the_reports_of_all_sessions_are_bounded(#[case] sessions: usize, #[case] interval_ms: u64) {
+    assert_eq!(
+        report_interval_ms(&Options::default(), sessions),
+        interval_ms
+    );
+}
+
+#[test]
+fn an_interval_that_was_set_long_stays() {
+    let options = Options {
+        report_interval_ms: 5_000,
+        ..Options::default()
+    };
+    assert_eq!(report_interval_ms(&options, 96), 5_000);
+}
--- a/crates/mgs-testing/src/load/cluster.rs
+++ b/crates/mgs-testing/src/load/cluster.rs
@@ -110,6 +110,7 @@
                 policy: policy.to_owned(),
                 admission: admission_of(policy).to_owned(),
                 report_interval_ms: (REPORT_MS / options.time_scale).max(10.0) as u64,
+                report_ms_per_session: 0,
                 hedge: false,
                 ..gateway::Options::default()
             })
--- a/src/command/gateway/numbers.rs
+++ b/src/command/gateway/numbers.rs
@@ -6,7 +6,7 @@
 use crate::setting::number::MS_MAX;
 
 /// Every number, in the order of the help.
-pub(super) const NUMBERS: [Number<Options>; 17] = [
+pub(super) const NUMBERS: [Number<Options>; 18] = [
     Number {
         flag: "leave-grace-ms",
         unit: "MS",
@@ -70,6 +70,15 @@
         get: |o| o.report_interval_ms,
         set: |o, n| o.report_interval_ms = n,
     },
+    Number {
+        flag: "report-ms-per-session",
+        unit: "MS",
+        help: "Time between load reports that each session adds in a larger fleet",
+        least: 0,
+        most: MS_MAX,
+        get: |o| o.report_ms_per_session,
+        set: |o, n| o.report_ms_per_session = n,
+    },
     Number {
         flag: "connect-timeout-ms",
         unit: "MS",
