feat(testing): count reads and writes of the store, and hosts in the list, in slopes

Cause: the store's limits on reads and on writes differ, and lists of hosts grow with the fleet. Ruled out: duplicate addresses for idle endpoints, which the table refuses. Conclusion: slopes covers each count of the target fleet.

--- a/crates/mgs-testing/src/bin/slopes.rs
+++ b/crates/mgs-testing/src/bin/slopes.rs
@@ -45,11 +45,6 @@
         )
         .arg(number("settle-ms", "Time before each sample", "5000"))
         .arg(number("window-ms", "Time of each sample", "10000"))
-        .arg(number(
-            "sessions-per-model",
-            "Sidecars that a gateway holds for each model in a large fleet",
-            "64",
-        ))
         .arg(
             Arg::new("plot")
                 .long("plot")
@@ -84,7 +79,6 @@
         settle_ms: given(matches, "settle-ms"),
         window_ms: given(matches, "window-ms"),
     };
-    let sessions_per_model = given(matches, "sessions-per-model") as usize;
     let mut report = Report::new();
     let mut measured = Vec::new();
     writeln!(
@@ -101,7 +95,7 @@
             rows(out, axis, &point)?;
             points.push(point);
         }
-        report.extend(slopes::fit(axis, &points, sessions_per_model));
+        report.extend(slopes::fit(axis, &points));
         measured.push((axis, points));
     }
     fits(out, &report)?;
@@ -124,10 +118,12 @@
         writeln!(
             out,
             "{:8} {:13} {:6} {control_bytes_per_s:10.0}  {cpu_share:10.4}  {resident_mb:11.1}  \
-             {store_ops_per_s:11.2}",
+             {store_ops_per_s:11.2}  {:11.1}  {:8.1}",
             role.name(),
             axis.name(),
             point.count,
+            point.sample.reads_per_s,
+            point.sample.writes_per_s,
         )?;
     }
     out.flush()
--- a/crates/mgs-testing/src/measure/control.rs
+++ b/crates/mgs-testing/src/measure/control.rs
@@ -5,6 +5,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mgs_standin::platform::faults::Counters;
 use serde::Serialize;
 
 use crate::measure::process;
@@ -56,6 +57,10 @@
     pub gateway: Node,
     /// A sidecar.
     pub sidecar: Node,
+    /// Reads of the store by all processes together.
+    pub reads_per_s: f64,
+    /// Writes of the store by all processes together.
+    pub writes_per_s: f64,
 }
 
 /// One look at all processes.
@@ -65,6 +70,7 @@
     gateways: Vec<Usage>,
     sidecars: Vec<Usage>,
     relayed: [Relayed; 2],
+    store: Counters,
 }
 
 #[derive(Debug, Clone, Copy)]
@@ -98,6 +104,7 @@
                 Relayed::of(&system.gateway_relay),
                 Relayed::of(&system.sidecar_relay),
             ],
+            store: system.platform.faults().counters(),
         })
     }
 
@@ -127,7 +134,10 @@
     let gateway_bytes = after.payload_bytes(gateways) - before.payload_bytes(gateways);
     let sidecar_bytes = after.payload_bytes(sidecars) - before.payload_bytes(sidecars);
     let relayed = |role: usize| (before.relayed[role], after.relayed[role]);
+    let rate = |count: u64| count as f64 / time.as_secs_f64();
     Ok(Sample {
+        reads_per_s: rate(after.store.reads - before.store.reads),
+        writes_per_s: rate(after.store.writes - before.store.writes),
         gateway: node(
             &before.gateways,
             &after.gateways,
--- a/crates/mgs-testing/src/measure/slopes.rs
+++ b/crates/mgs-testing/src/measure/slopes.rs
@@ -2,6 +2,7 @@
 
 use std::collections::BTreeMap;
 
+use mgs_fleet::fleet;
 use serde::Serialize;
 
 use crate::measure::control;
@@ -32,6 +33,11 @@
 /// Models in steady use.
 pub const MODELS: f64 = 6.0;
 
+/// Most sidecars with which a gateway has a session.
+pub fn sessions_max() -> usize {
+    fleet::Options::default().subset_max
+}
+
 /// What grows.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Axis {
@@ -91,8 +97,8 @@
     }
 
     /// The count that a process meets in the fleet that the design is for.
-    pub fn target(self, role: Role, sessions_per_model: usize) -> f64 {
-        let sessions = MODELS * sessions_per_model as f64;
+    pub fn target(self, role: Role) -> f64 {
+        let sessions = sessions_max() as f64;
         match (self, role) {
             (Self::Sidecars, _) => sessions,
             (Self::Gateways, Role::Gateway) => GATEWAYS,
@@ -102,6 +108,14 @@
         }
     }
 
+    /// The peers that a process has at a count: a gateway holds a bounded part of a larger fleet.
+    fn peers(self, count: usize) -> f64 {
+        match self {
+            Self::Sidecars => count.min(sessions_max()) as f64,
+            _ => count as f64,
+        }
+    }
+
     /// The system in which a count is measured.
     fn system(self, count: usize, base: &system::Options) -> system::Options {
         let small = system::Options {
@@ -114,7 +128,7 @@
             Self::Sidecars => system::Options {
                 sidecars: count,
                 models: MODELS as usize,
-                sessions: count,
+                sessions: count.min(sessions_max()),
                 ..small
             },
             Self::Gateways => system::Options {
@@ -230,15 +244,18 @@
 }
 
 /// Fits a line to each metric of each role.
-pub fn fit(axis: Axis, points: &[Point], sessions_per_model: usize) -> Report {
+pub fn fit(axis: Axis, points: &[Point]) -> Report {
     let mut report = Report::new();
     for role in axis.roles() {
-        let target = axis.target(*role, sessions_per_model);
+        let target = axis.target(*role);
         let name = format!("{}_by_{}", role.name(), axis.name());
         let growths = report.entry(name).or_default();
         for metric in role.metrics() {
             let value = |point: &Point| (metric.read)(&role.node(&point.sample));
-            let pairs: Vec<_> = points.iter().map(|p| (p.count as f64, value(p))).collect();
+            let pairs: Vec<_> = points
+                .iter()
+                .map(|p| (axis.peers(p.count), value(p)))
+                .collect();
             let line = Line::fit(&pairs);
             let growth = Growth {
                 line,
--- a/crates/mgs-testing/src/measure/system.rs
+++ b/crates/mgs-testing/src/measure/system.rs
@@ -7,6 +7,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mgs_platform::host::Host;
+use mgs_platform::host::State;
 use mgs_platform::http::Client;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::settings::EndpointRow;
@@ -36,6 +38,9 @@
 /// Rows of one edit.
 const EDIT_ROWS_MAX: usize = 400;
 
+/// Where idle endpoints are said to be; nobody calls them.
+const IDLE_HOST: Ipv4Addr = Ipv4Addr::new(127, 255, 0, 1);
+
 /// Availability zones.
 pub const ZONES: usize = 3;
 
@@ -139,6 +144,7 @@
         let sidecar = |number| starter.sidecar(number, &url, sidecar_relay.address());
         let sidecars: Result<Vec<_>, _> = (0..options.sidecars).map(sidecar).collect();
         let sidecars = sidecars?;
+        platform.memory().set_hosts(hosts(options, &sidecars));
         write_table(&platform, options, &sidecars)?;
         let gateway = |number| starter.gateway(number, gateway_relay.address());
         let gateways: Result<Vec<_>, _> = (0..options.gateways).map(gateway).collect();
@@ -257,20 +263,35 @@
     format!("endpoint-{number}")
 }
 
+/// The platform's list: a host for each endpoint.
+fn hosts(options: &Options, sidecars: &[Member]) -> Vec<Host> {
+    let started = sidecars.iter().map(|sidecar| sidecar.address);
+    let idle = (0..options.idle_endpoints).map(idle_address);
+    let host = |(number, address): (usize, SocketAddr)| Host {
+        address: address.to_string(),
+        zone: zone(number),
+        state: State::Live,
+    };
+    started.chain(idle).enumerate().map(host).collect()
+}
+
+fn idle_address(number: usize) -> SocketAddr {
+    SocketAddr::from((IDLE_HOST, number as u16 + 1))
+}
+
 fn write_table(platform: &Platform, options: &Options, sidecars: &[Member]) -> Result<(), Error> {
-    let started = sidecars.iter().map(|sidecar| Some(sidecar.address));
-    let idle = (0..options.idle_endpoints).map(|_| None);
+    let started = sidecars.iter().map(|sidecar| (sidecar.address, true));
+    let idle = (0..options.idle_endpoints).map(|number| (idle_address(number), false));
     let endpoints = started.chain(idle).enumerate();
-    let endpoints = endpoints.map(|(number, address)| {
-        let nowhere = SocketAddr::from((Ipv4Addr::LOCALHOST, 1));
+    let endpoints = endpoints.map(|(number, (address, started))| {
         RowValue::Endpoint(EndpointRow {
             name: endpoint(number),
             kind: EndpointKind::Engine.into(),
-            sidecar_address: address.unwrap_or(nowhere).to_string(),
+            sidecar_address: address.to_string(),
             zone: zone(number),
             models: vec![model(number % options.models)],
             checks_orders: true,
-            started: address.is_some(),
+            started,
             ..EndpointRow::default()
         })
     });
