feat(sidecar): find a dead or frozen engine within seconds, and prove it before the stand-in

Cause: a frozen engine was seen after about 7 s, and a start whose answer was lost in a freeze ended as unknown after 3 s although the engine had not said that the stream was absent. Ruled out: counting an engine's silence as its word; waiting for a silent engine without a limit. Conclusion: two failed looks of at most 1 s mark the endpoint down; only a list without the stream counts towards 'unknown'.

--- a/crates/mgs-ledger/src/lib.rs
+++ b/crates/mgs-ledger/src/lib.rs
@@ -33,3 +33,4 @@
 pub mod schedule;
 pub mod session;
 mod tick;
+mod withdraw;
--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -55,6 +55,8 @@
     pub endpoint_poll_ms: u64,
     /// Time between comparisons with the engine's own lists, in milliseconds.
     pub reconcile_ms: u64,
+    /// Longest wait for the engine's answer to a short call, in milliseconds.
+    pub call_timeout_ms: u64,
     /// Longest silence of a stream before it is read on over a new connection, in milliseconds.
     pub stream_silence_ms: u64,
     /// How long an engine that doesn't answer is asked for a stream, in milliseconds.
@@ -90,6 +92,7 @@
             tick_ms: 20,
             endpoint_poll_ms: 250,
             reconcile_ms: 2_000,
+            call_timeout_ms: 1_000,
             stream_silence_ms: 5_000,
             endpoint_silence_ms: 10_000,
             start_lookup_ms: 3_000,
@@ -306,6 +309,7 @@
         EndpointKind::Engine | EndpointKind::Unspecified => {
             let client = mgs_engine::http::Client::new(mgs_engine::http::Options {
                 base_url: options.endpoint_url.clone(),
+                call_timeout_ms: options.call_timeout_ms,
                 silence_timeout_ms: options.stream_silence_ms,
                 ..mgs_engine::http::Options::default()
             });
--- a/crates/mgs-sidecar/src/stream.rs
+++ b/crates/mgs-sidecar/src/stream.rs
@@ -194,11 +194,26 @@
     /// that isn't in the list may still be on its way, so it is never made again.
     fn look_up(mut self, error: &Error) -> End {
         self.shared.metrics.lost_starts.inc();
-        let until_ms = self.shared.now_ms() + self.shared.options.start_lookup_ms;
-        while self.shared.now_ms() < until_ms && !self.is_over() {
-            if let Lookup::Found = self.lookup() {
-                self.tell_started();
-                return self.read_on();
+        let begin_ms = self.shared.now_ms();
+        let mut absent_ms = None;
+        while !self.is_over() {
+            let now_ms = self.shared.now_ms();
+            match self.lookup() {
+                Lookup::Found => {
+                    self.tell_started();
+                    return self.read_on();
+                }
+                Lookup::Absent => {
+                    let since_ms = *absent_ms.get_or_insert(now_ms);
+                    if now_ms - since_ms >= self.shared.options.start_lookup_ms {
+                        break;
+                    }
+                }
+                Lookup::Silent => {
+                    if now_ms - begin_ms > self.shared.options.endpoint_silence_ms {
+                        break;
+                    }
+                }
             }
             self.pause();
         }
--- a/crates/mgs-sidecar/src/watcher.rs
+++ b/crates/mgs-sidecar/src/watcher.rs
@@ -17,7 +17,7 @@
 use crate::state::Shared;
 
 /// Looks that must fail one after another before the endpoint counts as down.
-const FAILURES_MAX: u32 = 3;
+const FAILURES_MAX: u32 = 2;
 
 /// The watcher's memory between looks.
 #[derive(Default)]
