feat(admission): tell what rows want, take shares, and don't mistake a pause for a standstill

Cause: the gateway must ask homes for shares; and a test of shares showed that a queue that had not moved for a second refused each next request with the longest time to come back. Ruled out: no prediction until something moved (an overload of a stopped fleet would queue without bound).

--- a/crates/mgs-admission/src/drain.rs
+++ b/crates/mgs-admission/src/drain.rs
@@ -43,20 +43,24 @@
 
     /// Time in which `work` would leave, in milliseconds; `None` while too little was seen.
     ///
+    /// `next` is the part of it that leaves at once: a queue that has just stood still is taken to
+    /// stand still for as long again, not for ever.
+    ///
     /// ```
     /// use mgs_admission::drain::Drain;
     ///
     /// let mut drain = Drain::new(4_000.0);
-    /// assert_eq!(drain.time_ms(10.0), None);
+    /// assert_eq!(drain.time_ms(10.0, 10.0), None);
     /// drain.pass(1_000, true);
-    /// drain.left(500.0);
-    /// assert_eq!(drain.time_ms(50.0), Some(100));
+    /// assert_eq!(drain.time_ms(50.0, 50.0), Some(1_000));
+    /// drain.left(450.0);
+    /// assert_eq!(drain.time_ms(100.0, 50.0), Some(200));
     /// ```
-    pub fn time_ms(&self, work: f64) -> Option<u64> {
+    pub fn time_ms(&self, work: f64, next: f64) -> Option<u64> {
         if self.busy_ms < SEEN_MIN_MS {
             return None;
         }
-        let rate = self.work.max(1.0) / self.busy_ms;
+        let rate = (self.work + next.max(1.0)) / self.busy_ms;
         Some((work / rate) as u64)
     }
 }
--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -12,13 +12,16 @@
 
 use crate::arena::Arena;
 use crate::arena::Key;
+use crate::entry::Answers;
+use crate::entry::Entry;
 use crate::flows::Charge;
 use crate::flows::Class;
 use crate::flows::ClassKey;
 use crate::flows::Flows;
-use crate::flows::Waiting;
+use crate::lease::Limits;
 use crate::queue::Action;
 use crate::queue::Admission;
+use crate::queue::Demand;
 use crate::queue::Offer;
 use crate::queue::Room;
 use crate::queue::Verdict;
@@ -64,53 +67,6 @@
 /// Most tokens that aged requests may save up.
 const AGED_CREDIT_MAX: f64 = 200_000.0;
 
-/// Smoothing of the mean answer length of a row.
-const ANSWER_SMOOTHING: f64 = 0.1;
-
-/// An admitted request.
-#[derive(Debug)]
-struct Entry {
-    offer: Offer,
-    row: RowKey,
-    class: ClassKey,
-    weight: u32,
-    queued: bool,
-    /// When its first token was predicted to come, set at the start.
-    first_token_at_ms: u64,
-}
-
-/// What was learned of the answers of one row in one class.
-#[derive(Debug, Clone, Copy)]
-struct Answers {
-    /// Mean length.
-    tokens: f64,
-    /// Mean time for each token after the first.
-    token_ms: f64,
-}
-
-impl Answers {
-    /// Length that is expected of an answer of at most `max_tokens`.
-    fn expected_tokens(&self, max_tokens: u64) -> f64 {
-        self.tokens.min(max_tokens as f64)
-    }
-}
-
-impl Entry {
-    fn tokens(&self) -> u64 {
-        self.offer.prompt_tokens + self.offer.max_tokens
-    }
-
-    fn waiting(&self, key: Key) -> Waiting {
-        Waiting {
-            row: self.row,
-            class: self.class,
-            entry: key,
-            tokens: self.tokens(),
-            weight: self.weight,
-        }
-    }
-}
-
 /// The product's admission.
 ///
 /// ```
@@ -158,10 +114,9 @@
         })
     }
 
-    /// Checks the limits of the row and takes what the request costs.
-    fn limit(&mut self, now_ms: u64, row: RowKey, offer: &Offer) -> Result<(), Verdict> {
-        let cost = (offer.prompt_tokens + offer.max_tokens) as f64;
-        let row = self.rows.get_mut(row);
+    /// Checks what costs nothing: models and requests in flight.
+    fn permit(&self, row: RowKey, offer: &Offer) -> Result<(), Verdict> {
+        let row = self.rows.get(row);
         let allowed = &row.limits.models;
         if !allowed.is_empty() && !allowed.contains(&offer.model) {
             return Err(refused(RefusalReason::UnknownModel, 0));
@@ -170,6 +125,13 @@
             let retry_after_ms = self.options.retry_after_min_ms;
             return Err(refused(RefusalReason::Concurrency, retry_after_ms));
         }
+        Ok(())
+    }
+
+    /// Checks the rates of the row and takes what the request costs.
+    fn charge(&mut self, now_ms: u64, row: RowKey, offer: &Offer) -> Result<(), Verdict> {
+        let cost = (offer.prompt_tokens + offer.max_tokens) as f64;
+        let row = self.rows.get_mut(row);
         if let Err(wait_ms) = row.requests.take(now_ms, 1.0) {
             return Err(refused(RefusalReason::RequestRate, wait_ms));
         }
@@ -316,10 +278,8 @@
 
     /// Time that the answer is expected to take after its first token.
     fn answer_ms(&self, entry: &Entry) -> u64 {
-        let Some(answers) = self.answers.get(&(entry.row, entry.class)) else {
-            return 0;
-        };
-        (answers.expected_tokens(entry.offer.max_tokens) * answers.token_ms) as u64
+        let answers = self.answers.get(&(entry.row, entry.class));
+        answers.map_or(0, |a| a.expected_ms(entry.offer.max_tokens))
     }
 
     fn started(&mut self, now_ms: u64, key: Key, first_token_ms: u64) {
@@ -365,19 +325,11 @@
     }
 
     fn learn(&mut self, now_ms: u64, entry: &Entry, generated_tokens: u64) {
-        if generated_tokens == 0 {
+        let Some(seen) = entry.answer(now_ms, generated_tokens) else {
             return;
-        }
-        let tokens = generated_tokens as f64;
-        let took_ms = now_ms.saturating_sub(entry.first_token_at_ms) as f64;
-        let token_ms = took_ms / tokens;
-        let first = Answers { tokens, token_ms };
-        let answers = self
-            .answers
-            .entry((entry.row, entry.class))
-            .or_insert(first);
-        answers.tokens += ANSWER_SMOOTHING * (tokens - answers.tokens);
-        answers.token_ms += ANSWER_SMOOTHING * (token_ms - answers.token_ms);
+        };
+        let answers = self.answers.entry((entry.row, entry.class));
+        answers.or_insert(seen).learn(&seen);
     }
 
     /// Lets aged requests of low priority start out of their turn, within their share.
@@ -417,15 +369,19 @@
 
     fn offer(&mut self, now_ms: u64, offer: &Offer) -> Verdict {
         let row = self.rows.find(now_ms, &offer.organisation, &offer.kind);
-        let class = match self.foresee(now_ms, row, offer) {
-            Ok(class) => class,
-            Err(verdict) => return verdict,
-        };
-        if let Err(verdict) = self.limit(now_ms, row, offer) {
-            return verdict;
+        let offered = self.rows.get_mut(row);
+        offered.offered_requests += 1;
+        offered.offered_tokens += offer.prompt_tokens + offer.max_tokens;
+        let permitted = self.permit(row, offer);
+        let class = permitted.and_then(|()| self.foresee(now_ms, row, offer));
+        let charged = class.and_then(|class| self.charge(now_ms, row, offer).map(|()| class));
+        match charged {
+            Ok(class) => {
+                self.enqueue(now_ms, row, class, offer);
+                Verdict::Queued
+            }
+            Err(verdict) => verdict,
         }
-        self.enqueue(now_ms, row, class, offer);
-        Verdict::Queued
     }
 
     fn next(&mut self, now_ms: u64, room: &mut dyn Room) -> Vec<Action> {
@@ -462,4 +418,13 @@
         row.tokens.refund(unused as f64);
         self.learn(now_ms, &entry, generated_tokens);
     }
+
+    fn demands(&mut self, now_ms: u64) -> Vec<Demand> {
+        self.rows.demands(now_ms)
+    }
+
+    fn set_share(&mut self, now_ms: u64, organisation: &str, kind: &str, limits: &Limits) {
+        let row = self.rows.find(now_ms, organisation, kind);
+        self.rows.get_mut(row).set_share(now_ms, limits);
+    }
 }
--- a/crates/mgs-admission/src/flows.rs
+++ b/crates/mgs-admission/src/flows.rs
@@ -157,8 +157,8 @@
         active.drain.pass(now_ms, !active.rows.is_empty());
         let share = active.weights as f64 / f64::from(flow.weight.max(1));
         let tokens = (flow.tokens + more) as f64;
-        let own_ms = flow.drain.time_ms(tokens)?;
-        let shared_ms = active.drain.time_ms(tokens * share.max(1.0))?;
+        let own_ms = flow.drain.time_ms(tokens, more as f64)?;
+        let shared_ms = active.drain.time_ms(tokens * share.max(1.0), more as f64)?;
         Some(own_ms.min(shared_ms))
     }
 
--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -9,6 +9,7 @@
 pub mod arena;
 pub mod bucket;
 pub mod drain;
+mod entry;
 pub mod fair;
 pub mod fifo;
 pub mod flows;
--- a/crates/mgs-admission/src/queue.rs
+++ b/crates/mgs-admission/src/queue.rs
@@ -6,6 +6,7 @@
 
 use crate::fair::FairQueue;
 use crate::fifo::Fifo;
+use crate::lease::Limits;
 
 /// A request that asks to be admitted.
 #[derive(Debug, Clone)]
@@ -85,6 +86,33 @@
 
     /// A started request has ended.
     fn finished(&mut self, now_ms: u64, id: RequestId, generated_tokens: u64);
+
+    /// What each limited row in use wants now, to ask its home for a share. Each call tells the
+    /// rates since the one before it. A queue without limits wants nothing.
+    fn demands(&mut self, _now_ms: u64) -> Vec<Demand> {
+        Vec::new()
+    }
+
+    /// Sets what this gateway may admit of a row's limits from now on; limits change with the
+    /// settings, so it is set again after each new settings and whenever a share changes.
+    fn set_share(&mut self, _now_ms: u64, _organisation: &str, _kind: &str, _limits: &Limits) {}
+}
+
+/// What a limited row in use wants.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Demand {
+    /// Organisation.
+    pub organisation: String,
+    /// Kind of request, `*` for all without a row of their own.
+    pub kind: String,
+    /// The whole limits, of which a share is wanted.
+    pub limits: Limits,
+    /// Requests offered per second.
+    pub requests_per_s: f64,
+    /// Tokens offered per second.
+    pub tokens_per_s: f64,
+    /// Requests in flight.
+    pub in_flight: u32,
 }
 
 /// Names that [`by_name`] knows; the first is the product's own.
--- a/crates/mgs-admission/src/rows.rs
+++ b/crates/mgs-admission/src/rows.rs
@@ -6,6 +6,8 @@
 use mgs_schema::settings::Snapshot;
 
 use crate::bucket::Bucket;
+use crate::lease::Limits;
+use crate::queue::Demand;
 
 /// Stands for any other organisation or kind of request.
 pub const ANY: &str = "*";
@@ -37,6 +39,12 @@
     pub concurrent_max: u32,
     /// Requests admitted and not ended.
     pub in_flight: u32,
+    /// Requests offered since the last look.
+    pub offered_requests: u64,
+    /// Their tokens.
+    pub offered_tokens: u64,
+    /// Time of the last look.
+    pub looked_ms: u64,
 }
 
 impl Row {
@@ -48,6 +56,9 @@
             tokens: Bucket::new(now_ms, limits.tokens_per_s),
             concurrent_max: limits.concurrent_requests,
             in_flight: 0,
+            offered_requests: 0,
+            offered_tokens: 0,
+            looked_ms: now_ms,
             limits: limits.clone(),
         }
     }
@@ -62,6 +73,37 @@
         self.limits = limits.clone();
     }
 
+    /// Sets the part of the limits that this process may use.
+    pub fn set_share(&mut self, now_ms: u64, limits: &Limits) {
+        self.requests.set_rate(now_ms, limits.requests_per_s);
+        self.tokens.set_rate(now_ms, limits.tokens_per_s);
+        self.concurrent_max = limits.concurrent_requests;
+    }
+
+    /// What is wanted of the limits since the last look; `None` if there are none, or if nothing
+    /// was offered and nothing is in flight.
+    pub fn demand(&mut self, now_ms: u64) -> Option<Demand> {
+        let limits = Limits {
+            requests_per_s: self.limits.requests_per_s,
+            tokens_per_s: self.limits.tokens_per_s,
+            concurrent_requests: self.limits.concurrent_requests,
+        };
+        let passed_s = now_ms.saturating_sub(self.looked_ms).max(1) as f64 / 1_000.0;
+        let demand = Demand {
+            organisation: self.organisation.clone(),
+            kind: self.kind.clone(),
+            limits,
+            requests_per_s: self.offered_requests as f64 / passed_s,
+            tokens_per_s: self.offered_tokens as f64 / passed_s,
+            in_flight: self.in_flight,
+        };
+        let is_idle = self.offered_requests == 0 && self.in_flight == 0;
+        self.offered_requests = 0;
+        self.offered_tokens = 0;
+        self.looked_ms = now_ms;
+        (limits != Limits::default() && !is_idle).then_some(demand)
+    }
+
     /// Weight, at least 1.
     pub fn weight(&self) -> u32 {
         self.limits.weight.max(1)
@@ -141,6 +183,12 @@
     pub fn iter(&self) -> impl Iterator<Item = &Row> {
         self.live.iter()
     }
+
+    /// What the live rows want; see [`Row::demand`].
+    pub fn demands(&mut self, now_ms: u64) -> Vec<Demand> {
+        let demand = |row: &mut Row| row.demand(now_ms);
+        self.live.iter_mut().filter_map(demand).collect()
+    }
 }
 
 /// The declared row that holds for an organisation and kind: its own, its `*` kind, or those of the
--- a/crates/mgs-admission/tests/fair.rs
+++ b/crates/mgs-admission/tests/fair.rs
@@ -313,3 +313,20 @@
     );
     assert!(refusal(queue.offer(10, &offer(2, "a", 1))).is_some());
 }
+
+#[test]
+fn a_share_of_a_limit_holds_instead_of_the_whole() {
+    let mut queue = queue(vec![LimitRow {
+        concurrent_requests: 4,
+        ..row("a", 1, 1)
+    }]);
+    queue.offer(0, &offer(1, "a", 100));
+    let demands = queue.demands(1_000);
+    assert_eq!((demands.len(), demands[0].in_flight), (1, 1));
+    assert_eq!(demands[0].tokens_per_s, 100.0);
+    let half = demands[0].limits.part(0.5);
+    queue.set_share(1_000, "a", &demands[0].kind, &half);
+    assert_eq!(queue.offer(1_000, &offer(2, "a", 100)), Verdict::Queued);
+    let (reason, _) = refusal(queue.offer(1_000, &offer(3, "a", 100))).unwrap();
+    assert_eq!(reason, RefusalReason::Concurrency);
+}
