--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -15,11 +15,11 @@
 use mgs_settings::store::read;
 use mgs_settings::table::Table;
 
+use super::file_argument;
 use super::is_json;
 use super::key_arguments;
 use super::optional_sheet_argument;
 use super::sheet;
-use super::sheet_and_file_arguments;
 use super::sheet_argument;
 use super::text;
 use super::FILE;
@@ -49,7 +49,8 @@
             .args(operator::arguments()),
         Command::new("diff")
             .about("Show what `apply` would change; it changes nothing")
-            .args(sheet_and_file_arguments())
+            .arg(sheet_argument())
+            .arg(file_argument())
             .args(operator::arguments()),
     ]
 }
