--- a/crates/mgs-routing/src/outlier.rs
+++ b/crates/mgs-routing/src/outlier.rs
@@ -150,10 +150,9 @@
         let evidence = self.evidence.get(endpoint);
         let sample = (took_ms as f64 + GRACE_MS) / (predicted_ms as f64 + GRACE_MS);
         let slowness = smooth(&evidence.slowness_bits, sample);
-        let fleet = smooth(
-            &self.fleet_slowness_bits,
-            sample.min(self.options.slow_factor),
-        );
+        // One endpoint moves the fleet's slowness by no more than what would eject it.
+        let most = read(&self.fleet_slowness_bits).max(1.0) * self.options.slow_factor;
+        let fleet = smooth(&self.fleet_slowness_bits, sample.min(most));
         let samples = evidence.samples.fetch_add(1, Ordering::Relaxed) + 1;
         let slow = slowness > fleet.max(1.0) * self.options.slow_factor;
         if slow && samples >= self.options.slow_samples {
--- /dev/null
+++ b/crates/mgs-routing/tests/baseline.rs
@@ -0,0 +1,83 @@
+//! The policies that are measured against.
+
+mod common;
+
+use std::sync::Arc;
+
+use common::ask;
+use common::endpoint;
+use common::view;
+use mgs_fleet::view::Endpoint;
+use mgs_fleet::view::EndpointKey;
+use mgs_routing::policy::by_name;
+use mgs_routing::policy::Ask;
+use mgs_routing::policy::NoChoice;
+use mgs_routing::policy::NAMES;
+use mgs_schema::wire::Outcome;
+use rstest::rstest;
+
+#[rstest]
+fn every_policy_tells_why_there_is_no_choice(#[values(0, 1, 2, 3)] policy: usize) {
+    let policy = by_name(NAMES[policy]).unwrap();
+    let fleet = view(vec![endpoint(0)]);
+    let unknown = Ask {
+        model: "other",
+        ..ask(1)
+    };
+    assert_eq!(
+        policy.choose(&fleet, &unknown, 0),
+        Err(NoChoice::UnknownModel)
+    );
+    let excluded = Ask {
+        excluded: &[EndpointKey(0)],
+        ..ask(1)
+    };
+    assert_eq!(
+        policy.choose(&fleet, &excluded, 0),
+        Err(NoChoice::NoEndpoint)
+    );
+    let large = policy.choose(&fleet, &ask(500_000), 0);
+    assert_eq!(large, Err(NoChoice::PromptExceedsMemory));
+}
+
+#[test]
+fn round_robin_goes_round() {
+    let policy = by_name("round-robin").unwrap();
+    let fleet = view((0..3).map(endpoint).collect());
+    let choose = |_| policy.choose(&fleet, &ask(1), 0).unwrap().endpoint.0;
+    let turns: Vec<u32> = (0..6).map(choose).collect();
+    assert_eq!(turns, [0, 1, 2, 0, 1, 2]);
+}
+
+#[test]
+fn least_outstanding_counts_what_has_not_ended() {
+    let policy = by_name("least-outstanding").unwrap();
+    let fleet = view((0..2).map(endpoint).collect());
+    policy.dispatched(EndpointKey(0), &ask(1));
+    let choose = || policy.choose(&fleet, &ask(1), 0).unwrap().endpoint;
+    assert_eq!(choose(), EndpointKey(1));
+    policy.finished(EndpointKey(0), &ask(1), Outcome::Answered);
+    policy.dispatched(EndpointKey(1), &ask(1));
+    assert_eq!(choose(), EndpointKey(0));
+}
+
+#[test]
+fn prefix_affinity_goes_where_the_prefix_is_until_it_is_crowded() {
+    let policy = by_name("prefix-affinity").unwrap();
+    let hashes: Vec<u64> = (1..=4).collect();
+    let holder = Endpoint {
+        cached: Arc::new(hashes.iter().copied().collect()),
+        ..endpoint(1)
+    };
+    let fleet = view(vec![endpoint(0), holder]);
+    let request = Ask {
+        prefix_hashes: &hashes,
+        ..ask(1_024)
+    };
+    let choose = || policy.choose(&fleet, &request, 0).unwrap().endpoint;
+    assert_eq!(choose(), EndpointKey(1));
+    for _ in 0..10 {
+        policy.dispatched(EndpointKey(1), &request);
+    }
+    assert_eq!(choose(), EndpointKey(0));
+}
