--- a/crates/mgs-gateway/src/duty/member.rs
+++ b/crates/mgs-gateway/src/duty/member.rs
@@ -4,6 +4,7 @@
 use std::sync::Arc;
 
 use mgs_platform::table::scan_all;
+use mgs_settings::member;
 use mgs_settings::member::Claim;
 use mgs_settings::member::Error;
 use mgs_settings::member::Member;
@@ -16,12 +17,16 @@
 /// Pause after an error of the store, in milliseconds.
 const AGAIN_MS: u64 = 1_000;
 
+/// Bytes per second that looks at the other gateways' rows may take.
+const LOOK_BYTES_PER_S: u64 = 3_000;
+
 /// Renews the claim until the gateway stops or its name is taken over.
 pub(crate) fn run(duties: &Arc<Duties>) {
     let core = &duties.core;
     let mut claim = Claim::new(Role::Gateway, &core.options.name, member(duties));
     let mut observer = Observer::default();
     let mut since_ms = core.now_ms();
+    let mut look_due_ms = 0;
     loop {
         let now_ms = core.now_ms();
         let demand = core
@@ -30,7 +35,10 @@
         since_ms = now_ms;
         let wait_ms = match claim.renew(duties.platform.table.as_ref(), demand) {
             Ok(()) => {
-                observe(duties, &mut observer);
+                if core.now_ms() >= look_due_ms {
+                    look_due_ms = core.now_ms() + look_interval_ms(duties);
+                    observe(duties, &mut observer);
+                }
                 core.options.member.renew_interval_ms
             }
             Err(Error::Superseded { incarnation }) => {
@@ -51,6 +59,12 @@
     }
 }
 
+fn look_interval_ms(duties: &Duties) -> u64 {
+    let renew_interval_ms = duties.core.options.member.renew_interval_ms;
+    let gateways = duties.links.gateways();
+    member::look_interval_ms(gateways, renew_interval_ms, LOOK_BYTES_PER_S)
+}
+
 fn member(duties: &Duties) -> Member {
     Member {
         incarnation: duties.core.incarnation,
