--- a/crates/mgs-routing/src/lib.rs
+++ b/crates/mgs-routing/src/lib.rs
@@ -15,3 +15,4 @@
 pub mod policy;
 pub mod predict;
 pub mod recent;
+pub mod span;
