--- a/crates/mgs-admission/src/entry.rs
+++ b/crates/mgs-admission/src/entry.rs
@@ -9,6 +9,9 @@
 /// Smoothing of the mean answer length of a row.
 const ANSWER_SMOOTHING: f64 = 0.1;
 
+/// Factor by which answers are expected to take longer than their mean: half of them do.
+const MARGIN: f64 = 1.1;
+
 /// An admitted request.
 #[derive(Debug)]
 pub(crate) struct Entry {
@@ -24,8 +27,8 @@
 /// What was learned of the answers of one row in one class.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Answers {
-    /// Mean length.
-    tokens: f64,
+    /// Mean length as a share of the longest that was allowed.
+    share: f64,
     /// Mean time for each token after the first.
     token_ms: f64,
 }
@@ -33,17 +36,17 @@
 impl Answers {
     /// Length that is expected of an answer of at most `max_tokens`.
     pub(crate) fn expected_tokens(&self, max_tokens: u64) -> f64 {
-        self.tokens.min(max_tokens as f64)
+        max_tokens as f64 * self.share
     }
 
     /// Time that is expected of it after its first token.
     pub(crate) fn expected_ms(&self, max_tokens: u64) -> u64 {
-        (self.expected_tokens(max_tokens) * self.token_ms) as u64
+        (self.expected_tokens(max_tokens) * self.token_ms * MARGIN) as u64
     }
 
     /// Mixes in what was seen.
     pub(crate) fn learn(&mut self, seen: &Self) {
-        self.tokens += ANSWER_SMOOTHING * (seen.tokens - self.tokens);
+        self.share += ANSWER_SMOOTHING * (seen.share - self.share);
         self.token_ms += ANSWER_SMOOTHING * (seen.token_ms - self.token_ms);
     }
 }
@@ -71,9 +74,10 @@
             return None;
         }
         let tokens = generated_tokens as f64;
+        let share = tokens / self.offer.max_tokens.max(1) as f64;
         let took_ms = now_ms.saturating_sub(self.first_token_at_ms) as f64;
         Some(Answers {
-            tokens,
+            share: share.min(1.0),
             token_ms: took_ms / tokens,
         })
     }
--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -154,7 +154,8 @@
             return Err(refused(RefusalReason::QueueFull, retry_after_ms));
         }
         let left_ms = offer.deadline_ms.saturating_sub(now_ms);
-        let most_ms = (left_ms as f64 * self.options.wait_share_max) as u64;
+        let spare_ms = left_ms.saturating_sub(self.answer_ms_of(row, class, offer));
+        let most_ms = spare_ms.min((left_ms as f64 * self.options.wait_share_max) as u64);
         match wait_ms {
             Some(wait_ms) if wait_ms > most_ms => {
                 let retry_after_ms = self.bounded(wait_ms - most_ms);
@@ -278,8 +279,12 @@
 
     /// Time that the answer is expected to take after its first token.
     fn answer_ms(&self, entry: &Entry) -> u64 {
-        let answers = self.answers.get(&(entry.row, entry.class));
-        answers.map_or(0, |a| a.expected_ms(entry.offer.max_tokens))
+        self.answer_ms_of(entry.row, entry.class, &entry.offer)
+    }
+
+    fn answer_ms_of(&self, row: RowKey, class: ClassKey, offer: &Offer) -> u64 {
+        let answers = self.answers.get(&(row, class));
+        answers.map_or(0, |answers| answers.expected_ms(offer.max_tokens))
     }
 
     fn started(&mut self, now_ms: u64, key: Key, first_token_ms: u64) {
