feat(admission): predict the wait by what is ahead in fair order, let long prompts wait longer

Cause: in the trial of a flood, long prompts of organisations within their share were refused: their wait was predicted as 78 and 133 s of an allowed 75 s, from their weight among all rows, though a row within its share is ahead of a flood. Conclusion: a long prompt may be predicted to wait half of its time, a short one a quarter.

--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -38,8 +38,10 @@
     pub flow_max: usize,
     /// Most requests queued in all.
     pub queue_max: usize,
-    /// Share of the time left that a request may be predicted to wait in the queue.
-    pub wait_share_max: f64,
+    /// Share of the time left that a short prompt may be predicted to wait in the queue.
+    pub short_wait_share_max: f64,
+    /// The same for other prompts, which may wait but must not be turned away lightly.
+    pub long_wait_share_max: f64,
     /// Share of its time after which a queued request of low priority is aged.
     pub aged_share: f64,
     /// Share of the started tokens that aged requests may take out of their turn.
@@ -55,7 +57,8 @@
         Self {
             flow_max: 2_000,
             queue_max: 20_000,
-            wait_share_max: 0.25,
+            short_wait_share_max: 0.25,
+            long_wait_share_max: 0.5,
             aged_share: 0.5,
             aged_tokens_share: 0.1,
             retry_after_min_ms: 200,
@@ -155,7 +158,12 @@
         }
         let left_ms = offer.deadline_ms.saturating_sub(now_ms);
         let spare_ms = left_ms.saturating_sub(self.answer_ms_of(row, class, offer));
-        let most_ms = spare_ms.min((left_ms as f64 * self.options.wait_share_max) as u64);
+        let share = if offer.prompt_tokens > SHORT_PROMPT_TOKENS {
+            self.options.long_wait_share_max
+        } else {
+            self.options.short_wait_share_max
+        };
+        let most_ms = spare_ms.min((left_ms as f64 * share) as u64);
         match wait_ms {
             Some(wait_ms) if wait_ms > most_ms => {
                 let retry_after_ms = self.bounded(wait_ms - most_ms);
--- a/crates/mgs-admission/src/flows.rs
+++ b/crates/mgs-admission/src/flows.rs
@@ -18,6 +18,9 @@
 /// The same for others, of which few start in a second.
 const LONG_MEMORY_MS: f64 = 30_000.0;
 
+/// Rows that are looked at to see what is ahead of a request; more are taken to be like them.
+const SAMPLE_ROWS: usize = 64;
+
 /// Requests that wait for the same room: one blocks those behind it and no others.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Class {
@@ -69,8 +72,6 @@
 struct Active {
     /// Rows that wait, by their place in virtual time.
     rows: BTreeSet<(u64, RowKey)>,
-    /// Their weights.
-    weights: u64,
     drain: Drain,
 }
 
@@ -102,7 +103,6 @@
         self.keys.insert(class.clone(), key);
         self.active.push(Active {
             rows: BTreeSet::new(),
-            weights: 0,
             drain: class.new_drain(),
         });
         self.classes.push(class);
@@ -146,22 +146,38 @@
     /// Time until all that waits in one flow, and `more` tokens, have left it, in milliseconds;
     /// `None` while too little was seen.
     ///
-    /// Two estimates are made: from how fast the flow has been moving, and from the row's share of
-    /// how fast its class has been moving. The shorter one counts, since a flow of few and large
-    /// requests stands still most of the time.
+    /// Two estimates are made: from how fast the flow has been moving, and from how fast its class
+    /// has been moving and what is ahead of the request in the order of fair queueing. The shorter
+    /// one counts, since a flow of few and large requests stands still most of the time.
     pub fn wait_ms(&mut self, now_ms: u64, row: RowKey, class: ClassKey, more: u64) -> Option<u64> {
         let turn = self.turns.get_mut(row.0 as usize)?;
         let flow = turn.flows.get_mut(&class)?;
         let active = &mut self.active[class.0 as usize];
         flow.drain.pass(now_ms, !flow.queue.is_empty());
         active.drain.pass(now_ms, !active.rows.is_empty());
-        let share = active.weights as f64 / f64::from(flow.weight.max(1));
         let tokens = (flow.tokens + more) as f64;
         let own_ms = flow.drain.time_ms(tokens, more as f64)?;
-        let shared_ms = active.drain.time_ms(tokens * share.max(1.0), more as f64)?;
+        let per_weight = tokens / f64::from(flow.weight.max(1));
+        let drain = self.active[class.0 as usize].drain;
+        let ahead = self.ahead(row, class, per_weight);
+        let shared_ms = drain.time_ms(tokens + ahead, more as f64)?;
         Some(own_ms.min(shared_ms))
     }
 
+    /// Tokens of other rows that start before a row has started `per_weight` tokens for each unit
+    /// of its weight: of each row no more than that, and no more than it has waiting.
+    fn ahead(&self, row: RowKey, class: ClassKey, per_weight: f64) -> f64 {
+        let rows = &self.active[class.0 as usize].rows;
+        let others = rows.iter().map(|(_, other)| *other).filter(|o| *o != row);
+        let mut sum = 0.0;
+        for other in others.take(SAMPLE_ROWS) {
+            if let Some(flow) = self.flow(other, class) {
+                sum += (flow.tokens as f64).min(per_weight * f64::from(flow.weight));
+            }
+        }
+        sum * f64::max(1.0, rows.len() as f64 / SAMPLE_ROWS as f64)
+    }
+
     /// Appends a request.
     pub fn push(&mut self, now_ms: u64, waiting: Waiting) {
         let Waiting { row, class, .. } = waiting;
@@ -184,7 +200,6 @@
         active.drain.pass(now_ms, !active.rows.is_empty());
         if flow.queue.is_empty() {
             flow.weight = waiting.weight;
-            active.weights += u64::from(flow.weight);
             active.rows.insert((turn.at, row));
         }
         flow.queue.push_back(waiting.entry);
@@ -219,7 +234,6 @@
         flow.tokens = flow.tokens.saturating_sub(waiting.tokens);
         if flow.queue.is_empty() {
             active.rows.remove(&(turn.at, row));
-            active.weights = active.weights.saturating_sub(u64::from(flow.weight));
         }
         turn.queued -= 1;
         self.queued -= 1;
