--- a/crates/mgs-testing/src/bin/propagation.rs
+++ b/crates/mgs-testing/src/bin/propagation.rs
@@ -1,5 +1,6 @@
 //! Measures how long an accepted edit takes to be in force everywhere, and what it costs the
-//! store. Prints one JSON line for each number of gateways.
+//! store; what a consistent read costs; and what comes of racing operators. Prints one JSON line
+//! for each number of gateways.
 
 use std::error::Error;
 use std::process::ExitCode;
@@ -12,9 +13,13 @@
 use mgs_testing::settings::propagation;
 use mgs_testing::settings::propagation::Options;
 use mgs_testing::settings::propagation::Scenario;
+use mgs_testing::settings::race;
 
 const SCENARIO: &str = "scenario";
 const CONSISTENT: &str = "consistent";
+const RACE: &str = "race";
+const SEED: &str = "seed";
+const EDITS: &str = "edits";
 const GATEWAYS: &str = "gateways";
 const RUN_MS: &str = "run-ms";
 const OUTAGE_MS: &str = "outage-ms";
@@ -35,7 +40,7 @@
         .arg(
             Arg::new(SCENARIO)
                 .long(SCENARIO)
-                .value_parser(["calm", "paused", "outage", CONSISTENT])
+                .value_parser(["calm", "paused", "outage", CONSISTENT, RACE])
                 .default_value("calm")
                 .help("What happens during the run"),
         )
@@ -51,6 +56,12 @@
         ))
         .arg(number(OUTAGE_MS, "60000", "Length of the outage"))
         .arg(number(ROWS, "50", "Rows of limits at the start"))
+        .arg(number(SEED, "1", "Seed of a race"))
+        .arg(number(
+            EDITS,
+            "100",
+            "Edits of each of six racing operators",
+        ))
 }
 
 fn options(matches: &ArgMatches, gateways: u64) -> Options {
@@ -72,10 +83,20 @@
 
 fn measure(matches: &ArgMatches, gateways: u64) -> Result<String, Box<dyn Error>> {
     let options = options(matches, gateways);
-    if matches.get_one::<String>(SCENARIO).map(String::as_str) == Some(CONSISTENT) {
-        return Ok(serde_json::to_string(&consistent::run(options.rows))?);
-    }
-    Ok(serde_json::to_string(&propagation::run(&options)?)?)
+    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
+    let line = match matches.get_one::<String>(SCENARIO).map(String::as_str) {
+        Some(CONSISTENT) => serde_json::to_string(&consistent::run(options.rows)),
+        Some(RACE) => {
+            let outcome = race::run(race::Options {
+                seed: number(SEED),
+                edits: number(EDITS) as usize,
+                ..race::Options::default()
+            });
+            serde_json::to_string(&outcome.report(number(SEED)))
+        }
+        _ => serde_json::to_string(&propagation::run(&options)?),
+    };
+    Ok(line?)
 }
 
 #[allow(clippy::print_stdout, clippy::print_stderr)]
--- a/crates/mgs-testing/src/settings/race.rs
+++ b/crates/mgs-testing/src/settings/race.rs
@@ -29,12 +29,14 @@
 use rand::RngExt as _;
 use rand::SeedableRng as _;
 use rand_chacha::ChaCha8Rng;
+use serde::Serialize;
 
 use super::history;
 use super::history::History;
 use super::history::Intent;
 use super::history::Sample;
 use super::history::Told;
+use super::history::Violation;
 use super::plant::Blind;
 use super::plant::Plant;
 
@@ -90,6 +92,63 @@
     }
 }
 
+/// A run in figures.
+#[derive(Debug, Clone, Serialize)]
+pub struct Report {
+    /// Seed of the run.
+    pub seed: u64,
+    /// Edits that operators wanted.
+    pub raced: usize,
+    /// Edits accepted.
+    pub accepted: usize,
+    /// Edits that ended in a conflict.
+    pub conflicts: usize,
+    /// Edits that the store refused.
+    pub refused: usize,
+    /// Accepted edits that were lost, overwritten or made twice.
+    pub lost: usize,
+    /// Times that a process went back or had another table than the log gives.
+    pub reverted: usize,
+    /// Looks at processes.
+    pub samples: usize,
+    /// Replies that the store lost.
+    pub replies_lost: u64,
+    /// Calls that outages refused.
+    pub calls_refused: u64,
+    /// Compactions of the log.
+    pub compactions: u64,
+    /// Every violation.
+    pub violations: Vec<String>,
+}
+
+impl Outcome {
+    /// Checks the history and counts.
+    pub fn report(&self, seed: u64) -> Report {
+        let violations = history::check(&self.history);
+        let reverts = |violation: &&Violation| {
+            matches!(
+                violation,
+                Violation::WentBack { .. } | Violation::Diverged { .. } | Violation::Behind { .. }
+            )
+        };
+        let reverted = violations.iter().filter(reverts).count();
+        Report {
+            seed,
+            raced: self.history.intents.len(),
+            accepted: self.count(|told| matches!(told, Told::Accepted(_))),
+            conflicts: self.count(|told| told == Told::Conflict),
+            refused: self.count(|told| told == Told::Refused),
+            lost: violations.len() - reverted,
+            reverted,
+            samples: self.history.samples.len(),
+            replies_lost: self.counters.replies_lost,
+            calls_refused: self.counters.refused,
+            compactions: self.compactions,
+            violations: violations.iter().map(ToString::to_string).collect(),
+        }
+    }
+}
+
 struct Bench {
     options: Options,
     memory: Arc<Memory>,
