feat(cli): a process whose name was taken over drains and ends; errors say what to check

Cause: a sidecar that lost its name refused all work and ran on; an unreachable platform was reported without the setting to look at. Ruled out: ending at once, which would cut off what runs. Conclusion: both roles end with exit code 1 after their drain; Sidecar::is_superseded is new.

--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -253,6 +253,11 @@
         self.shared.incarnation
     }
 
+    /// Whether a newer process has taken its name over; drain it and stop.
+    pub fn is_superseded(&self) -> bool {
+        self.shared.is_superseded()
+    }
+
     /// What it says of itself.
     pub fn health(&self) -> Arc<dyn Health> {
         Arc::new(Readiness {
--- a/crates/mgs-sidecar/src/state.rs
+++ b/crates/mgs-sidecar/src/state.rs
@@ -253,6 +253,11 @@
         }
     }
 
+    /// Whether a newer sidecar has taken over the endpoint.
+    pub(crate) fn is_superseded(&self) -> bool {
+        locked(&self.leaving).superseded
+    }
+
     /// Changes why the endpoint takes no new work, and tells the gateways at once.
     pub(crate) fn set_leaving(self: &Arc<Self>, change: impl FnOnce(&mut Leaving)) {
         let (before, after) = {
--- a/src/command/gateway/mod.rs
+++ b/src/command/gateway/mod.rs
@@ -120,8 +120,8 @@
     let gateway = Arc::new(gateway);
     log::info!(
         address:% = gateway.address(),
-        peer_address:? = gateway.peer_address(),
-        admin_address:? = gateway.admin_address(),
+        peer_address:% = process::shown(gateway.peer_address()),
+        admin_address:% = process::shown(gateway.admin_address()),
         incarnation = gateway.incarnation();
         "gateway started"
     );
@@ -131,11 +131,7 @@
     stop.drain(drain_ms, move || {
         gateway.drain(drain_ms);
     })?;
-    if superseded {
-        let text = "another process took this one's name over; give each gateway its own --name";
-        return Err(Error::Failed(text.to_string()));
-    }
-    Ok(())
+    process::check_name(superseded)
 }
 
 fn gateway_options(values: &mut Values<'_>) -> gateway::Options {
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -123,6 +123,20 @@
     }
 }
 
+/// An address for the log.
+pub fn shown(address: Option<SocketAddr>) -> String {
+    address.map_or("none".to_string(), |address| address.to_string())
+}
+
+/// Fails if a process ended because another one took its name over.
+pub fn check_name(superseded: bool) -> Result<(), Error> {
+    if !superseded {
+        return Ok(());
+    }
+    let text = "another process took this one's name over; give each process its own --name";
+    Err(Error::Failed(text.to_string()))
+}
+
 /// Starts the log.
 pub fn start_log(options: &logs::Options) -> Result<Logs, Error> {
     logs::start(options).map_err(|error| Error::Failed(error.to_string()))
--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -98,10 +98,17 @@
     let _logs = process::start_log(&process.logs)?;
     let sidecar = Sidecar::start(options).map_err(|error| Error::Failed(error.to_string()))?;
     let sidecar = Arc::new(sidecar);
-    log::info!(address:% = sidecar.address(), incarnation = sidecar.incarnation(); "sidecar started");
-    stop.wait();
+    log::info!(
+        address:% = sidecar.address(),
+        admin_address:% = process::shown(sidecar.admin_address()),
+        incarnation = sidecar.incarnation();
+        "sidecar started"
+    );
+    stop.wait_unless(|| sidecar.is_superseded());
+    let superseded = sidecar.is_superseded();
     log::info!(drain_ms = process.drain_ms; "sidecar is leaving");
-    stop.drain(process.drain_ms, move || sidecar.drain())
+    stop.drain(process.drain_ms, move || sidecar.drain())?;
+    process::check_name(superseded)
 }
 
 fn kind(values: &mut Values<'_>) -> EndpointKind {
--- a/src/error.rs
+++ b/src/error.rs
@@ -17,6 +17,9 @@
   5  unknown: the reply was lost, so the change may have taken effect; read before trying again
   6  timeout: the change is accepted, but not every process has confirmed it yet";
 
+const UNAVAILABLE_ADVICE: &str = "check --platform (or MARIGOLDSTAGE_PLATFORM) and try again";
+const UNKNOWN_ADVICE: &str = "read what is there before trying again";
+
 /// Why a command didn't succeed.
 #[derive(Debug, Display)]
 pub enum Error {
@@ -64,13 +67,12 @@
 
 impl From<mgs_platform::Error> for Error {
     fn from(error: mgs_platform::Error) -> Self {
-        let text = error.to_string();
         match error {
             mgs_platform::Error::Unavailable(_) | mgs_platform::Error::Throttled { .. } => {
-                Self::Unavailable(text)
+                Self::Unavailable(format!("{error}; {UNAVAILABLE_ADVICE}"))
             }
-            mgs_platform::Error::Unknown(_) => Self::Unknown(text),
-            _ => Self::Failed(text),
+            mgs_platform::Error::Unknown(_) => Self::Unknown(format!("{error}; {UNKNOWN_ADVICE}")),
+            _ => Self::Failed(error.to_string()),
         }
     }
 }
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -10,12 +10,14 @@
 use std::sync::mpsc::Receiver;
 use std::thread;
 use std::time::Duration;
+use std::time::Instant;
 
 use serde_json::Value;
 
 use super::marigoldstage;
 
 const START_TIMEOUT: Duration = Duration::from_secs(60);
+const END_TIMEOUT: Duration = Duration::from_secs(120);
 
 /// A running process of the binary.
 pub(crate) struct Process {
@@ -84,7 +86,14 @@
 
     /// Waits for its end.
     pub(crate) fn wait(&mut self) -> ExitStatus {
-        self.child.wait().unwrap()
+        let end = Instant::now() + END_TIMEOUT;
+        loop {
+            if let Some(status) = self.child.try_wait().unwrap() {
+                return status;
+            }
+            assert!(Instant::now() < end, "still running");
+            thread::sleep(Duration::from_millis(20));
+        }
     }
 }
 
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -14,6 +14,7 @@
 use marigoldstage::demo::client::Ended;
 use marigoldstage::demo::client::Request;
 use mgs_platform::http;
+use mgs_platform::table::Table as PlatformTable;
 use mgs_schema::settings::Change;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::settings::EndpointRow;
@@ -228,3 +229,41 @@
     assert!(cluster.gateway.wait().success());
     assert!(cluster.sidecar.wait().success());
 }
+
+#[test]
+fn a_gateway_whose_name_is_taken_over_ends() {
+    let (_platform, url) = Process::standin("platform", &[]);
+    let arguments = [
+        "--name",
+        "gateway-1",
+        "--listen",
+        ANY_PORT,
+        "--peer-listen",
+        ANY_PORT,
+        "--admin",
+        ANY_PORT,
+        "--platform",
+        &url,
+        "--member-renew-ms",
+        "100",
+        "--leave-grace-ms",
+        "0",
+    ];
+    let (mut older, _) = Process::role("gateway", &arguments);
+    let client = http::Client::new(http::Options {
+        base_url: url.clone(),
+        ..http::Options::default()
+    });
+    wait_for_row(&client, "member/gateway/gateway-1");
+    let (newer, _) = Process::role("gateway", &arguments);
+    assert_eq!(older.wait().code(), Some(1));
+    drop(newer);
+}
+
+fn wait_for_row(client: &http::Client, key: &str) {
+    let end = Instant::now() + READY_TIMEOUT;
+    while PlatformTable::get(client, key).unwrap().is_none() {
+        assert!(Instant::now() < end, "no row {key}");
+        thread::sleep(Duration::from_millis(20));
+    }
+}
