fix(gateway): end a stream's chunks at once on a kept connection

Cause: the printed curl line hung after [DONE]. The chunk encoder writes the last chunk when it is dropped and the HTTP library's buffer isn't flushed after it, so a caller that keeps its connection waits until the connection's read timeout ends. Ruled out: Connection: close for streams, which costs callers a connection for each request. Conclusion: the writer under the encoder flushes when it is dropped.

--- a/crates/mgs-gateway/src/http/sse.rs
+++ b/crates/mgs-gateway/src/http/sse.rs
@@ -24,10 +24,31 @@
 
 /// Callers of HTTP/1.0 don't know chunks; their answer ends with the connection.
 enum Output {
-    Chunked(Encoder<Box<dyn Write + Send>>),
+    Chunked(Encoder<FlushedWriter>),
     Plain(Box<dyn Write + Send>),
 }
 
+/// A writer that is flushed when it is dropped. The encoder writes its last chunk when it is
+/// dropped itself and flushes nothing after it; a caller that keeps its connection would wait.
+struct FlushedWriter(Box<dyn Write + Send>);
+
+impl Write for FlushedWriter {
+    fn write(&mut self, bytes: &[u8]) -> io::Result<usize> {
+        self.0.write(bytes)
+    }
+
+    fn flush(&mut self) -> io::Result<()> {
+        self.0.flush()
+    }
+}
+
+impl Drop for FlushedWriter {
+    fn drop(&mut self) {
+        // A caller that is gone needs no last chunk.
+        let _ = self.0.flush();
+    }
+}
+
 impl Output {
     fn send(&mut self, text: &str) -> io::Result<()> {
         match self {
@@ -91,7 +112,7 @@
         };
         write!(writer, "{}{framing}\r\n\r\n", self.head)?;
         self.output = Some(match chunked {
-            true => Output::Chunked(Encoder::new(writer)),
+            true => Output::Chunked(Encoder::new(FlushedWriter(writer))),
             false => Output::Plain(writer),
         });
         Ok(())
--- a/src/status/mod.rs
+++ b/src/status/mod.rs
@@ -110,19 +110,22 @@
     },
     Column {
         title: "open",
-        metrics: &["mgs_gateway_open_requests", "mgs_sidecar_open_requests"],
+        metrics: &["mgs_gateway_open_requests", "mgs_sidecar_running"],
     },
     Column {
-        title: "admitted",
-        metrics: &["mgs_gateway_admitted_total", "mgs_sidecar_accepted_total"],
+        title: "ended",
+        metrics: &[
+            "mgs_gateway_ended_total",
+            "mgs_sidecar_requests_ended_total",
+        ],
     },
     Column {
         title: "refused",
-        metrics: &["mgs_gateway_refused_total", "mgs_sidecar_refused_total"],
+        metrics: &["mgs_gateway_refused_total", "mgs_sidecar_refusals_total"],
     },
     Column {
         title: "retries",
-        metrics: &["mgs_gateway_retries_total", "mgs_sidecar_retries_total"],
+        metrics: &["mgs_gateway_retries_total"],
     },
 ];
 
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -4,7 +4,10 @@
 
 use std::io::BufRead;
 use std::io::BufReader;
+use std::io::Read;
+use std::io::Write;
 use std::net::SocketAddr;
+use std::net::TcpStream;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -66,6 +69,8 @@
                 &platform_url,
                 "--leave-grace-ms",
                 "100",
+                "--caller-read-timeout-ms",
+                "600000",
             ],
         );
         let cluster = Self {
@@ -206,6 +211,30 @@
     assert_eq!(client::send(&wrong).ended, refused);
 }
 
+/// A client that keeps its connection knows by the last chunk alone that the answer is over.
+#[test]
+fn a_stream_ends_without_the_connection() {
+    let cluster = Cluster::start();
+    let body = cluster.completion("short", 3, true).body;
+    let mut stream = TcpStream::connect(cluster.address).unwrap();
+    stream.set_read_timeout(Some(READY_TIMEOUT)).unwrap();
+    write!(
+        stream,
+        "POST /v1/completions HTTP/1.1\r\nHost: x\r\nAuthorization: Bearer {KEY}\r\n\
+         Request-Kind: query\r\nContent-Length: {}\r\n\r\n{body}",
+        body.len()
+    )
+    .unwrap();
+    let mut answer = Vec::new();
+    while !answer.ends_with(b"\r\n0\r\n\r\n") {
+        let mut byte = [0];
+        assert_eq!(stream.read(&mut byte).unwrap(), 1);
+        answer.extend(byte);
+    }
+    let answer = String::from_utf8(answer).unwrap();
+    assert!(answer.contains("data: [DONE]"), "{answer}");
+}
+
 #[test]
 fn a_signal_to_stop_cuts_off_no_request() {
     let mut cluster = Cluster::start();
