--- a/src/command/table/read.rs
+++ b/src/command/table/read.rs
@@ -15,11 +15,10 @@
 use mgs_settings::store::read;
 use mgs_settings::table::Table;
 
-use super::file_argument;
 use super::is_json;
 use super::key_arguments;
-use super::optional_sheet_argument;
 use super::sheet;
+use super::sheet_and_file_arguments;
 use super::sheet_argument;
 use super::text;
 use super::FILE;
@@ -37,7 +36,7 @@
     vec![
         Command::new("show")
             .about("Show a sheet")
-            .arg(optional_sheet_argument())
+            .arg(sheet_argument())
             .args(operator::arguments()),
         Command::new("get")
             .about("Show the row of limits that holds for an organisation and a kind of request")
@@ -45,12 +44,11 @@
             .args(operator::arguments()),
         Command::new("export")
             .about("Print a sheet as CSV, or with --json the whole table")
-            .arg(optional_sheet_argument())
+            .arg(sheet_argument())
             .args(operator::arguments()),
         Command::new("diff")
             .about("Show what `apply` would change; it changes nothing")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(operator::arguments()),
     ]
 }
