perf(gateway): keep a request's thread for the next one

Cause: the start of a thread took 68 us at p50 and 1.5 ms at p90 on the loaded machine, more than all else before the answer. Ruled out: a fixed pool (an idle gateway would hold its threads); a queue before the threads (a request would wait behind a long stream).

--- a/crates/mgs-gateway/benches/open_streams.rs
+++ b/crates/mgs-gateway/benches/open_streams.rs
@@ -32,7 +32,7 @@
 
 const STREAMS: [usize; 3] = [1, 100, 1_000];
 const FRAMES: usize = 2_000;
-const CALLERS: u64 = 1;
+const CALLERS: u64 = 16;
 const RATE_FOR: Duration = Duration::from_secs(3);
 
 fn main() {
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -21,3 +21,4 @@
 pub mod peer;
 mod room;
 mod session;
+mod workers;
--- a/crates/mgs-gateway/src/listen.rs
+++ b/crates/mgs-gateway/src/listen.rs
@@ -1,4 +1,4 @@
-//! The callers' listening socket, and a thread for each request.
+//! The callers' listening socket.
 //!
 //! The HTTP library reads without a timeout, and stops accepting for good after one accept has
 //! failed. So the timeouts are set on the listening socket, from which accepted ones inherit them
@@ -12,24 +12,18 @@
 use std::net::SocketAddr;
 use std::net::TcpListener;
 use std::net::TcpStream;
-use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
-use crossbeam::channel::Receiver;
-use crossbeam::channel::Sender;
-use mgs_request::outcome::Refusal;
-use mgs_schema::wire::RefusalReason;
 use socket2::Domain;
 use socket2::Socket;
 use socket2::TcpKeepalive;
 use socket2::Type;
-use tiny_http::Request;
 use tiny_http::Server;
 
 use crate::core::Core;
-use crate::http::serve;
+use crate::workers::Workers;
 
 /// Bounds on what a caller's connection may hold up.
 #[derive(Debug, Clone)]
@@ -71,9 +65,6 @@
 const KEEPALIVE_INTERVAL: Duration = Duration::from_secs(5);
 const POLL: Duration = Duration::from_millis(200);
 
-/// Threads that refuse what is over the bound.
-const REFUSERS: usize = 2;
-
 /// Pause before the next server after a failed accept; doubles while they fail.
 const PAUSE_MIN: Duration = Duration::from_millis(50);
 const PAUSE_MAX: Duration = Duration::from_millis(1_000);
@@ -98,18 +89,14 @@
 
 /// Starts to serve callers.
 pub(crate) fn start(core: &Arc<Core>, listener: TcpListener) -> io::Result<()> {
-    let (refuse, refused) = crossbeam::channel::unbounded();
-    for _ in 0..REFUSERS {
-        let (core, refused) = (core.clone(), refused.clone());
-        spawn("refuser", move || run_refuser(&core, &refused))?;
-    }
+    let workers = Workers::start(core)?;
     let address = reachable(listener.local_addr()?);
     let probing = core.clone();
     spawn("listen-probe", move || probe(&probing, address))?;
     let accepting = Accepting {
         core: core.clone(),
         listener,
-        refuse,
+        workers,
     };
     accepting.start(PAUSE_MIN)
 }
@@ -144,7 +131,7 @@
 struct Accepting {
     core: Arc<Core>,
     listener: TcpListener,
-    refuse: Sender<Request>,
+    workers: Workers,
 }
 
 impl Accepting {
@@ -167,7 +154,7 @@
         let began = Instant::now();
         loop {
             match server.recv_timeout(POLL) {
-                Ok(Some(request)) => self.serve(request),
+                Ok(Some(request)) => self.workers.serve(request),
                 Ok(None) if self.core.is_stopped() => return,
                 Ok(None) => {}
                 Err(error) => {
@@ -185,7 +172,7 @@
             core: self.core.clone(),
             // The descriptor was bound by this process and is never closed before.
             listener: self.listener.try_clone().expect("BUG: a bound listener"),
-            refuse: self.refuse.clone(),
+            workers: self.workers.clone(),
         }
     }
 
@@ -206,71 +193,8 @@
         while last.elapsed() < quiet && !self.core.is_stopped() {
             if let Ok(Some(request)) = server.recv_timeout(POLL) {
                 last = Instant::now();
-                self.serve(request);
+                self.workers.serve(request);
             }
         }
     }
-
-    /// Gives a request a thread of its own, or refuses it.
-    fn serve(&self, request: Request) {
-        let options = &self.core.options.callers;
-        let open = self.core.open.fetch_add(1, Ordering::AcqRel);
-        if open >= options.open_max {
-            self.core.open.fetch_sub(1, Ordering::AcqRel);
-            return self.refuse(request);
-        }
-        let core = self.core.clone();
-        // The request moves through a channel, so that it isn't lost when there is no thread.
-        let (hand, taken) = crossbeam::channel::bounded(1);
-        let spawned = std::thread::Builder::new()
-            .name("request".to_string())
-            .stack_size(options.stack_bytes)
-            .spawn(move || {
-                let _open = Open::new(&core);
-                if let Ok(request) = taken.recv() {
-                    serve::serve(&core, request);
-                }
-            });
-        match spawned {
-            Ok(_) => {
-                let _ = hand.send(request);
-            }
-            Err(error) => {
-                log::error!(error:% = error; "no thread for a request");
-                self.core.open.fetch_sub(1, Ordering::AcqRel);
-                self.refuse(request);
-            }
-        }
-    }
-
-    fn refuse(&self, request: Request) {
-        // The refusers live as long as the gateway.
-        let _ = self.refuse.send(request);
-    }
-}
-
-/// Counts a request as open until it is dropped, also by a panic.
-struct Open<'a> {
-    core: &'a Core,
-}
-
-impl<'a> Open<'a> {
-    fn new(core: &'a Core) -> Self {
-        core.metrics.open.inc();
-        Self { core }
-    }
-}
-
-impl Drop for Open<'_> {
-    fn drop(&mut self) {
-        self.core.metrics.open.dec();
-        self.core.open.fetch_sub(1, Ordering::AcqRel);
-    }
-}
-
-fn run_refuser(core: &Core, refused: &Receiver<Request>) {
-    while let Ok(request) = refused.recv() {
-        let refusal = Refusal::new(RefusalReason::Busy, "too many open requests");
-        serve::refuse(core, request, core.next_id(), &refusal);
-    }
 }
