--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -45,15 +45,22 @@
         .about("Run the process beside one endpoint, the only door to it")
         .after_help(EXAMPLES)
         .args(arguments())
+        .next_help_heading(process::PLATFORM_HEADING)
         .args(process::platform_arguments())
+        .next_help_heading(process::OPERATORS_HEADING)
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .next_help_heading(process::TUNING_HEADING)
         .args(number::arguments(&NUMBERS))
         .args(process::plant_arguments())
 }
 
 fn arguments() -> Vec<clap::Arg> {
     vec![
-        value(NAME, "NAME", "Name of the endpoint").default_value("endpoint-1"),
+        value(
+            NAME,
+            "NAME",
+            "Name of the endpoint, as in its row; must be given",
+        ),
         value(ZONE, "ZONE", "Availability zone of this host").default_value("zone-1"),
         value(LISTEN, "IP:PORT", "Where gateways reach this process")
             .default_value("127.0.0.1:7300"),
@@ -77,7 +84,7 @@
         name: values.text(NAME),
         zone: values.text(ZONE),
         kind: kind(&mut values),
-        listen: values.address(LISTEN),
+        listen: values.told_address(LISTEN),
         admin_listen: Some(process.admin),
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
