test(gateway): wait until the request runs before the gateway leaves

Cause: the test waited for a thread; a request that had one could be refused as leaving before its checks, and the answer was 503 in place of 504 once in a loaded run. Ruled out: a fault of the drain: refusing what has not been dispatched is what it says. Conclusion: the test now waits for the stalled dispatch at a sidecar.

--- a/crates/mgs-gateway/tests/path.rs
+++ b/crates/mgs-gateway/tests/path.rs
@@ -260,7 +260,11 @@
             .unwrap();
         move || request.send().unwrap().status().as_u16()
     });
-    support::until("open request", || bench.gateway.core().open_requests() == 1);
+    // A request that has a thread and hasn't passed the checks may still be refused as leaving.
+    let running = |s: &Sidecar| s.fake.stalled() > 0;
+    support::until("running request", || {
+        running(&bench.first) || running(&bench.second)
+    });
     assert!(bench.gateway.health().ready().is_ok());
     assert!(bench.gateway.drain(WAIT.as_millis() as u64));
     assert!(bench.gateway.health().ready().is_err());
