feat(gateway): keep keyed and durable requests through the store

Cause: Idempotency-Key and Prefer: respond-async were read and not served. Ruled out: claiming before the body is understood (a bad request would hold a key); cancelling a keyed request when its caller's connection breaks (the caller comes back for it under its key).

--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -11,10 +11,12 @@
 use std::time::Instant;
 
 use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
 use crossbeam::channel::Receiver;
 use crossbeam::channel::RecvTimeoutError;
 use crossbeam::channel::Sender;
 use mgs_admission::queue::Admission;
+use mgs_durable::durable::Durable;
 use mgs_fleet::fleet;
 use mgs_fleet::fleet::Fleet;
 use mgs_fleet::view::View;
@@ -40,6 +42,7 @@
 use crate::parting::Parting;
 use crate::session::Session;
 use crate::session::Sessions;
+use crate::session::Slot;
 
 /// State shared by the threads of one gateway.
 pub struct Core {
@@ -54,6 +57,7 @@
     pub(crate) sessions: Sessions,
     pub(crate) parting: Parting,
     pub(crate) demand: Demand,
+    durable: ArcSwapOption<Durable>,
     reporter: Mutex<Reporter>,
     fleet: Mutex<Fleet>,
     view: ArcSwap<View>,
@@ -96,6 +100,7 @@
             sessions: Sessions::default(),
             parting,
             demand: Demand::default(),
+            durable: ArcSwapOption::empty(),
             reporter: Mutex::new(Reporter::new(confirm::Options::default(), incarnation)),
             fleet: Mutex::new(fleet),
             view: ArcSwap::default(),
@@ -219,18 +224,33 @@
         self.superseded.load(Ordering::Acquire)
     }
 
+    /// Keyed and durable requests, if there is a store for them.
+    pub(crate) fn durable(&self) -> Option<Arc<Durable>> {
+        self.durable.load_full()
+    }
+
+    /// Takes the door to the store, or gives it up.
+    pub(crate) fn set_durable(&self, durable: Option<Arc<Durable>>) -> Option<Arc<Durable>> {
+        self.durable.swap(durable)
+    }
+
     /// Notes or asks for what is to be confirmed.
     pub(crate) fn report<T>(&self, change: impl FnOnce(&mut Reporter) -> T) -> T {
         let mut reporter = self.reporter.lock().unwrap_or_else(PoisonError::into_inner);
         change(&mut reporter)
     }
 
-    /// The session with the sidecar of an endpoint.
-    pub(crate) fn session_of(&self, endpoint: &str) -> Option<Arc<Session>> {
+    /// Where the session with the sidecar of an endpoint is found.
+    pub(crate) fn slot_of(&self, endpoint: &str) -> Option<Arc<Slot>> {
         let fleet = self.fleet.lock().unwrap_or_else(PoisonError::into_inner);
         let key = fleet.find(endpoint)?;
         drop(fleet);
-        self.sessions.slot(key)?.session()
+        self.sessions.slot(key)
+    }
+
+    /// The session with the sidecar of an endpoint.
+    pub(crate) fn session_of(&self, endpoint: &str) -> Option<Arc<Session>> {
+        self.slot_of(endpoint)?.session()
     }
 
     pub(crate) fn stop(&self) {
@@ -238,6 +258,7 @@
         self.close();
         let mut stopper = self.stopper.lock().unwrap_or_else(PoisonError::into_inner);
         stopper.take();
+        self.set_durable(None);
     }
 
     /// Whether there are settings to serve by.
--- /dev/null
+++ b/crates/mgs-gateway/src/drive/hear.rs
@@ -0,0 +1,177 @@
+//! What comes from sidecars, and what it means for a request's life.
+
+use std::time::Duration;
+
+use crossbeam::channel::Receiver;
+use crossbeam::channel::Select;
+use crossbeam::channel::TryRecvError;
+use mgs_request::event::AttemptNumber;
+use mgs_request::event::Event;
+use mgs_request::outcome::End;
+use mgs_request::outcome::Refusal;
+use mgs_schema::wire::envelope::Body;
+use mgs_schema::wire::FailureReason;
+use mgs_schema::wire::Outcome;
+use mgs_schema::wire::RefusalReason;
+use mgs_transport::client::Error;
+
+use super::Drive;
+use super::Sink;
+
+/// Longest wait without a look at the caller, in milliseconds.
+const IDLE_MS: u64 = 5_000;
+
+impl<S: Sink> Drive<'_, S> {
+    /// Waits for the next message, lost session or tick.
+    pub(super) fn wait(&mut self) {
+        if self.poll() {
+            return;
+        }
+        let now_ms = self.core.now_ms();
+        let wake_ms = self.life.wake_ms().saturating_sub(now_ms).clamp(1, IDLE_MS);
+        let mut select = Select::new();
+        for attempt in &self.attempts {
+            if let (Some(call), Some(session)) = (&attempt.call, &attempt.session) {
+                select.recv(call.receiver());
+                select.recv(&session.over);
+            }
+        }
+        if select.ready_timeout(Duration::from_millis(wake_ms)).is_ok() {
+            return;
+        }
+        if wake_ms == IDLE_MS && self.sink.idle().is_err() {
+            self.events.push_back(Event::CallerGone);
+        }
+        self.events.push_back(Event::Tick);
+    }
+
+    /// Takes what has come; returns whether there was anything.
+    fn poll(&mut self) -> bool {
+        for index in 0..self.attempts.len() {
+            let attempt = &mut self.attempts[index];
+            let (Some(call), Some(session)) = (&attempt.call, &attempt.session) else {
+                continue;
+            };
+            let message = match call.receiver().try_recv() {
+                Ok(message) => message,
+                Err(TryRecvError::Disconnected) => Err(Error::Ended),
+                Err(TryRecvError::Empty) if is_over(&session.over) => Err(Error::Silent),
+                Err(TryRecvError::Empty) => continue,
+            };
+            if let Some(event) = self.event(index, message) {
+                self.events.push_back(event);
+                return true;
+            }
+        }
+        false
+    }
+
+    /// What a message means for the request's life.
+    fn event(&mut self, index: usize, message: Result<Body, Error>) -> Option<Event> {
+        let number = index as AttemptNumber + 1;
+        let event = match message {
+            Ok(Body::Accepted(_)) => Event::Accepted { attempt: number },
+            Ok(Body::TokenFrame(frame)) => {
+                self.first_token(index);
+                Event::Frame {
+                    attempt: number,
+                    frame,
+                }
+            }
+            Ok(Body::Refused(refused)) => {
+                self.attempts[index].call = None;
+                let refusal = Refusal {
+                    reason: refused.reason(),
+                    retry_after_ms: refused.retry_after_ms,
+                    detail: refused.detail,
+                };
+                self.refused(index, refusal.reason);
+                Event::Refused {
+                    attempt: number,
+                    refusal,
+                }
+            }
+            Ok(Body::Finished(finished)) => {
+                self.attempts[index].call = None;
+                self.attempt_ended(index, finished.outcome());
+                Event::Finished {
+                    attempt: number,
+                    finished,
+                }
+            }
+            Ok(Body::WithdrawReply(reply)) => {
+                self.attempts[index].call = None;
+                Event::Withdrawn {
+                    attempt: number,
+                    state: reply.state(),
+                }
+            }
+            Ok(other) => {
+                log::warn!(message:? = other; "message that a gateway doesn't expect");
+                return None;
+            }
+            Err(error) => {
+                self.attempts[index].call = None;
+                log::info!(request_id:% = self.job.id, error:% = error; "path lost");
+                Event::PathLost { attempt: number }
+            }
+        };
+        Some(event)
+    }
+
+    fn first_token(&mut self, index: usize) {
+        let (core, job) = (self.core, self.job);
+        let attempt = &mut self.attempts[index];
+        if std::mem::replace(&mut attempt.first_seen, true) {
+            return;
+        }
+        let now_ms = core.now_ms();
+        let ask = job.ask(&core.options.zone, &[], now_ms);
+        let took_ms = now_ms.saturating_sub(attempt.sent_ms);
+        core.policy
+            .first_token(attempt.endpoint, &ask, attempt.predicted_ms, took_ms);
+        core.metrics
+            .first_token(job.prompt_tokens, now_ms.saturating_sub(job.arrived_ms));
+    }
+
+    /// A sidecar that was started again, or that has a newer session, may be asked again.
+    fn refused(&mut self, index: usize, reason: RefusalReason) {
+        let endpoint = self.attempts[index].endpoint;
+        if matches!(
+            reason,
+            RefusalReason::StaleIncarnation | RefusalReason::StaleSession
+        ) {
+            self.excluded.retain(|excluded| *excluded != endpoint);
+        }
+        self.attempt_ended(index, Outcome::Refused);
+    }
+
+    /// Tells the policy, once, how an attempt ended.
+    fn attempt_ended(&mut self, index: usize, outcome: Outcome) {
+        let core = self.core;
+        let attempt = &mut self.attempts[index];
+        if std::mem::replace(&mut attempt.counted, false) {
+            let ask = self.job.ask(&core.options.zone, &[], core.now_ms());
+            core.policy.finished(attempt.endpoint, &ask, outcome);
+        }
+    }
+
+    /// Tells the policy of the attempts that have no end of their own.
+    pub(super) fn tell_policy(&mut self, end: &End) {
+        let lost = match end {
+            End::Failed(reason, _) | End::Unknown(reason, _) => *reason == FailureReason::Path,
+            End::Answered(_) | End::Refused(_) => false,
+        };
+        let outcome = match lost {
+            true => Outcome::Failed,
+            false => Outcome::Unspecified,
+        };
+        for index in 0..self.attempts.len() {
+            self.attempt_ended(index, outcome);
+        }
+    }
+}
+
+fn is_over(over: &Receiver<()>) -> bool {
+    over.try_recv() == Err(TryRecvError::Disconnected)
+}
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -10,6 +10,8 @@
 
 use displaydoc::Display;
 use mgs_admission::queue;
+use mgs_durable::durable;
+use mgs_durable::durable::Durable;
 use mgs_observe::admin;
 use mgs_observe::admin::Admin;
 use mgs_observe::admin::Health;
@@ -36,6 +38,7 @@
 use crate::duty::Platform;
 use crate::hub;
 use crate::keeper;
+use crate::lent::Lent;
 use crate::listen;
 use crate::parting::Parting;
 use crate::peer::Leases;
@@ -189,6 +192,17 @@
         }
     }
 
+    /// Starts the keeping of keyed and durable requests.
+    fn durable(&self, core: &Arc<Core>) -> Durable {
+        let options = durable::Options {
+            gateway: core.incarnation,
+            ..durable::Options::default()
+        };
+        let lent = Arc::new(Lent { core: core.clone() });
+        let (table, objects) = (self.platform.table.clone(), self.platform.objects.clone());
+        Durable::start(options, table, objects, lent)
+    }
+
     fn duties(self, core: &Arc<Core>, peer_address: SocketAddr) -> Duties {
         Duties {
             core: core.clone(),
@@ -264,6 +278,7 @@
             .transpose()?;
         if let Some(following) = following {
             let peer_address = self.peer_address().unwrap_or(self.address);
+            core.set_durable(Some(Arc::new(following.durable(core))));
             duty::start(following.duties(core, peer_address)).map_err(Error::Threads)?;
         }
         listen::start(core, listener).map_err(Error::Threads)
@@ -315,10 +330,22 @@
             }
             std::thread::sleep(DRAIN_LOOK);
         }
+        self.drain_durable(until);
         true
     }
 }
 
+impl Gateway {
+    /// Finishes the durable requests at work, or leaves them to other gateways.
+    fn drain_durable(&self, until: Instant) {
+        let Some(durable) = self.core.set_durable(None).and_then(Arc::into_inner) else {
+            return;
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        durable.drain(left.as_millis() as u64);
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.core.stop();
--- a/crates/mgs-gateway/src/http/completion.rs
+++ b/crates/mgs-gateway/src/http/completion.rs
@@ -190,6 +190,23 @@
         self.envelope(false, choice, Some(usage(finished)))
     }
 
+    /// The pieces of an answer that was kept whole; `None` if it isn't one.
+    pub fn pieces(&self, whole: &str) -> Option<Vec<String>> {
+        let whole: Value = serde_json::from_str(whole).ok()?;
+        let choice = whole.get("choices")?.get(0)?;
+        let text = match self.form {
+            Form::Chat => choice.get("message")?.get("content")?.as_str()?,
+            Form::Text => choice.get("text")?.as_str()?,
+        };
+        let reason = choice.get("finish_reason")?;
+        let last = match self.form {
+            Form::Chat => json!({"index": 0, "delta": {}, "finish_reason": reason}),
+            Form::Text => json!({"index": 0, "text": "", "finish_reason": reason}),
+        };
+        let last = self.envelope(true, last, whole.get("usage").cloned());
+        Some(vec![self.piece(text), last])
+    }
+
     fn envelope(&self, piece: bool, choice: Value, usage: Option<Value>) -> String {
         let object = match (self.form, piece) {
             (Form::Chat, true) => "chat.completion.chunk",
--- a/crates/mgs-gateway/src/http/problem.rs
+++ b/crates/mgs-gateway/src/http/problem.rs
@@ -1,5 +1,7 @@
 //! Errors as callers see them: a status and JSON that always says whether the request ran.
 
+use mgs_durable::entry::Ending;
+use mgs_durable::executor;
 use mgs_request::outcome::End;
 use mgs_request::outcome::Refusal;
 use mgs_schema::name::Name;
@@ -93,6 +95,23 @@
         }
     }
 
+    /// What a caller is told of an end that was kept; `None` if the request was answered.
+    pub fn of_ended(ended: &executor::Answer) -> Option<Self> {
+        let not_run = match ended.ending {
+            Ending::Answered => return None,
+            Ending::Refused => {
+                let reason = refusal_reason(&ended.reason);
+                return Some(Self::refused(&Refusal::new(reason, "")));
+            }
+            Ending::Failed => NotRun::No,
+            Ending::Unknown => NotRun::Unknown,
+        };
+        let name = format!("FAILURE_REASON_{}", ended.reason.to_ascii_uppercase());
+        let known = FailureReason::from_str_name(&name);
+        let failure = known.unwrap_or(FailureReason::Unspecified);
+        Some(Self::ran(failure, &ended.reason, not_run))
+    }
+
     fn ran(failure: FailureReason, detail: &str, not_run: NotRun) -> Self {
         let outcome = match not_run {
             NotRun::Unknown => "unknown",
@@ -135,6 +154,11 @@
     }
 }
 
+fn refusal_reason(name: &str) -> RefusalReason {
+    let name = format!("REFUSAL_REASON_{}", name.to_ascii_uppercase());
+    RefusalReason::from_str_name(&name).unwrap_or(RefusalReason::Unspecified)
+}
+
 fn refused_status(reason: RefusalReason) -> u16 {
     match reason {
         RefusalReason::BadRequest => 400,
--- a/crates/mgs-gateway/src/http/sse.rs
+++ b/crates/mgs-gateway/src/http/sse.rs
@@ -6,6 +6,7 @@
 use chunked_transfer::Encoder;
 use mgs_schema::wire::Finished;
 use mgs_schema::wire::TokenFrame;
+use tiny_http::Header;
 use tiny_http::Request;
 
 use crate::drive::CallerGone;
@@ -45,8 +46,10 @@
 }
 
 impl Stream {
-    /// A stream to a caller; `headers` are whole lines of the head.
-    pub(crate) fn new(request: Request, answer: Answer, headers: &str) -> Self {
+    /// A stream to a caller.
+    pub(crate) fn new(request: Request, answer: Answer, headers: &[Header]) -> Self {
+        let line = |header: &Header| format!("{}: {}\r\n", header.field, header.value);
+        let headers: String = headers.iter().map(line).collect();
         let head = format!(
             "HTTP/1.1 200 OK\r\nContent-Type: text/event-stream\r\nCache-Control: no-store\r\n\
              {headers}"
@@ -100,7 +103,15 @@
     /// Sends the end of a whole answer.
     pub(crate) fn finish(&mut self, finished: &Finished) -> io::Result<()> {
         let last = self.answer.last_piece(finished);
-        self.send(&format!("data: {last}\n\ndata: [DONE]\n\n"))
+        self.send_pieces(&[last])
+    }
+
+    /// Sends the last pieces of a whole answer.
+    pub(crate) fn send_pieces(&mut self, pieces: &[String]) -> io::Result<()> {
+        for piece in pieces {
+            self.send(&format!("data: {piece}\n\n"))?;
+        }
+        self.send("data: [DONE]\n\n")
     }
 
     /// Sends an error as the last event.
@@ -141,3 +152,21 @@
         Ok(())
     }
 }
+
+/// An answer that is streamed and kept: its caller may go, and come back for it under its key.
+pub(crate) struct Both<'a> {
+    pub(crate) stream: &'a mut Stream,
+    pub(crate) collect: &'a mut Collect,
+}
+
+impl Sink for Both<'_> {
+    fn deliver(&mut self, frame: &TokenFrame) -> Result<(), CallerGone> {
+        let _ = self.stream.deliver(frame);
+        self.collect.deliver(frame)
+    }
+
+    fn idle(&mut self) -> Result<(), CallerGone> {
+        let _ = self.stream.idle();
+        Ok(())
+    }
+}
--- a/crates/mgs-gateway/src/job.rs
+++ b/crates/mgs-gateway/src/job.rs
@@ -45,6 +45,8 @@
     pub path: String,
     /// Content type of the body.
     pub content_type: String,
+    /// Whether its sidecar must go on with it when this gateway is gone.
+    pub outlives_gateway: bool,
     /// When it arrived, on the process's monotonic clock, in milliseconds.
     pub arrived_ms: u64,
     /// When its allotted time ends, on the same clock.
@@ -84,6 +86,12 @@
 
     /// The message for a sidecar; attempt, incarnations and session are the caller's to fill in.
     pub fn dispatch(&self, body: Vec<u8>, now_ms: u64) -> Dispatch {
+        let budget_ms = self.sidecar_budget_ms(now_ms);
+        // 0 stands for the sidecar's own lease.
+        let orphan_ms = match self.outlives_gateway {
+            true => budget_ms,
+            false => 0,
+        };
         Dispatch {
             request_origin: self.id.origin,
             request_serial: self.id.serial,
@@ -96,7 +104,8 @@
             prompt_tokens: self.prompt_tokens,
             max_tokens: self.max_tokens,
             prefix_hashes: self.prefix_hashes.clone(),
-            budget_ms: self.sidecar_budget_ms(now_ms),
+            budget_ms,
+            orphan_ms,
             idempotent: self.idempotent,
             path: self.path.clone(),
             method: self.method.clone(),
--- a/crates/mgs-gateway/tests/duty.rs
+++ b/crates/mgs-gateway/tests/duty.rs
@@ -4,74 +4,24 @@
 
 use std::sync::Arc;
 
-use mgs_gateway::duty::Platform;
-use mgs_gateway::gateway::Gateway;
-use mgs_gateway::gateway::Options;
 use mgs_platform::host::Host;
 use mgs_platform::host::State;
 use mgs_platform::table::Table;
-use mgs_schema::settings::Change;
-use mgs_schema::settings::Snapshot;
 use mgs_schema::wire::EndpointState;
 use mgs_settings::confirm;
 use mgs_settings::confirm::Confirmation;
 use mgs_settings::member;
 use mgs_settings::row::RowValue;
-use mgs_settings::store::edit;
-use mgs_settings::store::edit::commit;
-use mgs_settings::store::read;
-use mgs_settings::store::read::Store;
 use mgs_standin::platform::memory::Memory;
 use mgs_transport::runtime::Runtime;
+use support::platform::apply;
+use support::platform::changes;
+use support::platform::start;
 use support::sidecar;
 use support::snapshot;
 use support::until;
 use support::Script;
 
-fn changes(snapshot: Snapshot) -> Vec<Change> {
-    let limits = snapshot.limits.into_iter().map(RowValue::Limit);
-    let organisations = snapshot.organisations.into_iter();
-    let organisations = organisations.map(RowValue::Organisation);
-    let endpoints = snapshot.endpoints.into_iter().map(RowValue::Endpoint);
-    let values = limits.chain(organisations).chain(endpoints);
-    values.map(RowValue::set).collect()
-}
-
-fn apply(memory: &Memory, edit_id: &str, changes: Vec<Change>) -> u64 {
-    let store = Store {
-        table: memory,
-        objects: memory,
-    };
-    let base = read::load(store).unwrap();
-    let options = edit::Options {
-        edit_id: edit_id.to_string(),
-        author: "test".to_string(),
-        changes,
-        ..edit::Options::default()
-    };
-    commit(store, &base, &options).unwrap().version
-}
-
-fn start(memory: &Arc<Memory>, name: &str, peers: Vec<std::net::SocketAddr>) -> Gateway {
-    Gateway::start(Options {
-        name: name.to_string(),
-        peer_listen: Some(([127, 0, 0, 1], 0).into()),
-        platform: Some(Platform {
-            table: memory.clone(),
-            objects: memory.clone(),
-            weights: memory.clone(),
-            hosts: memory.clone(),
-        }),
-        member: member::Options {
-            renew_interval_ms: 50,
-            ..member::Options::default()
-        },
-        peers,
-        ..Options::default()
-    })
-    .unwrap()
-}
-
 fn confirmed(memory: &Memory, gateway: &str) -> Confirmation {
     let row = memory.get(&confirm::key(gateway)).unwrap();
     row.map_or_else(Confirmation::default, |row| {
--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -2,6 +2,8 @@
 
 #![allow(dead_code)]
 
+pub(crate) mod platform;
+
 use std::collections::HashMap;
 use std::net::TcpListener;
 use std::sync::atomic::AtomicU64;
--- a/crates/mgs-request/src/attempt.rs
+++ b/crates/mgs-request/src/attempt.rs
@@ -64,6 +64,14 @@
         }
     }
 
+    /// An attempt of another gateway, whose answer is about to be asked for.
+    pub fn resumed() -> Self {
+        Self {
+            state: State::Resuming,
+            ..Self::new()
+        }
+    }
+
     /// Whether something may still come of it.
     pub fn is_open(&self) -> bool {
         !matches!(
--- a/crates/mgs-request/src/life.rs
+++ b/crates/mgs-request/src/life.rs
@@ -84,20 +84,47 @@
     /// assert_eq!(life.wake_ms(), 1_000);
     /// ```
     pub fn begin(options: Options) -> (Self, Vec<Action>) {
-        let life = Self {
+        let first = Action::Dispatch {
+            attempt: 1,
+            retry: None,
+        };
+        (Self::new(options, Attempt::new()), vec![first])
+    }
+
+    /// A request that another gateway dispatched, of which the whole answer is wanted. It is
+    /// attempted nowhere else, whatever the options say.
+    ///
+    /// ```
+    /// use mgs_request::event::Action;
+    /// use mgs_request::life::Life;
+    /// use mgs_request::life::Options;
+    ///
+    /// let (_, actions) = Life::resume(Options { deadline_ms: 1_000, ..Options::default() });
+    /// assert_eq!(actions, [Action::Resume { attempt: 1, next_seq: 0 }]);
+    /// ```
+    pub fn resume(options: Options) -> (Self, Vec<Action>) {
+        let options = Options {
+            attempts_max: 1,
+            hedge: false,
+            ..options
+        };
+        let resume = Action::Resume {
+            attempt: 1,
+            next_seq: 0,
+        };
+        (Self::new(options, Attempt::resumed()), vec![resume])
+    }
+
+    fn new(options: Options, attempt: Attempt) -> Self {
+        Self {
             options,
-            attempts: vec![Attempt::new()],
+            attempts: vec![attempt],
             winner: None,
             delivery: Delivery::default(),
             refusal: None,
             forgotten: false,
             ended: false,
-        };
-        let first = Action::Dispatch {
-            attempt: 1,
-            retry: None,
-        };
-        (life, vec![first])
+        }
     }
 
     /// Whether the outcome has been said.
