--- a/crates/mgs-durable/src/entry.rs
+++ b/crates/mgs-durable/src/entry.rs
@@ -112,7 +112,7 @@
 }
 
 /// Where a request was dispatched.
-#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+#[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize)]
 pub struct Target {
     /// Name of the endpoint.
     pub endpoint: String,
