feat(gateway): ask and grant shares of limits among gateways

Cause: each gateway applied the whole of a row's limits. Ruled out: a lease in the store for each row (a write for each row and gateway a second). Conclusion: each row has a home by rendezvous hash; a silent home is asked once a look, and its rows fall back to the limit over the live gateways.

--- a/crates/mgs-gateway/src/duty/links.rs
+++ b/crates/mgs-gateway/src/duty/links.rs
@@ -1,8 +1,7 @@
 //! The other gateways: which live, and connections to them.
 
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
-use std::sync::atomic::Ordering;
+use std::sync::Arc;
 use std::time::Duration;
 
 use arc_swap::ArcSwap;
@@ -18,14 +17,23 @@
 /// Most gateways asked at once.
 const ASKED_MAX: usize = 8;
 
-/// The other gateways.
+/// A live gateway.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub(crate) struct Gateway {
+    pub(crate) name: String,
+    pub(crate) incarnation: u64,
+    /// Where other gateways reach it; `None` for this one.
+    pub(crate) address: Option<SocketAddr>,
+}
+
+/// The live gateways.
 #[derive(Debug)]
 pub(crate) struct Links {
     pool: Pool,
     /// Addresses from the process's own settings, for a start without the store.
     seeds: Vec<SocketAddr>,
-    live: ArcSwap<Vec<SocketAddr>>,
-    gateways: AtomicU64,
+    /// This gateway first.
+    live: ArcSwap<Vec<Gateway>>,
 }
 
 impl Links {
@@ -34,22 +42,25 @@
             pool,
             seeds,
             live: ArcSwap::default(),
-            gateways: AtomicU64::new(1),
         }
     }
 
-    /// Takes the addresses of the other gateways that live.
-    pub(crate) fn found(&self, others: Vec<SocketAddr>) {
-        self.gateways
-            .store(others.len() as u64 + 1, Ordering::Release);
+    /// Takes the gateways that live, this one among them.
+    pub(crate) fn found(&self, live: Vec<Gateway>) {
+        let known = |at: &SocketAddr| live.iter().any(|gateway| gateway.address == Some(*at));
         self.pool
-            .retain(|address| others.contains(address) || self.seeds.contains(address));
-        self.live.store(others.into());
+            .retain(|address| known(address) || self.seeds.contains(address));
+        self.live.store(Arc::new(live));
+    }
+
+    /// Live gateways, this one first.
+    pub(crate) fn live(&self) -> Arc<Vec<Gateway>> {
+        self.live.load_full()
     }
 
-    /// Live gateways, with this one.
+    /// Count of live gateways, with this one.
     pub(crate) fn gateways(&self) -> u64 {
-        self.gateways.load(Ordering::Acquire)
+        self.live.load().len().max(1) as u64
     }
 
     /// Asks one gateway.
@@ -59,7 +70,9 @@
     }
 
     fn addresses(&self) -> Vec<SocketAddr> {
-        let mut addresses: Vec<SocketAddr> = self.live.load().to_vec();
+        let live = self.live.load();
+        let live = live.iter().filter_map(|gateway| gateway.address);
+        let mut addresses: Vec<SocketAddr> = live.collect();
         addresses.extend(&self.seeds);
         addresses.sort();
         addresses.dedup();
@@ -70,7 +83,7 @@
 
 /// The other gateways as a source of settings.
 #[derive(Debug)]
-pub(crate) struct SettingsPeers(pub(crate) std::sync::Arc<Links>);
+pub(crate) struct SettingsPeers(pub(crate) Arc<Links>);
 
 impl Peers for SettingsPeers {
     fn ask(&self, since_version: u64) -> Vec<SettingsReply> {
--- a/crates/mgs-gateway/src/duty/member.rs
+++ b/crates/mgs-gateway/src/duty/member.rs
@@ -1,6 +1,5 @@
 //! Holds the gateway's name, and finds the other gateways.
 
-use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgs_platform::table::scan_all;
@@ -12,6 +11,7 @@
 use mgs_settings::member::Role;
 use mgs_settings::member::GATEWAY_PREFIX;
 
+use crate::duty::links::Gateway;
 use crate::duty::Duties;
 
 /// Pause after an error of the store, in milliseconds.
@@ -85,8 +85,18 @@
     }
     let lease_ms = duties.core.options.member.lease_ms;
     let live = observer.live(lease_ms);
-    let own = duties.core.options.name.as_str();
-    let others = live.into_iter().filter(|(name, _)| *name != own);
-    let addresses = others.filter_map(|(_, member)| member.address.parse::<SocketAddr>().ok());
-    duties.links.found(addresses.collect());
+    let core = &duties.core;
+    let own = Gateway {
+        name: core.options.name.clone(),
+        incarnation: core.incarnation,
+        address: None,
+    };
+    let others = live.into_iter().filter(|(name, _)| *name != own.name);
+    let others = others.map(|(name, member)| Gateway {
+        name: name.to_string(),
+        incarnation: member.incarnation,
+        address: member.address.parse().ok(),
+    });
+    let others: Vec<Gateway> = others.collect();
+    duties.links.found([vec![own], others].concat());
 }
--- a/crates/mgs-gateway/src/duty/mod.rs
+++ b/crates/mgs-gateway/src/duty/mod.rs
@@ -1,6 +1,6 @@
 //! What a gateway does beside serving callers, each on a thread of its own, when it has a platform:
-//! it follows the settings, holds its name, says what is in force, reads the list of hosts, and
-//! may be the controller.
+//! it follows the settings, holds its name, shares limits with the other gateways, says what is in
+//! force, reads the list of hosts, and may be the controller.
 
 mod confirm;
 mod control;
@@ -9,6 +9,7 @@
 pub(crate) mod links;
 mod member;
 mod settings;
+pub(crate) mod shares;
 
 use std::fmt;
 use std::io;
@@ -23,6 +24,7 @@
 
 use crate::core::Core;
 use crate::duty::links::Links;
+use crate::duty::shares::Home;
 
 /// The platform's services.
 #[derive(Clone)]
@@ -69,6 +71,7 @@
     pub(crate) platform: Platform,
     pub(crate) follower: Arc<Follower>,
     pub(crate) links: Arc<Links>,
+    pub(crate) home: Arc<Home>,
     /// Where other gateways reach this one.
     pub(crate) peer_address: String,
 }
@@ -78,6 +81,7 @@
     let duties = Arc::new(duties);
     spawn("follow", &duties, settings::run)?;
     spawn("member", &duties, member::run)?;
+    spawn("shares", &duties, shares::run)?;
     spawn("confirm", &duties, confirm::run)?;
     spawn("hosts", &duties, hosts::run)?;
     if duties.core.options.control {
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -34,6 +34,7 @@
 use crate::duty;
 use crate::duty::links::Links;
 use crate::duty::links::SettingsPeers;
+use crate::duty::shares::Home;
 use crate::duty::Duties;
 use crate::duty::Platform;
 use crate::hub;
@@ -41,7 +42,6 @@
 use crate::lent::Lent;
 use crate::listen;
 use crate::parting::Parting;
-use crate::peer::Leases;
 use crate::peer::Peers;
 
 /// Says whether the settings are fresh enough to serve by.
@@ -93,8 +93,6 @@
     pub retry_budget: budget::Options,
     /// Time between the first sign of leaving and the refusal of new requests, in milliseconds.
     pub leave_grace_ms: u64,
-    /// Grants shares of limits to other gateways; none are granted if not given.
-    pub leases: Option<Arc<dyn Leases>>,
     /// Where its metrics are registered.
     pub registry: Registry,
     /// A deliberate bug, for fault runs only.
@@ -125,7 +123,6 @@
             hedge: true,
             retry_budget: budget::Options::default(),
             leave_grace_ms: 1_000,
-            leases: None,
             registry: Registry::new(),
             plant: Plant::None,
         }
@@ -173,6 +170,7 @@
     platform: Platform,
     follower: Arc<Follower>,
     links: Arc<Links>,
+    home: Arc<Home>,
 }
 
 impl Following {
@@ -189,9 +187,14 @@
             platform,
             follower: Arc::new(follower),
             links,
+            home: Arc::default(),
         }
     }
 
+    fn shares(&self) -> (Arc<Links>, Arc<Home>) {
+        (self.links.clone(), self.home.clone())
+    }
+
     /// Starts the keeping of keyed and durable requests.
     fn durable(&self, core: &Arc<Core>) -> Durable {
         let options = durable::Options {
@@ -209,6 +212,7 @@
             platform: self.platform,
             follower: self.follower,
             links: self.links,
+            home: self.home,
             peer_address: peer_address.to_string(),
         }
     }
@@ -266,11 +270,10 @@
         let core = &self.core;
         keeper::start(core).map_err(Error::Threads)?;
         hub::start(core).map_err(Error::Threads)?;
-        self.peers = core
-            .options
-            .peer_listen
-            .map(|at| serve_peers(core, at))
-            .transpose()?;
+        let shares = following.as_ref().map(Following::shares);
+        let peers = core.options.peer_listen;
+        let peers = peers.map(|at| serve_peers(core, at, shares));
+        self.peers = peers.transpose()?;
         self.admin = core
             .options
             .admin_listen
@@ -352,9 +355,17 @@
     }
 }
 
-fn serve_peers(core: &Arc<Core>, at: SocketAddr) -> Result<Server, Error> {
+fn serve_peers(
+    core: &Arc<Core>,
+    at: SocketAddr,
+    shares: Option<(Arc<Links>, Arc<Home>)>,
+) -> Result<Server, Error> {
     let listener = TcpListener::bind(at).map_err(|error| Error::Listen(at, error))?;
-    let handler = Arc::new(Peers { core: core.clone() });
+    let core = core.clone();
+    let handler = Arc::new(Peers {
+        core: core.clone(),
+        shares,
+    });
     let options = server::Options::default();
     Server::start(&core.runtime, listener, &options, handler).map_err(Error::Threads)
 }
--- a/crates/mgs-gateway/src/hub.rs
+++ b/crates/mgs-gateway/src/hub.rs
@@ -12,8 +12,10 @@
 
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
+use mgs_admission::lease::Limits;
 use mgs_admission::queue::Action;
 use mgs_admission::queue::Admission;
+use mgs_admission::queue::Demand;
 use mgs_admission::queue::Verdict;
 use mgs_request::outcome::Refusal;
 use mgs_routing::policy::Choice;
@@ -143,6 +145,18 @@
         self.wake();
     }
 
+    /// What each limited row in use wants.
+    pub(crate) fn demands(&self, core: &Core) -> Vec<Demand> {
+        self.lock().admission.demands(core.now_ms())
+    }
+
+    /// Sets this gateway's share of a row's limits.
+    pub(crate) fn set_share(&self, core: &Core, organisation: &str, kind: &str, share: &Limits) {
+        let mut queue = self.lock();
+        let now_ms = core.now_ms();
+        queue.admission.set_share(now_ms, organisation, kind, share);
+    }
+
     /// Prompt tokens that wait, by model.
     pub(crate) fn waiting_tokens(&self) -> BTreeMap<String, u64> {
         let mut tokens = BTreeMap::new();
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -19,7 +19,7 @@
 pub mod listen;
 pub mod metrics;
 mod parting;
-pub mod peer;
+mod peer;
 mod room;
 mod run;
 mod session;
--- a/crates/mgs-gateway/src/peer.rs
+++ b/crates/mgs-gateway/src/peer.rs
@@ -11,16 +11,14 @@
 use mgs_transport::server::Incoming;
 
 use crate::core::Core;
-
-/// Grants shares of limits to other gateways.
-pub trait Leases: Send + Sync {
-    /// Answers a wish for a share; `None` if this gateway isn't the limit's home.
-    fn lease(&self, now_ms: u64, request: &LimitLeaseRequest) -> Option<LimitLease>;
-}
+use crate::duty::links::Links;
+use crate::duty::shares::Home;
 
 /// The gateway as other gateways see it.
 pub(crate) struct Peers {
     pub(crate) core: Arc<Core>,
+    /// The live gateways and the shares granted here, if there is a platform.
+    pub(crate) shares: Option<(Arc<Links>, Arc<Home>)>,
 }
 
 impl Handler for Peers {
@@ -55,7 +53,7 @@
     }
 
     fn lease(&self, request: &LimitLeaseRequest) -> Option<LimitLease> {
-        let leases = self.core.options.leases.as_ref()?;
-        leases.lease(self.core.now_ms(), request)
+        let (links, home) = self.shares.as_ref()?;
+        home.lease(&self.core, links, request)
     }
 }
--- a/crates/mgs-gateway/tests/duty.rs
+++ b/crates/mgs-gateway/tests/duty.rs
@@ -4,15 +4,19 @@
 
 use std::sync::Arc;
 
+use mgs_gateway::gateway::Gateway;
 use mgs_platform::host::Host;
 use mgs_platform::host::State;
 use mgs_platform::table::Table;
+use mgs_schema::wire::envelope::Body;
 use mgs_schema::wire::EndpointState;
+use mgs_schema::wire::LimitLeaseRequest;
 use mgs_settings::confirm;
 use mgs_settings::confirm::Confirmation;
 use mgs_settings::member;
 use mgs_settings::row::RowValue;
 use mgs_standin::platform::memory::Memory;
+use mgs_transport::client::Connection;
 use mgs_transport::runtime::Runtime;
 use support::platform::apply;
 use support::platform::changes;
@@ -102,3 +106,36 @@
     }]);
     until("a leaving endpoint", || state() == EndpointState::Leaving);
 }
+
+#[test]
+fn one_of_the_gateways_grants_shares_of_a_limit() {
+    let memory = Arc::new(Memory::default());
+    let mut table = snapshot(&[], &[]);
+    table.limits[0].requests_per_s = 10.0;
+    apply(&memory, "first", changes(table));
+    let gateways = ["g1", "g2"].map(|name| start(&memory, name, Vec::new()));
+    let runtime = Runtime::new(&Default::default()).unwrap();
+    let granted = |gateway: &Gateway| {
+        let address = gateway.peer_address().unwrap();
+        let connection = Connection::open(&runtime, address, &Default::default()).unwrap();
+        let request = LimitLeaseRequest {
+            organisation: "verdure".into(),
+            kind: "stock".into(),
+            gateway_incarnation: gateways[0].incarnation(),
+            wanted_requests_per_s: 4.0,
+            ..LimitLeaseRequest::default()
+        };
+        match connection.ask(Body::LimitLeaseRequest(request), support::WAIT) {
+            Ok(Body::LimitLease(lease)) => Some(lease.requests_per_s),
+            _ => None,
+        }
+    };
+    // While they don't know of each other, each is the home of all rows.
+    until("one home", || {
+        let grants = [granted(&gateways[0]), granted(&gateways[1])];
+        grants.iter().flatten().count() == 1
+    });
+    let grants = gateways.iter().filter_map(granted);
+    let all: Vec<f64> = grants.collect();
+    assert!(all.len() == 1 && all[0] > 0.0 && all[0] <= 10.0, "{all:?}");
+}
