feat(gateway): show the counters of keyed and durable requests; test a silent connection

Cause: the store's writes were counted and not shown; no test had a connection that falls silent. Ruled out: waiting for the ping's timeout (2.5 s): four missing load reports open a second connection.

--- a/crates/mgs-gateway/src/duty/mod.rs
+++ b/crates/mgs-gateway/src/duty/mod.rs
@@ -4,6 +4,7 @@
 
 mod confirm;
 mod control;
+mod counts;
 pub(crate) mod demand;
 mod hosts;
 pub(crate) mod links;
@@ -83,6 +84,7 @@
     spawn("member", &duties, member::run)?;
     spawn("shares", &duties, shares::run)?;
     spawn("confirm", &duties, confirm::run)?;
+    spawn("counts", &duties, counts::run)?;
     spawn("hosts", &duties, hosts::run)?;
     if duties.core.options.control {
         spawn("control", &duties, control::run)?;
--- a/crates/mgs-gateway/src/metrics.rs
+++ b/crates/mgs-gateway/src/metrics.rs
@@ -3,6 +3,7 @@
 use mgs_observe::metrics::Counter;
 use mgs_observe::metrics::Counters;
 use mgs_observe::metrics::Gauge;
+use mgs_observe::metrics::Gauges;
 use mgs_observe::metrics::HistogramsMs;
 use mgs_observe::metrics::Registry;
 use mgs_routing::lane;
@@ -41,6 +42,8 @@
     pub accept_failures: Counter,
     /// Callers whose connection can't be let go, because their announced body is absurd.
     pub callers_stuck: Counter,
+    /// What keyed and durable requests did with the store, as counted so far.
+    pub durable: Gauges,
     /// Time to first token, by prompt length.
     pub first_token_ms: HistogramsMs,
 }
@@ -81,6 +84,11 @@
                 "gateway_callers_stuck",
                 "Connections held by callers that announced an absurd body",
             ),
+            durable: registry.gauges(
+                "gateway_durable",
+                "Keyed and durable requests and their writes, counted since the start",
+                "count",
+            ),
             first_token_ms: registry.histograms_ms(
                 "gateway_first_token_ms",
                 "Time from arrival to the first token, by prompt length",
--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -3,6 +3,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod platform;
+pub(crate) mod proxy;
 
 use std::collections::HashMap;
 use std::net::TcpListener;
@@ -58,6 +59,8 @@
     LoseBefore,
     /// Answers, but ends the call after so many frames; a resume gets the rest of six.
     LoseAfter(u64),
+    /// Answers, but says nothing more after so many frames; a resume gets the rest of six.
+    PauseAfter(u64),
     /// Ends the call after one frame, and knows nothing of it from then on.
     Forget,
     /// Answers without an end, until nobody reads.
@@ -157,6 +160,10 @@
                 send_frames(&reply, 0, 1);
                 self.ran.lock().unwrap().remove(&id);
             }
+            Script::PauseAfter(frames) => {
+                send_frames(&reply, 0, frames);
+                self.stalled.lock().unwrap().push(reply);
+            }
             Script::Drip => drip(reply),
             _ => self.stalled.lock().unwrap().push(reply),
         }
