--- a/crates/mgs-gateway/src/http/serve.rs
+++ b/crates/mgs-gateway/src/http/serve.rs
@@ -165,8 +165,7 @@
 
 /// Refuses a request.
 pub(crate) fn refuse(core: &Core, request: Request, id: RequestId, refusal: &Refusal) {
-    let end = End::Refused(refusal.clone());
-    core.metrics.ended(&end);
+    core.metrics.refused_early(refusal);
     log::info!(request_id:% = id, outcome = "refused", reason = refusal.reason.name();
         "request finished");
     answer::send_problem(request, &headers(id, None), &Problem::refused(refusal));
@@ -174,7 +173,7 @@
 
 pub(crate) fn not_found(core: &Core, request: Request, caller: &Caller, status: u16, detail: &str) {
     let refusal = Refusal::new(RefusalReason::BadRequest, detail);
-    core.metrics.ended(&End::Refused(refusal.clone()));
+    core.metrics.refused_early(&refusal);
     let mut problem = Problem::refused(&refusal);
     problem.status = status;
     answer::send_problem(request, &caller.headers(), &problem);
--- a/crates/mgs-gateway/src/lent.rs
+++ b/crates/mgs-gateway/src/lent.rs
@@ -97,6 +97,7 @@
         Err(refusal) => return Answer::without_body(Ending::Unknown, &refusal.reason.name()),
     };
     let mut collect = Collect::default();
+    core.metrics.admitted.inc();
     let report = Drive::resume_at(core, &job, target, &mut collect);
     let end = run::ended(core, &job, report);
     answer::ended(&shape, &collect.text, &end)
--- a/crates/mgs-gateway/src/metrics.rs
+++ b/crates/mgs-gateway/src/metrics.rs
@@ -12,15 +12,16 @@
 use mgs_schema::wire::RetryReason;
 
 use mgs_request::outcome::End;
+use mgs_request::outcome::Refusal;
 
 /// Handles of the gateway's metrics.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     /// Requests that were admitted.
     pub admitted: Counter,
-    /// Requests that ended, by outcome.
+    /// Admitted requests that ended, by outcome.
     pub outcomes: Counters,
-    /// Requests refused, by reason.
+    /// Requests refused, before admission or after, by reason.
     pub refused: Counters,
     /// Requests failed, by reason.
     pub failed: Counters,
@@ -62,7 +63,11 @@
     pub fn new(registry: &Registry) -> Self {
         Self {
             admitted: registry.counter("gateway_admitted", "Requests admitted"),
-            outcomes: registry.counters("gateway_ended", "Requests ended, by outcome", "outcome"),
+            outcomes: registry.counters(
+                "gateway_ended",
+                "Admitted requests ended, by outcome",
+                "outcome",
+            ),
             refused: registry.counters("gateway_refused", "Requests refused, by reason", "reason"),
             failed: registry.counters("gateway_failed", "Requests failed, by reason", "reason"),
             unknown: registry.counters(
@@ -97,7 +102,12 @@
         }
     }
 
-    /// Counts an end.
+    /// Counts a refusal before admission.
+    pub fn refused_early(&self, refusal: &Refusal) {
+        self.refused.inc(&refusal.reason.name());
+    }
+
+    /// Counts the end of an admitted request: what was admitted and hasn't ended is open.
     pub fn ended(&self, end: &End) {
         self.outcomes.inc(&end.outcome().name());
         match end {
--- a/crates/mgs-gateway/src/run.rs
+++ b/crates/mgs-gateway/src/run.rs
@@ -25,26 +25,29 @@
     permits: Option<&dyn Permits>,
     sink: &mut S,
 ) -> End {
-    let report = match admit(core, job) {
-        Ok(choice) => {
-            core.metrics.admitted.inc();
-            let admitted = Admitted {
-                job,
-                body,
-                choice,
-                permits,
-            };
-            let report = Drive::run(core, admitted, sink);
-            let generated_tokens = generated_tokens(&report.end);
-            core.hub.finished(core, job.id, generated_tokens);
-            report
+    let choice = match admit(core, job) {
+        Ok(choice) => choice,
+        Err(refusal) => {
+            core.metrics.refused_early(&refusal);
+            let report = Report::refused(refusal);
+            log_end(core, job, &report);
+            return report.end;
         }
-        Err(refusal) => Report::refused(refusal),
     };
+    core.metrics.admitted.inc();
+    let admitted = Admitted {
+        job,
+        body,
+        choice,
+        permits,
+    };
+    let report = Drive::run(core, admitted, sink);
+    let generated_tokens = generated_tokens(&report.end);
+    core.hub.finished(core, job.id, generated_tokens);
     ended(core, job, report)
 }
 
-/// Counts and logs an end.
+/// Counts and logs the end of an admitted request.
 pub(crate) fn ended(core: &Core, job: &Job, report: Report) -> End {
     core.metrics.ended(&report.end);
     log_end(core, job, &report);
