fix(sidecar): read a silent stream on after 1 s, make the dropped tombstone visible

Ruled out: a shorter limit than 1 s, which would reopen each waiting stream more often than it helps. Figures: cargo test -p mgs-ledger -p mgs-sidecar passed; the new move time is not measured yet. Conclusion: stream_silence_ms is 1000 by default; the planted fault leaves out both guards.

--- a/crates/mgs-ledger/src/ledger.rs
+++ b/crates/mgs-ledger/src/ledger.rs
@@ -269,7 +269,8 @@
             .records
             .fate(job.id)
             .and_then(|fate| fate_refusal(fate, job));
-        refusal.or((!is_open).then_some(RefusalReason::StaleSession))
+        let is_stale = !is_open && self.options.plant != Plant::DroppedTombstone;
+        refusal.or(is_stale.then_some(RefusalReason::StaleSession))
     }
 
     /// Reserves memory for a part of a prompt; repeating it prolongs the reservation.
--- a/crates/mgs-ledger/src/plant.rs
+++ b/crates/mgs-ledger/src/plant.rs
@@ -10,7 +10,8 @@
     /// No fault.
     #[default]
     None,
-    /// A withdrawal is answered `never started`, and the request may start later all the same.
+    /// A withdrawal is answered `never started`, and the request may start later all the same:
+    /// neither a tombstone nor a closed session keeps it from that.
     DroppedTombstone,
     /// Streams that must end aren't cancelled at the engine.
     ForgottenCancel,
--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -93,7 +93,7 @@
             endpoint_poll_ms: 250,
             reconcile_ms: 2_000,
             call_timeout_ms: 1_000,
-            stream_silence_ms: 5_000,
+            stream_silence_ms: 1_000,
             endpoint_silence_ms: 10_000,
             start_lookup_ms: 3_000,
             member_poll_ms: 10_000,
