--- a/crates/mgs-testing/src/chaos/mod.rs
+++ b/crates/mgs-testing/src/chaos/mod.rs
@@ -1,8 +1,10 @@
 //! Runs with faults: real processes, concurrent callers, a seeded schedule of faults, and the
 //! checks over the history of it all.
 
+mod duty;
 mod inject;
 mod measure;
+mod operators;
 mod report;
 mod run;
 mod scenario;
--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -55,6 +55,10 @@
     pub invariants: Vec<Finding>,
     /// Times from a path's silence to the next piece of its streams, by kind of silence.
     pub moves: BTreeMap<&'static str, Moves>,
+    /// Orders sent by contenders for the controller's lease.
+    pub orders_given: u64,
+    /// Pauses of such contenders that were longer than the lease.
+    pub pauses_beyond_lease: u64,
     /// What the tool itself could not do.
     pub failures: Vec<String>,
     /// Where the logs and the history are, if the run isn't clean.
@@ -98,6 +102,8 @@
             lost: violations(Invariant::InTime),
             invariants: findings,
             moves: BTreeMap::new(),
+            orders_given: 0,
+            pauses_beyond_lease: 0,
             failures: Vec::new(),
             logs: None,
         }
--- a/crates/mgs-testing/src/check/mod.rs
+++ b/crates/mgs-testing/src/check/mod.rs
@@ -41,6 +41,8 @@
     Graceful,
     /// An accepted configuration is in force everywhere within seconds and never reverts.
     InForce,
+    /// An accepted edit is not lost, not overwritten unseen and not made twice.
+    Edits,
     /// An endpoint obeys no order from the past, and one holder at most uses a fencing number.
     Orders,
 }
