--- a/src/command/table/change.rs
+++ b/src/command/table/change.rs
@@ -17,11 +17,10 @@
 use mgs_settings::table::Table;
 
 use super::cells_argument;
-use super::file_argument;
 use super::key_arguments;
 use super::read;
 use super::sheet;
-use super::sheet_argument;
+use super::sheet_and_file_arguments;
 use super::text;
 use super::CELLS;
 use super::FILE;
@@ -47,18 +46,15 @@
             .args(edit::arguments()),
         Command::new("edit")
             .about("Set the cells that a CSV gives, in one edit; other rows and cells stay")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
         Command::new("apply")
             .about("Make a sheet what a CSV says, in one edit; rows that it lacks are removed")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
         Command::new("import")
             .about("Set many rows from a CSV or an exported .json, in as many edits as needed")
-            .arg(sheet_argument())
-            .arg(file_argument())
+            .args(sheet_and_file_arguments())
             .args(edit::arguments()),
     ]
 }
