--- a/crates/mgs-durable/src/core.rs
+++ b/crates/mgs-durable/src/core.rs
@@ -40,6 +40,9 @@
 /// Longest such wait.
 const FOLLOW_MAX: Duration = Duration::from_millis(1_000);
 
+/// Wait before an object is written again.
+const PUT_RETRY: Duration = Duration::from_millis(50);
+
 /// Shared state of one process.
 pub(crate) struct Core {
     pub(crate) options: Options,
@@ -149,6 +152,18 @@
         self.grouper.write(op, patience)
     }
 
+    /// Writes an object, again if need be: repeating a put is harmless.
+    pub(crate) fn put(&self, key: &str, body: &[u8]) -> Result<(), mgs_platform::Error> {
+        let until = Instant::now() + Duration::from_millis(self.options.write_patience_ms);
+        loop {
+            match self.objects.put(key, body) {
+                Ok(()) => return Ok(()),
+                Err(error) if Instant::now() >= until => return Err(error),
+                Err(_) => thread::sleep(PUT_RETRY),
+            }
+        }
+    }
+
     /// Does what a pursuit says until it needs its owner.
     pub(crate) fn drive(&self, pursuit: &mut Pursuit, action: Action, until: Instant) -> Action {
         let mut action = action;
@@ -193,7 +208,7 @@
             }
         }
         let key = answer_key(row_key, fencing);
-        match self.objects.put(&key, body) {
+        match self.put(&key, body) {
             Ok(()) => Some(Body::Object(key)),
             Err(error) => {
                 log::warn!(error:% = error, key = key.as_str(); "answer can't be kept yet");
--- a/crates/mgs-durable/src/durable.rs
+++ b/crates/mgs-durable/src/durable.rs
@@ -59,8 +59,8 @@
     pub keep_ms: u64,
     /// How long a tenure that was given up is looked for, in milliseconds.
     pub surrender_ms: u64,
-    /// Longest time between two beats, in milliseconds.
-    pub beat_max_ms: u64,
+    /// Shortest time between two beats, in milliseconds; five missed ones end a lease.
+    pub beat_min_ms: u64,
     /// Time between two scans, in milliseconds.
     pub scan_ms: u64,
     /// Durable requests that this process works on at once, at most.
@@ -78,7 +78,7 @@
             tombstone_ms: 2 * 3_600_000,
             keep_ms: 24 * 3_600_000,
             surrender_ms: 60_000,
-            beat_max_ms: 10_000,
+            beat_min_ms: 1_000,
             scan_ms: 2_000,
             held_max: 64,
             deletes_max: 20,
--- a/crates/mgs-durable/src/keeper.rs
+++ b/crates/mgs-durable/src/keeper.rs
@@ -25,7 +25,7 @@
 use crate::lease::Beat;
 
 /// Wait between two looks at whether something is due.
-const PAUSE: Duration = Duration::from_millis(50);
+const PAUSE: Duration = Duration::from_millis(10);
 
 /// Rows of gone gateways that one pass deletes, at most.
 const REMAINS_MAX: usize = 4;
@@ -65,7 +65,7 @@
     pub(crate) fn pass(&mut self) -> u64 {
         let now_ms = self.core.now_ms();
         let live = lock(&self.core.watch).live(now_ms);
-        let period_ms = lease::period_ms(live.len()).min(self.core.options.beat_max_ms);
+        let period_ms = lease::period_ms(live.len(), self.core.options.beat_min_ms);
         self.beat(period_ms);
         if let Err(error) = self.look() {
             log::warn!(error:% = error; "the store can't be read; no lease is judged anew");
--- a/crates/mgs-durable/src/lease.rs
+++ b/crates/mgs-durable/src/lease.rs
@@ -14,8 +14,8 @@
 /// Prefix of the gateways' rows.
 pub const PREFIX: &str = "durable/gateway/";
 
-/// Shortest time between two beats, in milliseconds.
-pub const PERIOD_MIN_MS: u64 = 1_000;
+/// Time between two beats of a gateway whose row can't be read, in milliseconds.
+const PERIOD_DEFAULT_MS: u64 = 1_000;
 
 /// Beats of all gateways together, per second, at most.
 pub const BEATS_PER_S: u64 = 50;
@@ -47,12 +47,12 @@
 /// ```
 /// use mgs_durable::lease::period_ms;
 ///
-/// assert_eq!(period_ms(3), 1_000);
-/// assert_eq!(period_ms(450), 9_000);
+/// assert_eq!(period_ms(3, 1_000), 1_000);
+/// assert_eq!(period_ms(450, 1_000), 9_000);
 /// ```
-pub fn period_ms(gateways: usize) -> u64 {
-    let spread = gateways as u64 * 1_000 / BEATS_PER_S;
-    spread.max(PERIOD_MIN_MS)
+pub fn period_ms(gateways: usize, min_ms: u64) -> u64 {
+    let spread_ms = gateways as u64 * 1_000 / BEATS_PER_S;
+    spread_ms.max(min_ms)
 }
 
 #[derive(Debug)]
@@ -125,7 +125,7 @@
 
 fn first_seen(row: &Row, now_ms: u64) -> Seen {
     let beat: Option<Beat> = serde_json::from_str(&row.value).ok();
-    let period_ms = beat.map_or(PERIOD_MIN_MS, |beat| beat.period_ms);
+    let period_ms = beat.map_or(PERIOD_DEFAULT_MS, |beat| beat.period_ms);
     Seen {
         version: row.version,
         changed_ms: now_ms,
--- a/crates/mgs-durable/src/request.rs
+++ b/crates/mgs-durable/src/request.rs
@@ -209,7 +209,7 @@
 fn upload(core: &Arc<Core>, mut pursuit: Pursuit, work: &Work, id: &str) -> Kept {
     let bytes = bincode::serde::encode_to_vec(work, bincode::config::standard());
     let bytes = bytes.expect("work has only plain types");
-    let kept = core.objects.put(&body_key(id, pursuit.nonce()), &bytes);
+    let kept = core.put(&body_key(id, pursuit.nonce()), &bytes);
     if let Err(error) = &kept {
         log::warn!(error:% = error, id = id; "the body of a durable request can't be kept");
     }
--- a/crates/mgs-durable/src/worker.rs
+++ b/crates/mgs-durable/src/worker.rs
@@ -31,8 +31,11 @@
 /// Rows read at once.
 const PAGE_ROWS: usize = 200;
 
-/// Pages read in one pass, at most.
-const PAGES_MAX: usize = 64;
+/// Pages of durable requests read in one pass, at most.
+const ASYNC_PAGES_MAX: usize = 64;
+
+/// Pages of keyed requests read in one pass, at most; they are read only to delete what expired.
+const CLAIM_PAGES_MAX: usize = 8;
 
 /// Wait between two looks at whether the process stops.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -43,8 +46,9 @@
     closers: Sender<Closing>,
     /// Where the scan of a prefix goes on, if its last page wasn't the end.
     cursors: HashMap<String, String>,
-    /// Place in the order of shards at which the next pass begins.
-    next_shard: usize,
+    /// Place among this gateway's shards at which the next pass begins, by prefix.
+    next_async: usize,
+    next_claim: usize,
     deletes_left: usize,
 }
 
@@ -55,7 +59,8 @@
             core,
             closers,
             cursors: HashMap::new(),
-            next_shard: 0,
+            next_async: 0,
+            next_claim: 0,
             deletes_left: 0,
         }
     }
@@ -83,15 +88,12 @@
         let live = lock(&self.core.watch).live(now_ms);
         let shards = shard::owned(self.core.options.gateway, &live);
         self.deletes_left = self.core.options.deletes_max;
-        for turn in 0..shards.len().min(PAGES_MAX) {
-            let at = (self.next_shard + turn) % shards.len();
-            let name = shard::name(shards[at]);
-            self.scan(&format!("{ASYNC_PREFIX}{name}/"), shared_ms)?;
-            if turn == 0 {
-                self.scan(&format!("{CLAIM_PREFIX}{name}/"), shared_ms)?;
-            }
+        for shard in next_of(&shards, &mut self.next_async, ASYNC_PAGES_MAX) {
+            self.scan(&format!("{ASYNC_PREFIX}{}/", shard::name(shard)), shared_ms)?;
+        }
+        for shard in next_of(&shards, &mut self.next_claim, CLAIM_PAGES_MAX) {
+            self.scan(&format!("{CLAIM_PREFIX}{}/", shard::name(shard)), shared_ms)?;
         }
-        self.next_shard = self.next_shard.wrapping_add(PAGES_MAX.min(shards.len()));
         Ok(())
     }
 
@@ -177,6 +179,16 @@
     }
 }
 
+/// The next shards in turn, at most `count`.
+fn next_of(shards: &[u32], next: &mut usize, count: usize) -> Vec<u32> {
+    let count = count.min(shards.len());
+    let from = *next;
+    *next = from.wrapping_add(count);
+    (0..count)
+        .map(|turn| shards[from.wrapping_add(turn) % shards.len()])
+        .collect()
+}
+
 fn delete_objects(core: &Core, row_key: &str, entry: &Entry) -> Result<(), Error> {
     if entry.body != 0 {
         core.objects.delete(&body_key(id_of(row_key), entry.body))?;
--- /dev/null
+++ b/crates/mgs-durable/tests/request.rs
@@ -0,0 +1,207 @@
+//! Durable requests over several gateways, with faults of store, gateway and endpoint.
+
+mod common;
+
+use std::sync::Arc;
+
+use rstest::rstest;
+
+use mgs_durable::durable::Durable;
+use mgs_durable::entry::Ending;
+use mgs_durable::entry::State;
+use mgs_durable::executor::Answer;
+use mgs_durable::request;
+use mgs_durable::request::Cancelled;
+use mgs_durable::request::Submitted;
+use mgs_schema::wire::RefusalReason;
+use mgs_standin::platform::faults::Settings;
+use mgs_standin::platform::memory::Memory;
+
+use common::answered;
+use common::asked;
+use common::gateway;
+use common::options;
+use common::wait_until;
+use common::work;
+use common::Site;
+
+const LONG_BODY: &[u8] = &[b'a'; 10_000];
+
+fn accepted(submitted: Submitted) -> String {
+    match submitted {
+        Submitted::Accepted(id) => id,
+        other => panic!("expected 202, got {other:?}"),
+    }
+}
+
+fn ended(durable: &Durable, id: &str) -> Answer {
+    let mut answer = None;
+    wait_until("the request ends", || {
+        let status = durable.status("sahel", id).ok().flatten();
+        let Some(State::Done(done)) = status.map(|status| status.entry.state) else {
+            return false;
+        };
+        answer = durable.answer(&done).ok();
+        answer.is_some()
+    });
+    answer.expect("just set")
+}
+
+#[rstest]
+#[case::inline(b"short")]
+#[case::object(LONG_BODY)]
+fn an_accepted_request_is_answered_whole(#[case] body: &[u8]) {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let durable = gateway(options(1), &memory, &site);
+    let id = accepted(durable.submit(&asked("", body), &work(body)));
+    assert_eq!(ended(&durable, &id), answered(body));
+    assert_eq!(site.executions(), 1);
+    assert_eq!(durable.status("brasov", &id), Ok(None));
+}
+
+#[test]
+fn any_gateway_finishes_what_a_stopped_one_accepted() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let first = gateway(options(1), &memory, &site);
+    let second = gateway(options(2), &memory, &site);
+    memory.faults().set(Settings {
+        lose_every: 4,
+        ..Settings::default()
+    });
+    site.hold(true);
+    let ids: Vec<String> = (0..10)
+        .map(|_| accepted(first.submit(&asked("", LONG_BODY), &work(LONG_BODY))))
+        .collect();
+    wait_until("all run", || site.executions() == 10);
+    drop(first);
+    site.hold(false);
+    for id in &ids {
+        assert_eq!(ended(&second, id), answered(LONG_BODY));
+    }
+    assert_eq!(site.executions(), 10);
+}
+
+#[test]
+fn a_row_without_a_holder_is_found_by_the_scan() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let mut busy = options(1);
+    busy.held_max = 0;
+    let first = gateway(busy, &memory, &site);
+    let id = accepted(first.submit(&asked("", b"x"), &work(b"x")));
+    let state = |durable: &Durable| durable.status("sahel", &id).unwrap().unwrap().entry.state;
+    assert_eq!(state(&first), State::Queued);
+    let second = gateway(options(2), &memory, &site);
+    // Shards that the first gateway scans are the second's once the first is gone.
+    drop(first);
+    assert_eq!(ended(&second, &id), answered(b"x"));
+}
+
+#[test]
+fn an_outage_refuses_what_is_new_and_loses_nothing() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let durable = gateway(options(1), &memory, &site);
+    site.hold(true);
+    let id = accepted(durable.submit(&asked("", LONG_BODY), &work(LONG_BODY)));
+    wait_until("it runs", || site.executions() == 1);
+    memory.faults().set_outage(true);
+    let refused = durable.submit(&asked("", b"y"), &work(b"y"));
+    assert!(matches!(
+        refused,
+        Submitted::Refused {
+            reason: RefusalReason::StoreUnavailable,
+            ..
+        }
+    ));
+    site.hold(false);
+    let table = memory.as_ref();
+    assert!(request::status(table, &id).is_err());
+    memory.faults().set_outage(false);
+    assert_eq!(ended(&durable, &id), answered(LONG_BODY));
+    assert_eq!(site.executions(), 1);
+}
+
+#[test]
+fn a_key_leads_to_one_durable_request() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let first = gateway(options(1), &memory, &site);
+    let second = gateway(options(2), &memory, &site);
+    let id = accepted(first.submit(&asked("k", b"x"), &work(b"x")));
+    assert_eq!(accepted(second.submit(&asked("k", b"x"), &work(b"x"))), id);
+    assert_eq!(ended(&second, &id), answered(b"x"));
+    let other = second.submit(&asked("k", b"y"), &work(b"y"));
+    assert!(matches!(
+        other,
+        Submitted::Refused {
+            reason: RefusalReason::KeyConflict,
+            ..
+        }
+    ));
+    assert_eq!(site.executions(), 1);
+}
+
+#[test]
+fn a_queued_request_is_cancelled_unrun() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let mut busy = options(1);
+    busy.held_max = 0;
+    let durable = gateway(busy, &memory, &site);
+    let id = accepted(durable.submit(&asked("", b"x"), &work(b"x")));
+    assert_eq!(durable.cancel("brasov", &id), Ok(Cancelled::NotFound));
+    assert_eq!(durable.cancel("sahel", &id), Ok(Cancelled::NotRun));
+    assert_eq!(durable.cancel("sahel", &id), Ok(Cancelled::Ended));
+    let answer = ended(&durable, &id);
+    assert_eq!(
+        (answer.ending, answer.reason.as_str()),
+        (Ending::Refused, "cancelled")
+    );
+    assert_eq!(site.executions(), 0);
+}
+
+#[test]
+fn a_request_past_its_time_ends_refused() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let mut busy = options(1);
+    busy.held_max = 0;
+    let first = gateway(busy, &memory, &site);
+    let mut brief = asked("", b"x");
+    brief.budget_ms = 1;
+    let id = accepted(first.submit(&brief, &work(b"x")));
+    drop(first);
+    let second = gateway(options(2), &memory, &site);
+    let answer = ended(&second, &id);
+    assert_eq!(
+        (answer.ending, answer.reason.as_str()),
+        (Ending::Refused, "deadline")
+    );
+    assert_eq!(site.executions(), 0);
+}
+
+#[test]
+fn expired_results_and_their_objects_are_deleted() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let mut settings = options(1);
+    settings.keep_ms = 0;
+    let durable = gateway(settings, &memory, &site);
+    let mut brief = asked("", LONG_BODY);
+    brief.budget_ms = 1_000;
+    let id = accepted(durable.submit(&brief, &work(LONG_BODY)));
+    let body = durable.status("sahel", &id).unwrap().unwrap().entry.body;
+    let key = mgs_durable::entry::body_key(&id, body);
+    let objects: &dyn mgs_platform::object::Objects = memory.as_ref();
+    assert!(objects.get(&key).unwrap().is_some());
+    wait_until("it is swept", || durable.status("sahel", &id) == Ok(None));
+    assert_eq!(objects.get(&key), Ok(None));
+    let answer = mgs_durable::entry::answer_key(&mgs_durable::entry::async_key(&id), 1);
+    assert_eq!(objects.get(&answer), Ok(None));
+}
+
+#[test]
+fn a_drained_gateway_leaves_its_requests_to_others() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let first = gateway(options(1), &memory, &site);
+    let second = gateway(options(2), &memory, &site);
+    let id = accepted(first.submit(&asked("", b"x"), &work(b"x")));
+    first.drain(10_000);
+    assert_eq!(ended(&second, &id), answered(b"x"));
+    assert_eq!(site.executions(), 1);
+}
