--- a/crates/mgs-testing/src/caller/plan.rs
+++ b/crates/mgs-testing/src/caller/plan.rs
@@ -22,6 +22,13 @@
 
 const LONG_ANSWER_TOKENS_MAX: u64 = 200;
 
+/// One request in so many can't be answered in time, and must be ended by the system.
+const ENDLESS_ONE_IN: u32 = 40;
+
+const ENDLESS_ANSWER_TOKENS: u64 = 30_000;
+
+const ENDLESS_ALLOTTED_MS: u64 = 3_000;
+
 /// How a request is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -88,13 +95,26 @@
             _ => Kind::Streamed,
         };
         let keyed = random.random_ratio(1, 4);
-        Self {
+        let plan = Self {
             kind,
             idempotent: random.random_ratio(2, 5),
             key: keyed.then(|| format!("{run}-{}", request.0)),
             max_tokens: random.random_range(5..=answer_max),
             allotted_ms: random.random_range(8_000..=15_000),
             ..Self::new(request, random.random_range(8..=prompt_max))
+        };
+        match random.random_ratio(1, ENDLESS_ONE_IN) {
+            true => plan.endless(),
+            false => plan,
+        }
+    }
+
+    /// The same request with an answer that no engine ends within the time allotted.
+    fn endless(self) -> Self {
+        Self {
+            max_tokens: ENDLESS_ANSWER_TOKENS,
+            allotted_ms: ENDLESS_ALLOTTED_MS,
+            ..self
         }
     }
 
--- a/crates/mgs-testing/src/chaos/measure.rs
+++ b/crates/mgs-testing/src/chaos/measure.rs
@@ -39,42 +39,51 @@
     }
 }
 
-/// Measures by kind of silence.
+/// Measures by kind of silence and path.
 pub(super) fn moves(
     entries: &[Entry],
     recorder: &Recorder,
     caller: &Caller,
-) -> BTreeMap<&'static str, Moves> {
+) -> BTreeMap<String, Moves> {
     let gaps = caller.gaps.lock().unwrap_or_else(PoisonError::into_inner);
     let kinds = [
         FaultKind::HalfDead,
         FaultKind::Silent,
         FaultKind::SilentOneWay,
     ];
-    let mut moves = BTreeMap::new();
-    for kind in kinds {
-        let mut times_ms = Vec::new();
-        for silence in silences(entries, kind) {
-            let running = running_at(entries, &silence);
-            let stuck = gaps.iter().filter(|gap| running.contains(&gap.request));
-            times_ms.extend(stuck.filter_map(|gap| stood_still_ms(recorder, &silence, gap)));
-        }
-        if !times_ms.is_empty() {
-            moves.insert(kind.name(), Moves::of(times_ms));
+    let mut times_ms: BTreeMap<String, Vec<u64>> = BTreeMap::new();
+    for silence in kinds.iter().flat_map(|kind| silences(entries, *kind)) {
+        let running = running_at(entries, &silence);
+        let stuck = gaps.iter().filter(|gap| running.contains(&gap.request));
+        for ms in stuck.filter_map(|gap| stood_still_ms(recorder, &silence, gap)) {
+            times_ms.entry(silence.name()).or_default().push(ms);
         }
     }
-    moves
+    let measured = times_ms.into_iter();
+    measured.map(|(name, ms)| (name, Moves::of(ms))).collect()
 }
 
 struct Silence<'a> {
     at_ms: u64,
+    kind: FaultKind,
     place: &'a str,
 }
 
+impl Silence<'_> {
+    fn name(&self) -> String {
+        let path = match self.place.contains("sidecar") {
+            true => "gateway to sidecar",
+            false => "sidecar to endpoint",
+        };
+        format!("{}, {path}", self.kind.name())
+    }
+}
+
 fn silences(entries: &[Entry], kind: FaultKind) -> impl Iterator<Item = Silence<'_>> {
     entries.iter().filter_map(move |entry| match &entry.event {
         Event::FaultBegun { place, kind: name } if name == kind.name() => Some(Silence {
             at_ms: entry.at_ms,
+            kind,
             place,
         }),
         _ => None,
--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -53,8 +53,8 @@
     pub lost: usize,
     /// What each check found.
     pub invariants: Vec<Finding>,
-    /// Times from a path's silence to the next piece of its streams, by kind of silence.
-    pub moves: BTreeMap<&'static str, Moves>,
+    /// Times from a path's silence to the next piece of its streams, by kind and path.
+    pub moves: BTreeMap<String, Moves>,
     /// What the tool itself could not do.
     pub failures: Vec<String>,
     /// Where the logs and the history are, if the run isn't clean.
--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -10,6 +10,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use mgs_standin::engine;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -37,6 +38,9 @@
 /// Concurrent callers.
 const CALLERS: u64 = 24;
 
+/// Streams that an engine runs at once: few, so that work waits before it.
+const ENGINE_STREAMS_MAX: u32 = 4;
+
 /// Longest pause of a caller between two requests, in milliseconds.
 const THINK_MAX_MS: u64 = 150;
 
@@ -95,6 +99,10 @@
     let cluster = Cluster::start(&cluster::Options {
         binary: options.binary.clone(),
         plant: options.plant.clone(),
+        engine: engine::Options {
+            streams_max: ENGINE_STREAMS_MAX,
+            ..engine::Options::default()
+        },
         ..cluster::Options::default()
     })?;
     let recorder = Arc::new(Recorder::default());
--- a/crates/mgs-testing/src/cluster/fleet.rs
+++ b/crates/mgs-testing/src/cluster/fleet.rs
@@ -16,12 +16,14 @@
 use mgs_standin::service;
 use mgs_standin::service::Service;
 
+use crate::caller::Kind;
 use crate::cluster::binary;
 use crate::cluster::endpoint::Endpoint;
 use crate::cluster::endpoint::Standin;
 use crate::cluster::member::Member;
 use crate::cluster::member::Parts;
 use crate::cluster::table;
+use crate::cluster::warm;
 use crate::cluster::Error;
 use crate::port::Port;
 use crate::proxy::Route;
@@ -90,7 +92,7 @@
 }
 
 impl Cluster {
-    /// Starts everything and waits until all gateways are ready and connected.
+    /// Starts everything and waits until all gateways are ready and answer.
     pub fn start(options: &Options) -> Result<Self, Error> {
         let cluster = Self::build(options)?;
         cluster.edit("start", cluster.rows(options))?;
@@ -101,6 +103,7 @@
         for member in &cluster.gateways {
             member.wait_ready(START_LIMIT_MS)?;
             member.wait_sessions(cluster.endpoints.len(), START_LIMIT_MS)?;
+            cluster.wait_answers(member)?;
         }
         Ok(cluster)
     }
@@ -116,6 +119,20 @@
         self.gateways.iter().chain(sidecars)
     }
 
+    /// Waits until a gateway answers requests of each kind that there are endpoints for.
+    fn wait_answers(&self, gateway: &Member) -> Result<(), Error> {
+        for endpoint in &self.endpoints {
+            let kind = match endpoint.standin {
+                Standin::Engine(_) => Kind::Whole,
+                Standin::Service(_) => Kind::Service,
+            };
+            if !warm::until_answered(gateway, kind, START_LIMIT_MS) {
+                return Err(gateway.not_ready(START_LIMIT_MS));
+            }
+        }
+        Ok(())
+    }
+
     fn build(options: &Options) -> Result<Self, Error> {
         let builder = Builder::new(options)?;
         let gateways = 1..=options.gateways;
--- a/crates/mgs-testing/src/cluster/member.rs
+++ b/crates/mgs-testing/src/cluster/member.rs
@@ -188,14 +188,18 @@
         let end = Instant::now() + Duration::from_millis(limit_ms);
         while !done() {
             if Instant::now() >= end {
-                let log = self.parts.log.display().to_string();
-                return Err(Error::NotReady(self.process_name(), limit_ms, log));
+                return Err(self.not_ready(limit_ms));
             }
             thread::sleep(Duration::from_millis(POLL_MS));
         }
         Ok(())
     }
 
+    pub(super) fn not_ready(&self, limit_ms: u64) -> Error {
+        let log = self.parts.log.display().to_string();
+        Error::NotReady(self.process_name(), limit_ms, log)
+    }
+
     fn failed(&self, error: std::io::Error) -> Error {
         Error::Process(self.parts.place.clone(), error)
     }
--- a/crates/mgs-testing/src/cluster/mod.rs
+++ b/crates/mgs-testing/src/cluster/mod.rs
@@ -10,6 +10,7 @@
 mod member;
 mod process;
 mod table;
+mod warm;
 
 use std::io;
 
