--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -9,8 +9,10 @@
 pub mod arena;
 pub mod bucket;
 pub mod drain;
+mod entry;
 pub mod fair;
 pub mod fifo;
 pub mod flows;
+pub mod lease;
 pub mod queue;
 pub mod rows;
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -17,6 +17,15 @@
 use crate::setting::value;
 use crate::setting::Values;
 
+/// Heading of the platform's settings in the help.
+pub const PLATFORM_HEADING: &str = "Platform";
+
+/// Heading of the settings for operators in the help.
+pub const OPERATORS_HEADING: &str = "Operators, log and end";
+
+/// Heading of the numbers that seldom need a change in the help.
+pub const TUNING_HEADING: &str = "Tuning";
+
 const PLATFORM: &str = "platform";
 const PLATFORM_CONNECT_TIMEOUT_MS: &str = "platform-connect-timeout-ms";
 const PLATFORM_CALL_TIMEOUT_MS: &str = "platform-call-timeout-ms";
@@ -114,6 +123,20 @@
     }
 }
 
+/// An address for the log.
+pub fn shown(address: Option<SocketAddr>) -> String {
+    address.map_or("none".to_string(), |address| address.to_string())
+}
+
+/// Fails if a process ended because another one took its name over.
+pub fn check_name(superseded: bool) -> Result<(), Error> {
+    if !superseded {
+        return Ok(());
+    }
+    let text = "another process took this one's name over; give each process its own --name";
+    Err(Error::Failed(text.to_string()))
+}
+
 /// Starts the log.
 pub fn start_log(options: &logs::Options) -> Result<Logs, Error> {
     logs::start(options).map_err(|error| Error::Failed(error.to_string()))
--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -45,8 +45,11 @@
         .about("Run the process beside one endpoint, the only door to it")
         .after_help(EXAMPLES)
         .args(arguments())
+        .next_help_heading(process::PLATFORM_HEADING)
         .args(process::platform_arguments())
+        .next_help_heading(process::OPERATORS_HEADING)
         .args(process::arguments("127.0.0.1:7301", "600000"))
+        .next_help_heading(process::TUNING_HEADING)
         .args(number::arguments(&NUMBERS))
         .args(process::plant_arguments())
 }
@@ -81,7 +84,7 @@
         name: values.text(NAME),
         zone: values.text(ZONE),
         kind: kind(&mut values),
-        listen: values.address(LISTEN),
+        listen: values.told_address(LISTEN),
         admin_listen: Some(process.admin),
         endpoint_url: values.url(ENDPOINT_URL),
         platform_url: Some(platform.base_url),
@@ -95,10 +98,17 @@
     let _logs = process::start_log(&process.logs)?;
     let sidecar = Sidecar::start(options).map_err(|error| Error::Failed(error.to_string()))?;
     let sidecar = Arc::new(sidecar);
-    log::info!(address:% = sidecar.address(), incarnation = sidecar.incarnation(); "sidecar started");
-    stop.wait();
+    log::info!(
+        address:% = sidecar.address(),
+        admin_address:% = process::shown(sidecar.admin_address()),
+        incarnation = sidecar.incarnation();
+        "sidecar started"
+    );
+    stop.wait_unless(|| sidecar.is_superseded());
+    let superseded = sidecar.is_superseded();
     log::info!(drain_ms = process.drain_ms; "sidecar is leaving");
-    stop.drain(process.drain_ms, move || sidecar.drain())
+    stop.drain(process.drain_ms, move || sidecar.drain())?;
+    process::check_name(superseded)
 }
 
 fn kind(values: &mut Values<'_>) -> EndpointKind {
