--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -10,6 +10,8 @@
 
 use displaydoc::Display;
 use mgs_admission::queue;
+use mgs_durable::durable;
+use mgs_durable::durable::Durable;
 use mgs_observe::admin;
 use mgs_observe::admin::Admin;
 use mgs_observe::admin::Health;
@@ -32,13 +34,14 @@
 use crate::duty;
 use crate::duty::links::Links;
 use crate::duty::links::SettingsPeers;
+use crate::duty::shares::Home;
 use crate::duty::Duties;
 use crate::duty::Platform;
 use crate::hub;
 use crate::keeper;
+use crate::lent::Lent;
 use crate::listen;
 use crate::parting::Parting;
-use crate::peer::Leases;
 use crate::peer::Peers;
 
 /// Says whether the settings are fresh enough to serve by.
@@ -93,8 +96,6 @@
     pub retry_budget: budget::Options,
     /// Time between the first sign of leaving and the refusal of new requests, in milliseconds.
     pub leave_grace_ms: u64,
-    /// Grants shares of limits to other gateways; none are granted if not given.
-    pub leases: Option<Arc<dyn Leases>>,
     /// Where its metrics are registered.
     pub registry: Registry,
     /// A deliberate bug, for fault runs only.
@@ -126,7 +127,6 @@
             hedge: true,
             retry_budget: budget::Options::default(),
             leave_grace_ms: 1_000,
-            leases: None,
             registry: Registry::new(),
             plant: Plant::None,
         }
@@ -174,6 +174,7 @@
     platform: Platform,
     follower: Arc<Follower>,
     links: Arc<Links>,
+    home: Arc<Home>,
 }
 
 impl Following {
@@ -190,15 +191,32 @@
             platform,
             follower: Arc::new(follower),
             links,
+            home: Arc::default(),
         }
     }
 
+    fn shares(&self) -> (Arc<Links>, Arc<Home>) {
+        (self.links.clone(), self.home.clone())
+    }
+
+    /// Starts the keeping of keyed and durable requests.
+    fn durable(&self, core: &Arc<Core>) -> Durable {
+        let options = durable::Options {
+            gateway: core.incarnation,
+            ..durable::Options::default()
+        };
+        let lent = Arc::new(Lent { core: core.clone() });
+        let (table, objects) = (self.platform.table.clone(), self.platform.objects.clone());
+        Durable::start(options, table, objects, lent)
+    }
+
     fn duties(self, core: &Arc<Core>, peer_address: SocketAddr) -> Duties {
         Duties {
             core: core.clone(),
             platform: self.platform,
             follower: self.follower,
             links: self.links,
+            home: self.home,
             peer_address: peer_address.to_string(),
         }
     }
@@ -256,11 +274,10 @@
         let core = &self.core;
         keeper::start(core).map_err(Error::Threads)?;
         hub::start(core).map_err(Error::Threads)?;
-        self.peers = core
-            .options
-            .peer_listen
-            .map(|at| serve_peers(core, at))
-            .transpose()?;
+        let shares = following.as_ref().map(Following::shares);
+        let peers = core.options.peer_listen;
+        let peers = peers.map(|at| serve_peers(core, at, shares));
+        self.peers = peers.transpose()?;
         self.admin = core
             .options
             .admin_listen
@@ -268,6 +285,7 @@
             .transpose()?;
         if let Some(following) = following {
             let peer_address = self.peer_address().unwrap_or(self.address);
+            core.set_durable(Some(Arc::new(following.durable(core))));
             duty::start(following.duties(core, peer_address)).map_err(Error::Threads)?;
         }
         listen::start(core, listener).map_err(Error::Threads)
@@ -319,19 +337,39 @@
             }
             std::thread::sleep(DRAIN_LOOK);
         }
+        self.drain_durable(until);
         true
     }
 }
 
+impl Gateway {
+    /// Finishes the durable requests at work, or leaves them to other gateways.
+    fn drain_durable(&self, until: Instant) {
+        let Some(durable) = self.core.set_durable(None).and_then(Arc::into_inner) else {
+            return;
+        };
+        let left = until.saturating_duration_since(Instant::now());
+        durable.drain(left.as_millis() as u64);
+    }
+}
+
 impl Drop for Gateway {
     fn drop(&mut self) {
         self.core.stop();
     }
 }
 
-fn serve_peers(core: &Arc<Core>, at: SocketAddr) -> Result<Server, Error> {
+fn serve_peers(
+    core: &Arc<Core>,
+    at: SocketAddr,
+    shares: Option<(Arc<Links>, Arc<Home>)>,
+) -> Result<Server, Error> {
     let listener = TcpListener::bind(at).map_err(|error| Error::Listen(at, error))?;
-    let handler = Arc::new(Peers { core: core.clone() });
+    let core = core.clone();
+    let handler = Arc::new(Peers {
+        core: core.clone(),
+        shares,
+    });
     let options = server::Options::default();
     Server::start(&core.runtime, listener, &options, handler).map_err(Error::Threads)
 }
