--- a/crates/mgs-standin/src/engine/batch.rs
+++ b/crates/mgs-standin/src/engine/batch.rs
@@ -17,13 +17,13 @@
 use mgs_engine::message::Start;
 use mgs_engine::message::StreamInfo;
 
+use super::held::HeldKv;
 use super::job::Job;
 use super::job::JobKey;
 use super::job::Kind;
 use super::job::Phase;
 use super::journal::Journal;
 use super::journal::RunEnd;
-use super::memory::Hold;
 use super::memory::Memory;
 use super::options::Options;
 use super::progress::End;
@@ -45,12 +45,6 @@
     }
 }
 
-struct HeldKv {
-    /// Tokens of the text that it stands for.
-    text_tokens: u64,
-    hold: Hold,
-}
-
 /// The streams and memory of one life.
 pub(super) struct Batch {
     options: Arc<Options>,
@@ -62,7 +56,7 @@
     running: BTreeSet<(u32, JobKey)>,
     next_key: JobKey,
     memory: Memory,
-    kv: BTreeMap<String, HeldKv>,
+    kv: HeldKv,
     loads: LoadLog,
     cache: CacheLog,
 }
@@ -80,7 +74,7 @@
             running: BTreeSet::new(),
             next_key: JobKey::default(),
             memory: Memory::new(options.kv_capacity_tokens),
-            kv: BTreeMap::new(),
+            kv: HeldKv::default(),
             loads: LoadLog::new(lag),
             cache: CacheLog::new(delay, options.cache_event_lose_every),
             options,
@@ -94,7 +88,7 @@
         if self.by_id.contains_key(&start.stream) {
             return Err(Error::Exists);
         }
-        let covered_tokens = self.covered(&start.kv)?;
+        let covered_tokens = self.kv.text_tokens(&start.kv)?;
         let job = Job::stream(start, covered_tokens, self.options.prompt_kept_bytes);
         self.accept(job)
     }
@@ -131,7 +125,7 @@
 
     /// Begins an export; `None` if it has been made already.
     pub(super) fn export(&mut self, export: &KvExport) -> Result<Option<Arc<Progress>>, Error> {
-        if self.kv.contains_key(&export.kv) {
+        if self.kv.contains(&export.kv) {
             return Ok(None);
         }
         if let Some(key) = self.exports.get(&export.kv) {
@@ -142,39 +136,24 @@
 
     /// Holds imported KV.
     pub(super) fn import(&mut self, handle: &KvHandle) -> Result<KvHandle, Error> {
-        if !self.kv.contains_key(&handle.kv) {
+        if !self.kv.contains(&handle.kv) {
             let tokens = handle.kv_tokens.div_ceil(self.options.kv_import_ratio);
             let hold = self.memory.reserve(&[], tokens).ok_or(Error::Full)?;
-            let text_tokens = handle.kv_tokens;
-            let held = HeldKv { text_tokens, hold };
-            self.kv.insert(handle.kv.clone(), held);
+            self.kv.insert(&handle.kv, handle.kv_tokens, hold);
             self.note(Instant::now());
         }
-        self.held(&handle.kv)
-    }
-
-    /// Finds held KV.
-    pub(super) fn held(&self, kv: &str) -> Result<KvHandle, Error> {
-        let held = self.kv.get(kv).ok_or(Error::NotFound)?;
-        Ok(KvHandle {
-            kv: kv.to_string(),
-            kv_tokens: held.hold.tokens(),
-        })
+        self.kv.get(&handle.kv)
     }
 
-    /// Lists held KV.
-    pub(super) fn kv(&self) -> Vec<KvHandle> {
-        let handle = |(kv, held): (&String, &HeldKv)| KvHandle {
-            kv: kv.clone(),
-            kv_tokens: held.hold.tokens(),
-        };
-        self.kv.iter().map(handle).collect()
+    /// KV held outside streams.
+    pub(super) fn kv(&self) -> &HeldKv {
+        &self.kv
     }
 
     /// Frees held KV.
     pub(super) fn free(&mut self, kv: &str) -> Result<(), Error> {
-        let held = self.kv.remove(kv).ok_or(Error::NotFound)?;
-        self.memory.release(held.hold);
+        let hold = self.kv.remove(kv)?;
+        self.memory.release(hold);
         self.admit();
         self.note(Instant::now());
         Ok(())
@@ -245,16 +224,6 @@
         self.note(Instant::now());
     }
 
-    fn covered(&self, kv: &[String]) -> Result<u64, Error> {
-        let mut tokens = 0;
-        for kv in kv {
-            let held = self.kv.get(kv);
-            let held = held.ok_or_else(|| Error::Rejected(format!("no such kv: {kv}")))?;
-            tokens += held.text_tokens;
-        }
-        Ok(tokens)
-    }
-
     fn accept(&mut self, job: Job) -> Result<Arc<Progress>, Error> {
         if job.total_tokens > self.options.kv_capacity_tokens {
             return Err(Error::Rejected("the prompt can never fit".to_string()));
@@ -351,9 +320,7 @@
             self.journal.end(execution, whole);
         }
         if job.kind == Kind::Export && !cancelled {
-            let text_tokens = job.prompt_tokens;
-            let held = HeldKv { text_tokens, hold };
-            self.kv.insert(job.id.clone(), held);
+            self.kv.insert(&job.id, job.prompt_tokens, hold);
         } else {
             self.memory.release(hold);
         }
--- a/crates/mgs-standin/src/engine/core.rs
+++ b/crates/mgs-standin/src/engine/core.rs
@@ -116,7 +116,7 @@
         if let Some(progress) = progress {
             progress.wait(u64::MAX);
         }
-        self.life().batch.held(&export.kv)
+        self.life().batch.kv().get(&export.kv)
     }
 
     /// Imports KV, which takes its time while the memory is held already.
@@ -155,7 +155,7 @@
             used_tokens: memory.used_tokens(),
             cached_tokens: memory.cached_tokens(),
             peak_tokens: memory.peak_tokens(),
-            held_kv: life.batch.kv(),
+            held_kv: life.batch.kv().list(),
         }
     }
 
--- a/crates/mgs-standin/src/engine/mod.rs
+++ b/crates/mgs-standin/src/engine/mod.rs
@@ -13,6 +13,7 @@
 
 mod batch;
 mod core;
+mod held;
 mod job;
 mod journal;
 pub mod memory;
--- a/crates/mgs-standin/src/engine/server.rs
+++ b/crates/mgs-standin/src/engine/server.rs
@@ -111,7 +111,7 @@
                 http::json(request, 200, &streams);
             }
             "/kv" => {
-                let kv = self.core.life().batch.kv();
+                let kv = self.core.life().batch.kv().list();
                 http::json(request, 200, &kv);
             }
             "/load" => {
