feat(sidecar): process, export and import the parts of prompts beyond one engine

Cause: a reservation held memory, but nothing ran under it. Ruled out: KV without an owner between export and import (each belongs to its reservation or to its request, and ends with it); the short calls' timeout for exports, which take as long as a prefill. Conclusion: the sidecar's side of spans is whole; plan and hand-over are the gateway's.

--- a/crates/mgs-engine/src/http.rs
+++ b/crates/mgs-engine/src/http.rs
@@ -35,6 +35,8 @@
     pub connect_timeout_ms: u64,
     /// Longest wait for an answer to a short call, in milliseconds.
     pub call_timeout_ms: u64,
+    /// Longest wait for KV to be exported or imported, in milliseconds.
+    pub kv_timeout_ms: u64,
     /// Longest silence of a stream before its path counts as broken, in milliseconds.
     pub silence_timeout_ms: u64,
 }
@@ -45,6 +47,7 @@
             base_url: "http://127.0.0.1:7500".to_string(),
             connect_timeout_ms: 500,
             call_timeout_ms: 2_000,
+            kv_timeout_ms: 600_000,
             silence_timeout_ms: 600_000,
         }
     }
@@ -87,6 +90,19 @@
         response.json().map_err(classify)
     }
 
+    /// A call that takes as long as the engine needs for its tokens.
+    fn post_kv<I: Serialize>(&self, path: &str, input: &I) -> Result<KvHandle, Error> {
+        let limit = Duration::from_millis(self.options.kv_timeout_ms);
+        let request = self
+            .request(Method::POST, path)
+            .read_timeout(limit)
+            .timeout(limit)
+            .json(input)
+            .map_err(classify)?;
+        let response = checked(request.send().map_err(classify)?)?;
+        response.json().map_err(classify)
+    }
+
     fn post<I: Serialize>(&self, path: &str, input: &I) -> Result<Response, Error> {
         let request = self
             .call(Method::POST, path)
@@ -183,11 +199,11 @@
     }
 
     fn export_kv(&self, export: &KvExport) -> Result<KvHandle, Error> {
-        self.post("/kv/export", export)?.json().map_err(classify)
+        self.post_kv("/kv/export", export)
     }
 
     fn import_kv(&self, handle: &KvHandle) -> Result<KvHandle, Error> {
-        self.post("/kv/import", handle)?.json().map_err(classify)
+        self.post_kv("/kv/import", handle)
     }
 
     fn kv(&self) -> Result<Vec<KvHandle>, Error> {
--- a/crates/mgs-ledger/src/finish.rs
+++ b/crates/mgs-ledger/src/finish.rs
@@ -7,6 +7,7 @@
 use crate::action::Action;
 use crate::ledger::Ledger;
 use crate::memory::Holding;
+use crate::memory::Owner;
 use crate::plant::Plant;
 use crate::record::Fate;
 
@@ -77,6 +78,7 @@
         };
         let attempt = live.job().attempt;
         self.memory.free(&Holding::Stream { id, attempt });
+        self.free_owned(now_ms, Owner::Request(id));
         let until_ms = now_ms + self.options.record_keep_ms;
         if live.told {
             self.records
@@ -128,7 +130,7 @@
         self.mean_run_ms += run_ms / MEAN_SHARE;
         self.mean_run_ms -= self.mean_run_ms / MEAN_SHARE;
         self.keep_answer(now_ms, id, attempt, answer_bytes);
-        self.drive_freeing(now_ms);
+        self.free_owned(now_ms, Owner::Request(id));
         self.schedule(now_ms);
     }
 
--- a/crates/mgs-ledger/src/ledger.rs
+++ b/crates/mgs-ledger/src/ledger.rs
@@ -9,8 +9,6 @@
 use crate::action::Action;
 use crate::job::Job;
 use crate::job::Sender;
-use crate::memory::Allocation;
-use crate::memory::Holding;
 use crate::memory::Memory;
 use crate::plant::Plant;
 use crate::queue::Queue;
@@ -273,37 +271,6 @@
         refusal.or(is_stale.then_some(RefusalReason::StaleSession))
     }
 
-    /// Reserves memory for a part of a prompt; repeating it prolongs the reservation.
-    pub fn span_reserve(
-        &mut self,
-        now_ms: u64,
-        span: u64,
-        tokens: u64,
-        valid_ms: u64,
-        by: u64,
-    ) -> bool {
-        let holding = Holding::Span(span);
-        let held = self.memory.get(&holding).map_or(0, |held| held.tokens);
-        let fits = self.memory.fits(tokens.saturating_sub(held));
-        if !fits || self.closed.leaving || self.closed.down {
-            return false;
-        }
-        let allocation = Allocation {
-            tokens,
-            expires_ms: now_ms + valid_ms,
-            gateway: by,
-            freeing_ms: None,
-        };
-        self.memory.hold(holding, allocation);
-        true
-    }
-
-    /// Frees a reservation.
-    pub fn span_release(&mut self, now_ms: u64, span: u64) {
-        self.memory.free(&Holding::Span(span));
-        self.schedule(now_ms);
-    }
-
     /// Refuses new work from now on, and what waits; or takes work again.
     pub fn set_leaving(&mut self, now_ms: u64, leaving: bool) {
         self.closed.leaving = leaving;
--- a/crates/mgs-ledger/src/lib.rs
+++ b/crates/mgs-ledger/src/lib.rs
@@ -32,5 +32,6 @@
 pub mod record;
 pub mod schedule;
 pub mod session;
+mod span;
 mod tick;
 mod withdraw;
--- a/crates/mgs-ledger/src/memory.rs
+++ b/crates/mgs-ledger/src/memory.rs
@@ -7,21 +7,34 @@
 /// What holds memory.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub enum Holding {
-    /// The stream of an attempt of a request; owned by the request.
+    /// The stream of an attempt of a request.
     Stream {
         /// The request.
         id: RequestId,
         /// Its attempt.
         attempt: u32,
     },
-    /// A reservation; owned by the gateway that made it.
+    /// A reservation.
     Span(u64),
     /// A stream that the engine lists and no request here owns.
     Foreign(String),
-    /// KV that the engine lists outside streams and no request here owns.
+    /// KV outside streams.
     Kv(String),
 }
 
+/// Who answers for an allocation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub enum Owner {
+    /// Nobody known here.
+    Nobody,
+    /// A request; it ends with it.
+    Request(RequestId),
+    /// A reservation; it ends with it.
+    Span(u64),
+    /// A gateway; it ends with its lease.
+    Gateway(u64),
+}
+
 /// Memory that is held.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
 pub struct Allocation {
@@ -29,8 +42,8 @@
     pub tokens: u64,
     /// When it is to be freed at the latest.
     pub expires_ms: u64,
-    /// Gateway that reserved it; 0 if it belongs to a request or nobody.
-    pub gateway: u64,
+    /// Who answers for it.
+    pub owner: Owner,
     /// When the next attempt to free it is due; `None` while it is wanted.
     pub freeing_ms: Option<u64>,
 }
@@ -105,6 +118,26 @@
         self.held.iter()
     }
 
+    /// Moves up to `tokens` from one allocation to another.
+    pub fn move_tokens(&mut self, from: &Holding, to: &Holding, tokens: u64) {
+        let available = self.held.get(from).map_or(0, |held| held.tokens);
+        let moved = available.min(tokens);
+        if self.held.contains_key(to) {
+            if let Some(held) = self.held.get_mut(from) {
+                held.tokens -= moved;
+            }
+            if let Some(held) = self.held.get_mut(to) {
+                held.tokens += moved;
+            }
+        }
+    }
+
+    /// What an owner answers for.
+    pub fn owned_by(&self, owner: Owner) -> Vec<Holding> {
+        let owned = self.held.iter().filter(|(_, held)| held.owner == owner);
+        owned.map(|(holding, _)| holding.clone()).collect()
+    }
+
     /// Memory that reservations hold, and when the first of them ends.
     pub fn reserved(&self) -> (u64, Option<u64>) {
         let spans = |(holding, allocation): (&Holding, &Allocation)| match holding {
--- a/crates/mgs-ledger/src/reconcile.rs
+++ b/crates/mgs-ledger/src/reconcile.rs
@@ -13,6 +13,7 @@
 use crate::ledger::Resumed;
 use crate::memory::Allocation;
 use crate::memory::Holding;
+use crate::memory::Owner;
 use crate::queue::Waiting;
 use crate::record::Fate;
 
@@ -102,9 +103,13 @@
         let gone: Vec<Holding> = self
             .memory
             .iter()
-            .filter(|(holding, _)| match holding {
+            .filter(|(holding, held)| match holding {
                 Holding::Foreign(name) => !listed.contains(name.as_str()),
-                Holding::Kv(name) => !listed_kv.contains(name.as_str()),
+                // What is wanted may be on its way to the engine.
+                Holding::Kv(name) => {
+                    let is_wanted = held.owner != Owner::Nobody && held.freeing_ms.is_none();
+                    !is_wanted && !listed_kv.contains(name.as_str())
+                }
                 _ => false,
             })
             .map(|(holding, _)| holding.clone())
@@ -129,13 +134,19 @@
     }
 
     /// Takes up what nobody here owns, for a while or, if its request is over, to free it.
-    fn note_ownerless(&mut self, now_ms: u64, holding: Holding, tokens: u64, over: bool) {
+    pub(crate) fn note_ownerless(
+        &mut self,
+        now_ms: u64,
+        holding: Holding,
+        tokens: u64,
+        over: bool,
+    ) {
         if self.memory.get(&holding).is_none() {
             let wait_ms = if over { 0 } else { self.options.adopt_ms };
             let allocation = Allocation {
                 tokens,
                 expires_ms: now_ms + wait_ms,
-                gateway: 0,
+                owner: Owner::Nobody,
                 freeing_ms: None,
             };
             self.memory.hold(holding.clone(), allocation);
@@ -199,6 +210,7 @@
         };
         let waiting = Waiting::new(now_ms, job);
         allocation.expires_ms = waiting.deadline_ms;
+        allocation.owner = Owner::Request(id);
         self.memory
             .hold(Holding::Stream { id, attempt }, allocation);
         let live = Live {
--- a/crates/mgs-ledger/src/schedule.rs
+++ b/crates/mgs-ledger/src/schedule.rs
@@ -9,6 +9,7 @@
 use crate::ledger::Live;
 use crate::memory::Allocation;
 use crate::memory::Holding;
+use crate::memory::Owner;
 use crate::queue::Waiting;
 use crate::record::Fate;
 
@@ -222,10 +223,13 @@
         let allocation = Allocation {
             tokens,
             expires_ms: waiting.deadline_ms,
-            gateway: 0,
+            owner: Owner::Request(id),
             freeing_ms: None,
         };
         self.memory.hold(holding, allocation);
+        if job.span != 0 {
+            self.hand_over_span(job.span, id);
+        }
         if self.prefilling().next().is_none() {
             self.prefill_from_ms = now_ms;
         }
--- a/crates/mgs-ledger/src/tick.rs
+++ b/crates/mgs-ledger/src/tick.rs
@@ -8,6 +8,7 @@
 use crate::job::Job;
 use crate::ledger::Ledger;
 use crate::memory::Holding;
+use crate::memory::Owner;
 
 impl Ledger {
     /// Looks at what is due; to be called every few milliseconds.
@@ -77,30 +78,36 @@
 
     /// Ends reservations and what nobody has come back for.
     fn expire_memory(&mut self, now_ms: u64) {
-        let lease_ms = self.options.gateway_lease_ms;
         let mut spans = Vec::new();
         let mut foreign = Vec::new();
         for (holding, allocation) in self.memory.iter() {
             let over = allocation.expires_ms <= now_ms;
             match holding {
-                Holding::Span(_) => {
-                    let gone_ms = self.sessions.gone_ms(now_ms, allocation.gateway);
-                    if over || gone_ms > lease_ms {
-                        spans.push(holding.clone());
-                    }
+                Holding::Span(span) if over || self.is_gone(now_ms, allocation.owner) => {
+                    spans.push(*span);
                 }
                 Holding::Foreign(_) | Holding::Kv(_) if over => foreign.push(holding.clone()),
                 _ => {}
             }
         }
-        for holding in spans {
-            self.memory.free(&holding);
+        for span in spans {
+            self.span_release(now_ms, span);
         }
         for holding in foreign {
             self.free_soon(now_ms, &holding);
         }
     }
 
+    /// Whether a gateway that owns something has been gone for too long.
+    fn is_gone(&self, now_ms: u64, owner: Owner) -> bool {
+        match owner {
+            Owner::Gateway(gateway) => {
+                self.sessions.gone_ms(now_ms, gateway) > self.options.gateway_lease_ms
+            }
+            Owner::Nobody | Owner::Request(_) | Owner::Span(_) => false,
+        }
+    }
+
     /// Asks the engine to free what is due to be freed, again and again until it is gone.
     pub(crate) fn drive_freeing(&mut self, now_ms: u64) {
         let mut due = Vec::new();
--- a/crates/mgs-sidecar/src/handler.rs
+++ b/crates/mgs-sidecar/src/handler.rs
@@ -24,9 +24,6 @@
 use mgs_schema::wire::Resume;
 use mgs_schema::wire::SettingsConfirm;
 use mgs_schema::wire::SettingsReply;
-use mgs_schema::wire::SpanRelease;
-use mgs_schema::wire::SpanReply;
-use mgs_schema::wire::SpanReserve;
 use mgs_schema::wire::Welcome;
 use mgs_schema::wire::Withdraw;
 use mgs_schema::wire::WithdrawReply;
@@ -36,6 +33,7 @@
 use mgs_transport::server::Reply;
 
 use crate::answer::Answer;
+use crate::span;
 use crate::state::failed;
 use crate::state::locked;
 use crate::state::refused;
@@ -63,8 +61,9 @@
             Body::Cancel(cancel) => self.cancel(cancel.request_id(), &reply),
             Body::Probe(probe) => answer(&reply, Body::Quote(self.quote(&probe))),
             Body::Ping(ping) => answer(&reply, Body::Pong(Pong { nonce: ping.nonce })),
-            Body::SpanReserve(span) => self.span_reserve(&span, &reply),
-            Body::SpanRelease(span) => self.span_release(&span, &reply),
+            Body::SpanReserve(span) => span::reserve(&self.shared, &span, &reply),
+            Body::SpanRelease(span) => span::release(&self.shared, &span, &reply),
+            Body::SpanExport(export) => span::export(&self.shared, export, reply),
             Body::Order(order) => self.order(order, reply),
             Body::SettingsReply(settings) => self.settings(settings, &reply),
             other => log::warn!(message:? = other; "message that a sidecar doesn't serve"),
@@ -78,7 +77,7 @@
 }
 
 /// A caller that has gone needs no answer.
-fn answer(reply: &Reply, body: Body) {
+pub(crate) fn answer(reply: &Reply, body: Body) {
     if reply.send(body).is_err() {
         log::debug!("the caller has gone");
     }
@@ -171,7 +170,7 @@
             weight: dispatch.weight,
             priority: dispatch.priority,
             prompt_tokens: dispatch.prompt_tokens,
-            cached_tokens: self.cached_tokens(&dispatch.prefix_hashes, dispatch.prompt_tokens),
+            cached_tokens: self.known_tokens(dispatch),
             max_tokens: dispatch.max_tokens,
             budget_ms: dispatch.budget_ms,
             orphan_ms: dispatch.orphan_ms,
@@ -180,6 +179,13 @@
         }
     }
 
+    /// Prompt tokens that the engine needn't process: imported or cached.
+    fn known_tokens(&self, dispatch: &Dispatch) -> u64 {
+        let imported: u64 = dispatch.kv.iter().map(|part| part.kv_tokens).sum();
+        let cached = self.cached_tokens(&dispatch.prefix_hashes, dispatch.prompt_tokens);
+        imported.max(cached).min(dispatch.prompt_tokens)
+    }
+
     fn cached_tokens(&self, hashes: &[u64], prompt_tokens: u64) -> u64 {
         let blocks = locked(&self.shared.cache).cached_blocks(hashes);
         (blocks as u64 * BLOCK_TOKENS).min(prompt_tokens)
@@ -282,26 +288,6 @@
         }
     }
 
-    fn span_reserve(&self, span: &SpanReserve, reply: &Reply) {
-        let done = span.sidecar_incarnation == self.shared.incarnation
-            && self.shared.tell(|ledger, now_ms| {
-                ledger.span_reserve(
-                    now_ms,
-                    span.span,
-                    span.kv_tokens,
-                    span.valid_ms,
-                    span.gateway_incarnation,
-                )
-            });
-        answer(reply, Body::SpanReply(SpanReply { done }));
-    }
-
-    fn span_release(&self, span: &SpanRelease, reply: &Reply) {
-        self.shared
-            .tell(|ledger, now_ms| ledger.span_release(now_ms, span.span));
-        answer(reply, Body::SpanReply(SpanReply { done: true }));
-    }
-
     /// Orders are rare and slow, and get a thread each.
     fn order(&self, order: Order, reply: Reply) {
         let shared = self.shared.clone();
--- a/crates/mgs-sidecar/src/lib.rs
+++ b/crates/mgs-sidecar/src/lib.rs
@@ -28,6 +28,7 @@
 mod report;
 pub mod service;
 pub mod sidecar;
+mod span;
 mod state;
 mod stream;
 mod watcher;
--- a/crates/mgs-sidecar/src/stream.rs
+++ b/crates/mgs-sidecar/src/stream.rs
@@ -19,6 +19,7 @@
 use mgs_schema::wire::TokenFrame;
 
 use crate::service;
+use crate::span;
 use crate::state::failed;
 use crate::state::locked;
 use crate::state::Endpoint;
@@ -153,6 +154,11 @@
 
     /// Starts the stream and reads it; nothing is returned if it is proved not to have started.
     fn start(self, dispatch: Dispatch) -> Option<End> {
+        if let Err(error) = span::import(self.shared, self.work, self.engine, &dispatch.kv) {
+            log::debug!(error:% = error, stream = self.name; "a part can't be imported");
+            not_started(self.shared, self.work, dispatch, NotStarted::Unreachable);
+            return None;
+        }
         let why = match self.engine.start(&self.message(&dispatch)) {
             Ok(stream) => {
                 drop(dispatch);
@@ -180,7 +186,7 @@
             prompt: String::from_utf8_lossy(&dispatch.body).into_owned(),
             max_tokens: dispatch.max_tokens,
             priority: dispatch.priority,
-            kv: Vec::new(),
+            kv: dispatch.kv.iter().map(|part| part.kv.clone()).collect(),
         }
     }
 
