fix(gateway): resume from restarted sidecars, name kept reasons, look up without a row

Cause: a sidecar that has just started refused a resume before it had found its streams, and the request ended as failed; reasons of the durable part became unspecified; a look-up of a durable request needed a row of limits, and its 503 said not_run: true. Ruled out: a withdraw first (a new incarnation can't tell, which ends the request). Conclusion: a refused resume is asked five times, 100 ms apart, before the withdraw; /readyz waits up to 3 s for the store.

--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -44,6 +44,10 @@
 use crate::session::Sessions;
 use crate::session::Slot;
 
+/// How long a gateway waits after its start for the store, before it serves without it, in
+/// milliseconds.
+const STORE_WAIT_MS: u64 = 3_000;
+
 /// State shared by the threads of one gateway.
 pub struct Core {
     pub(crate) options: Options,
@@ -279,6 +283,10 @@
         if !self.has_settings() {
             return Err("no settings that are fresh enough".to_string());
         }
+        let opening = self.durable().is_some_and(|durable| !durable.ready());
+        if opening && self.now_ms() < STORE_WAIT_MS {
+            return Err("the store isn't reached yet".to_string());
+        }
         Ok(())
     }
 }
--- a/crates/mgs-gateway/src/http/problem.rs
+++ b/crates/mgs-gateway/src/http/problem.rs
@@ -109,7 +109,21 @@
         let name = format!("FAILURE_REASON_{}", ended.reason.to_ascii_uppercase());
         let known = FailureReason::from_str_name(&name);
         let failure = known.unwrap_or(FailureReason::Unspecified);
-        Some(Self::ran(failure, &ended.reason, not_run))
+        // The durable part has reasons of its own.
+        Some(Self {
+            reason: ended.reason.clone(),
+            ..Self::ran(failure, &ended.reason, not_run)
+        })
+    }
+
+    /// A question about a durable request that couldn't be answered; it says nothing of whether
+    /// that request ran.
+    pub fn not_looked_up() -> Self {
+        Self {
+            message: "the store can't be reached; this says nothing of the request".to_string(),
+            not_run: NotRun::Unknown,
+            ..Self::refused(&Refusal::new(RefusalReason::StoreUnavailable, ""))
+        }
     }
 
     fn ran(failure: FailureReason, detail: &str, not_run: NotRun) -> Self {
--- a/crates/mgs-gateway/src/http/requests.rs
+++ b/crates/mgs-gateway/src/http/requests.rs
@@ -21,6 +21,7 @@
 use crate::core::Core;
 use crate::http::answer;
 use crate::http::keyed;
+use crate::http::problem::Problem;
 use crate::http::serve;
 use crate::http::serve::Caller;
 
@@ -117,13 +118,16 @@
             None
         }
         Some(Err(_)) | None => {
-            let refusal = keyed::refusal(RefusalReason::StoreUnavailable, 0);
-            serve::refuse(core, request, caller.origin.id, &refusal);
+            not_looked_up(request, caller);
             None
         }
     }
 }
 
+fn not_looked_up(request: Request, caller: &Caller) {
+    answer::send_problem(request, &caller.headers(), &Problem::not_looked_up());
+}
+
 fn show(core: &Core, request: Request, caller: &Caller, id: &str) {
     let Some((request, status)) = find(core, request, caller, id) else {
         return;
@@ -155,10 +159,7 @@
     let ended = core.durable().map(|durable| durable.answer(done));
     match ended {
         Some(Ok(ended)) => answer::send_ended(request, &caller.headers(), ended),
-        Some(Err(_)) | None => {
-            let refusal = keyed::refusal(RefusalReason::StoreUnavailable, 0);
-            serve::refuse(core, request, caller.origin.id, &refusal);
-        }
+        Some(Err(_)) | None => not_looked_up(request, caller),
     }
 }
 
@@ -174,10 +175,7 @@
         Some(Ok(Cancelled::NotRun)) => "not_run",
         Some(Ok(Cancelled::Wanted)) => "wanted",
         Some(Ok(Cancelled::Ended)) => "ended",
-        Some(Err(_)) | None => {
-            let refusal = keyed::refusal(RefusalReason::StoreUnavailable, 0);
-            return serve::refuse(core, request, caller.origin.id, &refusal);
-        }
+        Some(Err(_)) | None => return not_looked_up(request, caller),
     };
     let body = json!({"id": id, "cancelled": word});
     send(request, &caller.headers(), 200, &body);
--- a/crates/mgs-gateway/src/http/serve.rs
+++ b/crates/mgs-gateway/src/http/serve.rs
@@ -132,6 +132,9 @@
         return Err(body::too_large(&body));
     }
     let row = table.limit(&organisation, &head.kind).cloned();
+    // Questions about durable requests run nothing, and need no row.
+    let asks = request.url().starts_with(requests::PREFIX);
+    let row = row.or_else(|| asks.then(LimitRow::default));
     let row = row.ok_or_else(|| {
         let detail = "no row for the organisation and kind of request";
         Refusal::new(RefusalReason::UnknownModel, detail)
--- a/crates/mgs-request/src/life.rs
+++ b/crates/mgs-request/src/life.rs
@@ -34,6 +34,8 @@
     pub attempts_max: usize,
     /// Pause before a sidecar that couldn't be asked is asked again, in milliseconds.
     pub ask_again_ms: u64,
+    /// Refusals of a resume before the sidecar is asked to take the attempt back instead.
+    pub resumes_max: u32,
     /// Pause before an endpoint is chosen again when all are busy, in milliseconds.
     pub choose_again_ms: u64,
     /// A deliberate bug.
@@ -50,6 +52,7 @@
             hedge_slack_ms: 500,
             attempts_max: 4,
             ask_again_ms: 100,
+            resumes_max: 5,
             choose_again_ms: 20,
             plant: Plant::None,
         }
--- a/crates/mgs-request/src/life/hear.rs
+++ b/crates/mgs-request/src/life/hear.rs
@@ -85,8 +85,12 @@
                 self.set(number, State::NotRun);
                 self.retry(step, RetryReason::Refused);
             }
+            // A sidecar that was started again finds its streams after a while.
+            Some(State::Resuming) if self.asked(number) < self.options.resumes_max => {
+                self.asked_in_vain(step, number, true);
+            }
             // A refused resume isn't a proof; a withdraw gives one, or says that there is none.
-            Some(State::Resuming) => self.asked_in_vain(step, number, false),
+            Some(State::Resuming) => self.ask(step, number, false),
             _ => {}
         }
     }
@@ -111,6 +115,12 @@
         }
     }
 
+    /// Times that an attempt's sidecar was asked in vain.
+    pub(super) fn asked(&self, number: AttemptNumber) -> u32 {
+        let attempt = self.attempts.get(number as usize - 1);
+        attempt.map_or(0, |attempt| attempt.asked)
+    }
+
     pub(super) fn progressed(&mut self, number: AttemptNumber) {
         if let Some(attempt) = self.attempt(number) {
             attempt.asked = 0;
--- a/crates/mgs-request/tests/life.rs
+++ b/crates/mgs-request/tests/life.rs
@@ -30,6 +30,7 @@
         hedge_slack_ms: 1,
         attempts_max: 2,
         ask_again_ms: 1,
+        resumes_max: 1,
         choose_again_ms: 1,
         plant,
     }
