--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -2,14 +2,15 @@
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
-use std::collections::VecDeque;
 use std::ops::Range;
 
 use mgs_schema::key::RequestId;
+use mgs_schema::prefix::LONG_PROMPT_TOKENS;
 use mgs_schema::prefix::SHORT_PROMPT_TOKENS;
 use mgs_schema::settings::Snapshot;
 use mgs_schema::wire::RefusalReason;
 
+use crate::ageing::Ageing;
 use crate::arena::Arena;
 use crate::arena::Key;
 use crate::entry::Answers;
@@ -28,9 +29,6 @@
 use crate::rows::RowKey;
 use crate::rows::Rows;
 
-/// Shortest prompt of the last band, in tokens.
-const LONG_PROMPT_TOKENS: u64 = 100_000;
-
 /// Settings of a [`FairQueue`].
 #[derive(Debug, Clone, Copy)]
 pub struct Options {
@@ -67,9 +65,6 @@
     }
 }
 
-/// Most tokens that aged requests may save up.
-const AGED_CREDIT_MAX: f64 = 200_000.0;
-
 /// The product's admission.
 ///
 /// ```
@@ -89,9 +84,7 @@
     entries: Arena<Entry>,
     keys: HashMap<RequestId, Key>,
     deadlines: BTreeSet<(u64, Key)>,
-    ageing: BTreeSet<(u64, Key)>,
-    aged: VecDeque<Key>,
-    aged_credit: f64,
+    ageing: Ageing,
 }
 
 impl FairQueue {
@@ -191,7 +184,7 @@
         self.keys.insert(offer.id, key);
         self.deadlines.insert((offer.deadline_ms, key));
         if self.rows.get(row).priority() > 0 {
-            self.ageing.insert((self.aged_ms(offer), key));
+            self.ageing.insert(self.aged_ms(offer), key);
         }
         if let Some(entry) = self.entries.get(key) {
             self.flows.push(now_ms, entry.waiting(key));
@@ -220,7 +213,7 @@
         self.deadlines.remove(&(deadline_ms, key));
         if let Some(entry) = self.entries.get(key) {
             let aged_ms = self.aged_ms(&entry.offer);
-            self.ageing.remove(&(aged_ms, key));
+            self.ageing.remove(aged_ms, key);
         }
     }
 
@@ -313,8 +306,8 @@
         };
         self.flows.start(now_ms, waiting, charge);
         self.forget_times(deadline_ms, key);
-        let credit = charge.tokens as f64 * self.options.aged_tokens_share;
-        self.aged_credit = (self.aged_credit + credit).min(AGED_CREDIT_MAX);
+        let share = self.options.aged_tokens_share;
+        self.ageing.earn(charge.tokens, share);
     }
 
     /// Starts what there is room for in classes that share their turns.
@@ -347,23 +340,16 @@
 
     /// Lets aged requests of low priority start out of their turn, within their share.
     fn start_aged(&mut self, now_ms: u64, room: &mut dyn Room, actions: &mut Vec<Action>) {
-        while let Some((aged_ms, key)) = self.ageing.first().copied() {
-            if aged_ms > now_ms {
-                break;
-            }
-            self.ageing.pop_first();
-            self.aged.push_back(key);
-        }
-        while let Some(key) = self.aged.front().copied() {
+        self.ageing.pass(now_ms);
+        while let Some(key) = self.ageing.first() {
             let queued = self.entries.get(key).filter(|entry| entry.queued);
-            let cost = queued.map(|entry| entry.offer.prompt_tokens as f64);
-            if let Some(cost) = cost {
-                if self.aged_credit <= 0.0 || !self.try_start(now_ms, key, room, actions) {
-                    break;
+            if let Some(tokens) = queued.map(|entry| entry.offer.prompt_tokens) {
+                if !self.ageing.has_credit() || !self.try_start(now_ms, key, room, actions) {
+                    return;
                 }
-                self.aged_credit -= cost;
+                self.ageing.spend(tokens);
             }
-            self.aged.pop_front();
+            self.ageing.drop_first();
         }
     }
 }
--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -6,6 +6,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod ageing;
 pub mod arena;
 pub mod bucket;
 pub mod drain;
--- a/crates/mgs-routing/src/lane.rs
+++ b/crates/mgs-routing/src/lane.rs
@@ -1,10 +1,8 @@
 //! Lengths of prompts as sidecars and engines must tell them apart.
 
+use mgs_schema::prefix::LONG_PROMPT_TOKENS;
 use mgs_schema::prefix::SHORT_PROMPT_TOKENS;
 
-/// Shortest prompt of the last lane, in tokens.
-pub const LONG_PROMPT_TOKENS: u64 = 100_000;
-
 /// Lanes of one row priority.
 const LANES: u32 = 3;
 
--- a/crates/mgs-schema/src/prefix.rs
+++ b/crates/mgs-schema/src/prefix.rs
@@ -17,6 +17,9 @@
 /// Longest prompt that counts as short, in tokens.
 pub const SHORT_PROMPT_TOKENS: u64 = 16_384;
 
+/// Shortest prompt that counts as long, in tokens.
+pub const LONG_PROMPT_TOKENS: u64 = 100_000;
+
 /// Tokens of a text, rounded up.
 ///
 /// ```
