--- a/crates/mgs-gateway/src/drive/send.rs
+++ b/crates/mgs-gateway/src/drive/send.rs
@@ -83,6 +83,8 @@
         }
         if let Some(session) = &attempt.session {
             let mut dispatch = self.job.dispatch(self.body.clone(), core.now_ms());
+            let ask = self.job.ask(&core.options.zone, &[], core.now_ms());
+            dispatch.priority = core.policy.engine_priority(&ask);
             dispatch.attempt = number;
             dispatch.sidecar_incarnation = session.incarnation;
             dispatch.session = session.number;
--- a/crates/mgs-gateway/src/job.rs
+++ b/crates/mgs-gateway/src/job.rs
@@ -2,7 +2,6 @@
 
 use mgs_admission::queue::Offer;
 use mgs_fleet::view::EndpointKey;
-use mgs_routing::lane;
 use mgs_routing::policy::Ask;
 use mgs_schema::key::RequestId;
 use mgs_schema::settings::EndpointKind;
@@ -84,7 +83,8 @@
         }
     }
 
-    /// The message for a sidecar; attempt, incarnations and session are the caller's to fill in.
+    /// The message for a sidecar; attempt, incarnations, session and the policy's priority are the
+    /// caller's to fill in.
     pub fn dispatch(&self, body: Vec<u8>, now_ms: u64) -> Dispatch {
         let budget_ms = self.sidecar_budget_ms(now_ms);
         // 0 stands for the sidecar's own lease.
@@ -97,7 +97,7 @@
             request_serial: self.id.serial,
             organisation: self.organisation.clone(),
             kind: self.kind.clone(),
-            priority: lane::engine_priority(self.priority, self.prompt_tokens),
+            priority: self.priority,
             weight: self.weight,
             model: self.model.clone(),
             body,
--- a/crates/mgs-routing/benches/trial/main.rs
+++ b/crates/mgs-routing/benches/trial/main.rs
@@ -47,7 +47,6 @@
     Subject {
         policies: (0..GATEWAYS).map(policy).collect(),
         admissions: (0..GATEWAYS).map(admission).collect(),
-        lanes: own,
     }
 }
 
--- a/crates/mgs-routing/benches/trial/run.rs
+++ b/crates/mgs-routing/benches/trial/run.rs
@@ -16,7 +16,6 @@
 use mgs_fleet::fleet::Fleet;
 use mgs_fleet::view::EndpointKey;
 use mgs_fleet::view::View;
-use mgs_routing::lane;
 use mgs_routing::policy::Ask;
 use mgs_routing::policy::Choice;
 use mgs_routing::policy::Policy;
@@ -50,8 +49,6 @@
 pub(crate) struct Subject {
     pub(crate) policies: Vec<Arc<dyn Policy>>,
     pub(crate) admissions: Vec<Box<dyn Admission>>,
-    /// Whether engines are told the lane-aware priority.
-    pub(crate) lanes: bool,
 }
 
 /// What was measured.
@@ -142,7 +139,6 @@
     placed: Vec<Option<(usize, u64, u64)>>,
     figures: Figures,
     rng: ChaCha8Rng,
-    lanes: bool,
     warm_ms: u64,
     end_ms: u64,
 }
@@ -220,7 +216,6 @@
                 engine_ms: [0; 3],
             },
             rng: ChaCha8Rng::seed_from_u64(7),
-            lanes: subject.lanes,
             warm_ms: seconds * 1_000 / 10,
             end_ms: seconds * 1_000,
             gateways,
@@ -338,11 +333,9 @@
 
     fn at_sidecar(&mut self, now_ms: u64, id: usize, engine: usize) {
         let arrival = &self.arrivals[id];
-        let priority = if self.lanes {
-            lane::engine_priority(1, arrival.prompt_tokens)
-        } else {
-            1
-        };
+        let gateway = &self.gateways[arrival.gateway];
+        let ask = ask(arrival, ZONES[arrival.gateway % 3], now_ms);
+        let priority = gateway.policy.engine_priority(&ask);
         self.engines[engine].push(Job {
             id,
             priority,
--- a/crates/mgs-routing/src/marigold.rs
+++ b/crates/mgs-routing/src/marigold.rs
@@ -241,6 +241,10 @@
             .ok_or(NoChoice::AllBusy)
     }
 
+    fn engine_priority(&self, ask: &Ask<'_>) -> u32 {
+        lane::engine_priority(ask.priority, ask.prompt_tokens)
+    }
+
     fn dispatched(&self, endpoint: EndpointKey, ask: &Ask<'_>) {
         let learned = self.learned.get(endpoint);
         learned.outstanding.add(ask.prompt_tokens);
--- a/crates/mgs-routing/src/policy.rs
+++ b/crates/mgs-routing/src/policy.rs
@@ -71,6 +71,11 @@
     /// Chooses. `random` is fresh for each call.
     fn choose(&self, view: &View, ask: &Ask<'_>, random: u64) -> Result<Choice, NoChoice>;
 
+    /// Priority by which sidecar and engine work on a request; without lanes, that of its row.
+    fn engine_priority(&self, ask: &Ask<'_>) -> u32 {
+        ask.priority
+    }
+
     /// A request was dispatched to an endpoint; reports don't show it yet.
     fn dispatched(&self, endpoint: EndpointKey, ask: &Ask<'_>);
 
--- a/crates/mgs-routing/tests/baseline.rs
+++ b/crates/mgs-routing/tests/baseline.rs
@@ -81,3 +81,12 @@
     }
     assert_eq!(choose(), EndpointKey(0));
 }
+
+#[test]
+fn only_the_products_policy_tells_lengths_apart_at_the_engine() {
+    let priority = |name, tokens| by_name(name).unwrap().engine_priority(&ask(tokens));
+    for name in &NAMES[1..] {
+        assert_eq!(priority(name, 1_000), priority(name, 500_000));
+    }
+    assert!(priority(NAMES[0], 1_000) < priority(NAMES[0], 500_000));
+}
