--- a/crates/mgs-testing/src/chaos/measure.rs
+++ b/crates/mgs-testing/src/chaos/measure.rs
@@ -1,4 +1,5 @@
-//! How long streams stood still after a path had fallen silent.
+//! How long streams stood still after a path had fallen silent, and how long an endpoint that is
+//! leaving still gets work.
 
 use std::collections::BTreeMap;
 use std::sync::PoisonError;
@@ -17,7 +18,8 @@
 /// A pause between two pieces that is longer than any that a busy engine makes.
 const STUCK_MS: u64 = 250;
 
-/// Times from a path's silence to the next piece of the streams that stood still because of it.
+/// Times from a path's silence to the next piece of the streams that stood still because of it, or
+/// others alike.
 #[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize)]
 pub struct Moves {
     /// Streams that stood still and went on.
@@ -66,6 +68,31 @@
     moves
 }
 
+/// Times from the moment when an endpoint was told to leave to the last request that it began
+/// before it was back; 0 for one that began none.
+pub(super) fn last_work(entries: &[Entry]) -> Moves {
+    let mut leaving: BTreeMap<&str, (u64, u64)> = BTreeMap::new();
+    let mut times_ms = Vec::new();
+    for entry in entries {
+        match &entry.event {
+            Event::Leaving { endpoint } => {
+                leaving.insert(endpoint, (entry.at_ms, 0));
+            }
+            Event::Started { endpoint, .. } => {
+                if let Some((from_ms, last_ms)) = leaving.get_mut(endpoint.as_str()) {
+                    *last_ms = entry.at_ms - *from_ms;
+                }
+            }
+            Event::Returned { endpoint } => {
+                let left = leaving.remove(endpoint.as_str());
+                times_ms.extend(left.map(|(_, last_ms)| last_ms));
+            }
+            _ => {}
+        }
+    }
+    Moves::of(times_ms)
+}
+
 struct Silence<'a> {
     at_ms: u64,
     place: &'a str,
--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -55,6 +55,8 @@
     pub invariants: Vec<Finding>,
     /// Times from a path's silence to the next piece of its streams, by kind of silence.
     pub moves: BTreeMap<&'static str, Moves>,
+    /// Times from an endpoint's leaving to the last request that it began.
+    pub leaving: Moves,
     /// Orders sent by contenders for the controller's lease.
     pub orders_given: u64,
     /// Pauses of such contenders that were longer than the lease.
@@ -102,6 +104,7 @@
             lost: violations(Invariant::InTime),
             invariants: findings,
             moves: BTreeMap::new(),
+            leaving: Moves::default(),
             orders_given: 0,
             pauses_beyond_lease: 0,
             failures: Vec::new(),
--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -132,6 +132,7 @@
     let mut findings = check::all(&entries, &options.limits);
     findings.extend(others.findings(options.scenario)?);
     let mut report = Report::new(options, &faults, &entries, findings);
+    report.leaving = measure::last_work(&entries);
     report.pauses_beyond_lease = duties.counts().1;
     report.orders_given = duties.counts().0;
     report.failures = failures;
