--- a/crates/mgs-settings/src/host.rs
+++ b/crates/mgs-settings/src/host.rs
@@ -1,44 +1,118 @@
-//! What the platform's list of hosts says of endpoints.
+//! What the platform's list of hosts says of endpoints, shared among gateways.
+//!
+//! The list is long where hosts are many, and each gateway may read it but rarely. What one reads
+//! it shares: the row `hosts/leaving` names the hosts that leave, and every gateway reads that.
 
-use std::collections::HashSet;
+use std::collections::BTreeSet;
 use std::net::SocketAddr;
 
 use mgs_platform::host::Host;
+use mgs_platform::host::Hosts;
 use mgs_platform::host::State;
+use mgs_platform::table::Table as TableService;
+use mgs_platform::table::Txn;
+use serde::Deserialize;
+use serde::Serialize;
 
+use crate::store::decode;
+use crate::store::encode;
+use crate::store::Error;
 use crate::table::Table;
 
-/// Names of the endpoints whose host is leaving, in order. A host that isn't listed says nothing:
-/// the list lags, and a new host appears in it late.
-///
-/// ```
-/// use mgs_platform::host::Host;
-/// use mgs_platform::host::State;
-/// use mgs_schema::settings::EndpointRow;
-/// use mgs_schema::settings::Snapshot;
-/// use mgs_settings::host;
-/// use mgs_settings::table::Table;
-///
-/// let endpoint = EndpointRow {
-///     name: "engine-1".to_string(),
-///     sidecar_address: "10.0.0.1:7500".to_string(),
-///     ..EndpointRow::default()
-/// };
-/// let table = Table::new(Snapshot { endpoints: vec![endpoint], ..Snapshot::default() });
-/// let host = Host { address: "10.0.0.1".into(), zone: "a".into(), state: State::Leaving };
-/// assert_eq!(host::leaving(&[host], &table), ["engine-1"]);
-/// ```
-pub fn leaving(hosts: &[Host], table: &Table) -> Vec<String> {
-    let leaves = |host: &&Host| host.state == State::Leaving;
-    let addresses = hosts.iter().filter(leaves);
-    let addresses: HashSet<&str> = addresses.map(|host| host.address.as_str()).collect();
-    let on_leaving_host = |address: &str| {
+/// Key of the row.
+pub const LEAVING_KEY: &str = "hosts/leaving";
+
+/// The hosts that leave.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+#[serde(default)]
+pub struct Leaving {
+    /// Their addresses, as the list has them.
+    pub addresses: BTreeSet<String>,
+}
+
+impl Leaving {
+    /// Those that a list says leave. A host that isn't listed says nothing: the list lags, and a
+    /// new host appears in it late.
+    pub fn of(hosts: &[Host]) -> Self {
+        let leaves = |host: &&Host| host.state == State::Leaving;
+        let addresses = hosts.iter().filter(leaves);
+        Self {
+            addresses: addresses.map(|host| host.address.clone()).collect(),
+        }
+    }
+
+    /// Names of the endpoints on them, in order.
+    ///
+    /// ```
+    /// use mgs_platform::host::Host;
+    /// use mgs_platform::host::State;
+    /// use mgs_schema::settings::EndpointRow;
+    /// use mgs_schema::settings::Snapshot;
+    /// use mgs_settings::host::Leaving;
+    /// use mgs_settings::table::Table;
+    ///
+    /// let endpoint = EndpointRow {
+    ///     name: "engine-1".to_string(),
+    ///     sidecar_address: "10.0.0.1:7500".to_string(),
+    ///     ..EndpointRow::default()
+    /// };
+    /// let table = Table::new(Snapshot { endpoints: vec![endpoint], ..Snapshot::default() });
+    /// let host = Host { address: "10.0.0.1".into(), zone: "a".into(), state: State::Leaving };
+    /// assert_eq!(Leaving::of(&[host]).endpoints(&table), ["engine-1"]);
+    /// ```
+    pub fn endpoints(&self, table: &Table) -> Vec<String> {
+        let endpoints = table.snapshot().endpoints.iter();
+        let endpoints = endpoints.filter(|row| self.has(&row.sidecar_address));
+        endpoints.map(|row| row.name.clone()).collect()
+    }
+
+    fn has(&self, address: &str) -> bool {
         let ip = address.parse::<SocketAddr>().map(|a| a.ip().to_string());
-        addresses.contains(address) || ip.is_ok_and(|ip| addresses.contains(ip.as_str()))
-    };
-    let endpoints = table.snapshot().endpoints.iter();
-    let endpoints = endpoints.filter(|row| on_leaving_host(&row.sidecar_address));
-    endpoints.map(|row| row.name.clone()).collect()
+        self.addresses.contains(address) || ip.is_ok_and(|ip| self.addresses.contains(&ip))
+    }
+}
+
+/// Reads what gateways have shared. One read.
+pub fn read(table: &dyn TableService) -> Result<Leaving, Error> {
+    match table.get(LEAVING_KEY)? {
+        Some(row) => decode(LEAVING_KEY, row.value.as_bytes()),
+        None => Ok(Leaving::default()),
+    }
+}
+
+/// What one look at the list brought.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Look {
+    /// The hosts that leave.
+    pub leaving: Leaving,
+    /// Hosts in the list.
+    pub hosts: u64,
+}
+
+/// Reads the list and shares what it says, if that is new. The row is read before the list and
+/// written on the condition that it hasn't changed, so that a gateway that was paused between the
+/// two doesn't bring an older list back. What can't be shared is still returned.
+pub fn look(hosts: &dyn Hosts, table: &dyn TableService) -> Result<Look, Error> {
+    let row = table.get(LEAVING_KEY);
+    let list = hosts.list()?;
+    let leaving = Leaving::of(&list);
+    if let Ok(row) = row {
+        let known = row.as_ref().map(|row| row.value.as_str());
+        let value = encode(LEAVING_KEY, &leaving)?;
+        let nothing = known.is_none() && leaving.addresses.is_empty();
+        if known != Some(value.as_str()) && !nothing {
+            let version = row.map_or(0, |row| row.version);
+            let txn = Txn::default()
+                .when(LEAVING_KEY, version)
+                .put(LEAVING_KEY, &value);
+            // Whatever came of it, the next look finds out.
+            let _ = table.commit(&txn);
+        }
+    }
+    Ok(Look {
+        leaving,
+        hosts: list.len() as u64,
+    })
 }
 
 const MS_PER_S: u64 = 1_000;
@@ -46,8 +120,8 @@
 /// Bytes of one host in the list, about.
 const HOST_BYTES: u64 = 80;
 
-/// When to read the list again, in milliseconds: each second, or as often as a budget of bytes
-/// per second allows for a list of this length.
+/// When one gateway reads the list again, in milliseconds: each second, or as often as a budget of
+/// bytes per second allows for a list of this length.
 ///
 /// ```
 /// use mgs_settings::host;
@@ -58,3 +132,16 @@
 pub fn interval_ms(hosts: u64, bytes_per_s: u64) -> u64 {
     MS_PER_S.max(hosts * HOST_BYTES * MS_PER_S / bytes_per_s.max(1))
 }
+
+/// When a gateway reads again what others have shared, in milliseconds: each second, or as often
+/// as a budget of reads per second allows for all gateways together.
+///
+/// ```
+/// use mgs_settings::host;
+///
+/// assert_eq!(host::shared_interval_ms(3, 300), 1_000);
+/// assert_eq!(host::shared_interval_ms(450, 300), 1_500);
+/// ```
+pub fn shared_interval_ms(gateways: u64, reads_per_s: u64) -> u64 {
+    MS_PER_S.max(gateways * MS_PER_S / reads_per_s.max(1))
+}
