--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -53,9 +53,9 @@
     pub lost: usize,
     /// What each check found.
     pub invariants: Vec<Finding>,
-    /// Times from a path's silence to the next piece of its streams, by kind of silence.
-    pub moves: BTreeMap<&'static str, Moves>,
-    /// Times from an endpoint's leaving to the last request that it began.
+    /// Times from a path's silence to the next piece of its streams, by kind and path.
+    pub moves: BTreeMap<String, Moves>,
+    /// Times from an endpoint\'s leaving to the last request that it began.
     pub leaving: Moves,
     /// Orders sent by contenders for the controller's lease.
     pub orders_given: u64,
--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -41,6 +41,9 @@
 /// Concurrent callers.
 const CALLERS: u64 = 24;
 
+/// Streams that an engine runs at once: few, so that work waits before it.
+const ENGINE_STREAMS_MAX: u32 = 4;
+
 /// Longest pause of a caller between two requests, in milliseconds.
 const THINK_MAX_MS: u64 = 150;
 
@@ -101,6 +104,7 @@
         plant: options.plant.clone(),
         engine: engine::Options {
             check_fencing: options.scenario.contenders() == 0,
+            streams_max: ENGINE_STREAMS_MAX,
             ..engine::Options::default()
         },
         ..cluster::Options::default()
