--- a/crates/mgs-testing/src/chaos/schedule.rs
+++ b/crates/mgs-testing/src/chaos/schedule.rs
@@ -109,11 +109,24 @@
             Self::PauseGateway | Self::PauseSidecar => PAUSE_MAX_MS,
             Self::StoreDown | Self::StoreUnreachable => OUTAGE_MAX_MS,
             Self::StopEndpoint | Self::HostLeaves => LEAVING_MAX_MS,
+            Self::HoldOne => HOLD_MAX_MS,
             _ => FAULT_MAX_MS,
         }
     }
+
+    fn shortest_ms(self) -> u64 {
+        match self {
+            Self::HoldOne => HOLD_MIN_MS,
+            _ => FAULT_MIN_MS,
+        }
+    }
 }
 
+/// Longer than it takes to give up a silent connection, so that what it held comes late.
+const HOLD_MIN_MS: u64 = 2_000;
+
+const HOLD_MAX_MS: u64 = 5_000;
+
 /// Longer than the lease of a gateway at a sidecar, and than that of the controller.
 const PAUSE_MAX_MS: u64 = 14_000;
 
@@ -203,7 +216,7 @@
         at_ms,
         kind,
         place: random.random_range(0..kind.domain(sizes)),
-        lasts_ms: random.random_range(FAULT_MIN_MS..=longest_ms),
+        lasts_ms: random.random_range(kind.shortest_ms()..=longest_ms),
         variant: random.random(),
     }
 }
