feat(testing): hold it against a refusal by key that the request ran

Ruled out: holding it against every refusal of a repeat (a gateway that can't reach the store knows nothing of the first call).

--- a/crates/mgs-testing/tests/check.rs
+++ b/crates/mgs-testing/tests/check.rs
@@ -53,6 +53,15 @@
     ended(call, ending)
 }
 
+fn key_in_use(call: u32) -> Event {
+    let ending = Ending::Error {
+        not_run: NotRun::True,
+        reason: "key_conflict".to_string(),
+        partial: String::new(),
+    };
+    ended(call, ending)
+}
+
 fn broken(call: u32) -> Event {
     let partial = "answer".to_string();
     ended(call, Ending::Broken { partial })
@@ -241,6 +250,16 @@
     ],
     Invariant::NotRun
 )]
+#[case::refused_by_its_key_while_it_runs(
+    vec![
+        at(9_000, sent(9, 9, false)),
+        at(9_010, started(9, 9)),
+        at(9_020, error(9, NotRun::Unknown)),
+        at(9_030, sent(10, 9, false)),
+        at(9_040, key_in_use(10)),
+    ],
+    Invariant::NotRun
+)]
 #[case::twice(
     vec![
         at(9_000, sent(9, 9, false)),
