feat(testing): callers send durable requests and come back for the answers

Cause: never losing a request that was promised to be kept is one of the promises, and chaos sent none. Ruled out: asking one gateway only (any gateway must know it). Conclusion: a kept request isn't excused by the death of its gateway.

--- a/crates/mgs-testing/src/caller/answer.rs
+++ b/crates/mgs-testing/src/caller/answer.rs
@@ -17,7 +17,7 @@
     }
     let text = match kind {
         Kind::Service => json["body"].as_str(),
-        Kind::Streamed | Kind::Whole => json["choices"][0]["text"].as_str(),
+        Kind::Streamed | Kind::Whole | Kind::Durable => json["choices"][0]["text"].as_str(),
     };
     match text {
         Some(text) if success => Ending::Answered {
--- a/crates/mgs-testing/src/caller/mod.rs
+++ b/crates/mgs-testing/src/caller/mod.rs
@@ -1,6 +1,7 @@
 //! Callers: what they send, how they read answers, and what they note in the history.
 
 mod answer;
+mod durable;
 mod plan;
 mod send;
 mod stream;
--- a/crates/mgs-testing/src/caller/plan.rs
+++ b/crates/mgs-testing/src/caller/plan.rs
@@ -27,6 +27,9 @@
 
 const ENDLESS_ANSWER_TOKENS: u64 = 30_000;
 
+/// Time allotted to durable requests, in milliseconds.
+const DURABLE_ALLOTTED_MS: u64 = 25_000;
+
 const ENDLESS_ALLOTTED_MS: u64 = 3_000;
 
 /// How a request is sent.
@@ -38,6 +41,8 @@
     Whole,
     /// A call of the plain service.
     Service,
+    /// A completion whose answer is fetched later.
+    Durable,
 }
 
 /// A request that a caller is to send.
@@ -89,9 +94,10 @@
             true => (LONG_TOKENS_MAX, LONG_ANSWER_TOKENS_MAX),
             false => (SHORT_TOKENS_MAX, ANSWER_TOKENS_MAX),
         };
-        let kind = match random.random_range(0..4) {
-            0 => Kind::Whole,
-            1 => Kind::Service,
+        let kind = match random.random_range(0..8) {
+            0 => Kind::Durable,
+            1 | 2 => Kind::Whole,
+            3 | 4 => Kind::Service,
             _ => Kind::Streamed,
         };
         let keyed = random.random_ratio(1, 4);
@@ -103,9 +109,18 @@
             allotted_ms: random.random_range(8_000..=15_000),
             ..Self::new(request, random.random_range(8..=prompt_max))
         };
-        match random.random_ratio(1, ENDLESS_ONE_IN) {
-            true => plan.endless(),
-            false => plan,
+        match kind {
+            _ if random.random_ratio(1, ENDLESS_ONE_IN) => plan.endless(),
+            Kind::Durable => plan.patient(),
+            _ => plan,
+        }
+    }
+
+    /// The same request with time for another gateway to take it over.
+    fn patient(self) -> Self {
+        Self {
+            allotted_ms: DURABLE_ALLOTTED_MS,
+            ..self
         }
     }
 
@@ -121,7 +136,9 @@
     /// The whole answer that it must get.
     pub fn expected(&self) -> String {
         match self.kind {
-            Kind::Streamed | Kind::Whole => text::expected(&self.text, self.max_tokens),
+            Kind::Streamed | Kind::Whole | Kind::Durable => {
+                text::expected(&self.text, self.max_tokens)
+            }
             // The stand-in of the service sends the body back.
             Kind::Service => self.text.clone(),
         }
--- a/crates/mgs-testing/src/caller/send.rs
+++ b/crates/mgs-testing/src/caller/send.rs
@@ -51,14 +51,17 @@
     pub pieces: Vec<Instant>,
     /// What the system says when to come back, in milliseconds.
     pub retry_after_ms: Option<u64>,
+    /// When the system took a durable request.
+    pub kept: Option<Instant>,
 }
 
 impl Exchange {
-    fn ended(ending: Ending) -> Self {
+    pub(super) fn ended(ending: Ending) -> Self {
         Self {
             ending,
             pieces: Vec::new(),
             retry_after_ms: None,
+            kept: None,
         }
     }
 }
@@ -84,13 +87,13 @@
     Ok(exchange)
 }
 
-fn build(gateway: SocketAddr, plan: &Plan) -> RequestBuilder<Text<String>> {
+pub(super) fn build(gateway: SocketAddr, plan: &Plan) -> RequestBuilder<Text<String>> {
     let (path, body, content_type) = match plan.kind {
         Kind::Service => {
             let path = format!("/services/{SERVICE}/orders");
             (path, plan.text.clone(), "text/plain")
         }
-        Kind::Streamed | Kind::Whole => {
+        Kind::Streamed | Kind::Whole | Kind::Durable => {
             let body = json!({
                 "model": MODEL,
                 "prompt": plan.text,
@@ -113,7 +116,7 @@
     request.text(body)
 }
 
-fn read(plan: &Plan, response: Response) -> Exchange {
+pub(super) fn read(plan: &Plan, response: Response) -> Exchange {
     let success = response.is_success();
     if success && plan.kind == Kind::Streamed {
         let mut pieces = Vec::new();
@@ -142,7 +145,7 @@
     Some(seconds * 1_000)
 }
 
-fn is_unsent(error: &attohttpc::Error) -> bool {
+pub(super) fn is_unsent(error: &attohttpc::Error) -> bool {
     match error.kind() {
         ErrorKind::ConnectError { .. } => true,
         ErrorKind::Io(io) => io.kind() == std::io::ErrorKind::ConnectionRefused,
--- a/crates/mgs-testing/src/caller/worker.rs
+++ b/crates/mgs-testing/src/caller/worker.rs
@@ -14,9 +14,12 @@
 use rand::RngExt;
 use rand_chacha::ChaCha8Rng;
 
+use crate::caller::durable;
+use crate::caller::plan::Kind;
 use crate::caller::plan::Plan;
 use crate::caller::send;
 use crate::caller::send::Exchange;
+use crate::caller::send::NotSent;
 use crate::history::Call;
 use crate::history::Ending;
 use crate::history::Event;
@@ -117,10 +120,10 @@
 
     /// Sends one call and notes it; `None` if there was no connection.
     pub fn call(&self, gateway: usize, plan: &Plan) -> Option<Exchange> {
-        let Entry { place, address, .. } = &self.gateways[gateway];
+        let place = &self.gateways[gateway].place;
         let call = Call(self.next_call.fetch_add(1, Ordering::Relaxed));
         let sent = Instant::now();
-        let exchange = send::send(*address, plan, &send::Options::default()).ok()?;
+        let exchange = self.exchange(gateway, plan).ok()?;
         let ended = Instant::now();
         self.recorder.record_at(
             sent,
@@ -133,6 +136,9 @@
                 expected: plan.expected(),
             },
         );
+        if let Some(kept) = exchange.kept {
+            self.recorder.record_at(kept, Event::Kept { call });
+        }
         let ending = exchange.ending.clone();
         self.recorder
             .record_at(ended, Event::Ended { call, ending });
@@ -140,6 +146,17 @@
         Some(exchange)
     }
 
+    fn exchange(&self, gateway: usize, plan: &Plan) -> Result<Exchange, NotSent> {
+        let options = send::Options::default();
+        if plan.kind != Kind::Durable {
+            return send::send(self.gateways[gateway].address, plan, &options);
+        }
+        let (before, from) = self.gateways.split_at(gateway);
+        let in_turn = from.iter().chain(before);
+        let addresses: Vec<SocketAddr> = in_turn.map(|entry| entry.address).collect();
+        durable::submit(&addresses, plan, &options)
+    }
+
     fn note_gaps(&self, request: Request, exchange: &Exchange) {
         let pairs = exchange.pieces.windows(2);
         let gaps = pairs.map(|pair| Gap {
--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -45,6 +45,8 @@
     pub reasons: BTreeMap<String, usize>,
     /// Calls that met a fault and ended as unknown, by kind of fault.
     pub unknown_by_fault: BTreeMap<String, Share>,
+    /// Durable requests that the system promised to keep.
+    pub kept: usize,
     /// Runs at the endpoints.
     pub executions: usize,
     /// Non-idempotent requests that ran more than once.
@@ -97,7 +99,8 @@
             outcomes: count(endings(entries).map(outcome)),
             reasons: count(endings(entries).filter_map(reason)),
             unknown_by_fault: unknown_by_fault(entries),
-            executions: executions(entries),
+            kept: events(entries, |event| matches!(event, Event::Kept { .. })),
+            executions: events(entries, |event| matches!(event, Event::Started { .. })),
             doubled: violations(Invariant::AtMostOnce),
             lost: violations(Invariant::InTime),
             invariants: findings,
@@ -171,9 +174,9 @@
     }
 }
 
-fn executions(entries: &[Entry]) -> usize {
-    let started = |entry: &&Entry| matches!(entry.event, Event::Started { .. });
-    entries.iter().filter(started).count()
+fn events(entries: &[Entry], wanted: impl Fn(&Event) -> bool) -> usize {
+    let entries = entries.iter();
+    entries.filter(|entry| wanted(&entry.event)).count()
 }
 
 /// Counts, for each kind of fault, the calls that were open during one.
