--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -103,8 +103,8 @@
         binary: options.binary.clone(),
         plant: options.plant.clone(),
         engine: engine::Options {
-            check_fencing: options.scenario.contenders() == 0,
             streams_max: ENGINE_STREAMS_MAX,
+            check_fencing: options.scenario.contenders() == 0,
             ..engine::Options::default()
         },
         ..cluster::Options::default()
