feat(durable): group writes by each gateway's share of the store's budget

Cause: a fixed window of a few milliseconds lets every further gateway add its own transactions, until the store refuses them all. Ruled out: a fixed longer window (it would slow three gateways for the sake of four hundred). Conclusion: the window follows the count of live gateways.

--- a/crates/mgs-durable/src/durable.rs
+++ b/crates/mgs-durable/src/durable.rs
@@ -50,6 +50,9 @@
     pub gateway: u64,
     /// How writes are grouped.
     pub grouper: grouper::Options,
+    /// Transactions of all gateways together that the store is given per second; each gateway
+    /// groups its writes for as long as its share of them asks.
+    pub txns_per_s: u64,
     /// Longest wait for one write, in milliseconds.
     pub write_patience_ms: u64,
     /// How long a withdrawn request's tombstone must last, in milliseconds: longer than the
@@ -74,6 +77,7 @@
         Self {
             gateway: 1,
             grouper: grouper::Options::default(),
+            txns_per_s: 200,
             write_patience_ms: 2_000,
             tombstone_ms: 2 * 3_600_000,
             keep_ms: 24 * 3_600_000,
--- a/crates/mgs-durable/src/grouper.rs
+++ b/crates/mgs-durable/src/grouper.rs
@@ -1,6 +1,8 @@
 //! The thread that groups conditional writes into transactions.
 
 use std::collections::HashSet;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
@@ -26,8 +28,8 @@
 /// Settings of a grouper.
 #[derive(Debug, Clone)]
 pub struct Options {
-    /// Shortest time between the starts of two transactions, in milliseconds. Writes that come
-    /// meanwhile are grouped.
+    /// Shortest time between the starts of two transactions, in milliseconds, unless
+    /// [`Grouper::set_window`] says another one. Writes that come meanwhile are grouped.
     pub window_ms: u64,
     /// Most writes in one transaction.
     pub group_max: usize,
@@ -55,6 +57,7 @@
 #[derive(Debug, Clone)]
 pub struct Grouper {
     jobs: Sender<Job>,
+    window_ms: Arc<AtomicU64>,
 }
 
 impl Grouper {
@@ -65,7 +68,9 @@
         metrics: Arc<Metrics>,
     ) -> (Self, JoinHandle<()>) {
         let (jobs, inbox) = channel::unbounded();
+        let window_ms = Arc::new(AtomicU64::new(options.window_ms));
         let runner = Runner {
+            window_ms: Arc::clone(&window_ms),
             options,
             table,
             metrics,
@@ -75,7 +80,12 @@
         let thread = thread::Builder::new().name("durable-grouper".to_string());
         let thread = thread.spawn(move || runner.run());
         let thread = thread.expect("the system can start a thread");
-        (Self { jobs }, thread)
+        (Self { jobs, window_ms }, thread)
+    }
+
+    /// Sets the shortest time between the starts of two transactions, in milliseconds.
+    pub fn set_window(&self, window_ms: u64) {
+        self.window_ms.store(window_ms, Ordering::Relaxed);
     }
 
     /// Makes a conditional write and waits for its outcome, at most about `patience`.
@@ -108,6 +118,7 @@
 }
 
 struct Runner {
+    window_ms: Arc<AtomicU64>,
     options: Options,
     table: Arc<dyn Table>,
     metrics: Arc<Metrics>,
@@ -125,7 +136,7 @@
                 Err(RecvError) => return,
             };
             self.make(group);
-            let window = Duration::from_millis(self.options.window_ms);
+            let window = Duration::from_millis(self.window_ms.load(Ordering::Relaxed));
             thread::sleep(window.saturating_sub(began.elapsed()));
         }
     }
--- a/crates/mgs-durable/src/keeper.rs
+++ b/crates/mgs-durable/src/keeper.rs
@@ -27,6 +27,11 @@
 /// Wait between two looks at whether something is due.
 const PAUSE: Duration = Duration::from_millis(10);
 
+/// Longest time between two transactions of a gateway, in milliseconds.
+const WINDOW_MAX_MS: u64 = 1_000;
+
+const MS_PER_S: u64 = 1_000;
+
 /// Rows of gone gateways that one pass deletes, at most.
 const REMAINS_MAX: usize = 4;
 
@@ -66,6 +71,7 @@
         let now_ms = self.core.now_ms();
         let live = lock(&self.core.watch).live(now_ms);
         let period_ms = lease::period_ms(live.len(), self.core.options.beat_min_ms);
+        self.core.grouper.set_window(self.window_ms(live.len()));
         self.beat(period_ms);
         if let Err(error) = self.look() {
             log::warn!(error:% = error; "the store can't be read; no lease is judged anew");
@@ -76,6 +82,13 @@
         period_ms
     }
 
+    /// Time between transactions that keeps all gateways together within the store's budget.
+    fn window_ms(&self, gateways: usize) -> u64 {
+        let options = &self.core.options;
+        let spread_ms = gateways as u64 * MS_PER_S / options.txns_per_s.max(1);
+        spread_ms.min(WINDOW_MAX_MS).max(options.grouper.window_ms)
+    }
+
     /// Rewrites the gateway's row. A row that another process deleted is written anew.
     fn beat(&mut self, period_ms: u64) {
         self.beat += 1;
