--- a/src/operator/print.rs
+++ b/src/operator/print.rs
@@ -42,7 +42,8 @@
     }
 }
 
-fn aligned(lines: &[Vec<String>], out: &mut dyn Write) -> Result<(), Error> {
+/// Prints lines of cells with their columns aligned.
+pub fn aligned(lines: &[Vec<String>], out: &mut dyn Write) -> Result<(), Error> {
     let columns = lines.first().map_or(0, Vec::len);
     let width = |column: usize| {
         let cells = lines.iter().filter_map(|line| line.get(column));
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -44,6 +44,7 @@
 #[case("table")]
 #[case("endpoint")]
 #[case("organisation")]
+#[case("request")]
 #[case("status")]
 #[case("demo")]
 #[case("standin")]
