feat(request): reserve memory at several endpoints for a prompt beyond one engine's

Cause: a prompt of more than one engine's memory needs several endpoints at once, and two such prompts must not wait for each other for ever or leave memory held. Ruled out: waiting without a limit (a gateway that stalls would hold memory), and waiting with nothing held (the larger span would lose to the smaller ones).

--- a/crates/mgs-request/src/lib.rs
+++ b/crates/mgs-request/src/lib.rs
@@ -23,3 +23,4 @@
 pub mod life;
 pub mod outcome;
 pub mod plant;
+pub mod span;
