fix(gateway): say "unknown" of a repeat whose earlier request is under way

Cause: a caller whose first call broke and who repeated it under the same key was told "not run" while its request ran; taken literally, it sends it under a new key. Ruled out: waiting without a limit (the caller's own time ends). Conclusion: keyed and durable repeats end in the same 409 with a time to come back.

--- a/crates/mgs-gateway/src/http/keyed.rs
+++ b/crates/mgs-gateway/src/http/keyed.rs
@@ -64,11 +64,7 @@
         }
         Claimed::Replay(ended) => serve::answer_kept(request, caller, stream, ended),
         Claimed::Moved(durable_id) => requests::accepted(request, caller, &durable_id),
-        Claimed::Busy { retry_after_ms } => {
-            let mut refusal = refusal(RefusalReason::KeyConflict, retry_after_ms);
-            refusal.detail = "an earlier request of this key hasn't ended".to_string();
-            serve::refuse(core, request, id, &refusal);
-        }
+        Claimed::Busy { retry_after_ms } => requests::busy(request, caller, retry_after_ms),
         Claimed::Refused {
             reason,
             retry_after_ms,
--- a/crates/mgs-gateway/src/http/requests.rs
+++ b/crates/mgs-gateway/src/http/requests.rs
@@ -11,6 +11,7 @@
 use mgs_durable::request::Cancelled;
 use mgs_durable::request::Status;
 use mgs_durable::request::Submitted;
+use mgs_schema::name::Name;
 use mgs_schema::wire::RefusalReason;
 use serde_json::json;
 use serde_json::Value;
@@ -31,6 +32,8 @@
 /// When to look again at a request that hasn't ended, in seconds.
 const LOOK_AGAIN_S: &str = "1";
 
+const MS_PER_S: u64 = 1_000;
+
 /// A request as it is kept.
 pub(crate) fn work(caller: &Caller, body: Vec<u8>) -> Work {
     let origin = &caller.origin;
@@ -72,9 +75,26 @@
             }});
             send(request, &caller.headers(), 503, &error);
         }
+        Submitted::Busy { retry_after_ms } => busy(request, caller, retry_after_ms),
     }
 }
 
+/// Says that an earlier request of the same key is under way. It isn't known here whether that one
+/// has run, and the caller means it too.
+pub(crate) fn busy(request: Request, caller: &Caller, retry_after_ms: u64) {
+    let retry_after_s = retry_after_ms.div_ceil(MS_PER_S).to_string();
+    let mut headers = caller.headers();
+    headers.extend(Header::from_bytes("Retry-After", retry_after_s.as_str()));
+    let error = json!({"error": {
+        "message": "an earlier request of this key hasn't ended; send it again under the same key",
+        "type": "unknown",
+        "reason": RefusalReason::KeyConflict.name(),
+        "not_run": "unknown",
+        "retry_after_ms": retry_after_ms,
+    }});
+    send(request, &headers, 409, &error);
+}
+
 fn send(request: Request, headers: &[Header], status: u16, body: &Value) {
     let body = body.to_string().into_bytes();
     answer::send(request, headers, status, answer::JSON, body);
