fix(durable): let doubled submissions meet, and end the unreachable in time

Cause: the second of two submissions of one key at the same moment was refused as if the store were out; and a request whose endpoint never came back was asked for beyond its allotted time. Ruled out: answering 202 while the first is still being written (it may be given up). Conclusion: the second waits for the first, and a late request ends `unknown`.

--- a/crates/mgs-durable/src/pursuit.rs
+++ b/crates/mgs-durable/src/pursuit.rs
@@ -7,7 +7,8 @@
 //!   effect, so that a later holder knows whom to ask.
 //! - The entry of a holder that is gone is taken over at once if the request may run again or
 //!   was sent nowhere. Otherwise the endpoint is asked first: [`Proof::NeverStarted`] frees the
-//!   request, a running or finished one is resumed, and without a proof it ends `unknown`.
+//!   request, a running or finished one is resumed, and without a proof it ends `unknown`. An
+//!   endpoint that can't be asked is asked again until the request's time is over.
 //! - Without a proof that a write took effect, nothing that depends on it is done.
 
 pub use event::Action;
@@ -79,6 +80,8 @@
     writes: u64,
     /// Whether a dispatch went out under this tenure.
     sent: bool,
+    /// Whether the request's allotted time is over.
+    late: bool,
 }
 
 impl Pursuit {
@@ -96,6 +99,7 @@
             version: 0,
             writes: 0,
             sent: false,
+            late: false,
         }
     }
 
@@ -115,6 +119,7 @@
         doomed: Option<RefusalReason>,
     ) -> Action {
         self.phase = Phase::Following;
+        self.late = doomed == Some(RefusalReason::Deadline);
         match row {
             Some(row) => self.decide(row, gone, doomed),
             None => self.over(Action::Over),
@@ -251,14 +256,14 @@
             }
             Proof::NeverStarted => self.take_as(State::Held),
             Proof::Running | Proof::Finished => self.take_as(State::Dispatched(target)),
-            Proof::CannotTell => {
-                let done = Done::without_answer(Ending::Unknown, "no_proof");
-                self.take_as(State::Done(done))
-            }
-            Proof::Unreachable => {
+            Proof::Unreachable if !self.late => {
                 self.phase = Phase::Following;
                 Action::Follow
             }
+            Proof::CannotTell | Proof::Unreachable => {
+                let done = Done::without_answer(Ending::Unknown, "no_proof");
+                self.take_as(State::Done(done))
+            }
         }
     }
 
--- a/crates/mgs-durable/src/request.rs
+++ b/crates/mgs-durable/src/request.rs
@@ -1,6 +1,8 @@
 //! Durable requests: submitted once, found by any gateway, answered when asked.
 
 use std::sync::Arc;
+use std::thread;
+use std::time::Duration;
 use std::time::Instant;
 
 use mgs_platform::object::Objects;
@@ -40,6 +42,15 @@
 /// When a caller should come back while the store is out, in milliseconds.
 const OUTAGE_RETRY_MS: u64 = 5_000;
 
+/// When a caller whose earlier request is under way should come back, in milliseconds.
+const BUSY_RETRY_MS: u64 = 1_000;
+
+/// Longest wait for an earlier submission of the same key, in milliseconds.
+const SUBMITTING_WAIT_MS: u64 = 5_000;
+
+/// Wait before the earlier submission is looked at again.
+const SUBMITTING_LOOK: Duration = Duration::from_millis(50);
+
 /// Tries of a cancellation that meets other writes of its row.
 const CANCEL_TRIES: usize = 8;
 
@@ -59,6 +70,11 @@
     },
     /// It may be kept under this identifier; the caller can look there.
     Unsure(String),
+    /// An earlier request of this key is under way, and may run: 409, come back.
+    Busy {
+        /// When to come back, in milliseconds.
+        retry_after_ms: u64,
+    },
 }
 
 impl Submitted {
@@ -69,6 +85,12 @@
         }
     }
 
+    fn busy() -> Self {
+        Submitted::Busy {
+            retry_after_ms: BUSY_RETRY_MS,
+        }
+    }
+
     fn conflict() -> Self {
         Submitted::Refused {
             reason: RefusalReason::KeyConflict,
@@ -132,10 +154,7 @@
         Insert::Met(found) => match found.state {
             State::Async => Ok(()),
             State::Done(done) => replay(core, &done),
-            _ => Err(Submitted::Refused {
-                reason: RefusalReason::KeyConflict,
-                retry_after_ms: OUTAGE_RETRY_MS,
-            }),
+            _ => Err(Submitted::busy()),
         },
         Insert::Made(_) | Insert::Broken => Err(Submitted::conflict()),
     }
@@ -175,7 +194,21 @@
     }
 }
 
+/// Keeps the request, after an earlier submission of the same key has come to its end.
 fn keep(core: &Arc<Core>, asked: &Asked, work: &Work, id: &str, shared_ms: u64) -> Kept {
+    let wait_ms = SUBMITTING_WAIT_MS.min(asked.budget_ms);
+    let until = Instant::now() + Duration::from_millis(wait_ms);
+    loop {
+        let kept = keep_once(core, asked, work, id, shared_ms);
+        let busy = matches!(kept.submitted, Submitted::Busy { .. });
+        if !busy || Instant::now() >= until {
+            return kept;
+        }
+        thread::sleep(SUBMITTING_LOOK);
+    }
+}
+
+fn keep_once(core: &Arc<Core>, asked: &Asked, work: &Work, id: &str, shared_ms: u64) -> Kept {
     let nonce = core.enter();
     let options = pursuit::Options {
         gateway: core.options.gateway,
@@ -193,12 +226,15 @@
         Insert::Made(Action::Upload) => upload(core, pursuit.clone(), work, id),
         Insert::Made(_) => Submitted::outage().into(),
         Insert::Met(found) if found.digest != asked.digest => Submitted::conflict().into(),
-        Insert::Met(found) if found.state == State::Submitting => Submitted::outage().into(),
+        Insert::Met(found) if found.state == State::Submitting => Submitted::busy().into(),
         Insert::Met(_) => Submitted::Accepted(id.to_string()).into(),
         Insert::Broken => Submitted::conflict().into(),
     };
     if kept.held.is_none() {
-        if !matches!(kept.submitted, Submitted::Accepted(_)) {
+        if !matches!(
+            kept.submitted,
+            Submitted::Accepted(_) | Submitted::Busy { .. }
+        ) {
             core.surrender(pursuit.key(), nonce);
         }
         core.leave(nonce);
--- a/crates/mgs-durable/tests/common/mod.rs
+++ b/crates/mgs-durable/tests/common/mod.rs
@@ -4,6 +4,7 @@
 #![allow(dead_code)]
 
 use std::collections::HashMap;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
@@ -46,6 +47,8 @@
     /// Runs wait while it is set.
     held: Mutex<bool>,
     serial: AtomicU64,
+    /// The endpoint can't be asked while it is set.
+    cut: AtomicBool,
 }
 
 impl Site {
@@ -59,6 +62,11 @@
         self.changed.notify_all();
     }
 
+    /// Makes the endpoint unreachable, or reachable again.
+    pub(crate) fn cut(&self, cut: bool) {
+        self.cut.store(cut, Ordering::SeqCst);
+    }
+
     /// The sidecar starts anew and knows nothing.
     pub(crate) fn restart(&self) {
         self.incarnation.fetch_add(1, Ordering::SeqCst);
@@ -145,6 +153,9 @@
     }
 
     fn withdraw(&self, target: &Target, _tombstone_ms: u64) -> Proof {
+        if self.site.cut.load(Ordering::SeqCst) {
+            return Proof::Unreachable;
+        }
         if target.sidecar_incarnation != self.site.incarnation.load(Ordering::SeqCst) {
             return Proof::CannotTell;
         }
--- a/crates/mgs-durable/tests/request.rs
+++ b/crates/mgs-durable/tests/request.rs
@@ -3,6 +3,7 @@
 mod common;
 
 use std::sync::Arc;
+use std::thread;
 
 use rstest::rstest;
 
@@ -139,6 +140,56 @@
     assert_eq!(site.executions(), 1);
 }
 
+#[test]
+fn doubled_submissions_at_two_gateways_meet_one_request() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let gateways = [1, 2].map(|number| gateway(options(number), &memory, &site));
+    memory.faults().set(Settings {
+        delay_ms: 5,
+        ..Settings::default()
+    });
+    let ids: Vec<String> = thread::scope(|scope| {
+        let submit = |durable: &Durable| {
+            let submitted = durable.submit(&asked("k", LONG_BODY), &work(LONG_BODY));
+            accepted(submitted)
+        };
+        let threads: Vec<_> = gateways
+            .iter()
+            .cycle()
+            .take(6)
+            .map(|durable| scope.spawn(move || submit(durable)))
+            .collect();
+        threads
+            .into_iter()
+            .map(|thread| thread.join().unwrap())
+            .collect()
+    });
+    assert!(ids.iter().all(|id| *id == ids[0]), "{ids:?}");
+    assert_eq!(ended(&gateways[1], &ids[0]), answered(LONG_BODY));
+    assert_eq!(site.executions(), 1);
+}
+
+#[test]
+fn an_endpoint_that_is_never_reached_again_ends_unknown_in_time() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let first = gateway(options(1), &memory, &site);
+    site.hold(true);
+    let mut brief = asked("", b"x");
+    brief.budget_ms = 1_000;
+    let id = accepted(first.submit(&brief, &work(b"x")));
+    wait_until("it runs", || site.executions() == 1);
+    site.cut(true);
+    drop(first);
+    let second = gateway(options(2), &memory, &site);
+    let answer = ended(&second, &id);
+    assert_eq!(
+        (answer.ending, answer.reason.as_str()),
+        (Ending::Unknown, "no_proof")
+    );
+    site.hold(false);
+    assert_eq!(site.executions(), 1);
+}
+
 #[test]
 fn a_queued_request_is_cancelled_unrun() {
     let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
