--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,6 +2,7 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod cluster;
 pub(crate) mod process;
 
 use std::process::Command;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -12,29 +12,22 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::cluster::endpoint;
+use common::cluster::start_sidecar;
+use common::cluster::write_table;
+use common::cluster::ANY_PORT;
+use common::cluster::KEY;
 use common::process::Process;
 use marigoldstage::demo::client;
 use marigoldstage::demo::client::Ended;
 use marigoldstage::demo::client::Request;
 use mgs_platform::http;
 use mgs_platform::table::Table as PlatformTable;
-use mgs_schema::settings::Change;
 use mgs_schema::settings::EndpointKind;
-use mgs_schema::settings::EndpointRow;
-use mgs_schema::settings::LimitRow;
-use mgs_schema::settings::OrganisationRow;
-use mgs_settings::row::RowValue;
-use mgs_settings::row::ANY;
-use mgs_settings::store::edit;
-use mgs_settings::store::read::Store;
-use mgs_settings::table::key_digest;
-use mgs_settings::table::Table;
 use mgs_standin::engine::text::expected;
 use serde_json::json;
 
-const KEY: &str = "key-of-org-1";
 const READY_TIMEOUT: Duration = Duration::from_secs(60);
-const ANY_PORT: &str = "127.0.0.1:0";
 
 struct Cluster {
     gateway: Process,
@@ -115,74 +108,6 @@
     }
 }
 
-fn start_sidecar(name: &str, kind: &str, url: &str, platform: &str) -> (Process, SocketAddr) {
-    Process::role(
-        "sidecar",
-        &[
-            "--name",
-            name,
-            "--endpoint-kind",
-            kind,
-            "--endpoint-url",
-            url,
-            "--listen",
-            ANY_PORT,
-            "--admin",
-            ANY_PORT,
-            "--platform",
-            platform,
-        ],
-    )
-}
-
-fn endpoint(name: &str, kind: EndpointKind, at: SocketAddr, model: &str) -> EndpointRow {
-    EndpointRow {
-        name: name.to_string(),
-        kind: kind.into(),
-        sidecar_address: at.to_string(),
-        zone: "zone-1".to_string(),
-        models: vec![model.to_string()],
-        started: true,
-        ..EndpointRow::default()
-    }
-}
-
-fn write_table(platform_url: &str, endpoints: &[EndpointRow]) {
-    let client = http::Client::new(http::Options {
-        base_url: platform_url.to_string(),
-        ..http::Options::default()
-    });
-    let organisation = OrganisationRow {
-        name: "org-1".to_string(),
-        key_digests: vec![key_digest(KEY)],
-        version: 0,
-    };
-    let limit = LimitRow {
-        organisation: ANY.to_string(),
-        kind: ANY.to_string(),
-        weight: 1,
-        allotted_ms: 60_000,
-        ..LimitRow::default()
-    };
-    let mut changes: Vec<Change> = vec![
-        RowValue::Organisation(organisation).set(),
-        RowValue::Limit(limit).set(),
-    ];
-    let endpoints = endpoints.iter().cloned().map(RowValue::Endpoint);
-    changes.extend(endpoints.map(RowValue::set));
-    let options = edit::Options {
-        edit_id: "test-1".to_string(),
-        author: "test".to_string(),
-        changes,
-        ..edit::Options::default()
-    };
-    let store = Store {
-        table: &client,
-        objects: &client,
-    };
-    edit::commit(store, &Table::default(), &options).unwrap();
-}
-
 #[test]
 fn a_streamed_answer_comes_whole_through_all_processes() {
     let cluster = Cluster::start();
