--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -1,5 +1,6 @@
 //! Settings that all serving roles share, and what follows from them.
 
+use std::io::Write;
 use std::net::SocketAddr;
 use std::sync::Arc;
 
@@ -11,6 +12,7 @@
 use mgs_observe::logs::Logs;
 use mgs_observe::metrics::Registry;
 use mgs_platform::http;
+use serde::Serialize;
 
 use crate::error::Error;
 use crate::setting::switch;
@@ -183,3 +185,11 @@
     }
     name
 }
+
+/// Prints a value as indented JSON.
+pub fn print_json<T: Serialize>(value: &T, out: &mut dyn Write) -> Result<(), Error> {
+    let text = serde_json::to_string_pretty(value);
+    let text = text.map_err(|error| Error::Failed(error.to_string()))?;
+    writeln!(out, "{text}")?;
+    Ok(())
+}
--- a/src/command/status.rs
+++ b/src/command/status.rs
@@ -8,7 +8,6 @@
 use clap::ArgMatches;
 use clap::Command;
 use mgs_platform::http::Client;
-use serde::Serialize;
 
 use super::process;
 use crate::error::Error;
@@ -74,7 +73,7 @@
     let ask = |address| status::ask(address, timeout);
     let processes: Vec<Process> = addresses.into_iter().map(ask).collect();
     if json {
-        print_json(&processes, out)?;
+        process::print_json(&processes, out)?;
     } else {
         status::print_table(&processes, out)?;
     }
@@ -85,19 +84,12 @@
 fn run_platform(client: &Client, json: bool, out: &mut dyn Write) -> Result<(), Error> {
     let known = member::read(client)?;
     if json {
-        return print_json(&known, out);
+        return process::print_json(&known, out);
     }
     member::print_table(&known, out)?;
     Ok(())
 }
 
-fn print_json<T: Serialize>(value: &T, out: &mut dyn Write) -> Result<(), Error> {
-    let text = serde_json::to_string_pretty(value);
-    let text = text.map_err(|error| Error::Failed(error.to_string()))?;
-    writeln!(out, "{text}")?;
-    Ok(())
-}
-
 fn judge(processes: &[Process]) -> Result<(), Error> {
     let ready = processes.iter().filter(|process| process.ready).count();
     if ready == processes.len() {
--- a/src/setting/mod.rs
+++ b/src/setting/mod.rs
@@ -105,6 +105,16 @@
         self.faults.push(Fault { given, advice });
     }
 
+    /// Notes a fault of an argument that is no flag.
+    pub fn argument_fault(&mut self, name: &str, advice: impl Into<String>) {
+        let given = self.optional(name).unwrap_or_default();
+        let given: String = given.chars().take(SHOWN_CHARS_MAX).collect();
+        self.faults.push(Fault {
+            given: format!("{given:?}"),
+            advice: advice.into(),
+        });
+    }
+
     /// Whether a switch is given.
     pub fn switch(&self, flag: &str) -> bool {
         self.matches.get_flag(flag)
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -1,5 +1,7 @@
 //! The command line as a newcomer meets it: help, errors, exit codes, completions.
 
+#![cfg(feature = "demo")]
+
 mod common;
 
 use common::code;
@@ -44,6 +46,7 @@
 #[case("table")]
 #[case("endpoint")]
 #[case("organisation")]
+#[case("request")]
 #[case("status")]
 #[case("demo")]
 #[case("standin")]
--- a/tests/demo.rs
+++ b/tests/demo.rs
@@ -1,5 +1,7 @@
 //! The demonstration as a newcomer runs it.
 
+#![cfg(feature = "demo")]
+
 mod common;
 
 use std::io::BufRead;
--- a/tests/process.rs
+++ b/tests/process.rs
@@ -1,5 +1,7 @@
 //! The whole path as real processes: stand-ins, sidecars and a gateway, each on its own.
 
+#![cfg(feature = "demo")]
+
 mod common;
 
 use std::io::BufRead;
