feat(demo): answers kept for later, and requests sent to both gateways under one key

Cause: the demo showed neither asynchronous requests nor repeats across gateways, where a request could run twice. Ruled out: repeats one after the other, which never meet. Conclusion: lost also counts admissions without an end, by the gateways' own counters.

--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -36,8 +36,12 @@
 the platform, all in this process, on loopback sockets. Engines and platform are stand-ins: answers
 are words without sense, and times are those of a stated cost model, sped up by --time-scale.
 
+The mix: prompts of 1k to 1M tokens from 4 organisations; answers streamed, whole, or kept and
+fetched later; calls of the plain service; a quarter may not run twice, and some of those are sent
+to both gateways at once under one Idempotency-Key.
+
 The last line of standard output is JSON:
-  admitted   requests that the gateways admitted
+  admitted   requests that the gateways admitted; one sent to both may count at both
   answered   callers that got the whole answer, compared with what the engine gave
   refused    callers told that their request was not run
   failed     callers told that it ran, or partly ran, without a whole answer
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -168,11 +168,12 @@
     pub fn audit(&self, records: &[Record]) -> Summary {
         self.wait_until_settled();
         let admitted = self.total("mgs_gateway_admitted_total");
-        let open = self.total("mgs_gateway_open_requests");
+        let ended = self.total("mgs_gateway_ended_total");
+        let without_end = (admitted - ended).max(0.0) as u64;
         let seen = Summary::of(records);
         Summary {
             admitted: admitted as u64,
-            lost: seen.lost.max(open as u64),
+            lost: seen.lost.max(without_end),
             ran_twice: self.ran_twice(records),
             ..seen
         }
@@ -231,9 +232,13 @@
     SocketAddr::from(([127, 0, 0, 1], 0))
 }
 
+/// Sum of a metric over its labels.
 fn metric(registry: &Registry, name: &str) -> f64 {
+    let labelled = format!("{name}{{");
     let metrics = parse_metrics(&registry.encode());
-    metrics.get(name).copied().unwrap_or_default()
+    let of_name = |key: &str| key == name || key.starts_with(&labelled);
+    let values = metrics.iter().filter(|(key, _)| of_name(key));
+    values.map(|(_, value)| value).sum()
 }
 
 fn failed(error: impl std::fmt::Display) -> Error {
--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -10,6 +10,7 @@
 use serde_json::json;
 
 use super::client;
+use super::client::Delivery;
 use super::client::Ended;
 use super::client::Outcome;
 use super::client::Request;
@@ -63,70 +64,91 @@
 }
 
 fn send(planned: Planned, target: &Target) -> Record {
-    let gateway = target.gateways[planned.number as usize % target.gateways.len()];
+    let first = planned.number as usize % target.gateways.len();
+    let second = (first + 1) % target.gateways.len();
+    let outcome = if planned.doubled {
+        thread::scope(|scope| {
+            let other = scope.spawn(|| send_to(&planned, target, second, first));
+            let outcome = send_to(&planned, target, first, second);
+            let other = other.join().expect("BUG: a caller panicked");
+            joined(outcome, other)
+        })
+    } else {
+        send_to(&planned, target, first, second)
+    };
+    Record { planned, outcome }
+}
+
+/// The end of a request that was sent twice: that of the copy that ran. A copy without an outcome
+/// is lost, whatever became of the other.
+fn joined(first: Outcome, second: Outcome) -> Outcome {
+    match (&first.ended, &second.ended) {
+        (Ended::Lost(_), _) => first,
+        (_, Ended::Lost(_)) => second,
+        (Ended::Refused(_), _) => second,
+        _ => first,
+    }
+}
+
+/// Sends a request to one gateway; an answer that comes later is fetched from another.
+fn send_to(planned: &Planned, target: &Target, gateway: usize, later: usize) -> Outcome {
+    let request = base(planned, target, later);
+    let gateway = target.gateways[gateway];
     let mut outcome = match planned.call {
         Call::Completion {
             prompt_tokens,
             shared_prefix,
             max_tokens,
-            streamed,
+            delivery,
         } => {
-            let prompt = plan::prompt(&planned, prompt_tokens, shared_prefix);
-            let request = completion(&planned, target, gateway, &prompt, max_tokens, streamed);
+            let prompt = plan::prompt(planned, prompt_tokens, shared_prefix);
+            let request = Request {
+                url: format!("http://{gateway}/v1/completions"),
+                body: completion(&prompt, max_tokens, delivery),
+                delivery,
+                ..request
+            };
             let outcome = client::send(&request);
             drop(request);
             compared(outcome, &expected(&prompt, max_tokens))
         }
-        Call::Service => client::send(&service(&planned, target, gateway)),
+        Call::Service => {
+            let path = plan::service_path(planned);
+            client::send(&Request {
+                url: format!("http://{gateway}/services/{}{path}", plan::SERVICE),
+                body: json!({ "item": planned.number }).to_string(),
+                ..request
+            })
+        }
     };
     if let Ended::Answered { text, .. } = &mut outcome.ended {
         // Compared above; kept texts would only take memory.
         text.clear();
     }
-    Record { planned, outcome }
+    outcome
 }
 
-fn completion(
-    planned: &Planned,
-    target: &Target,
-    gateway: SocketAddr,
-    prompt: &str,
-    max_tokens: u64,
-    streamed: bool,
-) -> Request {
+fn completion(prompt: &str, max_tokens: u64, delivery: Delivery) -> String {
     let body = json!({
         "model": plan::MODEL,
         "prompt": prompt,
         "max_tokens": max_tokens,
-        "stream": streamed,
+        "stream": delivery == Delivery::Streamed,
     });
-    Request {
-        url: format!("http://{gateway}/v1/completions"),
-        body: body.to_string(),
-        streamed,
-        ..base(planned, target)
-    }
-}
-
-fn service(planned: &Planned, target: &Target, gateway: SocketAddr) -> Request {
-    let path = plan::service_path(planned);
-    Request {
-        url: format!("http://{gateway}/services/{}{path}", plan::SERVICE),
-        body: json!({ "item": planned.number }).to_string(),
-        ..base(planned, target)
-    }
+    body.to_string()
 }
 
-fn base(planned: &Planned, target: &Target) -> Request {
+fn base(planned: &Planned, target: &Target, later: usize) -> Request {
     let kind = &plan::KINDS[planned.kind];
+    let key = || format!("demo-{}", planned.number);
     Request {
-        url: String::new(),
         bearer_key: target.bearer_keys[planned.organisation].clone(),
         kind: kind.name.to_string(),
-        body: String::new(),
-        streamed: false,
+        later_url: format!("http://{}", target.gateways[later]),
+        idempotency_key: planned.doubled.then(key),
         idempotent: planned.idempotent,
         allotted_ms: kind.allotted_ms,
+        ..Request::default()
     }
 }
 
--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -5,6 +5,8 @@
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use super::client::Delivery;
+
 /// Model that the engines serve.
 pub const MODEL: &str = "model-a";
 
@@ -104,6 +106,8 @@
 
 const SERVICE_PERCENT: u32 = 15;
 const STREAMED_PERCENT: u32 = 70;
+const LATER_PERCENT: u32 = 8;
+const DOUBLED_PERCENT: u32 = 30;
 const NON_IDEMPOTENT_PERCENT: u32 = 25;
 const SHARED_PREFIX_PERCENT: u32 = 30;
 const SHARED_PREFIX_TOKENS: u64 = 800;
@@ -143,8 +147,8 @@
         shared_prefix: bool,
         /// Longest answer.
         max_tokens: u64,
-        /// Whether the answer is streamed.
-        streamed: bool,
+        /// How the answer comes.
+        delivery: Delivery,
     },
     /// A call of the plain service.
     Service,
@@ -163,6 +167,8 @@
     pub kind: usize,
     /// Whether it may run more than once.
     pub idempotent: bool,
+    /// Whether it is sent to two gateways at once, under one key.
+    pub doubled: bool,
     /// What is asked.
     pub call: Call,
 }
@@ -190,6 +196,7 @@
 fn draw(random: &mut impl Rng, number: u64, at_ms: u64) -> Planned {
     let organisation = random.random_range(0..ORGANISATIONS.len());
     let idempotent = !percent(random, NON_IDEMPOTENT_PERCENT);
+    let doubled = !idempotent && percent(random, DOUBLED_PERCENT);
     let (kind, call) = if percent(random, SERVICE_PERCENT) {
         (ORDER_KIND, Call::Service)
     } else {
@@ -201,6 +208,7 @@
         organisation,
         kind,
         idempotent,
+        doubled,
         call,
     }
 }
@@ -211,11 +219,19 @@
         prompt_tokens: random.random_range(class.least_tokens..=class.most_tokens),
         shared_prefix: percent(random, SHARED_PREFIX_PERCENT),
         max_tokens: random.random_range(ANSWER_TOKENS_LEAST..=ANSWER_TOKENS_MOST),
-        streamed: percent(random, STREAMED_PERCENT),
+        delivery: draw_delivery(random),
     };
     (class.kind, call)
 }
 
+fn draw_delivery(random: &mut impl Rng) -> Delivery {
+    match random.random_range(0..100) {
+        drawn if drawn < STREAMED_PERCENT => Delivery::Streamed,
+        drawn if drawn < STREAMED_PERCENT + LATER_PERCENT => Delivery::Later,
+        _ => Delivery::Whole,
+    }
+}
+
 fn draw_class(random: &mut impl Rng) -> &'static Class {
     let mut left = random.random_range(0..100);
     for class in &CLASSES {
@@ -242,7 +258,7 @@
         prompt_tokens: PROMPT_TOKENS_MAX,
         shared_prefix: false,
         max_tokens: ANSWER_TOKENS_MOST,
-        streamed: true,
+        delivery: Delivery::Streamed,
     };
 }
 
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -7,6 +7,7 @@
 use hdrhistogram::Histogram;
 use serde::Serialize;
 
+use super::client::Delivery;
 use super::client::Ended;
 use super::load::Record;
 use super::plan::Call;
@@ -94,7 +95,7 @@
     for record in records {
         let Call::Completion {
             prompt_tokens,
-            streamed: true,
+            delivery: Delivery::Streamed,
             ..
         } = record.planned.call
         else {
