--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -53,8 +53,8 @@
     pub lost: usize,
     /// What each check found.
     pub invariants: Vec<Finding>,
-    /// Times from a path's silence to the next piece of its streams, by kind of silence.
-    pub moves: BTreeMap<&'static str, Moves>,
+    /// Times from a path's silence to the next piece of its streams, by kind and path.
+    pub moves: BTreeMap<String, Moves>,
     /// Orders sent by contenders for the controller's lease.
     pub orders_given: u64,
     /// Pauses of such contenders that were longer than the lease.
