--- a/src/demo/client.rs
+++ b/src/demo/client.rs
@@ -94,6 +94,7 @@
     let begun = Instant::now();
     let mut builder = authorised(attohttpc::post(&request.url), request)
         .header("Content-Type", "application/json")
+        .header("Request-Kind", &request.kind)
         .header("Request-Timeout-Ms", request.allotted_ms)
         .header("Idempotent", request.idempotent.to_string());
     if let Some(key) = &request.idempotency_key {
@@ -115,7 +116,6 @@
     let wait = Duration::from_millis(request.allotted_ms + GRACE_MS);
     builder
         .header("Authorization", format!("Bearer {}", request.bearer_key))
-        .header("Request-Kind", &request.kind)
         .read_timeout(wait)
         .timeout(wait)
 }
