feat(demo): how much slower short prompts are answered beside long ones

Cause: the slowdown of short prompts is one of the two measures that users look at, and the demo printed only the other. Ruled out: comparing with the engine's cost model, which leaves the path out. Conclusion: twenty short requests go alone before the mix.

--- a/src/demo/load.rs
+++ b/src/demo/load.rs
@@ -44,7 +44,7 @@
     thread::scope(|scope| {
         for planned in planned {
             wait_until(begun, planned.at_ms);
-            progress.sent(planned.number);
+            progress.sent();
             let ended = ended.clone();
             scope.spawn(move || {
                 let record = send(planned, target);
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -26,13 +26,18 @@
 
 /// Brings the fleet up, sends the load, prints what was measured and counted.
 pub fn run(options: Options, out: &mut dyn Write) -> Result<Summary, Error> {
+    let alone = plan::alone();
     let planned = plan::make(&options.plan);
     let fleet = Fleet::start(options.fleet)?;
-    writeln!(out, "{} requests to {}", planned.len(), fleet.describe())?;
-    let progress = Progress::new(planned.len() as u64);
-    let records = load::run(planned, &fleet.target(), &progress);
+    let count = alone.len() + planned.len();
+    writeln!(out, "{count} requests to {}", fleet.describe())?;
+    let progress = Progress::new(count as u64);
+    let alone = load::run(alone, &fleet.target(), &progress);
+    let mixed = load::run(planned, &fleet.target(), &progress);
     progress.finish();
-    report::print_first_tokens(&records, out)?;
+    report::print_first_tokens(&mixed, out)?;
+    report::print_slowdown(&alone, &mixed, out)?;
+    let records = [alone, mixed].concat();
     report::print_reasons(&records, out)?;
     let summary = fleet.audit(&records);
     let line = serde_json::to_string(&summary).map_err(|error| Error::Failed(error.to_string()))?;
--- a/src/demo/plan.rs
+++ b/src/demo/plan.rs
@@ -113,6 +113,9 @@
 const SHARED_PREFIX_TOKENS: u64 = 800;
 const ANSWER_TOKENS_LEAST: u64 = 8;
 const ANSWER_TOKENS_MOST: u64 = 96;
+const ALONE_REQUESTS: u64 = 20;
+const ALONE_GAP_MS: u64 = 75;
+const ALONE_FIRST_NUMBER: u64 = 1 << 32;
 const ORDER_KIND: usize = 1;
 
 /// Settings of the mix.
@@ -193,6 +196,29 @@
     -(1.0 - uniform).ln() / requests_per_s * MS_PER_S
 }
 
+/// Short streamed requests one at a time, to know how fast they are answered when nothing else
+/// runs. Their numbers don't meet those of a mix.
+pub fn alone() -> Vec<Planned> {
+    let mut random = ChaCha8Rng::seed_from_u64(0);
+    let request = |index| {
+        let mut request = draw(
+            &mut random,
+            ALONE_FIRST_NUMBER + index,
+            index * ALONE_GAP_MS,
+        );
+        request.kind = CLASSES[0].kind;
+        request.doubled = false;
+        request.call = Call::Completion {
+            prompt_tokens: random.random_range(CLASSES[0].least_tokens..=CLASSES[0].most_tokens),
+            shared_prefix: false,
+            max_tokens: ANSWER_TOKENS_LEAST,
+            delivery: Delivery::Streamed,
+        };
+        request
+    };
+    (0..ALONE_REQUESTS).map(request).collect()
+}
+
 fn draw(random: &mut impl Rng, number: u64, at_ms: u64) -> Planned {
     let organisation = random.random_range(0..ORGANISATIONS.len());
     let idempotent = !percent(random, NON_IDEMPOTENT_PERCENT);
--- a/src/demo/progress.rs
+++ b/src/demo/progress.rs
@@ -1,6 +1,8 @@
 //! The progress display, shown when standard error is a terminal.
 
 use std::io::IsTerminal;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
 
 use indicatif::ProgressBar;
 use indicatif::ProgressDrawTarget;
@@ -9,9 +11,10 @@
 const TEMPLATE: &str = "{elapsed_precise} {bar:30} {pos}/{len} ended  {msg}";
 
 /// A display of how many requests have ended.
-#[derive(Debug, Clone)]
+#[derive(Debug)]
 pub struct Progress {
     bar: ProgressBar,
+    sent: AtomicU64,
 }
 
 impl Progress {
@@ -25,12 +28,16 @@
         let bar = ProgressBar::with_draw_target(Some(total), target);
         let style = ProgressStyle::with_template(TEMPLATE);
         bar.set_style(style.expect("BUG: the template is well formed"));
-        Self { bar }
+        Self {
+            bar,
+            sent: AtomicU64::new(0),
+        }
     }
 
     /// Counts a request that was sent.
-    pub fn sent(&self, number: u64) {
-        self.bar.set_message(format!("{} sent", number + 1));
+    pub fn sent(&self) {
+        let sent = self.sent.fetch_add(1, Ordering::Relaxed) + 1;
+        self.bar.set_message(format!("{sent} sent"));
     }
 
     /// Counts a request that ended.
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -89,6 +89,29 @@
     Ok(())
 }
 
+/// Prints how much slower short prompts are answered beside the mix than alone.
+pub fn print_slowdown(alone: &[Record], mixed: &[Record], out: &mut dyn Write) -> io::Result<()> {
+    let (bound, name) = ROWS[0];
+    let alone = first_tokens(alone, 0, bound);
+    let mixed = first_tokens(mixed, 0, bound);
+    if alone.is_empty() || mixed.is_empty() {
+        return Ok(());
+    }
+    let p50_p90 = |histogram: &Histogram<u64>| {
+        let at = |quantile| ms(histogram.value_at_quantile(quantile));
+        (at(0.5), at(0.9))
+    };
+    let (alone, mixed) = (p50_p90(&alone), p50_p90(&mixed));
+    writeln!(
+        out,
+        "prompts of {name} alone: p50 {:.1} ms, p90 {:.1} ms; beside the mix: {:.1} and {:.1} times that",
+        alone.0,
+        alone.1,
+        mixed.0 / alone.0,
+        mixed.1 / alone.1
+    )
+}
+
 fn first_tokens(records: &[Record], least: u64, bound: u64) -> Histogram<u64> {
     let mut histogram = Histogram::new_with_max(MAX_US, SIGNIFICANT_DIGITS)
         .expect("BUG: the bounds are ones that the library takes");
