feat(sidecar): unload a model only after its requests have ended

Cause: an order to unload went to the engine while requests of the model ran or waited. Ruled out: waiting without a limit (one long stream would hold up all orders); refusing the model for ever when the order never comes again. Conclusion: new requests of the model are refused as not run, running ones end, then the order goes out.

--- a/crates/mgs-ledger/src/job.rs
+++ b/crates/mgs-ledger/src/job.rs
@@ -48,6 +48,8 @@
     pub idempotent: bool,
     /// Reservation that it uses; 0 for none.
     pub span: u64,
+    /// Whether its model is about to be unloaded here.
+    pub unloading: bool,
 }
 
 impl Job {
--- a/crates/mgs-ledger/src/reconcile.rs
+++ b/crates/mgs-ledger/src/reconcile.rs
@@ -212,6 +212,7 @@
             orphan_ms: 0,
             idempotent: false,
             span: 0,
+            unloading: false,
         };
         let waiting = Waiting::new(now_ms, job);
         allocation.expires_ms = waiting.deadline_ms;
--- a/crates/mgs-ledger/src/schedule.rs
+++ b/crates/mgs-ledger/src/schedule.rs
@@ -77,6 +77,9 @@
         if self.closed.down {
             return Some((RefusalReason::EndpointDown, DOWN_RETRY_MS));
         }
+        if job.unloading {
+            return Some((RefusalReason::NoEndpoint, DOWN_RETRY_MS));
+        }
         if let Some(refusal) = self.memory_refusal(now_ms, job) {
             return Some(refusal);
         }
--- a/crates/mgs-ledger/tests/model/mod.rs
+++ b/crates/mgs-ledger/tests/model/mod.rs
@@ -136,6 +136,7 @@
         idempotent: false,
         // The second request uses the reservation.
         span: if number == 2 { SPAN } else { 0 },
+        unloading: false,
     }
 }
 
--- a/crates/mgs-ledger/tests/queue.rs
+++ b/crates/mgs-ledger/tests/queue.rs
@@ -29,6 +29,7 @@
         orphan_ms: 0,
         idempotent: false,
         span: 0,
+        unloading: false,
     }
 }
 
--- a/crates/mgs-ledger/tests/schedule.rs
+++ b/crates/mgs-ledger/tests/schedule.rs
@@ -40,6 +40,7 @@
         orphan_ms: 0,
         idempotent: false,
         span: 0,
+        unloading: false,
     }
 }
 
--- a/crates/mgs-sidecar/src/handler.rs
+++ b/crates/mgs-sidecar/src/handler.rs
@@ -129,6 +129,7 @@
             let work = Work {
                 id: job.id,
                 attempt: job.attempt,
+                model: dispatch.model.clone(),
                 answer: Answer::new(),
                 deadline_ms: now_ms.saturating_add(job.budget_ms),
                 dispatch: Mutex::new(Some(dispatch)),
@@ -176,9 +177,15 @@
             orphan_ms: dispatch.orphan_ms,
             idempotent: dispatch.idempotent,
             span: dispatch.span,
+            unloading: self.is_unloading(&dispatch.model),
         }
     }
 
+    fn is_unloading(&self, model: &str) -> bool {
+        let now_ms = self.shared.now_ms();
+        self.shared.orders.is_unloading(now_ms, model)
+    }
+
     /// Prompt tokens that the engine needn't process: imported or cached.
     fn known_tokens(&self, dispatch: &Dispatch) -> u64 {
         let imported: u64 = dispatch.kv.iter().map(|part| part.kv_tokens).sum();
@@ -224,6 +231,7 @@
             let work = Arc::new(Work {
                 id,
                 attempt,
+                model: String::new(),
                 answer: Answer::starting_at(resume.next_seq),
                 dispatch: Mutex::new(None),
                 deadline_ms: now_ms.saturating_add(resume.budget_ms),
@@ -295,7 +303,7 @@
             .name("sidecar-order".to_string())
             .spawn(move || {
                 let result = match shared.engine() {
-                    Some(engine) => shared.orders.obey(engine, &order),
+                    Some(engine) => shared.orders.obey(&shared, engine, &order),
                     None => OrderReply {
                         detail: "a plain service takes no orders".to_string(),
                         ..OrderReply::default()
--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -63,6 +63,9 @@
     pub endpoint_silence_ms: u64,
     /// How long a start whose answer was lost is looked up, in milliseconds.
     pub start_lookup_ms: u64,
+    /// How long an order to unload a model waits for its requests before it is answered, in
+    /// milliseconds.
+    pub unload_wait_ms: u64,
     /// Time between looks at the sidecar's own row in the table service, in milliseconds.
     pub member_poll_ms: u64,
     /// Time between readings of the platform's list of hosts, in milliseconds.
@@ -96,6 +99,7 @@
             stream_silence_ms: 1_000,
             endpoint_silence_ms: 10_000,
             start_lookup_ms: 3_000,
+            unload_wait_ms: 2_000,
             member_poll_ms: 10_000,
             hosts_poll_ms: 5_000,
             transport_threads: 2,
--- a/crates/mgs-sidecar/src/state.rs
+++ b/crates/mgs-sidecar/src/state.rs
@@ -50,6 +50,8 @@
 pub(crate) struct Work {
     pub(crate) id: RequestId,
     pub(crate) attempt: u32,
+    /// Model, or name of the plain service; empty for an adopted stream.
+    pub(crate) model: String,
     pub(crate) answer: Answer,
     /// The message that started it, until it is handed over; nothing for an adopted stream.
     pub(crate) dispatch: Mutex<Option<Dispatch>>,
@@ -200,6 +202,13 @@
         locked(&self.works).get(&id).cloned()
     }
 
+    /// Whether a request of the model waits or runs.
+    pub(crate) fn is_in_use(&self, model: &str) -> bool {
+        let works = locked(&self.works);
+        let mut of_model = works.values().filter(|work| work.model == model);
+        of_model.any(|work| !work.answer.is_ended())
+    }
+
     fn carry_out(self: &Arc<Self>, actions: Vec<Action>) {
         for action in actions {
             self.carry_out_one(action);
--- a/crates/mgs-sidecar/tests/leave.rs
+++ b/crates/mgs-sidecar/tests/leave.rs
@@ -150,10 +150,14 @@
 }
 
 fn give(gateway: &Gateway, fencing: u64) -> OrderReply {
+    give_action(gateway, fencing, "load")
+}
+
+fn give_action(gateway: &Gateway, fencing: u64, action: &str) -> OrderReply {
     let order = Order {
         fencing,
         order_id: fencing.to_string(),
-        action: "load".into(),
+        action: action.into(),
         subject: "m".into(),
         ..Order::default()
     };
@@ -183,6 +187,26 @@
     );
 }
 
+#[test]
+fn a_model_is_unloaded_after_its_requests_have_ended() {
+    let fake = Fake::new(2);
+    let mut options = options();
+    options.unload_wait_ms = 500;
+    let sidecar = common::start(options, &fake);
+    let gateway = Gateway::connect(&sidecar, 1);
+    let running = gateway.accepted(gateway.message(1, 5));
+    frames(&running, 2);
+    assert!(!give_action(&gateway, 7, "unload").done);
+    assert!(fake.change(|state| state.orders.is_empty()));
+    let late = gateway.send(gateway.message(2, 5));
+    assert_eq!(refusal(&late), RefusalReason::NoEndpoint);
+    fake.allow(5);
+    read(&running, 2);
+    assert!(give_action(&gateway, 7, "unload").done);
+    assert!(give_action(&gateway, 8, "load").done);
+    read(&gateway.send(gateway.message(3, 5)), 0);
+}
+
 /// Puts an order on the endpoint's record, as the controller does.
 fn record(table: &Memory, fencing: u64) {
     let record = EndpointRecord::default().with_order(fencing, Action::Load, "m");
