--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -18,6 +18,7 @@
 mod lent;
 pub mod listen;
 pub mod metrics;
+pub mod pace;
 mod parting;
 mod peer;
 mod room;
