fix(request): count refused resumes apart from questions that couldn't be asked

Cause: while a sidecar is down each question in vain counted, so that the first refusal after its start was the last one. Conclusion: right by itself; what else keeps streams from being adopted is looked for next.

--- a/crates/mgs-request/src/attempt.rs
+++ b/crates/mgs-request/src/attempt.rs
@@ -42,6 +42,8 @@
     pub ran: bool,
     /// Times that its sidecar was asked in vain since it last answered.
     pub asked: u32,
+    /// Refusals of a resume since it last moved on.
+    pub resumes_refused: u32,
     /// When a second attempt may be made beside it, in milliseconds.
     pub hedge_at_ms: Option<u64>,
 }
@@ -60,6 +62,7 @@
             state: State::Dispatched,
             ran: false,
             asked: 0,
+            resumes_refused: 0,
             hedge_at_ms: None,
         }
     }
--- a/crates/mgs-request/src/life/hear.rs
+++ b/crates/mgs-request/src/life/hear.rs
@@ -85,16 +85,26 @@
                 self.set(number, State::NotRun);
                 self.retry(step, RetryReason::Refused);
             }
-            // A sidecar that was started again finds its streams after a while.
-            Some(State::Resuming) if self.asked(number) < self.options.resumes_max => {
-                self.asked_in_vain(step, number, true);
-            }
-            // A refused resume isn't a proof; a withdraw gives one, or says that there is none.
-            Some(State::Resuming) => self.ask(step, number, false),
+            Some(State::Resuming) => self.resume_refused(step, number),
             _ => {}
         }
     }
 
+    /// A sidecar that was started again finds its streams after a while. A refused resume isn't a
+    /// proof; in the end a withdraw gives one, or says that there is none.
+    fn resume_refused(&mut self, step: &mut Step<'_>, number: AttemptNumber) {
+        let resumes_max = self.options.resumes_max;
+        let Some(attempt) = self.attempt(number) else {
+            return;
+        };
+        attempt.resumes_refused += 1;
+        if attempt.resumes_refused > resumes_max {
+            self.ask(step, number, false);
+        } else {
+            self.asked_in_vain(step, number, true);
+        }
+    }
+
     pub(super) fn frame(&mut self, step: &mut Step<'_>, number: AttemptNumber, frame: TokenFrame) {
         if self.open_state(number).is_none() {
             return;
@@ -115,15 +125,10 @@
         }
     }
 
-    /// Times that an attempt's sidecar was asked in vain.
-    pub(super) fn asked(&self, number: AttemptNumber) -> u32 {
-        let attempt = self.attempts.get(number as usize - 1);
-        attempt.map_or(0, |attempt| attempt.asked)
-    }
-
     pub(super) fn progressed(&mut self, number: AttemptNumber) {
         if let Some(attempt) = self.attempt(number) {
             attempt.asked = 0;
+            attempt.resumes_refused = 0;
         }
     }
 
--- a/crates/mgs-request/src/life/recover.rs
+++ b/crates/mgs-request/src/life/recover.rs
@@ -103,7 +103,8 @@
                 self.retry(step, RetryReason::Path);
             }
             WithdrawState::Running | WithdrawState::Finished => {
-                if self.asked(number) == 0 {
+                let asked = self.attempt(number).map_or(0, |attempt| attempt.asked);
+                if asked == 0 {
                     self.ask(step, number, true);
                 } else {
                     self.asked_in_vain(step, number, true);
