--- a/crates/mgs-standin/tests/engine.rs
+++ b/crates/mgs-standin/tests/engine.rs
@@ -178,17 +178,21 @@
 fn what_waits_is_served_by_priority() {
     let (engine, client) = start(Options {
         streams_max: 1,
-        prefill_tokens_per_s: 100.0,
+        time_scale: 1.0,
         ..fast()
     });
+    let endless = ask("first", &prompt(1_000), 100_000);
+    let _first = client.start(&endless).expect("a stream");
+    wait_until("the first one runs", || engine.executions_of("first") == 1);
     let mut streams = Vec::new();
-    for (name, priority) in [("first", 5), ("low", 5), ("high", 0)] {
+    for (name, priority) in [("low", 5), ("high", 0)] {
         let start = Start {
             priority,
             ..ask(name, &prompt(1_000), 1)
         };
         streams.push(client.start(&start).expect("a stream"));
     }
+    client.cancel("first").expect("a known stream");
     for stream in &mut streams {
         read(&mut **stream).expect("an answer");
     }
--- a/crates/mgs-testing/src/caller/plan.rs
+++ b/crates/mgs-testing/src/caller/plan.rs
@@ -22,6 +22,16 @@
 
 const LONG_ANSWER_TOKENS_MAX: u64 = 200;
 
+/// One request in so many can't be answered in time, and must be ended by the system.
+const ENDLESS_ONE_IN: u32 = 40;
+
+const ENDLESS_ANSWER_TOKENS: u64 = 30_000;
+
+/// Time allotted to durable requests, in milliseconds.
+const DURABLE_ALLOTTED_MS: u64 = 25_000;
+
+const ENDLESS_ALLOTTED_MS: u64 = 3_000;
+
 /// How a request is sent.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -31,6 +41,8 @@
     Whole,
     /// A call of the plain service.
     Service,
+    /// A completion whose answer is fetched later.
+    Durable,
 }
 
 /// A request that a caller is to send.
@@ -82,26 +94,51 @@
             true => (LONG_TOKENS_MAX, LONG_ANSWER_TOKENS_MAX),
             false => (SHORT_TOKENS_MAX, ANSWER_TOKENS_MAX),
         };
-        let kind = match random.random_range(0..4) {
-            0 => Kind::Whole,
-            1 => Kind::Service,
+        let kind = match random.random_range(0..8) {
+            0 => Kind::Durable,
+            1 | 2 => Kind::Whole,
+            3 | 4 => Kind::Service,
             _ => Kind::Streamed,
         };
         let keyed = random.random_ratio(1, 4);
-        Self {
+        let plan = Self {
             kind,
             idempotent: random.random_ratio(2, 5),
             key: keyed.then(|| format!("{run}-{}", request.0)),
             max_tokens: random.random_range(5..=answer_max),
             allotted_ms: random.random_range(8_000..=15_000),
             ..Self::new(request, random.random_range(8..=prompt_max))
+        };
+        match kind {
+            _ if random.random_ratio(1, ENDLESS_ONE_IN) => plan.endless(),
+            Kind::Durable => plan.patient(),
+            _ => plan,
+        }
+    }
+
+    /// The same request with time for another gateway to take it over.
+    fn patient(self) -> Self {
+        Self {
+            allotted_ms: DURABLE_ALLOTTED_MS,
+            ..self
+        }
+    }
+
+    /// The same request with an answer that no engine ends within the time allotted.
+    fn endless(self) -> Self {
+        Self {
+            max_tokens: ENDLESS_ANSWER_TOKENS,
+            allotted_ms: ENDLESS_ALLOTTED_MS,
+            ..self
         }
     }
 
     /// The whole answer that it must get.
     pub fn expected(&self) -> String {
         match self.kind {
-            Kind::Streamed | Kind::Whole => text::expected(&self.text, self.max_tokens),
+            Kind::Streamed | Kind::Whole | Kind::Durable => {
+                text::expected(&self.text, self.max_tokens)
+            }
             // The stand-in of the service sends the body back.
             Kind::Service => self.text.clone(),
         }
--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -41,6 +41,9 @@
 /// Concurrent callers.
 const CALLERS: u64 = 24;
 
+/// Streams that an engine runs at once: few, so that work waits before it.
+const ENGINE_STREAMS_MAX: u32 = 4;
+
 /// Longest pause of a caller between two requests, in milliseconds.
 const THINK_MAX_MS: u64 = 150;
 
@@ -100,6 +103,7 @@
         binary: options.binary.clone(),
         plant: options.plant.clone(),
         engine: engine::Options {
+            streams_max: ENGINE_STREAMS_MAX,
             check_fencing: options.scenario.contenders() == 0,
             ..engine::Options::default()
         },
@@ -132,6 +136,7 @@
     let mut findings = check::all(&entries, &options.limits);
     findings.extend(others.findings(options.scenario)?);
     let mut report = Report::new(options, &faults, &entries, findings);
+    report.leaving = measure::last_work(&entries);
     report.pauses_beyond_lease = duties.counts().1;
     report.orders_given = duties.counts().0;
     report.failures = failures;
