--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -156,9 +156,13 @@
         } else {
             self.options.short_wait_share_max
         };
-        let most_ms = spare_ms.min((left_ms as f64 * share) as u64);
+        let share_ms = (left_ms as f64 * share) as u64;
+        let most_ms = spare_ms.min(share_ms);
         match wait_ms {
             Some(wait_ms) if wait_ms > most_ms => {
+                if wait_ms <= share_ms {
+                    self.doubt_answers(row, class);
+                }
                 let retry_after_ms = self.bounded(wait_ms - most_ms);
                 Err(refused(RefusalReason::Deadline, retry_after_ms))
             }
@@ -269,6 +273,10 @@
         };
         let answer_ms = self.answer_ms(entry);
         if now_ms + first_token_ms + answer_ms > entry.offer.deadline_ms {
+            if now_ms + first_token_ms <= entry.offer.deadline_ms {
+                let (row, class) = (entry.row, entry.class);
+                self.doubt_answers(row, class);
+            }
             self.refuse_late(now_ms, key, actions);
             return true;
         }
@@ -283,6 +291,13 @@
         self.answer_ms_of(entry.row, entry.class, &entry.offer)
     }
 
+    /// A request was refused for its answer's time alone.
+    fn doubt_answers(&mut self, row: RowKey, class: ClassKey) {
+        if let Some(answers) = self.answers.get_mut(&(row, class)) {
+            answers.doubt();
+        }
+    }
+
     fn answer_ms_of(&self, row: RowKey, class: ClassKey, offer: &Offer) -> u64 {
         let answers = self.answers.get(&(row, class));
         answers.map_or(0, |answers| answers.expected_ms(offer.max_tokens))
--- a/crates/mgs-admission/tests/fair.rs
+++ b/crates/mgs-admission/tests/fair.rs
@@ -330,3 +330,32 @@
     let (reason, _) = refusal(queue.offer(1_000, &offer(3, "a", 100))).unwrap();
     assert_eq!(reason, RefusalReason::Concurrency);
 }
+
+#[test]
+fn an_answer_time_learned_in_an_overload_does_not_outlast_it() {
+    let mut queue = queue(vec![row("*", 1, 1)]);
+    let answering = |serial, now_ms| Offer {
+        max_tokens: 100,
+        arrived_ms: now_ms,
+        deadline_ms: now_ms + 10_000,
+        ..offer(serial, "a", 100)
+    };
+    // Answers take 200 ms for each token: 20 s, twice the time that a request has.
+    for serial in 0..20 {
+        queue.offer(0, &answering(serial, 0));
+        queue.next(0, &mut Tokens::new(1_000));
+        queue.finished(20_000, answering(serial, 0).id, 100);
+    }
+    queue.offer(30_000, &answering(100, 30_000));
+    let actions = queue.next(30_000, &mut Tokens::new(1_000));
+    assert!(
+        started(&actions).is_empty(),
+        "it can't end in time: {actions:?}"
+    );
+    let admitted = (1..20).any(|refused| {
+        let now_ms = 30_000 + refused * 10;
+        queue.offer(now_ms, &answering(100 + refused, now_ms));
+        !started(&queue.next(now_ms, &mut Tokens::new(1_000))).is_empty()
+    });
+    assert!(admitted);
+}
