--- a/crates/mgs-testing/src/chaos/report.rs
+++ b/crates/mgs-testing/src/chaos/report.rs
@@ -45,6 +45,8 @@
     pub reasons: BTreeMap<String, usize>,
     /// Calls that met a fault and ended as unknown, by kind of fault.
     pub unknown_by_fault: BTreeMap<String, Share>,
+    /// Durable requests that the system promised to keep.
+    pub kept: usize,
     /// Runs at the endpoints.
     pub executions: usize,
     /// Non-idempotent requests that ran more than once.
@@ -53,8 +55,10 @@
     pub lost: usize,
     /// What each check found.
     pub invariants: Vec<Finding>,
-    /// Times from a path's silence to the next piece of its streams, by kind of silence.
-    pub moves: BTreeMap<&'static str, Moves>,
+    /// Times from a path's silence to the next piece of its streams, by kind and path.
+    pub moves: BTreeMap<String, Moves>,
+    /// Times from an endpoint\'s leaving to the last request that it began.
+    pub leaving: Moves,
     /// Orders sent by contenders for the controller's lease.
     pub orders_given: u64,
     /// Pauses of such contenders that were longer than the lease.
@@ -97,11 +101,13 @@
             outcomes: count(endings(entries).map(outcome)),
             reasons: count(endings(entries).filter_map(reason)),
             unknown_by_fault: unknown_by_fault(entries),
-            executions: executions(entries),
+            kept: events(entries, |event| matches!(event, Event::Kept { .. })),
+            executions: events(entries, |event| matches!(event, Event::Started { .. })),
             doubled: violations(Invariant::AtMostOnce),
             lost: violations(Invariant::InTime),
             invariants: findings,
             moves: BTreeMap::new(),
+            leaving: Moves::default(),
             orders_given: 0,
             pauses_beyond_lease: 0,
             failures: Vec::new(),
@@ -171,9 +177,9 @@
     }
 }
 
-fn executions(entries: &[Entry]) -> usize {
-    let started = |entry: &&Entry| matches!(entry.event, Event::Started { .. });
-    entries.iter().filter(started).count()
+fn events(entries: &[Entry], wanted: impl Fn(&Event) -> bool) -> usize {
+    let entries = entries.iter();
+    entries.filter(|entry| wanted(&entry.event)).count()
 }
 
 /// Counts, for each kind of fault, the calls that were open during one.
