--- a/crates/mgs-settings/src/follow.rs
+++ b/crates/mgs-settings/src/follow.rs
@@ -175,25 +175,14 @@
         let version = self.holder.version();
         match read::edits_after(self.table.as_ref(), version) {
             Ok(edits) => {
-                let more = edits.len() == PAGE_ROWS_MAX;
-                self.adopt(more, || self.holder.adopt_edits(&edits))
+                self.holder.adopt_edits(&edits)?;
+                Ok(edits.len() == PAGE_ROWS_MAX)
             }
             Err(Error::Gap(_)) => self.read_whole(),
             Err(error) => Err(error),
         }
     }
 
-    fn adopt(
-        &self,
-        more: bool,
-        adopt: impl FnOnce() -> Result<bool, crate::table::Error>,
-    ) -> Result<bool, Error> {
-        match adopt() {
-            Ok(_) => Ok(more),
-            Err(crate::table::Error::Gap { table, .. }) => Err(Error::Gap(table + 1)),
-        }
-    }
-
     fn read_whole(&self) -> Result<bool, Error> {
         let store = Store {
             table: self.table.as_ref(),
--- a/crates/mgs-settings/src/store.rs
+++ b/crates/mgs-settings/src/store.rs
@@ -23,6 +23,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::table;
+
 /// Key of the head.
 pub const HEAD_KEY: &str = "settings/head";
 
@@ -59,6 +61,13 @@
     }
 }
 
+impl From<table::Error> for Error {
+    fn from(error: table::Error) -> Self {
+        let table::Error::Gap { table, .. } = error;
+        Self::Gap(table + 1)
+    }
+}
+
 /// The newest version.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Head {
--- a/crates/mgs-settings/src/store/read.rs
+++ b/crates/mgs-settings/src/store/read.rs
@@ -19,7 +19,6 @@
 use super::COMPACTED_KEY;
 use super::HEAD_KEY;
 use super::LOG_PREFIX;
-use crate::table;
 use crate::table::Table;
 
 /// How often a reading is begun anew when the log is compacted under it.
@@ -118,7 +117,7 @@
     let (_, compacted) = compacted(store.table)?;
     let snapshot = snapshot(store.objects, compacted.snapshot)?;
     let edits = all_edits_after(store.table, snapshot.version)?;
-    follow(&Table::new(snapshot), &edits)
+    Ok(Table::new(snapshot).after(&edits)?)
 }
 
 /// A snapshot that is gone was replaced by a newer one since the pointer was read.
@@ -135,18 +134,12 @@
 /// [`load`] does.
 pub fn refresh(store: Store<'_>, table: &Table) -> Result<Table, Error> {
     match all_edits_after(store.table, table.version()) {
-        Ok(edits) => follow(table, &edits),
+        Ok(edits) => Ok(table.after(&edits)?),
         Err(Error::Gap(_)) => load(store),
         Err(error) => Err(error),
     }
 }
 
-fn follow(table: &Table, edits: &[Edit]) -> Result<Table, Error> {
-    table.after(edits).map_err(|error| match error {
-        table::Error::Gap { table, .. } => Error::Gap(table + 1),
-    })
-}
-
 /// Reads the edits from version `first` to `last`, both included, from the archive and the log;
 /// fewer if the newest is older than `last`.
 pub fn history(store: Store<'_>, first: u64, last: u64) -> Result<Vec<Edit>, Error> {
