--- a/crates/mgs-testing/src/chaos/operators.rs
+++ b/crates/mgs-testing/src/chaos/operators.rs
@@ -79,8 +79,8 @@
         let intents = self.intents.lock().unwrap_or_else(PoisonError::into_inner);
         let history = History {
             intents: intents.clone(),
-            samples: Vec::new(),
             log: read::history(self.store(), 1, u64::MAX)?,
+            ..History::default()
         };
         let at_ms = self.recorder.now_ms();
         let violations = history::check(&history).into_iter();
--- a/crates/mgs-testing/src/settings/history.rs
+++ b/crates/mgs-testing/src/settings/history.rs
@@ -55,6 +55,10 @@
     pub intents: Vec<Intent>,
     /// What processes had in force, for each process in the order of time.
     pub samples: Vec<Sample>,
+    /// How many samples there were when a process started.
+    pub starts: BTreeMap<usize, usize>,
+    /// Processes that ended before the operators did; they needn't have the newest version.
+    pub ended: BTreeSet<usize>,
     /// The log of edits at the end, from the archive and the store.
     pub log: Vec<Edit>,
 }
@@ -86,6 +90,15 @@
         /// Version after.
         to: u64,
     },
+    /// process {process} served version {version} although another had {newest} in force before it started
+    ServedOld {
+        /// The process.
+        process: usize,
+        /// Version that it served first.
+        version: u64,
+        /// Version that another had.
+        newest: u64,
+    },
     /// process {process} had another table in force at version {version} than the log gives
     Diverged {
         /// The process.
@@ -121,6 +134,7 @@
     check_dense(&history.log, &mut violations);
     check_intents(history, &mut violations);
     check_samples(history, &mut violations);
+    check_starts(history, &mut violations);
     violations
 }
 
@@ -198,10 +212,28 @@
         }
     }
     let newest = history.log.len() as u64;
+    last.retain(|process, _| !history.ended.contains(process));
     let behind = last.into_iter().filter(|(_, version)| *version != newest);
     violations.extend(behind.map(|(process, version)| Violation::Behind { process, version }));
 }
 
+/// A process that starts serves nothing before it is as new as all others were when it started.
+fn check_starts(history: &History, violations: &mut BTreeSet<Violation>) {
+    for (process, before) in &history.starts {
+        let (before, after) = history.samples.split_at(*before);
+        let newest = before.iter().map(|sample| sample.version).max();
+        let newest = newest.unwrap_or(0);
+        let first = after.iter().find(|sample| sample.process == *process);
+        if let Some(first) = first.filter(|first| first.version < newest) {
+            violations.insert(Violation::ServedOld {
+                process: *process,
+                version: first.version,
+                newest,
+            });
+        }
+    }
+}
+
 /// Fingerprint of the table at each version.
 fn replay(log: &[Edit]) -> HashMap<u64, u64> {
     let mut table = Table::default();
--- a/crates/mgs-testing/src/settings/plant.rs
+++ b/crates/mgs-testing/src/settings/plant.rs
@@ -26,14 +26,17 @@
     NewIdentifier,
     /// A process takes whatever table it is given, older ones too.
     GoesBack,
+    /// A process serves before it is as new as the store.
+    ServesEarly,
 }
 
 /// Names of the faults.
-pub const NAMES: [&str; 4] = [
+pub const NAMES: [&str; 5] = [
     "blind-writes",
     "blind-rebase",
     "new-identifier",
     "goes-back",
+    "serves-early",
 ];
 
 /// no such fault: {0}
@@ -52,6 +55,7 @@
             "blind-rebase" => Ok(Self::BlindRebase),
             "new-identifier" => Ok(Self::NewIdentifier),
             "goes-back" => Ok(Self::GoesBack),
+            "serves-early" => Ok(Self::ServesEarly),
             _ => Err(Unknown(text.to_string())),
         }
     }
--- a/crates/mgs-testing/src/settings/race.rs
+++ b/crates/mgs-testing/src/settings/race.rs
@@ -1,5 +1,7 @@
 //! Operators who race, a store with faults, compaction, and followers with skewed polling.
 
+use std::collections::BTreeMap;
+use std::collections::BTreeSet;
 use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -128,7 +130,10 @@
         let reverts = |violation: &&Violation| {
             matches!(
                 violation,
-                Violation::WentBack { .. } | Violation::Diverged { .. } | Violation::Behind { .. }
+                Violation::WentBack { .. }
+                    | Violation::ServedOld { .. }
+                    | Violation::Diverged { .. }
+                    | Violation::Behind { .. }
             )
         };
         let reverted = violations.iter().filter(reverts).count();
@@ -156,6 +161,8 @@
     numbers: AtomicU64,
     intents: Mutex<Vec<Intent>>,
     samples: Mutex<Vec<Sample>>,
+    starts: Mutex<BTreeMap<usize, usize>>,
+    ended: Mutex<BTreeSet<usize>>,
     compactions: AtomicU64,
     /// Operators are done: the faults end, and followers read what is left.
     done: AtomicBool,
@@ -209,6 +216,8 @@
             numbers: AtomicU64::new(0),
             intents: Mutex::default(),
             samples: Mutex::default(),
+            starts: Mutex::default(),
+            ended: Mutex::default(),
             compactions: AtomicU64::new(0),
             done: AtomicBool::new(false),
         }
@@ -319,31 +328,52 @@
         unreachable!("the loop ends by returning")
     }
 
-    fn follow(&self, process: usize) {
-        let mut random = self.random(3_000 + process as u64);
+    /// One place, whose process is started again now and then; each start is a process of its own.
+    fn follow(&self, place: usize) {
+        let mut random = self.random(3_000 + place as u64);
+        for start in 0.. {
+            let process = place + start * self.options.followers;
+            if self.follow_until_restart(process, place, &mut random) {
+                return;
+            }
+            lock(&self.ended).insert(process);
+        }
+    }
+
+    /// Returns whether all is done.
+    fn follow_until_restart(&self, process: usize, place: usize, random: &mut ChaCha8Rng) -> bool {
         let objects: Arc<dyn Objects> = self.memory.clone();
         let options = follow::Options::default();
         let follower = Follower::new(options, self.table.clone(), objects, Box::new(NoPeers));
         let mut older = Table::default();
-        loop {
+        let before = lock(&self.samples).len();
+        lock(&self.starts).insert(process, before);
+        while self.is_done() || !random.random_ratio(1, RESTARTED_POLLS) {
             let done = self.is_done();
             let outcome = follower.poll(1, random.next_u64());
             let current = follower.holder().table();
-            let goes_back = self.options.plant == Plant::GoesBack && random.random_ratio(1, 20);
-            let in_force = if goes_back { &older } else { current.as_ref() };
-            lock(&self.samples).push(Sample {
-                process,
-                version: in_force.version(),
-                fingerprint: history::fingerprint(in_force),
-            });
+            if follower.ready() || self.options.plant == Plant::ServesEarly {
+                let goes_back = self.options.plant == Plant::GoesBack && random.random_ratio(1, 20);
+                let in_force = if goes_back { &older } else { current.as_ref() };
+                self.sample(process, in_force);
+            }
             if older.version() == 0 {
                 older = current.as_ref().clone();
             }
             if done && outcome.error.is_none() && !outcome.changed && follower.ready() {
-                return;
+                return true;
             }
-            pause(&mut random, 2 + process as u64 * 3);
+            pause(random, 2 + place as u64 * 3);
         }
+        false
+    }
+
+    fn sample(&self, process: usize, in_force: &Table) {
+        lock(&self.samples).push(Sample {
+            process,
+            version: in_force.version(),
+            fingerprint: history::fingerprint(in_force),
+        });
     }
 
     fn finish(self) -> Outcome {
@@ -353,6 +383,8 @@
             log: log.unwrap_or_default(),
             intents: take(self.intents),
             samples: take(self.samples),
+            starts: take(self.starts),
+            ended: take(self.ended),
         };
         Outcome {
             history,
@@ -362,6 +394,9 @@
     }
 }
 
+/// A process is started again after so many polls, on average.
+const RESTARTED_POLLS: u32 = 60;
+
 const STORE_PAUSE: Duration = Duration::from_millis(1);
 
 fn pause(random: &mut ChaCha8Rng, most_ms: u64) {
--- a/crates/mgs-testing/tests/settings.rs
+++ b/crates/mgs-testing/tests/settings.rs
@@ -30,6 +30,7 @@
 #[case::lost(Plant::BlindWrites, |v: &Violation| matches!(v, Violation::Lost(_)))]
 #[case::overwrote(Plant::BlindRebase, |v: &Violation| matches!(v, Violation::Overwrote(_)))]
 #[case::twice(Plant::NewIdentifier, |v: &Violation| matches!(v, Violation::AppliedTwice(_)))]
+#[case::served_old(Plant::ServesEarly, |v: &Violation| matches!(v, Violation::ServedOld { .. }))]
 #[case::went_back(Plant::GoesBack, |v: &Violation| matches!(v, Violation::WentBack { .. }))]
 fn a_planted_fault_is_found(#[case] plant: Plant, #[case] expected: fn(&Violation) -> bool) {
     let outcome = race::run(Options {
