test(testing): keys and durable requests through lost replies, an outage and a killed gateway

Cause: the key's claim and the durable request's take-over are where a request may double or be lost; both had no test with real processes. Ruled out: losing exactly one reply (a gateway's sign of life may take it, so three are lost and counted).

--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -19,6 +19,8 @@
 /// Limit of a graceful stop: more than any request here is allotted.
 const STOP_LIMIT_MS: u64 = 60_000;
 
+const LOST_REPLIES: u64 = 3;
+
 const VERSION_METRIC: &[&str] = &["mgs_gateway_settings_version"];
 
 fn said_of_run(ending: &Ending) -> Option<NotRun> {
@@ -135,6 +137,55 @@
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
 }
 
+/// The claim of a key whose reply is lost is settled: the request runs once, and its repeat gets
+/// the same answer.
+#[test]
+fn claim_of_a_key_with_its_reply_lost() {
+    let cluster = support::start(2, 1);
+    let plan = support::keyed(1);
+    // Some of them may be those of other writes, such as a gateway's sign of life.
+    cluster.platform.faults().lose_next_replies(LOST_REPLIES);
+    let first = support::call(&cluster.gateways[0], &plan);
+    let repeat = support::call(&cluster.gateways[1], &plan);
+    assert!(support::is_whole(&plan, &first), "{first:?}");
+    assert!(support::is_whole(&plan, &repeat), "{repeat:?}");
+    assert_eq!(
+        cluster.platform.faults().counters().replies_lost,
+        LOST_REPLIES
+    );
+    assert_eq!(support::runs(&cluster, &plan).len(), 1);
+}
+
+/// Without the store nobody can tell whether the key was used, so the request is refused.
+#[test]
+fn keyed_request_in_a_store_outage() {
+    let cluster = support::start(1, 1);
+    cluster.platform.faults().set_outage(true);
+    let plan = support::keyed(1);
+    let refused = support::call(&cluster.gateways[0], &plan);
+    assert_eq!(said_of_run(&refused.ending), Some(NotRun::True));
+    assert_eq!(support::runs(&cluster, &plan).len(), 0);
+    cluster.platform.faults().set_outage(false);
+    support::wait_answered(&cluster.gateways[0], &plan);
+    assert_eq!(support::runs(&cluster, &plan).len(), 1);
+}
+
+/// Another gateway takes the request over.
+#[test]
+fn durable_request_whose_gateway_is_killed() {
+    let cluster = support::start(2, 1);
+    let plan = support::durable(1);
+    let exchange = support::submit_and(&cluster, &plan, || {
+        support::until("the request runs", || {
+            !support::runs(&cluster, &plan).is_empty()
+        });
+        cluster.gateways[0].kill().unwrap();
+    });
+    assert!(exchange.kept.is_some(), "{exchange:?}");
+    assert!(support::is_whole(&plan, &exchange), "{exchange:?}");
+    support::wait_freed(&cluster);
+}
+
 /// The caller hears that its request ran and has no whole answer; the engine serves again.
 #[test]
 fn engine_crash() {
--- a/crates/mgs-testing/tests/support/mod.rs
+++ b/crates/mgs-testing/tests/support/mod.rs
@@ -1,5 +1,6 @@
 //! A small system of real processes, and waits on events.
 
+use std::sync::Arc;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -8,7 +9,9 @@
 use mgs_standin::engine;
 use mgs_testing::caller::marker_of;
 use mgs_testing::caller::send;
+use mgs_testing::caller::Caller;
 use mgs_testing::caller::Exchange;
+use mgs_testing::caller::Kind;
 use mgs_testing::caller::Options;
 use mgs_testing::caller::Plan;
 use mgs_testing::cluster;
@@ -16,6 +19,7 @@
 use mgs_testing::cluster::Member;
 use mgs_testing::cluster::Run;
 use mgs_testing::history::Ending;
+use mgs_testing::history::Recorder;
 use mgs_testing::history::Request;
 use mgs_testing::proxy::Direction;
 
@@ -49,6 +53,38 @@
     }
 }
 
+/// A short request that must not run twice, under a key.
+pub(crate) fn keyed(request: u32) -> Plan {
+    Plan {
+        idempotent: false,
+        key: Some(format!("key-{request}")),
+        ..quick(request)
+    }
+}
+
+/// A durable request that may run twice.
+pub(crate) fn durable(request: u32) -> Plan {
+    Plan {
+        kind: Kind::Durable,
+        idempotent: true,
+        allotted_ms: 60_000,
+        ..once(request)
+    }
+}
+
+/// Sends a durable request to the first gateway and does something while its caller comes back
+/// for the answer.
+pub(crate) fn submit_and(cluster: &Cluster, plan: &Plan, meanwhile: impl FnOnce()) -> Exchange {
+    let gateways = cluster.gateways.iter();
+    let gateways = gateways.map(|one| (one.place().to_string(), one.front().address()));
+    let caller = Caller::new("test", gateways.collect(), Arc::new(Recorder::default()));
+    thread::scope(|scope| {
+        let call = scope.spawn(|| caller.call(0, plan));
+        meanwhile();
+        call.join().unwrap().expect("the gateway listens")
+    })
+}
+
 /// A request that takes no time.
 pub(crate) fn quick(request: u32) -> Plan {
     Plan {
