--- a/crates/mgs-ledger/src/reconcile.rs
+++ b/crates/mgs-ledger/src/reconcile.rs
@@ -13,6 +13,7 @@
 use crate::ledger::Resumed;
 use crate::memory::Allocation;
 use crate::memory::Holding;
+use crate::memory::Owner;
 use crate::queue::Waiting;
 use crate::record::Fate;
 
@@ -23,6 +24,8 @@
     pub name: String,
     /// Memory that it holds.
     pub tokens: u64,
+    /// Whether it is a stream that has ended, whose answer the engine still keeps.
+    pub finished: bool,
 }
 
 /// Name of a request's stream at the engine.
@@ -88,7 +91,7 @@
         }
     }
 
-    /// Compares the engine's list of unfinished streams and of KV with the ledger.
+    /// Compares the engine's lists of streams and of KV with the ledger.
     pub fn reconcile(&mut self, now_ms: u64, streams: &[Listed], kv: &[Listed]) {
         for stream in streams {
             self.reconcile_stream(now_ms, stream);
@@ -102,9 +105,13 @@
         let gone: Vec<Holding> = self
             .memory
             .iter()
-            .filter(|(holding, _)| match holding {
+            .filter(|(holding, held)| match holding {
                 Holding::Foreign(name) => !listed.contains(name.as_str()),
-                Holding::Kv(name) => !listed_kv.contains(name.as_str()),
+                // What is wanted may be on its way to the engine.
+                Holding::Kv(name) => {
+                    let is_wanted = held.owner != Owner::Nobody && held.freeing_ms.is_none();
+                    !is_wanted && !listed_kv.contains(name.as_str())
+                }
                 _ => false,
             })
             .map(|(holding, _)| holding.clone())
@@ -124,18 +131,27 @@
             }
             over = self.records.fate(id).is_some() || self.live.contains_key(&id);
         }
+        if over && stream.finished {
+            return;
+        }
         let holding = Holding::Foreign(stream.name.clone());
         self.note_ownerless(now_ms, holding, stream.tokens, over);
     }
 
     /// Takes up what nobody here owns, for a while or, if its request is over, to free it.
-    fn note_ownerless(&mut self, now_ms: u64, holding: Holding, tokens: u64, over: bool) {
+    pub(crate) fn note_ownerless(
+        &mut self,
+        now_ms: u64,
+        holding: Holding,
+        tokens: u64,
+        over: bool,
+    ) {
         if self.memory.get(&holding).is_none() {
             let wait_ms = if over { 0 } else { self.options.adopt_ms };
             let allocation = Allocation {
                 tokens,
                 expires_ms: now_ms + wait_ms,
-                gateway: 0,
+                owner: Owner::Nobody,
                 freeing_ms: None,
             };
             self.memory.hold(holding.clone(), allocation);
@@ -199,6 +215,7 @@
         };
         let waiting = Waiting::new(now_ms, job);
         allocation.expires_ms = waiting.deadline_ms;
+        allocation.owner = Owner::Request(id);
         self.memory
             .hold(Holding::Stream { id, attempt }, allocation);
         let live = Live {
