fix(testing): chaos leaves no process behind when it is told to end

Cause: a run that was ended by a time limit left its gateways and sidecars running. Ruled out: tying the children to their parent's death (needs unsafe code). Conclusion: SIGTERM and SIGINT kill what this run started, and only that.

--- a/crates/mgs-testing/src/bin/chaos.rs
+++ b/crates/mgs-testing/src/bin/chaos.rs
@@ -7,17 +7,23 @@
 use std::io;
 use std::io::Write;
 use std::path::PathBuf;
+use std::process;
 use std::process::ExitCode;
+use std::thread;
 
 use clap::value_parser;
 use clap::Arg;
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use signal_hook::consts::SIGINT;
+use signal_hook::consts::SIGTERM;
+use signal_hook::iterator::Signals;
 
 use mgs_testing::chaos;
 use mgs_testing::chaos::Options;
 use mgs_testing::chaos::Scenario;
+use mgs_testing::cluster;
 
 const VIOLATED: u8 = 1;
 
@@ -28,6 +34,10 @@
     let Some(options) = options(&matches) else {
         return ExitCode::from(USAGE);
     };
+    if let Err(error) = end_on_signal() {
+        print(&serde_json::json!({ "error": error.to_string() }).to_string());
+        return ExitCode::from(VIOLATED);
+    }
     match chaos::run(&options) {
         Ok(report) => {
             print(&report.json());
@@ -43,6 +53,18 @@
     }
 }
 
+/// Leaves no process behind when this one is told to end.
+fn end_on_signal() -> io::Result<()> {
+    let mut signals = Signals::new([SIGTERM, SIGINT])?;
+    thread::spawn(move || {
+        if signals.forever().next().is_some() {
+            cluster::kill_all();
+            process::exit(i32::from(VIOLATED));
+        }
+    });
+    Ok(())
+}
+
 fn command() -> Command {
     Command::new("chaos")
         .about("Run real processes under faults and check what must always hold")
--- a/crates/mgs-testing/src/cluster/mod.rs
+++ b/crates/mgs-testing/src/cluster/mod.rs
@@ -23,6 +23,7 @@
 pub use fleet::Cluster;
 pub use fleet::Options;
 pub use member::Member;
+pub use process::kill_all;
 pub use table::BEARER_KEY;
 pub use table::MODEL;
 pub use table::SERVICE;
--- a/crates/mgs-testing/src/cluster/process.rs
+++ b/crates/mgs-testing/src/cluster/process.rs
@@ -1,5 +1,6 @@
 //! One running process and the signals that it is sent.
 
+use std::collections::BTreeSet;
 use std::fs::File;
 use std::io;
 use std::path::Path;
@@ -7,6 +8,8 @@
 use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
+use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
@@ -17,6 +20,22 @@
 
 const POLL_MS: u64 = 5;
 
+/// Processes that run, so that none is left behind when this program is ended by a signal.
+static RUNNING: Mutex<BTreeSet<i32>> = Mutex::new(BTreeSet::new());
+
+/// Kills all processes that this program has started and not yet seen end.
+pub fn kill_all() {
+    let running = RUNNING.lock().unwrap_or_else(PoisonError::into_inner);
+    for pid in running.iter().filter_map(|pid| Pid::from_raw(*pid)) {
+        // Fails only when it has ended already.
+        let _ = kill_process(pid, Signal::KILL);
+    }
+}
+
+fn with_running(change: impl FnOnce(&mut BTreeSet<i32>)) {
+    change(&mut RUNNING.lock().unwrap_or_else(PoisonError::into_inner));
+}
+
 /// A process that is killed when it is dropped.
 #[derive(Debug)]
 pub(super) struct Process {
@@ -33,12 +52,28 @@
             .stdout(log.try_clone()?)
             .stderr(log)
             .spawn()?;
-        Ok(Self { child })
+        let process = Self { child };
+        with_running(|running| {
+            running.insert(process.pid());
+        });
+        Ok(process)
+    }
+
+    fn pid(&self) -> i32 {
+        Pid::from_child(&self.child).as_raw_nonzero().get()
+    }
+
+    /// Notes that it has ended, before its number may be used again.
+    fn forget(&self) {
+        with_running(|running| {
+            running.remove(&self.pid());
+        });
     }
 
     /// Kills it at once and waits for its end.
     pub(super) fn kill(&mut self) -> io::Result<()> {
         self.child.kill()?;
+        self.forget();
         self.child.wait().map(|_| ())
     }
 
@@ -62,6 +97,9 @@
         let end = Instant::now() + limit;
         loop {
             let status = self.child.try_wait()?;
+            if status.is_some() {
+                self.forget();
+            }
             if status.is_some() || Instant::now() >= end {
                 return Ok(status);
             }
