test(testing): a dispatch that comes after its withdrawal starts nothing

Cause: a frame that was held on a lost connection and comes late is how a request that was told not run may still run; chaos met it too seldom to find the planted bug. Conclusion: kept, with the planted case beside the sound one.

--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rstest::rstest;
+
 use mgs_testing::history::Ending;
 use mgs_testing::history::NotRun;
+use mgs_testing::proxy::Direction;
 use mgs_testing::proxy::Faults;
 
 /// Longer than the lease of a gateway at a sidecar.
@@ -102,6 +105,36 @@
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
 }
 
+/// A dispatch is held on its way until its sender has taken it back and told the caller that it was
+/// not run. What comes late starts nothing; with the tombstone dropped it does, so the test can
+/// fail.
+#[rstest]
+#[case::sound("", 0)]
+#[case::planted("dropped-tombstone", 1)]
+fn dispatch_that_comes_after_its_withdrawal(#[case] plant: &str, #[case] runs: usize) {
+    let cluster = support::start_planted(1, 1, plant);
+    let front = cluster.endpoints[0].sidecar.front();
+    let held = front.connections();
+    front.set_existing(Faults::silent_towards(Direction::ToTarget));
+    let request = support::once(1);
+    let exchange = support::call(&cluster.gateways[0], &request);
+    assert_eq!(
+        said_of_run(&exchange.ending),
+        Some(NotRun::True),
+        "{exchange:?}"
+    );
+    assert_eq!(support::runs(&cluster, &request).len(), 0);
+    front.set_existing(Faults::default());
+    support::until("the held connections end", || {
+        let open = front.connections();
+        held.iter()
+            .all(|old| open.iter().all(|new| new.id != old.id))
+    });
+    support::wait_answered(&cluster.gateways[0], &support::quick(2));
+    support::wait_freed(&cluster);
+    assert_eq!(support::runs(&cluster, &request).len(), runs);
+}
+
 /// The sidecar asks the engine for the rest of the stream.
 #[test]
 fn broken_connection_between_sidecar_and_engine() {
