--- a/crates/mgs-testing/src/chaos/inject.rs
+++ b/crates/mgs-testing/src/chaos/inject.rs
@@ -46,6 +46,8 @@
     cluster: &'a Cluster,
     recorder: &'a Recorder,
     leaving_hosts: Mutex<BTreeSet<usize>>,
+    /// Places that are asked to stop: a second signal would cut their work off.
+    stopping: Mutex<BTreeSet<String>>,
     /// Edits are made one at a time.
     edits: Mutex<u64>,
     failures: Mutex<Vec<String>>,
@@ -57,6 +59,7 @@
             cluster,
             recorder,
             leaving_hosts: Mutex::default(),
+            stopping: Mutex::default(),
             edits: Mutex::new(0),
             failures: Mutex::default(),
         };
@@ -152,7 +155,23 @@
         self.during(fault, member.place(), begin, || member.resume())
     }
 
+    /// Stops a process gracefully and starts another, unless it is being stopped already.
     fn stop(&self, member: &Member, endpoint: Option<&str>, fault: &Fault) -> Result<(), Error> {
+        let place = member.place().to_string();
+        if !locked(&self.stopping).insert(place.clone()) {
+            return Ok(());
+        }
+        let stopped = self.stop_alone(member, endpoint, fault);
+        locked(&self.stopping).remove(&place);
+        stopped
+    }
+
+    fn stop_alone(
+        &self,
+        member: &Member,
+        endpoint: Option<&str>,
+        fault: &Fault,
+    ) -> Result<(), Error> {
         self.recorder.record(Event::StopAsked {
             place: member.place().to_string(),
             endpoint: endpoint.map(str::to_string),
@@ -321,6 +340,9 @@
         FaultKind::HalfDead => route.set_existing(Faults::silent()),
         FaultKind::Silent => route.set_all(Faults::silent()),
         FaultKind::SilentOneWay => route.set_all(Faults::silent_towards(direction)),
+        FaultKind::HeldBack => {
+            route.set_existing(Faults::silent_towards(Direction::ToTarget));
+        }
         FaultKind::HoldOne => hold_one(route, fault.variant / 2),
         _ => route.set_all(Faults::delayed(SLOW_MS)),
     }
--- a/crates/mgs-testing/src/chaos/scenario.rs
+++ b/crates/mgs-testing/src/chaos/scenario.rs
@@ -55,6 +55,7 @@
     FaultKind::Silent,
     FaultKind::SilentOneWay,
     FaultKind::HoldOne,
+    FaultKind::HeldBack,
     FaultKind::Slow,
 ];
 
--- a/crates/mgs-testing/src/chaos/schedule.rs
+++ b/crates/mgs-testing/src/chaos/schedule.rs
@@ -28,6 +28,8 @@
     SilentOneWay,
     /// One connection of a path lets all others pass it.
     HoldOne,
+    /// What gateways send to a sidecar is held back, and comes when they have given it up.
+    HeldBack,
     /// A path is slow for a while.
     Slow,
     /// The platform refuses all calls for a while.
@@ -66,6 +68,7 @@
             Self::Silent => "silent",
             Self::SilentOneWay => "silent_one_way",
             Self::HoldOne => "hold_one",
+            Self::HeldBack => "held_back",
             Self::Slow => "slow",
             Self::StoreDown => "store_down",
             Self::StoreSlow => "store_slow",
@@ -109,14 +112,14 @@
             Self::PauseGateway | Self::PauseSidecar => PAUSE_MAX_MS,
             Self::StoreDown | Self::StoreUnreachable => OUTAGE_MAX_MS,
             Self::StopEndpoint | Self::HostLeaves => LEAVING_MAX_MS,
-            Self::HoldOne => HOLD_MAX_MS,
+            Self::HoldOne | Self::HeldBack => HOLD_MAX_MS,
             _ => FAULT_MAX_MS,
         }
     }
 
     fn shortest_ms(self) -> u64 {
         match self {
-            Self::HoldOne => HOLD_MIN_MS,
+            Self::HoldOne | Self::HeldBack => HOLD_MIN_MS,
             _ => FAULT_MIN_MS,
         }
     }
--- a/crates/mgs-testing/src/cluster/member.rs
+++ b/crates/mgs-testing/src/cluster/member.rs
@@ -140,18 +140,27 @@
     }
 
     /// Waits for the end of a process that was asked to stop; whether it ended in time and well.
+    /// One that somebody else killed meanwhile isn't judged.
     pub fn wait_exit(&self, limit_ms: u64) -> Result<bool, Error> {
-        let mut process = self.locked();
-        let Some(running) = process.as_mut() else {
-            return Ok(true);
-        };
-        let limit = Duration::from_millis(limit_ms);
-        let status = running.wait(limit).map_err(|error| self.failed(error))?;
-        if status.is_some() {
-            *process = None;
-            self.parts.front.refuse(true)?;
+        let asked = self.process_name();
+        let end = Instant::now() + Duration::from_millis(limit_ms);
+        loop {
+            let mut process = self.locked();
+            let Some(running) = process.as_mut().filter(|_| asked == self.process_name()) else {
+                return Ok(true);
+            };
+            let status = running.ended().map_err(|error| self.failed(error))?;
+            if let Some(status) = status {
+                *process = None;
+                self.parts.front.refuse(true)?;
+                return Ok(status.success());
+            }
+            drop(process);
+            if Instant::now() >= end {
+                return Ok(false);
+            }
+            thread::sleep(Duration::from_millis(POLL_MS));
         }
-        Ok(status.is_some_and(|status| status.success()))
     }
 
     /// What it answers to operators, if it answers with success.
--- a/crates/mgs-testing/src/cluster/process.rs
+++ b/crates/mgs-testing/src/cluster/process.rs
@@ -10,16 +10,11 @@
 use std::process::Stdio;
 use std::sync::Mutex;
 use std::sync::PoisonError;
-use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use rustix::process::kill_process;
 use rustix::process::Pid;
 use rustix::process::Signal;
 
-const POLL_MS: u64 = 5;
-
 /// Processes that run, so that none is left behind when this program is ended by a signal.
 static RUNNING: Mutex<BTreeSet<i32>> = Mutex::new(BTreeSet::new());
 
@@ -92,19 +87,13 @@
         self.signal(Signal::TERM)
     }
 
-    /// Waits for its end; `None` if it still runs after the limit.
-    pub(super) fn wait(&mut self, limit: Duration) -> io::Result<Option<ExitStatus>> {
-        let end = Instant::now() + limit;
-        loop {
-            let status = self.child.try_wait()?;
-            if status.is_some() {
-                self.forget();
-            }
-            if status.is_some() || Instant::now() >= end {
-                return Ok(status);
-            }
-            thread::sleep(Duration::from_millis(POLL_MS));
+    /// How it ended; `None` if it still runs.
+    pub(super) fn ended(&mut self) -> io::Result<Option<ExitStatus>> {
+        let status = self.child.try_wait()?;
+        if status.is_some() {
+            self.forget();
         }
+        Ok(status)
     }
 
     fn signal(&self, signal: Signal) -> io::Result<()> {
