--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -9,6 +9,7 @@
 pub mod report;
 
 use std::io::Write;
+use std::time::Instant;
 
 use crate::error::Error;
 use fleet::Fleet;
@@ -28,9 +29,15 @@
 pub fn run(options: Options, out: &mut dyn Write) -> Result<Summary, Error> {
     let alone = plan::alone();
     let planned = plan::make(&options.plan);
+    let begun = Instant::now();
     let fleet = Fleet::start(options.fleet)?;
+    let ready_ms = begun.elapsed().as_millis();
     let count = alone.len() + planned.len();
-    writeln!(out, "{count} requests to {}", fleet.describe())?;
+    writeln!(
+        out,
+        "{count} requests to {}, ready in {ready_ms} ms",
+        fleet.describe()
+    )?;
     let progress = Progress::new(count as u64);
     let alone = load::run(alone, &fleet.target(), &progress);
     let mixed = load::run(planned, &fleet.target(), &progress);
