fix(cli): say nothing when the reader of the output has gone

Cause: `… | head` ended with an error message. Ruled out: ending by SIGPIPE, which needs unsafe code. Conclusion: exit code 1, no message.

--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -102,6 +102,8 @@
     };
     match dispatch(&matches, &mut io::stdout()) {
         Ok(()) => ExitCode::SUCCESS,
+        // As when `head` has read enough: nothing to tell.
+        Err(error @ Error::OutputClosed) => error.exit_code(),
         Err(error) => {
             // Standard error may be closed; there is nobody left to tell.
             let _ = writeln!(io::stderr(), "error: {error}");
--- a/src/error.rs
+++ b/src/error.rs
@@ -1,5 +1,6 @@
 //! How a command ends when it doesn't succeed, and the exit code that says so.
 
+use std::io::ErrorKind;
 use std::process::ExitCode;
 
 use displaydoc::Display;
@@ -37,6 +38,8 @@
     Unknown(String),
     /// {0}
     Timeout(String),
+    /// nobody reads the output any more
+    OutputClosed,
 }
 
 impl std::error::Error for Error {}
@@ -49,7 +52,7 @@
 
     fn code(&self) -> u8 {
         match self {
-            Self::Failed(_) => 1,
+            Self::Failed(_) | Self::OutputClosed => 1,
             Self::Usage(_) | Self::Settings(_) => 2,
             Self::Conflict(_) => 3,
             Self::Unavailable(_) => 4,
@@ -61,7 +64,10 @@
 
 impl From<std::io::Error> for Error {
     fn from(error: std::io::Error) -> Self {
-        Self::Failed(format!("can't write the output: {error}"))
+        match error.kind() {
+            ErrorKind::BrokenPipe => Self::OutputClosed,
+            _ => Self::Failed(format!("can't write the output: {error}")),
+        }
     }
 }
 
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -4,6 +4,8 @@
 
 mod common;
 
+use std::process::Stdio;
+
 use common::code;
 use common::marigoldstage;
 use common::run;
@@ -174,6 +176,19 @@
     }
 }
 
+#[test]
+fn a_reader_that_has_read_enough_is_no_error() {
+    let mut child = marigoldstage()
+        .args(["completions", "bash"])
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .unwrap();
+    drop(child.stdout.take());
+    let output = child.wait_with_output().unwrap();
+    assert_eq!(stderr(&output), "");
+}
+
 #[test]
 fn status_of_a_closed_port_is_unavailable() {
     let closed = std::net::TcpListener::bind("127.0.0.1:0").unwrap();
