feat(demo): a line that edits the table and waits until it is in force

Cause: the table is what operators drive the system by, and the demo showed only how to read it. Ruled out: nothing.

--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -132,10 +132,11 @@
         .map(ToString::to_string)
         .collect();
     writeln!(out, "{binary} status --admin-address {}", admin.join(","))?;
+    let platform = fleet.platform_url();
+    writeln!(out, "{binary} table show --platform {platform}")?;
     writeln!(
         out,
-        "{binary} table show --platform {}",
-        fleet.platform_url()
+        "{binary} table set '*' query weight=8 --wait --platform {platform}"
     )?;
     writeln!(out, "\nas a caller:")?;
     writeln!(out, "{}", curl(&fleet.target()))?;
