--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -5,25 +5,14 @@
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
-use std::time::SystemTime;
-use std::time::UNIX_EPOCH;
 
 use mgs_gateway::duty;
 use mgs_gateway::gateway;
 use mgs_gateway::gateway::Gateway;
 use mgs_observe::metrics::Registry;
 use mgs_platform::http;
-use mgs_schema::settings::Change;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::settings::EndpointRow;
-use mgs_schema::settings::LimitRow;
-use mgs_schema::settings::OrganisationRow;
-use mgs_settings::row::RowValue;
-use mgs_settings::row::ANY;
-use mgs_settings::store::edit;
-use mgs_settings::store::read::Store;
-use mgs_settings::table::key_digest;
-use mgs_settings::table::Table;
 use mgs_sidecar::sidecar;
 use mgs_sidecar::sidecar::Sidecar;
 use mgs_standin::engine;
@@ -40,6 +29,7 @@
 use super::plan::Call;
 use super::plan::Planned;
 use super::report::Summary;
+use super::table;
 use crate::error::Error;
 use crate::status::parse_metrics;
 
@@ -95,8 +85,10 @@
             .collect::<Result<_, _>>()?;
         let service = start_service(&options)?;
         let sidecars = start_sidecars(&engines, &service, &platform)?;
-        let bearer_keys: Vec<String> = plan::ORGANISATIONS.map(bearer_key).into();
-        write_table(&platform, changes(&sidecars, &bearer_keys))?;
+        let (rows, sidecars): (Vec<_>, Vec<_>) = sidecars.into_iter().unzip();
+        let bearer_keys: Vec<String> = plan::ORGANISATIONS.map(table::bearer_key).into();
+        let client = http::Client::new(platform_options(&platform));
+        table::write(&client, table::changes(&rows, &bearer_keys))?;
         let gateways: Vec<_> = options
             .gateways
             .iter()
@@ -105,7 +97,7 @@
             .collect::<Result<_, _>>()?;
         let fleet = Self {
             gateways,
-            sidecars: sidecars.into_iter().map(|(_, sidecar)| sidecar).collect(),
+            sidecars,
             engines,
             service,
             platform,
@@ -342,52 +334,3 @@
         ..http::Options::default()
     }
 }
-
-/// The demonstration's keys are no secret.
-fn bearer_key(organisation: &str) -> String {
-    format!("demo-key-{organisation}")
-}
-
-fn changes(sidecars: &[(EndpointRow, Sidecar)], bearer_keys: &[String]) -> Vec<Change> {
-    let endpoints = sidecars
-        .iter()
-        .map(|(row, _)| RowValue::Endpoint(row.clone()));
-    let organisations = plan::ORGANISATIONS.iter().zip(bearer_keys);
-    let organisations = organisations.map(|(name, key)| {
-        RowValue::Organisation(OrganisationRow {
-            name: name.to_string(),
-            key_digests: vec![key_digest(key)],
-            version: 0,
-        })
-    });
-    let limits = plan::KINDS.iter().map(|kind| {
-        RowValue::Limit(LimitRow {
-            organisation: ANY.to_string(),
-            kind: kind.name.to_string(),
-            weight: kind.weight,
-            priority: kind.priority,
-            allotted_ms: kind.allotted_ms,
-            ..LimitRow::default()
-        })
-    });
-    let rows = endpoints.chain(organisations).chain(limits);
-    rows.map(RowValue::set).collect()
-}
-
-fn write_table(platform: &Platform, changes: Vec<Change>) -> Result<(), Error> {
-    let client = http::Client::new(platform_options(platform));
-    let store = Store {
-        table: &client,
-        objects: &client,
-    };
-    let since_epoch = SystemTime::now().duration_since(UNIX_EPOCH);
-    let options = edit::Options {
-        edit_id: "demo-1".to_string(),
-        author: "demo".to_string(),
-        at_ms: since_epoch.map_or(0, |time| time.as_millis() as u64),
-        changes,
-        ..edit::Options::default()
-    };
-    edit::commit(store, &Table::default(), &options).map_err(failed)?;
-    Ok(())
-}
--- a/src/demo/mod.rs
+++ b/src/demo/mod.rs
@@ -7,6 +7,7 @@
 pub mod plan;
 pub mod progress;
 pub mod report;
+mod table;
 
 use std::io::Write;
 use std::time::Instant;
