fix(durable): never refuse what may have run, and end late requests without a lease

Cause, each found by the chaos runs or a run on a busy machine: a later holder of an idempotent request forgot that an earlier one had dispatched it, and refused it as not run; a request whose gateway died ended only after the lease, 16 s past its time; a tenure dropped after a take-over ended a running request `unknown`; an idle gateway of two made 42 reads a second for its scans. Ruled out: shorter leases (a busy live holder loses its entry), and a status that only looks ended (the row must say the same to everybody). Conclusion: whoever finds an entry a second past its time ends it; the shared clock ticks each second and takes the later of two measurements.

--- a/crates/mgs-durable/src/claim.rs
+++ b/crates/mgs-durable/src/claim.rs
@@ -109,6 +109,7 @@
         digest: asked.digest.clone(),
         state,
         cancelled: false,
+        dispatched_before: false,
         body: 0,
         organisation: asked.organisation.clone(),
         kind: asked.kind.clone(),
--- a/crates/mgs-durable/src/clock.rs
+++ b/crates/mgs-durable/src/clock.rs
@@ -5,7 +5,8 @@
 //! passed. A gateway that has seen the row unchanged for [`TICK_MS`] of its own clock adds what it
 //! measured, on condition of the row's version; of several only one succeeds. What a gateway adds
 //! has truly passed since the last change, so the shared time never runs ahead of real time. It
-//! falls behind by the time between a change and its being seen, and stands while no gateway runs.
+//! falls behind by the time between a change and its being seen, a tick or two for a gateway that
+//! has just started, and stands while no gateway runs.
 
 use mgs_platform::table::Row;
 
@@ -13,7 +14,7 @@
 pub const KEY: &str = "durable/clock";
 
 /// Time between two changes of the row, in milliseconds.
-pub const TICK_MS: u64 = 5_000;
+pub const TICK_MS: u64 = 1_000;
 
 /// Longest further wait of a gateway that isn't the first in line, in ticks.
 const RANKS: u64 = 3;
@@ -47,7 +48,11 @@
         if self.seen.is_some_and(|seen| seen.version == version) {
             return;
         }
-        let shared_ms = row.and_then(|row| row.value.parse().ok()).unwrap_or(0);
+        let written_ms = row.and_then(|row| row.value.parse().ok()).unwrap_or(0);
+        // Neither can be ahead of real time, so the later of them is the better.
+        let shared_ms = self
+            .now_ms(now_ms)
+            .map_or(written_ms, |own_ms| own_ms.max(written_ms));
         self.seen = Some(Seen {
             version,
             shared_ms,
--- a/crates/mgs-durable/src/durable.rs
+++ b/crates/mgs-durable/src/durable.rs
@@ -22,6 +22,8 @@
 use crate::clock::Clock;
 use crate::core::lock;
 use crate::core::Core;
+use crate::entry::async_key;
+use crate::entry::is_id;
 use crate::entry::Done;
 use crate::executor::Answer;
 use crate::executor::Executor;
@@ -38,6 +40,7 @@
 use crate::run;
 use crate::tenure;
 use crate::tenure::Closing;
+use crate::worker;
 use crate::worker::Worker;
 
 /// Wait between two looks at whether the last request has ended.
@@ -167,12 +170,29 @@
         kept.submitted
     }
 
-    /// Where a durable request of this organisation stands.
+    /// Where a durable request of this organisation stands. One that is past its time and whose
+    /// holder hasn't ended it is ended first.
     pub fn status(&self, organisation: &str, id: &str) -> Result<Option<Status>, Error> {
+        if is_id(id) {
+            self.end_overdue(&async_key(id))?;
+        }
         let status = request::status(self.core.table.as_ref(), id)?;
         Ok(status.filter(|status| status.entry.organisation == organisation))
     }
 
+    fn end_overdue(&self, key: &str) -> Result<(), Error> {
+        let Some(shared_ms) = self.core.shared_ms() else {
+            return Ok(());
+        };
+        let Some((row, entry)) = self.core.read(key)? else {
+            return Ok(());
+        };
+        if worker::is_overdue(&entry, shared_ms) {
+            worker::take(&self.core, self.closers(), row, entry, shared_ms);
+        }
+        Ok(())
+    }
+
     /// The answer of an ended request.
     pub fn answer(&self, done: &Done) -> Result<Answer, Error> {
         self.core.read_answer(done)
--- a/crates/mgs-durable/src/entry.rs
+++ b/crates/mgs-durable/src/entry.rs
@@ -236,6 +236,10 @@
     pub digest: String,
     /// Where the request stands.
     pub state: State,
+    /// Whether it may have run, in part or whole, under an earlier holder; only for a request that
+    /// may run more than once. It can't end as refused then.
+    #[serde(default)]
+    pub dispatched_before: bool,
     /// Whether its caller wants it cancelled.
     pub cancelled: bool,
     /// Nonce in the key of a durable request's body; 0 for a keyed request.
--- a/crates/mgs-durable/src/pursuit.rs
+++ b/crates/mgs-durable/src/pursuit.rs
@@ -226,18 +226,21 @@
                 self.phase = Phase::Asking(target.clone());
                 Action::Ask(target)
             }
-            (State::Dispatched(_), Some(reason)) => {
-                let done = Done::without_answer(Ending::Failed, &reason.name());
+            (_, Some(reason)) => {
+                let done = self.honest(Done::refused(reason));
                 self.take_as(State::Done(done))
             }
-            (_, Some(reason)) => self.take_as(State::Done(Done::refused(reason))),
             (_, None) => self.take_as(State::Held),
         }
     }
 
     /// Makes the entry found the one wanted, under this gateway's tenure.
     fn take(&mut self, found: Entry) {
+        let held = matches!(found.state, State::Held | State::Dispatched(_));
+        let unmarked = !self.options.mark_all && held;
+        let marked = matches!(found.state, State::Dispatched(_));
         self.entry = found;
+        self.entry.dispatched_before |= self.entry.idempotent && (marked || unmarked);
         self.entry.nonce = self.options.nonce;
         self.entry.holder = self.options.gateway;
         self.entry.fencing += 1;
@@ -251,10 +254,17 @@
 
     fn proved(&mut self, target: Target, proof: Proof) -> Action {
         match proof {
+            Proof::NeverStarted if self.late => {
+                self.take_as(State::Done(Done::refused(RefusalReason::Deadline)))
+            }
             Proof::NeverStarted if self.entry.cancelled => {
                 self.take_as(State::Done(Done::refused(RefusalReason::Cancelled)))
             }
             Proof::NeverStarted => self.take_as(State::Held),
+            Proof::Running | Proof::Finished if self.late => {
+                let done = Done::without_answer(Ending::Failed, &RefusalReason::Deadline.name());
+                self.take_as(State::Done(done))
+            }
             Proof::Running | Proof::Finished => self.take_as(State::Dispatched(target)),
             Proof::Unreachable if !self.late => {
                 self.phase = Phase::Following;
@@ -344,13 +354,24 @@
     /// Ends a cancelled request between two dispatches. One that may run more than once may have
     /// run in part before.
     fn cancel(&mut self) -> Action {
-        if self.entry.idempotent && self.sent {
-            return self.close(Done::without_answer(Ending::Failed, "cancelled"));
-        }
+        self.entry.dispatched_before |= self.entry.idempotent && self.sent;
         self.close(Done::refused(RefusalReason::Cancelled))
     }
 
+    /// A refusal says that the request didn't run; one that may have run in part can't be refused.
+    /// Where dispatches aren't written down, nobody can tell.
+    fn honest(&self, mut done: Done) -> Done {
+        if done.ending == Ending::Refused && self.entry.dispatched_before {
+            done.ending = match self.options.mark_all {
+                true => Ending::Failed,
+                false => Ending::Unknown,
+            };
+        }
+        done
+    }
+
     fn close(&mut self, done: Done) -> Action {
+        let done = self.honest(done);
         self.phase = Phase::Closing;
         let refused = done.ending == Ending::Refused;
         self.entry.state = State::Done(done);
--- a/crates/mgs-durable/src/shard.rs
+++ b/crates/mgs-durable/src/shard.rs
@@ -8,12 +8,13 @@
 
 use xxhash_rust::xxh3::xxh3_64_with_seed;
 
-/// Count of shards.
-pub const SHARDS: u32 = 256;
+/// Count of shards: one for each first digit of an identifier. An idle fleet reads each once in a
+/// pass, so more of them would cost reads and spread the work of no more than so many gateways.
+pub const SHARDS: u32 = 16;
 
-/// Name of a shard, as rows' keys spell it.
+/// Name of a shard, the start of its rows' identifiers.
 pub fn name(shard: u32) -> String {
-    format!("{shard:02x}")
+    format!("{shard:x}")
 }
 
 /// The scanner of a shard among the live gateways.
--- a/crates/mgs-durable/src/tenure.rs
+++ b/crates/mgs-durable/src/tenure.rs
@@ -2,6 +2,7 @@
 
 use std::sync::Arc;
 use std::sync::Mutex;
+use std::sync::PoisonError;
 use std::thread;
 use std::thread::JoinHandle;
 use std::time::Duration;
@@ -28,7 +29,7 @@
 const KEEP_RETRY: Duration = Duration::from_millis(500);
 
 /// An entry that this process holds. Dropping it without [`Tenure::finish`] ends the request as
-/// refused if it was dispatched nowhere, and as `unknown` otherwise.
+/// refused if it was dispatched nowhere; otherwise the next gateway asks its endpoint.
 #[derive(Debug)]
 pub struct Tenure {
     inner: Option<Inner>,
@@ -71,7 +72,11 @@
 
     /// Ends the request. The end is written in the background, for as long as it takes.
     pub fn finish(mut self, answer: Answer) {
-        self.close(answer);
+        let Some(Inner { core, held }) = self.inner.take() else {
+            return;
+        };
+        let held = held.into_inner().expect("no holder panics");
+        close_later(&self.closers, core, held, answer);
     }
 
     /// Gives the entry up as it stands, so that another gateway goes on with it.
@@ -92,38 +97,38 @@
     fn inner(&self) -> &Inner {
         self.inner.as_ref().expect("a tenure is finished only once")
     }
+}
 
-    fn close(&mut self, answer: Answer) {
+impl Drop for Tenure {
+    fn drop(&mut self) {
         let Some(Inner { core, held }) = self.inner.take() else {
             return;
         };
-        let held = held.into_inner().expect("no holder panics");
-        if held.ended.is_some() {
+        // A holder that panicked leaves the entry as one that stopped does.
+        let held = held.into_inner().unwrap_or_else(PoisonError::into_inner);
+        if held.dispatched {
+            core.surrender(held.pursuit.key(), held.pursuit.nonce());
             core.leave(held.pursuit.nonce());
             return;
         }
-        let closing = Closing {
-            core,
-            pursuit: held.pursuit,
-            answer,
-        };
-        // The closers outlive every tenure of a running process.
-        let _ = self.closers.send(closing);
+        let answer = Answer::without_body(Ending::Refused, "stopped");
+        close_later(&self.closers, core, held, answer);
     }
 }
 
-impl Drop for Tenure {
-    fn drop(&mut self) {
-        let Some(inner) = &self.inner else {
-            return;
-        };
-        let dispatched = lock(&inner.held).dispatched;
-        let ending = match dispatched {
-            true => Ending::Unknown,
-            false => Ending::Refused,
-        };
-        self.close(Answer::without_body(ending, "stopped"));
+/// Has the end written in the background.
+fn close_later(closers: &Sender<Closing>, core: Arc<Core>, held: Held, answer: Answer) {
+    if held.ended.is_some() {
+        core.leave(held.pursuit.nonce());
+        return;
     }
+    let closing = Closing {
+        core,
+        pursuit: held.pursuit,
+        answer,
+    };
+    // The closers outlive every tenure of a running process.
+    let _ = closers.send(closing);
 }
 
 impl Permits for Tenure {
--- a/crates/mgs-durable/src/worker.rs
+++ b/crates/mgs-durable/src/worker.rs
@@ -29,13 +29,16 @@
 use crate::tenure::Closing;
 
 /// Rows read at once.
-const PAGE_ROWS: usize = 200;
+const PAGE_ROWS: usize = 1_000;
 
 /// Pages of durable requests read in one pass, at most.
 const ASYNC_PAGES_MAX: usize = 64;
 
 /// Pages of keyed requests read in one pass, at most; they are read only to delete what expired.
-const CLAIM_PAGES_MAX: usize = 8;
+const CLAIM_PAGES_MAX: usize = 1;
+
+/// How long after its deadline an entry is left to its holder, in milliseconds.
+const OVERDUE_MS: u64 = 1_000;
 
 /// Wait between two looks at whether the process stops.
 const PAUSE: Duration = Duration::from_millis(50);
@@ -88,26 +91,34 @@
         let live = lock(&self.core.watch).live(now_ms);
         let shards = shard::owned(self.core.options.gateway, &live);
         self.deletes_left = self.core.options.deletes_max;
-        for shard in next_of(&shards, &mut self.next_async, ASYNC_PAGES_MAX) {
-            self.scan(&format!("{ASYNC_PREFIX}{}/", shard::name(shard)), shared_ms)?;
+        let mut pages_left = ASYNC_PAGES_MAX;
+        for shard in next_of(&shards, &mut self.next_async, shards.len()) {
+            let prefix = format!("{ASYNC_PREFIX}{}", shard::name(shard));
+            while pages_left > 0 {
+                pages_left -= 1;
+                if !self.scan(&prefix, shared_ms)? {
+                    break;
+                }
+            }
         }
         for shard in next_of(&shards, &mut self.next_claim, CLAIM_PAGES_MAX) {
-            self.scan(&format!("{CLAIM_PREFIX}{}/", shard::name(shard)), shared_ms)?;
+            self.scan(&format!("{CLAIM_PREFIX}{}", shard::name(shard)), shared_ms)?;
         }
         Ok(())
     }
 
-    /// Reads one page under a prefix.
-    fn scan(&mut self, prefix: &str, shared_ms: u64) -> Result<(), Error> {
+    /// Reads one page under a prefix; returns whether there are more.
+    fn scan(&mut self, prefix: &str, shared_ms: u64) -> Result<bool, Error> {
         let after = self.cursors.remove(prefix).unwrap_or_default();
         let page = self.core.table.scan(prefix, &after, PAGE_ROWS)?;
-        if let Some(last) = page.rows.last().filter(|_| page.more) {
+        let more = page.more;
+        if let Some(last) = page.rows.last().filter(|_| more) {
             self.cursors.insert(prefix.to_string(), last.key.clone());
         }
         for row in page.rows {
             self.consider(row, shared_ms);
         }
-        Ok(())
+        Ok(more)
     }
 
     fn consider(&mut self, row: Row, shared_ms: u64) {
@@ -122,8 +133,10 @@
         if row.key.starts_with(CLAIM_PREFIX) {
             return;
         }
+        let overdue = is_overdue(&entry, shared_ms);
         match &entry.state {
             State::Done(_) | State::Async => {}
+            _ if overdue => self.pursue(row, entry, shared_ms),
             State::Queued => self.pursue(row, entry, shared_ms),
             _ if self.core.gone(&entry) => self.pursue(row, entry, shared_ms),
             State::Dispatched(target) if entry.cancelled => self.core.executor.cancel(target),
@@ -202,8 +215,21 @@
     Ok(())
 }
 
-/// Takes an entry over and runs it to its end.
-fn take(core: &Arc<Core>, closers: &Sender<Closing>, row: Row, entry: Entry, shared_ms: u64) {
+/// Whether an entry's holder must have ended it by now: its own watchdog ends a request by its
+/// deadline, so that no lease need lapse.
+pub(crate) fn is_overdue(entry: &Entry, shared_ms: u64) -> bool {
+    let ended = matches!(entry.state, State::Done(_) | State::Async);
+    !ended && shared_ms > entry.deadline_ms + OVERDUE_MS
+}
+
+/// Takes an entry over and runs it to its end; one that is overdue is only ended.
+pub(crate) fn take(
+    core: &Arc<Core>,
+    closers: &Sender<Closing>,
+    row: Row,
+    entry: Entry,
+    shared_ms: u64,
+) {
     let options = pursuit::Options {
         gateway: core.options.gateway,
         nonce: core.enter(),
@@ -217,8 +243,16 @@
     let abandoned = entry.state == State::Submitting;
     let body = body_key(id_of(&row.key), entry.body);
     let mut pursuit = Pursuit::new(options, entry);
-    let action = pursuit.found(Some(row), &|entry| core.gone(entry), doomed);
+    let overdue = is_overdue(pursuit.entry(), shared_ms);
+    let target = match &pursuit.entry().state {
+        State::Dispatched(target) if overdue => Some(target.clone()),
+        _ => None,
+    };
+    let action = pursuit.found(Some(row), &|entry| overdue || core.gone(entry), doomed);
     let action = core.drive(&mut pursuit, action, Instant::now());
+    if let (Action::Replay(_), Some(target)) = (&action, &target) {
+        core.executor.cancel(target);
+    }
     match action {
         Action::Run | Action::Resume(_) => {
             if pursuit.entry().fencing > 2 {
--- a/crates/mgs-durable/tests/model/mod.rs
+++ b/crates/mgs-durable/tests/model/mod.rs
@@ -143,6 +143,7 @@
             Kind::Durable => EntryState::Queued,
         },
         cancelled: false,
+        dispatched_before: false,
         body: 0,
         organisation: String::new(),
         kind: String::new(),
--- a/crates/mgs-durable/tests/request.rs
+++ b/crates/mgs-durable/tests/request.rs
@@ -190,6 +190,28 @@
     assert_eq!(site.executions(), 1);
 }
 
+#[test]
+fn a_request_past_its_time_needs_no_lapsed_lease_to_end() {
+    let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
+    let mut lasting = options(1);
+    lasting.beat_min_ms = 60_000;
+    let first = gateway(lasting, &memory, &site);
+    site.hold(true);
+    let mut brief = asked("", b"x");
+    brief.budget_ms = 500;
+    let id = accepted(first.submit(&brief, &work(b"x")));
+    wait_until("it runs", || site.executions() == 1);
+    drop(first);
+    let second = gateway(options(2), &memory, &site);
+    let answer = ended(&second, &id);
+    assert_eq!(
+        (answer.ending, answer.reason.as_str()),
+        (Ending::Failed, "deadline")
+    );
+    site.hold(false);
+    assert_eq!(site.executions(), 1);
+}
+
 #[test]
 fn a_queued_request_is_cancelled_unrun() {
     let (memory, site) = (Arc::new(Memory::default()), Arc::new(Site::default()));
--- a/tests/command_request.rs
+++ b/tests/command_request.rs
@@ -32,6 +32,7 @@
         digest: String::new(),
         state,
         cancelled: false,
+        dispatched_before: false,
         body: 1,
         organisation: organisation.to_string(),
         kind: "audit".to_string(),
