fix(ledger): say unknown of what was cut off before its endpoint confirmed a start

Cause: a plain service's call that was in flight at its deadline ended as failed, which says that it ran; nobody knows. A withdrawal of an older attempt left the newer one, refused with it, without its own tombstone. Ruled out: unknown for all that is cut off (an engine's running stream did run).

--- a/crates/mgs-ledger/src/action.rs
+++ b/crates/mgs-ledger/src/action.rs
@@ -2,6 +2,7 @@
 
 use mgs_schema::key::RequestId;
 use mgs_schema::wire::FailureReason;
+use mgs_schema::wire::Outcome;
 use mgs_schema::wire::RefusalReason;
 
 /// Something for the sidecar's threads to do.
@@ -19,10 +20,12 @@
         /// When to come back, in milliseconds; 0 if unknown.
         retry_after_ms: u64,
     },
-    /// Tell the reader that the request, which ran, failed.
+    /// Tell the reader that the request, which ran or may have run, has no whole answer.
     Fail {
         /// The request.
         id: RequestId,
+        /// Failed, or unknown if the endpoint never confirmed that it started.
+        outcome: Outcome,
         /// Why.
         reason: FailureReason,
     },
--- a/crates/mgs-ledger/src/finish.rs
+++ b/crates/mgs-ledger/src/finish.rs
@@ -2,6 +2,7 @@
 
 use mgs_schema::key::RequestId;
 use mgs_schema::wire::FailureReason;
+use mgs_schema::wire::Outcome;
 use mgs_schema::wire::RefusalReason;
 
 use crate::action::Action;
@@ -170,7 +171,15 @@
         }
         live.told = true;
         let running = live.running;
-        self.actions.push(Action::Fail { id, reason });
+        let outcome = match running {
+            true => Outcome::Failed,
+            false => Outcome::Unknown,
+        };
+        self.actions.push(Action::Fail {
+            id,
+            outcome,
+            reason,
+        });
         if running {
             self.cancel_live(now_ms, id);
         }
--- a/crates/mgs-ledger/src/schedule.rs
+++ b/crates/mgs-ledger/src/schedule.rs
@@ -247,7 +247,8 @@
         self.actions.push(Action::Start(id));
     }
 
-    /// Refuses a waiting request, which then never starts under the attempts up to `attempt`.
+    /// Refuses a waiting request, which then never starts under its attempt and those up to
+    /// `attempt`.
     pub(crate) fn refuse_waiting(
         &mut self,
         id: RequestId,
@@ -255,9 +256,10 @@
         attempt: u32,
         until_ms: u64,
     ) {
-        if self.queue.remove(id).is_none() {
+        let Some(waiting) = self.queue.remove(id) else {
             return;
-        }
+        };
+        let attempt = attempt.max(waiting.job.attempt);
         self.records
             .set(id, Fate::NeverStarted { attempt }, until_ms);
         let retry_after_ms = match reason {
--- a/crates/mgs-sidecar/src/state.rs
+++ b/crates/mgs-sidecar/src/state.rs
@@ -223,7 +223,11 @@
                 reason,
                 retry_after_ms,
             } => self.refuse(id, reason, retry_after_ms),
-            Action::Fail { id, reason } => self.fail(id, reason),
+            Action::Fail {
+                id,
+                outcome,
+                reason,
+            } => self.fail(id, outcome, reason),
             Action::CancelStream { id, attempt } => match self.engine() {
                 Some(_) => self.calls.add(Call::CancelStream { id, attempt }),
                 None => self.tell(|ledger, now_ms| ledger.stream_freed(now_ms, id, attempt)),
@@ -253,12 +257,12 @@
         }
     }
 
-    fn fail(&self, id: RequestId, reason: FailureReason) {
+    fn fail(&self, id: RequestId, outcome: Outcome, reason: FailureReason) {
         let Some(work) = self.work(id) else {
             return;
         };
-        if work.answer.end(failed(Outcome::Failed, reason, "")) {
-            self.metrics.ended(Outcome::Failed);
+        if work.answer.end(failed(outcome, reason, "")) {
+            self.metrics.ended(outcome);
         }
     }
 
