--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -9,8 +9,11 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rstest::rstest;
+
 use mgs_testing::history::Ending;
 use mgs_testing::history::NotRun;
+use mgs_testing::proxy::Direction;
 use mgs_testing::proxy::Faults;
 
 /// Longer than the lease of a gateway at a sidecar.
@@ -19,6 +22,8 @@
 /// Limit of a graceful stop: more than any request here is allotted.
 const STOP_LIMIT_MS: u64 = 60_000;
 
+const LOST_REPLIES: u64 = 3;
+
 const VERSION_METRIC: &[&str] = &["mgs_gateway_settings_version"];
 
 fn said_of_run(ending: &Ending) -> Option<NotRun> {
@@ -100,6 +105,36 @@
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
 }
 
+/// A dispatch is held on its way until its sender has taken it back and told the caller that it was
+/// not run. What comes late starts nothing; with the tombstone dropped it does, so the test can
+/// fail.
+#[rstest]
+#[case::sound("", 0)]
+#[case::planted("dropped-tombstone", 1)]
+fn dispatch_that_comes_after_its_withdrawal(#[case] plant: &str, #[case] runs: usize) {
+    let cluster = support::start_planted(1, 1, plant);
+    let front = cluster.endpoints[0].sidecar.front();
+    let held = front.connections();
+    front.set_existing(Faults::silent_towards(Direction::ToTarget));
+    let request = support::once(1);
+    let exchange = support::call(&cluster.gateways[0], &request);
+    assert_eq!(
+        said_of_run(&exchange.ending),
+        Some(NotRun::True),
+        "{exchange:?}"
+    );
+    assert_eq!(support::runs(&cluster, &request).len(), 0);
+    front.set_existing(Faults::default());
+    support::until("the held connections end", || {
+        let open = front.connections();
+        held.iter()
+            .all(|old| open.iter().all(|new| new.id != old.id))
+    });
+    support::wait_answered(&cluster.gateways[0], &support::quick(2));
+    support::wait_freed(&cluster);
+    assert_eq!(support::runs(&cluster, &request).len(), runs);
+}
+
 /// The sidecar asks the engine for the rest of the stream.
 #[test]
 fn broken_connection_between_sidecar_and_engine() {
@@ -135,6 +170,55 @@
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
 }
 
+/// The claim of a key whose reply is lost is settled: the request runs once, and its repeat gets
+/// the same answer.
+#[test]
+fn claim_of_a_key_with_its_reply_lost() {
+    let cluster = support::start(2, 1);
+    let plan = support::keyed(1);
+    // Some of them may be those of other writes, such as a gateway's sign of life.
+    cluster.platform.faults().lose_next_replies(LOST_REPLIES);
+    let first = support::call(&cluster.gateways[0], &plan);
+    let repeat = support::call(&cluster.gateways[1], &plan);
+    assert!(support::is_whole(&plan, &first), "{first:?}");
+    assert!(support::is_whole(&plan, &repeat), "{repeat:?}");
+    assert_eq!(
+        cluster.platform.faults().counters().replies_lost,
+        LOST_REPLIES
+    );
+    assert_eq!(support::runs(&cluster, &plan).len(), 1);
+}
+
+/// Without the store nobody can tell whether the key was used, so the request is refused.
+#[test]
+fn keyed_request_in_a_store_outage() {
+    let cluster = support::start(1, 1);
+    cluster.platform.faults().set_outage(true);
+    let plan = support::keyed(1);
+    let refused = support::call(&cluster.gateways[0], &plan);
+    assert_eq!(said_of_run(&refused.ending), Some(NotRun::True));
+    assert_eq!(support::runs(&cluster, &plan).len(), 0);
+    cluster.platform.faults().set_outage(false);
+    support::wait_answered(&cluster.gateways[0], &plan);
+    assert_eq!(support::runs(&cluster, &plan).len(), 1);
+}
+
+/// Another gateway takes the request over.
+#[test]
+fn durable_request_whose_gateway_is_killed() {
+    let cluster = support::start(2, 1);
+    let plan = support::durable(1);
+    let exchange = support::submit_and(&cluster, &plan, || {
+        support::until("the request runs", || {
+            !support::runs(&cluster, &plan).is_empty()
+        });
+        cluster.gateways[0].kill().unwrap();
+    });
+    assert!(exchange.kept.is_some(), "{exchange:?}");
+    assert!(support::is_whole(&plan, &exchange), "{exchange:?}");
+    support::wait_freed(&cluster);
+}
+
 /// The caller hears that its request ran and has no whole answer; the engine serves again.
 #[test]
 fn engine_crash() {
