feat(sidecar): report a long prompt at once

Cause: until the next report other gateways went on to send short prompts behind a long one. Ruled out: a report for each accepted request, whose bytes would grow with the traffic. Conclusion: accepted prompts of long_prompt_tokens or more make all reports due at the next tick.

--- a/crates/mgs-sidecar/src/handler.rs
+++ b/crates/mgs-sidecar/src/handler.rs
@@ -143,6 +143,10 @@
                 .tell(Body::Accepted(Accepted { first_token_ms }));
             (verdict, Some(Arc::new(work)))
         });
+        let is_long = job.prefill_tokens() >= self.shared.options.ledger.long_prompt_tokens;
+        if is_long && matches!(verdict, Verdict::Queued { .. }) {
+            self.shared.reporter.hasten();
+        }
         let reply = locked(&reply).take();
         if let (
             Verdict::Refused {
--- a/crates/mgs-sidecar/src/report.rs
+++ b/crates/mgs-sidecar/src/report.rs
@@ -1,5 +1,6 @@
 //! Load reports to the gateways that asked for them.
 
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
 use std::sync::Mutex;
@@ -32,6 +33,7 @@
     subscribers: Mutex<Vec<Subscriber>>,
     number: AtomicU64,
     failed: AtomicU64,
+    hasty: AtomicBool,
 }
 
 impl Reporter {
@@ -51,10 +53,16 @@
         self.failed.fetch_add(1, Ordering::Relaxed);
     }
 
+    /// Makes all reports due: the load has changed so much that routing should know soon.
+    pub(crate) fn hasten(&self) {
+        self.hasty.store(true, Ordering::Release);
+    }
+
     /// Sends the reports that are due.
     pub(crate) fn send_due(&self, shared: &Shared) {
         let now_ms = shared.now_ms();
-        self.send(shared, |subscriber| subscriber.due_ms <= now_ms);
+        let all = self.hasty.swap(false, Ordering::AcqRel);
+        self.send(shared, |subscriber| all || subscriber.due_ms <= now_ms);
     }
 
     /// Sends a report to everyone at once.
--- a/crates/mgs-sidecar/tests/common/mod.rs
+++ b/crates/mgs-sidecar/tests/common/mod.rs
@@ -70,6 +70,11 @@
 
 impl Gateway {
     pub(crate) fn connect(sidecar: &Sidecar, session: u64) -> Self {
+        Self::connect_at(sidecar, session, 10)
+    }
+
+    /// Connects and asks for reports at an interval.
+    pub(crate) fn connect_at(sidecar: &Sidecar, session: u64, report_interval_ms: u64) -> Self {
         let runtime = Runtime::new(&Default::default()).unwrap();
         let address = sidecar.address();
         let connection = Connection::open(&runtime, address, &Default::default()).unwrap();
@@ -78,7 +83,7 @@
                 incarnation: GATEWAY,
                 process: "gateway-1".into(),
                 session,
-                report_interval_ms: 10,
+                report_interval_ms,
                 ..Hello::default()
             }))
             .unwrap();
--- a/crates/mgs-sidecar/tests/serve.rs
+++ b/crates/mgs-sidecar/tests/serve.rs
@@ -136,3 +136,16 @@
     assert!(!ask(2 * fake::CAPACITY_TOKENS).would_accept);
     assert_eq!(gateway.report(|_| true).kv_used_tokens, 0);
 }
+
+#[test]
+fn a_long_prompt_is_reported_before_the_timer() {
+    let mut options = options();
+    options.ledger.long_prompt_tokens = 1_000;
+    let sidecar = start(options, &Fake::new(0));
+    let gateway = Gateway::connect_at(&sidecar, 1, 600_000);
+    gateway.any_report(|report| report.prefill_waiting_tokens == 0);
+    let mut long = gateway.message(1, 5);
+    long.prompt_tokens = 2_000;
+    gateway.accepted(long);
+    gateway.any_report(|report| report.prefill_waiting_tokens == 2_000);
+}
