feat(gateway): wait for a session that is being opened again

Cause: with each session silent at once, a request whose dispatch was withdrawn with proof was refused no_endpoint after 2 s of its 15 s, since its endpoint counted as tried. Ruled out: waiting when the endpoints themselves refused: such a request is given up and gets its answer at once. Conclusion: a withdraw answered never started makes its endpoint untried; up to 1.5 s for a session.

--- a/crates/mgs-gateway/src/drive/hear.rs
+++ b/crates/mgs-gateway/src/drive/hear.rs
@@ -13,6 +13,7 @@
 use mgs_schema::wire::FailureReason;
 use mgs_schema::wire::Outcome;
 use mgs_schema::wire::RefusalReason;
+use mgs_schema::wire::WithdrawState;
 use mgs_transport::client::Error;
 
 use super::Drive;
@@ -100,10 +101,15 @@
                 }
             }
             Ok(Body::WithdrawReply(reply)) => {
+                let state = reply.state();
                 self.attempts[index].call = None;
+                if state == WithdrawState::NeverStarted {
+                    // Its path was at fault, and a new one has just been used.
+                    self.allow_again(index);
+                }
                 Event::Withdrawn {
                     attempt: number,
-                    state: reply.state(),
+                    state,
                 }
             }
             Ok(other) => {
@@ -136,16 +142,21 @@
 
     /// A sidecar that was started again, or that has a newer session, may be asked again.
     fn refused(&mut self, index: usize, reason: RefusalReason) {
-        let endpoint = self.attempts[index].endpoint;
         if matches!(
             reason,
             RefusalReason::StaleIncarnation | RefusalReason::StaleSession
         ) {
-            self.excluded.retain(|excluded| *excluded != endpoint);
+            self.allow_again(index);
         }
         self.attempt_ended(index, Outcome::Refused);
     }
 
+    /// Lets an attempt's endpoint be chosen again.
+    fn allow_again(&mut self, index: usize) {
+        let endpoint = self.attempts[index].endpoint;
+        self.excluded.retain(|excluded| *excluded != endpoint);
+    }
+
     /// Tells the policy, once, how an attempt ended.
     fn attempt_ended(&mut self, index: usize, outcome: Outcome) {
         let core = self.core;
--- a/crates/mgs-gateway/src/drive/mod.rs
+++ b/crates/mgs-gateway/src/drive/mod.rs
@@ -81,6 +81,8 @@
     life: Life,
     choice: Option<Choice>,
     permits: Option<&'a dyn Permits>,
+    /// When no endpoint could be chosen for the first time.
+    no_endpoint_since_ms: Option<u64>,
     end: Option<End>,
 }
 
@@ -143,6 +145,7 @@
             excluded: Vec::new(),
             events: VecDeque::new(),
             life,
+            no_endpoint_since_ms: None,
             end: None,
         }
     }
--- a/crates/mgs-gateway/src/drive/send.rs
+++ b/crates/mgs-gateway/src/drive/send.rs
@@ -21,6 +21,10 @@
 use super::Sink;
 use crate::session::Session;
 
+/// How long an admitted request waits for a session when no endpoint can be chosen, in
+/// milliseconds.
+const SESSION_PATIENCE_MS: u64 = 1_500;
+
 /// Time that a tombstone outlives the request's deadline, in milliseconds.
 const TOMBSTONE_SLACK_MS: u64 = 60_000;
 
@@ -32,11 +36,44 @@
         }
         let event = match self.choose() {
             Ok(choice) => self.send(number, &choice),
-            Err(no_choice) => no_endpoint(number, no_choice),
+            Err(no_choice) => self.no_endpoint(number, no_choice),
         };
         self.events.push_back(event);
     }
 
+    /// What it means that there is no choice. A request that was admitted waits a while for sessions
+    /// that are being opened again.
+    fn no_endpoint(&mut self, number: AttemptNumber, no_choice: NoChoice) -> Event {
+        let now_ms = self.core.now_ms();
+        let since_ms = *self.no_endpoint_since_ms.get_or_insert(now_ms);
+        let busy = match no_choice {
+            NoChoice::AllBusy => true,
+            NoChoice::NoEndpoint => {
+                now_ms < since_ms + SESSION_PATIENCE_MS && self.has_untried_endpoint()
+            }
+            NoChoice::UnknownModel | NoChoice::PromptExceedsMemory => false,
+        };
+        let reason = match no_choice {
+            NoChoice::UnknownModel => RefusalReason::UnknownModel,
+            NoChoice::NoEndpoint => RefusalReason::NoEndpoint,
+            NoChoice::PromptExceedsMemory => RefusalReason::PromptExceedsMemory,
+            NoChoice::AllBusy => RefusalReason::Busy,
+        };
+        Event::NoEndpoint {
+            attempt: number,
+            refusal: Refusal::new(reason, &no_choice.to_string()),
+            busy,
+        }
+    }
+
+    /// Whether there is an endpoint that hasn't been tried, even if it can't be reached now. Those
+    /// that refused the request aren't waited for.
+    fn has_untried_endpoint(&self) -> bool {
+        let view = self.core.view();
+        let mut declared = view.by_model.get(&self.job.model).into_iter().flatten();
+        declared.any(|endpoint| !self.excluded.contains(endpoint))
+    }
+
     /// The choice made in the queue for the first attempt, and fresh ones from then on.
     fn choose(&mut self) -> Result<Choice, NoChoice> {
         if let Some(choice) = self.choice.take() {
@@ -203,20 +240,6 @@
     }
 }
 
-fn no_endpoint(number: AttemptNumber, no_choice: NoChoice) -> Event {
-    let reason = match no_choice {
-        NoChoice::UnknownModel => RefusalReason::UnknownModel,
-        NoChoice::NoEndpoint => RefusalReason::NoEndpoint,
-        NoChoice::PromptExceedsMemory => RefusalReason::PromptExceedsMemory,
-        NoChoice::AllBusy => RefusalReason::Busy,
-    };
-    Event::NoEndpoint {
-        attempt: number,
-        refusal: Refusal::new(reason, &no_choice.to_string()),
-        busy: no_choice == NoChoice::AllBusy,
-    }
-}
-
 fn refusal_of(permit: Permit) -> Option<Refusal> {
     let (reason, detail) = match permit {
         Permit::Go => return None,
