--- a/crates/mgs-admission/tests/fair.rs
+++ b/crates/mgs-admission/tests/fair.rs
@@ -352,14 +352,10 @@
         started(&actions).is_empty(),
         "it can't end in time: {actions:?}"
     );
-    let mut refused = 1;
-    loop {
+    let admitted = (1..20).any(|refused| {
         let now_ms = 30_000 + refused * 10;
         queue.offer(now_ms, &answering(100 + refused, now_ms));
-        if !started(&queue.next(now_ms, &mut Tokens::new(1_000))).is_empty() {
-            break;
-        }
-        refused += 1;
-    }
-    assert!(refused < 20, "{refused}");
+        !started(&queue.next(now_ms, &mut Tokens::new(1_000))).is_empty()
+    });
+    assert!(admitted);
 }
