--- a/crates/mgs-testing/src/load/scenario.rs
+++ b/crates/mgs-testing/src/load/scenario.rs
@@ -11,8 +11,8 @@
     Sahel,
     /// Prompts of all lengths.
     Brasov,
-    /// The load goes to two and five times what the fleet can take, and back; one organisation
-    /// floods.
+    /// One organisation floods; then the load goes to two and five times what the fleet can take,
+    /// and back.
     Overload,
     /// One organisation and a few prefixes make most of the traffic.
     Skew,
@@ -91,10 +91,10 @@
         match self {
             Self::Overload => vec![
                 phase("normal", 0.8, 1.0, 0.2),
+                phase("flood", 0.5, 10.0, 0.2),
                 phase("double", 2.0, 1.0, 0.2),
                 phase("fivefold", 5.0, 1.0, 0.2),
                 phase("after", 0.8, 1.0, 0.2),
-                phase("flood", 0.5, 10.0, 0.2),
             ],
             _ => vec![phase("normal", 0.8, 1.0, 1.0)],
         }
