--- a/crates/mgs-request/src/life/hear.rs
+++ b/crates/mgs-request/src/life/hear.rs
@@ -85,12 +85,26 @@
                 self.set(number, State::NotRun);
                 self.retry(step, RetryReason::Refused);
             }
-            // A refused resume isn't a proof; a withdraw gives one, or says that there is none.
-            Some(State::Resuming) => self.asked_in_vain(step, number, false),
+            Some(State::Resuming) => self.resume_refused(step, number),
             _ => {}
         }
     }
 
+    /// A sidecar that was started again finds its streams after a while. A refused resume isn't a
+    /// proof; in the end a withdraw gives one, or says that there is none.
+    fn resume_refused(&mut self, step: &mut Step<'_>, number: AttemptNumber) {
+        let resumes_max = self.options.resumes_max;
+        let Some(attempt) = self.attempt(number) else {
+            return;
+        };
+        attempt.resumes_refused += 1;
+        if attempt.resumes_refused > resumes_max {
+            self.ask(step, number, false);
+        } else {
+            self.asked_in_vain(step, number, true);
+        }
+    }
+
     pub(super) fn frame(&mut self, step: &mut Step<'_>, number: AttemptNumber, frame: TokenFrame) {
         if self.open_state(number).is_none() {
             return;
@@ -114,6 +128,7 @@
     pub(super) fn progressed(&mut self, number: AttemptNumber) {
         if let Some(attempt) = self.attempt(number) {
             attempt.asked = 0;
+            attempt.resumes_refused = 0;
         }
     }
 
--- a/crates/mgs-testing/src/chaos/run.rs
+++ b/crates/mgs-testing/src/chaos/run.rs
@@ -48,7 +48,7 @@
 const THINK_MAX_MS: u64 = 150;
 
 /// Limit for engines to free what was left behind, in milliseconds: more than any lease.
-const SETTLE_LIMIT_MS: u64 = 45_000;
+const SETTLE_LIMIT_MS: u64 = 30_000;
 
 const SETTLE_POLL_MS: u64 = 50;
 
@@ -103,8 +103,8 @@
         binary: options.binary.clone(),
         plant: options.plant.clone(),
         engine: engine::Options {
-            check_fencing: options.scenario.contenders() == 0,
             streams_max: ENGINE_STREAMS_MAX,
+            check_fencing: options.scenario.contenders() == 0,
             ..engine::Options::default()
         },
         ..cluster::Options::default()
