test(testing): judge the planted late dispatch over several tries

Cause: with the tombstone dropped a late dispatch ran in one run of the test and not in the next: the end of its connection, let through with it, may overtake it at the sidecar. The sound case never depends on that. Ruled out: sleeping between the two (the proxy lets both through at once); dropping the planted case (nothing would show that the sound one can fail). Conclusion: as strict on the system as before.

--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -9,8 +9,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
-use rstest::rstest;
-
+use mgs_testing::caller::Plan;
+use mgs_testing::cluster::Cluster;
 use mgs_testing::history::Ending;
 use mgs_testing::history::NotRun;
 use mgs_testing::proxy::Direction;
@@ -22,6 +22,8 @@
 /// Limit of a graceful stop: more than any request here is allotted.
 const STOP_LIMIT_MS: u64 = 60_000;
 
+const LATE_DISPATCHES: u32 = 12;
+
 const LOST_REPLIES: u64 = 3;
 
 const VERSION_METRIC: &[&str] = &["mgs_gateway_settings_version"];
@@ -105,34 +107,41 @@
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
 }
 
-/// A dispatch is held on its way until its sender has taken it back and told the caller that it was
-/// not run. What comes late starts nothing; with the tombstone dropped it does, so the test can
-/// fail.
-#[rstest]
-#[case::sound("", 0)]
-#[case::planted("dropped-tombstone", 1)]
-fn dispatch_that_comes_after_its_withdrawal(#[case] plant: &str, #[case] runs: usize) {
-    let cluster = support::start_planted(1, 1, plant);
+/// Holds a dispatch on its way until its sender has taken it back and told the caller that it was
+/// not run, then lets it come. Gives how often it ran.
+fn runs_of_late_dispatch(cluster: &Cluster, request: &Plan) -> usize {
     let front = cluster.endpoints[0].sidecar.front();
     let held = front.connections();
     front.set_existing(Faults::silent_towards(Direction::ToTarget));
-    let request = support::once(1);
-    let exchange = support::call(&cluster.gateways[0], &request);
-    assert_eq!(
-        said_of_run(&exchange.ending),
-        Some(NotRun::True),
-        "{exchange:?}"
-    );
-    assert_eq!(support::runs(&cluster, &request).len(), 0);
+    let exchange = support::call(&cluster.gateways[0], request);
+    let told = said_of_run(&exchange.ending);
+    assert_eq!(told, Some(NotRun::True), "{exchange:?}");
+    assert_eq!(support::runs(cluster, request).len(), 0);
     front.set_existing(Faults::default());
     support::until("the held connections end", || {
         let open = front.connections();
         held.iter()
             .all(|old| open.iter().all(|new| new.id != old.id))
     });
-    support::wait_answered(&cluster.gateways[0], &support::quick(2));
-    support::wait_freed(&cluster);
-    assert_eq!(support::runs(&cluster, &request).len(), runs);
+    support::wait_answered(&cluster.gateways[0], &support::quick(0));
+    support::wait_freed(cluster);
+    support::runs(cluster, request).len()
+}
+
+#[test]
+fn dispatch_that_comes_after_its_withdrawal_starts_nothing() {
+    let cluster = support::start(1, 1);
+    assert_eq!(runs_of_late_dispatch(&cluster, &support::once(1)), 0);
+}
+
+/// The test above can fail: without the tombstone a late dispatch runs, unless the end of its
+/// connection overtakes it, which is why there are several.
+#[test]
+fn late_dispatch_runs_if_the_tombstone_is_dropped() {
+    let cluster = support::start_planted(1, 1, "dropped-tombstone");
+    let mut requests = (1..=LATE_DISPATCHES).map(support::once);
+    let ran = requests.any(|request| runs_of_late_dispatch(&cluster, &request) == 1);
+    assert!(ran, "none of {LATE_DISPATCHES} late dispatches ran");
 }
 
 /// The sidecar asks the engine for the rest of the stream.
