fix(gateway): a key that another gateway has taken over ends as unknown here

Cause: a dispatch that must not go because another gateway has the request was told as refused and not run, while the other gateway may run it. Ruled out: refusing with key_conflict (it says not_run: true). Conclusion: not_run is unknown, and the caller is told to ask again under its key.

--- a/crates/mgs-gateway/src/drive/mod.rs
+++ b/crates/mgs-gateway/src/drive/mod.rs
@@ -81,6 +81,8 @@
     life: Life,
     choice: Option<Choice>,
     permits: Option<&'a dyn Permits>,
+    /// Another gateway has the request, and may run it.
+    lost: bool,
     /// When no endpoint could be chosen for the first time.
     no_endpoint_since_ms: Option<u64>,
     end: Option<End>,
@@ -145,6 +147,7 @@
             excluded: Vec::new(),
             events: VecDeque::new(),
             life,
+            lost: false,
             no_endpoint_since_ms: None,
             end: None,
         }
@@ -165,6 +168,14 @@
     }
 
     fn report(&self, end: End) -> Report {
+        let end = match end {
+            // Not run from here; what the other gateway does is its word to say.
+            End::Refused(_) if self.lost => {
+                let detail = "another gateway has the request; ask again under its key";
+                End::Unknown(FailureReason::Unspecified, detail.to_string())
+            }
+            end => end,
+        };
         let view = self.core.view();
         let last = self.attempts.last();
         let endpoint = last.and_then(|attempt| view.get(attempt.endpoint));
--- a/crates/mgs-gateway/src/drive/send.rs
+++ b/crates/mgs-gateway/src/drive/send.rs
@@ -108,6 +108,7 @@
         };
         let refusal = attempt.session.as_ref().and_then(|session| {
             let permit = self.permit(endpoint, session.incarnation);
+            self.lost |= permit == Permit::Lost;
             refusal_of(permit)
         });
         if let Some(refusal) = refusal {
