test(gateway): a dispatch into a silent connection is withdrawn and made again

Cause: that a request is admitted into a connection that has just fallen silent had no test here. Ruled out: nothing. Conclusion: one endpoint, one run, a whole answer over the session that replaces the silent one.

--- a/crates/mgs-gateway/tests/silence.rs
+++ b/crates/mgs-gateway/tests/silence.rs
@@ -42,3 +42,23 @@
     assert_eq!(text, "t0 t1 t2 t3 t4 t5 ");
     assert_eq!(engine.fake.ran.lock().unwrap().values().sum::<u32>(), 1);
 }
+
+#[test]
+fn a_dispatch_into_a_silent_connection_is_withdrawn_and_made_again() {
+    let runtime = Runtime::new(&Default::default()).unwrap();
+    let engine = sidecar(&runtime, Script::Answer(3));
+    let proxy = Proxy::start(engine.server.address());
+    let mut table = snapshot(&[&engine], &[]);
+    table.endpoints[0].sidecar_address = proxy.address.to_string();
+    let gateway = gateway(table, Options::default());
+    proxy.silence();
+    let url = format!("http://{}/v1/completions", gateway.address());
+    let request = attohttpc::post(url).bearer_auth(KEY).timeout(WAIT);
+    let request = request.header("Idempotent", "false");
+    let body = json!({"model": "m", "prompt": "olives?"});
+    let response = request.json(&body).unwrap().send().unwrap();
+    let status = response.status().as_u16();
+    let answer: Value = response.json().unwrap();
+    assert_eq!(status, 200, "{answer}");
+    assert_eq!(engine.fake.ran.lock().unwrap().values().sum::<u32>(), 1);
+}
