--- a/crates/mgs-testing/src/check/index.rs
+++ b/crates/mgs-testing/src/check/index.rs
@@ -19,7 +19,8 @@
     pub(super) allotted_ms: u64,
     pub(super) expected: String,
     pub(super) sent_ms: u64,
-    pub(super) kept: bool,
+    /// When the system promised to keep it.
+    pub(super) kept_ms: Option<u64>,
     pub(super) ended: Option<(u64, Ending)>,
 }
 
@@ -136,7 +137,9 @@
         let at_ms = entry.at_ms;
         match &entry.event {
             Event::Sent { .. } => self.add_call(at_ms, &entry.event),
-            Event::Kept { call } => self.with_call(*call, |record| record.kept = true),
+            Event::Kept { call } => {
+                self.with_call(*call, |record| record.kept_ms = Some(at_ms));
+            }
             Event::Ended { call, ending } => {
                 let ended = Some((at_ms, ending.clone()));
                 self.with_call(*call, |record| record.ended = ended);
@@ -182,7 +185,7 @@
             allotted_ms: *allotted_ms,
             expected: expected.clone(),
             sent_ms: at_ms,
-            kept: false,
+            kept_ms: None,
             ended: None,
         });
     }
--- a/crates/mgs-testing/tests/check.rs
+++ b/crates/mgs-testing/tests/check.rs
@@ -213,6 +213,14 @@
     ],
     Invariant::InTime
 )]
+#[case::kept_and_late(
+    vec![
+        at(2_000, sent(9, 9, true)),
+        at(3_000, Event::Kept { call: Call(9) }),
+        at(10_001, error(9, NotRun::False)),
+    ],
+    Invariant::InTime
+)]
 #[case::memory_held(vec![at(20_001, memory(Phase::End, 7))], Invariant::Memory)]
 #[case::truncated(
     vec![
@@ -328,6 +336,11 @@
     at(7_000, fault(PLATFORM, false)),
     at(13_000, error(9, NotRun::False)),
 ])]
+#[case::promised_late_by_a_paused_gateway(vec![
+    at(2_000, sent(9, 9, true)),
+    at(9_000, Event::Kept { call: Call(9) }),
+    at(9_100, error(9, NotRun::False)),
+])]
 #[case::version_during_an_outage(vec![
     at(800, fault(PLATFORM, true)),
     at(12_800, in_force("sidecar-1#1", 1)),
