refactor(durable): give the end of a tenure a module of its own

Cause: the pursuit had grown to 451 lines. Ruled out: splitting the machine by kind of request; both kinds share each rule. Conclusion: how a request ends, and what may be said of it, reads by itself.

--- a/crates/mgs-durable/src/pursuit.rs
+++ b/crates/mgs-durable/src/pursuit.rs
@@ -15,6 +15,7 @@
 pub use event::Event;
 pub use event::Proof;
 
+mod close;
 mod event;
 
 use mgs_platform::table::Row;
@@ -28,6 +29,7 @@
 use crate::entry::Entry;
 use crate::entry::State;
 use crate::entry::Target;
+use crate::pursuit::close::Rebased;
 
 /// Whether the holder of an entry is gone, as far as this gateway knows.
 pub type Gone<'a> = &'a dyn Fn(&Entry) -> bool;
@@ -351,70 +353,6 @@
         self.hold(Action::Send(target))
     }
 
-    /// Ends a cancelled request between two dispatches. One that may run more than once may have
-    /// run in part before.
-    fn cancel(&mut self) -> Action {
-        self.entry.dispatched_before |= self.entry.idempotent && self.sent;
-        self.close(Done::refused(RefusalReason::Cancelled))
-    }
-
-    /// A refusal says that the request didn't run; one that may have run in part can't be refused.
-    /// Where dispatches aren't written down, nobody can tell.
-    fn honest(&self, mut done: Done) -> Done {
-        if done.ending == Ending::Refused && self.entry.dispatched_before {
-            done.ending = match self.options.mark_all {
-                true => Ending::Failed,
-                false => Ending::Unknown,
-            };
-        }
-        done
-    }
-
-    fn close(&mut self, done: Done) -> Action {
-        let done = self.honest(done);
-        self.phase = Phase::Closing;
-        let refused = done.ending == Ending::Refused;
-        self.entry.state = State::Done(done);
-        if refused && self.options.forget_refused {
-            return self.delete();
-        }
-        self.write()
-    }
-
-    /// An end is written until it is certain, or certainly another gateway's business.
-    fn closed(&mut self, written: Written) -> Action {
-        match written {
-            Written::Done(_) | Written::Conflict(None) => Action::Over,
-            Written::Conflict(Some(row)) => match self.rebase(&row) {
-                Rebased::Lost => Action::Lost,
-                Rebased::Cancelled | Rebased::Same => self.close_again(),
-            },
-            Written::Unavailable | Written::Unknown => self.close_again(),
-        }
-    }
-
-    fn close_again(&mut self) -> Action {
-        match self.entry.state.clone() {
-            State::Done(done) => self.close(done),
-            _ => unreachable!("only an end is closed"),
-        }
-    }
-
-    /// Takes in a row that changed under this gateway's tenure: by a caller's wish to cancel, or
-    /// by an earlier write of its own whose reply was lost.
-    fn rebase(&mut self, row: &Row) -> Rebased {
-        let found = Entry::parse(&row.value);
-        let Some(found) = found.filter(|found| found.nonce == self.options.nonce) else {
-            return Rebased::Lost;
-        };
-        self.version = row.version;
-        self.entry.cancelled = found.cancelled;
-        match found.cancelled {
-            true => Rebased::Cancelled,
-            false => Rebased::Same,
-        }
-    }
-
     fn write(&mut self) -> Action {
         self.writes += 1;
         self.entry.write = self.writes;
@@ -443,9 +381,3 @@
         action
     }
 }
-
-enum Rebased {
-    Lost,
-    Cancelled,
-    Same,
-}
