perf(admission): keep a row's queues in a short list

Cause: a row has two or three classes, and each decision looked them up in a hash map about eight times.

--- a/crates/mgs-admission/src/flows.rs
+++ b/crates/mgs-admission/src/flows.rs
@@ -64,7 +64,20 @@
     at: u64,
     /// Requests that wait.
     queued: usize,
-    flows: HashMap<ClassKey, Flow>,
+    /// Its queues; a row has few classes.
+    flows: Vec<(ClassKey, Flow)>,
+}
+
+impl Turn {
+    fn flow(&self, class: ClassKey) -> Option<&Flow> {
+        let found = self.flows.iter().find(|(key, _)| *key == class);
+        found.map(|(_, flow)| flow)
+    }
+
+    fn flow_mut(&mut self, class: ClassKey) -> Option<&mut Flow> {
+        let found = self.flows.iter_mut().find(|(key, _)| *key == class);
+        found.map(|(_, flow)| flow)
+    }
 }
 
 /// What waits in one class.
@@ -151,7 +164,7 @@
     /// one counts, since a flow of few and large requests stands still most of the time.
     pub fn wait_ms(&mut self, now_ms: u64, row: RowKey, class: ClassKey, more: u64) -> Option<u64> {
         let turn = self.turns.get_mut(row.0 as usize)?;
-        let flow = turn.flows.get_mut(&class)?;
+        let flow = turn.flow_mut(class)?;
         let active = &mut self.active[class.0 as usize];
         flow.drain.pass(now_ms, !flow.queue.is_empty());
         active.drain.pass(now_ms, !active.rows.is_empty());
@@ -190,17 +203,24 @@
         if turn.queued == 0 {
             turn.at = turn.at.max(self.now[priority]);
         }
-        let flow = turn.flows.entry(class).or_insert_with(|| Flow {
-            queue: VecDeque::new(),
-            weight: 0,
-            tokens: 0,
-            drain: self.classes[class.0 as usize].new_drain(),
-        });
+        if turn.flow(class).is_none() {
+            let flow = Flow {
+                queue: VecDeque::new(),
+                weight: 0,
+                tokens: 0,
+                drain: self.classes[class.0 as usize].new_drain(),
+            };
+            turn.flows.push((class, flow));
+        }
+        let at = turn.at;
+        let Some(flow) = turn.flow_mut(class) else {
+            unreachable!("it was made just now");
+        };
         flow.drain.pass(now_ms, !flow.queue.is_empty());
         active.drain.pass(now_ms, !active.rows.is_empty());
         if flow.queue.is_empty() {
             flow.weight = waiting.weight;
-            active.rows.insert((turn.at, row));
+            active.rows.insert((at, row));
         }
         flow.queue.push_back(waiting.entry);
         flow.tokens += waiting.tokens;
@@ -221,7 +241,8 @@
         let Some(turn) = self.turns.get_mut(row.0 as usize) else {
             return;
         };
-        let Some(flow) = turn.flows.get_mut(&class) else {
+        let at = turn.at;
+        let Some(flow) = turn.flow_mut(class) else {
             return;
         };
         let Some(place) = flow.queue.iter().position(|key| *key == waiting.entry) else {
@@ -233,7 +254,7 @@
         flow.queue.remove(place);
         flow.tokens = flow.tokens.saturating_sub(waiting.tokens);
         if flow.queue.is_empty() {
-            active.rows.remove(&(turn.at, row));
+            active.rows.remove(&(at, row));
         }
         turn.queued -= 1;
         self.queued -= 1;
@@ -248,7 +269,7 @@
         if charge.waited {
             let active = &mut self.active[class.0 as usize];
             active.drain.left(waiting.tokens as f64);
-            if let Some(flow) = turn.flows.get_mut(&class) {
+            if let Some(flow) = turn.flow_mut(class) {
                 flow.drain.left(waiting.tokens as f64);
             }
         }
@@ -266,7 +287,7 @@
     }
 
     fn flow(&self, row: RowKey, class: ClassKey) -> Option<&Flow> {
-        self.turns.get(row.0 as usize)?.flows.get(&class)
+        self.turns.get(row.0 as usize)?.flow(class)
     }
 }
 
