feat(gateway): drive spans for prompts beyond one engine's memory

Cause: a prompt larger than each engine's memory was refused as prompt_exceeds_memory, although plan, reservations, export and import all existed; nothing drove them.

What changed: such a request starts at once, so that it blocks nobody in its class, and gathers memory beside the queue (span, drive/gather): reservations in key order, exports in parallel, dispatch at the home, then its life as before. Before the dispatch its life counts it as not sent, so that deadline and a gone caller end it as refused and not run. Its parts are freed after the first token or on any other way out, by a keeper that asks until each release is confirmed. The plan now counts the room that imported parts take at the home (it counted none, so that a home could run out), computes the bound on endpoints over all that declare spans, and says NoEndpoint where one that is down or was tried is missing. The bound is raised from a half to three quarters: with four engines, half allows two, which can't hold a prompt of more than twice an engine's memory.

--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -25,6 +25,7 @@
 use mgs_request::outcome::Refusal;
 use mgs_routing::policy::NoChoice;
 use mgs_routing::policy::Policy;
+use mgs_routing::span;
 use mgs_schema::key::RequestId;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::wire::RefusalReason;
@@ -43,6 +44,7 @@
 use crate::session::Session;
 use crate::session::Sessions;
 use crate::session::Slot;
+use crate::span::keep::Keeper;
 
 /// How long a gateway waits after its start for the store, before it serves without it, in
 /// milliseconds.
@@ -60,6 +62,7 @@
     pub(crate) hub: Hub,
     pub(crate) sessions: Sessions,
     pub(crate) parting: Parting,
+    pub(crate) spans: Keeper,
     pub(crate) demand: Demand,
     durable: ArcSwapOption<Durable>,
     reporter: Mutex<Reporter>,
@@ -85,6 +88,7 @@
         admission: Box<dyn Admission>,
         runtime: Runtime,
         parting: Parting,
+        spans: Keeper,
     ) -> Self {
         let fleet = Fleet::new(fleet::Options {
             process: options.name.clone(),
@@ -103,6 +107,7 @@
             hub: Hub::new(admission),
             sessions: Sessions::default(),
             parting,
+            spans,
             demand: Demand::default(),
             durable: ArcSwapOption::empty(),
             reporter: Mutex::new(Reporter::new(confirm::Options::default(), incarnation)),
@@ -188,6 +193,11 @@
         let ask = job.ask(&self.options.zone, &[], self.now_ms());
         let no_choice = match self.policy.choose(&view, &ask, rand::random()) {
             Ok(_) | Err(NoChoice::AllBusy) => return Ok(()),
+            Err(NoChoice::PromptExceedsMemory)
+                if span::first_token_ms(&view, &ask, &self.options.spans).is_ok() =>
+            {
+                return Ok(());
+            }
             Err(no_choice) => no_choice,
         };
         let reason = match (no_choice, job.endpoint_kind) {
--- a/crates/mgs-gateway/src/drive/hear.rs
+++ b/crates/mgs-gateway/src/drive/hear.rs
@@ -2,7 +2,6 @@
 
 use std::time::Duration;
 
-use crossbeam::channel::Receiver;
 use crossbeam::channel::Select;
 use crossbeam::channel::TryRecvError;
 use mgs_request::event::AttemptNumber;
@@ -22,14 +21,23 @@
 /// Longest wait without a look at the caller, in milliseconds.
 const IDLE_MS: u64 = 5_000;
 
+/// Time between two looks at the caller of a span, in milliseconds.
+const SPAN_LOOK_MS: u64 = 1_000;
+
 impl<S: Sink> Drive<'_, S> {
     /// Waits for the next message, lost session or tick.
     pub(super) fn wait(&mut self) {
-        if self.poll() {
+        if self.poll() || self.poll_gather() {
             return;
         }
         let now_ms = self.core.now_ms();
-        let wake_ms = self.life.wake_ms().saturating_sub(now_ms).clamp(1, IDLE_MS);
+        let span_wake_ms = self.gather.as_ref().map_or(u64::MAX, |g| g.span.wake_ms());
+        let wake_ms = self.life.wake_ms().min(span_wake_ms);
+        let idle_ms = match self.gather {
+            Some(_) => SPAN_LOOK_MS,
+            None => IDLE_MS,
+        };
+        let wake_ms = wake_ms.saturating_sub(now_ms).clamp(1, idle_ms);
         let mut select = Select::new();
         for attempt in &self.attempts {
             if let (Some(call), Some(session)) = (&attempt.call, &attempt.session) {
@@ -37,15 +45,29 @@
                 select.recv(&session.over);
             }
         }
+        if let Some(gather) = &self.gather {
+            gather.span.select(&mut select);
+        }
         if select.ready_timeout(Duration::from_millis(wake_ms)).is_ok() {
             return;
         }
-        if wake_ms == IDLE_MS && self.sink.idle().is_err() {
+        let idle = wake_ms == IDLE_MS || self.span_look_due();
+        if idle && self.sink.idle().is_err() {
             self.events.push_back(Event::CallerGone);
         }
         self.events.push_back(Event::Tick);
     }
 
+    /// A span that waits often isn't idle, but its caller may have gone.
+    fn span_look_due(&mut self) -> bool {
+        let now_ms = self.core.now_ms();
+        let due = self.gather.is_some() && now_ms >= self.looked_ms + SPAN_LOOK_MS;
+        if due {
+            self.looked_ms = now_ms;
+        }
+        due
+    }
+
     /// Takes what has come; returns whether there was anything.
     fn poll(&mut self) -> bool {
         for index in 0..self.attempts.len() {
@@ -56,7 +78,7 @@
             let message = match call.receiver().try_recv() {
                 Ok(message) => message,
                 Err(TryRecvError::Disconnected) => Err(Error::Ended),
-                Err(TryRecvError::Empty) if is_over(&session.over) => Err(Error::Silent),
+                Err(TryRecvError::Empty) if session.is_over() => Err(Error::Silent),
                 Err(TryRecvError::Empty) => continue,
             };
             if let Some(event) = self.event(index, message) {
@@ -132,12 +154,16 @@
             return;
         }
         let now_ms = core.now_ms();
-        let ask = job.ask(&core.options.zone, &[], now_ms);
-        let took_ms = now_ms.saturating_sub(attempt.sent_ms);
-        core.policy
-            .first_token(attempt.endpoint, &ask, attempt.predicted_ms, took_ms);
+        if attempt.counted {
+            let ask = job.ask(&core.options.zone, &[], now_ms);
+            let took_ms = now_ms.saturating_sub(attempt.sent_ms);
+            core.policy
+                .first_token(attempt.endpoint, &ask, attempt.predicted_ms, took_ms);
+        }
         core.metrics
             .first_token(job.prompt_tokens, now_ms.saturating_sub(job.arrived_ms));
+        // The home has imported the parts.
+        self.free_span();
     }
 
     /// A sidecar that was started again, or that has a newer session, may be asked again.
@@ -149,6 +175,7 @@
             self.allow_again(index);
         }
         self.attempt_ended(index, Outcome::Refused);
+        self.free_span();
     }
 
     /// Lets an attempt's endpoint be chosen again.
@@ -182,7 +209,3 @@
         }
     }
 }
-
-fn is_over(over: &Receiver<()>) -> bool {
-    over.try_recv() == Err(TryRecvError::Disconnected)
-}
--- a/crates/mgs-gateway/src/drive/mod.rs
+++ b/crates/mgs-gateway/src/drive/mod.rs
@@ -1,6 +1,7 @@
 //! Drives the life of one request over the sessions with sidecars.
 
 mod attempt;
+mod gather;
 mod hear;
 mod send;
 
@@ -20,6 +21,7 @@
 use mgs_schema::wire::TokenFrame;
 
 use self::attempt::Attempt;
+use self::gather::Gather;
 use crate::core::Core;
 use crate::job::Job;
 
@@ -86,6 +88,12 @@
     /// When no endpoint could be chosen for the first time.
     no_endpoint_since_ms: Option<u64>,
     end: Option<End>,
+    /// The span of the present attempt, until its first token.
+    gather: Option<Gather>,
+    /// Plans of spans made again.
+    replans: u32,
+    /// When the caller of a span was last looked at.
+    looked_ms: u64,
 }
 
 fn options(core: &Core, job: &Job, hedge: bool) -> life::Options {
@@ -150,6 +158,9 @@
             lost: false,
             no_endpoint_since_ms: None,
             end: None,
+            gather: None,
+            replans: 0,
+            looked_ms: core.now_ms(),
         }
     }
 
@@ -160,6 +171,7 @@
                 self.act(actions);
             }
             if let Some(end) = self.end.take() {
+                self.free_span();
                 self.tell_policy(&end);
                 return self.report(end);
             }
--- a/crates/mgs-gateway/src/drive/send.rs
+++ b/crates/mgs-gateway/src/drive/send.rs
@@ -17,6 +17,7 @@
 use mgs_transport::client::Call;
 
 use super::attempt::Attempt;
+use super::gather::Carried;
 use super::Drive;
 use super::Sink;
 use crate::session::Session;
@@ -34,8 +35,11 @@
             self.core.metrics.retried(reason);
             log::info!(request_id:% = self.job.id, reason:? = reason; "attempt made again");
         }
+        // A span of an earlier attempt isn't waited for.
+        self.free_span();
         let event = match self.choose() {
-            Ok(choice) => self.send(number, &choice),
+            Ok(choice) => self.send(number, &choice, Carried::default()),
+            Err(NoChoice::PromptExceedsMemory) => self.gather(number),
             Err(no_choice) => self.no_endpoint(number, no_choice),
         };
         self.events.push_back(event);
@@ -43,7 +47,7 @@
 
     /// What it means that there is no choice. A request that was admitted waits a while for sessions
     /// that are being opened again.
-    fn no_endpoint(&mut self, number: AttemptNumber, no_choice: NoChoice) -> Event {
+    pub(super) fn no_endpoint(&mut self, number: AttemptNumber, no_choice: NoChoice) -> Event {
         let now_ms = self.core.now_ms();
         let since_ms = *self.no_endpoint_since_ms.get_or_insert(now_ms);
         let busy = match no_choice {
@@ -88,7 +92,12 @@
         Ok(choice)
     }
 
-    fn send(&mut self, number: AttemptNumber, choice: &Choice) -> Event {
+    pub(super) fn send(
+        &mut self,
+        number: AttemptNumber,
+        choice: &Choice,
+        carried: Carried,
+    ) -> Event {
         let core = self.core;
         let endpoint = choice.endpoint;
         self.excluded.push(endpoint);
@@ -103,7 +112,8 @@
             session,
             predicted_ms: choice.first_token_ms,
             sent_ms: now_ms,
-            counted: true,
+            // The policy chose no endpoint of a span.
+            counted: carried.span == 0,
             first_seen: false,
         };
         let refusal = attempt.session.as_ref().and_then(|session| {
@@ -127,6 +137,8 @@
             dispatch.sidecar_incarnation = session.incarnation;
             dispatch.session = session.number;
             dispatch.gateway_incarnation = core.incarnation;
+            dispatch.span = carried.span;
+            dispatch.kv = carried.kv;
             attempt.call = call(session, Body::Dispatch(dispatch));
         }
         let sent = attempt.call.is_some();
--- a/crates/mgs-gateway/src/gateway.rs
+++ b/crates/mgs-gateway/src/gateway.rs
@@ -19,6 +19,7 @@
 use mgs_request::budget;
 use mgs_request::plant::Plant;
 use mgs_routing::policy;
+use mgs_routing::span;
 use mgs_settings::follow;
 use mgs_settings::follow::Follower;
 use mgs_settings::hold::Holder;
@@ -43,6 +44,7 @@
 use crate::listen;
 use crate::parting::Parting;
 use crate::peer::Peers;
+use crate::span::keep::Keeper;
 
 /// Says whether the settings are fresh enough to serve by.
 pub type Ready = Arc<dyn Fn() -> bool + Send + Sync>;
@@ -92,6 +94,8 @@
     pub transport_threads: usize,
     /// Whether idempotent requests are attempted a second time beside a slow first attempt.
     pub hedge: bool,
+    /// How prompts that exceed one engine's memory are spread.
+    pub spans: span::Options,
     /// Retries as a share of traffic.
     pub retry_budget: budget::Options,
     /// Time between the first sign of leaving and the refusal of new requests, in milliseconds.
@@ -125,6 +129,7 @@
             transport: client::Options::default(),
             transport_threads: 2,
             hedge: true,
+            spans: span::Options::default(),
             retry_budget: budget::Options::default(),
             leave_grace_ms: 1_000,
             registry: Registry::new(),
@@ -259,7 +264,9 @@
             options.ready = Arc::new(move || follower.ready());
             following
         });
-        let core = Arc::new(Core::new(options, policy, admission, runtime, parting));
+        let spans = Keeper::start().map_err(Error::Threads)?;
+        let core = Core::new(options, policy, admission, runtime, parting, spans);
+        let core = Arc::new(core);
         let mut gateway = Self {
             core,
             address,
--- a/crates/mgs-gateway/src/hub.rs
+++ b/crates/mgs-gateway/src/hub.rs
@@ -182,6 +182,7 @@
             policy: core.policy.as_ref(),
             view: core.view(),
             zone: &core.options.zone,
+            spans: &core.options.spans,
             now_ms,
             waiting,
             last: RefCell::new(None),
--- a/crates/mgs-gateway/src/lib.rs
+++ b/crates/mgs-gateway/src/lib.rs
@@ -24,4 +24,5 @@
 mod room;
 mod run;
 mod session;
+mod span;
 mod workers;
--- a/crates/mgs-gateway/src/metrics.rs
+++ b/crates/mgs-gateway/src/metrics.rs
@@ -45,10 +45,40 @@
     pub callers_stuck: Counter,
     /// What keyed and durable requests did with the store, as counted so far.
     pub durable: Gauges,
+    /// Prompts spread over several endpoints' memory.
+    pub spans: Spans,
     /// Time to first token, by prompt length.
     pub first_token_ms: HistogramsMs,
 }
 
+/// Counts of spans. Those begun and not yet freed may hold memory.
+#[derive(Debug, Clone)]
+pub struct Spans {
+    counts: Counters,
+}
+
+impl Spans {
+    /// A span begins to reserve memory.
+    pub fn begun(&self) {
+        self.counts.inc("begun");
+    }
+
+    /// All parts were exported, and the request goes to the home.
+    pub fn dispatched(&self) {
+        self.counts.inc("dispatched");
+    }
+
+    /// An endpoint didn't hold its part, or the home refused; the request is planned anew.
+    pub fn replanned(&self) {
+        self.counts.inc("replanned");
+    }
+
+    /// Everything was freed.
+    pub fn freed(&self) {
+        self.counts.inc("freed");
+    }
+}
+
 impl Metrics {
     /// Registers the metrics.
     ///
@@ -94,6 +124,13 @@
                 "Keyed and durable requests and their writes, counted since the start",
                 "count",
             ),
+            spans: Spans {
+                counts: registry.counters(
+                    "gateway_spans",
+                    "Spans over several endpoints' memory, by what became of them",
+                    "event",
+                ),
+            },
             first_token_ms: registry.histograms_ms(
                 "gateway_first_token_ms",
                 "Time from arrival to the first token, by prompt length",
--- a/crates/mgs-gateway/src/room.rs
+++ b/crates/mgs-gateway/src/room.rs
@@ -8,7 +8,9 @@
 use mgs_admission::queue::Room;
 use mgs_fleet::view::View;
 use mgs_routing::policy::Choice;
+use mgs_routing::policy::NoChoice;
 use mgs_routing::policy::Policy;
+use mgs_routing::span;
 use mgs_schema::key::RequestId;
 
 use crate::hub::Waiting;
@@ -18,6 +20,7 @@
     pub(crate) policy: &'a dyn Policy,
     pub(crate) view: Arc<View>,
     pub(crate) zone: &'a str,
+    pub(crate) spans: &'a span::Options,
     pub(crate) now_ms: u64,
     pub(crate) waiting: &'a HashMap<RequestId, Waiting>,
     /// The last choice, which [`Room::taken`] most likely takes up.
@@ -27,25 +30,38 @@
 }
 
 impl FleetRoom<'_> {
-    fn choose(&self, id: RequestId) -> Option<Choice> {
+    fn choose(&self, id: RequestId) -> Option<Result<Choice, NoChoice>> {
         let job = &self.waiting.get(&id)?.job;
         let ask = job.ask(self.zone, &[], self.now_ms);
-        self.policy.choose(&self.view, &ask, rand::random()).ok()
+        Some(self.policy.choose(&self.view, &ask, rand::random()))
+    }
+
+    /// A prompt that exceeds one engine's memory starts at once: it gathers memory outside the
+    /// queue, where it keeps nobody waiting.
+    fn span_first_token_ms(&self, id: RequestId) -> Option<u64> {
+        let job = &self.waiting.get(&id)?.job;
+        let ask = job.ask(self.zone, &[], self.now_ms);
+        self.last.replace(None);
+        span::first_token_ms(&self.view, &ask, self.spans).ok()
     }
 }
 
 impl Room for FleetRoom<'_> {
     fn first_token_ms(&self, offer: &Offer) -> Option<u64> {
-        let choice = self.choose(offer.id);
-        let first_token_ms = choice.as_ref().map(|choice| choice.first_token_ms);
-        self.last.replace(choice.map(|choice| (offer.id, choice)));
-        first_token_ms
+        let choice = match self.choose(offer.id)? {
+            Ok(choice) => choice,
+            Err(NoChoice::PromptExceedsMemory) => return self.span_first_token_ms(offer.id),
+            Err(_) => return None,
+        };
+        let first_token_ms = choice.first_token_ms;
+        self.last.replace(Some((offer.id, choice)));
+        Some(first_token_ms)
     }
 
     fn taken(&mut self, offer: &Offer) {
         let last = self.last.take().filter(|(id, _)| *id == offer.id);
         let choice = last.map(|(_, choice)| choice);
-        let Some(choice) = choice.or_else(|| self.choose(offer.id)) else {
+        let Some(choice) = choice.or_else(|| self.choose(offer.id)?.ok()) else {
             return;
         };
         if let Some(waiting) = self.waiting.get(&offer.id) {
--- a/crates/mgs-gateway/src/session.rs
+++ b/crates/mgs-gateway/src/session.rs
@@ -13,6 +13,7 @@
 use arc_swap::ArcSwapOption;
 use crossbeam::channel::Receiver;
 use crossbeam::channel::Sender;
+use crossbeam::channel::TryRecvError;
 use mgs_fleet::view::EndpointKey;
 use mgs_fleet::view::View;
 use mgs_schema::wire::envelope::Body;
@@ -71,6 +72,13 @@
     retired: AtomicBool,
 }
 
+impl Session {
+    /// Whether it has been replaced or lost.
+    pub(crate) fn is_over(&self) -> bool {
+        self.over.try_recv() == Err(TryRecvError::Disconnected)
+    }
+}
+
 impl Slot {
     /// The session, if one works.
     pub(crate) fn session(&self) -> Option<Arc<Session>> {
--- a/crates/mgs-request/src/event.rs
+++ b/crates/mgs-request/src/event.rs
@@ -41,6 +41,16 @@
         /// The attempt.
         attempt: AttemptNumber,
     },
+    /// Memory is being gathered for the attempt at several endpoints; nothing was sent.
+    Gathering {
+        /// The attempt.
+        attempt: AttemptNumber,
+    },
+    /// The memory is there, and the dispatch is about to be handed to a connection.
+    Gathered {
+        /// The attempt.
+        attempt: AttemptNumber,
+    },
     /// The sidecar took the attempt.
     Accepted {
         /// The attempt.
--- a/crates/mgs-request/src/life.rs
+++ b/crates/mgs-request/src/life.rs
@@ -139,6 +139,14 @@
         wakes.fold(self.options.deadline_ms, u64::min)
     }
 
+    /// Whether an attempt still waits for its dispatch.
+    pub fn wants_dispatch(&self, number: AttemptNumber) -> bool {
+        let index = (number as usize).checked_sub(1);
+        let attempt = index.and_then(|index| self.attempts.get(index));
+        let choosing = attempt.is_some_and(|a| matches!(a.state, State::Choosing { .. }));
+        choosing && !self.ended && !self.forgotten
+    }
+
     /// Takes an event; returns what is to be done, in order.
     pub fn on(&mut self, now_ms: u64, event: Event, budget: &Budget) -> Vec<Action> {
         let mut step = Step {
@@ -172,6 +180,8 @@
                 refusal,
                 busy,
             } => self.no_endpoint(step, attempt, refusal, busy),
+            Event::Gathering { attempt } => self.set(attempt, State::Choosing { at_ms: u64::MAX }),
+            Event::Gathered { attempt } => self.set(attempt, State::Dispatched),
             Event::NotSent { attempt } => self.not_sent(step, attempt),
             Event::Accepted { attempt } => self.accepted(attempt),
             Event::Refused { attempt, refusal } => self.refused(step, attempt, refusal),
--- a/crates/mgs-routing/src/predict.rs
+++ b/crates/mgs-routing/src/predict.rs
@@ -73,7 +73,8 @@
     }
 }
 
-fn tokens_per_ms(endpoint: &Endpoint) -> f64 {
+/// Rate of prompt processing, in tokens per millisecond.
+pub(crate) fn tokens_per_ms(endpoint: &Endpoint) -> f64 {
     let reported = endpoint.load.prefill_tokens_per_s;
     let rate = if reported > 0.0 {
         reported
--- a/crates/mgs-routing/src/span.rs
+++ b/crates/mgs-routing/src/span.rs
@@ -8,6 +8,10 @@
 
 use crate::policy::Ask;
 use crate::policy::NoChoice;
+use crate::predict;
+
+/// Fewest endpoints of a plan.
+const ENDPOINTS_MIN: usize = 2;
 
 /// Settings of [`plan`].
 #[derive(Debug, Clone, Copy)]
@@ -18,13 +22,17 @@
     /// Most of the endpoints that declare spans which one prompt may use, as a share; two may
     /// always be used.
     pub endpoints_share_max: f64,
+    /// Tokens of imported KV that take the room of one token at the endpoint that imports them, as
+    /// the engines that declare spans have it; 1 is a whole copy.
+    pub import_ratio: u64,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
             memory_share_max: 0.9,
-            endpoints_share_max: 0.5,
+            endpoints_share_max: 0.75,
+            import_ratio: 8,
         }
     }
 }
@@ -34,16 +42,22 @@
 pub struct Part {
     /// The endpoint.
     pub endpoint: EndpointKey,
-    /// Tokens of the part; with the last one, those of the answer too.
+    /// Tokens of the prompt that it processes.
+    pub prompt_tokens: u64,
+    /// Memory to reserve: the part's own; with the last one, that of the imported parts and of the
+    /// answer too.
     pub kv_tokens: u64,
 }
 
 /// Chooses the fewest endpoints whose free memory holds prompt and answer, those with the most
 /// free memory. They come in the order of their names, which is the same at every gateway: whoever
-/// reserves one after another in this order can't deadlock with others.
+/// reserves one after another in this order can't deadlock with others. The last one is the home,
+/// which imports the others' parts; it takes as little of the prompt as the others leave, since it
+/// processes that after them.
 ///
-/// `PromptExceedsMemory` if no number of them could ever hold it, `AllBusy` if it doesn't fit now,
-/// in which case nothing is to be reserved: a prompt that waits holds nothing.
+/// `PromptExceedsMemory` if no number of them could ever hold it, `NoEndpoint` if those that can't
+/// be reached or were tried would be needed, `AllBusy` if it doesn't fit now, in which case nothing
+/// is to be reserved: a prompt that waits holds nothing.
 ///
 /// ```
 /// use mgs_fleet::view::View;
@@ -68,59 +82,111 @@
 /// assert_eq!(plan, Err(NoChoice::UnknownModel));
 /// ```
 pub fn plan(view: &View, ask: &Ask<'_>, options: &Options) -> Result<Vec<Part>, NoChoice> {
+    idle_plan(view, ask, options)?;
+    let willing = willing(view, ask)?;
+    let count = declared(view, ask)?.len();
+    arrange(&willing, count, ask, options, room).ok_or(NoChoice::AllBusy)
+}
+
+/// The plan if nothing else used the endpoints' memory.
+fn idle_plan(view: &View, ask: &Ask<'_>, options: &Options) -> Result<Vec<Part>, NoChoice> {
+    let declared = declared(view, ask)?;
+    let count = declared.len();
+    arrange(&declared, count, ask, options, capacity).ok_or(NoChoice::PromptExceedsMemory)?;
+    let willing = willing(view, ask)?;
+    arrange(&willing, count, ask, options, capacity).ok_or(NoChoice::NoEndpoint)
+}
+
+/// Predicts the time to the first token of a prompt over an idle fleet, in milliseconds; the error
+/// is that of [`plan`] if it could never be held.
+pub fn first_token_ms(view: &View, ask: &Ask<'_>, options: &Options) -> Result<u64, NoChoice> {
+    let parts = idle_plan(view, ask, options)?;
+    let took_ms = |part: &Part| {
+        let endpoint = view.get(part.endpoint);
+        let rate = endpoint.map_or(
+            predict::ASSUMED_TOKENS_PER_S / 1_000.0,
+            predict::tokens_per_ms,
+        );
+        (part.prompt_tokens as f64 / rate) as u64
+    };
+    let Some((home, exported)) = parts.split_last() else {
+        return Err(NoChoice::PromptExceedsMemory);
+    };
+    let exported_ms = exported.iter().map(took_ms).max().unwrap_or(0);
+    Ok(exported_ms + took_ms(home))
+}
+
+/// Endpoints that declare spans.
+fn declared<'a>(view: &'a View, ask: &Ask<'_>) -> Result<Vec<&'a Endpoint>, NoChoice> {
     let keys = view.by_model.get(ask.model).ok_or(NoChoice::UnknownModel)?;
     let known = keys.iter().filter_map(|key| view.get(*key));
-    let mut willing: Vec<&Endpoint> = known.filter(|e| is_willing(e, ask)).collect();
-    if willing.is_empty() {
-        return Err(NoChoice::PromptExceedsMemory);
-    }
-    let most = (willing.len() as f64 * options.endpoints_share_max) as usize;
-    let most = most.max(2).min(willing.len());
-    let wanted = ask.prompt_tokens + ask.max_tokens;
-    willing.sort_by_key(|e| std::cmp::Reverse(room(e, options)));
-    let mut capacities: Vec<u64> = willing.iter().map(|e| capacity(e, options)).collect();
-    capacities.sort_unstable_by_key(|tokens| std::cmp::Reverse(*tokens));
-    if capacities.iter().take(most).sum::<u64>() < wanted {
-        return Err(NoChoice::PromptExceedsMemory);
-    }
-    let mut left = wanted;
-    let mut chosen: Vec<&Endpoint> = Vec::new();
-    for endpoint in willing.into_iter().take(most) {
-        if left == 0 {
-            break;
-        }
-        left -= left.min(room(endpoint, options));
-        chosen.push(endpoint);
-    }
-    if left > 0 {
-        return Err(NoChoice::AllBusy);
-    }
-    chosen.sort_by(|a, b| a.name.cmp(&b.name));
-    Ok(parts(&chosen, wanted, options))
+    Ok(known.filter(|e| is_declared(e)).collect())
+}
+
+/// Those of them that may hold a part now.
+fn willing<'a>(view: &'a View, ask: &Ask<'_>) -> Result<Vec<&'a Endpoint>, NoChoice> {
+    let mut willing = declared(view, ask)?;
+    willing.retain(|endpoint| is_willing(endpoint, ask));
+    Ok(willing)
 }
 
-/// Fills the endpoints one after another.
-fn parts(chosen: &[&Endpoint], wanted: u64, options: &Options) -> Vec<Part> {
-    let mut left = wanted;
+/// The plan over the fewest of `willing`, out of a count that declares spans, by what `free` says of each one's memory.
+fn arrange(
+    willing: &[&Endpoint],
+    declared: usize,
+    ask: &Ask<'_>,
+    options: &Options,
+    free: impl Fn(&Endpoint, &Options) -> u64,
+) -> Option<Vec<Part>> {
+    let mut free: Vec<(&Endpoint, u64)> = willing.iter().map(|e| (*e, free(e, options))).collect();
+    free.sort_by_key(|(_, tokens)| std::cmp::Reverse(*tokens));
+    let most = (declared as f64 * options.endpoints_share_max) as usize;
+    let most = most.max(ENDPOINTS_MIN).min(willing.len());
+    (ENDPOINTS_MIN..=most).find_map(|count| {
+        let mut chosen = free[..count].to_vec();
+        chosen.sort_by(|a, b| a.0.name.cmp(&b.0.name));
+        parts(&chosen, ask, options)
+    })
+}
+
+/// Cuts the prompt: the others get shares by their free memory, the home what they leave.
+fn parts(chosen: &[(&Endpoint, u64)], ask: &Ask<'_>, options: &Options) -> Option<Vec<Part>> {
+    let ((home, home_free), others) = chosen.split_last()?;
+    let others_free: u64 = others.iter().map(|(_, tokens)| tokens).sum();
+    // The first token needs something to be processed at the home.
+    let exported = others_free.min(ask.prompt_tokens.saturating_sub(1));
     let mut parts = Vec::with_capacity(chosen.len());
-    for endpoint in chosen {
-        let kv_tokens = left.min(room(endpoint, options));
-        left -= kv_tokens;
-        if kv_tokens > 0 {
-            parts.push(Part {
-                endpoint: endpoint.key,
-                kv_tokens,
-            });
-        }
+    let mut imported = 0;
+    let mut left = ask.prompt_tokens;
+    for (endpoint, tokens) in others {
+        let share = u128::from(exported) * u128::from(*tokens) / u128::from(others_free.max(1));
+        let prompt_tokens = share as u64;
+        left -= prompt_tokens;
+        imported += prompt_tokens.div_ceil(options.import_ratio.max(1));
+        parts.push(Part {
+            endpoint: endpoint.key,
+            prompt_tokens,
+            kv_tokens: prompt_tokens,
+        });
     }
-    parts
+    // A part that ends within a character leaves the rest of it, less than a token, to the next.
+    let slack = chosen.len() as u64;
+    let kv_tokens = left + imported + ask.max_tokens + slack;
+    parts.push(Part {
+        endpoint: home.key,
+        prompt_tokens: left,
+        kv_tokens,
+    });
+    let empty = parts.iter().any(|part| part.prompt_tokens == 0);
+    (kv_tokens <= *home_free && !empty).then_some(parts)
 }
 
 fn is_willing(endpoint: &Endpoint, ask: &Ask<'_>) -> bool {
-    endpoint.span
-        && endpoint.kind == EndpointKind::Engine
-        && endpoint.state == EndpointState::Live
-        && !ask.excluded.contains(&endpoint.key)
+    endpoint.state == EndpointState::Live && !ask.excluded.contains(&endpoint.key)
+}
+
+fn is_declared(endpoint: &Endpoint) -> bool {
+    endpoint.span && endpoint.kind == EndpointKind::Engine
 }
 
 fn capacity(endpoint: &Endpoint, options: &Options) -> u64 {
