test(request): explore attempts that gather memory first

Cause: a life has two new events, Gathering and Gathered, which the exploration didn't know.

What changed: the model may turn any dispatch into a span that ends in a dispatch, or in nothing, for now or for good. A refusal of a resume no longer frees the span of its attempt: the home may still import the parts.

Ruled out: freeing on every refusal, which could have ended the span of a later attempt.

Conclusion: no order of events around a span breaks a rule of the life.

--- a/crates/mgs-gateway/src/drive/hear.rs
+++ b/crates/mgs-gateway/src/drive/hear.rs
@@ -175,7 +175,6 @@
             self.allow_again(index);
         }
         self.attempt_ended(index, Outcome::Refused);
-        self.free_span();
     }
 
     /// Lets an attempt's endpoint be chosen again.
--- a/crates/mgs-request/tests/life.rs
+++ b/crates/mgs-request/tests/life.rs
@@ -19,6 +19,7 @@
     engine_failures: 0,
     refusals: 0,
     caller_gone: 0,
+    spans: 0,
 };
 
 fn options(idempotent: bool, plant: Plant) -> Options {
@@ -63,6 +64,7 @@
 #[case::crashes(Faults { lost_paths: 1, crashes: 1, refusals: 1, ..CALM })]
 #[case::engines(Faults { engine_failures: 1, refusals: 1, lost_paths: 1, ..CALM })]
 #[case::callers(Faults { caller_gone: 1, lost_paths: 1, doubled_frames: 1, ..CALM })]
+#[case::spans(Faults { spans: 2, lost_paths: 1, not_sent: 1, caller_gone: 1, ..CALM })]
 fn no_order_of_events_breaks_a_rule(
     #[case] faults: Faults,
     #[values(ample(), empty())] budget: Budget,
@@ -76,6 +78,7 @@
 #[case::crashes(Faults { crashes: 1, ..CALM })]
 #[case::engines(Faults { engine_failures: 1, refusals: 1, ..CALM })]
 #[case::callers(Faults { caller_gone: 1, doubled_frames: 1, ..CALM })]
+#[case::spans(Faults { spans: 1, lost_paths: 1, ..CALM })]
 fn no_order_of_events_breaks_a_rule_for_an_idempotent_request(
     #[case] faults: Faults,
     #[values(ample(), empty())] budget: Budget,
--- a/crates/mgs-request/tests/model/mod.rs
+++ b/crates/mgs-request/tests/model/mod.rs
@@ -36,6 +36,8 @@
     pub(crate) engine_failures: u8,
     pub(crate) refusals: u8,
     pub(crate) caller_gone: u8,
+    /// Attempts that gather memory at several endpoints first.
+    pub(crate) spans: u8,
 }
 
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Hash, PartialOrd, Ord)]
@@ -80,6 +82,8 @@
     meant_for: u8,
     /// Replies under way to the present call, in any order.
     replies: Vec<Event>,
+    /// Whether memory for the attempt is being gathered.
+    gathering: bool,
 }
 
 /// One state of the world.
@@ -216,11 +220,14 @@
                         call: 0,
                         meant_for: 0,
                         replies: Vec::new(),
+                        gathering: false,
                     });
                 }
+                let mut ways = self.gather(index, &events);
                 let incarnation = self.sidecars[index].incarnation;
                 self.sidecars[index].meant_for = incarnation;
-                return Ok(self.send(index, Ask::Dispatch { incarnation }, events));
+                ways.extend(self.send(index, Ask::Dispatch { incarnation }, events));
+                return Ok(ways);
             }
             Action::Withdraw { attempt } => {
                 let index = *attempt as usize - 1;
@@ -237,6 +244,47 @@
         Ok(vec![(self, events)])
     }
 
+    /// The attempt's prompt exceeds one engine's memory: nothing is sent yet.
+    fn gather(&self, attempt: usize, events: &[Event]) -> Vec<(World, Vec<Event>)> {
+        if self.faults.spans == 0 {
+            return Vec::new();
+        }
+        let mut world = self.clone();
+        world.faults.spans -= 1;
+        world.sidecars[attempt].gathering = true;
+        let number = attempt as AttemptNumber + 1;
+        let mut events = events.to_vec();
+        events.push(Event::Gathering { attempt: number });
+        vec![(world, events)]
+    }
+
+    /// The memory is there, or can't be had.
+    fn gathered(&self, attempt: usize, budget: &Budget) -> Vec<Next> {
+        let number = attempt as AttemptNumber + 1;
+        if !self.sidecars[attempt].gathering || !self.life.wants_dispatch(number) {
+            return Vec::new();
+        }
+        let mut world = self.clone();
+        world.sidecars[attempt].gathering = false;
+        let mut nexts = Vec::new();
+        for busy in [false, true] {
+            let refusal = Refusal::new(RefusalReason::NoEndpoint, "");
+            let none = Event::NoEndpoint {
+                attempt: number,
+                refusal,
+                busy,
+            };
+            nexts.extend(world.clone().tell(none, budget));
+        }
+        let incarnation = world.sidecars[attempt].incarnation;
+        world.sidecars[attempt].meant_for = incarnation;
+        let gathered = vec![Event::Gathered { attempt: number }];
+        for (world, events) in world.send(attempt, Ask::Dispatch { incarnation }, gathered) {
+            nexts.extend(world.tell_all(events, budget));
+        }
+        nexts
+    }
+
     /// Sends a message on a new call, or fails to.
     fn send(mut self, attempt: usize, ask: Ask, events: Vec<Event>) -> Vec<(World, Vec<Event>)> {
         let number = attempt as AttemptNumber + 1;
@@ -275,6 +323,7 @@
             nexts.extend(self.work(attempt).into_iter().map(Ok));
             nexts.extend(self.hear(attempt, budget));
             nexts.extend(self.lose(attempt, budget));
+            nexts.extend(self.gathered(attempt, budget));
         }
         if self.now_ms < DEADLINE_MS {
             let mut later = self.clone();
