--- a/crates/mgs-gateway/tests/span.rs
+++ b/crates/mgs-gateway/tests/span.rs
@@ -4,15 +4,18 @@
 
 use std::io::Write;
 use std::net::TcpStream;
+use std::sync::Arc;
 use std::thread;
 
 use attohttpc::body::Text;
 use attohttpc::RequestBuilder;
+use mgs_fleet::view::Endpoint;
 use mgs_gateway::gateway::Gateway;
 use mgs_gateway::gateway::Options;
 use mgs_observe::metrics::Registry;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::settings::EndpointRow;
+use mgs_schema::settings::Snapshot;
 use mgs_schema::wire::envelope::Body;
 use mgs_schema::wire::Hello;
 use mgs_schema::wire::SpanRelease;
@@ -23,12 +26,14 @@
 use mgs_standin::engine;
 use mgs_standin::engine::text::expected;
 use mgs_standin::engine::Engine;
+use mgs_standin::platform::memory::Memory;
 use mgs_transport::client::Connection;
 use mgs_transport::runtime::Runtime;
 use rstest::rstest;
 use serde_json::json;
 use serde_json::Value;
 use support::gateway;
+use support::platform;
 use support::snapshot;
 use support::until;
 use support::KEY;
@@ -50,11 +55,11 @@
     engines: Vec<Engine>,
 }
 
-fn start_engine(time_scale: f64) -> Engine {
+fn start_engine(time_scale: f64, kv_import_ratio: u64) -> Engine {
     Engine::start(engine::Options {
         models: vec!["m".into()],
         kv_capacity_tokens: CAPACITY_TOKENS,
-        kv_import_ratio: 8,
+        kv_import_ratio,
         time_scale,
         prefill_chunk_tokens: 64,
         decode_step_ms: 1.0,
@@ -76,8 +81,20 @@
     }
 }
 
+fn table(sidecars: &[Sidecar], span: bool) -> Snapshot {
+    let rows = sidecars.iter().enumerate();
+    Snapshot {
+        endpoints: rows.map(|(index, at)| row(index, at, span)).collect(),
+        ..snapshot(&[], &[])
+    }
+}
+
 fn bench(time_scale: f64, span: bool) -> Bench {
-    let engines: Vec<Engine> = (0..ENGINES).map(|_| start_engine(time_scale)).collect();
+    bench_with(span, || start_engine(time_scale, 8))
+}
+
+fn bench_with(span: bool, start_engine: impl Fn() -> Engine) -> Bench {
+    let engines: Vec<Engine> = (0..ENGINES).map(|_| start_engine()).collect();
     let start = |(index, engine): (usize, &Engine)| {
         Sidecar::start(sidecar::Options {
             name: format!("engine-{index}"),
@@ -89,9 +106,7 @@
         .unwrap()
     };
     let sidecars: Vec<Sidecar> = engines.iter().enumerate().map(start).collect();
-    let mut table = snapshot(&[], &[]);
-    let rows = sidecars.iter().enumerate();
-    table.endpoints = rows.map(|(index, at)| row(index, at, span)).collect();
+    let table = table(&sidecars, span);
     let registry = Registry::new();
     let gateway = gateway(
         table,
@@ -344,3 +359,52 @@
     );
     assert_eq!((bench.ran(&prompt), bench.count("begun")), (0, 0));
 }
+
+#[test]
+fn engines_that_import_whole_copies_refuse_and_hold_nothing() {
+    let bench = bench_with(true, || start_engine(FAST, 1));
+    let prompt = long();
+    let (status, answer) = bench.complete(&prompt, 3_000);
+    assert_eq!(status, 503, "{answer}");
+    assert_eq!(answer["error"]["not_run"], true, "{answer}");
+    assert_eq!(bench.ran(&prompt), 0);
+    bench.until_free();
+}
+
+#[test]
+fn a_durable_request_is_answered_whole() {
+    let bench = bench(FAST, true);
+    let memory = Arc::new(Memory::default());
+    let changes = platform::changes(table(&bench.sidecars, true));
+    platform::apply(&memory, "first", changes);
+    let gateway = platform::start(&memory, "g1", Vec::new());
+    let known = || {
+        let view = gateway.core().view();
+        let known = |endpoint: &&Arc<Endpoint>| endpoint.load.kv_capacity_tokens > 0;
+        view.endpoints.iter().flatten().filter(known).count()
+    };
+    until("reports of memory", || known() == ENGINES);
+    let url = |path: &str| format!("http://{}{path}", gateway.address());
+    let prompt = long();
+    let body = json!({"model": "m", "prompt": prompt, "max_tokens": 20}).to_string();
+    let mut accepted = Value::Null;
+    until("its promise", || {
+        let request = attohttpc::post(url("/v1/completions")).bearer_auth(KEY);
+        let request = request.header("Prefer", "respond-async");
+        let request = request.header("Idempotency-Key", "audit-7");
+        let response = request.text(&body).send().unwrap();
+        let promised = response.status().as_u16() == 202;
+        accepted = response.json().unwrap();
+        promised
+    });
+    let status_url = accepted["status_url"].as_str().unwrap();
+    let get = |path: &str| -> Value {
+        let request = attohttpc::get(url(path)).bearer_auth(KEY);
+        request.send().unwrap().json().unwrap()
+    };
+    until("its end", || get(status_url)["state"] == "answered");
+    let result = get(&format!("{status_url}/result"));
+    assert_eq!(text(&result), expected(&prompt, 20));
+    assert_eq!(bench.ran(&prompt), 1);
+    bench.until_free();
+}
