feat(gateway): exports of a span have the prompt's priority; the demo's longest prompts need one

Cause: an export had no priority and the stand-in served it first, so that short prompts at its engine waited for whole chunks of a part; and the demo's engines held 1.2M tokens, so that no prompt needed a span. A span was refused at once where one needed endpoint couldn't be reached just then, and the demo's gateways counted as ready before their first load reports.

What changed: KvExport and SpanExport carry a priority, which the gateway takes from the policy as for a dispatch; the demo's engines hold 450k tokens, with span: true; the predicted first token is over all that declare spans, so that such a request waits a while instead; the demo waits until every endpoint is live at both gateways.

Ruled out: memory as the cause of the slow short prompts: with the priority alone they are back.

Conclusion: the longest prompts are answered over three engines, and short ones don't feel it.

--- a/crates/mgs-engine/src/message.rs
+++ b/crates/mgs-engine/src/message.rs
@@ -72,6 +72,9 @@
     pub model: String,
     /// Text whose KV is wanted; the engine processes what it hasn't cached.
     pub text: String,
+    /// Priority; 0 is served first.
+    #[serde(default)]
+    pub priority: u32,
 }
 
 /// KV held by an engine outside a stream.
--- a/crates/mgs-gateway/src/span/mod.rs
+++ b/crates/mgs-gateway/src/span/mod.rs
@@ -41,6 +41,8 @@
     id: u64,
     gateway_incarnation: u64,
     model: String,
+    /// Priority by which engines work on the parts.
+    priority: u32,
     deadline_ms: u64,
     /// A moment, and the process's clock then, in milliseconds.
     clock: (Instant, u64),
@@ -68,10 +70,12 @@
 impl Span {
     /// Begins to reserve memory for a plan.
     pub(crate) fn begin(core: &Core, job: &Job, body: &[u8], plan: &[Planned]) -> Self {
+        let ask = job.ask(&core.options.zone, &[], core.now_ms());
         let common = Common {
             id: rand::random_range(1..=u64::MAX),
             gateway_incarnation: core.incarnation,
             model: job.model.clone(),
+            priority: core.policy.engine_priority(&ask),
             deadline_ms: job.deadline_ms,
             clock: (Instant::now(), core.now_ms()),
         };
--- a/crates/mgs-gateway/src/span/part.rs
+++ b/crates/mgs-gateway/src/span/part.rs
@@ -129,6 +129,7 @@
             kv: self.kv.clone(),
             model: common.model.clone(),
             text: self.text.clone(),
+            priority: common.priority,
         };
         let session = self.session();
         let until_ms = common.deadline_ms;
--- a/crates/mgs-routing/src/span.rs
+++ b/crates/mgs-routing/src/span.rs
@@ -83,22 +83,21 @@
 /// ```
 pub fn plan(view: &View, ask: &Ask<'_>, options: &Options) -> Result<Vec<Part>, NoChoice> {
     idle_plan(view, ask, options)?;
-    let willing = willing(view, ask)?;
     let count = declared(view, ask)?.len();
+    let willing = willing(view, ask)?;
+    arrange(&willing, count, ask, options, capacity).ok_or(NoChoice::NoEndpoint)?;
     arrange(&willing, count, ask, options, room).ok_or(NoChoice::AllBusy)
 }
 
-/// The plan if nothing else used the endpoints' memory.
+/// The plan if every endpoint could be reached and nothing else used their memory.
 fn idle_plan(view: &View, ask: &Ask<'_>, options: &Options) -> Result<Vec<Part>, NoChoice> {
     let declared = declared(view, ask)?;
-    let count = declared.len();
-    arrange(&declared, count, ask, options, capacity).ok_or(NoChoice::PromptExceedsMemory)?;
-    let willing = willing(view, ask)?;
-    arrange(&willing, count, ask, options, capacity).ok_or(NoChoice::NoEndpoint)
+    let parts = arrange(&declared, declared.len(), ask, options, capacity);
+    parts.ok_or(NoChoice::PromptExceedsMemory)
 }
 
-/// Predicts the time to the first token of a prompt over an idle fleet, in milliseconds; the error
-/// is that of [`plan`] if it could never be held.
+/// Predicts the time to the first token of a prompt over an idle fleet that is whole, in
+/// milliseconds; the error is that of [`plan`] if it could never be held.
 pub fn first_token_ms(view: &View, ask: &Ask<'_>, options: &Options) -> Result<u64, NoChoice> {
     let parts = idle_plan(view, ask, options)?;
     let took_ms = |part: &Part| {
--- a/crates/mgs-routing/tests/span.rs
+++ b/crates/mgs-routing/tests/span.rs
@@ -2,6 +2,8 @@
 
 mod common;
 
+use std::sync::Arc;
+
 use common::ask;
 use common::endpoint;
 use common::view;
@@ -115,4 +117,10 @@
     let idle_ms = predicted(0).unwrap();
     assert!(idle_ms > 0);
     assert_eq!(predicted(400_000), Ok(idle_ms));
+    let mut down = fleet(0);
+    for endpoint in down.endpoints.iter_mut().flatten() {
+        Arc::make_mut(endpoint).state = EndpointState::Down;
+    }
+    let predicted = first_token_ms(&down, &ask(700_000), &Options::default());
+    assert_eq!(predicted, Ok(idle_ms));
 }
--- a/crates/mgs-sidecar/src/span.rs
+++ b/crates/mgs-sidecar/src/span.rs
@@ -75,6 +75,7 @@
         kv: export.kv.clone(),
         model: export.model.clone(),
         text: String::from_utf8_lossy(&export.text).into_owned(),
+        priority: export.priority,
     };
     let exported = engine.export_kv(&export);
     let handle = exported.map_err(|error| error.to_string())?;
--- a/crates/mgs-sidecar/tests/engine.rs
+++ b/crates/mgs-sidecar/tests/engine.rs
@@ -139,6 +139,7 @@
         kv: kv.into(),
         model: "m".into(),
         text: text.into(),
+        priority: 0,
     };
     match gateway.connection.ask(Body::SpanExport(export), WAIT) {
         Ok(Body::SpanKv(kv)) => kv,
--- a/crates/mgs-standin/src/engine/job.rs
+++ b/crates/mgs-standin/src/engine/job.rs
@@ -114,11 +114,12 @@
         }
     }
 
-    /// An export; it is served first.
+    /// An export.
     pub(super) fn export(export: &KvExport) -> Self {
         let start = Start {
             stream: export.kv.clone(),
             prompt: export.text.clone(),
+            priority: export.priority,
             ..Start::default()
         };
         Self {
--- a/crates/mgs-standin/tests/engine.rs
+++ b/crates/mgs-standin/tests/engine.rs
@@ -269,6 +269,7 @@
         kv: "part".to_string(),
         model: "model-a".to_string(),
         text: prompt(300),
+        priority: 0,
     };
     let handle = client.export_kv(&export).expect("kv");
     assert_eq!(handle.kv_tokens, 900);
--- a/src/command/demo.rs
+++ b/src/command/demo.rs
@@ -36,6 +36,9 @@
 the platform, all in this process, on loopback sockets. Engines and platform are stand-ins: answers
 are words without sense, and times are those of a stated cost model, sped up by --time-scale.
 
+Each engine holds 450k tokens: longer prompts are spread over several engines, the longest over
+three; with fewer engines than that they are refused.
+
 The mix: prompts of 1k to 1M tokens from 4 organisations; answers streamed, whole, or kept and
 fetched later; calls of the plain service; a quarter may not run twice, and some of those are sent
 to both gateways at once under one Idempotency-Key.
--- a/src/demo/fleet.rs
+++ b/src/demo/fleet.rs
@@ -13,6 +13,7 @@
 use mgs_platform::http;
 use mgs_schema::settings::EndpointKind;
 use mgs_schema::settings::EndpointRow;
+use mgs_schema::wire::EndpointState;
 use mgs_sidecar::sidecar;
 use mgs_sidecar::sidecar::Sidecar;
 use mgs_standin::engine;
@@ -34,6 +35,8 @@
 use crate::status::parse_metrics;
 
 const ZONES: [&str; 2] = ["zone-1", "zone-2"];
+/// Tokens of imported KV that take the room of one.
+const KV_IMPORT_RATIO: u64 = 8;
 const SERVICE_ENDPOINT: &str = "stock-1";
 const READY_TIMEOUT: Duration = Duration::from_secs(30);
 const READY_LOOK: Duration = Duration::from_millis(20);
@@ -46,7 +49,7 @@
     pub gateways: Vec<SocketAddr>,
     /// Engines, each with its sidecar; they take turns among the availability zones.
     pub engines: usize,
-    /// Memory of each engine.
+    /// Memory of each engine. The longest prompts need three engines of the default.
     pub kv_capacity_tokens: u64,
     /// How much faster than a real engine's the stand-ins' times are.
     pub time_scale: f64,
@@ -59,7 +62,7 @@
         Self {
             gateways: vec![any_port(), any_port()],
             engines: 4,
-            kv_capacity_tokens: 1_200_000,
+            kv_capacity_tokens: 450_000,
             time_scale: 20.0,
             service_delay_ms: 5,
         }
@@ -119,9 +122,12 @@
         Ok(())
     }
 
-    fn serves(&self, (gateway, registry): &(Gateway, Registry)) -> bool {
-        let sessions = metric(registry, "mgs_gateway_sessions");
-        gateway.health().ready().is_ok() && sessions as usize == self.sidecars.len()
+    /// A session without a first load report serves nothing yet.
+    fn serves(&self, (gateway, _): &(Gateway, Registry)) -> bool {
+        let view = gateway.core().view();
+        let endpoints = view.endpoints.iter().flatten();
+        let live = endpoints.filter(|endpoint| endpoint.state == EndpointState::Live);
+        gateway.health().ready().is_ok() && live.count() == self.sidecars.len()
     }
 
     /// Where the load goes.
@@ -241,6 +247,7 @@
     let options = engine::Options {
         models: vec![plan::MODEL.to_string()],
         kv_capacity_tokens: options.kv_capacity_tokens,
+        kv_import_ratio: KV_IMPORT_RATIO,
         time_scale: options.time_scale,
         ..engine::Options::default()
     };
@@ -268,6 +275,7 @@
         models: vec![plan::MODEL.to_string()],
         checks_orders: true,
         started: true,
+        span: true,
         ..EndpointRow::default()
     };
     let service_row = EndpointRow {
