--- a/crates/mgs-testing/src/check/graceful.rs
+++ b/crates/mgs-testing/src/check/graceful.rs
@@ -1,8 +1,8 @@
 //! A graceful stop cuts off no request.
 //!
 //! A call in flight when its gateway, or the sidecar of the endpoint that runs it, is asked to
-//! stop must end with its answer, or be refused as not run if it had not started. Calls that met
-//! another fault are not judged.
+//! stop must end with its answer, be refused as not run if it had not started, or have had all its
+//! allotted time. Calls that met another fault are not judged.
 
 use crate::check::index::CallRecord;
 use crate::check::index::Index;
@@ -12,6 +12,9 @@
 use crate::history::Event;
 use crate::history::NotRun;
 
+/// Reason of a failure because the allotted time is over.
+const DEADLINE: &str = "deadline";
+
 pub(super) fn check(index: &Index<'_>) -> Finding {
     let mut finding = Finding::new(Invariant::Graceful);
     for entry in index.entries {
@@ -57,6 +60,11 @@
     faults.next().is_some()
 }
 
+/// Whether the call had all the time that it was allotted.
+fn is_over(record: &CallRecord) -> bool {
+    record.ended_ms() >= record.sent_ms + record.allotted_ms
+}
+
 fn fault(stop: &Stop<'_>, record: &CallRecord) -> Option<String> {
     let how = match record.ended.as_ref().map(|(_, ending)| ending) {
         Some(Ending::Answered { .. }) => return None,
@@ -64,6 +72,7 @@
             not_run: NotRun::True,
             ..
         }) => return None,
+        Some(Ending::Error { reason, .. }) if reason == DEADLINE && is_over(record) => return None,
         Some(Ending::Error { reason, .. }) => format!("failed: {reason}"),
         Some(Ending::Broken { .. }) => "broke".to_string(),
         Some(Ending::Silent) => "got no answer".to_string(),
--- a/crates/mgs-testing/tests/check.rs
+++ b/crates/mgs-testing/tests/check.rs
@@ -62,6 +62,15 @@
     ended(call, ending)
 }
 
+fn out_of_time(call: u32) -> Event {
+    let ending = Ending::Error {
+        not_run: NotRun::False,
+        reason: "deadline".to_string(),
+        partial: String::new(),
+    };
+    ended(call, ending)
+}
+
 fn broken(call: u32) -> Event {
     let partial = "answer".to_string();
     ended(call, Ending::Broken { partial })
@@ -304,6 +313,14 @@
     ],
     Invariant::Graceful
 )]
+#[case::cut_off_before_its_time(
+    vec![
+        at(9_000, sent(9, 9, true)),
+        at(9_010, stop_asked("gateway-1", None)),
+        at(9_100, out_of_time(9)),
+    ],
+    Invariant::Graceful
+)]
 #[case::cut_off_by_sidecar(
     vec![
         at(9_000, sent(9, 9, true)),
@@ -356,6 +373,11 @@
     at(610, started(9, 9)),
     at(620, answered(9, "answer 9 whole")),
 ])]
+#[case::out_of_time_after_a_graceful_stop(vec![
+    at(9_000, sent(9, 9, false)),
+    at(9_010, stop_asked("gateway-1", None)),
+    at(9_000 + ALLOTTED_MS, out_of_time(9)),
+])]
 #[case::queued_at_a_graceful_stop(vec![
     at(9_000, sent(9, 9, false)),
     at(9_010, stop_asked("gateway-1", None)),
