test(testing): show the dropped tombstone where it is certain, not by a race of processes

Ruled out: more tries (the same race); a sleep. Conclusion: the test of the system as built stays (0 runs beyond what the caller was told); that the planted bug is caught is shown, for every order of events, by mgs-ledger's tests/explore.rs, case dropped_tombstone, and tests/property.rs.

--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -23,8 +23,6 @@
 /// Limit of a graceful stop: more than any request here is allotted.
 const STOP_LIMIT_MS: u64 = 60_000;
 
-const LATE_DISPATCHES: u32 = 12;
-
 const LOST_REPLIES: u64 = 3;
 
 const VERSION_METRIC: &[&str] = &["mgs_gateway_settings_version"];
@@ -148,16 +146,6 @@
     assert_eq!(runs_beyond_told(&cluster, &support::once(1)), 0);
 }
 
-/// The test above can fail: without the tombstone a late dispatch runs, unless the end of its
-/// connection overtakes it, which is why there are several.
-#[test]
-fn late_dispatch_runs_if_the_tombstone_is_dropped() {
-    let cluster = support::start_planted(1, 2, "dropped-tombstone");
-    let mut requests = (1..=LATE_DISPATCHES).map(support::once);
-    let ran = requests.any(|request| runs_beyond_told(&cluster, &request) > 0);
-    assert!(ran, "none of {LATE_DISPATCHES} late dispatches ran");
-}
-
 /// The sidecar asks the engine for the rest of the stream.
 #[test]
 fn broken_connection_between_sidecar_and_engine() {
--- a/crates/mgs-testing/tests/support/mod.rs
+++ b/crates/mgs-testing/tests/support/mod.rs
@@ -31,16 +31,10 @@
 
 /// Gateways and engines whose streams take some seconds.
 pub(crate) fn start(gateways: usize, engines: usize) -> Cluster {
-    start_planted(gateways, engines, "")
-}
-
-/// The same with a deliberate bug.
-pub(crate) fn start_planted(gateways: usize, engines: usize, plant: &str) -> Cluster {
     let options = cluster::Options {
         gateways,
         engines,
         services: 0,
-        plant: plant.to_string(),
         engine: engine::Options {
             decode_step_ms: 30.0,
             ..engine::Options::default()
