test(sidecar): show over a socket that a dropped tombstone lets a withdrawn request run

Ruled out: more tries with processes; a sleep between withdrawal and dispatch. Before: no certain case over sockets. Conclusion: the sound case beside it (a_withdrawn_request_never_starts) is now shown able to fail.

--- a/crates/mgs-sidecar/tests/once.rs
+++ b/crates/mgs-sidecar/tests/once.rs
@@ -12,6 +12,7 @@
 use common::Gateway;
 use common::WAIT;
 use fake::Fake;
+use mgs_ledger::plant::Plant;
 use mgs_schema::wire::envelope::Body;
 use mgs_schema::wire::EndpointState;
 use mgs_schema::wire::Outcome;
@@ -35,6 +36,18 @@
     assert_eq!(finished.outcome(), Outcome::Answered);
 }
 
+#[test]
+fn a_dropped_tombstone_lets_a_withdrawn_request_run() {
+    let fake = Fake::new(9);
+    let mut options = options();
+    options.ledger.plant = Plant::DroppedTombstone;
+    let sidecar = start(options, &fake);
+    let gateway = Gateway::connect(&sidecar, 1);
+    assert_eq!(gateway.withdraw(1, 1), WithdrawState::NeverStarted);
+    read(&gateway.send(gateway.message(1, 5)), 0);
+    assert_eq!(fake.change(|state| state.started.len()), 1);
+}
+
 #[test]
 fn what_runs_or_ran_is_said_so() {
     let fake = Fake::new(3);
