feat(testing): let the end of a connection come after what was held back

Cause: a dispatch held by the proxy was mostly lost when it was let through: the gateway had closed the connection meanwhile, and a load report towards it made the proxy reset both sides, before the sidecar read the dispatch. So the planted dropped tombstone was hardly ever met with processes. Ruled out: more tries (the same race).

--- a/crates/mgs-testing/src/proxy/connection.rs
+++ b/crates/mgs-testing/src/proxy/connection.rs
@@ -53,6 +53,8 @@
 struct State {
     faults: Faults,
     cut: bool,
+    /// Whether bytes towards the target were ever kept back.
+    late: bool,
 }
 
 impl Connection {
@@ -62,7 +64,11 @@
             opened: Instant::now(),
             caller,
             target,
-            state: Mutex::new(State { faults, cut: false }),
+            state: Mutex::new(State {
+                faults,
+                cut: false,
+                late: false,
+            }),
             changed: Condvar::new(),
             to_target_bytes: AtomicU64::new(0),
             to_caller_bytes: AtomicU64::new(0),
@@ -119,6 +125,11 @@
         self.state().cut
     }
 
+    /// Whether bytes towards the target were ever kept back.
+    pub(super) fn is_late(&self) -> bool {
+        self.state().late
+    }
+
     /// Waits until `bytes` read now may pass.
     pub(super) fn wait_to_pass(&self, direction: Direction, bytes: usize) -> Pass {
         let read_at = Instant::now();
@@ -131,6 +142,7 @@
             let due = read_at + Duration::from_millis(path.delay_ms);
             let early = due.saturating_duration_since(Instant::now());
             if path.hold {
+                state.late |= direction == Direction::ToTarget;
                 state = self.wait(state, None);
             } else if !early.is_zero() {
                 state = self.wait(state, Some(early));
--- a/crates/mgs-testing/src/proxy/pump.rs
+++ b/crates/mgs-testing/src/proxy/pump.rs
@@ -5,6 +5,7 @@
 use std::io::Write;
 use std::net::Shutdown;
 use std::net::TcpStream;
+use std::thread;
 use std::time::Duration;
 
 use crate::proxy::connection::Connection;
@@ -16,6 +17,10 @@
 /// How often a write that the peer doesn't take looks whether the connection was reset.
 const WRITE_POLL_MS: u64 = 50;
 
+/// How much later than held bytes the end of their connection comes. On a network the end of a
+/// connection that was given up is a packet of its own, which may be lost and sent again.
+const END_AFTER_HELD_MS: u64 = 500;
+
 /// Moves bytes until the direction ends. `moved` learns of each write.
 pub(super) fn run(connection: &Connection, direction: Direction, moved: impl Fn(u64)) {
     let (from, to) = connection.ends(direction);
@@ -28,6 +33,9 @@
             Pass::All => bytes,
             Pass::Some(passing) => passing,
         };
+        if bytes == 0 && direction == Direction::ToTarget && connection.is_late() {
+            thread::sleep(Duration::from_millis(END_AFTER_HELD_MS));
+        }
         if read.is_err() {
             return connection.cut();
         }
@@ -36,7 +44,12 @@
             let _ = to.shutdown(Shutdown::Write);
             return;
         }
-        if write(connection, to, &chunk[..passing]).is_err() || passing < bytes {
+        let written = write(connection, to, &chunk[..passing]);
+        if written.is_err() && direction == Direction::ToCaller && connection.is_late() {
+            // The caller has gone, and what it sent before may still be on its way.
+            return;
+        }
+        if written.is_err() || passing < bytes {
             return connection.cut();
         }
         connection.count(direction, passing as u64);
