refactor(tests): one guard and one wait for the tests of processes

Cause: two test files had the same killed-on-drop process and three the same loop that waits; a test called the kill program, which a small Debian may lack. Before -> after: three copies of the wait and three of the guard -> one each in tests/common; 'kill -TERM PID' -> rustix, already a dependency of the workspace.

--- a/tests/command_name.rs
+++ b/tests/command_name.rs
@@ -2,17 +2,13 @@
 
 mod common;
 
-use std::process::Child;
-use std::process::Stdio;
-use std::thread;
-use std::time::Duration;
-use std::time::Instant;
-
 use common::code;
 use common::marigoldstage;
+use common::process::Killed;
 use common::run;
 use common::stderr;
 use common::stdout;
+use common::wait_until;
 use mgs_platform::table::Table as _;
 use mgs_settings::member;
 use mgs_settings::member::Member;
@@ -20,41 +16,14 @@
 use mgs_standin::platform;
 use mgs_standin::platform::Platform;
 
-const LONG: Duration = Duration::from_secs(60);
-const LOOK: Duration = Duration::from_millis(50);
-
-/// A gateway's process, killed when dropped.
-struct Gateway(Child);
-
-impl Gateway {
-    fn start(platform: &Platform) -> Self {
-        let child = marigoldstage()
-            .args([
-                "gateway",
-                "--name",
-                "gateway-1",
-                "--platform",
-                &platform.url(),
-            ])
-            .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
-            .args(["--admin", "127.0.0.1:0", "--member-renew-ms", "200"])
-            .stdout(Stdio::null())
-            .stderr(Stdio::null())
-            .spawn();
-        Self(child.unwrap())
-    }
-
-    fn ended(&mut self) -> bool {
-        self.0.try_wait().unwrap().is_some()
-    }
-}
-
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        // A process that has ended can't be killed, which is as well.
-        let _ = self.0.kill();
-        let _ = self.0.wait();
-    }
+fn start_gateway(platform: &Platform) -> Killed {
+    let mut command = marigoldstage();
+    command
+        .args(["gateway", "--name", "gateway-1"])
+        .args(["--platform", &platform.url()])
+        .args(["--listen", "127.0.0.1:0", "--peer-listen", "127.0.0.1:0"])
+        .args(["--admin", "127.0.0.1:0", "--member-renew-ms", "200"]);
+    Killed::silent(&mut command)
 }
 
 fn holder(platform: &Platform) -> Option<u64> {
@@ -64,14 +33,6 @@
     Some(member.incarnation)
 }
 
-fn wait_until(mut holds: impl FnMut() -> bool) {
-    let end = Instant::now() + LONG;
-    while !holds() {
-        assert!(Instant::now() < end, "not within {LONG:?}");
-        thread::sleep(LOOK);
-    }
-}
-
 #[test]
 fn the_later_gateway_has_the_name_and_the_earlier_one_stops() {
     let platform = Platform::start(platform::Options::default()).unwrap();
@@ -85,12 +46,12 @@
         &platform.url(),
     ]);
     assert_eq!(code(&edit), 0, "{}{}", stdout(&edit), stderr(&edit));
-    let mut earlier = Gateway::start(&platform);
-    wait_until(|| holder(&platform).is_some());
+    let mut earlier = start_gateway(&platform);
+    wait_until("the first row", || holder(&platform).is_some());
     let first = holder(&platform);
-    let mut later = Gateway::start(&platform);
-    wait_until(|| holder(&platform) != first);
-    wait_until(|| earlier.ended());
-    assert!(!later.ended());
+    let mut later = start_gateway(&platform);
+    wait_until("the later row", || holder(&platform) != first);
+    wait_until("its end", || earlier.has_ended());
+    assert!(!later.has_ended());
     assert_ne!(holder(&platform), first);
 }
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -7,6 +7,14 @@
 
 use std::process::Command;
 use std::process::Output;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+const WAIT_TIMEOUT: Duration = Duration::from_secs(60);
+
+/// Time between looks at what is waited for.
+pub(crate) const LOOK_INTERVAL: Duration = Duration::from_millis(50);
 
 /// The binary with an environment that holds none of its variables.
 pub(crate) fn marigoldstage() -> Command {
@@ -38,3 +46,17 @@
 pub(crate) fn stdout(output: &Output) -> String {
     String::from_utf8(output.stdout.clone()).unwrap()
 }
+
+/// Waits for an event that must come.
+pub(crate) fn wait_until(what: &str, holds: impl FnMut() -> bool) {
+    wait_at_most(WAIT_TIMEOUT, what, holds);
+}
+
+/// Waits for an event that must come within `timeout`.
+pub(crate) fn wait_at_most(timeout: Duration, what: &str, mut holds: impl FnMut() -> bool) {
+    let end = Instant::now() + timeout;
+    while !holds() {
+        assert!(Instant::now() < end, "waited too long for {what}");
+        thread::sleep(LOOK_INTERVAL);
+    }
+}
--- a/tests/common/process.rs
+++ b/tests/common/process.rs
@@ -4,6 +4,7 @@
 use std::io::BufReader;
 use std::net::SocketAddr;
 use std::process::Child;
+use std::process::Command;
 use std::process::ExitStatus;
 use std::process::Stdio;
 use std::sync::mpsc;
@@ -12,6 +13,9 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
 use serde_json::Value;
 
 use super::marigoldstage;
@@ -19,9 +23,33 @@
 const START_TIMEOUT: Duration = Duration::from_secs(60);
 const END_TIMEOUT: Duration = Duration::from_secs(120);
 
+/// A child process that is killed when dropped.
+pub(crate) struct Killed(pub(crate) Child);
+
+impl Killed {
+    /// Starts the command without output.
+    pub(crate) fn silent(command: &mut Command) -> Self {
+        let command = command.stdout(Stdio::null()).stderr(Stdio::null());
+        Self(command.spawn().unwrap())
+    }
+
+    /// Whether it has ended.
+    pub(crate) fn has_ended(&mut self) -> bool {
+        self.0.try_wait().unwrap().is_some()
+    }
+}
+
+impl Drop for Killed {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.0.kill();
+        let _ = self.0.wait();
+    }
+}
+
 /// A running process of the binary.
 pub(crate) struct Process {
-    child: Child,
+    child: Killed,
     log: Receiver<Value>,
 }
 
@@ -39,7 +67,7 @@
     pub(crate) fn standin(kind: &str, arguments: &[&str]) -> (Self, String) {
         let arguments = [&[kind, "--listen", "127.0.0.1:0"], arguments].concat();
         let mut process = Self::spawn("standin", &arguments);
-        let stdout = process.child.stdout.take().unwrap();
+        let stdout = process.child.0.stdout.take().unwrap();
         let mut url = String::new();
         BufReader::new(stdout).read_line(&mut url).unwrap();
         (process, url.trim().to_string())
@@ -61,6 +89,7 @@
                 let _ = line.send(serde_json::from_str(&text).unwrap_or(Value::String(text)));
             }
         });
+        let child = Killed(child);
         Self { child, log }
     }
 
@@ -77,18 +106,14 @@
 
     /// Sends SIGTERM.
     pub(crate) fn terminate(&self) {
-        let pid = self.child.id().to_string();
-        let status = std::process::Command::new("kill")
-            .args(["-TERM", &pid])
-            .status();
-        assert!(status.unwrap().success());
+        kill_process(Pid::from_child(&self.child.0), Signal::TERM).unwrap();
     }
 
     /// Waits for its end.
     pub(crate) fn wait(&mut self) -> ExitStatus {
         let end = Instant::now() + END_TIMEOUT;
         loop {
-            if let Some(status) = self.child.try_wait().unwrap() {
+            if let Some(status) = self.child.0.try_wait().unwrap() {
                 return status;
             }
             assert!(Instant::now() < end, "still running");
@@ -96,11 +121,3 @@
         }
     }
 }
-
-impl Drop for Process {
-    fn drop(&mut self) {
-        // It may have ended by itself.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
--- a/tests/process_durable.rs
+++ b/tests/process_durable.rs
@@ -3,9 +3,7 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::thread;
 use std::time::Duration;
-use std::time::Instant;
 
 use common::cluster::endpoint;
 use common::cluster::start_sidecar;
@@ -13,6 +11,7 @@
 use common::cluster::ANY_PORT;
 use common::cluster::KEY;
 use common::process::Process;
+use common::wait_at_most;
 use mgs_schema::settings::EndpointKind;
 use mgs_standin::platform;
 use mgs_standin::platform::Platform;
@@ -63,7 +62,7 @@
     fn submit(&self, gateway: usize, order: &str) -> String {
         let address = self.gateways[gateway].1;
         let mut path = None;
-        wait_until("a 202", || {
+        wait_at_most(LIMIT, "a 202", || {
             let response = attohttpc::post(format!("http://{address}/services/orders/confirm"))
                 .bearer_auth(KEY)
                 .header("Prefer", "respond-async")
@@ -93,14 +92,6 @@
     }
 }
 
-fn wait_until(what: &str, mut done: impl FnMut() -> bool) {
-    let until = Instant::now() + LIMIT;
-    while !done() {
-        assert!(Instant::now() < until, "waited too long for {what}");
-        thread::sleep(Duration::from_millis(100));
-    }
-}
-
 #[test]
 fn a_killed_gateways_requests_are_finished_by_another_once_each() {
     let mut cluster = Cluster::start(3_000);
@@ -111,10 +102,12 @@
         .iter()
         .map(|order| cluster.submit(0, order))
         .collect();
-    wait_until("a run", || !cluster.service.executions().is_empty());
+    wait_at_most(LIMIT, "a run", || !cluster.service.executions().is_empty());
     drop(cluster.gateways.remove(0));
     for path in &paths {
-        wait_until("its end", || cluster.state(0, path)["state"] == "answered");
+        wait_at_most(LIMIT, "its end", || {
+            cluster.state(0, path)["state"] == "answered"
+        });
     }
     for order in &orders {
         assert_eq!(cluster.runs_of(order), 1, "{order}");
--- a/tests/start_in_outage.rs
+++ b/tests/start_in_outage.rs
@@ -5,29 +5,25 @@
 
 use std::net::SocketAddr;
 use std::net::TcpListener;
-use std::process::Child;
-use std::process::Stdio;
 use std::thread;
-use std::time::Duration;
-use std::time::Instant;
 
 use common::code;
 use common::marigoldstage;
+use common::process::Killed;
 use common::run;
 use common::stderr;
 use common::stdout;
+use common::wait_until;
+use common::LOOK_INTERVAL;
 use mgs_standin::platform;
 use mgs_standin::platform::Platform;
 
-const LONG: Duration = Duration::from_secs(60);
-const LOOK: Duration = Duration::from_millis(50);
-
 /// Looks at a gateway that must not become ready; each is a poll interval of its settings long.
 const LOOKS: usize = 20;
 
-/// A gateway's process, killed when dropped.
+/// A gateway's process.
 struct Gateway {
-    child: Child,
+    _process: Killed,
     admin: SocketAddr,
 }
 
@@ -45,14 +41,14 @@
                 "50",
             ])
             .args(["--peer-listen", &peer_listen.to_string()])
-            .args(["--admin", &admin.to_string()])
-            .stdout(Stdio::null())
-            .stderr(Stdio::null());
+            .args(["--admin", &admin.to_string()]);
         for peer in peers {
             command.args(["--peers", &peer.to_string()]);
         }
-        let child = command.spawn().unwrap();
-        Self { child, admin }
+        Self {
+            _process: Killed::silent(&mut command),
+            admin,
+        }
     }
 
     fn get(&self, path: &str) -> Option<(bool, String)> {
@@ -71,27 +67,11 @@
     }
 }
 
-impl Drop for Gateway {
-    fn drop(&mut self) {
-        // A process that has ended can't be killed, which is as well.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-    }
-}
-
 fn free_address() -> SocketAddr {
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
     listener.local_addr().unwrap()
 }
 
-fn wait_until(holds: impl Fn() -> bool) {
-    let end = Instant::now() + LONG;
-    while !holds() {
-        assert!(Instant::now() < end, "not within {LONG:?}");
-        thread::sleep(LOOK);
-    }
-}
-
 #[test]
 fn only_with_a_peer_that_has_the_table_is_it_ready_before_the_store_is_back() {
     let platform = Platform::start(platform::Options::default()).unwrap();
@@ -107,18 +87,18 @@
     assert_eq!(code(&edit), 0, "{}{}", stdout(&edit), stderr(&edit));
     let peer = free_address();
     let first = Gateway::start(&platform, peer, &[]);
-    wait_until(|| first.is_ready());
+    wait_until("first to be ready", || first.is_ready());
 
     platform.faults().set_outage(true);
     let alone = Gateway::start(&platform, free_address(), &[]);
     let helped = Gateway::start(&platform, free_address(), &[peer]);
-    wait_until(|| helped.is_ready());
-    wait_until(|| alone.answers());
+    wait_until("helped to be ready", || helped.is_ready());
+    wait_until("an answer", || alone.answers());
     for _ in 0..LOOKS {
         assert!(!alone.is_ready());
-        thread::sleep(LOOK);
+        thread::sleep(LOOK_INTERVAL);
     }
 
     platform.faults().set_outage(false);
-    wait_until(|| alone.is_ready());
+    wait_until("alone to be ready", || alone.is_ready());
 }
