style: neutral names in examples, the field's terms in help

Cause: test data and examples carried names out of the users' trade, and help texts a metaphor for the sidecar's place. Before -> after: organisations are org-1 and org-2; 'makes every call of it'. Conclusion: behaviour unchanged; tests of mgs-admission, mgs-standin, and command and command_request of the binary pass.

--- a/crates/mgs-admission/src/lease.rs
+++ b/crates/mgs-admission/src/lease.rs
@@ -86,9 +86,9 @@
 /// use mgs_admission::lease::home;
 ///
 /// let all = ["gateway-1", "gateway-2", "gateway-3"];
-/// let at = home("verdure", "chat", &all).unwrap();
+/// let at = home("org-1", "chat", &all).unwrap();
 /// let others: Vec<&str> = all.iter().copied().filter(|name| *name != at).collect();
-/// assert_ne!(home("verdure", "chat", &others), Some(at));
+/// assert_ne!(home("org-1", "chat", &others), Some(at));
 /// ```
 pub fn home<'a>(organisation: &str, kind: &str, gateways: &[&'a str]) -> Option<&'a str> {
     let seed = xxh3_64_with_seed(
--- a/crates/mgs-admission/tests/lease.rs
+++ b/crates/mgs-admission/tests/lease.rs
@@ -40,7 +40,7 @@
 fn home_of(list: &[u64]) -> u64 {
     let names: Vec<String> = list.iter().map(u64::to_string).collect();
     let names: Vec<&str> = names.iter().map(String::as_str).collect();
-    let found = home("verdure", "chat", &names).expect("there are gateways");
+    let found = home("org-1", "chat", &names).expect("there are gateways");
     found.parse().expect("names are numbers")
 }
 
--- a/crates/mgs-standin/tests/service.rs
+++ b/crates/mgs-standin/tests/service.rs
@@ -13,7 +13,7 @@
 fn call(service: &Service, key: &str) -> Result<Answer, attohttpc::Error> {
     attohttpc::post(format!("{}/orders?a=1", service.url()))
         .header("Idempotency-Key", key)
-        .text("two lorries")
+        .text("order 7")
         .send()?
         .json()
 }
@@ -25,7 +25,7 @@
     call(&service, "l").expect("an answer");
     let answer = call(&service, "k").expect("an answer");
     assert_eq!(answer.executions, 2);
-    assert_eq!(answer.body, "two lorries");
+    assert_eq!(answer.body, "order 7");
     assert_eq!(answer.path, "/orders?a=1");
     assert_eq!(service.executions_of("l"), 1);
 }
--- a/crates/mgs-testing/src/cluster/table.rs
+++ b/crates/mgs-testing/src/cluster/table.rs
@@ -24,7 +24,7 @@
 pub const SERVICE: &str = "stock";
 
 /// Name of the organisation.
-const ORGANISATION: &str = "nursery";
+const ORGANISATION: &str = "org-1";
 
 /// The organisation, its limits and the endpoints.
 pub(super) fn rows(allotted_ms: u64, endpoints: Vec<EndpointRow>) -> Vec<RowValue> {
--- a/src/command/request.rs
+++ b/src/command/request.rs
@@ -48,7 +48,7 @@
   marigoldstage request cancel 0f8f…                     end it, unrun if it still can be
 
 States: submitting (its caller has no 202 yet), queued (any gateway may take it), held (a gateway
-has it), running (an endpoint has it), then answered, refused (truly not run), failed (ran or
+has it), running (an endpoint has it), then answered, refused (not run), failed (ran or
 partly ran) or unknown (may have run). Times are seconds of the clock that gateways share.";
 
 /// Declares the subcommand.
--- a/src/command/sidecar/mod.rs
+++ b/src/command/sidecar/mod.rs
@@ -42,7 +42,7 @@
 /// Declares the subcommand.
 pub fn command() -> Command {
     Command::new("sidecar")
-        .about("Run the process beside one endpoint, the only door to it")
+        .about("Run the process beside one endpoint, which makes every call of it")
         .after_help(EXAMPLES)
         .args(arguments())
         .next_help_heading(process::PLATFORM_HEADING)
--- a/src/demo/report.rs
+++ b/src/demo/report.rs
@@ -32,7 +32,7 @@
     pub admitted: u64,
     /// Callers that got a whole answer.
     pub answered: u64,
-    /// Callers that were refused, and truly not run.
+    /// Requests that were refused, so not run.
     pub refused: u64,
     /// Callers told that their request ran without a whole answer.
     pub failed: u64,
--- a/tests/command_request.rs
+++ b/tests/command_request.rs
@@ -47,8 +47,8 @@
     let mut done = Done::without_answer(Ending::Answered, "");
     done.body = Body::Inline("the audit".to_string());
     let rows = [
-        (QUEUED, entry("sahel", State::Queued)),
-        (ANSWERED, entry("brasov", State::Done(done))),
+        (QUEUED, entry("org-1", State::Queued)),
+        (ANSWERED, entry("org-2", State::Done(done))),
     ];
     for (id, entry) in rows {
         let txn = Txn::default().put(&async_key(id), &entry.to_text());
@@ -74,7 +74,7 @@
         all.contains(ANSWERED) && all.contains("2 requests"),
         "{all}"
     );
-    let some = stdout(&request(&platform, &["list", "--organisation", "sahel"]));
+    let some = stdout(&request(&platform, &["list", "--organisation", "org-1"]));
     assert!(some.contains(QUEUED) && !some.contains(ANSWERED), "{some}");
     let json = stdout(&request(
         &platform,
