refactor(standin): one way to answer for both HTTP servers

Cause: the servers of engine and platform each had the same two functions that turn a result into JSON or an empty answer, and differ only in how an error is told. Ruled out: a trait for errors that know their status; the platform's lost reply closes the connection instead of answering, so a function is the honest border. Before -> after: two copies of answer and answer_empty -> one each in http, with the server's own refuse as an argument. Conclusion: behaviour unchanged; all tests of mgs-standin pass.

--- a/crates/mgs-standin/src/engine/server.rs
+++ b/crates/mgs-standin/src/engine/server.rs
@@ -8,7 +8,6 @@
 use chunked_transfer::Encoder;
 use mgs_engine::engine::Error;
 use mgs_engine::message::Event;
-use serde::Serialize;
 use tiny_http::Method;
 use tiny_http::Request;
 
@@ -88,15 +87,15 @@
     fn post(&self, mut request: Request, path: &str) {
         match path {
             "/kv/export" => match http::body_json(&mut request) {
-                Ok(export) => answer(request, self.core.export(&export)),
+                Ok(export) => http::answer(request, self.core.export(&export), refuse),
                 Err(error) => http::refuse(request, 400, &error.to_string()),
             },
             "/kv/import" => match http::body_json(&mut request) {
-                Ok(handle) => answer(request, self.core.import(&handle)),
+                Ok(handle) => http::answer(request, self.core.import(&handle), refuse),
                 Err(error) => http::refuse(request, 400, &error.to_string()),
             },
             "/orders" => match http::body_json(&mut request) {
-                Ok(order) => answer(request, self.core.order(&order)),
+                Ok(order) => http::answer(request, self.core.order(&order), refuse),
                 Err(error) => http::refuse(request, 400, &error.to_string()),
             },
             _ => http::empty(request, 404),
@@ -161,8 +160,12 @@
         let kv = path.strip_prefix("/kv/");
         match (request.method(), stream, kv) {
             (Method::Get, Some(stream), _) => self.resume(request, stream, &query),
-            (Method::Delete, Some(stream), _) => answer_empty(request, self.core.cancel(stream)),
-            (Method::Delete, _, Some(kv)) => answer_empty(request, self.core.free(kv)),
+            (Method::Delete, Some(stream), _) => {
+                http::answer_empty(request, self.core.cancel(stream), refuse)
+            }
+            (Method::Delete, _, Some(kv)) => {
+                http::answer_empty(request, self.core.free(kv), refuse)
+            }
             (Method::Post, _, _) if path == "/streams" => self.start(request),
             (Method::Post, _, _) => self.post(request, &path),
             (Method::Get, _, _) => self.get(request, &path, &query),
@@ -217,20 +220,6 @@
     }
 }
 
-fn answer<T: Serialize>(request: Request, result: Result<T, Error>) {
-    match result {
-        Ok(value) => http::json(request, 200, &value),
-        Err(error) => refuse(request, &error),
-    }
-}
-
-fn answer_empty(request: Request, result: Result<(), Error>) {
-    match result {
-        Ok(()) => http::empty(request, 204),
-        Err(error) => refuse(request, &error),
-    }
-}
-
 fn refuse(request: Request, error: &Error) {
     let status = match error {
         Error::NotFound => 404,
--- a/crates/mgs-standin/src/http.rs
+++ b/crates/mgs-standin/src/http.rs
@@ -183,6 +183,26 @@
     ignore_gone(request.respond(Response::from_string(reason).with_status_code(status)));
 }
 
+/// Answers with the value as JSON, or as `refuse` does for the error.
+pub(crate) fn answer<T: Serialize, E>(
+    request: Request,
+    result: Result<T, E>,
+    refuse: fn(Request, &E),
+) {
+    match result {
+        Ok(value) => json(request, 200, &value),
+        Err(error) => refuse(request, &error),
+    }
+}
+
+/// Answers without a body, or as `refuse` does for the error.
+pub(crate) fn answer_empty<E>(request: Request, result: Result<(), E>, refuse: fn(Request, &E)) {
+    match result {
+        Ok(()) => empty(request, 204),
+        Err(error) => refuse(request, &error),
+    }
+}
+
 /// Closes the connection without an answer.
 pub(crate) fn cut(request: Request) {
     drop(request.into_writer());
--- a/crates/mgs-standin/src/platform/server.rs
+++ b/crates/mgs-standin/src/platform/server.rs
@@ -9,7 +9,6 @@
 use mgs_platform::table::PAGE_ROWS_MAX;
 use mgs_platform::weight::Weights;
 use mgs_platform::Error;
-use serde::Serialize;
 use tiny_http::Method;
 use tiny_http::Request;
 
@@ -32,14 +31,14 @@
 
     fn commit(&self, mut request: Request) {
         match http::body_json(&mut request) {
-            Ok(txn) => answer(request, self.memory.commit(&txn)),
+            Ok(txn) => http::answer(request, self.memory.commit(&txn), refuse),
             Err(error) => bad(request, &error),
         }
     }
 
     fn row(&self, request: Request, query: &str) {
         let key = http::param(query, "key").unwrap_or_default();
-        answer(request, Table::get(&*self.memory, &key));
+        http::answer(request, Table::get(&*self.memory, &key), refuse);
     }
 
     fn rows(&self, request: Request, query: &str) {
@@ -47,12 +46,12 @@
         let after = http::param(query, "after").unwrap_or_default();
         let limit = http::param(query, "limit").and_then(|limit| limit.parse().ok());
         let limit = limit.unwrap_or(PAGE_ROWS_MAX);
-        answer(request, self.memory.scan(&prefix, &after, limit));
+        http::answer(request, self.memory.scan(&prefix, &after, limit), refuse);
     }
 
     fn put_object(&self, mut request: Request, key: &str) {
         match http::body(&mut request) {
-            Ok(body) => answer_empty(request, self.memory.put(key, &body)),
+            Ok(body) => http::answer_empty(request, self.memory.put(key, &body), refuse),
             Err(error) => bad(request, &error),
         }
     }
@@ -67,7 +66,7 @@
 
     fn permit(&self, request: Request, subject: &str) {
         let (model, version) = subject.split_once('/').unwrap_or((subject, ""));
-        answer_empty(request, self.memory.permit(model, version));
+        http::answer_empty(request, self.memory.permit(model, version), refuse);
     }
 
     fn set_faults(&self, mut request: Request) {
@@ -99,7 +98,7 @@
             return match method {
                 Method::Put => self.put_object(request, key),
                 Method::Get => self.get_object(request, key),
-                Method::Delete => answer_empty(request, self.memory.delete(key)),
+                Method::Delete => http::answer_empty(request, self.memory.delete(key), refuse),
                 _ => http::empty(request, 405),
             };
         }
@@ -110,7 +109,7 @@
             (Method::Post, "/table/txn") => self.commit(request),
             (Method::Get, "/table/row") => self.row(request, &query),
             (Method::Get, "/table/rows") => self.rows(request, &query),
-            (Method::Get, "/hosts") => answer(request, self.memory.list()),
+            (Method::Get, "/hosts") => http::answer(request, self.memory.list(), refuse),
             (Method::Put, "/hosts") => self.set_hosts(request),
             (Method::Get, "/counters") => {
                 http::json(request, 200, &self.memory.faults().counters());
@@ -124,20 +123,6 @@
     }
 }
 
-fn answer<T: Serialize>(request: Request, result: Result<T, Error>) {
-    match result {
-        Ok(value) => http::json(request, 200, &value),
-        Err(error) => refuse(request, &error),
-    }
-}
-
-fn answer_empty(request: Request, result: Result<(), Error>) {
-    match result {
-        Ok(()) => http::empty(request, 204),
-        Err(error) => refuse(request, &error),
-    }
-}
-
 /// A lost reply is a connection closed without an answer.
 fn refuse(request: Request, error: &Error) {
     match error {
