refactor: units and kinds of ratio in the fields of load and limit shares

Before -> after: p50, p95, p99 -> p50_ms, p95_ms, p99_ms; seconds -> run_s; load, flood -> load_share, flood_factor; headroom -> headroom_factor. Conclusion: behaviour and output unchanged; tests of mgs-admission and the load tests of mgs-testing pass.

--- a/crates/mgs-admission/src/lease.rs
+++ b/crates/mgs-admission/src/lease.rs
@@ -26,15 +26,15 @@
 pub struct Options {
     /// How long a share holds, in milliseconds.
     pub valid_ms: u64,
-    /// Share given beyond what is wanted, as a factor, when there is enough.
-    pub headroom: f64,
+    /// Share that is given, as a multiple of what is wanted, when there is enough.
+    pub headroom_factor: f64,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
             valid_ms: 2_000,
-            headroom: 1.5,
+            headroom_factor: 1.5,
         }
     }
 }
@@ -151,7 +151,7 @@
         let target = if wanted_by_all > 1.0 {
             wanted / wanted_by_all
         } else {
-            (wanted * self.options.headroom).max(even)
+            (wanted * self.options.headroom_factor).max(even)
         };
         // Shares of the last home may still hold; until they have run out, even parts are given.
         let is_new = now_ms < self.since_ms + self.options.valid_ms;
--- a/crates/mgs-testing/src/bin/load.rs
+++ b/crates/mgs-testing/src/bin/load.rs
@@ -93,7 +93,7 @@
         scenario: scenario.unwrap_or(defaults.scenario),
         policies: policies.map_or(defaults.policies, |names| names.cloned().collect()),
         seed: matches.get_one("seed").copied().unwrap_or(defaults.seed),
-        seconds: one("seconds").unwrap_or(defaults.seconds),
+        run_s: one("seconds").unwrap_or(defaults.run_s),
         time_scale: one("time-scale").unwrap_or(defaults.time_scale),
         ..defaults
     }
@@ -121,7 +121,7 @@
     } else {
         figures.short
     };
-    figures.short_slowdown_p95 = beside.p95 as f64 / alone.p95.max(1) as f64;
+    figures.short_slowdown_p95 = beside.p95_ms as f64 / alone.p95_ms.max(1) as f64;
     if let Some(out) = out {
         let path = out.join(format!("requests-{policy}.svg"));
         plot::requests(&path, policy, &samples, options).map_err(Error::Plot)?;
--- a/crates/mgs-testing/src/load/figures.rs
+++ b/crates/mgs-testing/src/load/figures.rs
@@ -26,11 +26,11 @@
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub struct Quantiles {
     /// Median.
-    pub p50: u64,
+    pub p50_ms: u64,
     /// 95 of 100.
-    pub p95: u64,
+    pub p95_ms: u64,
     /// 99 of 100.
-    pub p99: u64,
+    pub p99_ms: u64,
     /// Count of answers.
     pub count: u64,
 }
@@ -85,9 +85,9 @@
 
 fn quantiles(histogram: &Histogram<u64>) -> Quantiles {
     Quantiles {
-        p50: histogram.value_at_quantile(0.50),
-        p95: histogram.value_at_quantile(0.95),
-        p99: histogram.value_at_quantile(0.99),
+        p50_ms: histogram.value_at_quantile(0.50),
+        p95_ms: histogram.value_at_quantile(0.95),
+        p99_ms: histogram.value_at_quantile(0.99),
         count: histogram.len(),
     }
 }
@@ -131,7 +131,7 @@
 }
 
 fn counts(sample: &Sample, options: &Options) -> bool {
-    sample.arrival.at_s >= options.seconds * WARM_SHARE * first_share(options)
+    sample.arrival.at_s >= options.run_s * WARM_SHARE * first_share(options)
 }
 
 fn first_share(options: &Options) -> f64 {
@@ -170,8 +170,8 @@
     figures.cache_hit_share = cached as f64 / f64::max(answered as f64, 1.0);
     figures.lateness_p99_ms = lateness.value_at_quantile(0.99);
     figures.phases = phases(samples, options);
-    let warm_s = options.seconds * WARM_SHARE * first_share(options);
-    figures.goodput_tokens_per_s = goodput(samples, options, warm_s, options.seconds);
+    let warm_s = options.run_s * WARM_SHARE * first_share(options);
+    figures.goodput_tokens_per_s = goodput(samples, options, warm_s, options.run_s);
     let shares = shares_of_due(&counted, options);
     figures.fairness_index = jain(&shares);
     figures.recovery_s = recovery_s(samples, options, &figures.phases);
@@ -194,7 +194,7 @@
     let mut start_s = 0.0;
     let mut all = Vec::new();
     for (number, phase) in options.scenario.phases().iter().enumerate() {
-        let end_s = start_s + phase.share * options.seconds;
+        let end_s = start_s + phase.share * options.run_s;
         let own: Vec<&Sample> = samples
             .iter()
             .filter(|s| s.arrival.phase == number)
@@ -315,9 +315,9 @@
     let after = phases.iter().position(|phase| phase.name == "after")?;
     let start_s: f64 = phases[..after]
         .iter()
-        .map(|p| p.share * options.seconds)
+        .map(|p| p.share * options.run_s)
         .sum();
-    let normal_ms = figures.first()?.short.p95 as f64 * RECOVERED_FACTOR;
+    let normal_ms = figures.first()?.short.p95_ms as f64 * RECOVERED_FACTOR;
     let own = |s: &&Sample| s.arrival.phase == after && s.arrival.is_short();
     let own: Vec<&Sample> = samples.iter().filter(own).collect();
     let is_normal = |s: &Sample| {
@@ -325,7 +325,7 @@
         ms.is_some_and(|ms| ms as f64 <= normal_ms)
     };
     let mut after_s = 0.0;
-    while after_s < phases[after].share * options.seconds {
+    while after_s < phases[after].share * options.run_s {
         let rest = own.iter().filter(|s| s.arrival.at_s >= start_s + after_s);
         let (normal, other): (Vec<&Sample>, Vec<&Sample>) =
             rest.copied().partition(|s| is_normal(s));
--- a/crates/mgs-testing/src/load/plot.rs
+++ b/crates/mgs-testing/src/load/plot.rs
@@ -65,7 +65,7 @@
     for (number, named) in all.iter().enumerate() {
         let colour = Palette99::pick(number).to_rgba();
         let points = named.figures.first_token.iter().enumerate();
-        let points = points.map(|(band, at)| (band as f64, (at.p95 as f64).max(LEAST_MS)));
+        let points = points.map(|(band, at)| (band as f64, (at.p95_ms as f64).max(LEAST_MS)));
         chart
             .draw_series(LineSeries::new(points, colour.stroke_width(2)))
             .map_err(failed)?
@@ -106,7 +106,7 @@
         .margin(MARGIN_PIXELS)
         .x_label_area_size(LABELS_PIXELS)
         .y_label_area_size(LABELS_PIXELS)
-        .build_cartesian_2d(0.0..options.seconds, (LEAST_MS..MOST_MS).log_scale())
+        .build_cartesian_2d(0.0..options.run_s, (LEAST_MS..MOST_MS).log_scale())
         .map_err(failed)?;
     chart
         .configure_mesh()
--- a/crates/mgs-testing/src/load/report.rs
+++ b/crates/mgs-testing/src/load/report.rs
@@ -31,7 +31,7 @@
          {} organisations; times in the model's milliseconds",
         options.scenario,
         options.seed,
-        options.seconds,
+        options.run_s,
         options.time_scale,
         options.engines,
         options.gateways,
@@ -83,7 +83,7 @@
     let _ = writeln!(
         text,
         "  {:<12}{:>8}{:>9}{:>9}{:>9}",
-        name, at.count, at.p50, at.p95, at.p99
+        name, at.count, at.p50_ms, at.p95_ms, at.p99_ms
     );
 }
 
@@ -94,7 +94,7 @@
          {:.2}",
         phase.name,
         phase.goodput_tokens_per_s,
-        phase.short.p95,
+        phase.short.p95_ms,
         phase.refused_share * 100.0,
         phase.least_share_of_due,
     );
@@ -130,7 +130,7 @@
 }
 
 fn quantiles(at: &Quantiles) -> Value {
-    json!({"p50": at.p50, "p95": at.p95, "p99": at.p99, "count": at.count})
+    json!({"p50": at.p50_ms, "p95": at.p95_ms, "p99": at.p99_ms, "count": at.count})
 }
 
 fn phase_json(phase: &PhaseFigures) -> Value {
--- a/crates/mgs-testing/src/load/run.rs
+++ b/crates/mgs-testing/src/load/run.rs
@@ -75,7 +75,7 @@
         return None;
     }
     let cluster = Arc::clone(cluster);
-    let run_s = options.seconds / options.time_scale;
+    let run_s = options.run_s / options.time_scale;
     Some(thread::spawn(move || {
         for (number, share) in CRASHES.iter().enumerate() {
             let due = start + Duration::from_secs_f64(run_s * share);
--- a/crates/mgs-testing/src/load/scenario.rs
+++ b/crates/mgs-testing/src/load/scenario.rs
@@ -50,18 +50,18 @@
     /// Name in the report.
     pub name: &'static str,
     /// Offered load as a share of what the fleet can take.
-    pub load: f64,
+    pub load_share: f64,
     /// Factor by which the first organisation offers more than its part.
-    pub flood: f64,
+    pub flood_factor: f64,
     /// Length as a share of the run.
     pub share: f64,
 }
 
-const fn phase(name: &'static str, load: f64, flood: f64, share: f64) -> Phase {
+const fn phase(name: &'static str, load_share: f64, flood_factor: f64, share: f64) -> Phase {
     Phase {
         name,
-        load,
-        flood,
+        load_share,
+        flood_factor,
         share,
     }
 }
@@ -148,7 +148,7 @@
     /// Seed of the arrivals.
     pub seed: u64,
     /// Length of the run, in the model's seconds.
-    pub seconds: f64,
+    pub run_s: f64,
     /// How much faster than the model everything runs.
     pub time_scale: f64,
     /// Engines, each with a sidecar.
@@ -165,7 +165,7 @@
             scenario: Scenario::Sahel,
             policies: vec!["marigold".into()],
             seed: 1,
-            seconds: 60.0,
+            run_s: 60.0,
             time_scale: 2.0,
             engines: 20,
             gateways: 3,
--- a/crates/mgs-testing/src/load/workload.rs
+++ b/crates/mgs-testing/src/load/workload.rs
@@ -107,7 +107,7 @@
     let mut arrivals = Vec::new();
     let mut start_s = 0.0;
     for (number, phase) in scenario.phases().iter().enumerate() {
-        let end_s = start_s + phase.share * options.seconds;
+        let end_s = start_s + phase.share * options.run_s;
         for (organisation, part) in parts.iter().enumerate() {
             let stretch = Stretch {
                 phase: number,
@@ -125,8 +125,12 @@
 }
 
 fn rate(phase: &Phase, organisation: usize) -> f64 {
-    let flood = if organisation == 0 { phase.flood } else { 1.0 };
-    phase.load * flood
+    let flood_factor = if organisation == 0 {
+        phase.flood_factor
+    } else {
+        1.0
+    };
+    phase.load_share * flood_factor
 }
 
 /// The arrivals of one organisation in one phase.
--- a/crates/mgs-testing/tests/load.rs
+++ b/crates/mgs-testing/tests/load.rs
@@ -17,7 +17,7 @@
 fn options(scenario: Scenario) -> Options {
     Options {
         scenario,
-        seconds: 500.0,
+        run_s: 500.0,
         time_scale: 2.0,
         ..Options::default()
     }
@@ -53,7 +53,7 @@
 #[test]
 fn a_flood_is_ten_times_the_part_of_one_organisation() {
     let arrivals = generate(&Options {
-        seconds: 5_000.0,
+        run_s: 5_000.0,
         ..options(Scenario::Overload)
     });
     let count = |phase, organisation| {
@@ -97,7 +97,7 @@
     let arrivals = generate(&options);
     let on_time: Vec<Sample> = arrivals.iter().map(|a| answered(*a, 100)).collect();
     let figures_on_time = figures(&on_time, &options);
-    assert!((199..=201).contains(&figures_on_time.short.p50));
+    assert!((199..=201).contains(&figures_on_time.short.p50_ms));
     assert!(figures_on_time.goodput_tokens_per_s > 0.0);
     let late: Vec<Sample> = arrivals.iter().map(|a| answered(*a, 400_000)).collect();
     assert_eq!(figures(&late, &options).goodput_tokens_per_s, 0.0);
