refactor: one rule for what a failed HTTP call proves

The platform's comment also said that a timed-out connection proves that nothing was sent, which the code rightly doesn't believe. Ruled out: keeping it in mgs-engine, since the platform's client would then depend on the engine's; counting connect timeouts as unsent, since the library reports them like those of a sent call.

--- a/crates/mgs-engine/src/http.rs
+++ b/crates/mgs-engine/src/http.rs
@@ -4,12 +4,12 @@
 use std::io::BufReader;
 use std::time::Duration;
 
-use attohttpc::ErrorKind;
 use attohttpc::Method;
 use attohttpc::RequestBuilder;
 use attohttpc::Response;
 use attohttpc::ResponseReader;
 use attohttpc::StatusCode;
+use mgs_http::is_unsent;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -116,16 +116,11 @@
     }
 }
 
-/// Only a connection that was never made proves that nothing was sent.
 fn classify(error: attohttpc::Error) -> Error {
-    match error.kind() {
-        ErrorKind::ConnectError { .. } | ErrorKind::InvalidBaseUrl | ErrorKind::InvalidUrlHost => {
-            Error::Unreachable(error.to_string())
-        }
-        ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Error::Unreachable(error.to_string())
-        }
-        _ => Error::Broken(error.to_string()),
+    if is_unsent(&error) {
+        Error::Unreachable(error.to_string())
+    } else {
+        Error::Broken(error.to_string())
     }
 }
 
--- a/crates/mgs-platform/src/http.rs
+++ b/crates/mgs-platform/src/http.rs
@@ -9,17 +9,17 @@
 //! | weights | `POST /weights/MODEL/VERSION` | 204 or 429 with `Retry-After` in seconds |
 //! | hosts | `GET /hosts` | 200, a list of [`Host`] |
 //!
-//! 503 is an outage in which nothing happened. A connection that can't be made is the same; one
-//! that breaks after the request was sent is [`Error::Unknown`] for a write.
+//! 503 is an outage in which nothing happened. A connection that is refused is the same; one that
+//! times out, or breaks after the request was sent, is [`Error::Unknown`] for a write.
 
 use std::time::Duration;
 
 use attohttpc::header::RETRY_AFTER;
-use attohttpc::ErrorKind;
 use attohttpc::Method;
 use attohttpc::RequestBuilder;
 use attohttpc::Response;
 use attohttpc::StatusCode;
+use mgs_http::is_unsent;
 use serde::de::DeserializeOwned;
 use serde::Serialize;
 
@@ -107,16 +107,12 @@
     Error::Unavailable(error.to_string())
 }
 
-/// A refused or timed-out connection proves that the write wasn't sent; anything else doesn't.
+/// A write that may have been sent may have taken effect.
 fn write_error(error: attohttpc::Error) -> Error {
-    match error.kind() {
-        ErrorKind::ConnectError { .. } | ErrorKind::InvalidBaseUrl | ErrorKind::InvalidUrlHost => {
-            Error::Unavailable(error.to_string())
-        }
-        ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Error::Unavailable(error.to_string())
-        }
-        _ => Error::Unknown(error.to_string()),
+    if is_unsent(&error) {
+        Error::Unavailable(error.to_string())
+    } else {
+        Error::Unknown(error.to_string())
     }
 }
 
