refactor(admission): what is learned of answers has its own module

Ruled out: splitting start from refusal, which share every structure of the queue. Conclusion: behaviour unchanged; all tests of mgs-admission pass.

--- a/crates/mgs-admission/src/fair.rs
+++ b/crates/mgs-admission/src/fair.rs
@@ -1,5 +1,7 @@
 //! Limits, then fair queueing between rows within each priority, with ageing and early refusal.
 
+mod options;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::ops::Range;
@@ -11,9 +13,9 @@
 use mgs_schema::wire::RefusalReason;
 
 use crate::ageing::Ageing;
+use crate::answer::Expectations;
 use crate::arena::Arena;
 use crate::arena::Key;
-use crate::entry::Answers;
 use crate::entry::Entry;
 use crate::flows::Charge;
 use crate::flows::Class;
@@ -28,48 +30,13 @@
 use crate::queue::Verdict;
 use crate::rows::RowKey;
 use crate::rows::Rows;
+pub use options::Options;
 
 /// Wait from which a request is taken to contend with others, in milliseconds. Only then is it
 /// refused because its answer is expected to take too long: the expectation errs now and then, and
 /// without contention trying costs nobody else anything.
 const CONTENDED_WAIT_MS: u64 = 50;
 
-/// Settings of a [`FairQueue`].
-#[derive(Debug, Clone, Copy)]
-pub struct Options {
-    /// Most requests queued for one row and class.
-    pub flow_max: usize,
-    /// Most requests queued in all.
-    pub queue_max: usize,
-    /// Share of the time left that a short prompt may be predicted to wait in the queue.
-    pub short_wait_share_max: f64,
-    /// The same for other prompts, which may wait but must not be turned away lightly.
-    pub long_wait_share_max: f64,
-    /// Share of its time after which a queued request of low priority is aged.
-    pub aged_share: f64,
-    /// Share of the started tokens that aged requests may take out of their turn.
-    pub aged_tokens_share: f64,
-    /// Bounds of a `Retry-After`, in milliseconds.
-    pub retry_after_min_ms: u64,
-    /// See [`Options::retry_after_min_ms`].
-    pub retry_after_max_ms: u64,
-}
-
-impl Default for Options {
-    fn default() -> Self {
-        Self {
-            flow_max: 2_000,
-            queue_max: 20_000,
-            short_wait_share_max: 0.25,
-            long_wait_share_max: 0.5,
-            aged_share: 0.5,
-            aged_tokens_share: 0.1,
-            retry_after_min_ms: 200,
-            retry_after_max_ms: 60_000,
-        }
-    }
-}
-
 /// The product's admission.
 ///
 /// ```
@@ -84,7 +51,7 @@
 pub struct FairQueue {
     options: Options,
     rows: Rows,
-    answers: HashMap<(RowKey, ClassKey), Answers>,
+    answers: Expectations,
     flows: Flows,
     entries: Arena<Entry>,
     keys: HashMap<RequestId, Key>,
@@ -155,7 +122,7 @@
             return Err(refused(RefusalReason::QueueFull, retry_after_ms));
         }
         let left_ms = offer.deadline_ms.saturating_sub(now_ms);
-        let spare_ms = left_ms.saturating_sub(self.answer_ms_of(row, class, offer));
+        let spare_ms = left_ms.saturating_sub(self.answers.answer_ms(row, class, offer.max_tokens));
         let share = if offer.prompt_tokens > SHORT_PROMPT_TOKENS {
             self.options.long_wait_share_max
         } else {
@@ -166,7 +133,7 @@
         match wait_ms {
             Some(wait_ms) if wait_ms > most_ms => {
                 if wait_ms <= share_ms {
-                    self.doubt_answers(row, class);
+                    self.answers.doubt(row, class);
                 }
                 let retry_after_ms = self.bounded(wait_ms - most_ms);
                 Err(refused(RefusalReason::Deadline, retry_after_ms))
@@ -278,13 +245,15 @@
         };
         let waited_ms = now_ms.saturating_sub(entry.offer.arrived_ms);
         let answer_ms = match waited_ms >= CONTENDED_WAIT_MS {
-            true => self.answer_ms(entry),
+            true => self
+                .answers
+                .answer_ms(entry.row, entry.class, entry.offer.max_tokens),
             false => 0,
         };
         if now_ms + first_token_ms + answer_ms > entry.offer.deadline_ms {
             if now_ms + first_token_ms <= entry.offer.deadline_ms {
                 let (row, class) = (entry.row, entry.class);
-                self.doubt_answers(row, class);
+                self.answers.doubt(row, class);
             }
             self.refuse_late(now_ms, key, actions);
             return true;
@@ -295,23 +264,6 @@
         true
     }
 
-    /// Time that the answer is expected to take after its first token.
-    fn answer_ms(&self, entry: &Entry) -> u64 {
-        self.answer_ms_of(entry.row, entry.class, &entry.offer)
-    }
-
-    /// A request was refused for its answer's time alone.
-    fn doubt_answers(&mut self, row: RowKey, class: ClassKey) {
-        if let Some(answers) = self.answers.get_mut(&(row, class)) {
-            answers.doubt();
-        }
-    }
-
-    fn answer_ms_of(&self, row: RowKey, class: ClassKey, offer: &Offer) -> u64 {
-        let answers = self.answers.get(&(row, class));
-        answers.map_or(0, |answers| answers.expected_ms(offer.max_tokens))
-    }
-
     fn started(&mut self, now_ms: u64, key: Key, first_token_ms: u64) {
         let Some(entry) = self.entries.get_mut(key) else {
             return;
@@ -320,10 +272,10 @@
         entry.first_token_at_ms = now_ms + first_token_ms;
         let waiting = entry.waiting(key);
         let deadline_ms = entry.offer.deadline_ms;
-        let answer_tokens = match self.answers.get(&(entry.row, entry.class)) {
-            Some(answers) => answers.expected_tokens(entry.offer.max_tokens),
-            None => entry.offer.max_tokens as f64,
-        };
+        let max_tokens = entry.offer.max_tokens;
+        let answer_tokens = self
+            .answers
+            .answer_tokens(entry.row, entry.class, max_tokens);
         let charge = Charge {
             tokens: entry.offer.prompt_tokens + answer_tokens as u64,
             waited: now_ms > entry.offer.arrived_ms,
@@ -358,8 +310,7 @@
         let Some(seen) = entry.answer(now_ms, generated_tokens) else {
             return;
         };
-        let answers = self.answers.entry((entry.row, entry.class));
-        answers.or_insert(seen).learn(&seen);
+        self.answers.learn(entry.row, entry.class, seen);
     }
 
     /// Lets aged requests of low priority start out of their turn, within their share.
--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -7,6 +7,7 @@
 #![forbid(unsafe_code)]
 
 mod ageing;
+mod answer;
 pub mod arena;
 pub mod bucket;
 pub mod drain;
