refactor(tests): the first row of a table is written in one place

Cause: two tests began with the same command that makes a table. Ruled out: writing the row past the command line; the command is part of what the tests go through. Before -> after: two copies -> common::write_first_row, which asserts the exit code as before. Conclusion: command_name and start_in_outage pass.

--- a/tests/command_name.rs
+++ b/tests/command_name.rs
@@ -2,13 +2,10 @@
 
 mod common;
 
-use common::code;
 use common::marigoldstage;
 use common::process::Killed;
-use common::run;
-use common::stderr;
-use common::stdout;
 use common::wait_until;
+use common::write_first_row;
 use mgs_platform::table::Table as _;
 use mgs_settings::member;
 use mgs_settings::member::Member;
@@ -36,16 +33,7 @@
 #[test]
 fn the_later_gateway_has_the_name_and_the_earlier_one_stops() {
     let platform = Platform::start(platform::Options::default()).unwrap();
-    let edit = run(&[
-        "table",
-        "set",
-        "*",
-        "*",
-        "weight=1",
-        "--platform",
-        &platform.url(),
-    ]);
-    assert_eq!(code(&edit), 0, "{}{}", stdout(&edit), stderr(&edit));
+    write_first_row(&platform.url());
     let mut earlier = start_gateway(&platform);
     wait_until("the first row", || holder(&platform).is_some());
     let first = holder(&platform);
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -32,6 +32,13 @@
     marigoldstage().args(arguments).output().unwrap()
 }
 
+/// Writes a first row, without which no gateway has a table to serve by.
+pub(crate) fn write_first_row(platform_url: &str) {
+    let row = ["table", "set", "*", "*", "weight=1"];
+    let edit = run(&[&row, &["--platform", platform_url][..]].concat());
+    assert_eq!(code(&edit), 0, "{}{}", stdout(&edit), stderr(&edit));
+}
+
 /// Exit code of an ended process.
 pub(crate) fn code(output: &Output) -> i32 {
     output.status.code().unwrap()
--- a/tests/start_in_outage.rs
+++ b/tests/start_in_outage.rs
@@ -7,13 +7,10 @@
 use std::net::TcpListener;
 use std::thread;
 
-use common::code;
 use common::marigoldstage;
 use common::process::Killed;
-use common::run;
-use common::stderr;
-use common::stdout;
 use common::wait_until;
+use common::write_first_row;
 use common::LOOK_INTERVAL;
 use mgs_standin::platform;
 use mgs_standin::platform::Platform;
@@ -75,16 +72,7 @@
 #[test]
 fn only_with_a_peer_that_has_the_table_is_it_ready_before_the_store_is_back() {
     let platform = Platform::start(platform::Options::default()).unwrap();
-    let edit = run(&[
-        "table",
-        "set",
-        "*",
-        "*",
-        "weight=1",
-        "--platform",
-        &platform.url(),
-    ]);
-    assert_eq!(code(&edit), 0, "{}{}", stdout(&edit), stderr(&edit));
+    write_first_row(&platform.url());
     let peer = free_address();
     let first = Gateway::start(&platform, peer, &[]);
     wait_until("first to be ready", || first.is_ready());
