docs: runnable examples for the main functions that had none

Cause: the choice of a subset, the application of cache events, the grant of a share and the start of a transport server had no example. Ruled out: examples for accessors, whose one line says all. Before -> after: four more doc examples, each run by the tests.

--- a/crates/mgs-admission/src/lease.rs
+++ b/crates/mgs-admission/src/lease.rs
@@ -130,6 +130,23 @@
     ///
     /// What is granted and what is kept free for gateways without a share is never more than the
     /// limit.
+    ///
+    /// ```
+    /// use mgs_admission::lease::Grantor;
+    /// use mgs_admission::lease::Limits;
+    /// use mgs_admission::lease::Options;
+    /// use mgs_schema::wire::LimitLeaseRequest;
+    ///
+    /// let limits = Limits { requests_per_s: 10.0, ..Limits::default() };
+    /// let request = LimitLeaseRequest {
+    ///     gateway_incarnation: 1,
+    ///     wanted_requests_per_s: 10.0,
+    ///     ..LimitLeaseRequest::default()
+    /// };
+    /// let mut grantor = Grantor::new(0, Options::default());
+    /// let lease = grantor.grant(0, &limits, &[1, 2], &request);
+    /// assert_eq!(lease.requests_per_s, 5.0);
+    /// ```
     pub fn grant(
         &mut self,
         now_ms: u64,
--- a/crates/mgs-fleet/src/cache.rs
+++ b/crates/mgs-fleet/src/cache.rs
@@ -10,6 +10,19 @@
 ///
 /// A block that is believed cached and isn't costs a prompt some processing; so a full set drops
 /// what comes next until evictions or a reset make room.
+///
+/// ```
+/// use std::sync::Arc;
+///
+/// use mgs_fleet::block::BlockSet;
+/// use mgs_fleet::cache;
+/// use mgs_schema::wire::LoadReport;
+///
+/// let mut cached: Arc<BlockSet> = Arc::default();
+/// let report = LoadReport { cached_hashes: vec![1, 2, 3], ..LoadReport::default() };
+/// cache::apply(&mut cached, &report, 2);
+/// assert_eq!(cached.len(), 2);
+/// ```
 pub fn apply(cached: &mut Arc<BlockSet>, report: &LoadReport, blocks_max: usize) {
     if report.cache_reset {
         *cached = Arc::default();
--- a/crates/mgs-fleet/src/fleet.rs
+++ b/crates/mgs-fleet/src/fleet.rs
@@ -45,7 +45,7 @@
     }
 }
 
-/// What the fleet must remember of an endpoint beside its picture.
+/// What the fleet must remember of an endpoint beside what its view shows.
 #[derive(Debug, Default)]
 struct Session {
     last_report: u64,
--- a/crates/mgs-fleet/src/subset.rs
+++ b/crates/mgs-fleet/src/subset.rs
@@ -21,6 +21,22 @@
 /// from other zones for spill-over. Stopped endpoints don't count against the bound.
 ///
 /// Each process draws its own subset, and one row more or less changes one member of it.
+///
+/// ```
+/// use mgs_fleet::fleet::Options;
+/// use mgs_fleet::subset;
+/// use mgs_schema::settings::EndpointRow;
+///
+/// let row = |number: u32| EndpointRow {
+///     name: format!("engine-{number}"),
+///     models: vec!["model-1".to_string()],
+///     started: true,
+///     ..EndpointRow::default()
+/// };
+/// let rows: Vec<EndpointRow> = (0..200).map(row).collect();
+/// let options = Options { subset_max: 20, ..Options::default() };
+/// assert_eq!(subset::choose(&options, &rows).len(), 20);
+/// ```
 pub fn choose<'a>(options: &Options, rows: &'a [EndpointRow]) -> Vec<&'a EndpointRow> {
     if rows.len() <= options.subset_max {
         return rows.iter().collect();
--- a/crates/mgs-transport/src/server.rs
+++ b/crates/mgs-transport/src/server.rs
@@ -138,6 +138,40 @@
 
 impl Server {
     /// Serves calls on a bound listener.
+    ///
+    /// ```
+    /// use std::net::TcpListener;
+    /// use std::sync::Arc;
+    /// use std::time::Duration;
+    ///
+    /// use mgs_schema::wire::envelope::Body;
+    /// use mgs_schema::wire::LoadReport;
+    /// use mgs_transport::client;
+    /// use mgs_transport::client::Connection;
+    /// use mgs_transport::runtime::Runtime;
+    /// use mgs_transport::server;
+    /// use mgs_transport::server::Handler;
+    /// use mgs_transport::server::Incoming;
+    /// use mgs_transport::server::Server;
+    ///
+    /// struct Echo;
+    ///
+    /// impl Handler for Echo {
+    ///     fn handle(&self, incoming: Incoming) {
+    ///         incoming.reply.send(incoming.body).expect("the caller waits");
+    ///     }
+    /// }
+    ///
+    /// let runtime = Runtime::new(&Default::default())?;
+    /// let listener = TcpListener::bind("127.0.0.1:0")?;
+    /// let server = Server::start(&runtime, listener, &server::Options::default(), Arc::new(Echo))?;
+    /// let options = client::Options::default();
+    /// let connection = Connection::open(&runtime, server.address(), &options).unwrap();
+    /// let sent = Body::LoadReport(LoadReport::default());
+    /// let answer = connection.ask(sent.clone(), Duration::from_secs(10));
+    /// assert_eq!(answer, Ok(sent));
+    /// # Ok::<(), std::io::Error>(())
+    /// ```
     pub fn start(
         runtime: &Runtime,
         listener: TcpListener,
