refactor(testing): arguments and legends of the measuring programs in one place

Cause: overhead and propagation each declared and read whole numbers in their own way, and three plots drew the same legend. Ruled out: the arguments of load, which have fractions and read over defaults of their own; slopes, whose measurements are under way, keeps its copy of the two functions.

--- a/crates/mgs-testing/src/bin/overhead.rs
+++ b/crates/mgs-testing/src/bin/overhead.rs
@@ -10,6 +10,8 @@
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_testing::argument::given;
+use mgs_testing::argument::number;
 use mgs_testing::measure::open;
 use mgs_testing::measure::overhead;
 use mgs_testing::measure::overhead::Spread;
@@ -57,18 +59,6 @@
         )
 }
 
-fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .help(help)
-        .default_value(default)
-        .value_parser(value_parser!(u64))
-}
-
-fn given(matches: &ArgMatches, name: &str) -> u64 {
-    *matches.get_one(name).expect("it has a default")
-}
-
 fn start(matches: &ArgMatches, decode_step_ms: f64) -> Result<System, Error> {
     System::start(&system::Options {
         binary: matches.get_one("binary").cloned(),
--- a/crates/mgs-testing/src/bin/propagation.rs
+++ b/crates/mgs-testing/src/bin/propagation.rs
@@ -9,6 +9,8 @@
 use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_testing::argument::given;
+use mgs_testing::argument::number;
 use mgs_testing::settings::consistent;
 use mgs_testing::settings::propagation;
 use mgs_testing::settings::propagation::Options;
@@ -26,13 +28,6 @@
 const ROWS: &str = "rows";
 
 fn command() -> Command {
-    let number = |name: &'static str, default: &'static str, help: &'static str| {
-        Arg::new(name)
-            .long(name)
-            .default_value(default)
-            .value_parser(clap::value_parser!(u64))
-            .help(help)
-    };
     Command::new("propagation")
         .about(
             "Time from an accepted edit to in force everywhere, and reads and writes of the store",
@@ -45,27 +40,26 @@
                 .help("What happens during the run"),
         )
         .arg(
-            number(GATEWAYS, "20", "Gateways; several by commas")
+            number(GATEWAYS, "Gateways; several by commas", "20")
                 .action(ArgAction::Append)
                 .value_delimiter(','),
         )
         .arg(number(
             RUN_MS,
-            "20000",
             "Length of the run without the outage",
+            "20000",
         ))
-        .arg(number(OUTAGE_MS, "60000", "Length of the outage"))
-        .arg(number(ROWS, "50", "Rows of limits at the start"))
-        .arg(number(SEED, "1", "Seed of a race"))
+        .arg(number(OUTAGE_MS, "Length of the outage", "60000"))
+        .arg(number(ROWS, "Rows of limits at the start", "50"))
+        .arg(number(SEED, "Seed of a race", "1"))
         .arg(number(
             EDITS,
-            "100",
             "Edits of each of six racing operators",
+            "100",
         ))
 }
 
 fn options(matches: &ArgMatches, gateways: u64) -> Options {
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let scenario = matches.get_one::<String>(SCENARIO).map(String::as_str);
     Options {
         scenario: match scenario {
@@ -74,25 +68,24 @@
             _ => Scenario::Calm,
         },
         gateways: gateways as usize,
-        run_ms: number(RUN_MS),
-        outage_ms: number(OUTAGE_MS),
-        rows: number(ROWS) as usize,
+        run_ms: given(matches, RUN_MS),
+        outage_ms: given(matches, OUTAGE_MS),
+        rows: given(matches, ROWS) as usize,
         ..Options::default()
     }
 }
 
 fn measure(matches: &ArgMatches, gateways: u64) -> Result<String, Box<dyn Error>> {
     let options = options(matches, gateways);
-    let number = |name: &str| matches.get_one::<u64>(name).copied().unwrap_or_default();
     let line = match matches.get_one::<String>(SCENARIO).map(String::as_str) {
         Some(CONSISTENT) => serde_json::to_string(&consistent::run(options.rows)),
         Some(RACE) => {
             let outcome = race::run(race::Options {
-                seed: number(SEED),
-                edits: number(EDITS) as usize,
+                seed: given(matches, SEED),
+                edits: given(matches, EDITS) as usize,
                 ..race::Options::default()
             });
-            serde_json::to_string(&outcome.report(number(SEED)))
+            serde_json::to_string(&outcome.report(given(matches, SEED)))
         }
         _ => serde_json::to_string(&propagation::run(&options)?),
     };
--- a/crates/mgs-testing/src/load/plot.rs
+++ b/crates/mgs-testing/src/load/plot.rs
@@ -13,9 +13,9 @@
 use plotters::prelude::PathElement;
 use plotters::prelude::SVGBackend;
 use plotters::style::Color;
-use plotters::style::BLACK;
 use plotters::style::WHITE;
 
+use crate::legend;
 use crate::load::figures;
 use crate::load::report::Named;
 use crate::load::run::Sample;
@@ -72,12 +72,7 @@
             .label(named.name.clone())
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
-        .map_err(failed)?;
+    legend::draw(&mut chart).map_err(failed)?;
     root.present().map_err(failed)
 }
 
@@ -131,11 +126,6 @@
             .label(*name)
             .legend(move |(x, y)| Circle::new((x + 8, y), 4, colour.filled()));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
-        .map_err(failed)?;
+    legend::draw(&mut chart).map_err(failed)?;
     root.present().map_err(failed)
 }
--- a/crates/mgs-testing/src/measure/plot.rs
+++ b/crates/mgs-testing/src/measure/plot.rs
@@ -12,9 +12,9 @@
 use plotters::prelude::PathElement;
 use plotters::prelude::SVGBackend;
 use plotters::style::Color;
-use plotters::style::BLACK;
 use plotters::style::WHITE;
 
+use crate::legend;
 use crate::measure::slopes::Axis;
 use crate::measure::slopes::Point;
 use crate::measure::slopes::Role;
@@ -75,12 +75,7 @@
                 .label(one.name)
                 .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
         }
-        chart
-            .configure_series_labels()
-            .background_style(WHITE)
-            .border_style(BLACK)
-            .draw()
-            .map_err(failed)?;
+        legend::draw(&mut chart).map_err(failed)?;
     }
     root.present().map_err(failed)
 }
