refactor: one name for the fleet's view, one source for the platform's defaults

Cause: mgs-fleet called one thing view and picture, and the command line repeated three defaults of the platform's client as text. Ruled out: none; both are plain repetitions. Before -> after: picture -> view; the flags' defaults come from http::Options::default(), with the same values. Conclusion: behaviour unchanged; tests of mgs-fleet and the 39 of command pass.

--- a/crates/mgs-fleet/src/fleet.rs
+++ b/crates/mgs-fleet/src/fleet.rs
@@ -1,4 +1,4 @@
-//! The single writer of the fleet's picture.
+//! The single writer of the fleet's view.
 
 use std::collections::HashMap;
 use std::collections::HashSet;
@@ -91,7 +91,7 @@
     options: Options,
     keys: HashMap<String, EndpointKey>,
     sessions: Vec<Session>,
-    picture: View,
+    view: View,
     published: Arc<View>,
     changed: bool,
     models_changed: bool,
@@ -104,7 +104,7 @@
             options,
             keys: HashMap::new(),
             sessions: Vec::new(),
-            picture: View::default(),
+            view: View::default(),
             published: Arc::new(View::default()),
             changed: false,
             models_changed: false,
@@ -117,18 +117,18 @@
     /// that its running requests can be followed. An endpoint without a row, or with an address
     /// that can't be understood, is gone.
     pub fn settings(&mut self, snapshot: &Snapshot) {
-        if snapshot.version < self.picture.settings_version {
+        if snapshot.version < self.view.settings_version {
             return;
         }
         let rows = subset::choose(&self.options, &snapshot.endpoints);
         let names: HashSet<&str> = rows.iter().map(|row| row.name.as_str()).collect();
-        for slot in &mut self.picture.endpoints {
+        for slot in &mut self.view.endpoints {
             slot.take_if(|endpoint| !names.contains(endpoint.name.as_str()));
         }
         for row in rows {
             self.declare(row);
         }
-        self.picture.settings_version = snapshot.version;
+        self.view.settings_version = snapshot.version;
         self.models_changed = true;
         self.changed = true;
     }
@@ -140,7 +140,7 @@
         let key = self.key(&row.name);
         let session = &mut self.sessions[key.0 as usize];
         session.started = row.started;
-        let slot = &mut self.picture.endpoints[key.0 as usize];
+        let slot = &mut self.view.endpoints[key.0 as usize];
         let same_place = |e: &&mut Arc<Endpoint>| {
             e.sidecar_address == address && e.kind == row.kind() && e.zone == row.zone
         };
@@ -166,7 +166,7 @@
         }
         let key = EndpointKey(self.sessions.len() as u32);
         self.sessions.push(Session::default());
-        self.picture.endpoints.push(None);
+        self.view.endpoints.push(None);
         self.keys.insert(name.to_owned(), key);
         key
     }
@@ -174,7 +174,7 @@
     /// The key of an endpoint's name, if the fleet has it.
     pub fn find(&self, name: &str) -> Option<EndpointKey> {
         let key = *self.keys.get(name)?;
-        self.picture.get(key).map(|endpoint| endpoint.key)
+        self.view.get(key).map(|endpoint| endpoint.key)
     }
 
     /// A sidecar has answered on a new connection. Returns whether it is news: an incarnation
@@ -245,7 +245,7 @@
     /// Takes the names of all endpoints whose host is leaving. They get no new work from the next
     /// view on, and stay in it so that their running requests can be followed.
     pub fn leaving(&mut self, names: &[String]) {
-        for endpoint in self.picture.endpoints.iter_mut().flatten() {
+        for endpoint in self.view.endpoints.iter_mut().flatten() {
             let session = &mut self.sessions[endpoint.key.0 as usize];
             let leaves = names.contains(&endpoint.name);
             if session.host_leaving == leaves {
@@ -260,14 +260,14 @@
         }
     }
 
-    /// The picture now. Cheap when nothing has changed; otherwise pointers are copied.
+    /// The view as of now; only pointers are copied, and nothing when nothing has changed.
     pub fn view(&mut self) -> Arc<View> {
         if self.models_changed {
-            self.picture.by_model = Arc::new(self.index());
+            self.view.by_model = Arc::new(self.index());
             self.models_changed = false;
         }
         if self.changed {
-            self.published = Arc::new(self.picture.clone());
+            self.published = Arc::new(self.view.clone());
             self.changed = false;
         }
         Arc::clone(&self.published)
@@ -277,7 +277,7 @@
     /// that is declared and served nowhere keeps an empty list.
     fn index(&self) -> HashMap<String, Vec<EndpointKey>> {
         let mut index: HashMap<String, Vec<EndpointKey>> = HashMap::new();
-        for endpoint in self.picture.endpoints.iter().flatten() {
+        for endpoint in self.view.endpoints.iter().flatten() {
             let session = &self.sessions[endpoint.key.0 as usize];
             for model in &session.declared_models {
                 index.entry(model.clone()).or_default();
@@ -294,7 +294,7 @@
 
     fn slot(&mut self, key: EndpointKey) -> Option<(&mut Arc<Endpoint>, &mut Session)> {
         let slot = key.0 as usize;
-        let endpoint = self.picture.endpoints.get_mut(slot)?.as_mut()?;
+        let endpoint = self.view.endpoints.get_mut(slot)?.as_mut()?;
         Some((endpoint, &mut self.sessions[slot]))
     }
 }
--- a/crates/mgs-fleet/src/view.rs
+++ b/crates/mgs-fleet/src/view.rs
@@ -1,4 +1,4 @@
-//! An immutable picture of the fleet, read by request threads.
+//! An immutable view of the fleet, read by request threads.
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
--- a/src/command/process.rs
+++ b/src/command/process.rs
@@ -39,21 +39,22 @@
 
 /// Declares where the platform is and how long to wait for it.
 pub fn platform_arguments() -> Vec<Arg> {
+    let defaults = http::Options::default();
     vec![
         value(PLATFORM, "URL", "Base address of the platform's services")
-            .default_value("http://127.0.0.1:7400"),
+            .default_value(defaults.base_url),
         value(
             PLATFORM_CONNECT_TIMEOUT_MS,
             "MS",
             "Longest wait for a connection to the platform",
         )
-        .default_value("500"),
+        .default_value(defaults.connect_timeout_ms.to_string()),
         value(
             PLATFORM_CALL_TIMEOUT_MS,
             "MS",
             "Longest wait for the platform's answer to one call",
         )
-        .default_value("2000"),
+        .default_value(defaults.call_timeout_ms.to_string()),
     ]
 }
 
