refactor(testing): shorter functions in overhead and in load's cluster

Ruled out: moving the printing into the library, which never prints. Before -> after: compare, hold_open and run; start_sidecar beside Cluster::start.

--- a/crates/mgs-testing/src/bin/overhead.rs
+++ b/crates/mgs-testing/src/bin/overhead.rs
@@ -73,15 +73,14 @@
     flags.iter().map(ToString::to_string).collect()
 }
 
-fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
-    let compared = {
-        let system = start(matches, COMPARED_STEP_MS)?;
-        let options = overhead::Options {
-            requests: given(matches, "requests") as usize,
-            ..overhead::Options::default()
-        };
-        overhead::run(&system, &options)?
+/// Sends the same requests both ways, to a system of its own.
+fn compare(matches: &ArgMatches, out: &mut dyn Write) -> Result<overhead::Outcome, Error> {
+    let system = start(matches, COMPARED_STEP_MS)?;
+    let options = overhead::Options {
+        requests: given(matches, "requests") as usize,
+        ..overhead::Options::default()
     };
+    let compared = overhead::run(&system, &options)?;
     writeln!(out, "time in ms                    p1      p50      p99")?;
     line(out, "first token, engine", compared.direct.first_token)?;
     line(
@@ -91,7 +90,15 @@
     )?;
     line(out, "token gap, engine", compared.direct.gap)?;
     line(out, "token gap, through both", compared.through.gap)?;
-    let step_ms = given(matches, "step-ms") as f64;
+    Ok(compared)
+}
+
+/// Keeps each count of streams open in turn.
+fn hold_open(
+    matches: &ArgMatches,
+    step_ms: f64,
+    out: &mut dyn Write,
+) -> Result<Vec<open::Outcome>, Error> {
     let system = start(matches, step_ms)?;
     writeln!(
         out,
@@ -112,6 +119,13 @@
         row(out, &outcome)?;
         outcomes.push(outcome);
     }
+    Ok(outcomes)
+}
+
+fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let compared = compare(matches, out)?;
+    let step_ms = given(matches, "step-ms") as f64;
+    let outcomes = hold_open(matches, step_ms, out)?;
     let report = json!({
         "compared": compared,
         "compared_step_ms": COMPARED_STEP_MS,
--- a/crates/mgs-testing/src/load/cluster.rs
+++ b/crates/mgs-testing/src/load/cluster.rs
@@ -76,6 +76,17 @@
     format!("organisation-{organisation}")
 }
 
+fn start_sidecar(i: usize, engine: &Engine) -> Result<Sidecar, Error> {
+    Sidecar::start(sidecar::Options {
+        name: endpoint(i),
+        zone: zone(i),
+        endpoint_url: engine.url(),
+        transport_threads: 1,
+        ..sidecar::Options::default()
+    })
+    .map_err(Error::Sidecar)
+}
+
 impl Cluster {
     /// Starts a deployment whose gateways route by `policy`, and waits until it is ready. Baselines
     /// queue first in, first out.
@@ -84,20 +95,10 @@
         let engines = (0..options.engines)
             .map(engine)
             .collect::<Result<Vec<_>, _>>()?;
-        let sidecar = |(i, engine): (usize, &Engine)| {
-            Sidecar::start(sidecar::Options {
-                name: endpoint(i),
-                zone: zone(i),
-                endpoint_url: engine.url(),
-                transport_threads: 1,
-                ..sidecar::Options::default()
-            })
-            .map_err(Error::Sidecar)
-        };
         let sidecars = engines
             .iter()
             .enumerate()
-            .map(sidecar)
+            .map(|(i, engine)| start_sidecar(i, engine))
             .collect::<Result<Vec<_>, _>>()?;
         let addresses: Vec<SocketAddr> = sidecars.iter().map(Sidecar::address).collect();
         let settings = Arc::new(Holder::default());
