--- a/crates/mgs-testing/src/bin/overhead.rs
+++ b/crates/mgs-testing/src/bin/overhead.rs
@@ -10,6 +10,8 @@
 use clap::Arg;
 use clap::ArgMatches;
 use clap::Command;
+use mgs_testing::argument::given;
+use mgs_testing::argument::number;
 use mgs_testing::measure::open;
 use mgs_testing::measure::overhead;
 use mgs_testing::measure::overhead::Spread;
@@ -57,18 +59,6 @@
         )
 }
 
-fn number(name: &'static str, help: &'static str, default: &'static str) -> Arg {
-    Arg::new(name)
-        .long(name)
-        .help(help)
-        .default_value(default)
-        .value_parser(value_parser!(u64))
-}
-
-fn given(matches: &ArgMatches, name: &str) -> u64 {
-    *matches.get_one(name).expect("it has a default")
-}
-
 fn start(matches: &ArgMatches, decode_step_ms: f64) -> Result<System, Error> {
     System::start(&system::Options {
         binary: matches.get_one("binary").cloned(),
@@ -83,15 +73,14 @@
     flags.iter().map(ToString::to_string).collect()
 }
 
-fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
-    let compared = {
-        let system = start(matches, COMPARED_STEP_MS)?;
-        let options = overhead::Options {
-            requests: given(matches, "requests") as usize,
-            ..overhead::Options::default()
-        };
-        overhead::run(&system, &options)?
+/// Sends the same requests both ways, to a system of its own.
+fn compare(matches: &ArgMatches, out: &mut dyn Write) -> Result<overhead::Outcome, Error> {
+    let system = start(matches, COMPARED_STEP_MS)?;
+    let options = overhead::Options {
+        requests: given(matches, "requests") as usize,
+        ..overhead::Options::default()
     };
+    let compared = overhead::run(&system, &options)?;
     writeln!(out, "time in ms                    p1      p50      p99")?;
     line(out, "first token, engine", compared.direct.first_token)?;
     line(
@@ -101,7 +90,15 @@
     )?;
     line(out, "token gap, engine", compared.direct.gap)?;
     line(out, "token gap, through both", compared.through.gap)?;
-    let step_ms = given(matches, "step-ms") as f64;
+    Ok(compared)
+}
+
+/// Keeps each count of streams open in turn.
+fn hold_open(
+    matches: &ArgMatches,
+    step_ms: f64,
+    out: &mut dyn Write,
+) -> Result<Vec<open::Outcome>, Error> {
     let system = start(matches, step_ms)?;
     writeln!(
         out,
@@ -122,6 +119,13 @@
         row(out, &outcome)?;
         outcomes.push(outcome);
     }
+    Ok(outcomes)
+}
+
+fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let compared = compare(matches, out)?;
+    let step_ms = given(matches, "step-ms") as f64;
+    let outcomes = hold_open(matches, step_ms, out)?;
     let report = json!({
         "compared": compared,
         "compared_step_ms": COMPARED_STEP_MS,
--- a/crates/mgs-testing/src/load/plot.rs
+++ b/crates/mgs-testing/src/load/plot.rs
@@ -13,9 +13,9 @@
 use plotters::prelude::PathElement;
 use plotters::prelude::SVGBackend;
 use plotters::style::Color;
-use plotters::style::BLACK;
 use plotters::style::WHITE;
 
+use crate::legend;
 use crate::load::figures;
 use crate::load::report::Named;
 use crate::load::run::Sample;
@@ -65,19 +65,14 @@
     for (number, named) in all.iter().enumerate() {
         let colour = Palette99::pick(number).to_rgba();
         let points = named.figures.first_token.iter().enumerate();
-        let points = points.map(|(band, at)| (band as f64, (at.p95 as f64).max(LEAST_MS)));
+        let points = points.map(|(band, at)| (band as f64, (at.p95_ms as f64).max(LEAST_MS)));
         chart
             .draw_series(LineSeries::new(points, colour.stroke_width(2)))
             .map_err(failed)?
             .label(named.name.clone())
             .legend(move |(x, y)| PathElement::new(vec![(x, y), (x + 16, y)], colour));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
-        .map_err(failed)?;
+    legend::draw(&mut chart).map_err(failed)?;
     root.present().map_err(failed)
 }
 
@@ -106,7 +101,7 @@
         .margin(MARGIN_PIXELS)
         .x_label_area_size(LABELS_PIXELS)
         .y_label_area_size(LABELS_PIXELS)
-        .build_cartesian_2d(0.0..options.seconds, (LEAST_MS..MOST_MS).log_scale())
+        .build_cartesian_2d(0.0..options.run_s, (LEAST_MS..MOST_MS).log_scale())
         .map_err(failed)?;
     chart
         .configure_mesh()
@@ -131,11 +126,6 @@
             .label(*name)
             .legend(move |(x, y)| Circle::new((x + 8, y), 4, colour.filled()));
     }
-    chart
-        .configure_series_labels()
-        .background_style(WHITE)
-        .border_style(BLACK)
-        .draw()
-        .map_err(failed)?;
+    legend::draw(&mut chart).map_err(failed)?;
     root.present().map_err(failed)
 }
