perf(durable): read leases of holders on demand and all rows rarely

Cause: each gateway read the lease rows of all others at each beat, 50 rows/s (about 5.6 KB/s) from 50 gateways on, though it judges only those that hold something it meets. Ruled out: judging by the members' rows (they are renewed each 10 s with a lease of 30 s: a take-over of 5 s today would become 30 to 40 s); following no row that wasn't scanned (two scans at 450 gateways are 144 s). Change: the row of a gateway whose lease is asked for is read at once and then at each beat, for as long as it is asked for; all rows are scanned within 700 B/s. A lease is over only when a read shows the row unchanged over it; before, time without any read counted as well, and a scan from before the question could show a new gateway as missing. The two old tests are replaced by stricter ones: the lease's end now needs the read, and a missing row a read after the question. Bytes by gateways: not measured yet. Conclusion: take-over of what a dead gateway holds takes five beats as before; a dead scanner of a shard is replaced after two scans at most, up to 6 gateways as before, at 450 in 144 s by the formula.

--- a/crates/mgs-durable/src/keeper.rs
+++ b/crates/mgs-durable/src/keeper.rs
@@ -10,6 +10,7 @@
 use mgs_platform::table::scan_all;
 use mgs_platform::table::Row;
 use mgs_platform::table::TxnOutcome;
+use mgs_platform::Error;
 
 use crate::batch::Op;
 use crate::batch::Written;
@@ -23,6 +24,7 @@
 use crate::entry::ASYNC_PREFIX;
 use crate::lease;
 use crate::lease::Beat;
+use crate::lease::Span;
 
 /// Wait between two looks at whether something is due.
 const PAUSE: Duration = Duration::from_millis(10);
@@ -32,6 +34,9 @@
 
 const MS_PER_S: u64 = 1_000;
 
+/// Rows in a scan that cost as much as one read of a row by itself, about.
+const ROWS_PER_READ: usize = 4;
+
 /// Rows of gone gateways that one pass deletes, at most.
 const REMAINS_MAX: usize = 4;
 
@@ -40,6 +45,9 @@
     core: Arc<Core>,
     beat: u64,
     version: u64,
+    scan_due_ms: u64,
+    /// Until when no row is read between passes, after an error of the store.
+    again_ms: u64,
 }
 
 impl Keeper {
@@ -49,6 +57,8 @@
             core,
             beat: 0,
             version: 0,
+            scan_due_ms: 0,
+            again_ms: 0,
         }
     }
 
@@ -60,6 +70,7 @@
             let period = Duration::from_millis(period_ms);
             while began.elapsed() < period && !self.core.stopping() {
                 thread::sleep(PAUSE);
+                self.read_unread(period_ms);
             }
         }
         self.settle();
@@ -68,12 +79,11 @@
 
     /// One pass: returns the time until the next one, in milliseconds.
     pub(crate) fn pass(&mut self) -> u64 {
-        let now_ms = self.core.now_ms();
-        let live = lock(&self.core.watch).live(now_ms);
+        let live = lock(&self.core.watch).live();
         let period_ms = lease::period_ms(live.len(), self.core.options.beat_min_ms);
         self.core.grouper.set_window(self.window_ms(live.len()));
         self.beat(period_ms);
-        if let Err(error) = self.look() {
+        if let Err(error) = self.look(period_ms) {
             log::warn!(error:% = error; "the store can't be read; no lease is judged anew");
         }
         self.tick(&live);
@@ -113,16 +123,63 @@
         }
     }
 
-    fn look(&self) -> Result<(), mgs_platform::Error> {
-        let rows = scan_all(self.core.table.as_ref(), lease::PREFIX)?;
-        let now_ms = self.core.now_ms();
-        lock(&self.core.watch).scanned(&rows, now_ms);
+    fn look(&mut self, period_ms: u64) -> Result<(), Error> {
+        if self.core.now_ms() >= self.scan_due_ms {
+            self.scan(period_ms)?;
+        } else {
+            let now_ms = self.core.now_ms();
+            let followed = lock(&self.core.watch).followed(now_ms);
+            self.read(&followed, period_ms)?;
+        }
         let row = self.core.table.get(clock::KEY)?;
         let now_ms = self.core.now_ms();
         lock(&self.core.clock).read(row.as_ref(), now_ms);
         Ok(())
     }
 
+    /// Reads the rows of gateways that were asked for since the last pass.
+    fn read_unread(&mut self, period_ms: u64) {
+        let unread = lock(&self.core.watch).unread();
+        if unread.is_empty() || self.core.now_ms() < self.again_ms {
+            return;
+        }
+        if let Err(error) = self.read(&unread, period_ms) {
+            self.again_ms = self.core.now_ms() + self.core.options.beat_min_ms;
+            log::warn!(error:% = error; "a gateway's row can't be read; its lease isn't judged");
+        }
+    }
+
+    /// Reads the rows of some gateways: each by itself, or all where that is cheaper.
+    fn read(&mut self, gateways: &[u64], period_ms: u64) -> Result<(), Error> {
+        let rows = lock(&self.core.watch).rows();
+        if gateways.len() > 1 && gateways.len() * ROWS_PER_READ > rows {
+            return self.scan(period_ms);
+        }
+        for &gateway in gateways {
+            let began_ms = self.core.now_ms();
+            let row = self.core.table.get(&lease::key(gateway))?;
+            let span = self.since(began_ms);
+            lock(&self.core.watch).read(gateway, row.as_ref(), span);
+        }
+        Ok(())
+    }
+
+    fn scan(&mut self, period_ms: u64) -> Result<(), Error> {
+        let began_ms = self.core.now_ms();
+        let rows = scan_all(self.core.table.as_ref(), lease::PREFIX)?;
+        let span = self.since(began_ms);
+        lock(&self.core.watch).scanned(&rows, span);
+        self.scan_due_ms = began_ms + lease::scan_interval_ms(rows.len(), period_ms);
+        Ok(())
+    }
+
+    fn since(&self, began_ms: u64) -> Span {
+        Span {
+            began_ms,
+            ended_ms: self.core.now_ms(),
+        }
+    }
+
     fn tick(&self, live: &[u64]) {
         let me = self.core.options.gateway;
         let rank = live.iter().position(|&gateway| gateway == me);
@@ -165,8 +222,7 @@
     }
 
     fn clear_remains(&self) {
-        let now_ms = self.core.now_ms();
-        let remains = lock(&self.core.watch).remains(now_ms);
+        let remains = lock(&self.core.watch).remains();
         for (gateway, version) in remains.into_iter().take(REMAINS_MAX) {
             self.core.write(Op {
                 key: lease::key(gateway),
--- a/crates/mgs-durable/src/worker.rs
+++ b/crates/mgs-durable/src/worker.rs
@@ -87,8 +87,7 @@
         let Some(shared_ms) = self.core.shared_ms() else {
             return Ok(());
         };
-        let now_ms = self.core.now_ms();
-        let live = lock(&self.core.watch).live(now_ms);
+        let live = lock(&self.core.watch).live();
         let shards = shard::owned(self.core.options.gateway, &live);
         self.deletes_left = self.core.options.deletes_max;
         let mut pages_left = ASYNC_PAGES_MAX;
--- a/crates/mgs-durable/tests/lease.rs
+++ b/crates/mgs-durable/tests/lease.rs
@@ -4,6 +4,7 @@
 use mgs_durable::clock::TICK_MS;
 use mgs_durable::lease;
 use mgs_durable::lease::Beat;
+use mgs_durable::lease::Span;
 use mgs_durable::lease::Watch;
 use mgs_durable::shard;
 use mgs_platform::table::Row;
@@ -20,26 +21,87 @@
     }
 }
 
+/// A read that took no time.
+fn at(now_ms: u64) -> Span {
+    Span {
+        began_ms: now_ms,
+        ended_ms: now_ms,
+    }
+}
+
 #[test]
 fn a_lease_ends_by_the_observers_clock_only() {
     let mut watch = Watch::default();
-    watch.scanned(&[beat(7, 1, 1_000)], 10_000);
-    watch.scanned(&[beat(7, 1, 1_000)], 14_000);
+    assert!(!watch.expired(7, 9_000));
+    watch.scanned(&[beat(7, 1, 1_000)], at(10_000));
+    watch.scanned(&[beat(7, 1, 1_000)], at(15_000));
     assert!(!watch.expired(7, 15_000));
+    watch.scanned(&[beat(7, 1, 1_000)], at(15_001));
     assert!(watch.expired(7, 15_001));
-    watch.scanned(&[beat(7, 2, 1_000)], 15_500);
+    assert!(watch.live().is_empty());
+    watch.scanned(&[beat(7, 2, 1_000)], at(15_500));
+    watch.scanned(&[beat(7, 2, 1_000)], at(20_500));
     assert!(!watch.expired(7, 20_500));
-    assert_eq!(watch.live(20_500), vec![7]);
+    assert_eq!(watch.live(), vec![7]);
+}
+
+#[test]
+fn time_without_a_read_ends_no_lease() {
+    let mut watch = Watch::default();
+    assert!(!watch.expired(7, 0));
+    watch.scanned(&[beat(7, 1, 1_000)], at(1));
+    assert!(!watch.expired(7, 60_000));
+    watch.read(7, Some(&beat(7, 2, 1_000)), at(60_001));
+    assert!(!watch.expired(7, 60_002));
+    watch.read(7, Some(&beat(7, 2, 1_000)), at(65_002));
+    assert!(watch.expired(7, 65_002));
+}
+
+#[test]
+fn a_slow_read_doesnt_shorten_a_lease() {
+    let mut watch = Watch::default();
+    assert!(!watch.expired(7, 0));
+    let slow = |began_ms, ended_ms| Span { began_ms, ended_ms };
+    watch.read(7, Some(&beat(7, 1, 1_000)), slow(1, 3_000));
+    watch.read(7, Some(&beat(7, 1, 1_000)), slow(7_000, 12_000));
+    assert!(!watch.expired(7, 12_000));
 }
 
 #[test]
 fn a_row_that_was_deleted_means_gone() {
     let mut watch = Watch::default();
-    watch.scanned(&[beat(7, 1, 1_000)], 0);
-    watch.scanned(&[], 100);
+    assert!(!watch.expired(7, 0));
+    watch.scanned(&[beat(7, 1, 1_000)], at(1));
+    assert!(!watch.expired(7, 50));
+    watch.scanned(&[], at(100));
     assert!(watch.expired(7, 100));
 }
 
+#[test]
+fn a_row_that_was_missing_before_the_question_says_nothing() {
+    let mut watch = Watch::default();
+    watch.scanned(&[], at(100));
+    assert!(!watch.expired(7, 200));
+    watch.scanned(&[], at(200));
+    assert!(!watch.expired(7, 200));
+    assert_eq!(watch.unread(), vec![7]);
+    watch.read(7, None, at(201));
+    assert!(watch.expired(7, 202));
+    assert!(watch.unread().is_empty());
+}
+
+#[test]
+fn a_gateway_is_followed_while_its_lease_is_asked_for() {
+    let mut watch = Watch::default();
+    watch.expired(7, 0);
+    watch.expired(9, 20_000);
+    assert_eq!(watch.followed(30_000), vec![7, 9]);
+    assert_eq!(watch.followed(30_001), vec![9]);
+    // Asked for again, it must be read again.
+    watch.scanned(&[], at(30_002));
+    assert!(!watch.expired(7, 30_003));
+}
+
 fn clock_row(value: u64, version: u64) -> Row {
     Row {
         key: "durable/clock".to_string(),
