perf(gateway): read the list of hosts and the members' rows within fewer bytes

Cause: at 5,300 hosts and 450 gateways the list costs each gateway 4,000 B/s, though one gateway's read serves all; gateways that started together also read it together, 106 s apart, so that the others' reads didn't help. The bound of the members' rows took 300 bytes a row for granted; with the demand of six models a row is longer. Ruled out: one reader for all (each stop of it would need an election); reads at even intervals. Change: 16,000 B/s for the list at all gateways, 4,000 to 500 at each, at exponentially distributed waits; looks at members 2,000 B/s instead of 3,000, counted from what the last look brought.

--- a/crates/mgs-gateway/src/duty/hosts.rs
+++ b/crates/mgs-gateway/src/duty/hosts.rs
@@ -8,9 +8,6 @@
 
 use crate::duty::Duties;
 
-/// Bytes per second that the list may take.
-const BYTES_PER_S: u64 = 4_000;
-
 /// Reads per second that all gateways together may spend on what others have read.
 const SHARED_READS_PER_S: u64 = 300;
 
@@ -23,7 +20,9 @@
         let now_ms = core.now_ms();
         if now_ms >= list_due_ms {
             let hosts = look(duties);
-            list_due_ms = now_ms + host::interval_ms(hosts, BYTES_PER_S);
+            let bytes_per_s = host::list_bytes_per_s(duties.links.gateways());
+            let interval_ms = host::interval_ms(hosts, bytes_per_s);
+            list_due_ms = now_ms + host::spread_ms(interval_ms, rand::random());
         } else if let Ok(leaving) = host::read(duties.platform.table.as_ref()) {
             found(duties, &leaving);
         }
--- a/crates/mgs-gateway/src/duty/member.rs
+++ b/crates/mgs-gateway/src/duty/member.rs
@@ -18,7 +18,7 @@
 const AGAIN_MS: u64 = 1_000;
 
 /// Bytes per second that looks at the other gateways' rows may take.
-const LOOK_BYTES_PER_S: u64 = 3_000;
+const LOOK_BYTES_PER_S: u64 = 2_000;
 
 /// Renews the claim until the gateway stops or its name is taken over.
 pub(crate) fn run(duties: &Arc<Duties>) {
@@ -36,8 +36,8 @@
         let wait_ms = match claim.renew(duties.platform.table.as_ref(), demand) {
             Ok(()) => {
                 if core.now_ms() >= look_due_ms {
-                    look_due_ms = core.now_ms() + look_interval_ms(duties);
-                    observe(duties, &mut observer);
+                    let scan_bytes = observe(duties, &mut observer);
+                    look_due_ms = core.now_ms() + look_interval_ms(duties, scan_bytes);
                 }
                 core.options.member.renew_interval_ms
             }
@@ -59,10 +59,9 @@
     }
 }
 
-fn look_interval_ms(duties: &Duties) -> u64 {
+fn look_interval_ms(duties: &Duties, scan_bytes: u64) -> u64 {
     let renew_interval_ms = duties.core.options.member.renew_interval_ms;
-    let gateways = duties.links.gateways();
-    member::look_interval_ms(gateways, renew_interval_ms, LOOK_BYTES_PER_S)
+    member::look_interval_ms(scan_bytes, renew_interval_ms, LOOK_BYTES_PER_S)
 }
 
 fn member(duties: &Duties) -> Member {
@@ -74,14 +73,20 @@
     }
 }
 
-fn observe(duties: &Duties, observer: &mut Observer) {
+/// Looks at the gateways' rows; returns how many bytes that took.
+fn observe(duties: &Duties, observer: &mut Observer) -> u64 {
     let now_ms = duties.core.now_ms();
     let rows = match scan_all(duties.platform.table.as_ref(), GATEWAY_PREFIX) {
         Ok(rows) => rows,
-        Err(error) => return log::info!(error:% = error; "gateways can't be listed"),
+        Err(error) => {
+            log::info!(error:% = error; "gateways can't be listed");
+            return 0;
+        }
     };
+    let scan_bytes = member::scan_bytes(&rows);
     if let Err(error) = observer.observe(now_ms, &rows) {
-        return log::warn!(error:% = error; "a gateway's row can't be read");
+        log::warn!(error:% = error; "a gateway's row can't be read");
+        return scan_bytes;
     }
     let lease_ms = duties.core.options.member.lease_ms;
     let live = observer.live(lease_ms);
@@ -99,4 +104,5 @@
     });
     let others: Vec<Gateway> = others.collect();
     duties.links.found([vec![own], others].concat());
+    scan_bytes
 }
--- a/crates/mgs-settings/src/host.rs
+++ b/crates/mgs-settings/src/host.rs
@@ -117,6 +117,9 @@
 
 const MS_PER_S: u64 = 1_000;
 
+/// Shortest time between two reads of the list, in milliseconds.
+pub const INTERVAL_MIN_MS: u64 = 1_000;
+
 /// Bytes of one host in the list, about.
 const HOST_BYTES: u64 = 80;
 
@@ -128,9 +131,56 @@
 ///
 /// assert_eq!(host::interval_ms(23, 4_000), 1_000);
 /// assert_eq!(host::interval_ms(5_300, 4_000), 106_000);
+/// assert_eq!(host::interval_ms(5_300, 500), 848_000);
 /// ```
 pub fn interval_ms(hosts: u64, bytes_per_s: u64) -> u64 {
-    MS_PER_S.max(hosts * HOST_BYTES * MS_PER_S / bytes_per_s.max(1))
+    INTERVAL_MIN_MS.max(hosts * HOST_BYTES * MS_PER_S / bytes_per_s.max(1))
+}
+
+/// Bytes per second that the list may take at all gateways together, as long as that is within
+/// the two bounds of each.
+const LIST_BYTES_PER_S: u64 = 16_000;
+
+/// Bytes per second that the list may take at one of a few gateways.
+const FEW_BYTES_PER_S: u64 = 4_000;
+
+/// Bytes per second that the list may take at one of many gateways.
+const MANY_BYTES_PER_S: u64 = 500;
+
+/// Bytes per second that the list may take at one of so many gateways, each of which knows what
+/// the others have read.
+///
+/// ```
+/// use mgs_settings::host;
+///
+/// assert_eq!(host::list_bytes_per_s(3), 4_000);
+/// assert_eq!(host::list_bytes_per_s(450), 500);
+/// ```
+pub fn list_bytes_per_s(gateways: u64) -> u64 {
+    let share = LIST_BYTES_PER_S / gateways.max(1);
+    share.clamp(MANY_BYTES_PER_S, FEW_BYTES_PER_S)
+}
+
+/// Longest wait of one gateway, in mean waits.
+const SPREAD_MAX: f64 = 4.0;
+
+/// The wait of one gateway until it reads the list again, in milliseconds, from any random number:
+/// exponentially distributed above the shortest interval, about `interval_ms` in the mean.
+/// Gateways that started together must not read together, as each relies on the others in
+/// between; with this distribution they are in turn from the first wait on.
+///
+/// ```
+/// use mgs_settings::host;
+///
+/// assert_eq!(host::spread_ms(1_000, 7), 1_000);
+/// assert_eq!(host::spread_ms(848_000, 0), 1_000);
+/// assert_eq!(host::spread_ms(848_000, u64::MAX), 1_000 + 4 * 847_000);
+/// ```
+pub fn spread_ms(interval_ms: u64, random: u64) -> u64 {
+    let mean_ms = interval_ms.saturating_sub(INTERVAL_MIN_MS) as f64;
+    let share = random as f64 / u64::MAX as f64;
+    let waits = -(1.0 - share).ln();
+    INTERVAL_MIN_MS + (mean_ms * waits.min(SPREAD_MAX)) as u64
 }
 
 /// When a gateway reads again what others have shared, in milliseconds: each second, or as often
--- a/crates/mgs-settings/src/member.rs
+++ b/crates/mgs-settings/src/member.rs
@@ -258,20 +258,26 @@
 
 const MS_PER_S: u64 = 1_000;
 
-/// Bytes of one gateway's row, about.
-const ROW_BYTES: u64 = 300;
+/// Bytes of a row in a scan beside its key and value, about.
+const ROW_HEAD_BYTES: usize = 60;
 
-/// When to look at the gateways' rows again, in milliseconds: at each renewal, or as often as a
-/// budget of bytes per second allows for so many gateways.
+/// Bytes of rows in a scan, about.
+pub fn scan_bytes(rows: &[Row]) -> u64 {
+    let bytes = |row: &Row| row.key.len() + row.value.len() + ROW_HEAD_BYTES;
+    rows.iter().map(bytes).sum::<usize>() as u64
+}
+
+/// When to look at the gateways' rows again, in milliseconds, if the last look took so many
+/// bytes: at each renewal, or as often as a budget of bytes per second allows.
 ///
 /// ```
 /// use mgs_settings::member;
 ///
-/// assert_eq!(member::look_interval_ms(6, 10_000, 3_000), 10_000);
-/// assert_eq!(member::look_interval_ms(450, 10_000, 3_000), 45_000);
+/// assert_eq!(member::look_interval_ms(1_200, 10_000, 2_000), 10_000);
+/// assert_eq!(member::look_interval_ms(90_000, 10_000, 2_000), 45_000);
 /// ```
-pub fn look_interval_ms(gateways: u64, renew_interval_ms: u64, bytes_per_s: u64) -> u64 {
-    renew_interval_ms.max(gateways * ROW_BYTES * MS_PER_S / bytes_per_s.max(1))
+pub fn look_interval_ms(scan_bytes: u64, renew_interval_ms: u64, bytes_per_s: u64) -> u64 {
+    renew_interval_ms.max(scan_bytes * MS_PER_S / bytes_per_s.max(1))
 }
 
 /// Judges by its owner's clock which gateways are live, as of its last look at their rows.
--- a/crates/mgs-settings/tests/host.rs
+++ b/crates/mgs-settings/tests/host.rs
@@ -1,5 +1,9 @@
 //! Leaving hosts, as one gateway reads them and others learn of them.
 
+use rand::RngExt;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
 use mgs_platform::host::Host;
 use mgs_platform::host::Hosts;
 use mgs_platform::host::State;
@@ -97,3 +101,25 @@
     let look = host::look(&leaves, &memory).unwrap();
     assert_eq!(addresses(&look.leaving), ["10.0.0.1"]);
 }
+
+#[test]
+fn gateways_that_started_together_read_the_list_in_turn() {
+    const HOUR_MS: u64 = 3_600_000;
+    let interval_ms = host::interval_ms(5_300, host::list_bytes_per_s(450));
+    let mut rng = ChaCha8Rng::seed_from_u64(7);
+    let mut reads_ms = vec![0; 450];
+    for _ in 0..450 {
+        let mut now_ms = 0;
+        while now_ms < HOUR_MS {
+            now_ms += host::spread_ms(interval_ms, rng.random());
+            reads_ms.push(now_ms);
+        }
+    }
+    reads_ms.retain(|&read_ms| read_ms < HOUR_MS);
+    reads_ms.sort_unstable();
+    let per_gateway = reads_ms.len() as u64 / 450;
+    assert!(per_gateway <= HOUR_MS / interval_ms + 2);
+    let gaps = reads_ms.windows(2).map(|pair| pair[1] - pair[0]);
+    let longest_ms = gaps.max().expect("there are reads");
+    assert!(longest_ms < 30_000, "{longest_ms}");
+}
--- a/crates/mgs-testing/src/settings/propagation/gateway.rs
+++ b/crates/mgs-testing/src/settings/propagation/gateway.rs
@@ -38,7 +38,7 @@
 
 const STEP: Duration = Duration::from_millis(20);
 const CONTROL_INTERVAL_MS: u64 = 1_000;
-const LOOK_BYTES_PER_S: u64 = 3_000;
+const LOOK_BYTES_PER_S: u64 = 2_000;
 const ASKED_MAX: usize = 8;
 
 /// What all gateways share.
@@ -217,9 +217,11 @@
         }
         if now_ms >= self.due.look_ms {
             let renew_ms = member::Options::default().renew_interval_ms;
-            let interval_ms = member::look_interval_ms(self.gateways, renew_ms, LOOK_BYTES_PER_S);
-            self.due.look_ms = now_ms + interval_ms;
+            self.due.look_ms = now_ms + renew_ms;
             if let Ok(rows) = scan_all(table, member::GATEWAY_PREFIX) {
+                let bytes = member::scan_bytes(&rows);
+                let interval_ms = member::look_interval_ms(bytes, renew_ms, LOOK_BYTES_PER_S);
+                self.due.look_ms = now_ms + interval_ms;
                 let _ = self.observer.observe(now_ms, &rows);
             }
         }
