perf(durable): scan keyed requests within a budget of bytes

Ruled out: a row that lists what expires (another write for each request); a fixed slow pace, which would let rows pile up above its rate. Change: pages of 200 rows, the next one within 1,000 B/s unless a tenth of the page was swept. What a scan of leases shows of a gateway that was asked for stays known for 48 h, as a slow pass over the rows asks for a dead holder's lease only once. Bytes with keyed requests kept: not measured. Conclusion: an idle scan costs 1,000 B/s at most by the formula.

--- a/crates/mgs-durable/src/lease.rs
+++ b/crates/mgs-durable/src/lease.rs
@@ -67,6 +67,10 @@
 /// How long the row of a gateway is followed after its lease was last asked for, in milliseconds.
 const FOLLOW_MS: u64 = 30_000;
 
+/// How long it is remembered that a lease was asked for, in milliseconds: longer than a pass over
+/// all rows of keyed requests takes, as each pass asks for a dead holder's lease once.
+const REMEMBER_MS: u64 = 48 * 3_600_000;
+
 /// When to scan all rows again, in milliseconds: at each beat, or as often as
 /// [`SCAN_BYTES_PER_S`] allows for so many rows.
 ///
@@ -120,7 +124,7 @@
 /// What one observer has seen of the gateways.
 ///
 /// All rows are read rarely where there are many; the row of a gateway whose lease is asked for,
-/// because it holds something, is read at each beat for as long as it is asked for.
+/// because it holds something, is read at once, then at each beat for as long as it is asked for.
 #[derive(Debug, Default)]
 pub struct Watch {
     seen: HashMap<u64, Seen>,
@@ -181,17 +185,17 @@
         asked.read && self.seen.get(&gateway).is_none_or(Seen::over)
     }
 
-    /// The gateways to follow, in order; those that nobody asks for any more are left out from
-    /// now on.
+    /// The gateways to follow, in order: those whose lease was asked for lately.
     pub fn followed(&mut self, now_ms: u64) -> Vec<u64> {
-        self.asked
-            .retain(|_, asked| now_ms.saturating_sub(asked.last_ms) <= FOLLOW_MS);
-        let mut followed: Vec<u64> = self.asked.keys().copied().collect();
+        let since_ms = |asked: &Asked| now_ms.saturating_sub(asked.last_ms);
+        self.asked.retain(|_, asked| since_ms(asked) <= REMEMBER_MS);
+        let lately = self.asked.iter().filter(|(_, a)| since_ms(a) <= FOLLOW_MS);
+        let mut followed: Vec<u64> = lately.map(|(&gateway, _)| gateway).collect();
         followed.sort_unstable();
         followed
     }
 
-    /// Those of them whose row hasn't been read yet, in order.
+    /// Gateways whose row hasn't been read since their lease was first asked for, in order.
     pub fn unread(&self) -> Vec<u64> {
         let unread = self.asked.iter().filter(|(_, asked)| !asked.read);
         let mut unread: Vec<u64> = unread.map(|(&gateway, _)| gateway).collect();
--- a/crates/mgs-durable/src/shard.rs
+++ b/crates/mgs-durable/src/shard.rs
@@ -35,3 +35,28 @@
     let mine = |&shard: &u32| scanner(shard, live) == Some(gateway);
     (0..SHARDS).filter(mine).collect()
 }
+
+/// Bytes per second that one gateway's scans of keyed requests may take.
+const CLAIM_BYTES_PER_S: u64 = 1_000;
+
+/// One swept row in so many is worth scanning on without a wait.
+const WORTHWHILE_ROWS: usize = 10;
+
+const MS_PER_S: u64 = 1_000;
+
+/// Wait after a page of keyed requests, in milliseconds. They are scanned only to delete what
+/// expired, so a page in which little had is followed by the next within a budget of bytes. The
+/// slower the scan, the more of a page has expired, until it is worth going on at once.
+///
+/// ```
+/// use mgs_durable::shard::claims_wait_ms;
+///
+/// assert_eq!(claims_wait_ms(100_000, 200, 3), 100_000);
+/// assert_eq!(claims_wait_ms(100_000, 200, 20), 0);
+/// ```
+pub fn claims_wait_ms(bytes: u64, rows: usize, swept: usize) -> u64 {
+    if swept * WORTHWHILE_ROWS >= rows {
+        return 0;
+    }
+    bytes * MS_PER_S / CLAIM_BYTES_PER_S
+}
--- a/crates/mgs-durable/src/worker.rs
+++ b/crates/mgs-durable/src/worker.rs
@@ -34,6 +34,9 @@
 /// Pages of durable requests read in one pass, at most.
 const ASYNC_PAGES_MAX: usize = 64;
 
+/// Rows of keyed requests read at once.
+const CLAIM_PAGE_ROWS: usize = 200;
+
 /// Pages of keyed requests read in one pass, at most; they are read only to delete what expired.
 const CLAIM_PAGES_MAX: usize = 1;
 
@@ -52,9 +55,18 @@
     /// Place among this gateway's shards at which the next pass begins, by prefix.
     next_async: usize,
     next_claim: usize,
+    claims_due_ms: u64,
     deletes_left: usize,
 }
 
+/// What one page brought.
+struct Scanned {
+    more: bool,
+    rows: usize,
+    bytes: u64,
+    swept: usize,
+}
+
 impl Worker {
     /// A worker that hasn't scanned yet.
     pub(crate) fn new(core: Arc<Core>, closers: Sender<Closing>) -> Self {
@@ -64,6 +76,7 @@
             cursors: HashMap::new(),
             next_async: 0,
             next_claim: 0,
+            claims_due_ms: 0,
             deletes_left: 0,
         }
     }
@@ -95,29 +108,48 @@
             let prefix = format!("{ASYNC_PREFIX}{}", shard::name(shard));
             while pages_left > 0 {
                 pages_left -= 1;
-                if !self.scan(&prefix, shared_ms)? {
+                if !self.scan(&prefix, PAGE_ROWS, shared_ms)?.more {
                     break;
                 }
             }
         }
-        for shard in next_of(&shards, &mut self.next_claim, CLAIM_PAGES_MAX) {
-            self.scan(&format!("{CLAIM_PREFIX}{}", shard::name(shard)), shared_ms)?;
+        if self.core.now_ms() >= self.claims_due_ms {
+            self.scan_claims(&shards, shared_ms)?;
+        }
+        Ok(())
+    }
+
+    fn scan_claims(&mut self, shards: &[u32], shared_ms: u64) -> Result<(), Error> {
+        for shard in next_of(shards, &mut self.next_claim, CLAIM_PAGES_MAX) {
+            let prefix = format!("{CLAIM_PREFIX}{}", shard::name(shard));
+            let page = self.scan(&prefix, CLAIM_PAGE_ROWS, shared_ms)?;
+            let wait_ms = shard::claims_wait_ms(page.bytes, page.rows, page.swept);
+            self.claims_due_ms = self.core.now_ms() + wait_ms;
         }
         Ok(())
     }
 
-    /// Reads one page under a prefix; returns whether there are more.
-    fn scan(&mut self, prefix: &str, shared_ms: u64) -> Result<bool, Error> {
+    /// Reads one page under a prefix and considers its rows.
+    fn scan(&mut self, prefix: &str, rows_max: usize, shared_ms: u64) -> Result<Scanned, Error> {
         let after = self.cursors.remove(prefix).unwrap_or_default();
-        let page = self.core.table.scan(prefix, &after, PAGE_ROWS)?;
+        let page = self.core.table.scan(prefix, &after, rows_max)?;
         let more = page.more;
+        let rows = page.rows.len();
+        let bytes = page.rows.iter().map(|row| row.key.len() + row.value.len());
+        let bytes = bytes.sum::<usize>() as u64;
+        let deletes_left = self.deletes_left;
         if let Some(last) = page.rows.last().filter(|_| more) {
             self.cursors.insert(prefix.to_string(), last.key.clone());
         }
         for row in page.rows {
             self.consider(row, shared_ms);
         }
-        Ok(more)
+        Ok(Scanned {
+            more,
+            rows,
+            bytes,
+            swept: deletes_left - self.deletes_left,
+        })
     }
 
     fn consider(&mut self, row: Row, shared_ms: u64) {
