--- a/crates/mgs-admission/src/lease.rs
+++ b/crates/mgs-admission/src/lease.rs
@@ -26,15 +26,15 @@
 pub struct Options {
     /// How long a share holds, in milliseconds.
     pub valid_ms: u64,
-    /// Share given beyond what is wanted, as a factor, when there is enough.
-    pub headroom: f64,
+    /// Share that is given, as a multiple of what is wanted, when there is enough.
+    pub headroom_factor: f64,
 }
 
 impl Default for Options {
     fn default() -> Self {
         Self {
             valid_ms: 2_000,
-            headroom: 1.5,
+            headroom_factor: 1.5,
         }
     }
 }
@@ -86,9 +86,9 @@
 /// use mgs_admission::lease::home;
 ///
 /// let all = ["gateway-1", "gateway-2", "gateway-3"];
-/// let at = home("verdure", "chat", &all).unwrap();
+/// let at = home("org-1", "chat", &all).unwrap();
 /// let others: Vec<&str> = all.iter().copied().filter(|name| *name != at).collect();
-/// assert_ne!(home("verdure", "chat", &others), Some(at));
+/// assert_ne!(home("org-1", "chat", &others), Some(at));
 /// ```
 pub fn home<'a>(organisation: &str, kind: &str, gateways: &[&'a str]) -> Option<&'a str> {
     let seed = xxh3_64_with_seed(
@@ -130,6 +130,23 @@
     ///
     /// What is granted and what is kept free for gateways without a share is never more than the
     /// limit.
+    ///
+    /// ```
+    /// use mgs_admission::lease::Grantor;
+    /// use mgs_admission::lease::Limits;
+    /// use mgs_admission::lease::Options;
+    /// use mgs_schema::wire::LimitLeaseRequest;
+    ///
+    /// let limits = Limits { requests_per_s: 10.0, ..Limits::default() };
+    /// let request = LimitLeaseRequest {
+    ///     gateway_incarnation: 1,
+    ///     wanted_requests_per_s: 10.0,
+    ///     ..LimitLeaseRequest::default()
+    /// };
+    /// let mut grantor = Grantor::new(0, Options::default());
+    /// let lease = grantor.grant(0, &limits, &[1, 2], &request);
+    /// assert_eq!(lease.requests_per_s, 5.0);
+    /// ```
     pub fn grant(
         &mut self,
         now_ms: u64,
@@ -151,7 +168,7 @@
         let target = if wanted_by_all > 1.0 {
             wanted / wanted_by_all
         } else {
-            (wanted * self.options.headroom).max(even)
+            (wanted * self.options.headroom_factor).max(even)
         };
         // Shares of the last home may still hold; until they have run out, even parts are given.
         let is_new = now_ms < self.since_ms + self.options.valid_ms;
