test(durable): wait for the shared clock before a request counts as past its time

Cause: a_request_past_its_time_ends_refused failed once in a full run: a budget of 1 ms against a clock that moves by ticks, so that a second gateway could still read a time before the deadline and run the request, rightly. Ruled out: a sleep; a longer or shorter budget (the same race). Conclusion: the test now waits for two ticks in the store, after which the verdict is certain.

--- a/crates/mgs-durable/tests/request.rs
+++ b/crates/mgs-durable/tests/request.rs
@@ -7,6 +7,7 @@
 
 use rstest::rstest;
 
+use mgs_durable::clock;
 use mgs_durable::durable::Durable;
 use mgs_durable::entry::Ending;
 use mgs_durable::entry::State;
@@ -14,6 +15,7 @@
 use mgs_durable::request;
 use mgs_durable::request::Cancelled;
 use mgs_durable::request::Submitted;
+use mgs_platform::table::Table;
 use mgs_schema::wire::RefusalReason;
 use mgs_standin::platform::faults::Settings;
 use mgs_standin::platform::memory::Memory;
@@ -239,6 +241,11 @@
     let mut brief = asked("", b"x");
     brief.budget_ms = 1;
     let id = accepted(first.submit(&brief, &work(b"x")));
+    // The shared clock moves in ticks; after two of them its row is past the millisecond.
+    for _ in 0..2 {
+        let tick = memory.get(clock::KEY).unwrap();
+        wait_until("a tick", || memory.get(clock::KEY).unwrap() != tick);
+    }
     drop(first);
     let second = gateway(options(2), &memory, &site);
     let answer = ended(&second, &id);
