refactor: say facade, handler and handle, and test with neutral data

Cause: reading as a newcomer, one metaphor named four things (the sidecar's call handler, a route of the test cluster, a handle to a thread, a crate's facade), and test data came from one trade. Ruled out: nothing else was touched. Conclusion: each thing has the field's own name.

--- a/crates/mgs-durable/src/durable.rs
+++ b/crates/mgs-durable/src/durable.rs
@@ -1,4 +1,4 @@
-//! The door of this crate for one process.
+//! The facade of this crate for one process.
 
 use std::collections::HashSet;
 use std::sync::atomic::AtomicBool;
--- a/crates/mgs-durable/src/entry.rs
+++ b/crates/mgs-durable/src/entry.rs
@@ -35,8 +35,8 @@
 /// ```
 /// use mgs_durable::entry::key_id;
 ///
-/// assert_eq!(key_id("sahel", "order-7"), key_id("sahel", "order-7"));
-/// assert_ne!(key_id("sahel", "order-7"), key_id("brasov", "order-7"));
+/// assert_eq!(key_id("org-1", "order-7"), key_id("org-1", "order-7"));
+/// assert_ne!(key_id("org-1", "order-7"), key_id("org-2", "order-7"));
 /// ```
 pub fn key_id(organisation: &str, key: &str) -> String {
     let mut hash = Sha256::new();
--- a/crates/mgs-durable/src/grouper.rs
+++ b/crates/mgs-durable/src/grouper.rs
@@ -53,7 +53,7 @@
     reply: Sender<Written>,
 }
 
-/// A door to the thread; it ends when the last door is dropped.
+/// A handle to the thread; it ends when the last handle is dropped.
 #[derive(Debug, Clone)]
 pub struct Grouper {
     jobs: Sender<Job>,
--- a/crates/mgs-durable/src/lib.rs
+++ b/crates/mgs-durable/src/lib.rs
@@ -9,8 +9,8 @@
 //! groups conditional writes into transactions and settles lost replies, [`lease`] judges by the
 //! observer's own clock which gateways are gone, [`clock`] keeps a time that all gateways share,
 //! and [`shard`] shares out the scanning. The threads that drive them are in [`grouper`], `keeper`,
-//! `worker`, [`run`] and [`tenure`]; [`durable::Durable`] is the door for the gateway, which lends its own means by
-//! [`executor::Executor`].
+//! `worker`, [`run`] and [`tenure`]; [`durable::Durable`] is the facade for the gateway, which lends
+//! its own means by [`executor::Executor`].
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
--- a/crates/mgs-durable/tests/claim.rs
+++ b/crates/mgs-durable/tests/claim.rs
@@ -25,7 +25,7 @@
 use common::wait_until;
 use common::Site;
 
-const BODY: &[u8] = b"two lorries of olive whips";
+const BODY: &[u8] = b"two pallets of roof tiles";
 
 fn held(claimed: Claimed) -> Tenure {
     match claimed {
--- a/crates/mgs-durable/tests/common/mod.rs
+++ b/crates/mgs-durable/tests/common/mod.rs
@@ -211,7 +211,7 @@
 
 pub(crate) fn asked(key: &str, body: &[u8]) -> Asked {
     Asked {
-        organisation: "sahel".to_string(),
+        organisation: "org-1".to_string(),
         kind: "order".to_string(),
         key: key.to_string(),
         digest: body_digest("POST", "/services/orders", body),
@@ -222,7 +222,7 @@
 
 pub(crate) fn work(body: &[u8]) -> Work {
     Work {
-        organisation: "sahel".to_string(),
+        organisation: "org-1".to_string(),
         kind: "order".to_string(),
         method: "POST".to_string(),
         path: "/services/orders".to_string(),
--- a/crates/mgs-durable/tests/request.rs
+++ b/crates/mgs-durable/tests/request.rs
@@ -40,7 +40,7 @@
 fn ended(durable: &Durable, id: &str) -> Answer {
     let mut answer = None;
     wait_until("the request ends", || {
-        let status = durable.status("sahel", id).ok().flatten();
+        let status = durable.status("org-1", id).ok().flatten();
         let Some(State::Done(done)) = status.map(|status| status.entry.state) else {
             return false;
         };
@@ -59,7 +59,7 @@
     let id = accepted(durable.submit(&asked("", body), &work(body)));
     assert_eq!(ended(&durable, &id), answered(body));
     assert_eq!(site.executions(), 1);
-    assert_eq!(durable.status("brasov", &id), Ok(None));
+    assert_eq!(durable.status("org-2", &id), Ok(None));
 }
 
 #[test]
@@ -91,7 +91,7 @@
     busy.held_max = 0;
     let first = gateway(busy, &memory, &site);
     let id = accepted(first.submit(&asked("", b"x"), &work(b"x")));
-    let state = |durable: &Durable| durable.status("sahel", &id).unwrap().unwrap().entry.state;
+    let state = |durable: &Durable| durable.status("org-1", &id).unwrap().unwrap().entry.state;
     assert_eq!(state(&first), State::Queued);
     let second = gateway(options(2), &memory, &site);
     // Shards that the first gateway scans are the second's once the first is gone.
@@ -221,9 +221,9 @@
     busy.held_max = 0;
     let durable = gateway(busy, &memory, &site);
     let id = accepted(durable.submit(&asked("", b"x"), &work(b"x")));
-    assert_eq!(durable.cancel("brasov", &id), Ok(Cancelled::NotFound));
-    assert_eq!(durable.cancel("sahel", &id), Ok(Cancelled::NotRun));
-    assert_eq!(durable.cancel("sahel", &id), Ok(Cancelled::Ended));
+    assert_eq!(durable.cancel("org-2", &id), Ok(Cancelled::NotFound));
+    assert_eq!(durable.cancel("org-1", &id), Ok(Cancelled::NotRun));
+    assert_eq!(durable.cancel("org-1", &id), Ok(Cancelled::Ended));
     let answer = ended(&durable, &id);
     assert_eq!(
         (answer.ending, answer.reason.as_str()),
@@ -265,11 +265,11 @@
     let mut brief = asked("", LONG_BODY);
     brief.budget_ms = 1_000;
     let id = accepted(durable.submit(&brief, &work(LONG_BODY)));
-    let body = durable.status("sahel", &id).unwrap().unwrap().entry.body;
+    let body = durable.status("org-1", &id).unwrap().unwrap().entry.body;
     let key = mgs_durable::entry::body_key(&id, body);
     let objects: &dyn mgs_platform::object::Objects = memory.as_ref();
     assert!(objects.get(&key).unwrap().is_some());
-    wait_until("it is swept", || durable.status("sahel", &id) == Ok(None));
+    wait_until("it is swept", || durable.status("org-1", &id) == Ok(None));
     assert_eq!(objects.get(&key), Ok(None));
     let answer = mgs_durable::entry::answer_key(&mgs_durable::entry::async_key(&id), 1);
     assert_eq!(objects.get(&answer), Ok(None));
--- a/crates/mgs-gateway/src/core.rs
+++ b/crates/mgs-gateway/src/core.rs
@@ -243,7 +243,7 @@
         self.durable.load_full()
     }
 
-    /// Takes the door to the store, or gives it up.
+    /// Sets the facade to the store, or removes it.
     pub(crate) fn set_durable(&self, durable: Option<Arc<Durable>>) -> Option<Arc<Durable>> {
         self.durable.swap(durable)
     }
--- a/crates/mgs-gateway/tests/durable.rs
+++ b/crates/mgs-gateway/tests/durable.rs
@@ -48,12 +48,12 @@
     };
     for index in 0..2 {
         until("live endpoints", || bench.live(index) == 2);
-        // The door to the store opens with the first answer of the store.
+        // The facade to the store is there after the first answer of the store.
         let path = format!("/v1/requests/{:032x}", 1);
         let look = || bench.get(index, &path).0;
         until("a store", || look() == 404);
         let warm = || bench.keyed(index, &format!("warm-{index}")).0;
-        until("a door to the store", || warm() == 201);
+        until("a facade to the store", || warm() == 201);
     }
     bench.service.fake.ran.lock().unwrap().clear();
     bench
@@ -87,7 +87,7 @@
     /// Confirms an order under a key.
     fn keyed(&self, index: usize, key: &str) -> (u16, String) {
         let request = self.post(index, "/services/orders/confirm");
-        let request = request.header("Idempotency-Key", key).text("two lorries");
+        let request = request.header("Idempotency-Key", key).text("two pallets");
         let response = request.send().unwrap();
         (response.status().as_u16(), response.text().unwrap())
     }
@@ -124,7 +124,9 @@
     let bench = bench(Script::Answer(3));
     bench.keyed(0, "order-7");
     let other = bench.post(1, "/services/orders/confirm");
-    let other = other.header("Idempotency-Key", "order-7").text("one lorry");
+    let other = other
+        .header("Idempotency-Key", "order-7")
+        .text("one pallet");
     let response = other.send().unwrap();
     assert_eq!(response.status().as_u16(), 409);
     let answer: Value = response.json().unwrap();
--- a/crates/mgs-gateway/tests/path.rs
+++ b/crates/mgs-gateway/tests/path.rs
@@ -109,16 +109,16 @@
 fn a_service_gets_method_path_and_body() {
     let bench = bench(Script::Answer(3), Script::Answer(3));
     let response = bench
-        .post("/services/orders/confirm?lorry=1")
-        .text("whips")
+        .post("/services/orders/confirm?part=1")
+        .text("bolts")
         .send()
         .unwrap();
     assert_eq!(response.status().as_u16(), 201);
     assert_eq!(response.text().unwrap(), "done");
     let dispatches = bench.service.fake.dispatches.lock().unwrap();
     assert_eq!(dispatches[0].method, "POST");
-    assert_eq!(dispatches[0].path, "/confirm?lorry=1");
-    assert_eq!(dispatches[0].body, b"whips");
+    assert_eq!(dispatches[0].path, "/confirm?part=1");
+    assert_eq!(dispatches[0].body, b"bolts");
     assert!(!dispatches[0].idempotent);
 }
 
--- a/crates/mgs-sidecar/src/handler.rs
+++ b/crates/mgs-sidecar/src/handler.rs
@@ -42,11 +42,11 @@
 use crate::stream;
 
 /// The sidecar as the transport sees it.
-pub(crate) struct Door {
+pub(crate) struct CallHandler {
     pub(crate) shared: Arc<Shared>,
 }
 
-impl Handler for Door {
+impl Handler for CallHandler {
     fn handle(&self, incoming: Incoming) {
         let Incoming {
             body,
@@ -94,7 +94,7 @@
     failed(Outcome::Failed, FailureReason::Incomplete, detail)
 }
 
-impl Door {
+impl CallHandler {
     fn hello(&self, hello: &Hello, connection: u64, reply: Reply) {
         let shared = &self.shared;
         let sender = Sender {
--- a/crates/mgs-sidecar/src/lib.rs
+++ b/crates/mgs-sidecar/src/lib.rs
@@ -1,4 +1,4 @@
-//! The sidecar role: the only door to one endpoint.
+//! The sidecar role: the one process that calls its endpoint.
 //!
 //! [`sidecar::Sidecar`] serves gateways over `mgs-transport` and drives its endpoint: a model
 //! engine through [`mgs_engine::engine::Engine`], or a plain service over HTTP. What to do is
--- a/crates/mgs-sidecar/src/order.rs
+++ b/crates/mgs-sidecar/src/order.rs
@@ -31,7 +31,7 @@
 /// of its wait.
 const HOLD_WAITS: u64 = 10;
 
-/// The door for orders; one passes at a time.
+/// Takes orders, one at a time.
 pub(crate) struct Orders {
     /// Name of the endpoint.
     endpoint: String,
--- a/crates/mgs-sidecar/src/sidecar.rs
+++ b/crates/mgs-sidecar/src/sidecar.rs
@@ -24,7 +24,7 @@
 use mgs_transport::server::Server;
 
 use crate::caller;
-use crate::handler::Door;
+use crate::handler::CallHandler;
 use crate::member::Membership;
 use crate::order::Orders;
 use crate::service;
@@ -191,10 +191,10 @@
         let mut watcher = Watcher::default();
         // What the engine holds is known before the first gateway asks.
         watcher.look(&shared);
-        let door = Arc::new(Door {
+        let handler = Arc::new(CallHandler {
             shared: shared.clone(),
         });
-        let server = Server::start(&runtime, listener, &shared.options.server, door)
+        let server = Server::start(&runtime, listener, &shared.options.server, handler)
             .map_err(Error::Threads)?;
         let mut sidecar = Self {
             address: server.address(),
--- a/crates/mgs-sidecar/tests/engine.rs
+++ b/crates/mgs-sidecar/tests/engine.rs
@@ -25,7 +25,7 @@
 use mgs_standin::engine::Engine;
 use mgs_transport::client::Call;
 
-const PROMPT: &str = "how many olive whips are there";
+const PROMPT: &str = "how many words are there";
 
 fn engine() -> Engine {
     engine_with(engine::Options::default())
--- a/crates/mgs-sidecar/tests/service.rs
+++ b/crates/mgs-sidecar/tests/service.rs
@@ -40,7 +40,7 @@
         method: "POST".into(),
         path: "/orders?to=sfax".into(),
         content_type: "application/json".into(),
-        body: b"{\"whips\":40}".to_vec(),
+        body: b"{\"bolts\":40}".to_vec(),
         ..gateway.message(serial, 0)
     }
 }
@@ -61,7 +61,7 @@
         (run.method.as_str(), run.path.as_str()),
         ("POST", "/orders?to=sfax")
     );
-    assert_eq!(run.body, "{\"whips\":40}");
+    assert_eq!(run.body, "{\"bolts\":40}");
 }
 
 #[test]
--- a/crates/mgs-standin/src/engine/text.rs
+++ b/crates/mgs-standin/src/engine/text.rs
@@ -12,7 +12,7 @@
 /// ```
 /// use mgs_standin::engine::text::prompt_hash;
 ///
-/// assert_ne!(prompt_hash("olive whips"), prompt_hash("olive whip"));
+/// assert_ne!(prompt_hash("two words"), prompt_hash("two word"));
 /// ```
 pub fn prompt_hash(prompt: &str) -> u64 {
     xxh3_64(prompt.as_bytes())
@@ -36,8 +36,8 @@
 /// ```
 /// use mgs_standin::engine::text::expected;
 ///
-/// assert_eq!(expected("olive whips", 5).len(), 20);
-/// assert!(expected("olive whips", 5).starts_with(&expected("olive whips", 2)));
+/// assert_eq!(expected("two words", 5).len(), 20);
+/// assert!(expected("two words", 5).starts_with(&expected("two words", 2)));
 /// ```
 pub fn expected(prompt: &str, max_tokens: u64) -> String {
     let prompt_hash = prompt_hash(prompt);
--- a/crates/mgs-testing/src/caller/plan.rs
+++ b/crates/mgs-testing/src/caller/plan.rs
@@ -9,7 +9,7 @@
 /// Begins each prompt and body, so that a run at an endpoint can be told from others.
 const MARKER: &str = "request-";
 
-const FILLER: &str = "olive whips in three-litre pots, rootstock and scion checked; ";
+const FILLER: &str = "words that stand for the text of a long prompt, over and over; ";
 
 /// Bytes of text that count as a token.
 const BYTES_PER_TOKEN: usize = mgs_schema::prefix::BYTES_PER_TOKEN;
--- a/crates/mgs-testing/src/chaos/inject.rs
+++ b/crates/mgs-testing/src/chaos/inject.rs
@@ -305,7 +305,7 @@
         let endpoint = &self.cluster.endpoints[fault.place % count];
         let (route, place) = match fault.place < count {
             true => (endpoint.sidecar.front(), endpoint.sidecar.place()),
-            false => (&endpoint.door, endpoint.name.as_str()),
+            false => (&endpoint.engine_route, endpoint.name.as_str()),
         };
         let begin = || {
             begin_on_path(route, fault);
--- a/crates/mgs-testing/src/cluster/endpoint.rs
+++ b/crates/mgs-testing/src/cluster/endpoint.rs
@@ -42,7 +42,7 @@
     /// What stands behind the sidecar.
     pub standin: Standin,
     /// The way from the sidecar to it.
-    pub door: Route,
+    pub engine_route: Route,
     /// The place of its sidecar.
     pub sidecar: Member,
 }
--- a/crates/mgs-testing/src/cluster/fleet.rs
+++ b/crates/mgs-testing/src/cluster/fleet.rs
@@ -199,18 +199,18 @@
     fn endpoint(&self, standin: Standin, number: usize) -> Result<Endpoint, Error> {
         let name = format!("endpoint-{number}");
         let place = format!("sidecar-{number}");
-        let door = Route::start(standin.address())?;
+        let engine_route = Route::start(standin.address())?;
         let arguments = vec![
             "--endpoint-kind".to_string(),
             standin.kind_name().to_string(),
             "--endpoint-url".to_string(),
-            url(door.address()),
+            url(engine_route.address()),
         ];
         Ok(Endpoint {
             sidecar: self.member(SIDECAR, &place, &name, arguments, Vec::new())?,
             name,
             standin,
-            door,
+            engine_route,
         })
     }
 
--- a/crates/mgs-testing/src/measure/overhead.rs
+++ b/crates/mgs-testing/src/measure/overhead.rs
@@ -195,7 +195,7 @@
     let bytes = tokens * mgs_schema::prefix::BYTES_PER_TOKEN;
     let mut prompt = format!("{marker} ");
     while prompt.len() < bytes {
-        prompt.push_str("olive whips for the planting window ");
+        prompt.push_str("words that stand for a long prompt ");
     }
     prompt.truncate(bytes);
     prompt
--- a/crates/mgs-testing/tests/failures.rs
+++ b/crates/mgs-testing/tests/failures.rs
@@ -152,7 +152,7 @@
     let cluster = support::start(1, 1);
     let plan = support::once(1);
     let stream = support::begin(&cluster.gateways[0], &plan);
-    assert!(cluster.endpoints[0].door.cut() > 0);
+    assert!(cluster.endpoints[0].engine_route.cut() > 0);
     let exchange = stream.join().unwrap();
     assert!(support::is_whole(&plan, &exchange), "{exchange:?}");
     assert_eq!(support::runs(&cluster, &plan).len(), 1);
