--- a/crates/mgs-routing/benches/decision.rs
+++ b/crates/mgs-routing/benches/decision.rs
@@ -33,6 +33,7 @@
 
 const ORGANISATIONS: usize = 4_400;
 const ZONES: usize = 19;
+const MODEL: &str = "m0";
 const PROMPT_BLOCKS: u64 = 32;
 
 /// When the load was reported, in milliseconds.
@@ -58,7 +59,7 @@
     fn ask(&self, offer: &Offer) -> Ask<'_> {
         Ask {
             kind: EndpointKind::Engine,
-            model: "m",
+            model: MODEL,
             prompt_tokens: offer.prompt_tokens,
             max_tokens: offer.max_tokens,
             priority: 1,
@@ -91,13 +92,13 @@
     }
 }
 
-fn settings(endpoints: usize) -> Snapshot {
+fn settings(endpoints: usize, models: usize) -> Snapshot {
     let endpoint = |i: usize| EndpointRow {
         name: format!("engine-{i}"),
         kind: EndpointKind::Engine.into(),
         sidecar_address: "127.0.0.1:7000".into(),
         zone: format!("zone-{}", i % ZONES),
-        models: vec!["m".into()],
+        models: vec![format!("m{}", i % models)],
         started: true,
         ..EndpointRow::default()
     };
@@ -154,8 +155,9 @@
 
 fn decide(c: &mut Criterion) {
     let mut group = c.benchmark_group("admit_and_route");
-    for endpoints in [20, 5_300] {
-        let settings = settings(endpoints);
+    // Endpoints and the models that they share.
+    for (endpoints, models) in [(20, 1), (5_300, 6), (5_300, 1)] {
+        let settings = settings(endpoints, models);
         let view = live_view(&settings);
         let policy = Marigold::default();
         let mut admission = FairQueue::default();
@@ -169,7 +171,7 @@
                 },
                 organisation: format!("organisation-{i}"),
                 kind: "chat".into(),
-                model: "m".into(),
+                model: MODEL.into(),
                 prompt_tokens: PROMPT_BLOCKS * 256,
                 max_tokens: 256,
                 arrived_ms: 0,
@@ -177,7 +179,7 @@
             })
             .collect();
         let mut serial = 0u64;
-        let id = BenchmarkId::from_parameter(endpoints);
+        let id = BenchmarkId::new(format!("models-{models}"), endpoints);
         group.bench_function(id, |b| {
             b.iter(|| {
                 serial += 1;
