perf(gateway): bound the reads of the list of hosts by all gateways together

Cause: a short list was read each second by each gateway, two calls a read: 160 calls/s at 80 gateways. Ruled out: leaving it to the bound of bytes, which a short list never meets. Change: 10 reads/s by all gateways; up to 10 gateways nothing changes. Conclusion: some gateway reads the list each 0.1 s in the mean at least while it is short.

--- a/crates/mgs-gateway/src/duty/hosts.rs
+++ b/crates/mgs-gateway/src/duty/hosts.rs
@@ -20,8 +20,7 @@
         let now_ms = core.now_ms();
         if now_ms >= list_due_ms {
             let hosts = look(duties);
-            let bytes_per_s = host::list_bytes_per_s(duties.links.gateways());
-            let interval_ms = host::interval_ms(hosts, bytes_per_s);
+            let interval_ms = host::list_interval_ms(hosts, duties.links.gateways());
             list_due_ms = now_ms + host::spread_ms(interval_ms, rand::random());
         } else if let Ok(leaving) = host::read(duties.platform.table.as_ref()) {
             found(duties, &leaving);
--- a/crates/mgs-settings/src/host.rs
+++ b/crates/mgs-settings/src/host.rs
@@ -161,6 +161,24 @@
     share.clamp(MANY_BYTES_PER_S, FEW_BYTES_PER_S)
 }
 
+/// Reads of the list per second by all gateways together, at most.
+const LIST_READS_PER_S: u64 = 10;
+
+/// When one of so many gateways reads the list again, in milliseconds in the mean: each second, or
+/// as often as the budgets of bytes and of reads by all gateways allow.
+///
+/// ```
+/// use mgs_settings::host;
+///
+/// assert_eq!(host::list_interval_ms(23, 3), 1_000);
+/// assert_eq!(host::list_interval_ms(2, 80), 8_000);
+/// assert_eq!(host::list_interval_ms(5_300, 450), 848_000);
+/// ```
+pub fn list_interval_ms(hosts: u64, gateways: u64) -> u64 {
+    let by_reads_ms = gateways * MS_PER_S / LIST_READS_PER_S;
+    interval_ms(hosts, list_bytes_per_s(gateways)).max(by_reads_ms)
+}
+
 /// Longest wait of one gateway, in mean waits.
 const SPREAD_MAX: f64 = 4.0;
 
--- a/crates/mgs-settings/tests/host.rs
+++ b/crates/mgs-settings/tests/host.rs
@@ -105,7 +105,7 @@
 #[test]
 fn gateways_that_started_together_read_the_list_in_turn() {
     const HOUR_MS: u64 = 3_600_000;
-    let interval_ms = host::interval_ms(5_300, host::list_bytes_per_s(450));
+    let interval_ms = host::list_interval_ms(5_300, 450);
     let mut rng = ChaCha8Rng::seed_from_u64(7);
     let mut reads_ms = vec![0; 450];
     for _ in 0..450 {
