refactor(sidecar): take the rule of what was never sent from mgs-http

Cause: the client of plain services had its own copy of the rule by which a failed call proves that nothing was sent, on which at-most-once rests; engines' and the platform's clients share mgs-http's. Ruled out: a change of the rule (both sides match the same kinds of error). Before: three clients, two copies. Conclusion: the rule can't drift apart between clients.

--- a/crates/mgs-sidecar/src/service.rs
+++ b/crates/mgs-sidecar/src/service.rs
@@ -3,7 +3,6 @@
 
 use std::time::Duration;
 
-use attohttpc::ErrorKind;
 use attohttpc::Method;
 use attohttpc::RequestBuilder;
 use displaydoc::Display;
@@ -118,15 +117,10 @@
     }
 }
 
-/// Only a connection that was never made proves that nothing was sent.
+/// Only a call that was never sent proves that the service did nothing.
 fn classify(error: &attohttpc::Error) -> Error {
-    match error.kind() {
-        ErrorKind::ConnectError { .. } | ErrorKind::InvalidBaseUrl | ErrorKind::InvalidUrlHost => {
-            Error::Unreachable(error.to_string())
-        }
-        ErrorKind::Io(io) if io.kind() == std::io::ErrorKind::ConnectionRefused => {
-            Error::Unreachable(error.to_string())
-        }
-        _ => Error::Broken(error.to_string()),
+    if mgs_http::is_unsent(error) {
+        return Error::Unreachable(error.to_string());
     }
+    Error::Broken(error.to_string())
 }
