--- a/crates/mgs-observe/src/logs.rs
+++ b/crates/mgs-observe/src/logs.rs
@@ -1,4 +1,5 @@
-//! The process's log: one JSON object a line on standard error.
+//! The process's log: one JSON object a line on standard error, or on standard output without ever
+//! waiting for its reader.
 //!
 //! Each line has `level`, `timestamp` (UTC), `thread`, `module_path`, `file`, `line`, `text`, and in
 //! `kv` the key-values of the call, such as `request_id`, `organisation`, `endpoint` and `reason`.
@@ -9,6 +10,8 @@
 use flexi_logger::LoggerHandle;
 use log::LevelFilter;
 
+pub mod bounded;
+
 /// Settings of the log.
 #[derive(Debug, Clone)]
 pub struct Options {
@@ -46,6 +49,20 @@
     }
 }
 
+/// Starts the log of this process on standard output; once per process.
+///
+/// Lines are handed over to a thread through a queue of [`bounded::LINES_MAX`] lines. Where the reader of
+/// standard output is slower than the process, lines are dropped, counted and reported; nobody waits.
+pub fn start_bounded(options: &Options) -> Result<Logs, Error> {
+    let writer = bounded::Writer::start().map_err(|error| Error::Start(error.to_string()))?;
+    let handle = logger(&options.level)?
+        .log_to_writer(Box::new(writer))
+        .use_utc()
+        .start()
+        .map_err(|error| Error::Start(error.to_string()))?;
+    Ok(Logs { _handle: handle })
+}
+
 /// Checks a level or filter without starting anything.
 ///
 /// ```
--- /dev/null
+++ b/crates/mgs-placing/src/board.rs
@@ -0,0 +1,188 @@
+//! The work that has been placed on each endpoint, by this gateway and by its peers.
+//!
+//! What this gateway holds is known exactly. Peers say what they hold in small messages
+//! ([`crate::share`]); what a peer said counts until it says otherwise or falls silent. Reading that
+//! was placed isn't reported as done by an engine, so each endpoint has an instant at which all reading
+//! placed so far should be finished, and a first token corrects it.
+
+use std::collections::HashMap;
+
+use mgs_fleet::view::EndpointKey;
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::need::PAUSE_CLASSES;
+
+/// A peer's word counts for this long, in milliseconds: four of its longest intervals.
+pub const PEER_SILENCE_MS: f64 = 1_200.0;
+
+/// Reading placed longer ago than the longest deadline says nothing about an engine.
+const BACKLOG_MAX_MS: f64 = 15_000.0;
+
+/// Identifier of a peer: its incarnation.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Hash)]
+pub struct PeerKey(pub u64);
+
+/// What one gateway holds at one endpoint.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Held {
+    /// Requests whose answer is or will be written there, by class of pause.
+    pub writers: [u16; PAUSE_CLASSES],
+    /// Parts of prompts of other endpoints that it reads.
+    pub parts: u16,
+    /// Calls of a plain service that run there.
+    pub calls: u16,
+    /// Memory that prompts and answers take, in tokens.
+    pub memory_tokens: u32,
+}
+
+impl Held {
+    /// Whether nothing is held.
+    pub fn is_empty(&self) -> bool {
+        *self == Self::default()
+    }
+
+    fn add(&mut self, other: &Held) {
+        for (own, more) in self.writers.iter_mut().zip(other.writers) {
+            *own = own.saturating_add(more);
+        }
+        self.parts = self.parts.saturating_add(other.parts);
+        self.calls = self.calls.saturating_add(other.calls);
+        self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
+    }
+
+    fn take(&mut self, other: &Held) {
+        for (own, less) in self.writers.iter_mut().zip(other.writers) {
+            *own = own.saturating_sub(less);
+        }
+        self.parts = self.parts.saturating_sub(other.parts);
+        self.calls = self.calls.saturating_sub(other.calls);
+        self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
+    }
+}
+
+/// The work of one endpoint.
+#[derive(Debug, Clone, Default)]
+struct Work {
+    own: Held,
+    peers: Held,
+    read_done_ms: f64,
+}
+
+#[derive(Debug, Default)]
+struct Peer {
+    heard_ms: f64,
+    held: Vec<(EndpointKey, Held)>,
+}
+
+/// The work of all endpoints, an arena by [`EndpointKey`].
+#[derive(Debug, Default)]
+pub struct Board {
+    work: Vec<Work>,
+    peers: HashMap<PeerKey, Peer>,
+}
+
+impl Board {
+    /// Nothing placed yet.
+    pub fn new() -> Self {
+        Self::default()
+    }
+
+    fn work_mut(&mut self, endpoint: EndpointKey) -> &mut Work {
+        let index = endpoint.0 as usize;
+        if index >= self.work.len() {
+            self.work.resize(index + 1, Work::default());
+        }
+        &mut self.work[index]
+    }
+
+    fn work(&self, endpoint: EndpointKey) -> Option<&Work> {
+        self.work.get(endpoint.0 as usize)
+    }
+
+    /// This gateway holds more at an endpoint.
+    pub fn hold(&mut self, endpoint: EndpointKey, held: &Held) {
+        self.work_mut(endpoint).own.add(held);
+    }
+
+    /// This gateway holds less at an endpoint.
+    pub fn let_go(&mut self, endpoint: EndpointKey, held: &Held) {
+        self.work_mut(endpoint).own.take(held);
+    }
+
+    /// Reading was placed, by this gateway or a peer.
+    pub fn read(&mut self, endpoint: EndpointKey, now_ms: f64, read_ms: f64) {
+        let work = self.work_mut(endpoint);
+        let start_ms = work.read_done_ms.max(now_ms);
+        work.read_done_ms = (start_ms + read_ms).min(now_ms + BACKLOG_MAX_MS);
+    }
+
+    /// Reading ended `early_ms` before the prediction (negative: after it), or was given up.
+    pub fn correct(&mut self, endpoint: EndpointKey, now_ms: f64, early_ms: f64) {
+        let work = self.work_mut(endpoint);
+        if work.read_done_ms > now_ms {
+            work.read_done_ms = (work.read_done_ms - early_ms).max(now_ms);
+        }
+    }
+
+    /// A peer said all that it holds.
+    pub fn hear(&mut self, peer: PeerKey, now_ms: f64, held: Vec<(EndpointKey, Held)>) {
+        let before = self.peers.remove(&peer).unwrap_or_default();
+        for (endpoint, old) in &before.held {
+            self.work_mut(*endpoint).peers.take(old);
+        }
+        for (endpoint, new) in &held {
+            self.work_mut(*endpoint).peers.add(new);
+        }
+        let heard_ms = now_ms;
+        self.peers.insert(peer, Peer { heard_ms, held });
+    }
+
+    /// Forgets peers that fell silent; answers who they were.
+    pub fn expire(&mut self, now_ms: f64) -> Vec<PeerKey> {
+        let silent = |peer: &Peer| now_ms - peer.heard_ms > PEER_SILENCE_MS;
+        let gone: Vec<PeerKey> = self
+            .peers
+            .iter()
+            .filter(|(_, peer)| silent(peer))
+            .map(|(key, _)| *key)
+            .collect();
+        for key in &gone {
+            self.hear(*key, now_ms, Vec::new());
+            self.peers.remove(key);
+        }
+        gone
+    }
+
+    /// How many peers have been heard of late.
+    pub fn peers(&self) -> usize {
+        self.peers.len()
+    }
+
+    /// What this gateway holds, without the endpoints at which it holds nothing.
+    pub fn own(&self) -> Vec<(EndpointKey, Held)> {
+        let mut all = Vec::new();
+        for (index, work) in self.work.iter().enumerate() {
+            if !work.own.is_empty() {
+                all.push((EndpointKey(index as u32), work.own));
+            }
+        }
+        all
+    }
+
+    /// What everybody holds at an endpoint.
+    pub fn held(&self, endpoint: EndpointKey) -> Held {
+        let Some(work) = self.work(endpoint) else {
+            return Held::default();
+        };
+        let mut held = work.own;
+        held.add(&work.peers);
+        held
+    }
+
+    /// Time until all reading placed so far should be done, in milliseconds.
+    pub fn backlog_ms(&self, endpoint: EndpointKey, now_ms: f64) -> f64 {
+        let done_ms = self.work(endpoint).map_or(0.0, |work| work.read_done_ms);
+        (done_ms - now_ms).max(0.0)
+    }
+}
--- /dev/null
+++ b/crates/mgs-placing/src/model.rs
@@ -0,0 +1,64 @@
+//! How long an engine takes, from the figures that its operator declares.
+
+/// The declared figures of the engines of one service.
+///
+/// An engine works in passes. A pass with at least one writing request makes `stride_steps` steps and
+/// then shows one event for each of them; what is read meanwhile lengthens the pass.
+#[derive(Debug, Clone, PartialEq)]
+pub struct EngineModel {
+    /// Requests that run at once.
+    pub slots: u32,
+    /// Memory for prompts and answers, in tokens.
+    pub memory_tokens: u64,
+    /// Steps of a pass that includes writers.
+    pub stride_steps: u32,
+    /// Time of one step, in milliseconds.
+    pub step_ms: f64,
+    /// Added to a step by each writing request, in milliseconds.
+    pub writer_step_ms: f64,
+    /// Added to a step by each 1,000 tokens of context of a writing request, in milliseconds.
+    pub context_step_ms_per_1k: f64,
+    /// Prompt tokens read in a millisecond, the cost of pairs aside.
+    pub read_tokens_per_ms: f64,
+    /// Cost of a million pairs of a token and an earlier one, in milliseconds.
+    pub pair_ms_per_million: f64,
+}
+
+impl Default for EngineModel {
+    /// The figures of the first deployments, for engines that declare none.
+    fn default() -> Self {
+        Self {
+            slots: 16,
+            memory_tokens: 300_000,
+            stride_steps: 51,
+            step_ms: 0.85,
+            writer_step_ms: 0.004,
+            context_step_ms_per_1k: 0.003,
+            read_tokens_per_ms: 177.0,
+            pair_ms_per_million: 0.184,
+        }
+    }
+}
+
+impl EngineModel {
+    /// Time to read a prompt on one idle engine, in milliseconds.
+    ///
+    /// ```
+    /// use mgs_placing::model::EngineModel;
+    ///
+    /// let model = EngineModel::default();
+    /// assert!((model.read_ms(45_000) - 440.0).abs() < 5.0);
+    /// ```
+    pub fn read_ms(&self, prompt_tokens: u64) -> f64 {
+        let tokens = prompt_tokens as f64;
+        let million_pairs = tokens * tokens / 2.0 / 1e6;
+        tokens / self.read_tokens_per_ms + million_pairs * self.pair_ms_per_million
+    }
+
+    /// Time of a pass that writes for `writers` requests and reads nothing, in milliseconds.
+    pub fn pass_ms(&self, writers: u32, context_tokens: u64) -> f64 {
+        let context_ms = context_tokens as f64 / 1e3 * self.context_step_ms_per_1k;
+        let step_ms = self.step_ms + f64::from(writers) * self.writer_step_ms + context_ms;
+        step_ms * f64::from(self.stride_steps)
+    }
+}
--- /dev/null
+++ b/crates/mgs-placing/src/plain.rs
@@ -0,0 +1,57 @@
+//! Which endpoint of a plain service takes a call.
+//!
+//! These calls are short and their endpoints run a few at once, so the least loaded one is right; among
+//! equals the near one saves a hop.
+
+use mgs_fleet::view::EndpointKey;
+
+use crate::board::Board;
+
+/// An endpoint that may take the call.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Candidate {
+    /// Its key.
+    pub key: EndpointKey,
+    /// Calls that it runs at once.
+    pub slots: u32,
+    /// Whether it is in the gateway's own availability zone.
+    pub near: bool,
+    /// Whether it is on trial after failures: taken only if it is idle or nobody else is left.
+    pub trial: bool,
+}
+
+/// Added to the load of an endpoint of another zone, in calls: a hop there and back takes about a tenth
+/// of a call.
+const FAR_CALLS: f64 = 0.1;
+
+/// Added to the load of an endpoint on trial, in calls.
+const TRIAL_CALLS: f64 = 2.0;
+
+/// The endpoint with the least load for its slots, or `None` without candidates.
+///
+/// ```
+/// use mgs_fleet::view::EndpointKey;
+/// use mgs_placing::board::Board;
+/// use mgs_placing::plain::choose;
+/// use mgs_placing::plain::Candidate;
+///
+/// let far = Candidate { key: EndpointKey(0), slots: 6, near: false, trial: false };
+/// let near = Candidate { key: EndpointKey(1), near: true, ..far };
+/// assert_eq!(choose(&[far, near], &Board::new()), Some(EndpointKey(1)));
+/// ```
+pub fn choose(candidates: &[Candidate], board: &Board) -> Option<EndpointKey> {
+    let load = |candidate: &Candidate| {
+        let mut calls = f64::from(board.held(candidate.key).calls);
+        if !candidate.near {
+            calls += FAR_CALLS;
+        }
+        if candidate.trial {
+            calls += TRIAL_CALLS;
+        }
+        calls / f64::from(candidate.slots.max(1))
+    };
+    let least = candidates
+        .iter()
+        .min_by(|a, b| load(a).total_cmp(&load(b)))?;
+    Some(least.key)
+}
--- /dev/null
+++ b/crates/mgs-placing/src/share.rs
@@ -0,0 +1,43 @@
+//! What gateways tell each other of the work that they have placed.
+//!
+//! A message carries the whole of what its sender holds, so a lost one does no harm beyond its age, and
+//! the reading placed since the one before it, of which a lost message loses the estimate only.
+//! Endpoints are named by a hash, since keys are a process's own.
+
+use serde::Deserialize;
+use serde::Serialize;
+
+use crate::board::Held;
+
+/// What is held at one endpoint.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct HeldAt {
+    /// Hash of the endpoint's identifier.
+    pub endpoint: u64,
+    /// What the sender holds there.
+    pub held: Held,
+}
+
+/// Reading placed at one endpoint since the last message.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ReadAt {
+    /// Hash of the endpoint's identifier.
+    pub endpoint: u64,
+    /// Predicted reading, in milliseconds.
+    pub read_ms: u16,
+}
+
+/// One message.
+#[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Beacon {
+    /// Incarnation of the sender.
+    pub from: u64,
+    /// Number of the message; an older one that arrives late is dropped.
+    pub sequence: u64,
+    /// Whether the sender is about to leave: what it holds no longer grows.
+    pub leaving: bool,
+    /// All that it holds.
+    pub held: Vec<HeldAt>,
+    /// Reading that it placed since its last message.
+    pub reads: Vec<ReadAt>,
+}
--- /dev/null
+++ b/crates/mgs-placing/src/split.rs
@@ -0,0 +1,124 @@
+//! Prompts that exceed the free memory of each engine: memory is reserved at several.
+//!
+//! The prompt fills the reservations in turn and the rest is kept by the first engine. All reservations
+//! are made before the prompt is sent, or none is kept; whoever gets only some gives them back at once,
+//! so nobody waits while holding and no two prompts can block each other.
+
+use crate::choose::NoPlace;
+use crate::choose::Placement;
+use crate::choose::Placing;
+use crate::choose::Reserve;
+use crate::survey::Survey;
+
+/// Most of an engine's free memory that is reserved: peers may have placed prompts there in the last
+/// milliseconds.
+const RESERVED_SHARE: f64 = 0.85;
+
+/// Least reservation that is worth a call, in tokens.
+const RESERVE_MIN_TOKENS: u64 = 8_000;
+
+/// Most of the first engine's free memory that the prompt's rest may take.
+const FIRST_SHARE: f64 = 0.8;
+
+/// Engines that read it, at most: the first and 15 helpers.
+pub(crate) fn place(placing: &Placing<'_>) -> Result<Placement, NoPlace> {
+    let needed = placing.need.memory_tokens() + placing.options.memory_spare_tokens;
+    let capacity = placing.model.memory_tokens * placing.surveys.len() as u64;
+    if (needed as f64) > capacity as f64 * RESERVED_SHARE {
+        return Err(NoPlace::TooLarge);
+    }
+    let first = roomiest(placing).ok_or_else(|| placing.full())?;
+    let at_first = (first.free_tokens as f64 * FIRST_SHARE) as u64;
+    let mut missing = needed.saturating_sub(at_first);
+    let mut holders = Vec::new();
+    let mut reserves = Vec::new();
+    for survey in by_room(placing, first) {
+        if missing == 0 || holders.len() + 1 >= placing.options.engines_max {
+            break;
+        }
+        let room = (survey.free_tokens as f64 * RESERVED_SHARE) as u64;
+        let tokens = room.min(missing.max(RESERVE_MIN_TOKENS));
+        if tokens < RESERVE_MIN_TOKENS {
+            continue;
+        }
+        missing = missing.saturating_sub(tokens);
+        holders.push(survey);
+        reserves.push(Reserve {
+            endpoint: survey.key,
+            tokens,
+        });
+    }
+    if missing > 0 {
+        return Err(placing.full());
+    }
+    let readers = readers(placing, first, holders);
+    let width = (readers.len() + 1) as f64;
+    let read_ms = placing.model.read_ms(placing.need.prompt_tokens) / width;
+    let ready_ms = |survey: &Survey| survey.ready_ms(read_ms);
+    let last_ms = readers.iter().map(|survey| ready_ms(survey));
+    let first_token_ms = last_ms.fold(ready_ms(first), f64::max);
+    let harm: f64 = readers.iter().map(|survey| survey.harm(read_ms)).sum();
+    Ok(Placement {
+        first: first.key,
+        helpers: readers.iter().map(|survey| survey.key).collect(),
+        reserves,
+        read_ms,
+        first_token_ms,
+        loss_units: harm + first.harm(read_ms),
+    })
+}
+
+fn roomiest<'a>(placing: &'a Placing<'_>) -> Option<&'a Survey> {
+    placing
+        .surveys
+        .iter()
+        .filter(|survey| placing.has_place(survey) && !survey.trial)
+        .max_by(|a, b| {
+            let room = |survey: &Survey| survey.free_tokens as f64 - short_writers_cost(survey);
+            room(a).total_cmp(&room(b))
+        })
+}
+
+/// Tokens of room that one short stream counts for: its pauses are what reading there would break.
+const SHORT_WRITER_TOKENS: f64 = 20_000.0;
+
+fn short_writers_cost(survey: &Survey) -> f64 {
+    f64::from(survey.writers[0]) * SHORT_WRITER_TOKENS
+}
+
+fn by_room<'a>(placing: &'a Placing<'_>, first: &Survey) -> Vec<&'a Survey> {
+    let mut others = helpers(placing, first);
+    others.sort_by(|a, b| {
+        let room = |survey: &Survey| survey.free_tokens as f64 - short_writers_cost(survey);
+        room(b).total_cmp(&room(a))
+    });
+    others
+}
+
+fn helpers<'a>(placing: &'a Placing<'_>, first: &Survey) -> Vec<&'a Survey> {
+    placing
+        .surveys
+        .iter()
+        .filter(|survey| survey.key != first.key && !survey.trial)
+        .filter(|survey| u32::from(survey.parts) + 1 < placing.model.slots)
+        .collect()
+}
+
+/// The holders, and besides as many engines as may read without short streams of their own.
+fn readers<'a>(
+    placing: &'a Placing<'_>,
+    first: &Survey,
+    holders: Vec<&'a Survey>,
+) -> Vec<&'a Survey> {
+    let mut readers = holders;
+    let mut others = helpers(placing, first);
+    others.retain(|survey| survey.writers[0] == 0);
+    others.sort_by(|a, b| a.backlog_ms.total_cmp(&b.backlog_ms));
+    for survey in others {
+        let known = readers.iter().any(|reader| reader.key == survey.key);
+        if !known && readers.len() + 1 < placing.options.engines_max {
+            readers.push(survey);
+        }
+    }
+    readers
+}
--- /dev/null
+++ b/crates/mgs-relay/src/client.rs
@@ -0,0 +1,101 @@
+//! Clients' connections.
+
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use hyper::server::conn::http1;
+use hyper::service::service_fn;
+use hyper_util::rt::TokioIo;
+use hyper_util::rt::TokioTimer;
+use socket2::Domain;
+use socket2::Protocol;
+use socket2::Socket;
+use socket2::Type;
+use tokio::net::TcpListener;
+use tokio::net::TcpStream;
+
+use crate::connect::describe;
+use crate::core::Core;
+use crate::drain::Phase;
+use crate::serve::serve;
+
+/// Connections that the system may have ready for us: a burst after a stall of some hundred
+/// milliseconds.
+const BACKLOG: i32 = 1_024;
+
+/// Least buffer for a head that hyper works with, in bytes.
+const HEAD_BUFFER_MIN_BYTES: usize = 8_192;
+
+/// Time that a connection outlives the idle limit told to clients, in milliseconds: a request that was
+/// sent at the last moment is still read.
+const IDLE_GRACE_MS: u64 = 1_000;
+
+/// Wait after a failure to accept, as when descriptors run out.
+const ACCEPT_PAUSE: Duration = Duration::from_millis(20);
+
+/// Opens a listening socket.
+pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
+    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    socket.set_reuse_address(true)?;
+    socket.set_nonblocking(true)?;
+    socket.bind(&address.into())?;
+    socket.listen(BACKLOG)?;
+    TcpListener::from_std(socket.into())
+}
+
+/// Takes clients' connections until the process ends. While it leaves, connections still come in for as
+/// long as the balancer hasn't noticed.
+pub(crate) async fn accept(core: Rc<Core>, listener: TcpListener) {
+    loop {
+        match listener.accept().await {
+            Ok((stream, _)) => {
+                tokio::task::spawn_local(converse(core.clone(), stream));
+            }
+            Err(error) => {
+                log::warn!(error:% = error; "a connection can't be accepted");
+                tokio::time::sleep(ACCEPT_PAUSE).await;
+            }
+        }
+    }
+}
+
+async fn converse(core: Rc<Core>, stream: TcpStream) {
+    if let Err(error) = stream.set_nodelay(true) {
+        log::debug!(error:% = error; "a connection's options can't be set");
+    }
+    let limits = core
+        .published
+        .configuration()
+        .map(|configuration| configuration.limits)
+        .unwrap_or_default();
+    // hyper's one limit covers both the time between requests and that for a head.
+    let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms) + IDLE_GRACE_MS;
+    let serving = core.clone();
+    let service = service_fn(move |request| serve(serving.clone(), request));
+    let connection = http1::Builder::new()
+        .timer(TokioTimer::new())
+        .header_read_timeout(Duration::from_millis(idle_ms))
+        .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
+        .serve_connection(TokioIo::new(stream), service);
+    let mut connection = std::pin::pin!(connection);
+    let mut phase = core.drain.watch();
+    core.metrics.open_connections.inc();
+    let leaving = phase.wait_for(|phase| *phase == Phase::Ending);
+    let ended = tokio::select! {
+        ended = connection.as_mut() => Some(ended),
+        _ = leaving => None,
+    };
+    let ended = match ended {
+        Some(ended) => ended,
+        None => {
+            connection.as_mut().graceful_shutdown();
+            connection.await
+        }
+    };
+    core.metrics.open_connections.dec();
+    if let Err(error) = ended {
+        log::debug!(error = describe(&error); "a client's connection ended");
+    }
+}
--- /dev/null
+++ b/crates/mgs-relay/src/connect.rs
@@ -0,0 +1,120 @@
+//! Connections to endpoints, one for each call: an answer that comes twice or late then belongs to no
+//! other request, and closing the connection ends the work.
+
+use std::net::SocketAddr;
+use std::time::Duration;
+
+use bytes::Bytes;
+use displaydoc::Display;
+use http::Request;
+use http::Response;
+use http_body_util::Full;
+use hyper::body::Incoming;
+use hyper::client::conn::http1;
+use hyper::client::conn::http1::SendRequest;
+use hyper_util::rt::TokioIo;
+use socket2::SockRef;
+use socket2::TcpKeepalive;
+use tokio::net::TcpStream;
+use tokio::task::AbortHandle;
+use tokio::time::timeout;
+
+/// Bytes that aren't acknowledged for this long end a connection: a host behind a cut link, or one
+/// without power. Some round trips and two lost packets.
+const UNACKNOWLEDGED: Duration = Duration::from_millis(1_500);
+
+/// Time of silence before probes are sent, and between them.
+const PROBE: Duration = Duration::from_secs(1);
+
+/// Why a call has no answer.
+#[derive(Debug, Clone, PartialEq, Eq, Display)]
+pub(crate) enum CallError {
+    /// no connection: {0}
+    NotConnected(String),
+    /// the connection ended before the request was sent: {0}
+    NotSent(String),
+    /// no usable answer: {0}
+    NoAnswer(String),
+}
+
+impl CallError {
+    /// Whether the endpoint can't have seen the request.
+    pub(crate) fn is_unsent(&self) -> bool {
+        !matches!(self, Self::NoAnswer(_))
+    }
+}
+
+/// A connection; dropping it closes it.
+#[derive(Debug)]
+pub(crate) struct Connection {
+    sender: SendRequest<Full<Bytes>>,
+    task: AbortHandle,
+}
+
+impl Drop for Connection {
+    fn drop(&mut self) {
+        self.task.abort();
+    }
+}
+
+impl Connection {
+    /// Connects within `within`.
+    pub(crate) async fn open(address: SocketAddr, within: Duration) -> Result<Self, CallError> {
+        let connecting = TcpStream::connect(address);
+        let stream = match timeout(within, connecting).await {
+            Ok(Ok(stream)) => stream,
+            Ok(Err(error)) => return Err(CallError::NotConnected(error.to_string())),
+            Err(_) => return Err(CallError::NotConnected("timed out".to_string())),
+        };
+        if let Err(error) = tune(&stream) {
+            log::warn!(error:% = error; "a connection's options can't be set");
+        }
+        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let (sender, connection) =
+            handshake.map_err(|error| CallError::NotConnected(error.to_string()))?;
+        let task = tokio::task::spawn_local(async move {
+            // How the connection ended reaches whoever waits for the answer.
+            let _ = connection.await;
+        });
+        Ok(Self {
+            sender,
+            task: task.abort_handle(),
+        })
+    }
+
+    /// Sends a request and waits for the head of its answer.
+    pub(crate) async fn send(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<Response<Incoming>, CallError> {
+        let request = request.map(Full::new);
+        match self.sender.try_send_request(request).await {
+            Ok(response) => Ok(response),
+            Err(mut error) => {
+                let unsent = error.take_message().is_some();
+                let reason = describe(error.error());
+                if unsent {
+                    return Err(CallError::NotSent(reason));
+                }
+                Err(CallError::NoAnswer(reason))
+            }
+        }
+    }
+}
+
+/// An error with what caused it.
+pub(crate) fn describe(error: &hyper::Error) -> String {
+    let cause = std::error::Error::source(error);
+    match cause {
+        Some(cause) => format!("{error}: {cause}"),
+        None => error.to_string(),
+    }
+}
+
+fn tune(stream: &TcpStream) -> std::io::Result<()> {
+    stream.set_nodelay(true)?;
+    let socket = SockRef::from(stream);
+    socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
+    let probes = TcpKeepalive::new().with_time(PROBE).with_interval(PROBE);
+    socket.set_tcp_keepalive(&probes.with_retries(2))
+}
--- /dev/null
+++ b/crates/mgs-relay/src/core.rs
@@ -0,0 +1,84 @@
+//! What all requests of a relay share. One thread owns it.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::sync::Arc;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::board::Board;
+use mgs_routing::outlier::Outliers;
+use rand::Rng;
+use rand_chacha::ChaCha8Rng;
+use tokio::sync::Notify;
+
+use crate::budget::Budget;
+use crate::dialect::Dialect;
+use crate::drain::Drain;
+use crate::metrics::Metrics;
+use crate::relay::Options;
+use crate::view::Published;
+
+/// Reading placed here that peers haven't been told of.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct FreshRead {
+    pub(crate) endpoint: EndpointKey,
+    pub(crate) read_ms: f64,
+}
+
+/// The shared state.
+pub(crate) struct Core {
+    pub(crate) options: Options,
+    pub(crate) dialect: Box<dyn Dialect>,
+    pub(crate) published: Arc<Published>,
+    pub(crate) board: RefCell<Board>,
+    pub(crate) fresh_reads: RefCell<Vec<FreshRead>>,
+    /// Wakes the one who tells peers.
+    pub(crate) board_changed: Notify,
+    pub(crate) outliers: Outliers,
+    pub(crate) budget: RefCell<Budget>,
+    pub(crate) metrics: Metrics,
+    pub(crate) drain: Drain,
+    /// Most gateways known at once of late, this one included.
+    pub(crate) gateways: Cell<usize>,
+    pub(crate) random: RefCell<ChaCha8Rng>,
+    /// Number of the last memory reservation.
+    pub(crate) reservations: Cell<u64>,
+    /// This process, among its predecessors and peers.
+    pub(crate) incarnation: u64,
+}
+
+impl Core {
+    pub(crate) fn now_ms(&self) -> f64 {
+        self.published.now_exact_ms()
+    }
+
+    /// The same in whole milliseconds, for beliefs that are kept for long.
+    pub(crate) fn now_whole_ms(&self) -> u64 {
+        self.published.now_ms()
+    }
+
+    /// A number from 0 up to `below`.
+    pub(crate) fn random_below(&self, below: u32) -> u32 {
+        if below == 0 {
+            return 0;
+        }
+        self.random.borrow_mut().next_u32() % below
+    }
+
+    /// Reading was placed by this gateway.
+    pub(crate) fn place_read(&self, endpoint: EndpointKey, read_ms: f64) {
+        let now_ms = self.now_ms();
+        self.board.borrow_mut().read(endpoint, now_ms, read_ms);
+        self.fresh_reads
+            .borrow_mut()
+            .push(FreshRead { endpoint, read_ms });
+        self.board_changed.notify_one();
+    }
+
+    /// Takes one second try of the budget.
+    pub(crate) fn may_try_again(&self, service: &str) -> bool {
+        let now_ms = self.now_ms();
+        let gateways = self.gateways.get();
+        self.budget.borrow_mut().again(service, now_ms, gateways)
+    }
+}
--- /dev/null
+++ b/crates/mgs-relay/src/grant.rs
@@ -0,0 +1,71 @@
+//! What one dispatch holds on the board, given back when it ends in any way.
+
+use std::rc::Rc;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::board::Held;
+
+use crate::core::Core;
+
+/// What one dispatch holds.
+pub(crate) struct Grant {
+    core: Rc<Core>,
+    held: Vec<(EndpointKey, Held)>,
+    /// Reading that isn't known to be done, in milliseconds at each endpoint.
+    read_ms: f64,
+    readers: Vec<EndpointKey>,
+    /// When the first token is predicted, on the process's clock; 0 without a prediction.
+    pub(crate) first_token_at_ms: f64,
+}
+
+impl Grant {
+    /// Holds the places and announces the reading.
+    pub(crate) fn take(
+        core: &Rc<Core>,
+        held: Vec<(EndpointKey, Held)>,
+        readers: Vec<EndpointKey>,
+        read_ms: f64,
+        first_token_at_ms: f64,
+    ) -> Self {
+        for (endpoint, what) in &held {
+            core.board.borrow_mut().hold(*endpoint, what);
+        }
+        for endpoint in &readers {
+            core.place_read(*endpoint, read_ms);
+        }
+        core.board_changed.notify_one();
+        Self {
+            core: core.clone(),
+            held,
+            read_ms,
+            readers,
+            first_token_at_ms,
+        }
+    }
+
+    /// The first token came: all parts have been read.
+    pub(crate) fn first_token(&mut self) {
+        self.readers.clear();
+        let mut board = self.core.board.borrow_mut();
+        let is_part = |held: &Held| held.parts > 0;
+        for (endpoint, held) in self.held.iter().filter(|(_, held)| is_part(held)) {
+            board.let_go(*endpoint, held);
+        }
+        self.held.retain(|(_, held)| !is_part(held));
+        self.core.board_changed.notify_one();
+    }
+}
+
+impl Drop for Grant {
+    fn drop(&mut self) {
+        let now_ms = self.core.now_ms();
+        let mut board = self.core.board.borrow_mut();
+        for (endpoint, held) in &self.held {
+            board.let_go(*endpoint, held);
+        }
+        for endpoint in &self.readers {
+            board.correct(*endpoint, now_ms, self.read_ms);
+        }
+        self.core.board_changed.notify_one();
+    }
+}
--- /dev/null
+++ b/crates/mgs-relay/src/metrics.rs
@@ -0,0 +1,93 @@
+//! Counters and histograms of the path of a request.
+
+use mgs_observe::metrics::Counter;
+use mgs_observe::metrics::Counters;
+use mgs_observe::metrics::Gauge;
+use mgs_observe::metrics::HistogramMs;
+use mgs_observe::metrics::HistogramsMs;
+use mgs_observe::metrics::Registry;
+
+/// Prompt lengths by which the first token's time is told apart, in tokens, with their labels.
+const LENGTHS: [(u64, &str); 4] = [
+    (1, "none"),
+    (16_000, "under_16k"),
+    (100_000, "16k_to_100k"),
+    (u64::MAX, "over_100k"),
+];
+
+/// The metrics of one relay.
+#[derive(Debug, Clone)]
+pub struct Metrics {
+    /// Requests by outcome.
+    pub(crate) requests: Counters,
+    /// Requests that ended without an endpoint's answer, by reason.
+    pub(crate) refusals: Counters,
+    /// Second tries, by reason.
+    pub(crate) retries: Counters,
+    /// Dispatches, by how they ended.
+    pub(crate) dispatches: Counters,
+    /// Streams that broke off, by reason.
+    pub(crate) broken: Counters,
+    /// Memory reservations, by outcome.
+    pub(crate) reservations: Counters,
+    /// Open requests.
+    pub(crate) open_requests: Gauge,
+    /// Open connections of clients.
+    pub(crate) open_connections: Gauge,
+    /// Peers heard of late.
+    pub(crate) peers: Gauge,
+    /// Version of the configuration in force.
+    pub(crate) configuration_version: Gauge,
+    /// Age of the configuration's last confirmation, in milliseconds; -1 if it never was.
+    pub(crate) configuration_age_ms: Gauge,
+    /// Age of the fleet's last confirmation, in milliseconds; -1 if it never was.
+    pub(crate) fleet_age_ms: Gauge,
+    /// Endpoints known.
+    pub(crate) endpoints: Gauge,
+    /// Times to the first event or answer, by length of the prompt.
+    pub(crate) first_token_ms: HistogramsMs,
+    /// Predicted less actual time to the first token, where it came later than predicted.
+    pub(crate) late_by_ms: HistogramMs,
+    /// Pauses between events.
+    pub(crate) pause_ms: HistogramMs,
+    /// Times to connect to an endpoint.
+    pub(crate) connect_ms: HistogramMs,
+    /// Messages of peers that couldn't be read or sent.
+    pub(crate) peer_faults: Counter,
+}
+
+impl Metrics {
+    /// Registers the metrics.
+    pub fn new(registry: &Registry) -> Self {
+        Self {
+            requests: registry.counters("relay_requests", "Requests, by outcome", "outcome"),
+            refusals: registry.counters("relay_refusals", "Requests without an answer", "reason"),
+            retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
+            dispatches: registry.counters("relay_dispatches", "Dispatches, by end", "end"),
+            broken: registry.counters("relay_broken_streams", "Streams that broke off", "reason"),
+            reservations: registry.counters("relay_reservations", "Reservations", "outcome"),
+            open_requests: registry.gauge("relay_open_requests", "Open requests"),
+            open_connections: registry.gauge("relay_open_connections", "Clients' connections"),
+            peers: registry.gauge("relay_peers", "Peers heard of late"),
+            configuration_version: registry.gauge("relay_configuration_version", "In force"),
+            configuration_age_ms: registry.gauge("relay_configuration_age_ms", "Since confirmed"),
+            fleet_age_ms: registry.gauge("relay_fleet_age_ms", "Since confirmed"),
+            endpoints: registry.gauge("relay_endpoints", "Endpoints known"),
+            first_token_ms: registry.histograms_ms(
+                "relay_first_token_ms",
+                "Time to the first event or the answer, by prompt length",
+                "length",
+            ),
+            late_by_ms: registry.histogram_ms("relay_late_by_ms", "First token after prediction"),
+            pause_ms: registry.histogram_ms("relay_pause_ms", "Pauses between events"),
+            connect_ms: registry.histogram_ms("relay_connect_ms", "Connecting to an endpoint"),
+            peer_faults: registry.counter("relay_peer_faults", "Unusable messages of peers"),
+        }
+    }
+}
+
+/// Label of a prompt's length.
+pub(crate) fn length(prompt_tokens: u64) -> &'static str {
+    let fits = |(below, _): &&(u64, &str)| prompt_tokens < *below;
+    LENGTHS.iter().find(fits).map_or("over_100k", |(_, label)| label)
+}
--- /dev/null
+++ b/crates/mgs-relay/src/place.rs
@@ -0,0 +1,258 @@
+//! From a request to the endpoints that serve it: the fleet and the board put before `mgs-placing`.
+
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::board::Held;
+use mgs_placing::choose;
+use mgs_placing::choose::choose;
+use mgs_placing::choose::NoPlace;
+use mgs_placing::choose::Placement;
+use mgs_placing::model::EngineModel;
+use mgs_placing::need::Need;
+use mgs_placing::plain;
+use mgs_routing::outlier::Standing;
+
+use crate::core::Core;
+use crate::dialect::Helper;
+use crate::fault::Fault;
+use crate::fault::Refusal;
+use crate::grant::Grant;
+use crate::memory::Reservations;
+use crate::view::Endpoint;
+use crate::view::Fleet;
+
+/// Least time after which a client is asked to come back, in milliseconds: a few answers have ended by
+/// then, and a client that returns sooner only meets the same load.
+const RETRY_AFTER_MIN_MS: u64 = 150;
+
+/// Most time after which a client is asked to come back, in milliseconds.
+const RETRY_AFTER_MAX_MS: u64 = 3_000;
+
+/// When clients may come back if no endpoint is known, in milliseconds: the fleet is read each second or
+/// two.
+const RETRY_AFTER_NO_ENDPOINT_MS: u64 = 500;
+
+/// How many times a prompt's memory is asked for anew, at other engines, before its client is asked to
+/// come back.
+const RESERVE_TRIES: usize = 3;
+
+/// Where a dispatch goes and what it holds.
+pub(crate) struct Placed {
+    pub(crate) endpoint: Arc<Endpoint>,
+    pub(crate) helpers: Vec<Helper>,
+    pub(crate) helper_keys: Vec<EndpointKey>,
+    pub(crate) grant: Grant,
+    /// Kept until the request ends.
+    pub(crate) _reservations: Reservations,
+    /// Predicted time to the first token, in milliseconds; 0 without a prediction.
+    pub(crate) first_token_ms: f64,
+}
+
+/// Endpoints that already failed this request.
+pub(crate) type Tried = Vec<EndpointKey>;
+
+/// Endpoints of a service that may take something now. Those that were tried or are passed over count
+/// only if there is no other.
+fn usable(core: &Core, fleet: &Fleet, service: &str, tried: &Tried) -> Vec<Arc<Endpoint>> {
+    let present: Vec<Arc<Endpoint>> = fleet
+        .of_service(service)
+        .iter()
+        .filter(|endpoint| !endpoint.is_leaving)
+        .cloned()
+        .collect();
+    core.outliers.known(present.len());
+    let now_ms = core.now_whole_ms();
+    let stands = |endpoint: &Arc<Endpoint>| {
+        core.outliers.standing(endpoint.key, now_ms) != Standing::Ejected
+    };
+    let fresh = |endpoint: &Arc<Endpoint>| !tried.contains(&endpoint.key);
+    let best = present.iter().filter(|e| stands(e) && fresh(e));
+    let best: Vec<Arc<Endpoint>> = best.cloned().collect();
+    if !best.is_empty() {
+        return best;
+    }
+    let untried: Vec<Arc<Endpoint>> = present.iter().filter(|e| fresh(e)).cloned().collect();
+    if !untried.is_empty() {
+        return untried;
+    }
+    present
+}
+
+fn on_trial(core: &Core, endpoint: &Endpoint) -> bool {
+    let now_ms = core.now_whole_ms();
+    core.outliers.standing(endpoint.key, now_ms) != Standing::Good
+}
+
+/// Places a call of a plain service.
+pub(crate) fn plain(core: &Rc<Core>, service: &str, tried: &Tried) -> Result<Placed, Refusal> {
+    let fleet = core.published.fleet();
+    let endpoints = usable(core, &fleet, service, tried);
+    let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
+        key: endpoint.key,
+        slots: endpoint.slots,
+        near: endpoint.zone == core.options.zone,
+        trial: on_trial(core, endpoint),
+    };
+    let candidates: Vec<plain::Candidate> = endpoints.iter().map(candidate).collect();
+    let chosen = plain::choose(&candidates, &core.board.borrow());
+    let endpoint = chosen
+        .and_then(|key| fleet.by_key.get(&key))
+        .ok_or_else(no_endpoint)?;
+    let held = Held {
+        calls: 1,
+        ..Held::default()
+    };
+    let grant = Grant::take(core, vec![(endpoint.key, held)], Vec::new(), 0.0, 0.0);
+    Ok(Placed {
+        endpoint: endpoint.clone(),
+        helpers: Vec::new(),
+        helper_keys: Vec::new(),
+        grant,
+        _reservations: Reservations::none(core),
+        first_token_ms: 0.0,
+    })
+}
+
+fn no_endpoint() -> Refusal {
+    Refusal::after(Fault::NoEndpoint, RETRY_AFTER_NO_ENDPOINT_MS)
+}
+
+/// Places a prompt.
+pub(crate) async fn prompt(
+    core: &Rc<Core>,
+    service: &str,
+    model: &EngineModel,
+    need: &Need,
+    tried: &Tried,
+    request_id: &str,
+) -> Result<Placed, Refusal> {
+    let mut avoided = tried.clone();
+    for _ in 0..RESERVE_TRIES {
+        let fleet = core.published.fleet();
+        let placement = choose_engines(core, &fleet, service, model, need, &avoided)?;
+        log_placement(core, request_id, &fleet, need, &placement);
+        let grant = hold(core, need, &placement);
+        if placement.reserves.is_empty() {
+            let none = Reservations::none(core);
+            return placed(&fleet, placement, grant, none);
+        }
+        if let Some(taken) = Reservations::take(core, &fleet, &placement.reserves).await {
+            return placed(&fleet, placement, grant, taken);
+        }
+        // Whoever had no room has less than the board says.
+        avoided.push(placement.first);
+    }
+    Err(Refusal::after(Fault::Full, RETRY_AFTER_MIN_MS))
+}
+
+fn choose_engines(
+    core: &Rc<Core>,
+    fleet: &Fleet,
+    service: &str,
+    model: &EngineModel,
+    need: &Need,
+    tried: &Tried,
+) -> Result<Placement, Refusal> {
+    let endpoints = usable(core, fleet, service, tried);
+    let candidate = |endpoint: &Arc<Endpoint>| choose::Candidate {
+        key: endpoint.key,
+        slowness: core.outliers.slowness(endpoint.key),
+        trial: on_trial(core, endpoint),
+    };
+    let candidates: Vec<choose::Candidate> = endpoints.iter().map(candidate).collect();
+    let board = core.board.borrow();
+    let options = &core.options.placing;
+    choose(need, &candidates, &board, model, options, core.now_ms()).map_err(refuse)
+}
+
+fn refuse(no_place: NoPlace) -> Refusal {
+    let after = |backlog_ms: f64| (backlog_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+    match no_place {
+        NoPlace::NoEndpoint => no_endpoint(),
+        NoPlace::TooLarge => Refusal::of(Fault::TooLarge),
+        NoPlace::TooLate { backlog_ms } => Refusal::after(Fault::TooLate, after(backlog_ms)),
+        NoPlace::Full { backlog_ms } => Refusal::after(Fault::Full, after(backlog_ms)),
+    }
+}
+
+fn hold(core: &Rc<Core>, need: &Need, placement: &Placement) -> Grant {
+    let mut writer = Held::default();
+    writer.writers[need.pause_class()] = 1;
+    let reserved: u64 = placement.reserves.iter().map(|r| r.tokens).sum();
+    let at_first = need.memory_tokens().saturating_sub(reserved);
+    writer.memory_tokens = small(at_first);
+    let mut held = vec![(placement.first, writer)];
+    for reserve in &placement.reserves {
+        let memory = Held {
+            memory_tokens: small(reserve.tokens),
+            ..Held::default()
+        };
+        held.push((reserve.endpoint, memory));
+    }
+    let part = Held {
+        parts: 1,
+        ..Held::default()
+    };
+    held.extend(placement.helpers.iter().map(|key| (*key, part)));
+    let mut readers = placement.helpers.clone();
+    readers.push(placement.first);
+    let first_token_at_ms = core.now_ms() + placement.first_token_ms;
+    Grant::take(core, held, readers, placement.read_ms, first_token_at_ms)
+}
+
+fn small(tokens: u64) -> u32 {
+    u32::try_from(tokens).unwrap_or(u32::MAX)
+}
+
+fn placed(
+    fleet: &Fleet,
+    placement: Placement,
+    grant: Grant,
+    reservations: Reservations,
+) -> Result<Placed, Refusal> {
+    let address_of = |key: &EndpointKey| fleet.by_key.get(key).map(|e| e.address);
+    let first = fleet.by_key.get(&placement.first).ok_or_else(no_endpoint)?;
+    // Reservations are filled in turn, so their holders come first, as placed.
+    let addresses: Vec<SocketAddr> = placement.helpers.iter().filter_map(address_of).collect();
+    let helper = |address: SocketAddr| Helper {
+        address,
+        reservation: reservations.at(address),
+    };
+    let helpers = addresses.into_iter().map(helper).collect();
+    Ok(Placed {
+        endpoint: first.clone(),
+        helpers,
+        helper_keys: placement.helpers,
+        grant,
+        _reservations: reservations,
+        first_token_ms: placement.first_token_ms,
+    })
+}
+
+fn log_placement(
+    core: &Core,
+    request_id: &str,
+    fleet: &Fleet,
+    need: &Need,
+    placement: &Placement,
+) {
+    let first = fleet.by_key.get(&placement.first);
+    let endpoint = first.map_or("gone", |endpoint| endpoint.id.as_str());
+    log::info!(
+        request_id = request_id,
+        endpoint = endpoint,
+        prompt_tokens = need.prompt_tokens,
+        output_tokens = need.output_tokens,
+        engines = placement.helpers.len() + 1,
+        reservations = placement.reserves.len(),
+        read_ms = placement.read_ms as u64,
+        predicted_first_token_ms = placement.first_token_ms as u64,
+        left_ms = need.left_ms as u64,
+        fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX),
+        peers = core.board.borrow().peers();
+        "placed"
+    );
+}
--- /dev/null
+++ b/crates/mgs-relay/src/pursue.rs
@@ -0,0 +1,405 @@
+//! The pursuit of one request: dispatches until one is answered or nothing may be tried any more.
+
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request;
+use http::response;
+use http::Request;
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::model::EngineModel;
+use mgs_placing::need::Need;
+use tokio::time::timeout;
+use tokio::time::Instant;
+
+use crate::attempt;
+use crate::attempt::Ended;
+use crate::attempt::Stream;
+use crate::core::Core;
+use crate::dialect::Ask;
+use crate::dialect::Dispatch;
+use crate::fault::Fault;
+use crate::fault::Refusal;
+use crate::place;
+use crate::place::Placed;
+use crate::place::Tried;
+use crate::view::Endpoint;
+use crate::view::Organisation;
+use crate::view::Route;
+
+/// Dispatches of one request in all, those that didn't run included.
+const DISPATCHES_MAX: u32 = 4;
+
+/// An endpoint whose first event is this much later than predicted, as a factor, is silent.
+const SILENT_FACTOR: f64 = 3.0;
+
+/// And at least this much later, in milliseconds: work that depends on a lost engine is given up by the
+/// engines after 1.5 s, with a proof; that is better than our guess.
+const SILENT_MIN_MS: f64 = 1_900.0;
+
+/// Share of what is left of its time that one dispatch of an idempotent call may take, if there may be
+/// another one: a dispatch that hangs leaves time for it.
+const DISPATCH_SHARE: f64 = 0.5;
+
+/// When a client may come back after endpoints refused, in milliseconds.
+const RETRY_AFTER_REFUSED_MS: u64 = 200;
+
+/// Lengths of reading that set the rank of prompts of one priority apart, in milliseconds: a short one
+/// goes before a long one, which loses little by it.
+const RANK_READ_MS: [f64; 2] = [100.0, 1_000.0];
+
+/// Ranks of each priority.
+const RANKS_PER_PRIORITY: u8 = 3;
+
+/// Lowest rank that engines know.
+const RANK_MAX: u8 = 9;
+
+/// One request and what has been tried.
+pub(crate) struct Pursuit {
+    pub(crate) core: Rc<Core>,
+    pub(crate) ask: Ask,
+    pub(crate) head: request::Parts,
+    pub(crate) body: Bytes,
+    pub(crate) route: Arc<Route>,
+    pub(crate) organisation: Option<Arc<Organisation>>,
+    pub(crate) service: String,
+    pub(crate) model: Option<EngineModel>,
+    pub(crate) arrived: Instant,
+    pub(crate) deadline: Instant,
+    pub(crate) progress: Progress,
+}
+
+/// What has been tried so far.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Progress {
+    /// Dispatches made.
+    pub(crate) dispatches: u32,
+    /// Dispatches that may have run.
+    pub(crate) runs: u32,
+    /// Whether one is under way.
+    pub(crate) in_flight: bool,
+    tried: Tried,
+}
+
+/// A usable answer.
+pub(crate) enum Got {
+    Whole {
+        head: response::Parts,
+        body: Bytes,
+        endpoint: Arc<Endpoint>,
+    },
+    Stream {
+        head: response::Parts,
+        stream: Stream,
+        placed: Placed,
+    },
+}
+
+impl Pursuit {
+    /// What is left of the time.
+    pub(crate) fn left(&self) -> Duration {
+        self.deadline.saturating_duration_since(Instant::now())
+    }
+
+    /// The fault if the time is up now.
+    pub(crate) fn timed_out(&self) -> Refusal {
+        let may_have_run = self.progress.in_flight || self.progress.runs > 0;
+        let fault = match may_have_run {
+            true => Fault::TimeoutRunning,
+            false => Fault::TimeoutBefore,
+        };
+        Refusal::of(fault)
+    }
+
+    /// Dispatches until there is an answer. `last_event_id`: the last event passed on, if a stream
+    /// is continued.
+    pub(crate) async fn run(&mut self, last_event_id: Option<&str>) -> Result<Got, Refusal> {
+        loop {
+            let placed = self.place().await.map_err(|refusal| self.honest(refusal))?;
+            let failed = match self.dispatch(placed, last_event_id).await {
+                Ok(got) => return Ok(got),
+                Err(failed) => failed,
+            };
+            self.core.metrics.dispatches.inc(failed.name);
+            if self.may_try_again(&failed) {
+                self.core.metrics.retries.inc(failed.name);
+                continue;
+            }
+            return failed.end(self.progress.runs);
+        }
+    }
+
+    /// A refusal for lack of room after an earlier dispatch may have run isn't one.
+    fn honest(&self, refusal: Refusal) -> Refusal {
+        if self.progress.runs > 0 {
+            return Refusal::of(Fault::Unknown);
+        }
+        refusal
+    }
+
+    async fn place(&self) -> Result<Placed, Refusal> {
+        let tried = &self.progress.tried;
+        let Some(model) = &self.model else {
+            return place::plain(&self.core, &self.service, tried);
+        };
+        let need = self.need();
+        let id = &self.ask.request_id;
+        place::prompt(&self.core, &self.service, model, &need, tried, id).await
+    }
+
+    fn need(&self) -> Need {
+        let waited_ms = self.arrived.elapsed().as_secs_f64() * 1e3;
+        Need {
+            prompt_tokens: self.ask.prompt_tokens,
+            output_tokens: self.ask.output_tokens,
+            pause_ms: self.route.pause_ms as f64,
+            aim_ms: (self.route.aim_ms as f64 - waited_ms).max(1.0),
+            left_ms: self.left().as_secs_f64() * 1e3,
+        }
+    }
+
+    async fn dispatch(
+        &mut self,
+        mut placed: Placed,
+        last_event_id: Option<&str>,
+    ) -> Result<Got, Failed> {
+        let request = self.request(&placed, last_event_id);
+        let endpoint = placed.endpoint.clone();
+        self.progress.dispatches += 1;
+        self.progress.in_flight = true;
+        if self.progress.dispatches == 1 {
+            let now_ms = self.core.now_ms();
+            self.core.budget.borrow_mut().first(&self.service, now_ms);
+        }
+        let start = Instant::now();
+        let is_streaming = self.route.kind.is_streaming();
+        let sending = attempt::send(&self.core, endpoint.address, request, &self.ask, is_streaming);
+        let ended = match timeout(self.patience(&placed), sending).await {
+            Ok(ended) => ended,
+            Err(_) => Ended::Unknown {
+                why: "silent".to_string(),
+            },
+        };
+        self.progress.in_flight = false;
+        let took_ms = start.elapsed().as_millis() as u64;
+        self.note(&placed, &ended, took_ms);
+        match ended {
+            Ended::Whole { head, body } => self.judge_whole(head, body, endpoint),
+            Ended::Started { head, stream } => {
+                placed.grant.first_token();
+                self.progress.runs += 1;
+                Ok(Got::Stream {
+                    head,
+                    stream,
+                    placed,
+                })
+            }
+            Ended::NotRun { why, .. } => {
+                self.progress.tried.push(endpoint.key);
+                Err(Failed::not_run(why))
+            }
+            Ended::Unknown { .. } => {
+                self.progress.runs += 1;
+                self.progress.tried.push(endpoint.key);
+                Err(Failed::unknown("unknown"))
+            }
+        }
+    }
+
+    /// A failure that the endpoint itself answers is passed on, unless another one may do better.
+    fn judge_whole(
+        &mut self,
+        head: response::Parts,
+        body: Bytes,
+        endpoint: Arc<Endpoint>,
+    ) -> Result<Got, Failed> {
+        self.progress.runs += 1;
+        if !head.status.is_server_error() {
+            return Ok(Got::Whole {
+                head,
+                body,
+                endpoint,
+            });
+        }
+        self.progress.tried.push(endpoint.key);
+        Err(Failed {
+            name: "endpoint_error",
+            may_have_run: true,
+            answer: Some(Got::Whole {
+                head,
+                body,
+                endpoint,
+            }),
+        })
+    }
+
+    /// How long to wait for the first sign of an answer.
+    fn patience(&self, placed: &Placed) -> Duration {
+        let left = self.left();
+        if !self.may_repeat() || self.progress.runs + 1 >= self.route.attempts_max {
+            return left;
+        }
+        if self.route.kind.is_streaming() {
+            let silent_ms = (placed.first_token_ms * SILENT_FACTOR).max(SILENT_MIN_MS);
+            return left.min(Duration::from_secs_f64(silent_ms / 1e3));
+        }
+        left.mul_f64(DISPATCH_SHARE)
+    }
+
+    fn may_repeat(&self) -> bool {
+        self.route.kind.is_repeatable()
+    }
+
+    fn may_try_again(&self, failed: &Failed) -> bool {
+        if self.left().is_zero() || self.progress.dispatches >= DISPATCHES_MAX {
+            return false;
+        }
+        if failed.may_have_run && !self.may_repeat() {
+            return false;
+        }
+        if self.progress.runs >= self.route.attempts_max {
+            return false;
+        }
+        self.core.may_try_again(&self.service)
+    }
+
+    fn request(&self, placed: &Placed, last_event_id: Option<&str>) -> Request<Bytes> {
+        let dispatch = Dispatch {
+            endpoint_id: placed.endpoint.id.clone(),
+            left_ms: self.left().as_millis() as u64,
+            organisation: self.organisation.as_ref().map(|o| o.name.clone()),
+            rank: self.model.as_ref().map(|model| self.rank(model)),
+            helpers: placed.helpers.clone(),
+            last_event_id: last_event_id.map(str::to_string),
+        };
+        let fields = self.core.dialect.dispatch_fields(&self.head.headers, &dispatch);
+        let mut request = Request::new(self.body.clone());
+        *request.method_mut() = self.head.method.clone();
+        *request.uri_mut() = self.head.uri.clone();
+        *request.headers_mut() = fields;
+        request
+    }
+
+    fn rank(&self, model: &EngineModel) -> u8 {
+        let own = self.organisation.as_ref().and_then(|o| o.priority);
+        let priority = own.unwrap_or(self.route.priority);
+        let read_ms = model.read_ms(self.ask.prompt_tokens);
+        let longer = RANK_READ_MS.iter().filter(|limit_ms| read_ms > **limit_ms);
+        let within = longer.count() as u8;
+        let rank = priority.saturating_mul(RANKS_PER_PRIORITY);
+        rank.saturating_add(within).min(RANK_MAX)
+    }
+
+    /// Remembers what the dispatch shows of its endpoint, and says so.
+    fn note(&self, placed: &Placed, ended: &Ended, took_ms: u64) {
+        let core = &self.core;
+        let now_ms = core.now_whole_ms();
+        let key = placed.endpoint.key;
+        let end = match ended {
+            Ended::Whole { head, .. } if head.status.is_server_error() => {
+                core.outliers.failed(key, now_ms);
+                "endpoint_error"
+            }
+            Ended::Whole { .. } => {
+                core.outliers.answered(key);
+                "answered"
+            }
+            Ended::Started { .. } => {
+                core.outliers.answered(key);
+                let predicted_ms = placed.first_token_ms as u64;
+                core.outliers.first_token(key, now_ms, predicted_ms, took_ms);
+                let late_ms = took_ms.saturating_sub(predicted_ms);
+                core.metrics.late_by_ms.observe(late_ms as f64);
+                "started"
+            }
+            Ended::NotRun {
+                why,
+                is_lost,
+                at_fault,
+            } => {
+                if *is_lost {
+                    let at_fault = at_fault.and_then(|address| self.key_at(address));
+                    core.outliers.failed(at_fault.unwrap_or(key), now_ms);
+                }
+                why
+            }
+            Ended::Unknown { .. } => {
+                core.outliers.failed(key, now_ms);
+                "unknown"
+            }
+        };
+        let why = match ended {
+            Ended::Unknown { why } => why.as_str(),
+            _ => end,
+        };
+        log::info!(
+            request_id = self.ask.request_id,
+            endpoint = placed.endpoint.id,
+            dispatch = self.progress.dispatches,
+            helpers = placed.helper_keys.len(),
+            predicted_ms = placed.first_token_ms as u64,
+            took_ms = took_ms,
+            end = end,
+            why = why;
+            "dispatch ended"
+        );
+    }
+
+    fn key_at(&self, address: std::net::SocketAddr) -> Option<EndpointKey> {
+        let fleet = self.core.published.fleet();
+        let of_service = fleet.of_service(&self.service);
+        let at = of_service.iter().find(|e| e.address == address)?;
+        Some(at.key)
+    }
+}
+
+/// A dispatch that gave nothing to be passed on, unless nothing better comes.
+pub(crate) struct Failed {
+    name: &'static str,
+    may_have_run: bool,
+    answer: Option<Got>,
+}
+
+impl Failed {
+    fn not_run(name: &'static str) -> Self {
+        Self {
+            name,
+            may_have_run: false,
+            answer: None,
+        }
+    }
+
+    fn unknown(name: &'static str) -> Self {
+        Self {
+            name,
+            may_have_run: true,
+            answer: None,
+        }
+    }
+
+    /// How the request ends if this was the last dispatch.
+    fn end(self, runs: u32) -> Result<Got, Refusal> {
+        if let Some(answer) = self.answer {
+            return Ok(answer);
+        }
+        if runs > 0 {
+            return Err(Refusal::of(Fault::Unknown));
+        }
+        Err(Refusal::after(Fault::NotRun, RETRY_AFTER_REFUSED_MS))
+    }
+}
+
+impl Pursuit {
+    /// Whether a stream that broke off may be continued elsewhere; takes a second try if so.
+    pub(crate) fn may_resume(&mut self, broken_off: EndpointKey) -> bool {
+        self.progress.tried.push(broken_off);
+        let broken = Failed::unknown("stream_broke_off");
+        let may = self.may_try_again(&broken);
+        if may {
+            self.core.metrics.retries.inc(broken.name);
+        }
+        may
+    }
+}
--- /dev/null
+++ b/crates/mgs-relay/src/relay.rs
@@ -0,0 +1,202 @@
+//! The relay: sockets, the one thread, and its end.
+
+use std::cell::Cell;
+use std::cell::RefCell;
+use std::future::Future;
+use std::io;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::sync::Arc;
+
+use displaydoc::Display;
+use mgs_placing::board::Board;
+use mgs_placing::choose;
+use mgs_routing::outlier;
+use mgs_routing::outlier::Outliers;
+use rand::rngs::SysRng;
+use rand::SeedableRng;
+use rand::TryRng;
+use rand_chacha::ChaCha8Rng;
+use tokio::net::UdpSocket;
+use tokio::runtime::Builder;
+use tokio::sync::Notify;
+use tokio::task::LocalSet;
+
+use crate::budget::Budget;
+use crate::client;
+use crate::core::Core;
+use crate::dialect::Dialect;
+use crate::drain;
+use crate::drain::Drain;
+use crate::gate;
+use crate::metrics::Metrics;
+use crate::peers;
+use crate::view::Published;
+
+pub use crate::budget::Options as BudgetOptions;
+
+/// Settings of a relay.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// Availability zone of this host.
+    pub zone: String,
+    /// Where clients connect.
+    pub client_listen: SocketAddr,
+    /// Where the balancer asks whether this host takes connections.
+    pub ready_listen: SocketAddr,
+    /// Where peers send their messages.
+    pub peer_listen: SocketAddr,
+    /// Longest wait for a connection to an endpoint, in milliseconds. A lost first packet is sent again
+    /// after a second; asking another endpoint is sooner.
+    pub connect_timeout_ms: u64,
+    /// Second tries.
+    pub budget: BudgetOptions,
+    /// Placing of prompts.
+    pub placing: choose::Options,
+    /// Endpoints that are passed over.
+    pub outliers: outlier::Options,
+    /// Leaving.
+    pub drain: drain::Options,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        let any_port = SocketAddr::from(([127, 0, 0, 1], 0));
+        Self {
+            zone: String::new(),
+            client_listen: any_port,
+            ready_listen: any_port,
+            peer_listen: any_port,
+            connect_timeout_ms: 300,
+            budget: BudgetOptions::default(),
+            placing: choose::Options::default(),
+            outliers: outlier::Options {
+                // An endpoint that went dark answers nothing; each request that finds out costs its
+                // client the time to connect elsewhere.
+                failures: 2,
+                ejection_ms: 1_000,
+                ejection_max_ms: 8_000,
+                ..outlier::Options::default()
+            },
+            drain: drain::Options::default(),
+        }
+    }
+}
+
+/// Why a relay can't start.
+#[derive(Debug, Display)]
+pub enum Error {
+    /// can't listen on {address} for {purpose}: {source}
+    Listen {
+        /// The address.
+        address: SocketAddr,
+        /// For whom.
+        purpose: &'static str,
+        /// What the system said.
+        source: io::Error,
+    },
+    /// the system has no threads, timers or random numbers to give: {0}
+    System(String),
+}
+
+impl std::error::Error for Error {}
+
+/// What a relay tells the thread that started it.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Addresses {
+    /// Where clients connect.
+    pub client: SocketAddr,
+    /// Where the balancer asks.
+    pub ready: SocketAddr,
+    /// Where peers send.
+    pub peer: SocketAddr,
+}
+
+/// Serves on this thread until `stop` resolves and what is open has ended.
+pub fn run(
+    options: Options,
+    dialect: Box<dyn Dialect>,
+    published: Arc<Published>,
+    metrics: Metrics,
+    started: impl FnOnce(Addresses),
+    stop: impl Future<Output = ()> + 'static,
+) -> Result<(), Error> {
+    let runtime = Builder::new_current_thread()
+        .enable_io()
+        .enable_time()
+        .build()
+        .map_err(|error| Error::System(error.to_string()))?;
+    let core = core(options, dialect, published, metrics)?;
+    let local = LocalSet::new();
+    let result = local.block_on(&runtime, serve(core, started, stop));
+    // Open sockets are closed by the end of the process; nobody waits for tasks that can't end.
+    runtime.shutdown_background();
+    result
+}
+
+fn core(
+    options: Options,
+    dialect: Box<dyn Dialect>,
+    published: Arc<Published>,
+    metrics: Metrics,
+) -> Result<Rc<Core>, Error> {
+    let system = |error: rand::rngs::SysError| Error::System(error.to_string());
+    let incarnation = SysRng.try_next_u64().map_err(system)?;
+    Ok(Rc::new(Core {
+        dialect,
+        published,
+        board: RefCell::new(Board::new()),
+        fresh_reads: RefCell::new(Vec::new()),
+        board_changed: Notify::new(),
+        outliers: Outliers::new(options.outliers),
+        budget: RefCell::new(Budget::new(options.budget.clone())),
+        metrics,
+        drain: Drain::new(),
+        gateways: Cell::new(1),
+        random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
+        reservations: Cell::new(0),
+        incarnation,
+        options,
+    }))
+}
+
+async fn serve(
+    core: Rc<Core>,
+    started: impl FnOnce(Addresses),
+    stop: impl Future<Output = ()>,
+) -> Result<(), Error> {
+    let options = &core.options;
+    let clients = listen(options.client_listen, "clients")?;
+    let balancer = listen(options.ready_listen, "the balancer")?;
+    let peers = UdpSocket::bind(options.peer_listen).await;
+    let peers = peers.map_err(|source| Error::Listen {
+        address: options.peer_listen,
+        purpose: "peers",
+        source,
+    })?;
+    started(Addresses {
+        client: local_address(clients.local_addr(), options.client_listen),
+        ready: local_address(balancer.local_addr(), options.ready_listen),
+        peer: local_address(peers.local_addr(), options.peer_listen),
+    });
+    tokio::task::spawn_local(client::accept(core.clone(), clients));
+    tokio::task::spawn_local(gate::accept(core.clone(), balancer));
+    tokio::task::spawn_local(peers::run(core.clone(), peers));
+    stop.await;
+    log::info!(open_requests = core.drain.open_requests(); "leaving");
+    core.drain.leave(core.options.drain).await;
+    log::info!(open_requests = core.drain.open_requests(); "left");
+    Ok(())
+}
+
+fn local_address(known: io::Result<SocketAddr>, asked: SocketAddr) -> SocketAddr {
+    known.unwrap_or(asked)
+}
+
+fn listen(address: SocketAddr, purpose: &'static str) -> Result<tokio::net::TcpListener, Error> {
+    client::listen(address).map_err(|source| Error::Listen {
+        address,
+        purpose,
+        source,
+    })
+}
--- /dev/null
+++ b/crates/mgs-relay/src/serve.rs
@@ -0,0 +1,283 @@
+//! One request from its head to its answer.
+
+use std::convert::Infallible;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use bytes::Bytes;
+use http::request;
+use http::Request;
+use http::Response;
+use http_body_util::BodyExt;
+use http_body_util::LengthLimitError;
+use http_body_util::Limited;
+use hyper::body::Incoming;
+use tokio::time::timeout_at;
+use tokio::time::Instant;
+
+use crate::answer;
+use crate::answer::Answer;
+use crate::core::Core;
+use crate::dialect::Ask;
+use crate::drain::Phase;
+use crate::fault::Fault;
+use crate::fault::Refusal;
+use crate::metrics;
+use crate::pursue::Got;
+use crate::pursue::Progress;
+use crate::pursue::Pursuit;
+use crate::stream::Passing;
+use crate::view::Configuration;
+use crate::view::Organisation;
+use crate::view::Route;
+
+/// A configuration that wasn't confirmed for this long is too old to refuse a route or a key by it, in
+/// milliseconds: twice the longest time between two readings while the store works.
+const CONFIGURATION_FRESH_MS: u64 = 4_000;
+
+/// When a client may come back where this host knows too little, in milliseconds.
+const RETRY_AFTER_UNKNOWING_MS: u64 = 400;
+
+/// When a client may come back to another host, in milliseconds.
+const RETRY_AFTER_LEAVING_MS: u64 = 50;
+
+/// Counts a request as open while it lives.
+struct Open {
+    core: Rc<Core>,
+}
+
+impl Open {
+    fn begin(core: &Rc<Core>) -> Self {
+        core.drain.begin_request();
+        core.metrics.open_requests.inc();
+        Self { core: core.clone() }
+    }
+}
+
+impl Drop for Open {
+    fn drop(&mut self) {
+        self.core.drain.end_request();
+        self.core.metrics.open_requests.dec();
+    }
+}
+
+/// Says that the client left, if the request is dropped before its outcome is known.
+struct Watch {
+    core: Rc<Core>,
+    request_id: String,
+    arrived: Instant,
+    is_told: bool,
+}
+
+impl Watch {
+    fn tell(&mut self, outcome: &str, status: u16, detail: &str) {
+        self.is_told = true;
+        self.core.metrics.requests.inc(outcome);
+        log::info!(
+            request_id = self.request_id,
+            outcome = outcome,
+            status = status,
+            detail = detail,
+            total_ms = self.arrived.elapsed().as_millis() as u64,
+            configuration = self.core.published.configuration().map_or(0, |c| c.version),
+            configuration_age_ms = self.core.published.configuration_age_ms().unwrap_or(u64::MAX);
+            "request ended"
+        );
+    }
+}
+
+impl Drop for Watch {
+    fn drop(&mut self) {
+        if !self.is_told {
+            self.tell("client_left", 0, "");
+        }
+    }
+}
+
+/// Answers one request.
+pub(crate) async fn serve(
+    core: Rc<Core>,
+    request: Request<Incoming>,
+) -> Result<Answer, Infallible> {
+    let open = Open::begin(&core);
+    let arrived = Instant::now();
+    let (head, body) = request.into_parts();
+    let ask = match core.dialect.ask(&head) {
+        Ok(ask) => ask,
+        Err(malformed) => {
+            log::info!(reason:% = malformed; "request not understood");
+            core.metrics.requests.inc("refused");
+            core.metrics.refusals.inc(Fault::Malformed.name());
+            let refusal = Refusal::of(Fault::Malformed);
+            return Ok(answer::refusal(core.dialect.as_ref(), refusal, None));
+        }
+    };
+    let mut watch = Watch {
+        core: core.clone(),
+        request_id: ask.request_id.clone(),
+        arrived,
+        is_told: false,
+    };
+    let request_id = ask.request_id.clone();
+    let answered = handle(&core, ask, head, body, arrived, open).await;
+    let mut answer = match answered {
+        Ok(answer) => {
+            watch.tell("answered", answer.status().as_u16(), "");
+            answer
+        }
+        Err(refusal) => {
+            let fault = refusal.fault;
+            core.metrics.refusals.inc(fault.name());
+            watch.tell("refused", fault.status().as_u16(), fault.name());
+            answer::refusal(core.dialect.as_ref(), refusal, Some(&request_id))
+        }
+    };
+    if core.drain.phase() != Phase::Serving {
+        answer::close_after(&mut answer);
+    }
+    Ok(answer)
+}
+
+async fn handle(
+    core: &Rc<Core>,
+    ask: Ask,
+    head: request::Parts,
+    body: Incoming,
+    arrived: Instant,
+    open: Open,
+) -> Result<Answer, Refusal> {
+    if core.drain.phase() == Phase::Ending {
+        return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
+    }
+    let configuration = core
+        .published
+        .configuration()
+        .ok_or_else(|| Refusal::after(Fault::NoConfiguration, RETRY_AFTER_UNKNOWING_MS))?;
+    let admitted = admit(core, &configuration, &ask, &head)?;
+    let timeout_ms = ask
+        .deadline_ms
+        .map_or(admitted.route.timeout_ms, |d| d.min(admitted.route.timeout_ms));
+    let deadline = arrived + Duration::from_millis(timeout_ms);
+    let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
+    let service = pick_service(core, &admitted.route);
+    let model = configuration
+        .services
+        .get(&service)
+        .and_then(|service| service.engine.clone());
+    let mut pursuit = Pursuit {
+        core: core.clone(),
+        ask,
+        head,
+        body,
+        route: admitted.route,
+        organisation: admitted.organisation,
+        service,
+        model,
+        arrived,
+        deadline,
+        progress: Progress::default(),
+    };
+    let got = match timeout_at(deadline, pursuit.run(None)).await {
+        Ok(got) => got?,
+        Err(_) => return Err(pursuit.timed_out()),
+    };
+    let took_ms = arrived.elapsed().as_secs_f64() * 1e3;
+    let length = metrics::length(pursuit.ask.prompt_tokens);
+    core.metrics.first_token_ms.observe(length, took_ms);
+    Ok(pass_on(core, pursuit, got, open))
+}
+
+fn pass_on(core: &Rc<Core>, pursuit: Pursuit, got: Got, open: Open) -> Answer {
+    match got {
+        Got::Whole { head, body, .. } => {
+            let mut answer = Response::new(answer::whole(body));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
+            answer
+        }
+        Got::Stream {
+            head,
+            stream,
+            placed,
+        } => {
+            let (passing, pieces) = Passing::new(pursuit, stream, placed);
+            tokio::task::spawn_local(async move {
+                passing.run().await;
+                drop(open);
+            });
+            let mut answer = Response::new(answer::pieces(pieces));
+            *answer.status_mut() = head.status;
+            *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
+            answer
+        }
+    }
+}
+
+struct Admitted {
+    route: Arc<Route>,
+    organisation: Option<Arc<Organisation>>,
+}
+
+/// Finds the route and the organisation. What isn't found is refused for good only if the configuration
+/// is fresh: a newer one may have it.
+fn admit(
+    core: &Core,
+    configuration: &Configuration,
+    ask: &Ask,
+    head: &request::Parts,
+) -> Result<Admitted, Refusal> {
+    let Some(route) = configuration.route(&ask.host, head.uri.path()) else {
+        return Err(missing(core, Fault::NoRoute));
+    };
+    let mut admitted = Admitted {
+        route: route.clone(),
+        organisation: None,
+    };
+    let key = ask.api_key.as_deref();
+    let known = key.and_then(|key| configuration.organisations.get(key));
+    admitted.organisation = known.cloned();
+    let needs_key = configuration.needs_keys && !route.is_public;
+    if needs_key && known.is_none() {
+        return Err(missing(core, Fault::UnknownKey));
+    }
+    Ok(admitted)
+}
+
+fn missing(core: &Core, fault: Fault) -> Refusal {
+    let age_ms = core.published.configuration_age_ms();
+    if age_ms.is_some_and(|age_ms| age_ms <= CONFIGURATION_FRESH_MS) {
+        return Refusal::of(fault);
+    }
+    Refusal::after(Fault::StaleConfiguration, RETRY_AFTER_UNKNOWING_MS)
+}
+
+async fn read_body(body: Incoming, most: usize, deadline: Instant) -> Result<Bytes, Refusal> {
+    let collecting = Limited::new(body, most).collect();
+    let collected = match timeout_at(deadline, collecting).await {
+        Ok(collected) => collected,
+        Err(_) => return Err(Refusal::of(Fault::BodyTooSlow)),
+    };
+    match collected {
+        Ok(collected) => Ok(collected.to_bytes()),
+        Err(error) if error.is::<LengthLimitError>() => Err(Refusal::of(Fault::BodyTooLong)),
+        Err(error) => {
+            log::info!(error:% = error; "a body can't be read");
+            Err(Refusal::of(Fault::Malformed))
+        }
+    }
+}
+
+/// Draws one of the route's services by weight.
+fn pick_service(core: &Core, route: &Route) -> String {
+    let total: u32 = route.shares.iter().map(|share| share.weight).sum();
+    let mut drawn = core.random_below(total);
+    for share in &route.shares {
+        if drawn < share.weight {
+            return share.service.clone();
+        }
+        drawn -= share.weight;
+    }
+    let first = route.shares.first();
+    first.map_or_else(String::new, |share| share.service.clone())
+}
--- /dev/null
+++ b/crates/mgs-relay/src/stream.rs
@@ -0,0 +1,208 @@
+//! A stream on its way to the client: whole events as they come, continued at another endpoint where the
+//! route allows it, broken off where it can't be completed.
+
+use std::io;
+use std::time::Instant;
+
+use bytes::Bytes;
+use http_body_util::BodyExt;
+use tokio::sync::mpsc;
+use tokio::time::timeout_at;
+
+use crate::answer::Piece;
+use crate::attempt::Stream;
+use crate::connect::describe;
+use crate::place::Placed;
+use crate::pursue::Got;
+use crate::pursue::Pursuit;
+
+/// Pieces that wait for a slow client before the endpoint's connection isn't read any more.
+const PIECES_WAITING: usize = 16;
+
+/// How a stream ended.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum End {
+    /// Complete.
+    Whole,
+    /// The client left.
+    ClientLeft,
+    /// Its time was up.
+    TimedOut,
+    /// The endpoint broke off, and nobody went on.
+    Broken,
+}
+
+impl End {
+    pub(crate) fn name(self) -> &'static str {
+        match self {
+            Self::Whole => "answered",
+            Self::ClientLeft => "client_left",
+            Self::TimedOut => "stream_timed_out",
+            Self::Broken => "stream_broken",
+        }
+    }
+}
+
+/// A stream that is passed on.
+pub(crate) struct Passing {
+    pursuit: Pursuit,
+    stream: Stream,
+    placed: Placed,
+    client: mpsc::Sender<Piece>,
+    last_id: Option<String>,
+    last_event_at: Instant,
+    events: u64,
+    longest_pause_ms: u64,
+    resumes: u32,
+}
+
+/// What one endpoint's part of the stream came to.
+enum Part {
+    Ended(End),
+    BrokeOff(String),
+}
+
+impl Passing {
+    /// Prepares; the receiver is the client's body.
+    pub(crate) fn new(
+        pursuit: Pursuit,
+        stream: Stream,
+        placed: Placed,
+    ) -> (Self, mpsc::Receiver<Piece>) {
+        let (client, body) = mpsc::channel(PIECES_WAITING);
+        let passing = Self {
+            pursuit,
+            stream,
+            placed,
+            client,
+            last_id: None,
+            last_event_at: Instant::now(),
+            events: 0,
+            longest_pause_ms: 0,
+            resumes: 0,
+        };
+        (passing, body)
+    }
+
+    /// Passes the stream on to its end.
+    pub(crate) async fn run(mut self) -> End {
+        let end = self.pass_on().await;
+        if end != End::Whole {
+            self.pursuit.core.metrics.broken.inc(end.name());
+            let broken = io::Error::other(end.name());
+            // A client that has left takes no error either.
+            let _ = self.client.try_send(Err(broken));
+        }
+        log::info!(
+            request_id = self.pursuit.ask.request_id,
+            endpoint = self.placed.endpoint.id,
+            outcome = end.name(),
+            events = self.events,
+            longest_pause_ms = self.longest_pause_ms,
+            resumes = self.resumes,
+            total_ms = self.pursuit.arrived.elapsed().as_millis() as u64;
+            "stream ended"
+        );
+        end
+    }
+
+    async fn pass_on(&mut self) -> End {
+        loop {
+            let broke_off = match self.pass_part().await {
+                Part::Ended(end) => return end,
+                Part::BrokeOff(why) => why,
+            };
+            log::info!(
+                request_id = self.pursuit.ask.request_id,
+                endpoint = self.placed.endpoint.id,
+                last_event_id = self.last_id.as_deref().unwrap_or(""),
+                why = broke_off;
+                "stream broke off"
+            );
+            let core = &self.pursuit.core;
+            core.outliers
+                .failed(self.placed.endpoint.key, core.now_whole_ms());
+            if !self.resume().await {
+                return End::Broken;
+            }
+        }
+    }
+
+    async fn pass_part(&mut self) -> Part {
+        let first = std::mem::take(&mut self.stream.first);
+        if let Some(end) = self.forward(first).await {
+            return Part::Ended(end);
+        }
+        loop {
+            let frame = tokio::select! {
+                frame = timeout_at(self.pursuit.deadline, self.stream.body.frame()) => frame,
+                () = self.client.closed() => return Part::Ended(End::ClientLeft),
+            };
+            let data = match frame {
+                Err(_) => return Part::Ended(End::TimedOut),
+                Ok(None) if self.stream.events.is_partial() => {
+                    return Part::BrokeOff("ended within an event".to_string());
+                }
+                Ok(None) => return Part::Ended(End::Whole),
+                Ok(Some(Err(error))) => return Part::BrokeOff(describe(&error)),
+                Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
+            };
+            let events = self.stream.events.take(&data);
+            if self.stream.events.is_excessive() {
+                return Part::BrokeOff("an event without an end".to_string());
+            }
+            if let Some(end) = self.forward(events).await {
+                return Part::Ended(end);
+            }
+        }
+    }
+
+    /// Passes whole events on; answers how the stream ended if it can't.
+    async fn forward(&mut self, events: Bytes) -> Option<End> {
+        if events.is_empty() {
+            return None;
+        }
+        self.last_id = self.stream.events.last_id().map(str::to_string);
+        self.note_pause();
+        let sending = self.client.send(Ok(events));
+        match timeout_at(self.pursuit.deadline, sending).await {
+            Ok(Ok(())) => None,
+            Ok(Err(_)) => Some(End::ClientLeft),
+            Err(_) => Some(End::TimedOut),
+        }
+    }
+
+    fn note_pause(&mut self) {
+        if self.events > 0 {
+            let pause_ms = self.last_event_at.elapsed().as_millis() as u64;
+            self.longest_pause_ms = self.longest_pause_ms.max(pause_ms);
+            self.pursuit.core.metrics.pause_ms.observe(pause_ms as f64);
+        }
+        self.events += 1;
+        self.last_event_at = Instant::now();
+    }
+
+    /// Has another endpoint go on after the last event that was passed on.
+    async fn resume(&mut self) -> bool {
+        let Some(last_id) = self.last_id.clone() else {
+            return false;
+        };
+        let broken_off = self.placed.endpoint.key;
+        if !self.pursuit.may_resume(broken_off) {
+            return false;
+        }
+        let deadline = self.pursuit.deadline;
+        let running = self.pursuit.run(Some(&last_id));
+        let got = tokio::select! {
+            got = timeout_at(deadline, running) => got,
+            () = self.client.closed() => return false,
+        };
+        let Ok(Ok(Got::Stream { stream, placed, .. })) = got else {
+            return false;
+        };
+        self.stream = stream;
+        self.placed = placed;
+        self.resumes += 1;
+        true
+    }
+}
--- /dev/null
+++ b/crates/mgs-relay/src/view.rs
@@ -0,0 +1,319 @@
+//! The configuration and the fleet as the path of a request reads them: replaced as a whole, never
+//! changed in place.
+
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU64;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::time::Instant;
+
+use arc_swap::ArcSwap;
+use arc_swap::ArcSwapOption;
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::model::EngineModel;
+use xxhash_rust::xxh3::xxh3_64;
+
+/// What may be done again with a request of a route.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Kind {
+    /// May run more than once.
+    Idempotent,
+    /// Runs at most once.
+    NonIdempotent,
+    /// Answered by a series of events.
+    Streaming {
+        /// Whether another endpoint may go on after the last event that was passed on; then it may also
+        /// run more than once.
+        resumable: bool,
+    },
+}
+
+impl Kind {
+    /// Whether a request may be sent again although it may have run.
+    pub fn is_repeatable(self) -> bool {
+        match self {
+            Self::Idempotent => true,
+            Self::NonIdempotent => false,
+            Self::Streaming { resumable } => resumable,
+        }
+    }
+
+    /// Whether the answer is a series of events.
+    pub fn is_streaming(self) -> bool {
+        matches!(self, Self::Streaming { .. })
+    }
+}
+
+/// A service and its share of a route's requests.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Share {
+    /// Name of the service.
+    pub service: String,
+    /// Its weight beside the others.
+    pub weight: u32,
+}
+
+/// One route.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Route {
+    /// Its name.
+    pub name: String,
+    /// Start of the paths that it takes.
+    pub path_prefix: String,
+    /// What may be done again.
+    pub kind: Kind,
+    /// Longest time that a client is kept waiting, in milliseconds.
+    pub timeout_ms: u64,
+    /// Time to an answer (or its first event) that is on time, in milliseconds.
+    pub aim_ms: u64,
+    /// Longest pause between events that is on time, in milliseconds; 0 if there are no events.
+    pub pause_ms: u64,
+    /// Rank; 0 goes first.
+    pub priority: u8,
+    /// The services that it goes to.
+    pub shares: Vec<Share>,
+    /// Most endpoints that one request may run on.
+    pub attempts_max: u32,
+    /// Whether it needs no key.
+    pub is_public: bool,
+}
+
+/// An organisation.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Organisation {
+    /// Its name.
+    pub name: String,
+    /// Rank of its requests, before the route's.
+    pub priority: Option<u8>,
+}
+
+/// A service.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Service {
+    /// Figures of its engines; `None` for a plain service.
+    pub engine: Option<EngineModel>,
+}
+
+/// Bounds on what a client may send.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct Limits {
+    /// Longest head, in bytes.
+    pub head_bytes: usize,
+    /// Longest body, in bytes.
+    pub body_bytes: usize,
+    /// Longest time for a head to arrive, in milliseconds.
+    pub head_timeout_ms: u64,
+    /// Longest time for which a connection may be idle, in milliseconds.
+    pub idle_timeout_ms: u64,
+}
+
+impl Default for Limits {
+    /// Bounds for the time before a configuration is known.
+    fn default() -> Self {
+        Self {
+            head_bytes: 16 * 1024,
+            body_bytes: 4 * 1024 * 1024,
+            head_timeout_ms: 3_000,
+            idle_timeout_ms: 15_000,
+        }
+    }
+}
+
+/// A whole configuration.
+#[derive(Debug, Clone, Default)]
+pub struct Configuration {
+    /// Its version; a newer one has a greater number.
+    pub version: u64,
+    /// Routes by host name in lower case, longest prefix first.
+    pub routes: HashMap<String, Vec<Arc<Route>>>,
+    /// Services by name.
+    pub services: HashMap<String, Service>,
+    /// Organisations by key; without any, no request needs a key.
+    pub organisations: HashMap<String, Arc<Organisation>>,
+    /// Whether organisations are in use.
+    pub needs_keys: bool,
+    /// Bounds on what clients send.
+    pub limits: Limits,
+}
+
+impl Configuration {
+    /// The route of a request: among those of the host, the one with the longest matching prefix.
+    pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
+        let routes = self.routes.get(host)?;
+        routes
+            .iter()
+            .find(|route| path.starts_with(&route.path_prefix))
+    }
+}
+
+/// One endpoint.
+#[derive(Debug, Clone, PartialEq, Eq)]
+pub struct Endpoint {
+    /// Key of this incarnation, stable while the process lives.
+    pub key: EndpointKey,
+    /// Identifier of this incarnation.
+    pub id: String,
+    /// Name of its service.
+    pub service: String,
+    /// Where it listens.
+    pub address: SocketAddr,
+    /// Availability zone.
+    pub zone: String,
+    /// Requests that it runs at once.
+    pub slots: u32,
+    /// Whether it is leaving: nothing new is sent to it.
+    pub is_leaving: bool,
+}
+
+/// All endpoints that are known.
+#[derive(Debug, Clone, Default)]
+pub struct Fleet {
+    /// By service; leaving ones are listed too.
+    pub by_service: HashMap<String, Vec<Arc<Endpoint>>>,
+    /// By key.
+    pub by_key: HashMap<EndpointKey, Arc<Endpoint>>,
+}
+
+impl Fleet {
+    /// A fleet of these endpoints.
+    pub fn of(endpoints: Vec<Endpoint>) -> Self {
+        let mut fleet = Self::default();
+        for endpoint in endpoints {
+            let endpoint = Arc::new(endpoint);
+            fleet.by_key.insert(endpoint.key, endpoint.clone());
+            let of_service = fleet.by_service.entry(endpoint.service.clone());
+            of_service.or_default().push(endpoint);
+        }
+        fleet
+    }
+
+    /// The endpoints of a service.
+    pub fn of_service(&self, service: &str) -> &[Arc<Endpoint>] {
+        self.by_service.get(service).map_or(&[], Vec::as_slice)
+    }
+}
+
+/// What is in force, published by the thread that follows the store and read by the one that serves.
+#[derive(Debug)]
+pub struct Published {
+    configuration: ArcSwapOption<Configuration>,
+    fleet: ArcSwap<Fleet>,
+    endpoint_hashes: ArcSwap<HashMap<u64, EndpointKey>>,
+    peers: ArcSwap<Vec<SocketAddr>>,
+    started: Instant,
+    configuration_confirmed_ms: AtomicU64,
+    fleet_confirmed_ms: AtomicU64,
+}
+
+/// Stands for an instant that never was.
+const NEVER_MS: u64 = u64::MAX;
+
+impl Published {
+    /// Nothing known yet; the process's clock starts now.
+    pub fn new() -> Self {
+        Self {
+            configuration: ArcSwapOption::empty(),
+            fleet: ArcSwap::from_pointee(Fleet::default()),
+            endpoint_hashes: ArcSwap::default(),
+            peers: ArcSwap::default(),
+            started: Instant::now(),
+            configuration_confirmed_ms: AtomicU64::new(NEVER_MS),
+            fleet_confirmed_ms: AtomicU64::new(NEVER_MS),
+        }
+    }
+
+    /// Milliseconds since the start of the process, on its monotonic clock.
+    pub fn now_ms(&self) -> u64 {
+        self.started.elapsed().as_millis() as u64
+    }
+
+    /// The same with its fraction, for decisions.
+    pub fn now_exact_ms(&self) -> f64 {
+        self.started.elapsed().as_secs_f64() * 1e3
+    }
+
+    /// The configuration in force, if one is known.
+    pub fn configuration(&self) -> Option<Arc<Configuration>> {
+        self.configuration.load_full()
+    }
+
+    /// The fleet as last known.
+    pub fn fleet(&self) -> Arc<Fleet> {
+        self.fleet.load_full()
+    }
+
+    /// Puts a configuration in force, unless one as new is in force already; tells whether it did.
+    pub fn put_configuration(&self, configuration: Configuration) -> bool {
+        let known = self.configuration.load();
+        let is_newer = known
+            .as_ref()
+            .is_none_or(|known| configuration.version > known.version);
+        if is_newer {
+            self.configuration.store(Some(Arc::new(configuration)));
+        }
+        is_newer
+    }
+
+    /// Keys of the endpoints by the hash of their identifiers, which gateways tell each other.
+    pub fn endpoint_hashes(&self) -> Arc<HashMap<u64, EndpointKey>> {
+        self.endpoint_hashes.load_full()
+    }
+
+    /// Where the other gateways listen.
+    pub fn peers(&self) -> Arc<Vec<SocketAddr>> {
+        self.peers.load_full()
+    }
+
+    /// Replaces the addresses of the other gateways.
+    pub fn put_peers(&self, peers: Vec<SocketAddr>) {
+        self.peers.store(Arc::new(peers));
+    }
+
+    /// Replaces the fleet.
+    pub fn put_fleet(&self, fleet: Fleet) {
+        let hash = |endpoint: &Arc<Endpoint>| xxh3_64(endpoint.id.as_bytes());
+        let hashes = fleet.by_key.values().map(|e| (hash(e), e.key)).collect();
+        self.endpoint_hashes.store(Arc::new(hashes));
+        self.fleet.store(Arc::new(fleet));
+    }
+
+    /// The store has confirmed that no newer configuration than the one in force existed at `at_ms`.
+    pub fn confirm_configuration(&self, at_ms: u64) {
+        self.configuration_confirmed_ms
+            .store(at_ms, Ordering::Relaxed);
+    }
+
+    /// The store has confirmed the fleet as of `at_ms`.
+    pub fn confirm_fleet(&self, at_ms: u64) {
+        self.fleet_confirmed_ms.store(at_ms, Ordering::Relaxed);
+    }
+
+    /// Time since the configuration was last confirmed; `None` if it never was.
+    pub fn configuration_age_ms(&self) -> Option<u64> {
+        self.age_ms(&self.configuration_confirmed_ms)
+    }
+
+    /// Time since the fleet was last confirmed; `None` if it never was.
+    pub fn fleet_age_ms(&self) -> Option<u64> {
+        self.age_ms(&self.fleet_confirmed_ms)
+    }
+
+    fn age_ms(&self, confirmed_ms: &AtomicU64) -> Option<u64> {
+        match confirmed_ms.load(Ordering::Relaxed) {
+            NEVER_MS => None,
+            at_ms => Some(self.now_ms().saturating_sub(at_ms)),
+        }
+    }
+
+    /// Whether there is what serving needs: a configuration and one reading of the fleet.
+    pub fn is_complete(&self) -> bool {
+        self.configuration.load().is_some() && self.fleet_age_ms().is_some()
+    }
+}
+
+impl Default for Published {
+    fn default() -> Self {
+        Self::new()
+    }
+}
--- a/crates/mgs-routing/src/outlier.rs
+++ b/crates/mgs-routing/src/outlier.rs
@@ -12,7 +12,7 @@
 use crate::outstanding::Arena;
 
 /// Settings of [`Outliers`].
-#[derive(Debug, Clone, Copy)]
+#[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Options {
     /// Failures in a row that eject.
     pub failures: u32,
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -18,6 +18,7 @@
 pub mod gateway;
 pub mod organisation;
 pub mod process;
+pub mod relay;
 pub mod request;
 pub mod sidecar;
 #[cfg(feature = "demo")]
@@ -62,6 +63,7 @@
 fn entries() -> Vec<Entry> {
     vec![
         entry(gateway::command(), gateway::run),
+        entry(relay::command(), relay::run),
         entry(sidecar::command(), sidecar::run),
         entry(table::command(), table::run),
         entry(endpoint::command(), endpoint::run),
