--- a/crates/mgs-placing/src/board.rs
+++ b/crates/mgs-placing/src/board.rs
@@ -12,6 +12,8 @@
 use serde::Serialize;
 
 use crate::need::PAUSE_CLASSES;
+use crate::turn::Score;
+use crate::turn::NOBODY;
 
 /// A peer's word counts for this long, in milliseconds: four of its longest intervals.
 pub const PEER_SILENCE_MS: f64 = 1_200.0;
@@ -30,6 +32,8 @@
     pub writers: [u16; PAUSE_CLASSES],
     /// Parts of prompts of other endpoints that it reads.
     pub parts: u16,
+    /// Reading of shared prompts that isn't known to be done, in milliseconds.
+    pub shared_read_ms: u32,
     /// Calls of a plain service that run there.
     pub calls: u16,
     /// Memory that prompts and answers take, in tokens.
@@ -47,6 +51,7 @@
             *own = own.saturating_add(more);
         }
         self.parts = self.parts.saturating_add(other.parts);
+        self.shared_read_ms = self.shared_read_ms.saturating_add(other.shared_read_ms);
         self.calls = self.calls.saturating_add(other.calls);
         self.memory_tokens = self.memory_tokens.saturating_add(other.memory_tokens);
     }
@@ -56,6 +61,7 @@
             *own = own.saturating_sub(less);
         }
         self.parts = self.parts.saturating_sub(other.parts);
+        self.shared_read_ms = self.shared_read_ms.saturating_sub(other.shared_read_ms);
         self.calls = self.calls.saturating_sub(other.calls);
         self.memory_tokens = self.memory_tokens.saturating_sub(other.memory_tokens);
     }
@@ -72,6 +78,7 @@
 #[derive(Debug, Default)]
 struct Peer {
     heard_ms: f64,
+    waiting: Option<Score>,
     held: Vec<(EndpointKey, Held)>,
 }
 
@@ -126,7 +133,13 @@
     }
 
     /// A peer said all that it holds.
-    pub fn hear(&mut self, peer: PeerKey, now_ms: f64, held: Vec<(EndpointKey, Held)>) {
+    pub fn hear(
+        &mut self,
+        peer: PeerKey,
+        now_ms: f64,
+        waiting: Option<Score>,
+        held: Vec<(EndpointKey, Held)>,
+    ) {
         let before = self.peers.remove(&peer).unwrap_or_default();
         for (endpoint, old) in &before.held {
             self.work_mut(*endpoint).peers.take(old);
@@ -135,7 +148,12 @@
             self.work_mut(*endpoint).peers.add(new);
         }
         let heard_ms = now_ms;
-        self.peers.insert(peer, Peer { heard_ms, held });
+        let heard = Peer {
+            heard_ms,
+            waiting,
+            held,
+        };
+        self.peers.insert(peer, heard);
     }
 
     /// Forgets peers that fell silent; answers who they were.
@@ -148,12 +166,18 @@
             .map(|(key, _)| *key)
             .collect();
         for key in &gone {
-            self.hear(*key, now_ms, Vec::new());
+            self.hear(*key, now_ms, None, Vec::new());
             self.peers.remove(key);
         }
         gone
     }
 
+    /// The least score of the prompts that wait at peers.
+    pub fn best_waiting(&self) -> Score {
+        let scores = self.peers.values().filter_map(|peer| peer.waiting);
+        scores.min().unwrap_or(NOBODY)
+    }
+
     /// How many peers have been heard of late.
     pub fn peers(&self) -> usize {
         self.peers.len()
@@ -181,8 +205,16 @@
     }
 
     /// Time until all reading placed so far should be done, in milliseconds.
-    pub fn backlog_ms(&self, endpoint: EndpointKey, now_ms: f64) -> f64 {
-        let done_ms = self.work(endpoint).map_or(0.0, |work| work.read_done_ms);
-        (done_ms - now_ms).max(0.0)
+    ///
+    /// An engine may be behind: a prompt that was overtaken, or passes that took longer. As long as shared
+    /// prompts haven't shown their first token, `unknown_share` of their reading counts as still to be
+    /// done.
+    pub fn backlog_ms(&self, endpoint: EndpointKey, now_ms: f64, unknown_share: f64) -> f64 {
+        let Some(work) = self.work(endpoint) else {
+            return 0.0;
+        };
+        let unknown_ms = work.own.shared_read_ms + work.peers.shared_read_ms;
+        let by_plan_ms = work.read_done_ms - now_ms;
+        by_plan_ms.max(f64::from(unknown_ms) * unknown_share)
     }
 }
--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -10,6 +10,7 @@
 use crate::board::Board;
 use crate::model::EngineModel;
 use crate::need::Need;
+use crate::need::PAUSE_CLASSES;
 use crate::split;
 use crate::survey::late;
 use crate::survey::Survey;
@@ -25,16 +26,28 @@
     pub engines_max: usize,
     /// Least part of a prompt that is worth a helper, in milliseconds of reading.
     pub part_min_ms: f64,
-    /// Requests that an engine writes for before it is full, below its slots: what peers have placed in
-    /// the last milliseconds isn't known yet.
-    pub slots_spare: u32,
     /// Cost of a short stream's start on an engine without short streams, in units: it takes the engine
     /// from long prompts while it writes.
     pub open_units: f64,
+    /// The same for another stream on an engine without streams, in units: a pass that writes is long, so
+    /// reading that engine's part of a prompt ends late.
+    pub open_other_units: f64,
     /// Cost of each further engine that reads, in units; it breaks ties only.
     pub engine_units: f64,
+    /// Longest time for which a shared prompt is held back until its engines are done with earlier ones,
+    /// as a multiple of its own part's reading. Engines read the newest part first, so one that isn't
+    /// held delays the earlier ones: a short one may, a long one waits.
+    pub hold_factor: f64,
+    /// Cost of delaying earlier prompts by a second, in units.
+    pub overtake_units: f64,
     /// Cost of being a full time aim late for the first token when all is within aims, in units.
     pub wait_units: f64,
+    /// Share of the reading of shared prompts without a first token that counts as still to be done: half
+    /// of their parts, which end together at best, are done when they are half through.
+    pub unknown_share: f64,
+    /// What is read in the pass that shows a prompt's first token, as a multiple of what was there when the
+    /// prompt came.
+    pub joining_factor: f64,
     /// Memory of an engine that is kept free of promises, in tokens: answers that grow beyond their hint.
     pub memory_spare_tokens: u64,
 }
@@ -45,15 +58,60 @@
             share_from_ms: 90.0,
             engines_max: 16,
             part_min_ms: 25.0,
-            slots_spare: 2,
-            open_units: 0.15,
+            open_units: 1.5,
+            open_other_units: 6.0,
             engine_units: 0.002,
-            wait_units: 0.1,
+            hold_factor: 1.0,
+            overtake_units: 1.0,
+            wait_units: 0.3,
+            unknown_share: 0.25,
+            joining_factor: 1.5,
             memory_spare_tokens: 6_000,
         }
     }
 }
 
+impl Options {
+    /// Sets the figures of `text`, as in `open_units=1.5,hold_factor=0.5`.
+    ///
+    /// ```
+    /// use mgs_placing::choose::Options;
+    ///
+    /// let options = Options::default().with("open_units=2").unwrap();
+    /// assert_eq!(options.open_units, 2.0);
+    /// assert!(Options::default().with("open_unit=2").is_err());
+    /// ```
+    pub fn with(mut self, text: &str) -> Result<Self, String> {
+        for part in text.split(',').filter(|part| !part.is_empty()) {
+            let (name, value) = part.split_once('=').ok_or(format!("{part:?} has no '='"))?;
+            let value: f64 = value
+                .parse()
+                .map_err(|_| format!("{value:?} is no number"))?;
+            self.set(name.trim(), value)?;
+        }
+        Ok(self)
+    }
+
+    fn set(&mut self, name: &str, value: f64) -> Result<(), String> {
+        match name {
+            "share_from_ms" => self.share_from_ms = value,
+            "engines_max" => self.engines_max = value as usize,
+            "part_min_ms" => self.part_min_ms = value,
+            "open_units" => self.open_units = value,
+            "open_other_units" => self.open_other_units = value,
+            "engine_units" => self.engine_units = value,
+            "hold_factor" => self.hold_factor = value,
+            "overtake_units" => self.overtake_units = value,
+            "wait_units" => self.wait_units = value,
+            "memory_spare_tokens" => self.memory_spare_tokens = value as u64,
+            "unknown_share" => self.unknown_share = value,
+            "joining_factor" => self.joining_factor = value,
+            _ => return Err(format!("there is no figure {name:?}")),
+        }
+        Ok(())
+    }
+}
+
 /// An engine that may take the prompt.
 #[derive(Debug, Clone, Copy, PartialEq)]
 pub struct Candidate {
@@ -74,6 +132,21 @@
     pub tokens: u64,
 }
 
+/// What the engines were doing when a prompt was placed, for the log.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq)]
+pub struct Scene {
+    /// Engines that might take it.
+    pub engines: usize,
+    /// Those that write short streams.
+    pub with_short_streams: usize,
+    /// Those that write other streams and no short ones.
+    pub with_other_streams: usize,
+    /// Those without any reading left.
+    pub without_reading: usize,
+    /// Reading left at all of them, in milliseconds.
+    pub backlog_ms: u64,
+}
+
 /// Where a prompt goes.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Placement {
@@ -86,10 +159,16 @@
     pub reserves: Vec<Reserve>,
     /// Predicted reading at each engine, in milliseconds.
     pub read_ms: f64,
+    /// Longest backlog of its engines, in milliseconds.
+    pub backlog_ms: f64,
+    /// How long to wait before it is sent, in milliseconds: its engines finish what was placed before.
+    pub hold_ms: f64,
     /// Predicted time to the first token, in milliseconds.
     pub first_token_ms: f64,
     /// Expected loss, in units of worth.
     pub loss_units: f64,
+    /// What the engines were doing.
+    pub scene: Scene,
 }
 
 /// Why there is no placement.
@@ -111,6 +190,9 @@
     },
 }
 
+/// A prompt is small if it takes less than this part of an engine's memory: one in so many.
+const SMALL_SHARE: u64 = 6;
+
 /// Numbers of engines that are tried for a prompt that is shared.
 const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 13, 16];
 
@@ -156,7 +238,7 @@
     }
     let surveys: Vec<Survey> = candidates
         .iter()
-        .map(|candidate| Survey::of(candidate, board, model, now_ms))
+        .map(|candidate| Survey::of(candidate, board, model, options, now_ms))
         .collect();
     let placing = Placing {
         need,
@@ -177,7 +259,7 @@
 
 impl Placing<'_> {
     fn place(&self) -> Result<Placement, NoPlace> {
-        let best = if self.exceeds_free_memory() {
+        let best = if self.needs_reserves() {
             split::place(self)?
         } else {
             self.best_width()?
@@ -186,19 +268,51 @@
             let backlog_ms = best.first_token_ms - self.need.left_ms;
             return Err(NoPlace::TooLate { backlog_ms });
         }
-        Ok(best)
+        Ok(Placement {
+            scene: self.scene(),
+            ..best
+        })
     }
 
-    fn exceeds_free_memory(&self) -> bool {
+    fn scene(&self) -> Scene {
+        let count = |is: fn(&Survey) -> bool| self.surveys.iter().filter(|s| is(s)).count();
+        let backlog_ms: f64 = self.surveys.iter().map(|survey| survey.backlog_ms).sum();
+        Scene {
+            engines: self.surveys.len(),
+            with_short_streams: count(|survey| survey.writers[0] > 0),
+            with_other_streams: count(|survey| survey.writers[0] == 0 && survey.running() > 0),
+            without_reading: count(|survey| survey.backlog_ms <= 0.0),
+            backlog_ms: backlog_ms as u64,
+        }
+    }
+
+    /// Whether memory at several engines is needed. A prompt that takes a small part of an engine's memory
+    /// rather waits there until others end.
+    fn needs_reserves(&self) -> bool {
+        let small_tokens = self.model.memory_tokens / SMALL_SHARE;
+        let is_small = self.need.memory_tokens() < small_tokens;
+        !is_small && !self.surveys.iter().any(|survey| self.has_memory(survey))
+    }
+
+    fn has_memory(&self, survey: &Survey) -> bool {
         let needed = self.need.memory_tokens() + self.options.memory_spare_tokens;
-        let mut with_place = self.surveys.iter().filter(|survey| self.has_place(survey));
-        !with_place.any(|survey| survey.free_tokens >= needed)
+        survey.free_tokens >= needed
     }
 
-    /// Whether one more answer may be written there.
+    /// Time until there is a place and memory for an answer there, in milliseconds.
+    fn place_wait_ms(&self, survey: &Survey) -> f64 {
+        let over = (survey.running() + 1).saturating_sub(self.model.slots);
+        let turns = f64::from(over) / f64::from(self.model.slots.max(1));
+        let memory_ms = match self.has_memory(survey) {
+            true => 0.0,
+            false => PLACE_FREE_MS,
+        };
+        turns * PLACE_FREE_MS * 2.0 + memory_ms
+    }
+
+    /// Whether an engine may get one more answer to write: it queues no more than it runs.
     pub(crate) fn has_place(&self, survey: &Survey) -> bool {
-        let slots = self.model.slots.saturating_sub(self.options.slots_spare);
-        survey.running() < slots.max(1)
+        survey.running() < self.model.slots * 2
     }
 
     pub(crate) fn full(&self) -> NoPlace {
@@ -241,7 +355,11 @@
     }
 
     fn with_width(&self, width: usize, part_ms: f64) -> Option<Placement> {
-        let first = self.first_for(part_ms)?;
+        let is_shared = width > 1;
+        let first = self.first_for(part_ms, is_shared)?;
+        if !is_shared {
+            return Some(self.judge_alone(first, part_ms));
+        }
         let mut others: Vec<&Survey> = self
             .surveys
             .iter()
@@ -256,73 +374,132 @@
             a.total_cmp(&b)
         });
         others.truncate(width - 1);
-        Some(self.judge(first, &others, part_ms))
+        Some(self.judge_shared(first, &others, part_ms))
     }
 
     /// The engine that writes: expected loss of its own part, of its place and of its company.
-    fn first_for(&self, part_ms: f64) -> Option<&Survey> {
-        let needed = self.need.memory_tokens() + self.options.memory_spare_tokens;
+    fn first_for(&self, part_ms: f64, is_shared: bool) -> Option<&Survey> {
+        let loss = |survey: &Survey| match is_shared {
+            true => self.first_part_loss(survey, part_ms),
+            false => self.alone_loss(survey, part_ms),
+        };
         self.surveys
             .iter()
-            .filter(|survey| survey.free_tokens >= needed && self.has_place(survey))
-            .min_by(|a, b| {
-                let (a, b) = (self.first_loss(a, part_ms), self.first_loss(b, part_ms));
-                a.total_cmp(&b)
-            })
+            .filter(|survey| self.has_place(survey))
+            .min_by(|a, b| loss(a).total_cmp(&loss(b)))
     }
 
-    pub(crate) fn first_loss(&self, survey: &Survey, part_ms: f64) -> f64 {
-        self.part_loss(survey, part_ms) + self.company_loss(survey)
+    /// Loss by reading a part there and writing the answer.
+    fn first_part_loss(&self, survey: &Survey, part_ms: f64) -> f64 {
+        let ready_ms = survey.ready_ms(part_ms);
+        let wait_ms = self.place_wait_ms(survey);
+        let waits = self.late_units(ready_ms + wait_ms) - self.late_units(ready_ms);
+        self.part_loss(survey, part_ms) + waits + self.company_loss(survey)
+    }
+
+    /// Loss by reading all of the prompt there.
+    fn alone_loss(&self, survey: &Survey, read_ms: f64) -> f64 {
+        let late = self.late_units(survey.ready_ms(read_ms) + self.place_wait_ms(survey));
+        late + survey.harm(read_ms) + self.company_loss(survey) + self.trial_loss(survey)
     }
 
     /// Loss by reading a part there: the prompt's lateness if this engine were the last to be done,
-    /// and the streams there that pause.
+    /// and the streams there that pause. Engines with less to read are better, also where the part
+    /// would overtake what waits.
     fn part_loss(&self, survey: &Survey, part_ms: f64) -> f64 {
-        let mut loss = survey.harm(part_ms) + self.late_units(survey.ready_ms(part_ms));
-        if survey.trial {
-            // One request at a time shows whether it has recovered.
-            loss += self.need.units() * f64::from(1 + survey.running().min(4));
+        let late = self.late_units(survey.ready_ms(part_ms));
+        late + survey.harm(part_ms) + self.trial_loss(survey)
+    }
+
+    /// One request at a time shows whether an engine has recovered.
+    fn trial_loss(&self, survey: &Survey) -> f64 {
+        if !survey.trial {
+            return 0.0;
         }
-        loss
+        self.need.units() * f64::from(1 + survey.running().min(4))
     }
 
-    /// What it costs others that this answer is written there: short streams belong together.
+    /// What it costs others that this answer is written there: short streams belong together, the more
+    /// there are the better, so that engines with few fall free again; other streams belong together
+    /// apart from them.
     fn company_loss(&self, survey: &Survey) -> f64 {
-        let short = self.need.pause_class() == 0;
-        let short_writers = survey.writers[0];
-        if short && short_writers == 0 {
-            return self.options.open_units;
+        let short = survey.writers[0];
+        let other = survey.running() - u32::from(short);
+        if self.need.pause_class() < PAUSE_CLASSES - 1 {
+            let alike = short + survey.writers[1];
+            return self.options.open_units / (1.0 + f64::from(alike));
         }
-        if !short && short_writers > 0 {
+        if short > 0 {
             return self.options.open_units;
         }
-        0.0
+        self.options.open_other_units / (1.0 + f64::from(other))
     }
 
     /// What the prompt loses if its first token comes after `first_token_ms`, in units.
     fn late_units(&self, first_token_ms: f64) -> f64 {
         let need = self.need;
-        let waits = self.options.wait_units * first_token_ms / need.aim_ms;
+        let waits = self.options.wait_units * need.units() * first_token_ms / need.aim_ms;
         let misses = LATE_SHARE * late(first_token_ms, need.aim_ms);
         let lost = (1.0 - LATE_SHARE) * late(first_token_ms, need.left_ms);
         need.units() * (misses + lost) + waits
     }
 
-    fn judge(&self, first: &Survey, others: &[&Survey], part_ms: f64) -> Placement {
-        let mut first_token_ms = first.ready_ms(part_ms);
-        let mut loss_units = first.harm(part_ms) + self.company_loss(first);
-        for survey in others {
-            first_token_ms = first_token_ms.max(survey.ready_ms(part_ms));
+    fn judge_alone(&self, first: &Survey, read_ms: f64) -> Placement {
+        Placement {
+            first: first.key,
+            helpers: Vec::new(),
+            reserves: Vec::new(),
+            read_ms,
+            backlog_ms: first.backlog_ms,
+            hold_ms: 0.0,
+            first_token_ms: first.ready_ms(read_ms) + self.place_wait_ms(first),
+            loss_units: self.alone_loss(first, read_ms),
+            scene: Scene::default(),
+        }
+    }
+
+    fn judge_shared(&self, first: &Survey, others: &[&Survey], part_ms: f64) -> Placement {
+        let mut readers = vec![first];
+        readers.extend(others);
+        let hold_ms = self.hold_ms(&readers, part_ms);
+        let mut ready_ms: f64 = 0.0;
+        let mut loss_units = self.company_loss(first);
+        for survey in &readers {
+            ready_ms = ready_ms.max(survey.part_ready_ms(part_ms, hold_ms));
             loss_units += survey.harm(part_ms) + self.options.engine_units;
         }
+        let first_token_ms = hold_ms + ready_ms + self.place_wait_ms(first);
         loss_units += self.late_units(first_token_ms);
+        loss_units += self.overtake_loss(&readers, part_ms, hold_ms);
         Placement {
             first: first.key,
             helpers: others.iter().map(|survey| survey.key).collect(),
             reserves: Vec::new(),
             read_ms: part_ms,
+            backlog_ms: longest_backlog_ms(&readers),
+            hold_ms,
             first_token_ms,
             loss_units,
+            scene: Scene::default(),
         }
     }
+
+    /// How long its engines need for what was placed before, within bounds.
+    pub(crate) fn hold_ms(&self, readers: &[&Survey], part_ms: f64) -> f64 {
+        let longest_ms = longest_backlog_ms(readers);
+        longest_ms.min(part_ms * self.options.hold_factor)
+    }
+
+    /// What earlier prompts lose by this one's overtaking them.
+    fn overtake_loss(&self, readers: &[&Survey], part_ms: f64, hold_ms: f64) -> f64 {
+        let overtaken = readers.iter().filter(|survey| survey.backlog_ms > hold_ms);
+        let share = overtaken.count() as f64 / readers.len() as f64;
+        share * part_ms / 1e3 * self.options.overtake_units
+    }
+}
+
+/// The longest backlog among some engines, in milliseconds.
+pub(crate) fn longest_backlog_ms(readers: &[&Survey]) -> f64 {
+    let backlogs = readers.iter().map(|survey| survey.backlog_ms);
+    backlogs.fold(0.0, f64::max)
 }
--- a/crates/mgs-placing/src/lib.rs
+++ b/crates/mgs-placing/src/lib.rs
@@ -22,3 +22,4 @@
 pub mod share;
 mod split;
 mod survey;
+pub mod turn;
--- a/crates/mgs-placing/src/model.rs
+++ b/crates/mgs-placing/src/model.rs
@@ -20,6 +20,8 @@
     pub context_step_ms_per_1k: f64,
     /// Prompt tokens read in a millisecond, the cost of pairs aside.
     pub read_tokens_per_ms: f64,
+    /// Most prompt tokens read in a step.
+    pub chunk_tokens: u64,
     /// Cost of a million pairs of a token and an earlier one, in milliseconds.
     pub pair_ms_per_million: f64,
 }
@@ -35,6 +37,7 @@
             writer_step_ms: 0.004,
             context_step_ms_per_1k: 0.003,
             read_tokens_per_ms: 177.0,
+            chunk_tokens: 2_048,
             pair_ms_per_million: 0.184,
         }
     }
@@ -47,12 +50,15 @@
     /// use mgs_placing::model::EngineModel;
     ///
     /// let model = EngineModel::default();
-    /// assert!((model.read_ms(45_000) - 440.0).abs() < 5.0);
+    /// assert!((model.read_ms(45_000) - 459.0).abs() < 5.0);
     /// ```
     pub fn read_ms(&self, prompt_tokens: u64) -> f64 {
         let tokens = prompt_tokens as f64;
         let million_pairs = tokens * tokens / 2.0 / 1e6;
-        tokens / self.read_tokens_per_ms + million_pairs * self.pair_ms_per_million
+        let steps = tokens / self.chunk_tokens.max(1) as f64;
+        let steps_ms = steps * self.step_ms;
+        let pairs_ms = million_pairs * self.pair_ms_per_million;
+        tokens / self.read_tokens_per_ms + pairs_ms + steps_ms
     }
 
     /// Time of a pass that writes for `writers` requests and reads nothing, in milliseconds.
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -36,6 +36,8 @@
     pub sequence: u64,
     /// Whether the sender is about to leave: what it holds no longer grows.
     pub leaving: bool,
+    /// Score of the prompt that goes first among those that wait there, if any.
+    pub waiting: Option<u32>,
     /// All that it holds.
     pub held: Vec<HeldAt>,
     /// Reading that it placed since its last message.
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -4,10 +4,12 @@
 //! are made before the prompt is sent, or none is kept; whoever gets only some gives them back at once,
 //! so nobody waits while holding and no two prompts can block each other.
 
+use crate::choose::longest_backlog_ms;
 use crate::choose::NoPlace;
 use crate::choose::Placement;
 use crate::choose::Placing;
 use crate::choose::Reserve;
+use crate::choose::Scene;
 use crate::survey::Survey;
 
 /// Most of an engine's free memory that is reserved: peers may have placed prompts there in the last
@@ -54,17 +56,22 @@
     let readers = readers(placing, first, holders);
     let width = (readers.len() + 1) as f64;
     let read_ms = placing.model.read_ms(placing.need.prompt_tokens) / width;
-    let ready_ms = |survey: &Survey| survey.ready_ms(read_ms);
-    let last_ms = readers.iter().map(|survey| ready_ms(survey));
-    let first_token_ms = last_ms.fold(ready_ms(first), f64::max);
+    let mut all = vec![first];
+    all.extend(&readers);
+    let hold_ms = placing.hold_ms(&all, read_ms);
+    let ready_ms = all.iter().map(|survey| survey.part_ready_ms(read_ms, hold_ms));
+    let first_token_ms = hold_ms + ready_ms.fold(0.0, f64::max);
     let harm: f64 = readers.iter().map(|survey| survey.harm(read_ms)).sum();
     Ok(Placement {
         first: first.key,
         helpers: readers.iter().map(|survey| survey.key).collect(),
         reserves,
         read_ms,
+        backlog_ms: longest_backlog_ms(&all),
+        hold_ms,
         first_token_ms,
         loss_units: harm + first.harm(read_ms),
+        scene: Scene::default(),
     })
 }
 
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -4,6 +4,7 @@
 
 use crate::board::Board;
 use crate::choose::Candidate;
+use crate::choose::Options;
 use crate::model::EngineModel;
 use crate::need::CLASS_UNITS;
 use crate::need::PAUSE_CLASSES;
@@ -16,6 +17,9 @@
 /// tenth on calm days.
 const BLUR: f64 = 0.1;
 
+/// Time on the way to an engine and back, in milliseconds; measured on calm days.
+const HOPS_MS: f64 = 8.0;
+
 /// One candidate as the board has it.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct Survey {
@@ -34,6 +38,8 @@
     pub(crate) slowness: f64,
     /// Whether it is on trial after failures.
     pub(crate) trial: bool,
+    /// See [`Options::joining_factor`].
+    joining_factor: f64,
 }
 
 impl Survey {
@@ -41,13 +47,15 @@
         candidate: &Candidate,
         board: &Board,
         model: &EngineModel,
+        options: &Options,
         now_ms: f64,
     ) -> Self {
         let held = board.held(candidate.key);
         let held_tokens = u64::from(held.memory_tokens);
         let mut survey = Self {
             key: candidate.key,
-            backlog_ms: board.backlog_ms(candidate.key, now_ms),
+            backlog_ms: board.backlog_ms(candidate.key, now_ms, options.unknown_share),
+            joining_factor: options.joining_factor,
             writers: held.writers,
             parts: held.parts,
             pass_ms: 0.0,
@@ -81,12 +89,34 @@
         harm * LATE_SHARE
     }
 
-    /// Time until `read_ms` more has been read there, in milliseconds.
+    /// Time until a whole prompt of `read_ms` has been read there, in milliseconds: after all parts of
+    /// other prompts.
     pub(crate) fn ready_ms(&self, read_ms: f64) -> f64 {
-        // A pass that is under way ends first: half a pass on average; and the token of the prompt
-        // comes at the end of the next one.
-        let waits_ms = self.pass_ms * 1.5;
-        self.backlog_ms + waits_ms + read_ms * self.slowness
+        let backlog_ms = match self.running() {
+            0 => self.backlog_ms,
+            // What arrives while a pass runs is read in the next one, together with this.
+            _ => self.backlog_ms * self.joining_factor,
+        };
+        HOPS_MS + self.pass_wait_ms() + backlog_ms + read_ms * self.slowness
+    }
+
+    /// Time until a part of `read_ms` that arrives after `hold_ms` has been read there, from its
+    /// arrival, in milliseconds.
+    ///
+    /// An engine reads the newest part first. One that writes shows what it has read at the end of a
+    /// pass only, and a pass reads all that waits.
+    pub(crate) fn part_ready_ms(&self, read_ms: f64, hold_ms: f64) -> f64 {
+        let mut ready_ms = HOPS_MS + self.pass_wait_ms() + read_ms * self.slowness;
+        if self.running() > 0 {
+            ready_ms += (self.backlog_ms - hold_ms).max(0.0);
+        }
+        ready_ms
+    }
+
+    /// A pass that is under way ends first, half a pass on average; and the token of the prompt comes at
+    /// the end of the next one.
+    fn pass_wait_ms(&self) -> f64 {
+        self.pass_ms * 1.5
     }
 }
 
--- /dev/null
+++ b/crates/mgs-placing/src/turn.rs
@@ -0,0 +1,89 @@
+//! Whose turn it is among long prompts.
+//!
+//! The load that this answers: for ten seconds and more, audits ask for as much reading as all engines
+//! have, or more. Engines read the newest part first, so prompts that are sent anyway overtake each
+//! other, and all become late; and their reading and memory stand in the way of the short prompts of
+//! the next ten seconds. So a long prompt waits at its gateway until the engines have read what was
+//! sent before, and of those that wait, the one goes first that is worth most for its reading. One that
+//! can't be on time any more lets the others pass, until its deadline forces it.
+
+use crate::choose::Placement;
+use crate::need::Need;
+
+/// Settings of the order among long prompts.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Options {
+    /// A prompt whose part is read in less than this doesn't wait, in milliseconds: overtaking delays
+    /// others by less than a pass of an engine that writes.
+    pub overtake_ms: f64,
+    /// Backlog of the engines at which the next prompt is sent, in milliseconds: what it takes to tell
+    /// them, so that they don't fall idle.
+    pub start_backlog_ms: f64,
+    /// Time that an answer takes to be written, in milliseconds: 16 events at 70 ms, and as much again
+    /// for passes that read.
+    pub write_ms: f64,
+    /// Factor by which reading may take longer than predicted when the deadline is near.
+    pub margin_factor: f64,
+}
+
+impl Default for Options {
+    fn default() -> Self {
+        Self {
+            overtake_ms: 60.0,
+            start_backlog_ms: 60.0,
+            write_ms: 2_200.0,
+            margin_factor: 1.5,
+        }
+    }
+}
+
+/// Place in the order of all waiting prompts; the least goes first.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub struct Score(pub u32);
+
+/// Stands for nobody waiting.
+pub const NOBODY: Score = Score(u32::MAX);
+
+/// Added to the score of those that can't be on time.
+const TOO_LATE: u32 = 1_000_000_000;
+
+/// What a prompt is to do now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Turn {
+    /// Be sent.
+    Go,
+    /// Wait and ask again.
+    Wait,
+}
+
+/// The score of a prompt whose reading takes `work_ms` on one engine: milliseconds of reading for a unit
+/// of worth while it can be on time, and then just its reading.
+pub fn score(need: &Need, placement: &Placement, work_ms: f64) -> Score {
+    if placement.first_token_ms > need.aim_ms {
+        return Score(TOO_LATE.saturating_add(work_ms as u32));
+    }
+    let per_unit_ms = work_ms / need.units().max(f64::MIN_POSITIVE);
+    Score((per_unit_ms as u32).min(TOO_LATE - 1))
+}
+
+/// Whether a prompt that could be placed so is sent now. `best_other` is the least score of the others that
+/// wait, here and at peers; `backlog_ms` is the longest backlog of its engines.
+pub fn turn(
+    need: &Need,
+    placement: &Placement,
+    own: Score,
+    best_other: Score,
+    options: &Options,
+) -> Turn {
+    if placement.read_ms <= options.overtake_ms {
+        return Turn::Go;
+    }
+    let reading_ms = placement.first_token_ms * options.margin_factor;
+    if need.left_ms < reading_ms + options.write_ms {
+        return Turn::Go;
+    }
+    if own <= best_other && placement.backlog_ms <= options.start_backlog_ms {
+        return Turn::Go;
+    }
+    Turn::Wait
+}
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -2,10 +2,12 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::sync::Arc;
 
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Board;
+use mgs_placing::turn::Score;
 use mgs_routing::outlier::Outliers;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
@@ -34,6 +36,10 @@
     pub(crate) fresh_reads: RefCell<Vec<FreshRead>>,
     /// Wakes the one who tells peers.
     pub(crate) board_changed: Notify,
+    /// Wakes prompts that wait for their turn.
+    pub(crate) board_news: Notify,
+    /// Prompts that wait for their turn here, by number.
+    pub(crate) waiting: RefCell<HashMap<u64, Score>>,
     pub(crate) outliers: Outliers,
     pub(crate) budget: RefCell<Budget>,
     pub(crate) metrics: Metrics,
@@ -41,8 +47,8 @@
     /// Most gateways known at once of late, this one included.
     pub(crate) gateways: Cell<usize>,
     pub(crate) random: RefCell<ChaCha8Rng>,
-    /// Number of the last memory reservation.
-    pub(crate) reservations: Cell<u64>,
+    /// Last number given to something of this process.
+    pub(crate) last_number: Cell<u64>,
     /// This process, among its predecessors and peers.
     pub(crate) incarnation: u64,
 }
@@ -57,6 +63,13 @@
         self.published.now_ms()
     }
 
+    /// A number that nothing else of this process has.
+    pub(crate) fn next_number(&self) -> u64 {
+        let number = self.last_number.get() + 1;
+        self.last_number.set(number);
+        number
+    }
+
     /// A number from 0 up to `below`.
     pub(crate) fn random_below(&self, below: u32) -> u32 {
         if below == 0 {
@@ -75,6 +88,11 @@
         self.board_changed.notify_one();
     }
 
+    /// The least score of the prompts that wait here.
+    pub(crate) fn best_waiting(&self) -> Option<Score> {
+        self.waiting.borrow().values().min().copied()
+    }
+
     /// Takes one second try of the budget.
     pub(crate) fn may_try_again(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -53,6 +53,7 @@
         }
         self.held.retain(|(_, held)| !is_part(held));
         self.core.board_changed.notify_one();
+        self.core.board_news.notify_waiters();
     }
 }
 
@@ -67,5 +68,6 @@
             board.correct(*endpoint, now_ms, self.read_ms);
         }
         self.core.board_changed.notify_one();
+        self.core.board_news.notify_waiters();
     }
 }
--- a/crates/mgs-relay/src/memory.rs
+++ b/crates/mgs-relay/src/memory.rs
@@ -86,9 +86,7 @@
     }
 
     fn next_id(&self) -> String {
-        let number = self.core.reservations.get() + 1;
-        self.core.reservations.set(number);
-        format!("{:x}-{number}", self.core.incarnation)
+        format!("{:x}-{}", self.core.incarnation, self.core.next_number())
     }
 
     /// Renews until dropped.
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -13,6 +13,7 @@
 use mgs_placing::share::Beacon;
 use mgs_placing::share::HeldAt;
 use mgs_placing::share::ReadAt;
+use mgs_placing::turn::Score;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
@@ -84,6 +85,7 @@
         from: core.incarnation,
         sequence,
         leaving: core.drain.phase() != Phase::Serving,
+        waiting: core.best_waiting().map(|score| score.0),
         held: Vec::new(),
         reads: Vec::new(),
     };
@@ -169,8 +171,9 @@
         .iter()
         .filter_map(|at| Some((key_of(at.endpoint)?, at.held)))
         .collect();
+    core.board_news.notify_waiters();
     let mut board = core.board.borrow_mut();
-    board.hear(peer, now_ms, held);
+    board.hear(peer, now_ms, beacon.waiting.map(Score), held);
     for read in &beacon.reads {
         if let Some(key) = key_of(read.endpoint).filter(|key| fleet.by_key.contains_key(key)) {
             board.read(key, now_ms, f64::from(read.read_ms));
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
+use std::time::Duration;
 
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Held;
@@ -13,7 +14,12 @@
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
 use mgs_placing::plain;
+use mgs_placing::turn;
+use mgs_placing::turn::Score;
+use mgs_placing::turn::Turn;
+use mgs_placing::turn::NOBODY;
 use mgs_routing::outlier::Standing;
+use tokio::time::timeout;
 
 use crate::core::Core;
 use crate::dialect::Helper;
@@ -49,6 +55,8 @@
     pub(crate) _reservations: Reservations,
     /// Predicted time to the first token, in milliseconds; 0 without a prediction.
     pub(crate) first_token_ms: f64,
+    /// How long to wait before it is sent, in milliseconds.
+    pub(crate) hold_ms: f64,
 }
 
 /// Endpoints that already failed this request.
@@ -113,6 +121,7 @@
         grant,
         _reservations: Reservations::none(core),
         first_token_ms: 0.0,
+        hold_ms: 0.0,
     })
 }
 
@@ -120,21 +129,27 @@
     Refusal::after(Fault::NoEndpoint, RETRY_AFTER_NO_ENDPOINT_MS)
 }
 
-/// Places a prompt.
+/// One prompt to be placed.
+pub(crate) struct Prompt<'a> {
+    pub(crate) core: &'a Rc<Core>,
+    pub(crate) request_id: &'a str,
+    pub(crate) service: &'a str,
+    pub(crate) model: &'a EngineModel,
+    pub(crate) tried: &'a Tried,
+}
+
+/// Places a prompt once it is its turn; `need` tells what is left of its time.
 pub(crate) async fn prompt(
-    core: &Rc<Core>,
-    service: &str,
-    model: &EngineModel,
-    need: &Need,
-    tried: &Tried,
-    request_id: &str,
+    prompt: &Prompt<'_>,
+    need: impl Fn() -> Need,
 ) -> Result<Placed, Refusal> {
-    let mut avoided = tried.clone();
+    let core = prompt.core;
+    let mut avoided = prompt.tried.clone();
     for _ in 0..RESERVE_TRIES {
+        let (need, placement) = await_turn(prompt, &need, &avoided).await?;
         let fleet = core.published.fleet();
-        let placement = choose_engines(core, &fleet, service, model, need, &avoided)?;
-        log_placement(core, request_id, &fleet, need, &placement);
-        let grant = hold(core, need, &placement);
+        log_placement(core, prompt.request_id, &fleet, &need, &placement);
+        let grant = hold(core, &need, &placement);
         if placement.reserves.is_empty() {
             let none = Reservations::none(core);
             return placed(&fleet, placement, grant, none);
@@ -148,15 +163,82 @@
     Err(Refusal::after(Fault::Full, RETRY_AFTER_MIN_MS))
 }
 
+/// Longest time between two looks whether it is a prompt's turn.
+const TURN_LOOK: Duration = Duration::from_millis(50);
+
+/// Waits until it is the prompt's turn.
+async fn await_turn(
+    prompt: &Prompt<'_>,
+    need: impl Fn() -> Need,
+    tried: &Tried,
+) -> Result<(Need, Placement), Refusal> {
+    let core = prompt.core;
+    let mut waiting = Waiting::new(core);
+    loop {
+        let need = need();
+        let placement = choose_engines(prompt, &need, tried)?;
+        let work_ms = prompt.model.read_ms(need.prompt_tokens);
+        let own = turn::score(&need, &placement, work_ms);
+        let best_other = waiting.best_other();
+        let turn = turn::turn(&need, &placement, own, best_other, &core.options.turns);
+        if turn == Turn::Go {
+            return Ok((need, placement));
+        }
+        waiting.set(own);
+        // Whether there was news or time is up is all the same.
+        let _ = timeout(TURN_LOOK, core.board_news.notified()).await;
+    }
+}
+
+/// Lists a prompt among those that wait, until dropped.
+struct Waiting {
+    core: Rc<Core>,
+    number: u64,
+}
+
+impl Waiting {
+    fn new(core: &Rc<Core>) -> Self {
+        let number = core.next_number();
+        Self {
+            core: core.clone(),
+            number,
+        }
+    }
+
+    fn set(&self, score: Score) {
+        let before = self.core.waiting.borrow_mut().insert(self.number, score);
+        if before != Some(score) {
+            self.core.board_changed.notify_one();
+        }
+    }
+
+    /// The least score of the others that wait, here and at peers.
+    fn best_other(&self) -> Score {
+        let waiting = self.core.waiting.borrow();
+        let others = waiting.iter().filter(|(number, _)| **number != self.number);
+        let here = others.map(|(_, score)| *score).min().unwrap_or(NOBODY);
+        here.min(self.core.board.borrow().best_waiting())
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        let waited = self.core.waiting.borrow_mut().remove(&self.number);
+        if waited.is_some() {
+            self.core.board_changed.notify_one();
+            self.core.board_news.notify_waiters();
+        }
+    }
+}
+
 fn choose_engines(
-    core: &Rc<Core>,
-    fleet: &Fleet,
-    service: &str,
-    model: &EngineModel,
+    prompt: &Prompt<'_>,
     need: &Need,
     tried: &Tried,
 ) -> Result<Placement, Refusal> {
-    let endpoints = usable(core, fleet, service, tried);
+    let core = prompt.core;
+    let fleet = core.published.fleet();
+    let endpoints = usable(core, &fleet, prompt.service, tried);
     let candidate = |endpoint: &Arc<Endpoint>| choose::Candidate {
         key: endpoint.key,
         slowness: core.outliers.slowness(endpoint.key),
@@ -165,7 +247,7 @@
     let candidates: Vec<choose::Candidate> = endpoints.iter().map(candidate).collect();
     let board = core.board.borrow();
     let options = &core.options.placing;
-    choose(need, &candidates, &board, model, options, core.now_ms()).map_err(refuse)
+    choose(need, &candidates, &board, prompt.model, options, core.now_ms()).map_err(refuse)
 }
 
 fn refuse(no_place: NoPlace) -> Refusal {
@@ -192,13 +274,16 @@
         };
         held.push((reserve.endpoint, memory));
     }
-    let part = Held {
-        parts: 1,
-        ..Held::default()
-    };
-    held.extend(placement.helpers.iter().map(|key| (*key, part)));
     let mut readers = placement.helpers.clone();
     readers.push(placement.first);
+    if !placement.helpers.is_empty() {
+        let part = Held {
+            parts: 1,
+            shared_read_ms: placement.read_ms as u32,
+            ..Held::default()
+        };
+        held.extend(readers.iter().map(|key| (*key, part)));
+    }
     let first_token_at_ms = core.now_ms() + placement.first_token_ms;
     Grant::take(core, held, readers, placement.read_ms, first_token_at_ms)
 }
@@ -229,6 +314,7 @@
         grant,
         _reservations: reservations,
         first_token_ms: placement.first_token_ms,
+        hold_ms: placement.hold_ms,
     })
 }
 
@@ -241,16 +327,30 @@
 ) {
     let first = fleet.by_key.get(&placement.first);
     let endpoint = first.map_or("gone", |endpoint| endpoint.id.as_str());
+    let helpers: Vec<&str> = placement
+        .helpers
+        .iter()
+        .filter_map(|key| fleet.by_key.get(key))
+        .map(|endpoint| endpoint.id.as_str())
+        .collect();
     log::info!(
         request_id = request_id,
         endpoint = endpoint,
         prompt_tokens = need.prompt_tokens,
         output_tokens = need.output_tokens,
         engines = placement.helpers.len() + 1,
+        helpers = helpers.join(" "),
         reservations = placement.reserves.len(),
         read_ms = placement.read_ms as u64,
+        hold_ms = placement.hold_ms as u64,
         predicted_first_token_ms = placement.first_token_ms as u64,
         left_ms = need.left_ms as u64,
+        loss_milliunits = (placement.loss_units * 1e3) as u64,
+        usable_engines = placement.scene.engines,
+        engines_with_short_streams = placement.scene.with_short_streams,
+        engines_with_other_streams = placement.scene.with_other_streams,
+        engines_without_reading = placement.scene.without_reading,
+        backlog_ms = placement.scene.backlog_ms,
         fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX),
         peers = core.board.borrow().peers();
         "placed"
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -24,6 +24,7 @@
 use crate::fault::Refusal;
 use crate::place;
 use crate::place::Placed;
+use crate::place::Prompt;
 use crate::place::Tried;
 use crate::view::Endpoint;
 use crate::view::Organisation;
@@ -46,13 +47,6 @@
 /// When a client may come back after endpoints refused, in milliseconds.
 const RETRY_AFTER_REFUSED_MS: u64 = 200;
 
-/// Lengths of reading that set the rank of prompts of one priority apart, in milliseconds: a short one
-/// goes before a long one, which loses little by it.
-const RANK_READ_MS: [f64; 2] = [100.0, 1_000.0];
-
-/// Ranks of each priority.
-const RANKS_PER_PRIORITY: u8 = 3;
-
 /// Lowest rank that engines know.
 const RANK_MAX: u8 = 9;
 
@@ -144,9 +138,14 @@
         let Some(model) = &self.model else {
             return place::plain(&self.core, &self.service, tried);
         };
-        let need = self.need();
-        let id = &self.ask.request_id;
-        place::prompt(&self.core, &self.service, model, &need, tried, id).await
+        let prompt = Prompt {
+            core: &self.core,
+            request_id: &self.ask.request_id,
+            service: &self.service,
+            model,
+            tried,
+        };
+        place::prompt(&prompt, || self.need()).await
     }
 
     fn need(&self) -> Need {
@@ -165,6 +164,9 @@
         mut placed: Placed,
         last_event_id: Option<&str>,
     ) -> Result<Got, Failed> {
+        if placed.hold_ms > 0.0 {
+            tokio::time::sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
+        }
         let request = self.request(&placed, last_event_id);
         let endpoint = placed.endpoint.clone();
         self.progress.dispatches += 1;
@@ -196,8 +198,10 @@
                     placed,
                 })
             }
-            Ended::NotRun { why, .. } => {
-                self.progress.tried.push(endpoint.key);
+            Ended::NotRun { why, at_fault, .. } => {
+                // A helper may be at fault; then the engine that answers is as good as before.
+                let at_fault = at_fault.and_then(|address| self.key_at(address));
+                self.progress.tried.push(at_fault.unwrap_or(endpoint.key));
                 Err(Failed::not_run(why))
             }
             Ended::Unknown { .. } => {
@@ -242,7 +246,9 @@
             return left;
         }
         if self.route.kind.is_streaming() {
-            let silent_ms = (placed.first_token_ms * SILENT_FACTOR).max(SILENT_MIN_MS);
+            let aim_ms = self.route.aim_ms as f64;
+            let expected_ms = placed.first_token_ms.max(aim_ms);
+            let silent_ms = (expected_ms * SILENT_FACTOR).max(SILENT_MIN_MS);
             return left.min(Duration::from_secs_f64(silent_ms / 1e3));
         }
         left.mul_f64(DISPATCH_SHARE)
@@ -270,7 +276,7 @@
             endpoint_id: placed.endpoint.id.clone(),
             left_ms: self.left().as_millis() as u64,
             organisation: self.organisation.as_ref().map(|o| o.name.clone()),
-            rank: self.model.as_ref().map(|model| self.rank(model)),
+            rank: self.model.as_ref().map(|_| self.rank()),
             helpers: placed.helpers.clone(),
             last_event_id: last_event_id.map(str::to_string),
         };
@@ -282,14 +288,11 @@
         request
     }
 
-    fn rank(&self, model: &EngineModel) -> u8 {
+    /// Rank at an engine: the operators' priorities only. A rank by length would let short prompts take
+    /// the memory that a long one waits for, again and again.
+    fn rank(&self) -> u8 {
         let own = self.organisation.as_ref().and_then(|o| o.priority);
-        let priority = own.unwrap_or(self.route.priority);
-        let read_ms = model.read_ms(self.ask.prompt_tokens);
-        let longer = RANK_READ_MS.iter().filter(|limit_ms| read_ms > **limit_ms);
-        let within = longer.count() as u8;
-        let rank = priority.saturating_mul(RANKS_PER_PRIORITY);
-        rank.saturating_add(within).min(RANK_MAX)
+        own.unwrap_or(self.route.priority).min(RANK_MAX)
     }
 
     /// Remembers what the dispatch shows of its endpoint, and says so.
@@ -319,9 +322,10 @@
                 is_lost,
                 at_fault,
             } => {
-                if *is_lost {
-                    let at_fault = at_fault.and_then(|address| self.key_at(address));
-                    core.outliers.failed(at_fault.unwrap_or(key), now_ms);
+                let at_fault = at_fault.and_then(|address| self.key_at(address));
+                let helper = at_fault.filter(|at_fault| *at_fault != key);
+                if *is_lost || helper.is_some() {
+                    core.outliers.failed(helper.unwrap_or(key), now_ms);
                 }
                 why
             }
@@ -334,6 +338,11 @@
             Ended::Unknown { why } => why.as_str(),
             _ => end,
         };
+        let at_fault = match ended {
+            Ended::NotRun { at_fault, .. } => at_fault.map(|address| address.to_string()),
+            _ => None,
+        };
+        let at_fault = at_fault.unwrap_or_default();
         log::info!(
             request_id = self.ask.request_id,
             endpoint = placed.endpoint.id,
@@ -342,7 +351,8 @@
             predicted_ms = placed.first_token_ms as u64,
             took_ms = took_ms,
             end = end,
-            why = why;
+            why = why,
+            at_fault = at_fault;
             "dispatch ended"
         );
     }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -2,6 +2,7 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
+use std::collections::HashMap;
 use std::future::Future;
 use std::io;
 use std::net::SocketAddr;
@@ -11,6 +12,7 @@
 use displaydoc::Display;
 use mgs_placing::board::Board;
 use mgs_placing::choose;
+use mgs_placing::turn;
 use mgs_routing::outlier;
 use mgs_routing::outlier::Outliers;
 use rand::rngs::SysRng;
@@ -53,6 +55,8 @@
     pub budget: BudgetOptions,
     /// Placing of prompts.
     pub placing: choose::Options,
+    /// Order among long prompts.
+    pub turns: turn::Options,
     /// Endpoints that are passed over.
     pub outliers: outlier::Options,
     /// Leaving.
@@ -70,6 +74,7 @@
             connect_timeout_ms: 300,
             budget: BudgetOptions::default(),
             placing: choose::Options::default(),
+            turns: turn::Options::default(),
             outliers: outlier::Options {
                 // An endpoint that went dark answers nothing; each request that finds out costs its
                 // client the time to connect elsewhere.
@@ -148,13 +153,15 @@
         board: RefCell::new(Board::new()),
         fresh_reads: RefCell::new(Vec::new()),
         board_changed: Notify::new(),
+        board_news: Notify::new(),
+        waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
         budget: RefCell::new(Budget::new(options.budget.clone())),
         metrics,
         drain: Drain::new(),
         gateways: Cell::new(1),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
-        reservations: Cell::new(0),
+        last_number: Cell::new(0),
         incarnation,
         options,
     }))
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -15,6 +15,7 @@
 use mgs_observe::admin::Health;
 use mgs_observe::logs;
 use mgs_observe::metrics::Registry;
+use mgs_placing::choose;
 use mgs_relay::follow;
 use mgs_relay::metrics::Metrics;
 use mgs_relay::relay;
@@ -28,6 +29,7 @@
 
 const SETTINGS: &str = "settings";
 const LOG_LEVEL: &str = "log-level";
+const PLACING: &str = "placing";
 
 const EXAMPLES: &str = "\
 Examples:
@@ -54,6 +56,10 @@
             value(LOG_LEVEL, "LEVEL", "Least level that is logged, or a filter by module")
                 .default_value("info"),
         )
+        .arg(
+            value(PLACING, "NAME=VALUE,...", "Figures of placing to be tried, such as open_units=2")
+                .default_value(""),
+        )
 }
 
 /// What the operators' server says of a relay.
@@ -82,17 +88,25 @@
     if logs::check(&level).is_err() {
         values.fault(LOG_LEVEL, "give a level or a filter by module");
     }
+    let tried = values.optional(PLACING).unwrap_or_default();
+    let placing = choose::Options::default()
+        .with(&tried)
+        .unwrap_or_else(|advice| {
+            values.fault(PLACING, advice);
+            choose::Options::default()
+        });
     values.finish()?;
     let failed = |error: String| Error::Failed(error);
     let settings = Settings::read(&path).map_err(|error| failed(error.to_string()))?;
     let _logs = logs::start_bounded(&logs::Options { level })
         .map_err(|error| failed(error.to_string()))?;
-    serve(&settings)
+    serve(&settings, placing)
 }
 
-fn serve(settings: &Settings) -> Result<(), Error> {
+fn serve(settings: &Settings, placing: choose::Options) -> Result<(), Error> {
     let failed = |error: String| Error::Failed(error);
-    let plan = options(settings);
+    let mut plan = options(settings);
+    plan.relay.placing = placing;
     let published = Arc::new(Published::new());
     log::info!(host = settings.host_name, zone = settings.zone, store:% = settings.store; "started");
     let registry = Registry::new();
