--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -24,11 +24,18 @@
     pub share_from_ms: f64,
     /// Most engines that read one prompt; the engines take 16 helpers beside the first.
     pub engines_max: usize,
+    /// The same for a prompt that can't be on time any more: it isn't to stand in the way of short prompts,
+    /// whose number may be several times as large a second later.
+    pub late_engines_max: usize,
     /// Least part of a prompt that is worth a helper, in milliseconds of reading.
     pub part_min_ms: f64,
     /// Cost of a short stream's start on an engine without short streams, in units: it takes the engine
     /// from long prompts while it writes.
     pub open_units: f64,
+    /// Short streams of an engine from which on one more counts as good company as with any other number.
+    pub pack_streams: f64,
+    /// Width of the step from on time to late for a first token, as a share of the aim.
+    pub blur: f64,
     /// The same for another stream on an engine without streams, in units: a pass that writes is long, so
     /// reading that engine's part of a prompt ends late.
     pub open_other_units: f64,
@@ -57,8 +64,11 @@
         Self {
             share_from_ms: 90.0,
             engines_max: 16,
+            late_engines_max: 6,
             part_min_ms: 25.0,
-            open_units: 1.5,
+            open_units: 0.7,
+            pack_streams: 10.0,
+            blur: 0.2,
             open_other_units: 6.0,
             engine_units: 0.002,
             hold_factor: 1.0,
@@ -96,7 +106,10 @@
         match name {
             "share_from_ms" => self.share_from_ms = value,
             "engines_max" => self.engines_max = value as usize,
+            "late_engines_max" => self.late_engines_max = value as usize,
             "part_min_ms" => self.part_min_ms = value,
+            "pack_streams" => self.pack_streams = value,
+            "blur" => self.blur = value,
             "open_units" => self.open_units = value,
             "open_other_units" => self.open_other_units = value,
             "engine_units" => self.engine_units = value,
@@ -240,13 +253,20 @@
         .iter()
         .map(|candidate| Survey::of(candidate, board, model, options, now_ms))
         .collect();
-    let placing = Placing {
+    let mut placing = Placing {
         need,
         model,
         options,
+        engines_max: options.engines_max,
         surveys,
     };
-    placing.place()
+    let widest = placing.place()?;
+    if widest.first_token_ms <= need.aim_ms {
+        return Ok(widest);
+    }
+    placing.engines_max = options.late_engines_max;
+    // Where fewer engines can't hold it or would be later than its deadline, the wide way stands.
+    Ok(placing.place().unwrap_or(widest))
 }
 
 /// One decision.
@@ -254,6 +274,7 @@
     pub(crate) need: &'a Need,
     pub(crate) model: &'a EngineModel,
     pub(crate) options: &'a Options,
+    pub(crate) engines_max: usize,
     pub(crate) surveys: Vec<Survey>,
 }
 
@@ -347,7 +368,7 @@
         if width == 1 {
             return true;
         }
-        let engines_max = self.options.engines_max.min(self.surveys.len());
+        let engines_max = self.engines_max.min(self.surveys.len());
         let part_ms = read_ms / width as f64;
         width <= engines_max
             && read_ms >= self.options.share_from_ms
@@ -427,7 +448,8 @@
         let other = survey.running() - u32::from(short);
         if self.need.pause_class() < PAUSE_CLASSES - 1 {
             let alike = short + survey.writers[1];
-            return self.options.open_units / (1.0 + f64::from(alike));
+            let missing = 1.0 - f64::from(alike) / self.options.pack_streams;
+            return self.options.open_units * missing.max(0.0);
         }
         if short > 0 {
             return self.options.open_units;
@@ -439,8 +461,9 @@
     fn late_units(&self, first_token_ms: f64) -> f64 {
         let need = self.need;
         let waits = self.options.wait_units * need.units() * first_token_ms / need.aim_ms;
-        let misses = LATE_SHARE * late(first_token_ms, need.aim_ms);
-        let lost = (1.0 - LATE_SHARE) * late(first_token_ms, need.left_ms);
+        let blur = self.options.blur;
+        let misses = LATE_SHARE * late(first_token_ms, need.aim_ms, blur);
+        let lost = (1.0 - LATE_SHARE) * late(first_token_ms, need.left_ms, blur);
         need.units() * (misses + lost) + waits
     }
 
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -35,7 +35,7 @@
     let mut holders = Vec::new();
     let mut reserves = Vec::new();
     for survey in by_room(placing, first) {
-        if missing == 0 || holders.len() + 1 >= placing.options.engines_max {
+        if missing == 0 || holders.len() + 1 >= placing.engines_max {
             break;
         }
         let room = (survey.free_tokens as f64 * RESERVED_SHARE) as u64;
@@ -123,7 +123,7 @@
     others.sort_by(|a, b| a.backlog_ms.total_cmp(&b.backlog_ms));
     for survey in others {
         let known = readers.iter().any(|reader| reader.key == survey.key);
-        if !known && readers.len() + 1 < placing.options.engines_max {
+        if !known && readers.len() + 1 < placing.engines_max {
             readers.push(survey);
         }
     }
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -13,9 +13,9 @@
 /// Share of a request's worth that is lost when it is late: sheets pay about a quarter for late answers.
 pub(crate) const LATE_SHARE: f64 = 0.75;
 
-/// Width of the step from on time to late, as a share of the limit: predictions of reading were within a
-/// tenth on calm days.
-const BLUR: f64 = 0.1;
+/// Width of the step from on time to late for a pause, as a share of the limit: predictions of reading were
+/// within a tenth on calm days.
+const PAUSE_BLUR: f64 = 0.1;
 
 /// Time on the way to an engine and back, in milliseconds; measured on calm days.
 const HOPS_MS: f64 = 8.0;
@@ -83,7 +83,7 @@
         let mut harm = 0.0;
         for class in 0..PAUSE_CLASSES {
             let limit_ms = PAUSE_CLASSES_MS[class];
-            let more = late(longer_ms, limit_ms) - late(pause_ms, limit_ms);
+            let more = late(longer_ms, limit_ms, PAUSE_BLUR) - late(pause_ms, limit_ms, PAUSE_BLUR);
             harm += f64::from(self.writers[class]) * CLASS_UNITS[class] * more;
         }
         harm * LATE_SHARE
@@ -120,8 +120,9 @@
     }
 }
 
-/// Probability that something predicted to take `takes_ms` exceeds `limit_ms`.
-pub(crate) fn late(takes_ms: f64, limit_ms: f64) -> f64 {
-    let off = (takes_ms - limit_ms) / (limit_ms * BLUR);
+/// Probability that something predicted to take `takes_ms` exceeds `limit_ms`; `blur` is the width of the step
+/// as a share of the limit.
+pub(crate) fn late(takes_ms: f64, limit_ms: f64, blur: f64) -> f64 {
+    let off = (takes_ms - limit_ms) / (limit_ms * blur);
     1.0 / (1.0 + (-off).exp())
 }
