--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -8,6 +8,8 @@
 use mgs_fleet::view::EndpointKey;
 
 use crate::board::Board;
+use crate::figure::figures;
+use crate::figure::Figure;
 use crate::model::EngineModel;
 use crate::need::Need;
 use crate::need::PAUSE_CLASSES;
@@ -92,18 +94,15 @@
     /// assert!(Options::default().with("open_unit=2").is_err());
     /// ```
     pub fn with(mut self, text: &str) -> Result<Self, String> {
-        for part in text.split(',').filter(|part| !part.is_empty()) {
-            let (name, value) = part.split_once('=').ok_or(format!("{part:?} has no '='"))?;
-            let value: f64 = value
-                .parse()
-                .map_err(|_| format!("{value:?} is no number"))?;
-            self.set(name.trim(), value)?;
+        for figure in figures(text)? {
+            self.set(&figure)?;
         }
         Ok(self)
     }
 
-    fn set(&mut self, name: &str, value: f64) -> Result<(), String> {
-        match name {
+    fn set(&mut self, figure: &Figure) -> Result<(), String> {
+        let value = figure.value;
+        match figure.name.as_str() {
             "share_from_ms" => self.share_from_ms = value,
             "engines_max" => self.engines_max = value as usize,
             "late_engines_max" => self.late_engines_max = value as usize,
@@ -119,7 +118,7 @@
             "memory_spare_tokens" => self.memory_spare_tokens = value as u64,
             "unknown_share" => self.unknown_share = value,
             "joining_factor" => self.joining_factor = value,
-            _ => return Err(format!("there is no figure {name:?}")),
+            name => return Err(format!("there is no figure {name:?}")),
         }
         Ok(())
     }
--- a/crates/mgs-placing/src/lib.rs
+++ b/crates/mgs-placing/src/lib.rs
@@ -16,6 +16,7 @@
 
 pub mod board;
 pub mod choose;
+mod figure;
 pub mod model;
 pub mod need;
 pub mod plain;
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -8,6 +8,8 @@
 //! can't be on time any more lets the others pass, until its deadline forces it.
 
 use crate::choose::Placement;
+use crate::figure::figures;
+use crate::figure::Figure;
 use crate::need::Need;
 
 /// Settings of the order among long prompts.
@@ -37,6 +39,34 @@
     }
 }
 
+impl Options {
+    /// Sets the figures of `text`, as in `write_ms=3000,overtake_ms=40`.
+    ///
+    /// ```
+    /// use mgs_placing::turn::Options;
+    ///
+    /// let options = Options::default().with("write_ms=3000").unwrap();
+    /// assert_eq!(options.write_ms, 3_000.0);
+    /// ```
+    pub fn with(mut self, text: &str) -> Result<Self, String> {
+        for figure in figures(text)? {
+            self.set(&figure)?;
+        }
+        Ok(self)
+    }
+
+    fn set(&mut self, figure: &Figure) -> Result<(), String> {
+        match figure.name.as_str() {
+            "overtake_ms" => self.overtake_ms = figure.value,
+            "start_backlog_ms" => self.start_backlog_ms = figure.value,
+            "write_ms" => self.write_ms = figure.value,
+            "margin_factor" => self.margin_factor = figure.value,
+            name => return Err(format!("there is no figure {name:?}")),
+        }
+        Ok(())
+    }
+}
+
 /// Place in the order of all waiting prompts; the least goes first.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
 pub struct Score(pub u32);
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -26,7 +26,8 @@
 
 /// A stream whose first events have come.
 pub(crate) struct Stream {
-    pub(crate) connection: Connection,
+    /// Open as long as the stream is read.
+    pub(crate) _connection: Connection,
     pub(crate) body: Incoming,
     pub(crate) events: Events,
     pub(crate) first: Bytes,
@@ -157,7 +158,7 @@
         let first = events.take(data);
         if !first.is_empty() {
             let stream = Stream {
-                connection,
+                _connection: connection,
                 body,
                 events,
                 first,
--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -40,33 +40,25 @@
 /// Second tries of one gateway, by service.
 #[derive(Debug, Default)]
 pub(crate) struct Budget {
-    options: Options,
     by_service: HashMap<String, Counts>,
 }
 
 impl Budget {
-    pub(crate) fn new(options: Options) -> Self {
-        Self {
-            options,
-            by_service: HashMap::new(),
-        }
-    }
-
-    pub(crate) fn set(&mut self, options: Options) {
-        self.options = options;
-    }
-
     /// A request is sent for the first time.
-    pub(crate) fn first(&mut self, service: &str, now_ms: f64) {
-        let window_ms = self.options.window_ms;
+    pub(crate) fn first(&mut self, options: &Options, service: &str, now_ms: f64) {
         let counts = self.counts(service);
         counts.firsts_ms.push_back(now_ms);
-        forget(&mut counts.firsts_ms, now_ms - window_ms);
+        forget(&mut counts.firsts_ms, now_ms - options.window_ms);
     }
 
     /// Takes one second try, or tells that there is none.
-    pub(crate) fn again(&mut self, service: &str, now_ms: f64, gateways: usize) -> bool {
-        let options = self.options.clone();
+    pub(crate) fn again(
+        &mut self,
+        options: &Options,
+        service: &str,
+        now_ms: f64,
+        gateways: usize,
+    ) -> bool {
         let counts = self.counts(service);
         forget(&mut counts.firsts_ms, now_ms - options.window_ms);
         forget(&mut counts.again_ms, now_ms - options.window_ms);
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -36,8 +36,6 @@
     pub(crate) fresh_reads: RefCell<Vec<FreshRead>>,
     /// Wakes the one who tells peers.
     pub(crate) board_changed: Notify,
-    /// Wakes prompts that wait for their turn.
-    pub(crate) board_news: Notify,
     /// Prompts that wait for their turn here, by number.
     pub(crate) waiting: RefCell<HashMap<u64, Score>>,
     pub(crate) outliers: Outliers,
@@ -97,6 +95,8 @@
     pub(crate) fn may_try_again(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
         let gateways = self.gateways.get();
-        self.budget.borrow_mut().again(service, now_ms, gateways)
+        let live = self.published.live();
+        let mut budget = self.budget.borrow_mut();
+        budget.again(&live.budget, service, now_ms, gateways)
     }
 }
--- a/crates/mgs-relay/src/event.rs
+++ b/crates/mgs-relay/src/event.rs
@@ -44,11 +44,6 @@
     pub(crate) fn is_excessive(&self) -> bool {
         self.partial.len() > EVENT_BYTES_MAX
     }
-
-    /// Forgets an event that broke off; another endpoint sends it again.
-    pub(crate) fn drop_partial(&mut self) {
-        self.partial.clear();
-    }
 }
 
 fn last_end(bytes: &[u8]) -> Option<usize> {
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -14,8 +14,6 @@
     /// Reading that isn't known to be done, in milliseconds at each endpoint.
     read_ms: f64,
     readers: Vec<EndpointKey>,
-    /// When the first token is predicted, on the process's clock; 0 without a prediction.
-    pub(crate) first_token_at_ms: f64,
 }
 
 impl Grant {
@@ -25,7 +23,6 @@
         held: Vec<(EndpointKey, Held)>,
         readers: Vec<EndpointKey>,
         read_ms: f64,
-        first_token_at_ms: f64,
     ) -> Self {
         for (endpoint, what) in &held {
             core.board.borrow_mut().hold(*endpoint, what);
@@ -39,7 +36,6 @@
             held,
             read_ms,
             readers,
-            first_token_at_ms,
         }
     }
 
@@ -53,7 +49,6 @@
         }
         self.held.retain(|(_, held)| !is_part(held));
         self.core.board_changed.notify_one();
-        self.core.board_news.notify_waiters();
     }
 }
 
@@ -68,6 +63,5 @@
             board.correct(*endpoint, now_ms, self.read_ms);
         }
         self.core.board_changed.notify_one();
-        self.core.board_news.notify_waiters();
     }
 }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -171,7 +171,6 @@
         .iter()
         .filter_map(|at| Some((key_of(at.endpoint)?, at.held)))
         .collect();
-    core.board_news.notify_waiters();
     let mut board = core.board.borrow_mut();
     board.hear(peer, now_ms, beacon.waiting.map(Score), held);
     for read in &beacon.reads {
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -19,7 +19,7 @@
 use mgs_placing::turn::Turn;
 use mgs_placing::turn::NOBODY;
 use mgs_routing::outlier::Standing;
-use tokio::time::timeout;
+use tokio::time::sleep;
 
 use crate::core::Core;
 use crate::dialect::Helper;
@@ -113,7 +113,7 @@
         calls: 1,
         ..Held::default()
     };
-    let grant = Grant::take(core, vec![(endpoint.key, held)], Vec::new(), 0.0, 0.0);
+    let grant = Grant::take(core, vec![(endpoint.key, held)], Vec::new(), 0.0);
     Ok(Placed {
         endpoint: endpoint.clone(),
         helpers: Vec::new(),
@@ -163,8 +163,12 @@
     Err(Refusal::after(Fault::Full, RETRY_AFTER_MIN_MS))
 }
 
-/// Longest time between two looks whether it is a prompt's turn.
-const TURN_LOOK: Duration = Duration::from_millis(50);
+/// Time between two looks whether it is a prompt's turn.
+const TURN_LOOK: Duration = Duration::from_millis(40);
+
+/// Looks after which a prompt that isn't first in line judges its chances anew: choosing engines costs
+/// more than comparing scores, and dozens may wait on a host with a tenth of a core.
+const LOOKS_PER_JUDGEMENT: u32 = 8;
 
 /// Waits until it is the prompt's turn.
 async fn await_turn(
@@ -173,7 +177,7 @@
     tried: &Tried,
 ) -> Result<(Need, Placement), Refusal> {
     let core = prompt.core;
-    let mut waiting = Waiting::new(core);
+    let waiting = Waiting::new(core);
     loop {
         let need = need();
         let placement = choose_engines(prompt, &need, tried)?;
@@ -185,8 +189,7 @@
             return Ok((need, placement));
         }
         waiting.set(own);
-        // Whether there was news or time is up is all the same.
-        let _ = timeout(TURN_LOOK, core.board_news.notified()).await;
+        waiting.until_first(own).await;
     }
 }
 
@@ -212,6 +215,16 @@
         }
     }
 
+    /// Waits for the next look, or for more of them while others go first.
+    async fn until_first(&self, own: Score) {
+        for _ in 0..LOOKS_PER_JUDGEMENT {
+            sleep(TURN_LOOK).await;
+            if own <= self.best_other() {
+                return;
+            }
+        }
+    }
+
     /// The least score of the others that wait, here and at peers.
     fn best_other(&self) -> Score {
         let waiting = self.core.waiting.borrow();
@@ -226,7 +239,6 @@
         let waited = self.core.waiting.borrow_mut().remove(&self.number);
         if waited.is_some() {
             self.core.board_changed.notify_one();
-            self.core.board_news.notify_waiters();
         }
     }
 }
@@ -284,8 +296,7 @@
         };
         held.extend(readers.iter().map(|key| (*key, part)));
     }
-    let first_token_at_ms = core.now_ms() + placement.first_token_ms;
-    Grant::take(core, held, readers, placement.read_ms, first_token_at_ms)
+    Grant::take(core, held, readers, placement.read_ms)
 }
 
 fn small(tokens: u64) -> u32 {
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -26,7 +26,6 @@
 use crate::place::Placed;
 use crate::place::Prompt;
 use crate::place::Tried;
-use crate::view::Endpoint;
 use crate::view::Organisation;
 use crate::view::Route;
 
@@ -79,11 +78,7 @@
 
 /// A usable answer.
 pub(crate) enum Got {
-    Whole {
-        head: response::Parts,
-        body: Bytes,
-        endpoint: Arc<Endpoint>,
-    },
+    Whole { head: response::Parts, body: Bytes },
     Stream {
         head: response::Parts,
         stream: Stream,
@@ -173,7 +168,9 @@
         self.progress.in_flight = true;
         if self.progress.dispatches == 1 {
             let now_ms = self.core.now_ms();
-            self.core.budget.borrow_mut().first(&self.service, now_ms);
+            let live = self.core.published.live();
+            let mut budget = self.core.budget.borrow_mut();
+            budget.first(&live.budget, &self.service, now_ms);
         }
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
@@ -188,7 +185,7 @@
         let took_ms = start.elapsed().as_millis() as u64;
         self.note(&placed, &ended, took_ms);
         match ended {
-            Ended::Whole { head, body } => self.judge_whole(head, body, endpoint),
+            Ended::Whole { head, body } => self.judge_whole(head, body, endpoint.key),
             Ended::Started { head, stream } => {
                 placed.grant.first_token();
                 self.progress.runs += 1;
@@ -217,25 +214,17 @@
         &mut self,
         head: response::Parts,
         body: Bytes,
-        endpoint: Arc<Endpoint>,
+        endpoint: EndpointKey,
     ) -> Result<Got, Failed> {
         self.progress.runs += 1;
         if !head.status.is_server_error() {
-            return Ok(Got::Whole {
-                head,
-                body,
-                endpoint,
-            });
+            return Ok(Got::Whole { head, body });
         }
-        self.progress.tried.push(endpoint.key);
+        self.progress.tried.push(endpoint);
         Err(Failed {
             name: "endpoint_error",
             may_have_run: true,
-            answer: Some(Got::Whole {
-                head,
-                body,
-                endpoint,
-            }),
+            answer: Some(Got::Whole { head, body }),
         })
     }
 
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -28,7 +28,6 @@
 use crate::client;
 use crate::core::Core;
 use crate::dialect::Dialect;
-use crate::drain;
 use crate::drain::Drain;
 use crate::gate;
 use crate::metrics::Metrics;
@@ -51,16 +50,12 @@
     /// Longest wait for a connection to an endpoint, in milliseconds. A lost first packet is sent again
     /// after a second; asking another endpoint is sooner.
     pub connect_timeout_ms: u64,
-    /// Second tries.
-    pub budget: BudgetOptions,
     /// Placing of prompts.
     pub placing: choose::Options,
     /// Order among long prompts.
     pub turns: turn::Options,
     /// Endpoints that are passed over.
     pub outliers: outlier::Options,
-    /// Leaving.
-    pub drain: drain::Options,
 }
 
 impl Default for Options {
@@ -72,7 +67,6 @@
             ready_listen: any_port,
             peer_listen: any_port,
             connect_timeout_ms: 300,
-            budget: BudgetOptions::default(),
             placing: choose::Options::default(),
             turns: turn::Options::default(),
             outliers: outlier::Options {
@@ -83,7 +77,6 @@
                 ejection_max_ms: 8_000,
                 ..outlier::Options::default()
             },
-            drain: drain::Options::default(),
         }
     }
 }
@@ -153,10 +146,9 @@
         board: RefCell::new(Board::new()),
         fresh_reads: RefCell::new(Vec::new()),
         board_changed: Notify::new(),
-        board_news: Notify::new(),
         waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
-        budget: RefCell::new(Budget::new(options.budget.clone())),
+        budget: RefCell::new(Budget::default()),
         metrics,
         drain: Drain::new(),
         gateways: Cell::new(1),
@@ -191,7 +183,8 @@
     tokio::task::spawn_local(peers::run(core.clone(), peers));
     stop.await;
     log::info!(open_requests = core.drain.open_requests(); "leaving");
-    core.drain.leave(core.options.drain).await;
+    let drain = core.published.live().drain;
+    core.drain.leave(drain).await;
     log::info!(open_requests = core.drain.open_requests(); "left");
     Ok(())
 }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -190,7 +190,7 @@
 
 fn pass_on(core: &Rc<Core>, pursuit: Pursuit, got: Got, open: Open) -> Answer {
     match got {
-        Got::Whole { head, body, .. } => {
+        Got::Whole { head, body } => {
             let mut answer = Response::new(answer::whole(body));
             *answer.status_mut() = head.status;
             *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -14,6 +14,9 @@
 use mgs_placing::model::EngineModel;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::budget::Options as BudgetOptions;
+use crate::drain;
+
 /// What may be done again with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Kind {
@@ -194,6 +197,15 @@
     }
 }
 
+/// Settings that may change while the process runs.
+#[derive(Debug, Clone, Default, PartialEq)]
+pub struct Live {
+    /// Second tries.
+    pub budget: BudgetOptions,
+    /// Leaving.
+    pub drain: drain::Options,
+}
+
 /// What is in force, published by the thread that follows the store and read by the one that serves.
 #[derive(Debug)]
 pub struct Published {
@@ -201,6 +213,7 @@
     fleet: ArcSwap<Fleet>,
     endpoint_hashes: ArcSwap<HashMap<u64, EndpointKey>>,
     peers: ArcSwap<Vec<SocketAddr>>,
+    live: ArcSwap<Live>,
     started: Instant,
     configuration_confirmed_ms: AtomicU64,
     fleet_confirmed_ms: AtomicU64,
@@ -217,6 +230,7 @@
             fleet: ArcSwap::from_pointee(Fleet::default()),
             endpoint_hashes: ArcSwap::default(),
             peers: ArcSwap::default(),
+            live: ArcSwap::default(),
             started: Instant::now(),
             configuration_confirmed_ms: AtomicU64::new(NEVER_MS),
             fleet_confirmed_ms: AtomicU64::new(NEVER_MS),
@@ -260,6 +274,16 @@
         self.endpoint_hashes.load_full()
     }
 
+    /// The settings that may change.
+    pub fn live(&self) -> Arc<Live> {
+        self.live.load_full()
+    }
+
+    /// Replaces the settings that may change.
+    pub fn put_live(&self, live: Live) {
+        self.live.store(Arc::new(live));
+    }
+
     /// Where the other gateways listen.
     pub fn peers(&self) -> Arc<Vec<SocketAddr>> {
         self.peers.load_full()
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -3,12 +3,14 @@
 use std::io::Write;
 use std::path::PathBuf;
 use std::sync::Arc;
+use std::time::Duration;
 
 use clap::ArgMatches;
 use clap::Command;
 use marigoldstage_platform::options;
 use marigoldstage_platform::PlatformDialect;
 use marigoldstage_platform::Settings;
+use marigoldstage_platform::StoreAddress;
 use marigoldstage_platform::StoreFactory;
 use marigoldstage_platform::SETTINGS_VARIABLE;
 use mgs_observe::admin;
@@ -16,6 +18,7 @@
 use mgs_observe::logs;
 use mgs_observe::metrics::Registry;
 use mgs_placing::choose;
+use mgs_placing::turn;
 use mgs_relay::follow;
 use mgs_relay::metrics::Metrics;
 use mgs_relay::relay;
@@ -30,6 +33,9 @@
 const SETTINGS: &str = "settings";
 const LOG_LEVEL: &str = "log-level";
 const PLACING: &str = "placing";
+const TURNS: &str = "turns";
+
+const FIGURES: &str = "NAME=VALUE,...";
 
 const EXAMPLES: &str = "\
 Examples:
@@ -57,7 +63,11 @@
                 .default_value("info"),
         )
         .arg(
-            value(PLACING, "NAME=VALUE,...", "Figures of placing to be tried, such as open_units=2")
+            value(PLACING, FIGURES, "Figures of placing that differ, such as open_units=2")
+                .default_value(""),
+        )
+        .arg(
+            value(TURNS, FIGURES, "Figures of the order among long prompts that differ")
                 .default_value(""),
         )
 }
@@ -88,25 +98,42 @@
     if logs::check(&level).is_err() {
         values.fault(LOG_LEVEL, "give a level or a filter by module");
     }
-    let tried = values.optional(PLACING).unwrap_or_default();
-    let placing = choose::Options::default()
-        .with(&tried)
-        .unwrap_or_else(|advice| {
-            values.fault(PLACING, advice);
-            choose::Options::default()
-        });
+    let placing = figures(&mut values, PLACING, choose::Options::with);
+    let turns = figures(&mut values, TURNS, turn::Options::with);
     values.finish()?;
     let failed = |error: String| Error::Failed(error);
     let settings = Settings::read(&path).map_err(|error| failed(error.to_string()))?;
     let _logs = logs::start_bounded(&logs::Options { level })
         .map_err(|error| failed(error.to_string()))?;
-    serve(&settings, placing)
+    serve(path, settings, Figures { placing, turns })
 }
 
-fn serve(settings: &Settings, placing: choose::Options) -> Result<(), Error> {
+/// Figures of decisions that differ from their defaults.
+struct Figures {
+    placing: choose::Options,
+    turns: turn::Options,
+}
+
+fn figures<O: Default>(
+    values: &mut Values<'_>,
+    flag: &str,
+    with: fn(O, &str) -> Result<O, String>,
+) -> O {
+    let given = values.optional(flag).unwrap_or_default();
+    match with(O::default(), &given) {
+        Ok(figures) => figures,
+        Err(advice) => {
+            values.fault(flag, advice);
+            O::default()
+        }
+    }
+}
+
+fn serve(path: PathBuf, settings: Settings, figures: Figures) -> Result<(), Error> {
     let failed = |error: String| Error::Failed(error);
-    let mut plan = options(settings);
-    plan.relay.placing = placing;
+    let mut plan = options(&settings);
+    plan.relay.placing = figures.placing;
+    plan.relay.turns = figures.turns;
     let published = Arc::new(Published::new());
     log::info!(host = settings.host_name, zone = settings.zone, store:% = settings.store; "started");
     let registry = Registry::new();
@@ -125,16 +152,24 @@
             None
         }
     };
+    let store = StoreAddress::new(plan.store);
     let factory = StoreFactory {
-        address: plan.store,
+        address: store.clone(),
     };
+    published.put_live(plan.live);
     follow::start(plan.follow, Box::new(factory), published.clone())
         .map_err(|error| failed(error.to_string()))?;
     let started = |addresses: relay::Addresses| {
         log::info!(clients:% = addresses.client, peers:% = addresses.peer; "listening");
     };
     let dialect = Box::new(PlatformDialect);
-    relay::run(plan.relay, dialect, published, metrics, started, stopped())
+    let reload = Reload {
+        path,
+        settings,
+        published: published.clone(),
+        store,
+    };
+    relay::run(plan.relay, dialect, published, metrics, started, stopped(reload))
         .map_err(|error| failed(error.to_string()))?;
     log::info!("stopped");
     log::logger().flush();
@@ -152,15 +187,61 @@
     PathBuf::from(path)
 }
 
-/// Waits for the signal to stop.
-async fn stopped() {
-    match signal(SignalKind::terminate()) {
-        Ok(mut terminate) => {
-            terminate.recv().await;
-        }
+/// Waits for the signal to stop; takes changed settings meanwhile.
+async fn stopped(mut reload: Reload) {
+    let signals = signal(SignalKind::terminate()).and_then(|terminate| {
+        let hangup = signal(SignalKind::hangup())?;
+        Ok((terminate, hangup))
+    });
+    let (mut terminate, mut hangup) = match signals {
+        Ok(signals) => signals,
         Err(error) => {
             log::error!(error:% = error; "no signals; only a kill ends this process");
-            std::future::pending::<()>().await;
+            return std::future::pending::<()>().await;
+        }
+    };
+    loop {
+        tokio::select! {
+            _ = terminate.recv() => return,
+            _ = hangup.recv() => reload.read("signal"),
+            () = tokio::time::sleep(SETTINGS_LOOK) => reload.read("look"),
+        }
+    }
+}
+
+/// Time between two looks at the settings file, which may change without a signal.
+const SETTINGS_LOOK: Duration = Duration::from_secs(2);
+
+/// Takes changed settings while the relay runs.
+struct Reload {
+    path: PathBuf,
+    settings: Settings,
+    published: Arc<Published>,
+    store: StoreAddress,
+}
+
+impl Reload {
+    fn read(&mut self, cause: &str) {
+        let settings = match Settings::read(&self.path) {
+            Ok(settings) => settings,
+            Err(error) => {
+                log::error!(cause = cause, error:% = error; "settings not taken");
+                return;
+            }
+        };
+        let is_changed = settings != self.settings;
+        if cause == "signal" || is_changed {
+            log::info!(cause = cause, changed = is_changed, store:% = settings.store; "settings read");
+        }
+        if !is_changed {
+            return;
+        }
+        if settings.needs_restart(&self.settings) {
+            log::warn!("other addresses to listen on need a restart; the rest is taken");
         }
+        let plan = options(&settings);
+        self.published.put_live(plan.live);
+        self.store.set(plan.store);
+        self.settings = settings;
     }
 }
