--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -31,6 +31,9 @@
     pub late_engines_max: usize,
     /// Least part of a prompt that is worth a helper, in milliseconds of reading.
     pub part_min_ms: f64,
+    /// Places of an engine that are left free while others have room: a part of a prompt needs one too,
+    /// and what peers have placed in the last milliseconds isn't known yet.
+    pub slots_spare: u32,
     /// Cost of a short stream's start on an engine without short streams, in units: it takes the engine
     /// from long prompts while it writes.
     pub open_units: f64,
@@ -68,6 +71,7 @@
             engines_max: 16,
             late_engines_max: 6,
             part_min_ms: 25.0,
+            slots_spare: 3,
             open_units: 0.7,
             pack_streams: 10.0,
             blur: 0.2,
@@ -109,6 +113,7 @@
             "part_min_ms" => self.part_min_ms = value,
             "pack_streams" => self.pack_streams = value,
             "blur" => self.blur = value,
+            "slots_spare" => self.slots_spare = value as u32,
             "open_units" => self.open_units = value,
             "open_other_units" => self.open_other_units = value,
             "engine_units" => self.engine_units = value,
@@ -309,9 +314,12 @@
     /// Whether memory at several engines is needed. A prompt that takes a small part of an engine's memory
     /// rather waits there until others end.
     fn needs_reserves(&self) -> bool {
+        !self.is_small() && !self.surveys.iter().any(|survey| self.has_memory(survey))
+    }
+
+    fn is_small(&self) -> bool {
         let small_tokens = self.model.memory_tokens / SMALL_SHARE;
-        let is_small = self.need.memory_tokens() < small_tokens;
-        !is_small && !self.surveys.iter().any(|survey| self.has_memory(survey))
+        self.need.memory_tokens() < small_tokens
     }
 
     fn has_memory(&self, survey: &Survey) -> bool {
@@ -321,7 +329,8 @@
 
     /// Time until there is a place and memory for an answer there, in milliseconds.
     fn place_wait_ms(&self, survey: &Survey) -> f64 {
-        let over = (survey.running() + 1).saturating_sub(self.model.slots);
+        let places = self.model.slots.saturating_sub(self.options.slots_spare);
+        let over = (survey.running() + 1).saturating_sub(places);
         let turns = f64::from(over) / f64::from(self.model.slots.max(1));
         let memory_ms = match self.has_memory(survey) {
             true => 0.0,
@@ -406,6 +415,7 @@
         self.surveys
             .iter()
             .filter(|survey| self.has_place(survey))
+            .filter(|survey| self.is_small() || self.has_memory(survey))
             .min_by(|a, b| loss(a).total_cmp(&loss(b)))
     }
 
