--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -34,6 +34,14 @@
     /// Places of an engine that are left free while others have room: a part of a prompt needs one too,
     /// and what peers have placed in the last milliseconds isn't known yet.
     pub slots_spare: u32,
+    /// Short streams that an engine writes with time to spare: at 50 ms a pass and 33 events a stream, 9 are
+    /// 5.5 starts a second, and their reading takes a quarter of its time.
+    pub streams_per_engine: f64,
+    /// Reading on one engine from which on a prompt is long, in milliseconds: it keeps to the engines that
+    /// short streams leave. Twice that of an average review.
+    pub long_read_ms: f64,
+    /// Engines that a long prompt may use even if there is no room, when its deadline forces it.
+    pub room_min: usize,
     /// Cost of a short stream's start on an engine without short streams, in units: it takes the engine
     /// from long prompts while it writes.
     pub open_units: f64,
@@ -71,7 +79,10 @@
             engines_max: 16,
             late_engines_max: 6,
             part_min_ms: 25.0,
-            slots_spare: 3,
+            slots_spare: 5,
+            streams_per_engine: 9.0,
+            long_read_ms: 900.0,
+            room_min: 2,
             open_units: 0.7,
             pack_streams: 10.0,
             blur: 0.2,
@@ -114,6 +125,9 @@
             "pack_streams" => self.pack_streams = value,
             "blur" => self.blur = value,
             "slots_spare" => self.slots_spare = value as u32,
+            "streams_per_engine" => self.streams_per_engine = value,
+            "long_read_ms" => self.long_read_ms = value,
+            "room_min" => self.room_min = value as usize,
             "open_units" => self.open_units = value,
             "open_other_units" => self.open_other_units = value,
             "engine_units" => self.engine_units = value,
@@ -158,6 +172,8 @@
     pub with_short_streams: usize,
     /// Those that write other streams and no short ones.
     pub with_other_streams: usize,
+    /// Engines that short streams don't need.
+    pub room: usize,
     /// Those without any reading left.
     pub without_reading: usize,
     /// Reading left at all of them, in milliseconds.
@@ -264,11 +280,14 @@
         engines_max: options.engines_max,
         surveys,
     };
+    if model.read_ms(need.prompt_tokens) > options.long_read_ms {
+        placing.engines_max = placing.room().clamp(options.room_min, options.engines_max);
+    }
     let widest = placing.place()?;
     if widest.first_token_ms <= need.aim_ms {
         return Ok(widest);
     }
-    placing.engines_max = options.late_engines_max;
+    placing.engines_max = options.late_engines_max.min(placing.engines_max);
     // Where fewer engines can't hold it or would be later than its deadline, the wide way stands.
     Ok(placing.place().unwrap_or(widest))
 }
@@ -299,6 +318,15 @@
         })
     }
 
+    /// Engines that are left for a long prompt: without those that the short streams of the moment need,
+    /// wherever they are.
+    fn room(&self) -> usize {
+        let short = |survey: &Survey| f64::from(survey.writers[0] + survey.writers[1]);
+        let streams: f64 = self.surveys.iter().map(short).sum();
+        let needed = (streams / self.options.streams_per_engine).ceil() as usize;
+        self.surveys.len().saturating_sub(needed)
+    }
+
     fn scene(&self) -> Scene {
         let count = |is: fn(&Survey) -> bool| self.surveys.iter().filter(|s| is(s)).count();
         let backlog_ms: f64 = self.surveys.iter().map(|survey| survey.backlog_ms).sum();
@@ -306,6 +334,7 @@
             engines: self.surveys.len(),
             with_short_streams: count(|survey| survey.writers[0] > 0),
             with_other_streams: count(|survey| survey.writers[0] == 0 && survey.running() > 0),
+            room: self.room(),
             without_reading: count(|survey| survey.backlog_ms <= 0.0),
             backlog_ms: backlog_ms as u64,
         }
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -21,6 +21,8 @@
     /// Backlog of the engines at which the next prompt is sent, in milliseconds: what it takes to tell
     /// them, so that they don't fall idle.
     pub start_backlog_ms: f64,
+    /// Engines that must be left for a long prompt to be sent.
+    pub room_engines: usize,
     /// Time that an answer takes to be written, in milliseconds: 16 events at 70 ms, and as much again
     /// for passes that read.
     pub write_ms: f64,
@@ -33,6 +35,7 @@
         Self {
             overtake_ms: 60.0,
             start_backlog_ms: 60.0,
+            room_engines: 3,
             write_ms: 2_200.0,
             margin_factor: 1.5,
         }
@@ -59,6 +62,7 @@
         match figure.name.as_str() {
             "overtake_ms" => self.overtake_ms = figure.value,
             "start_backlog_ms" => self.start_backlog_ms = figure.value,
+            "room_engines" => self.room_engines = figure.value as usize,
             "write_ms" => self.write_ms = figure.value,
             "margin_factor" => self.margin_factor = figure.value,
             name => return Err(format!("there is no figure {name:?}")),
@@ -112,7 +116,8 @@
     if need.left_ms < reading_ms + options.write_ms {
         return Turn::Go;
     }
-    if own <= best_other && placement.backlog_ms <= options.start_backlog_ms {
+    let has_room = placement.scene.room >= options.room_engines;
+    if own <= best_other && has_room && placement.backlog_ms <= options.start_backlog_ms {
         return Turn::Go;
     }
     Turn::Wait
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -164,11 +164,11 @@
 }
 
 /// Time between two looks whether it is a prompt's turn.
-const TURN_LOOK: Duration = Duration::from_millis(40);
+const TURN_LOOK: Duration = Duration::from_millis(12);
 
 /// Looks after which a prompt that isn't first in line judges its chances anew: choosing engines costs
 /// more than comparing scores, and dozens may wait on a host with a tenth of a core.
-const LOOKS_PER_JUDGEMENT: u32 = 8;
+const LOOKS_PER_JUDGEMENT: u32 = 20;
 
 /// Waits until it is the prompt's turn.
 async fn await_turn(
@@ -357,6 +357,7 @@
         predicted_first_token_ms = placement.first_token_ms as u64,
         left_ms = need.left_ms as u64,
         loss_milliunits = (placement.loss_units * 1e3) as u64,
+        room = placement.scene.room,
         usable_engines = placement.scene.engines,
         engines_with_short_streams = placement.scene.with_short_streams,
         engines_with_other_streams = placement.scene.with_other_streams,
