--- /dev/null
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -0,0 +1,320 @@
+//! Engines that work in passes, as calibrated against the users' bench (design note 91), and a load of
+//! short and long prompts that swings between two mixes.
+
+use std::cmp::Reverse;
+use std::collections::BinaryHeap;
+
+use mgs_placing::model::EngineModel;
+
+/// One prompt of the load.
+#[derive(Debug, Clone, Copy)]
+pub struct Prompt {
+    pub at_ms: f64,
+    pub tokens: u64,
+    pub events: u32,
+    pub aim_ms: f64,
+    pub pause_ms: f64,
+    pub deadline_ms: f64,
+}
+
+/// What became of a prompt.
+#[derive(Debug, Clone, Copy, Default)]
+pub struct Fate {
+    pub first_token_ms: Option<f64>,
+    pub longest_pause_ms: f64,
+    pub is_whole: bool,
+}
+
+impl Fate {
+    pub fn is_on_time(&self, prompt: &Prompt) -> bool {
+        let first_ms = self.first_token_ms.unwrap_or(f64::INFINITY);
+        self.is_whole && first_ms <= prompt.aim_ms && self.longest_pause_ms <= prompt.pause_ms
+    }
+}
+
+/// A repeatable source of numbers (an xorshift), so that each run plays the same load.
+pub struct Numbers(u64);
+
+impl Numbers {
+    pub fn new(seed: u64) -> Self {
+        Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
+    }
+
+    /// From 0 up to 1.
+    pub fn unit(&mut self) -> f64 {
+        self.0 ^= self.0 << 13;
+        self.0 ^= self.0 >> 7;
+        self.0 ^= self.0 << 17;
+        (self.0 >> 11) as f64 / (1u64 << 53) as f64
+    }
+
+    /// Exponential, with this mean.
+    pub fn gap(&mut self, mean: f64) -> f64 {
+        -mean * (1.0 - self.unit()).ln()
+    }
+
+    /// Log-normal, with this mean and spread.
+    pub fn spread(&mut self, mean: f64, sigma: f64) -> f64 {
+        let radius = (-2.0 * (1.0 - self.unit()).ln()).sqrt();
+        let normal = radius * (std::f64::consts::TAU * self.unit()).cos();
+        mean * (sigma * normal - sigma * sigma / 2.0).exp()
+    }
+}
+
+/// A reading on an engine.
+#[derive(Debug, Clone, Copy)]
+struct Read {
+    prompt: usize,
+    is_part: bool,
+    left_tokens: f64,
+    ms_per_token: f64,
+    came: u64,
+}
+
+#[derive(Debug, Clone, Copy)]
+struct Writer {
+    prompt: usize,
+    events_left: u32,
+    tokens: u64,
+    last_ms: f64,
+}
+
+#[derive(Debug, Default)]
+struct Engine {
+    reads: Vec<Read>,
+    writers: Vec<Writer>,
+    is_busy: bool,
+}
+
+/// What happens next.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
+pub enum Event {
+    /// A prompt comes to the gateway.
+    Arrival(usize),
+    /// The gateway looks at what waits.
+    Look,
+    /// The gateway sends a prompt.
+    Send(usize),
+    /// An engine ends a pass.
+    Pass(usize),
+}
+
+/// Engines and a clock.
+pub struct Emulator {
+    pub model: EngineModel,
+    pub now_ms: f64,
+    pub fates: Vec<Fate>,
+    pub prompts: Vec<Prompt>,
+    engines: Vec<Engine>,
+    parts_left: Vec<usize>,
+    firsts: Vec<usize>,
+    queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
+    sequence: u64,
+    /// Prompts whose first token came, and those that ended, since the last look.
+    pub started: Vec<usize>,
+    pub ended: Vec<usize>,
+}
+
+impl Emulator {
+    pub fn new(model: EngineModel, engines: usize, prompts: Vec<Prompt>) -> Self {
+        let mut emulator = Self {
+            model,
+            now_ms: 0.0,
+            fates: vec![Fate::default(); prompts.len()],
+            engines: (0..engines).map(|_| Engine::default()).collect(),
+            parts_left: vec![0; prompts.len()],
+            firsts: vec![0; prompts.len()],
+            queue: BinaryHeap::new(),
+            sequence: 0,
+            started: Vec::new(),
+            ended: Vec::new(),
+            prompts,
+        };
+        for index in 0..emulator.prompts.len() {
+            emulator.schedule(emulator.prompts[index].at_ms, Event::Arrival(index));
+        }
+        emulator
+    }
+
+    pub fn schedule(&mut self, at_ms: f64, event: Event) {
+        self.sequence += 1;
+        let at_us = (at_ms * 1e3) as u64;
+        self.queue.push(Reverse((at_us, self.sequence, event)));
+    }
+
+    /// The next event that concerns the gateway; passes are played on the way.
+    pub fn next(&mut self) -> Option<Event> {
+        loop {
+            let Reverse((at_us, _, event)) = self.queue.pop()?;
+            self.now_ms = at_us as f64 / 1e3;
+            match event {
+                Event::Pass(engine) => self.end_pass(engine),
+                event => return Some(event),
+            }
+        }
+    }
+
+    /// Sends a prompt: `readers` read it in even parts, the first of them writes.
+    pub fn send(&mut self, prompt: usize, readers: &[usize]) {
+        let tokens = self.prompts[prompt].tokens;
+        let read_ms = self.bare_read_ms(tokens);
+        self.parts_left[prompt] = readers.len();
+        self.firsts[prompt] = readers[0];
+        for engine in readers {
+            self.sequence += 1;
+            let read = Read {
+                prompt,
+                is_part: readers.len() > 1,
+                left_tokens: tokens as f64 / readers.len() as f64,
+                ms_per_token: read_ms / tokens as f64,
+                came: self.sequence,
+            };
+            self.engines[*engine].reads.push(read);
+            self.begin_pass(*engine);
+        }
+    }
+
+    /// Reading without the steps, which passes add.
+    fn bare_read_ms(&self, tokens: u64) -> f64 {
+        let steps = tokens as f64 / self.model.chunk_tokens as f64;
+        self.model.read_ms(tokens) - steps * self.model.step_ms
+    }
+
+    fn begin_pass(&mut self, index: usize) {
+        let engine = &mut self.engines[index];
+        let idle = engine.reads.is_empty() && engine.writers.is_empty();
+        if engine.is_busy || idle {
+            return;
+        }
+        engine.is_busy = true;
+        let steps = match engine.writers.len() {
+            0 => 1,
+            _ => self.model.stride_steps,
+        };
+        let context: u64 = engine.writers.iter().map(|writer| writer.tokens).sum();
+        let context_ms = context as f64 / 1e3 * self.model.context_step_ms_per_1k;
+        let writers_ms = engine.writers.len() as f64 * self.model.writer_step_ms;
+        let mut pass_ms = f64::from(steps) * (self.model.step_ms + writers_ms + context_ms);
+        let mut budget = f64::from(steps) * self.model.chunk_tokens as f64;
+        // Parts go first, and the newest of them before the others.
+        engine
+            .reads
+            .sort_by_key(|read| (!read.is_part, if read.is_part { u64::MAX - read.came } else { read.came }));
+        for read in &mut engine.reads {
+            let tokens = read.left_tokens.min(budget);
+            read.left_tokens -= tokens;
+            budget -= tokens;
+            pass_ms += tokens * read.ms_per_token;
+        }
+        self.schedule(self.now_ms + pass_ms, Event::Pass(index));
+    }
+
+    fn end_pass(&mut self, index: usize) {
+        self.engines[index].is_busy = false;
+        self.write(index);
+        let done: Vec<Read> = {
+            let engine = &mut self.engines[index];
+            let done = engine.reads.iter().filter(|read| read.left_tokens < 0.5);
+            let done = done.copied().collect();
+            engine.reads.retain(|read| read.left_tokens >= 0.5);
+            done
+        };
+        for read in done {
+            self.parts_left[read.prompt] -= 1;
+            if self.parts_left[read.prompt] == 0 {
+                self.start_writing(read.prompt);
+            }
+        }
+        self.begin_pass(index);
+    }
+
+    fn start_writing(&mut self, prompt: usize) {
+        let wanted = self.prompts[prompt];
+        self.fates[prompt].first_token_ms = Some(self.now_ms - wanted.at_ms);
+        self.started.push(prompt);
+        let engine = self.firsts[prompt];
+        self.engines[engine].writers.push(Writer {
+            prompt,
+            events_left: wanted.events.saturating_sub(1),
+            tokens: wanted.tokens,
+            last_ms: self.now_ms,
+        });
+        self.begin_pass(engine);
+    }
+
+    fn write(&mut self, index: usize) {
+        let now_ms = self.now_ms;
+        for writer in &mut self.engines[index].writers {
+            // One that started within this pass has its event in the next.
+            if writer.last_ms >= now_ms {
+                continue;
+            }
+            let pause_ms = now_ms - writer.last_ms;
+            let fate = &mut self.fates[writer.prompt];
+            fate.longest_pause_ms = fate.longest_pause_ms.max(pause_ms);
+            writer.last_ms = now_ms;
+            writer.events_left = writer.events_left.saturating_sub(1);
+            if writer.events_left == 0 {
+                let prompt = &self.prompts[writer.prompt];
+                fate.is_whole = now_ms - prompt.at_ms <= prompt.deadline_ms;
+                self.ended.push(writer.prompt);
+            }
+        }
+        self.engines[index]
+            .writers
+            .retain(|writer| writer.events_left > 0);
+    }
+}
+
+/// A phase of the load: starts a second of short prompts, reviews and audits.
+#[derive(Debug, Clone, Copy)]
+pub struct Phase {
+    pub length_ms: f64,
+    pub short_per_s: f64,
+    pub reviews_per_s: f64,
+    pub audits_per_s: f64,
+}
+
+/// The load of some phases, one after the other.
+pub fn load(phases: &[Phase], seed: u64) -> Vec<Prompt> {
+    let mut numbers = Numbers::new(seed);
+    let mut prompts = Vec::new();
+    let mut start_ms = 0.0;
+    for phase in phases {
+        let end_ms = start_ms + phase.length_ms;
+        for (per_s, kind) in [
+            (phase.short_per_s, 0),
+            (phase.reviews_per_s, 1),
+            (phase.audits_per_s, 2),
+        ] {
+            let mut at_ms = start_ms;
+            loop {
+                at_ms += numbers.gap(1e3 / per_s);
+                if at_ms >= end_ms {
+                    break;
+                }
+                prompts.push(prompt(&mut numbers, at_ms, kind));
+            }
+        }
+        start_ms = end_ms;
+    }
+    prompts.sort_by(|a, b| a.at_ms.total_cmp(&b.at_ms));
+    prompts
+}
+
+fn prompt(numbers: &mut Numbers, at_ms: f64, kind: usize) -> Prompt {
+    // As on the sheets of the first deployments: mean tokens and events, spreads, aims and limits.
+    let (tokens, spread, most, events, aim_ms, pause_ms, deadline_ms) = [
+        (4_960.0, 0.8, 23_800.0, 33, 300.0, 250.0, 10_000.0),
+        (45_000.0, 0.47, 110_000.0, 20, 1_500.0, 600.0, 10_000.0),
+        (154_000.0, 0.51, 290_000.0, 16, 3_000.0, 1_000.0, 15_000.0),
+    ][kind];
+    Prompt {
+        at_ms,
+        tokens: numbers.spread(tokens, spread).min(most).max(400.0) as u64,
+        events,
+        aim_ms,
+        pause_ms,
+        deadline_ms,
+    }
+}
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -76,14 +76,23 @@
     tried: Tried,
 }
 
+/// A whole answer.
+pub(crate) struct WholeAnswer {
+    pub(crate) head: response::Parts,
+    pub(crate) body: Bytes,
+}
+
+/// A stream whose first events have come.
+pub(crate) struct Begun {
+    pub(crate) head: response::Parts,
+    pub(crate) stream: Stream,
+    pub(crate) placed: Placed,
+}
+
 /// A usable answer.
 pub(crate) enum Got {
-    Whole { head: response::Parts, body: Bytes },
-    Stream {
-        head: response::Parts,
-        stream: Stream,
-        placed: Placed,
-    },
+    Whole(Box<WholeAnswer>),
+    Stream(Box<Begun>),
 }
 
 impl Pursuit {
@@ -189,11 +198,11 @@
             Ended::Started { head, stream } => {
                 placed.grant.first_token();
                 self.progress.runs += 1;
-                Ok(Got::Stream {
+                Ok(Got::Stream(Box::new(Begun {
                     head,
                     stream,
                     placed,
-                })
+                })))
             }
             Ended::NotRun { why, at_fault, .. } => {
                 // A helper may be at fault; then the engine that answers is as good as before.
@@ -218,13 +227,13 @@
     ) -> Result<Got, Failed> {
         self.progress.runs += 1;
         if !head.status.is_server_error() {
-            return Ok(Got::Whole { head, body });
+            return Ok(Got::Whole(Box::new(WholeAnswer { head, body })));
         }
         self.progress.tried.push(endpoint);
         Err(Failed {
             name: "endpoint_error",
             may_have_run: true,
-            answer: Some(Got::Whole { head, body }),
+            answer: Some(Box::new(WholeAnswer { head, body })),
         })
     }
 
@@ -358,7 +367,7 @@
 pub(crate) struct Failed {
     name: &'static str,
     may_have_run: bool,
-    answer: Option<Got>,
+    answer: Option<Box<WholeAnswer>>,
 }
 
 impl Failed {
@@ -381,7 +390,7 @@
     /// How the request ends if this was the last dispatch.
     fn end(self, runs: u32) -> Result<Got, Refusal> {
         if let Some(answer) = self.answer {
-            return Ok(answer);
+            return Ok(Got::Whole(answer));
         }
         if runs > 0 {
             return Err(Refusal::of(Fault::Unknown));
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -7,6 +7,7 @@
 
 use bytes::Bytes;
 use http::request;
+use http::response;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
@@ -18,6 +19,7 @@
 
 use crate::answer;
 use crate::answer::Answer;
+use crate::answer::AnswerBody;
 use crate::core::Core;
 use crate::dialect::Ask;
 use crate::drain::Phase;
@@ -190,30 +192,26 @@
 
 fn pass_on(core: &Rc<Core>, pursuit: Pursuit, got: Got, open: Open) -> Answer {
     match got {
-        Got::Whole { head, body } => {
-            let mut answer = Response::new(answer::whole(body));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
-            answer
-        }
-        Got::Stream {
-            head,
-            stream,
-            placed,
-        } => {
-            let (passing, pieces) = Passing::new(pursuit, stream, placed);
+        Got::Whole(whole) => endpoint_answer(core, &whole.head, answer::whole(whole.body)),
+        Got::Stream(begun) => {
+            let head = begun.head;
+            let (passing, pieces) = Passing::new(pursuit, begun.stream, begun.placed);
             tokio::task::spawn_local(async move {
                 passing.run().await;
                 drop(open);
             });
-            let mut answer = Response::new(answer::pieces(pieces));
-            *answer.status_mut() = head.status;
-            *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
-            answer
+            endpoint_answer(core, &head, answer::pieces(pieces))
         }
     }
 }
 
+fn endpoint_answer(core: &Core, head: &response::Parts, body: AnswerBody) -> Answer {
+    let mut answer = Response::new(body);
+    *answer.status_mut() = head.status;
+    *answer.headers_mut() = core.dialect.answer_fields(&head.headers);
+    answer
+}
+
 struct Admitted {
     route: Arc<Route>,
     organisation: Option<Arc<Organisation>>,
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -197,11 +197,11 @@
             got = timeout_at(deadline, running) => got,
             () = self.client.closed() => return false,
         };
-        let Ok(Ok(Got::Stream { stream, placed, .. })) = got else {
+        let Ok(Ok(Got::Stream(begun))) = got else {
             return false;
         };
-        self.stream = stream;
-        self.placed = placed;
+        self.stream = begun.stream;
+        self.placed = begun.placed;
         self.resumes += 1;
         true
     }
