--- a/crates/mgs-placing/tests/emulator/mod.rs
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -8,40 +8,40 @@
 
 /// One prompt of the load.
 #[derive(Debug, Clone, Copy)]
-pub struct Prompt {
-    pub at_ms: f64,
-    pub tokens: u64,
-    pub events: u32,
-    pub aim_ms: f64,
-    pub pause_ms: f64,
-    pub deadline_ms: f64,
+pub(crate) struct Prompt {
+    pub(crate) at_ms: f64,
+    pub(crate) tokens: u64,
+    pub(crate) events: u32,
+    pub(crate) aim_ms: f64,
+    pub(crate) pause_ms: f64,
+    pub(crate) deadline_ms: f64,
 }
 
 /// What became of a prompt.
 #[derive(Debug, Clone, Copy, Default)]
-pub struct Fate {
-    pub first_token_ms: Option<f64>,
-    pub longest_pause_ms: f64,
-    pub is_whole: bool,
+pub(crate) struct Fate {
+    pub(crate) first_token_ms: Option<f64>,
+    pub(crate) longest_pause_ms: f64,
+    pub(crate) is_whole: bool,
 }
 
 impl Fate {
-    pub fn is_on_time(&self, prompt: &Prompt) -> bool {
+    pub(crate) fn is_on_time(&self, prompt: &Prompt) -> bool {
         let first_ms = self.first_token_ms.unwrap_or(f64::INFINITY);
         self.is_whole && first_ms <= prompt.aim_ms && self.longest_pause_ms <= prompt.pause_ms
     }
 }
 
 /// A repeatable source of numbers (an xorshift), so that each run plays the same load.
-pub struct Numbers(u64);
+pub(crate) struct Numbers(u64);
 
 impl Numbers {
-    pub fn new(seed: u64) -> Self {
+    pub(crate) fn new(seed: u64) -> Self {
         Self(seed.wrapping_mul(0x9E37_79B9_7F4A_7C15) | 1)
     }
 
     /// From 0 up to 1.
-    pub fn unit(&mut self) -> f64 {
+    pub(crate) fn unit(&mut self) -> f64 {
         self.0 ^= self.0 << 13;
         self.0 ^= self.0 >> 7;
         self.0 ^= self.0 << 17;
@@ -49,12 +49,12 @@
     }
 
     /// Exponential, with this mean.
-    pub fn gap(&mut self, mean: f64) -> f64 {
+    pub(crate) fn gap(&mut self, mean: f64) -> f64 {
         -mean * (1.0 - self.unit()).ln()
     }
 
     /// Log-normal, with this mean and spread.
-    pub fn spread(&mut self, mean: f64, sigma: f64) -> f64 {
+    pub(crate) fn spread(&mut self, mean: f64, sigma: f64) -> f64 {
         let radius = (-2.0 * (1.0 - self.unit()).ln()).sqrt();
         let normal = radius * (std::f64::consts::TAU * self.unit()).cos();
         mean * (sigma * normal - sigma * sigma / 2.0).exp()
@@ -88,7 +88,7 @@
 
 /// What happens next.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord)]
-pub enum Event {
+pub(crate) enum Event {
     /// A prompt comes to the gateway.
     Arrival(usize),
     /// The gateway looks at what waits.
@@ -100,23 +100,23 @@
 }
 
 /// Engines and a clock.
-pub struct Emulator {
-    pub model: EngineModel,
-    pub now_ms: f64,
-    pub fates: Vec<Fate>,
-    pub prompts: Vec<Prompt>,
+pub(crate) struct Emulator {
+    pub(crate) model: EngineModel,
+    pub(crate) now_ms: f64,
+    pub(crate) fates: Vec<Fate>,
+    pub(crate) prompts: Vec<Prompt>,
     engines: Vec<Engine>,
     parts_left: Vec<usize>,
     firsts: Vec<usize>,
     queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
     /// Prompts whose first token came, and those that ended, since the last look.
-    pub started: Vec<usize>,
-    pub ended: Vec<usize>,
+    pub(crate) started: Vec<usize>,
+    pub(crate) ended: Vec<usize>,
 }
 
 impl Emulator {
-    pub fn new(model: EngineModel, engines: usize, prompts: Vec<Prompt>) -> Self {
+    pub(crate) fn new(model: EngineModel, engines: usize, prompts: Vec<Prompt>) -> Self {
         let mut emulator = Self {
             model,
             now_ms: 0.0,
@@ -136,14 +136,14 @@
         emulator
     }
 
-    pub fn schedule(&mut self, at_ms: f64, event: Event) {
+    pub(crate) fn schedule(&mut self, at_ms: f64, event: Event) {
         self.sequence += 1;
         let at_us = (at_ms * 1e3) as u64;
         self.queue.push(Reverse((at_us, self.sequence, event)));
     }
 
     /// The next event that concerns the gateway; passes are played on the way.
-    pub fn next(&mut self) -> Option<Event> {
+    pub(crate) fn next(&mut self) -> Option<Event> {
         loop {
             let Reverse((at_us, _, event)) = self.queue.pop()?;
             self.now_ms = at_us as f64 / 1e3;
@@ -155,7 +155,7 @@
     }
 
     /// Sends a prompt: `readers` read it in even parts, the first of them writes.
-    pub fn send(&mut self, prompt: usize, readers: &[usize]) {
+    pub(crate) fn send(&mut self, prompt: usize, readers: &[usize]) {
         let tokens = self.prompts[prompt].tokens;
         let read_ms = self.bare_read_ms(tokens);
         self.parts_left[prompt] = readers.len();
@@ -268,15 +268,15 @@
 
 /// A phase of the load: starts a second of short prompts, reviews and audits.
 #[derive(Debug, Clone, Copy)]
-pub struct Phase {
-    pub length_ms: f64,
-    pub short_per_s: f64,
-    pub reviews_per_s: f64,
-    pub audits_per_s: f64,
+pub(crate) struct Phase {
+    pub(crate) length_ms: f64,
+    pub(crate) short_per_s: f64,
+    pub(crate) reviews_per_s: f64,
+    pub(crate) audits_per_s: f64,
 }
 
 /// The load of some phases, one after the other.
-pub fn load(phases: &[Phase], seed: u64) -> Vec<Prompt> {
+pub(crate) fn load(phases: &[Phase], seed: u64) -> Vec<Prompt> {
     let mut numbers = Numbers::new(seed);
     let mut prompts = Vec::new();
     let mut start_ms = 0.0;
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -184,11 +184,9 @@
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
         let sending = attempt::send(&self.core, endpoint.address, request, &self.ask, is_streaming);
-        let ended = match timeout(self.patience(&placed), sending).await {
-            Ok(ended) => ended,
-            Err(_) => Ended::Unknown {
-                why: "silent".to_string(),
-            },
+        let ended = match self.patience(&placed) {
+            None => sending.await,
+            Some(patience) => timeout(patience, sending).await.unwrap_or_else(|_| silent()),
         };
         self.progress.in_flight = false;
         let took_ms = start.elapsed().as_millis() as u64;
@@ -237,19 +235,21 @@
         })
     }
 
-    /// How long to wait for the first sign of an answer.
-    fn patience(&self, placed: &Placed) -> Duration {
-        let left = self.left();
+    /// How long to wait for the first sign of an answer before another endpoint is asked; `None` if no
+    /// other may be.
+    fn patience(&self, placed: &Placed) -> Option<Duration> {
         if !self.may_repeat() || self.progress.runs + 1 >= self.route.attempts_max {
-            return left;
+            return None;
         }
+        let left = self.left();
         if self.route.kind.is_streaming() {
             let aim_ms = self.route.aim_ms as f64;
             let expected_ms = placed.first_token_ms.max(aim_ms);
             let silent_ms = (expected_ms * SILENT_FACTOR).max(SILENT_MIN_MS);
-            return left.min(Duration::from_secs_f64(silent_ms / 1e3));
+            let silent = Duration::from_secs_f64(silent_ms / 1e3);
+            return Some(silent).filter(|silent| *silent < left);
         }
-        left.mul_f64(DISPATCH_SHARE)
+        Some(left.mul_f64(DISPATCH_SHARE))
     }
 
     fn may_repeat(&self) -> bool {
@@ -363,6 +363,12 @@
     }
 }
 
+fn silent() -> Ended {
+    Ended::Unknown {
+        why: "silent".to_string(),
+    }
+}
+
 /// A dispatch that gave nothing to be passed on, unless nothing better comes.
 pub(crate) struct Failed {
     name: &'static str,
