fix(placing): a prompt whose aim has passed no longer outweighs the streams it would break

Cause: the aim left to a late prompt was held at 1 ms, so waiting counted thousands of times and the choice of engines ignored all harm; forced prompts took ten engines just when short ones came seven times as often. Short questions of over 9,000 tokens waited for turns too. Ruled out: memory (no preemption seen), the order among parts (predictions of first tokens were within 100 ms).

--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -495,14 +495,20 @@
         self.options.open_other_units / (1.0 + f64::from(other))
     }
 
-    /// What the prompt loses if its first token comes after `first_token_ms`, in units.
+    /// What the prompt loses if its first token comes after `first_token_ms`, in units. One whose aim has
+    /// passed has only its end to lose; it isn't worth more harm to others than that.
     fn late_units(&self, first_token_ms: f64) -> f64 {
         let need = self.need;
-        let waits = self.options.wait_units * need.units() * first_token_ms / need.aim_ms;
         let blur = self.options.blur;
+        let left_ms = need.left_ms.max(1.0);
+        let lost = (1.0 - LATE_SHARE) * late(first_token_ms, left_ms, blur);
+        if need.aim_ms <= 0.0 {
+            let waits = self.options.wait_units * (1.0 - LATE_SHARE) * first_token_ms / left_ms;
+            return need.units() * (lost + waits);
+        }
         let misses = LATE_SHARE * late(first_token_ms, need.aim_ms, blur);
-        let lost = (1.0 - LATE_SHARE) * late(first_token_ms, need.left_ms, blur);
-        need.units() * (misses + lost) + waits
+        let waits = self.options.wait_units * first_token_ms / need.aim_ms;
+        need.units() * (misses + lost + waits)
     }
 
     fn judge_alone(&self, first: &Survey, read_ms: f64) -> Placement {
--- a/crates/mgs-placing/src/need.rs
+++ b/crates/mgs-placing/src/need.rs
@@ -28,7 +28,8 @@
     pub output_tokens: u64,
     /// Longest pause between events for which the answer is on time, in milliseconds.
     pub pause_ms: f64,
-    /// Time to the first token for which the answer is on time, from now, in milliseconds.
+    /// Time to the first token for which the answer is on time, from now, in milliseconds; 0 or less once
+    /// it has passed.
     pub aim_ms: f64,
     /// Time until the request must have ended, from now, in milliseconds.
     pub left_ms: f64,
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -59,7 +59,9 @@
     let mut all = vec![first];
     all.extend(&readers);
     let hold_ms = placing.hold_ms(&all, read_ms);
-    let ready_ms = all.iter().map(|survey| survey.part_ready_ms(read_ms, hold_ms));
+    let ready_ms = all
+        .iter()
+        .map(|survey| survey.part_ready_ms(read_ms, hold_ms));
     let first_token_ms = hold_ms + ready_ms.fold(0.0, f64::max);
     let harm: f64 = readers.iter().map(|survey| survey.harm(read_ms)).sum();
     Ok(Placement {
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -23,6 +23,10 @@
     pub start_backlog_ms: f64,
     /// Engines that must be left for a long prompt to be sent.
     pub room_engines: usize,
+    /// Reading on one engine up to which a prompt never waits, in milliseconds: the longest short question.
+    pub short_work_ms: f64,
+    /// Engines that are counted on when the deadline forces a prompt.
+    pub last_engines: f64,
     /// Time that an answer takes to be written, in milliseconds: 16 events at 70 ms, and as much again
     /// for passes that read.
     pub write_ms: f64,
@@ -36,6 +40,8 @@
             overtake_ms: 60.0,
             start_backlog_ms: 60.0,
             room_engines: 3,
+            short_work_ms: 250.0,
+            last_engines: 10.0,
             write_ms: 2_200.0,
             margin_factor: 1.5,
         }
@@ -63,6 +69,8 @@
             "overtake_ms" => self.overtake_ms = figure.value,
             "start_backlog_ms" => self.start_backlog_ms = figure.value,
             "room_engines" => self.room_engines = figure.value as usize,
+            "short_work_ms" => self.short_work_ms = figure.value,
+            "last_engines" => self.last_engines = figure.value,
             "write_ms" => self.write_ms = figure.value,
             "margin_factor" => self.margin_factor = figure.value,
             name => return Err(format!("there is no figure {name:?}")),
@@ -100,20 +108,31 @@
     Score((per_unit_ms as u32).min(TOO_LATE - 1))
 }
 
-/// Whether a prompt that could be placed so is sent now. `best_other` is the least score of the others that
-/// wait, here and at peers; `backlog_ms` is the longest backlog of its engines.
-pub fn turn(
-    need: &Need,
-    placement: &Placement,
-    own: Score,
-    best_other: Score,
-    options: &Options,
-) -> Turn {
-    if placement.read_ms <= options.overtake_ms {
+/// A prompt that may have to wait.
+#[derive(Debug, Clone, Copy)]
+pub struct Waiting<'a> {
+    /// What it asks for.
+    pub need: &'a Need,
+    /// Where it would go now.
+    pub placement: &'a Placement,
+    /// Its reading on one engine, in milliseconds.
+    pub work_ms: f64,
+    /// Its score.
+    pub own: Score,
+    /// The least score of the others that wait, here and at peers.
+    pub best_other: Score,
+}
+
+/// Whether a prompt is sent now.
+pub fn turn(waiting: &Waiting<'_>, options: &Options) -> Turn {
+    let placement = waiting.placement;
+    let own = waiting.own;
+    let best_other = waiting.best_other;
+    if waiting.work_ms <= options.short_work_ms || placement.read_ms <= options.overtake_ms {
         return Turn::Go;
     }
-    let reading_ms = placement.first_token_ms * options.margin_factor;
-    if need.left_ms < reading_ms + options.write_ms {
+    let reading_ms = waiting.work_ms / options.last_engines * options.margin_factor;
+    if waiting.need.left_ms < reading_ms + options.write_ms {
         return Turn::Go;
     }
     let has_room = placement.scene.room >= options.room_engines;
--- a/crates/mgs-placing/tests/emulator/mod.rs
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -197,9 +197,16 @@
         let mut pass_ms = f64::from(steps) * (self.model.step_ms + writers_ms + context_ms);
         let mut budget = f64::from(steps) * self.model.chunk_tokens as f64;
         // Parts go first, and the newest of them before the others.
-        engine
-            .reads
-            .sort_by_key(|read| (!read.is_part, if read.is_part { u64::MAX - read.came } else { read.came }));
+        engine.reads.sort_by_key(|read| {
+            (
+                !read.is_part,
+                if read.is_part {
+                    u64::MAX - read.came
+                } else {
+                    read.came
+                },
+            )
+        });
         for read in &mut engine.reads {
             let tokens = read.left_tokens.min(budget);
             read.left_tokens -= tokens;
--- a/crates/mgs-placing/tests/load.rs
+++ b/crates/mgs-placing/tests/load.rs
@@ -94,7 +94,7 @@
             prompt_tokens: prompt.tokens,
             output_tokens: u64::from(prompt.events) * 51,
             pause_ms: prompt.pause_ms,
-            aim_ms: (prompt.aim_ms - waited_ms).max(1.0),
+            aim_ms: prompt.aim_ms - waited_ms,
             left_ms: prompt.deadline_ms - waited_ms,
         }
     }
@@ -131,7 +131,14 @@
                 0 => NOBODY,
                 _ => scored[0].0,
             };
-            let turn = turn::turn(&need, &placement, *own, best_other, &self.turns);
+            let waiting = turn::Waiting {
+                need: &need,
+                placement: &placement,
+                work_ms: emulator.model.read_ms(need.prompt_tokens),
+                own: *own,
+                best_other,
+            };
+            let turn = turn::turn(&waiting, &self.turns);
             if turn == Turn::Go || self.policy == Policy::NoTurns {
                 self.send(emulator, *prompt, &need, placement);
             } else {
@@ -154,13 +161,7 @@
         }
     }
 
-    fn send(
-        &mut self,
-        emulator: &mut Emulator,
-        prompt: usize,
-        need: &Need,
-        placement: Placement,
-    ) {
+    fn send(&mut self, emulator: &mut Emulator, prompt: usize, need: &Need, placement: Placement) {
         let mut writer = Held {
             memory_tokens: need.memory_tokens() as u32,
             ..Held::default()
@@ -256,8 +257,12 @@
 fn on_time(emulator: &Emulator) -> OnTime {
     let share = |aim_ms: f64| {
         let of_kind = emulator.prompts.iter().zip(&emulator.fates);
-        let of_kind: Vec<_> = of_kind.filter(|(prompt, _)| prompt.aim_ms == aim_ms).collect();
-        let on_time = of_kind.iter().filter(|(prompt, fate)| fate.is_on_time(prompt));
+        let of_kind: Vec<_> = of_kind
+            .filter(|(prompt, _)| prompt.aim_ms == aim_ms)
+            .collect();
+        let on_time = of_kind
+            .iter()
+            .filter(|(prompt, fate)| fate.is_on_time(prompt));
         on_time.count() as f64 / of_kind.len().max(1) as f64
     };
     OnTime {
@@ -271,13 +276,11 @@
     const SEEDS: u64 = 6;
     let plays: Vec<OnTime> = (1..=SEEDS).map(|seed| play(policy, phases, seed)).collect();
     let mean = |of: fn(&OnTime) -> f64| plays.iter().map(of).sum::<f64>() / plays.len() as f64;
-    let mean = OnTime {
+    OnTime {
         short: mean(|play| play.short),
         reviews: mean(|play| play.reviews),
         audits: mean(|play| play.audits),
-    };
-    println!("{policy:?}: {mean:?}");
-    mean
+    }
 }
 
 #[test]
@@ -307,6 +310,9 @@
     let load = [heavy, SWING[1]];
     let turns = mean(Policy::Turns, &load);
     let without = mean(Policy::NoTurns, &load);
-    assert!(turns.audits > without.audits + 0.05, "{turns:?} {without:?}");
+    assert!(
+        turns.audits > without.audits + 0.05,
+        "{turns:?} {without:?}"
+    );
     assert!(turns.short >= without.short, "{turns:?} {without:?}");
 }
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -47,7 +47,10 @@
     /// A whole answer.
     Whole { head: response::Parts, body: Bytes },
     /// A stream has begun.
-    Started { head: response::Parts, stream: Stream },
+    Started {
+        head: response::Parts,
+        stream: Stream,
+    },
 }
 
 /// Sends a request and waits for its answer; dropping it closes the connection.
@@ -132,11 +135,7 @@
     }
 }
 
-async fn first_events(
-    connection: Connection,
-    head: response::Parts,
-    mut body: Incoming,
-) -> Ended {
+async fn first_events(connection: Connection, head: response::Parts, mut body: Incoming) -> Ended {
     let mut events = Events::default();
     loop {
         let frame = match body.frame().await {
--- a/crates/mgs-relay/src/client.rs
+++ b/crates/mgs-relay/src/client.rs
@@ -37,7 +37,11 @@
 
 /// Opens a listening socket.
 pub(crate) fn listen(address: SocketAddr) -> io::Result<TcpListener> {
-    let socket = Socket::new(Domain::for_address(address), Type::STREAM, Some(Protocol::TCP))?;
+    let socket = Socket::new(
+        Domain::for_address(address),
+        Type::STREAM,
+        Some(Protocol::TCP),
+    )?;
     socket.set_reuse_address(true)?;
     socket.set_nonblocking(true)?;
     socket.bind(&address.into())?;
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -92,11 +92,7 @@
     thread.spawn(body).map(|_| ())
 }
 
-async fn follow_gateways(
-    options: Options,
-    mut source: Box<dyn Source>,
-    published: Arc<Published>,
-) {
+async fn follow_gateways(options: Options, mut source: Box<dyn Source>, published: Arc<Published>) {
     published.put_peers(options.first_peers.clone());
     while let Err(error) = source.register(&options.name, options.peer_address).await {
         log::warn!(error:% = error; "this gateway can't be listed");
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -89,5 +89,8 @@
 /// Label of a prompt's length.
 pub(crate) fn length(prompt_tokens: u64) -> &'static str {
     let fits = |(below, _): &&(u64, &str)| prompt_tokens < *below;
-    LENGTHS.iter().find(fits).map_or("over_100k", |(_, label)| label)
+    LENGTHS
+        .iter()
+        .find(fits)
+        .map_or("over_100k", |(_, label)| label)
 }
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -95,7 +95,12 @@
 }
 
 /// Places a call of a plain service.
-pub(crate) fn plain(core: &Rc<Core>, service: &str, tried: &Tried) -> Result<Placed, Refusal> {
+pub(crate) fn plain(
+    core: &Rc<Core>,
+    service: &str,
+    tried: &Tried,
+    request_id: &str,
+) -> Result<Placed, Refusal> {
     let fleet = core.published.fleet();
     let endpoints = usable(core, &fleet, service, tried);
     let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
@@ -109,6 +114,15 @@
     let endpoint = chosen
         .and_then(|key| fleet.by_key.get(&key))
         .ok_or_else(no_endpoint)?;
+    log::info!(
+        request_id = request_id,
+        endpoint = endpoint.id,
+        running_calls = core.board.borrow().held(endpoint.key).calls,
+        usable_endpoints = candidates.len(),
+        tried = tried.len(),
+        fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
+        "placed"
+    );
     let held = Held {
         calls: 1,
         ..Held::default()
@@ -184,15 +198,44 @@
         let work_ms = prompt.model.read_ms(need.prompt_tokens);
         let own = turn::score(&need, &placement, work_ms);
         let best_other = waiting.best_other();
-        let turn = turn::turn(&need, &placement, own, best_other, &core.options.turns);
+        let asked = turn::Waiting {
+            need: &need,
+            placement: &placement,
+            work_ms,
+            own,
+            best_other,
+        };
+        let turn = turn::turn(&asked, &core.options.turns);
         if turn == Turn::Go {
             return Ok((need, placement));
         }
-        waiting.set(own);
+        if waiting.set(own) {
+            log_wait(prompt, &need, &placement, own, best_other);
+        }
         waiting.until_first(own).await;
     }
 }
 
+fn log_wait(
+    prompt: &Prompt<'_>,
+    need: &Need,
+    placement: &Placement,
+    own: Score,
+    best_other: Score,
+) {
+    log::info!(
+        request_id = prompt.request_id,
+        prompt_tokens = need.prompt_tokens,
+        left_ms = need.left_ms as u64,
+        score = own.0,
+        best_other_score = best_other.0,
+        engines_backlog_ms = placement.backlog_ms as u64,
+        room = placement.scene.room,
+        predicted_first_token_ms = placement.first_token_ms as u64;
+        "waits for its turn"
+    );
+}
+
 /// Lists a prompt among those that wait, until dropped.
 struct Waiting {
     core: Rc<Core>,
@@ -208,11 +251,13 @@
         }
     }
 
-    fn set(&self, score: Score) {
+    /// Lists it with a score; tells whether it wasn't listed before.
+    fn set(&self, score: Score) -> bool {
         let before = self.core.waiting.borrow_mut().insert(self.number, score);
         if before != Some(score) {
             self.core.board_changed.notify_one();
         }
+        before.is_none()
     }
 
     /// Waits for the next look, or for more of them while others go first.
@@ -243,11 +288,7 @@
     }
 }
 
-fn choose_engines(
-    prompt: &Prompt<'_>,
-    need: &Need,
-    tried: &Tried,
-) -> Result<Placement, Refusal> {
+fn choose_engines(prompt: &Prompt<'_>, need: &Need, tried: &Tried) -> Result<Placement, Refusal> {
     let core = prompt.core;
     let fleet = core.published.fleet();
     let endpoints = usable(core, &fleet, prompt.service, tried);
@@ -259,7 +300,15 @@
     let candidates: Vec<choose::Candidate> = endpoints.iter().map(candidate).collect();
     let board = core.board.borrow();
     let options = &core.options.placing;
-    choose(need, &candidates, &board, prompt.model, options, core.now_ms()).map_err(refuse)
+    choose(
+        need,
+        &candidates,
+        &board,
+        prompt.model,
+        options,
+        core.now_ms(),
+    )
+    .map_err(refuse)
 }
 
 fn refuse(no_place: NoPlace) -> Refusal {
@@ -329,13 +378,7 @@
     })
 }
 
-fn log_placement(
-    core: &Core,
-    request_id: &str,
-    fleet: &Fleet,
-    need: &Need,
-    placement: &Placement,
-) {
+fn log_placement(core: &Core, request_id: &str, fleet: &Fleet, need: &Need, placement: &Placement) {
     let first = fleet.by_key.get(&placement.first);
     let endpoint = first.map_or("gone", |endpoint| endpoint.id.as_str());
     let helpers: Vec<&str> = placement
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -140,7 +140,7 @@
     async fn place(&self) -> Result<Placed, Refusal> {
         let tried = &self.progress.tried;
         let Some(model) = &self.model else {
-            return place::plain(&self.core, &self.service, tried);
+            return place::plain(&self.core, &self.service, tried, &self.ask.request_id);
         };
         let prompt = Prompt {
             core: &self.core,
@@ -158,7 +158,7 @@
             prompt_tokens: self.ask.prompt_tokens,
             output_tokens: self.ask.output_tokens,
             pause_ms: self.route.pause_ms as f64,
-            aim_ms: (self.route.aim_ms as f64 - waited_ms).max(1.0),
+            aim_ms: self.route.aim_ms as f64 - waited_ms,
             left_ms: self.left().as_secs_f64() * 1e3,
         }
     }
@@ -183,10 +183,18 @@
         }
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
-        let sending = attempt::send(&self.core, endpoint.address, request, &self.ask, is_streaming);
+        let sending = attempt::send(
+            &self.core,
+            endpoint.address,
+            request,
+            &self.ask,
+            is_streaming,
+        );
         let ended = match self.patience(&placed) {
             None => sending.await,
-            Some(patience) => timeout(patience, sending).await.unwrap_or_else(|_| silent()),
+            Some(patience) => timeout(patience, sending)
+                .await
+                .unwrap_or_else(|_| silent()),
         };
         self.progress.in_flight = false;
         let took_ms = start.elapsed().as_millis() as u64;
@@ -278,7 +286,10 @@
             helpers: placed.helpers.clone(),
             last_event_id: last_event_id.map(str::to_string),
         };
-        let fields = self.core.dialect.dispatch_fields(&self.head.headers, &dispatch);
+        let fields = self
+            .core
+            .dialect
+            .dispatch_fields(&self.head.headers, &dispatch);
         let mut request = Request::new(self.body.clone());
         *request.method_mut() = self.head.method.clone();
         *request.uri_mut() = self.head.uri.clone();
@@ -310,7 +321,8 @@
             Ended::Started { .. } => {
                 core.outliers.answered(key);
                 let predicted_ms = placed.first_token_ms as u64;
-                core.outliers.first_token(key, now_ms, predicted_ms, took_ms);
+                core.outliers
+                    .first_token(key, now_ms, predicted_ms, took_ms);
                 let late_ms = took_ms.saturating_sub(predicted_ms);
                 core.metrics.late_by_ms.observe(late_ms as f64);
                 "started"
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -157,9 +157,9 @@
         .configuration()
         .ok_or_else(|| Refusal::after(Fault::NoConfiguration, RETRY_AFTER_UNKNOWING_MS))?;
     let admitted = admit(core, &configuration, &ask, &head)?;
-    let timeout_ms = ask
-        .deadline_ms
-        .map_or(admitted.route.timeout_ms, |d| d.min(admitted.route.timeout_ms));
+    let timeout_ms = ask.deadline_ms.map_or(admitted.route.timeout_ms, |d| {
+        d.min(admitted.route.timeout_ms)
+    });
     let deadline = arrived + Duration::from_millis(timeout_ms);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
     let service = pick_service(core, &admitted.route);
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -59,16 +59,28 @@
             )),
         )
         .arg(
-            value(LOG_LEVEL, "LEVEL", "Least level that is logged, or a filter by module")
-                .default_value("info"),
+            value(
+                LOG_LEVEL,
+                "LEVEL",
+                "Least level that is logged, or a filter by module",
+            )
+            .default_value("info"),
         )
         .arg(
-            value(PLACING, FIGURES, "Figures of placing that differ, such as open_units=2")
-                .default_value(""),
+            value(
+                PLACING,
+                FIGURES,
+                "Figures of placing that differ, such as open_units=2",
+            )
+            .default_value(""),
         )
         .arg(
-            value(TURNS, FIGURES, "Figures of the order among long prompts that differ")
-                .default_value(""),
+            value(
+                TURNS,
+                FIGURES,
+                "Figures of the order among long prompts that differ",
+            )
+            .default_value(""),
         )
 }
 
@@ -103,8 +115,8 @@
     values.finish()?;
     let failed = |error: String| Error::Failed(error);
     let settings = Settings::read(&path).map_err(|error| failed(error.to_string()))?;
-    let _logs = logs::start_bounded(&logs::Options { level })
-        .map_err(|error| failed(error.to_string()))?;
+    let _logs =
+        logs::start_bounded(&logs::Options { level }).map_err(|error| failed(error.to_string()))?;
     serve(path, settings, Figures { placing, turns })
 }
 
@@ -169,8 +181,15 @@
         published: published.clone(),
         store,
     };
-    relay::run(plan.relay, dialect, published, metrics, started, stopped(reload))
-        .map_err(|error| failed(error.to_string()))?;
+    relay::run(
+        plan.relay,
+        dialect,
+        published,
+        metrics,
+        started,
+        stopped(reload),
+    )
+    .map_err(|error| failed(error.to_string()))?;
     log::info!("stopped");
     log::logger().flush();
     Ok(())
--- /dev/null
+++ b/tests/relay.rs
@@ -0,0 +1,179 @@
+//! `marigoldstage relay` as a process: settings, signals, and requests around a stop.
+
+#[path = "../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod common;
+
+use std::io::Write;
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Stdio;
+use std::thread;
+use std::time::Duration;
+
+use common::marigoldstage;
+use common::wait_until;
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use standin::client::ask;
+use standin::client::read_answer;
+use standin::client::send;
+use standin::client::Ask;
+use standin::endpoint::Act;
+use standin::endpoint::Endpoint;
+use standin::gateway::configuration;
+use standin::gateway::store_with;
+use standin::store::Store;
+
+struct Relay {
+    child: Child,
+    client: SocketAddr,
+    ready: SocketAddr,
+    settings: PathBuf,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        // It may have ended by itself.
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+        let _ = std::fs::remove_file(&self.settings);
+    }
+}
+
+/// Ports that were free a moment ago.
+fn free_ports<const N: usize>() -> [u16; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address").port())
+}
+
+fn settings(ports: [u16; 4], store: SocketAddr) -> String {
+    let [client, ready, peer, metrics] = ports;
+    format!(
+        "nodeName = \"front-1\"\nzone = \"north\"\nip = \"127.0.0.1\"\n\
+         internalPortRange = [{peer}, {metrics}]\nseedNodes = []\n\
+         [listen]\nfront = \"127.0.0.1:{client}\"\nready = \"127.0.0.1:{ready}\"\n\
+         [bounds]\ngraceS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
+         budgetExtraRetries = 100\n[platformSettings]\naddress = \"{store}\"\n"
+    )
+}
+
+impl Relay {
+    fn start(store: &Store) -> Self {
+        let ports = free_ports::<4>();
+        let file = format!(
+            "marigoldstage-relay-{}-{}.toml",
+            std::process::id(),
+            ports[0]
+        );
+        let path = std::env::temp_dir().join(file);
+        std::fs::write(&path, settings(ports, store.address)).expect("a temporary file");
+        let child = marigoldstage()
+            .arg("relay")
+            .env("MARIGOLDSTAGE_BOOT", &path)
+            .stdout(Stdio::piped())
+            .spawn()
+            .expect("the program");
+        let relay = Self {
+            child,
+            client: SocketAddr::from(([127, 0, 0, 1], ports[0])),
+            ready: SocketAddr::from(([127, 0, 0, 1], ports[1])),
+            settings: path,
+        };
+        wait_until("readiness", || relay.readiness() == 200);
+        relay
+    }
+
+    /// What the balancer is told; 0 without an answer.
+    fn readiness(&self) -> u16 {
+        let Ok(mut stream) = std::net::TcpStream::connect(self.ready) else {
+            return 0;
+        };
+        let text = "GET /readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
+        match stream.write_all(text.as_bytes()) {
+            Ok(()) => read_answer(&mut stream).status,
+            Err(_) => 0,
+        }
+    }
+
+    fn signal(&self, signal: Signal) {
+        let pid = Pid::from_child(&self.child);
+        kill_process(pid, signal).expect("the process lives");
+    }
+}
+
+/// Three hosts of a bench day ended by SIGHUP, and the requests on them were lost.
+#[test]
+fn a_hangup_signal_reads_the_settings_and_ends_nothing() {
+    let desk = Endpoint::start("i-1", "desk", &[Act::Answer]);
+    let store = store_with(&[&desk]);
+    let relay = Relay::start(&store);
+    let other = store_with(&[&desk]);
+    other.put("op", "config", &configuration(77));
+    let text = std::fs::read_to_string(&relay.settings).expect("the settings");
+    let text = text.replace(&store.address.to_string(), &other.address.to_string());
+    std::fs::write(&relay.settings, text).expect("the settings");
+    let before = other.calls();
+    relay.signal(Signal::HUP);
+    wait_until("calls to the other store", || other.calls() > before);
+    assert_eq!(ask(relay.client, &Ask::to("/safe/1")).status, 200);
+}
+
+#[test]
+fn faulty_settings_are_not_taken() {
+    let desk = Endpoint::start("i-1", "desk", &[Act::Answer]);
+    let store = store_with(&[&desk]);
+    let relay = Relay::start(&store);
+    std::fs::write(&relay.settings, "nonsense").expect("the settings");
+    relay.signal(Signal::HUP);
+    thread::sleep(Duration::from_millis(200));
+    assert_eq!(ask(relay.client, &Ask::to("/safe/1")).status, 200);
+}
+
+#[test]
+fn a_stop_finishes_what_is_open_and_tells_the_balancer_first() {
+    let engine = Endpoint::start("i-1", "model", &[Act::Stream(120)]);
+    let store = store_with(&[&engine]);
+    let mut relay = Relay::start(&store);
+    let talk = Ask::to("/talk/1").with("Token-Count", "900,200");
+    let mut open = send(relay.client, &talk);
+    wait_until("the stream at the engine", || !engine.seen().is_empty());
+    relay.signal(Signal::TERM);
+    wait_until("not ready", || relay.readiness() == 503);
+    let late = ask(
+        relay.client,
+        &Ask::to("/talk/2").with("Token-Count", "900,200"),
+    );
+    assert!(
+        late.is_whole,
+        "the balancer may not have noticed yet: {late:?}"
+    );
+    assert_eq!(late.head.field("connection"), Some("close"));
+    assert!(read_answer(&mut open).is_whole);
+    let status = relay.child.wait().expect("an end");
+    assert!(status.success(), "{status}");
+}
+
+#[test]
+fn all_faults_of_the_settings_are_told_before_anything_starts() {
+    let path =
+        std::env::temp_dir().join(format!("marigoldstage-faulty-{}.toml", std::process::id()));
+    let ports = free_ports::<4>();
+    let store = SocketAddr::from(([127, 0, 0, 1], 1));
+    let text = settings(ports, store).replace("127.0.0.1:1\"", "nowhere\"");
+    std::fs::write(&path, text.replace("graceS = 8", "graceS = 0")).expect("a temporary file");
+    let output = marigoldstage()
+        .args(["relay", "--settings"])
+        .arg(&path)
+        .output()
+        .expect("the program");
+    std::fs::remove_file(&path).expect("the file");
+    assert!(!output.status.success());
+    let told = String::from_utf8_lossy(&output.stderr);
+    assert!(told.contains("bounds.graceS"), "{told}");
+    assert!(told.contains("platformSettings.address"), "{told}");
+}
