--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -300,15 +300,37 @@
     let candidates: Vec<choose::Candidate> = endpoints.iter().map(candidate).collect();
     let board = core.board.borrow();
     let options = &core.options.placing;
-    choose(
+    let chosen = choose(
         need,
         &candidates,
         &board,
         prompt.model,
         options,
         core.now_ms(),
-    )
-    .map_err(refuse)
+    );
+    chosen.map_err(|no_place| {
+        let refusal = refuse(no_place);
+        log_refusal(prompt, need, candidates.len(), &refusal);
+        refusal
+    })
+}
+
+fn log_refusal(prompt: &Prompt<'_>, need: &Need, usable: usize, refusal: &Refusal) {
+    let core = prompt.core;
+    log::info!(
+        request_id = prompt.request_id,
+        service = prompt.service,
+        reason = refusal.fault.name(),
+        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
+        prompt_tokens = need.prompt_tokens,
+        left_ms = need.left_ms as u64,
+        usable_engines = usable,
+        tried = prompt.tried.len(),
+        waiting_here = core.waiting.borrow().len(),
+        peers = core.board.borrow().peers(),
+        fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
+        "not placed"
+    );
 }
 
 fn refuse(no_place: NoPlace) -> Refusal {
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -1,6 +1,7 @@
 //! `marigoldstage relay`: the event-driven gateway on the entry hosts of the users' platform.
 
 use std::io::Write;
+use std::net::SocketAddr;
 use std::path::PathBuf;
 use std::sync::Arc;
 use std::time::Duration;
@@ -32,6 +33,7 @@
 
 const SETTINGS: &str = "settings";
 const LOG_LEVEL: &str = "log-level";
+const METRICS_PORT: &str = "metrics-port";
 const PLACING: &str = "placing";
 const TURNS: &str = "turns";
 
@@ -66,6 +68,14 @@
             )
             .default_value("info"),
         )
+        .arg(
+            value(
+                METRICS_PORT,
+                "PORT",
+                "Where metrics are served, on this host's own IP number",
+            )
+            .default_value("9464"),
+        )
         .arg(
             value(
                 PLACING,
@@ -110,6 +120,7 @@
     if logs::check(&level).is_err() {
         values.fault(LOG_LEVEL, "give a level or a filter by module");
     }
+    let metrics_port = values.number(METRICS_PORT, 1..=u16::MAX);
     let placing = figures(&mut values, PLACING, choose::Options::with);
     let turns = figures(&mut values, TURNS, turn::Options::with);
     values.finish()?;
@@ -117,7 +128,7 @@
     let settings = Settings::read(&path).map_err(|error| failed(error.to_string()))?;
     let _logs =
         logs::start_bounded(&logs::Options { level }).map_err(|error| failed(error.to_string()))?;
-    serve(path, settings, Figures { placing, turns })
+    serve(path, settings, Figures { placing, turns }, metrics_port)
 }
 
 /// Figures of decisions that differ from their defaults.
@@ -141,7 +152,12 @@
     }
 }
 
-fn serve(path: PathBuf, settings: Settings, figures: Figures) -> Result<(), Error> {
+fn serve(
+    path: PathBuf,
+    settings: Settings,
+    figures: Figures,
+    metrics_port: u16,
+) -> Result<(), Error> {
     let failed = |error: String| Error::Failed(error);
     let mut plan = options(&settings);
     plan.relay.placing = figures.placing;
@@ -154,7 +170,7 @@
         published: published.clone(),
     });
     let admin_options = admin::Options {
-        listen: plan.metrics_listen.to_string(),
+        listen: SocketAddr::new(plan.ip, metrics_port).to_string(),
     };
     // Requests are served without the operators' server too.
     let _admin = match admin::serve(admin_options, registry, state) {
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -74,6 +74,7 @@
         std::fs::write(&path, settings(ports, store.address)).expect("a temporary file");
         let child = marigoldstage()
             .arg("relay")
+            .args(["--metrics-port", &ports[3].to_string()])
             .env("MARIGOLDSTAGE_BOOT", &path)
             .stdout(Stdio::piped())
             .spawn()
