perf(placing): fewer spare places, later last starts, no turns where many engines are idle

Cause: on the grown deployments the largest audits waited for seconds for a turn while 40 engines were idle, since only one of the waiting prompts of all gateways went at a time, and holders of memory were chosen without regard to their backlog.

--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -26,9 +26,9 @@
     pub share_from_ms: f64,
     /// Most engines that read one prompt; the engines take 16 helpers beside the first.
     pub engines_max: usize,
-    /// The same for a prompt that can't be on time any more: it isn't to stand in the way of short prompts,
-    /// whose number may be several times as large a second later.
-    pub late_engines_max: usize,
+    /// Share of all engines that may read a prompt that can't be on time any more: it isn't to stand in the
+    /// way of short prompts, whose number may be several times as large a second later.
+    pub late_engines_share: f64,
     /// Least part of a prompt that is worth a helper, in milliseconds of reading.
     pub part_min_ms: f64,
     /// Places of an engine that are left free while others have room: a part of a prompt needs one too,
@@ -77,9 +77,9 @@
         Self {
             share_from_ms: 90.0,
             engines_max: 16,
-            late_engines_max: 6,
+            late_engines_share: 0.3,
             part_min_ms: 25.0,
-            slots_spare: 5,
+            slots_spare: 3,
             streams_per_engine: 9.0,
             long_read_ms: 900.0,
             room_min: 2,
@@ -120,7 +120,7 @@
         match figure.name.as_str() {
             "share_from_ms" => self.share_from_ms = value,
             "engines_max" => self.engines_max = value as usize,
-            "late_engines_max" => self.late_engines_max = value as usize,
+            "late_engines_share" => self.late_engines_share = value,
             "part_min_ms" => self.part_min_ms = value,
             "pack_streams" => self.pack_streams = value,
             "blur" => self.blur = value,
@@ -287,7 +287,8 @@
     if widest.first_token_ms <= need.aim_ms {
         return Ok(widest);
     }
-    placing.engines_max = options.late_engines_max.min(placing.engines_max);
+    let late_max = (placing.surveys.len() as f64 * options.late_engines_share) as usize;
+    placing.engines_max = late_max.max(1).min(placing.engines_max);
     // Where fewer engines can't hold it or would be later than its deadline, the wide way stands.
     Ok(placing.place().unwrap_or(widest))
 }
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -82,25 +82,26 @@
         .surveys
         .iter()
         .filter(|survey| placing.has_place(survey) && !survey.trial)
-        .max_by(|a, b| {
-            let room = |survey: &Survey| survey.free_tokens as f64 - short_writers_cost(survey);
-            room(a).total_cmp(&room(b))
-        })
+        .max_by(|a, b| room(a).total_cmp(&room(b)))
 }
 
 /// Tokens of room that one short stream counts for: its pauses are what reading there would break.
 const SHORT_WRITER_TOKENS: f64 = 20_000.0;
 
-fn short_writers_cost(survey: &Survey) -> f64 {
-    f64::from(survey.writers[0]) * SHORT_WRITER_TOKENS
+/// Tokens of room that a millisecond of backlog counts for: a fifth of a second is worth all of an engine's
+/// memory, since the prompt waits for the last of its engines.
+const BACKLOG_MS_TOKENS: f64 = 1_500.0;
+
+/// Free memory, less for what makes an engine a bad place to read.
+fn room(survey: &Survey) -> f64 {
+    let streams = f64::from(survey.writers[0]) * SHORT_WRITER_TOKENS;
+    let backlog = survey.backlog_ms * BACKLOG_MS_TOKENS;
+    survey.free_tokens as f64 - streams - backlog
 }
 
 fn by_room<'a>(placing: &'a Placing<'_>, first: &Survey) -> Vec<&'a Survey> {
     let mut others = helpers(placing, first);
-    others.sort_by(|a, b| {
-        let room = |survey: &Survey| survey.free_tokens as f64 - short_writers_cost(survey);
-        room(b).total_cmp(&room(a))
-    });
+    others.sort_by(|a, b| room(b).total_cmp(&room(a)));
     others
 }
 
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -21,6 +21,9 @@
     /// Backlog of the engines at which the next prompt is sent, in milliseconds: what it takes to tell
     /// them, so that they don't fall idle.
     pub start_backlog_ms: f64,
+    /// Idle engines that must be left besides those that a prompt would use for it to need no turn: a large
+    /// fleet reads many prompts side by side, and whoever goes first next still finds engines.
+    pub plenty_engines: usize,
     /// Engines that must be left for a long prompt to be sent.
     pub room_engines: usize,
     /// Reading on one engine up to which a prompt never waits, in milliseconds: the longest short question.
@@ -39,11 +42,12 @@
         Self {
             overtake_ms: 60.0,
             start_backlog_ms: 60.0,
+            plenty_engines: 24,
             room_engines: 3,
             short_work_ms: 250.0,
             last_engines: 10.0,
             write_ms: 2_200.0,
-            margin_factor: 1.5,
+            margin_factor: 1.1,
         }
     }
 }
@@ -71,6 +75,7 @@
             "room_engines" => self.room_engines = figure.value as usize,
             "short_work_ms" => self.short_work_ms = figure.value,
             "last_engines" => self.last_engines = figure.value,
+            "plenty_engines" => self.plenty_engines = figure.value as usize,
             "write_ms" => self.write_ms = figure.value,
             "margin_factor" => self.margin_factor = figure.value,
             name => return Err(format!("there is no figure {name:?}")),
@@ -135,6 +140,11 @@
     if waiting.need.left_ms < reading_ms + options.write_ms {
         return Turn::Go;
     }
+    let engines = placement.helpers.len() + 1;
+    let is_plenty = placement.scene.without_reading >= engines + options.plenty_engines;
+    if is_plenty && placement.backlog_ms <= options.start_backlog_ms {
+        return Turn::Go;
+    }
     let has_room = placement.scene.room >= options.room_engines;
     if own <= best_other && has_room && placement.backlog_ms <= options.start_backlog_ms {
         return Turn::Go;
