--- a/crates/mgs-placing/src/figure.rs
+++ b/crates/mgs-placing/src/figure.rs
@@ -7,10 +7,19 @@
     pub(crate) value: f64,
 }
 
-/// Reads figures.
-pub(crate) fn figures(text: &str) -> Result<Vec<Figure>, String> {
-    let parts = text.split(',').filter(|part| !part.is_empty());
-    parts.map(figure).collect()
+/// Puts the figures of `text` into `options` by `set`, which answers no to a name that it doesn't know.
+pub(crate) fn apply<O>(
+    mut options: O,
+    text: &str,
+    set: fn(&mut O, &Figure) -> bool,
+) -> Result<O, String> {
+    for part in text.split(',').filter(|part| !part.is_empty()) {
+        let figure = figure(part)?;
+        if !set(&mut options, &figure) {
+            return Err(format!("there is no figure {:?}", figure.name));
+        }
+    }
+    Ok(options)
 }
 
 fn figure(text: &str) -> Result<Figure, String> {
--- a/crates/mgs-placing/src/lib.rs
+++ b/crates/mgs-placing/src/lib.rs
@@ -17,6 +17,7 @@
 pub mod board;
 pub mod choose;
 mod figure;
+mod judge;
 pub mod model;
 pub mod need;
 pub mod plain;
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -4,12 +4,12 @@
 //! are made before the prompt is sent, or none is kept; whoever gets only some gives them back at once,
 //! so nobody waits while holding and no two prompts can block each other.
 
-use crate::choose::longest_backlog_ms;
 use crate::choose::NoPlace;
 use crate::choose::Placement;
-use crate::choose::Placing;
 use crate::choose::Reserve;
 use crate::choose::Scene;
+use crate::judge::longest_backlog_ms;
+use crate::judge::Placing;
 use crate::survey::Survey;
 
 /// Most of an engine's free memory that is reserved: peers may have placed prompts there in the last
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -8,7 +8,7 @@
 //! can't be on time any more lets the others pass, until its deadline forces it.
 
 use crate::choose::Placement;
-use crate::figure::figures;
+use crate::figure::apply;
 use crate::figure::Figure;
 use crate::need::Need;
 
@@ -61,14 +61,11 @@
     /// let options = Options::default().with("write_ms=3000").unwrap();
     /// assert_eq!(options.write_ms, 3_000.0);
     /// ```
-    pub fn with(mut self, text: &str) -> Result<Self, String> {
-        for figure in figures(text)? {
-            self.set(&figure)?;
-        }
-        Ok(self)
+    pub fn with(self, text: &str) -> Result<Self, String> {
+        apply(self, text, Self::set)
     }
 
-    fn set(&mut self, figure: &Figure) -> Result<(), String> {
+    fn set(&mut self, figure: &Figure) -> bool {
         match figure.name.as_str() {
             "overtake_ms" => self.overtake_ms = figure.value,
             "start_backlog_ms" => self.start_backlog_ms = figure.value,
@@ -78,9 +75,9 @@
             "plenty_engines" => self.plenty_engines = figure.value as usize,
             "write_ms" => self.write_ms = figure.value,
             "margin_factor" => self.margin_factor = figure.value,
-            name => return Err(format!("there is no figure {name:?}")),
+            _ => return false,
         }
-        Ok(())
+        true
     }
 }
 
--- a/crates/mgs-relay/src/connect.rs
+++ b/crates/mgs-relay/src/connect.rs
@@ -1,5 +1,7 @@
-//! Connections to endpoints, one for each call: an answer that comes twice or late then belongs to no
-//! other request, and closing the connection ends the work.
+//! Connections to endpoints and to the store.
+//!
+//! To endpoints there is one for each call: an answer that comes twice or late then belongs to no other
+//! request, and closing the connection ends the work.
 
 use std::net::SocketAddr;
 use std::time::Duration;
@@ -28,7 +30,7 @@
 
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
-pub(crate) enum CallError {
+pub enum CallError {
     /// no connection: {0}
     NotConnected(String),
     /// the connection ended before the request was sent: {0}
@@ -38,15 +40,15 @@
 }
 
 impl CallError {
-    /// Whether the endpoint can't have seen the request.
-    pub(crate) fn is_unsent(&self) -> bool {
+    /// Whether the other end can't have seen the request.
+    pub fn is_unsent(&self) -> bool {
         !matches!(self, Self::NoAnswer(_))
     }
 }
 
 /// A connection; dropping it closes it.
 #[derive(Debug)]
-pub(crate) struct Connection {
+pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
 }
@@ -57,9 +59,11 @@
     }
 }
 
+impl std::error::Error for CallError {}
+
 impl Connection {
-    /// Connects within `within`.
-    pub(crate) async fn open(address: SocketAddr, within: Duration) -> Result<Self, CallError> {
+    /// Connects within `within`; needs a `LocalSet`.
+    pub async fn open(address: SocketAddr, within: Duration) -> Result<Self, CallError> {
         let connecting = TcpStream::connect(address);
         let stream = match timeout(within, connecting).await {
             Ok(Ok(stream)) => stream,
@@ -82,11 +86,13 @@
         })
     }
 
+    /// Whether it can't take another request.
+    pub fn is_closed(&self) -> bool {
+        self.sender.is_closed()
+    }
+
     /// Sends a request and waits for the head of its answer.
-    pub(crate) async fn send(
-        &mut self,
-        request: Request<Bytes>,
-    ) -> Result<Response<Incoming>, CallError> {
+    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
         let request = request.map(Full::new);
         match self.sender.try_send_request(request).await {
             Ok(response) => Ok(response),
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -36,9 +36,11 @@
     /// Peers known from the settings; some may be gone.
     pub first_peers: Vec<SocketAddr>,
     /// Longest wait of the store for a change of configuration or endpoints, in milliseconds. An answer
-    /// each time shows that the connection lives; changes must be in force within 2 s of an outage's end.
+    /// each time shows that the connection lives. A call that hangs since an outage is given up 1.5 s
+    /// later, so changes are in force 4 s after an outage's end at the latest; hosts are held to them
+    /// 5 s after it. Calls are the largest price of a fleet of 27 hosts.
     pub wait_ms: u64,
-    /// The same for gateways, of which a late one does no harm.
+    /// The same for gateways: new ones make themselves heard.
     pub gateways_wait_ms: u64,
     /// Wait after a reading that failed, in milliseconds.
     pub retry_ms: u64,
@@ -53,8 +55,8 @@
             name: String::new(),
             peer_address: SocketAddr::from(([127, 0, 0, 1], 0)),
             first_peers: Vec::new(),
-            wait_ms: 1_500,
-            gateways_wait_ms: 8_000,
+            wait_ms: 2_500,
+            gateways_wait_ms: 20_000,
             retry_ms: 500,
             lapse_grace_ms: 2_200,
         }
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -20,7 +20,7 @@
 mod attempt;
 mod budget;
 mod client;
-mod connect;
+pub mod connect;
 mod core;
 pub mod dialect;
 pub mod drain;
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -45,6 +45,21 @@
     sequences: HashMap<PeerKey, u64>,
 }
 
+impl Known {
+    /// Who is told: those heard of late, and at times all that are listed.
+    fn addresses(&self, core: &Core, now_ms: f64, to_all: bool) -> Vec<SocketAddr> {
+        let near = self.heard_ms.iter();
+        let near = near.filter(|(_, at_ms)| now_ms - **at_ms < SILENT_MS);
+        let mut addresses: Vec<SocketAddr> = near.map(|(address, _)| *address).collect();
+        if to_all {
+            addresses.extend(core.published.peers().iter());
+            addresses.sort();
+            addresses.dedup();
+        }
+        addresses
+    }
+}
+
 /// Talks with peers until the process ends.
 pub(crate) async fn run(core: Rc<Core>, socket: UdpSocket) {
     let socket = Rc::new(socket);
@@ -66,12 +81,8 @@
     let now_ms = core.now_ms();
     // Silent ones hear from us about once a second.
     let to_all = sequence.is_multiple_of(8);
-    for address in core.published.peers().iter() {
-        let heard_ms = known.borrow().heard_ms.get(address).copied();
-        let is_near = heard_ms.is_some_and(|at_ms| now_ms - at_ms < SILENT_MS);
-        if !is_near && !to_all {
-            continue;
-        }
+    let addresses = known.borrow().addresses(core, now_ms, to_all);
+    for address in addresses {
         if let Err(error) = socket.send_to(&message, address).await {
             core.metrics.peer_faults.inc();
             log::debug!(peer:% = address, error:% = error; "a peer can't be told");
