--- a/crates/mgs-placing/src/model.rs
+++ b/crates/mgs-placing/src/model.rs
@@ -1,10 +1,13 @@
 //! How long an engine takes, from the figures that its operator declares.
 
+use serde::Deserialize;
+use serde::Serialize;
+
 /// The declared figures of the engines of one service.
 ///
 /// An engine works in passes. A pass with at least one writing request makes `stride_steps` steps and
 /// then shows one event for each of them; what is read meanwhile lengthens the pass.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct EngineModel {
     /// Requests that run at once.
     pub slots: u32,
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -15,6 +15,7 @@
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 
+use crate::handover;
 use crate::source::Batch;
 use crate::source::EndpointFacts;
 use crate::source::Source;
@@ -22,6 +23,7 @@
 use crate::source::SourceFactory;
 use crate::source::Topic;
 use crate::source::Update;
+use crate::view::Configuration;
 use crate::view::Endpoint;
 use crate::view::Fleet;
 use crate::view::Published;
@@ -44,6 +46,9 @@
     pub gateways_wait_ms: u64,
     /// Wait after a reading that failed, in milliseconds.
     pub retry_ms: u64,
+    /// How long the first reading may take before peers are asked, in milliseconds: a slow store takes some
+    /// hundred, and without a configuration nobody is served.
+    pub start_patience_ms: u64,
     /// How long after an outage endpoints that aren't listed any more are still used, in milliseconds:
     /// their entries may have lapsed in the outage, and those that live are back within two seconds.
     pub lapse_grace_ms: u64,
@@ -58,6 +63,7 @@
             wait_ms: 2_500,
             gateways_wait_ms: 20_000,
             retry_ms: 500,
+            start_patience_ms: 400,
             lapse_grace_ms: 2_200,
         }
     }
@@ -113,13 +119,17 @@
     loop {
         let start_ms = follower.published.now_ms();
         let read = match follower.revision {
-            None => source.read_all(topic).await,
+            None => follower.read_all(source.as_mut()).await,
             Some(after) => {
                 let wait_ms = follower.wait_ms();
                 source.read_changes(topic, after, wait_ms).await
             }
         };
+        let is_lost = read.is_err();
         let pause_ms = follower.take(read, start_ms);
+        if is_lost && follower.knows_nothing() {
+            follower.ask_peers().await;
+        }
         if pause_ms > 0 {
             sleep(Duration::from_millis(pause_ms)).await;
         }
@@ -161,6 +171,50 @@
         }
     }
 
+    /// Reads all; at the start of the process peers are asked meanwhile if the store takes long.
+    async fn read_all(&mut self, source: &mut dyn Source) -> Result<Batch, SourceError> {
+        let mut reading = source.read_all(self.topic);
+        if !self.knows_nothing() {
+            return reading.await;
+        }
+        let patience = sleep(Duration::from_millis(self.options.start_patience_ms));
+        tokio::select! {
+            read = &mut reading => return read,
+            () = patience => {}
+        }
+        self.ask_peers().await;
+        reading.await
+    }
+
+    /// Whether the topic was never read and nobody told of it.
+    fn knows_nothing(&self) -> bool {
+        match self.topic {
+            Topic::Configuration => self.published.configuration().is_none(),
+            Topic::Endpoints => self.endpoints.entries.is_empty(),
+            Topic::Gateways => false,
+        }
+    }
+
+    /// Takes what a peer knows of the topic.
+    async fn ask_peers(&mut self) {
+        let Some(handover) = handover::ask(&self.options.first_peers).await else {
+            return;
+        };
+        match self.topic {
+            Topic::Configuration => {
+                let configuration = Configuration::clone(&handover.configuration);
+                self.published.put_configuration(configuration);
+            }
+            Topic::Endpoints => {
+                for facts in handover.endpoints {
+                    self.endpoints.see(facts);
+                }
+                self.published.put_fleet(self.endpoints.fleet());
+            }
+            Topic::Gateways => {}
+        }
+    }
+
     /// Takes a reading; answers how long to wait before the next.
     fn take(&mut self, read: Result<Batch, SourceError>, start_ms: u64) -> u64 {
         match read {
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -29,6 +29,7 @@
 pub mod follow;
 mod gate;
 mod grant;
+mod handover;
 mod memory;
 pub mod metrics;
 mod peers;
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -30,6 +30,7 @@
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::gate;
+use crate::handover;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::view::Published;
@@ -173,6 +174,10 @@
         purpose: "peers",
         source,
     })?;
+    let starting = listen(
+        local_address(peers.local_addr(), options.peer_listen),
+        "peers",
+    )?;
     started(Addresses {
         client: local_address(clients.local_addr(), options.client_listen),
         ready: local_address(balancer.local_addr(), options.ready_listen),
@@ -181,6 +186,7 @@
     tokio::task::spawn_local(client::accept(core.clone(), clients));
     tokio::task::spawn_local(gate::accept(core.clone(), balancer));
     tokio::task::spawn_local(peers::run(core.clone(), peers));
+    tokio::task::spawn_local(handover::serve(core.clone(), starting));
     stop.await;
     log::info!(open_requests = core.drain.open_requests(); "leaving");
     let drain = core.published.live().drain;
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -5,6 +5,8 @@
 use std::pin::Pin;
 
 use displaydoc::Display;
+use serde::Deserialize;
+use serde::Serialize;
 
 use crate::view::Configuration;
 
@@ -31,7 +33,7 @@
 }
 
 /// What an endpoint says of itself.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointFacts {
     /// Identifier of its incarnation.
     pub id: String,
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -12,13 +12,15 @@
 use arc_swap::ArcSwapOption;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::model::EngineModel;
+use serde::Deserialize;
+use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
 
 /// What may be done again with a request of a route.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub enum Kind {
     /// May run more than once.
     Idempotent,
@@ -49,7 +51,7 @@
 }
 
 /// A service and its share of a route's requests.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Share {
     /// Name of the service.
     pub service: String,
@@ -58,7 +60,7 @@
 }
 
 /// One route.
-#[derive(Debug, Clone, PartialEq)]
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
 pub struct Route {
     /// Its name.
     pub name: String,
@@ -83,7 +85,7 @@
 }
 
 /// An organisation.
-#[derive(Debug, Clone, PartialEq, Eq)]
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Organisation {
     /// Its name.
     pub name: String,
@@ -92,14 +94,14 @@
 }
 
 /// A service.
-#[derive(Debug, Clone, PartialEq, Default)]
+#[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Service {
     /// Figures of its engines; `None` for a plain service.
     pub engine: Option<EngineModel>,
 }
 
 /// Bounds on what a client may send.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Limits {
     /// Longest head, in bytes.
     pub head_bytes: usize,
@@ -124,7 +126,7 @@
 }
 
 /// A whole configuration.
-#[derive(Debug, Clone, Default)]
+#[derive(Debug, Clone, Default, Serialize, Deserialize)]
 pub struct Configuration {
     /// Its version; a newer one has a greater number.
     pub version: u64,
@@ -330,9 +332,10 @@
         }
     }
 
-    /// Whether there is what serving needs: a configuration and one reading of the fleet.
+    /// Whether there is what serving needs: a configuration, and a fleet that was read or heard of.
     pub fn is_complete(&self) -> bool {
-        self.configuration.load().is_some() && self.fleet_age_ms().is_some()
+        let has_fleet = self.fleet_age_ms().is_some() || !self.fleet.load().by_key.is_empty();
+        self.configuration.load().is_some() && has_fleet
     }
 }
 
