perf(placing): shares of an engine's places where numbers stood

Cause: 10 short streams counted as good company and 9 as an engine's fill; the grown deployments' engines have 12 places and 3 kept free, so short streams filled engines to the brim while 15 of 69 stood idle (first tokens of 0.65 s from 28 to 32 s).

--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -31,9 +31,9 @@
     /// Places of an engine that are left free while others have room: a part of a prompt needs one too,
     /// and what peers have placed in the last milliseconds isn't known yet.
     pub slots_spare: u32,
-    /// Short streams that an engine writes with time to spare: at 50 ms a pass and 33 events a stream, 9 are
-    /// 5.5 starts a second, and their reading takes a quarter of its time.
-    pub streams_per_engine: f64,
+    /// Places of an engine, as a share, that short streams take with time to spare: at 50 ms a pass and 33
+    /// events a stream, 9 of 16 are 5.5 starts a second, and their reading takes a quarter of its time.
+    pub streams_share: f64,
     /// Reading on one engine from which on a prompt is long, in milliseconds: it keeps to the engines that
     /// short streams leave. Twice that of an average review.
     pub long_read_ms: f64,
@@ -42,8 +42,9 @@
     /// Cost of a short stream's start on an engine without short streams, in units: it takes the engine
     /// from long prompts while it writes.
     pub open_units: f64,
-    /// Short streams of an engine from which on one more counts as good company as with any other number.
-    pub pack_streams: f64,
+    /// Places of an engine, as a share, from which on one more short stream counts as good company as with
+    /// any other number. Above the share that is kept free, engines would be filled before others are used.
+    pub pack_share: f64,
     /// Width of the step from on time to late for a first token, as a share of the aim.
     pub blur: f64,
     /// The same for another stream on an engine without streams, in units: a pass that writes is long, so
@@ -77,11 +78,11 @@
             late_engines_share: 0.3,
             part_min_ms: 25.0,
             slots_spare: 3,
-            streams_per_engine: 9.0,
+            streams_share: 0.56,
             long_read_ms: 900.0,
             room_min: 2,
             open_units: 0.7,
-            pack_streams: 10.0,
+            pack_share: 0.6,
             blur: 0.2,
             open_other_units: 6.0,
             engine_units: 0.002,
@@ -116,10 +117,10 @@
             "engines_max" => self.engines_max = value as usize,
             "late_engines_share" => self.late_engines_share = value,
             "part_min_ms" => self.part_min_ms = value,
-            "pack_streams" => self.pack_streams = value,
+            "pack_share" => self.pack_share = value,
             "blur" => self.blur = value,
             "slots_spare" => self.slots_spare = value as u32,
-            "streams_per_engine" => self.streams_per_engine = value,
+            "streams_share" => self.streams_share = value,
             "long_read_ms" => self.long_read_ms = value,
             "room_min" => self.room_min = value as usize,
             "open_units" => self.open_units = value,
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -49,12 +49,17 @@
         })
     }
 
+    /// A share of an engine's places, in streams.
+    fn places(&self, share: f64) -> f64 {
+        (f64::from(self.model.slots) * share).max(1.0)
+    }
+
     /// Engines that are left for a long prompt: without those that the short streams of the moment need,
     /// wherever they are.
     pub(crate) fn room(&self) -> usize {
         let short = |survey: &Survey| f64::from(survey.writers[0] + survey.writers[1]);
         let streams: f64 = self.surveys.iter().map(short).sum();
-        let needed = (streams / self.options.streams_per_engine).ceil() as usize;
+        let needed = (streams / self.places(self.options.streams_share)).ceil() as usize;
         self.surveys.len().saturating_sub(needed)
     }
 
@@ -217,7 +222,7 @@
         let other = survey.running() - u32::from(short);
         if self.need.pause_class() < PAUSE_CLASSES - 1 {
             let alike = short + survey.writers[1];
-            let missing = 1.0 - f64::from(alike) / self.options.pack_streams;
+            let missing = 1.0 - f64::from(alike) / self.places(self.options.pack_share);
             return self.options.open_units * missing.max(0.0);
         }
         if short > 0 {
