fix(relay): nothing held goes to an engine that began to leave; a stream of which only the end was lost is whole

Cause, found by reading the change: a long prompt may be held for over two seconds while its engines read, longer than a leaving engine may still get requests; and a stream that broke after its last event was resumed, got an empty whole answer, and was then broken off.

--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -59,6 +59,14 @@
     pub(crate) hold_ms: f64,
 }
 
+impl Placed {
+    /// Whether all its endpoints are still listed and none of them leaves.
+    pub(crate) fn is_present(&self, fleet: &Fleet) -> bool {
+        let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.is_leaving);
+        stays(&self.endpoint.key) && self.helper_keys.iter().all(stays)
+    }
+}
+
 /// Endpoints that already failed this request.
 pub(crate) type Tried = Vec<EndpointKey>;
 
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -115,7 +115,7 @@
     /// is continued.
     pub(crate) async fn run(&mut self, last_event_id: Option<&str>) -> Result<Got, Refusal> {
         loop {
-            let placed = self.place().await.map_err(|refusal| self.honest(refusal))?;
+            let placed = self.hold().await.map_err(|refusal| self.honest(refusal))?;
             let failed = match self.dispatch(placed, last_event_id).await {
                 Ok(got) => return Ok(got),
                 Err(failed) => failed,
@@ -137,6 +137,24 @@
         refusal
     }
 
+    /// Places the request and holds it as long as its engines need for what was placed before. An engine that
+    /// begins to leave meanwhile gets nothing new; then the request is placed again.
+    async fn hold(&self) -> Result<Placed, Refusal> {
+        loop {
+            let placed = self.place().await?;
+            if placed.hold_ms > 0.0 {
+                tokio::time::sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
+            }
+            if placed.is_present(&self.core.published.fleet()) {
+                return Ok(placed);
+            }
+            log::info!(
+                request_id = self.ask.request_id, endpoint = placed.endpoint.id;
+                "an engine began to leave before the dispatch"
+            );
+        }
+    }
+
     async fn place(&self) -> Result<Placed, Refusal> {
         let tried = &self.progress.tried;
         let Some(model) = &self.model else {
@@ -168,9 +186,6 @@
         mut placed: Placed,
         last_event_id: Option<&str>,
     ) -> Result<Got, Failed> {
-        if placed.hold_ms > 0.0 {
-            tokio::time::sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
-        }
         let request = self.request(&placed, last_event_id);
         let endpoint = placed.endpoint.clone();
         self.progress.dispatches += 1;
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -56,6 +56,17 @@
     resumes: u32,
 }
 
+/// What became of the attempt to go on elsewhere.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Resumed {
+    /// Another endpoint goes on.
+    GoesOn,
+    /// Another endpoint says that nothing is missing.
+    IsWhole,
+    /// Nobody goes on.
+    Not,
+}
+
 /// What one endpoint's part of the stream came to.
 enum Part {
     Ended(End),
@@ -122,8 +133,10 @@
             let core = &self.pursuit.core;
             core.outliers
                 .failed(self.placed.endpoint.key, core.now_whole_ms());
-            if !self.resume().await {
-                return End::Broken;
+            match self.resume().await {
+                Resumed::GoesOn => {}
+                Resumed::IsWhole => return End::Whole,
+                Resumed::Not => return End::Broken,
             }
         }
     }
@@ -183,26 +196,29 @@
     }
 
     /// Has another endpoint go on after the last event that was passed on.
-    async fn resume(&mut self) -> bool {
+    async fn resume(&mut self) -> Resumed {
         let Some(last_id) = self.last_id.clone() else {
-            return false;
+            return Resumed::Not;
         };
         let broken_off = self.placed.endpoint.key;
         if !self.pursuit.may_resume(broken_off) {
-            return false;
+            return Resumed::Not;
         }
         let deadline = self.pursuit.deadline;
         let running = self.pursuit.run(Some(&last_id));
         let got = tokio::select! {
             got = timeout_at(deadline, running) => got,
-            () = self.client.closed() => return false,
+            () = self.client.closed() => return Resumed::Not,
         };
-        let Ok(Ok(Got::Stream(begun))) = got else {
-            return false;
+        let begun = match got {
+            Ok(Ok(Got::Stream(begun))) => begun,
+            // Nothing came after the last event: only the end had been lost.
+            Ok(Ok(Got::Whole(rest))) if rest.head.status.is_success() => return Resumed::IsWhole,
+            _ => return Resumed::Not,
         };
         self.stream = begun.stream;
         self.placed = begun.placed;
         self.resumes += 1;
-        true
+        Resumed::GoesOn
     }
 }
