--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -29,10 +29,10 @@
 use crate::core::Core;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
-use crate::gate;
 use crate::handover;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::readiness;
 use crate::view::Published;
 
 pub use crate::budget::Options as BudgetOptions;
@@ -184,7 +184,7 @@
         peer: local_address(peers.local_addr(), options.peer_listen),
     });
     tokio::task::spawn_local(client::accept(core.clone(), clients));
-    tokio::task::spawn_local(gate::accept(core.clone(), balancer));
+    tokio::task::spawn_local(readiness::accept(core.clone(), balancer));
     tokio::task::spawn_local(peers::run(core.clone(), peers));
     tokio::task::spawn_local(handover::serve(core.clone(), starting));
     stop.await;
