fix(relay): peers' two sockets on any free port are tried until both fit

On the platform the port is fixed, so no host was touched. Ruled out: load as such (the error names the port). The tests of the process likewise start anew when a port that was free a moment ago is taken.

--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -168,16 +168,7 @@
     let options = &core.options;
     let clients = listen(options.client_listen, "clients")?;
     let balancer = listen(options.ready_listen, "the balancer")?;
-    let peers = UdpSocket::bind(options.peer_listen).await;
-    let peers = peers.map_err(|source| Error::Listen {
-        address: options.peer_listen,
-        purpose: "peers",
-        source,
-    })?;
-    let starting = listen(
-        local_address(peers.local_addr(), options.peer_listen),
-        "peers",
-    )?;
+    let (peers, starting) = listen_for_peers(options.peer_listen).await?;
     started(Addresses {
         client: local_address(clients.local_addr(), options.client_listen),
         ready: local_address(balancer.local_addr(), options.ready_listen),
@@ -195,6 +186,31 @@
     Ok(())
 }
 
+/// Binds the two sockets of peers, datagrams and connections, to one port. Where any port will do, a number
+/// that is free for one of them may be taken for the other; then another is tried.
+async fn listen_for_peers(
+    address: SocketAddr,
+) -> Result<(UdpSocket, tokio::net::TcpListener), Error> {
+    const TRIES: usize = 20;
+    let mut last = None;
+    for _ in 0..TRIES {
+        let datagrams = UdpSocket::bind(address)
+            .await
+            .map_err(|source| Error::Listen {
+                address,
+                purpose: "peers",
+                source,
+            })?;
+        let bound = local_address(datagrams.local_addr(), address);
+        match listen(bound, "peers") {
+            Ok(connections) => return Ok((datagrams, connections)),
+            Err(error) if address.port() == 0 => last = Some(error),
+            Err(error) => return Err(error),
+        }
+    }
+    Err(last.expect("BUG: there was at least one try"))
+}
+
 fn local_address(known: io::Result<SocketAddr>, asked: SocketAddr) -> SocketAddr {
     known.unwrap_or(asked)
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -63,7 +63,18 @@
 }
 
 impl Relay {
+    /// Starts one; ports that were free may be taken by the time it binds them, then others are tried.
     fn start(store: &Store) -> Self {
+        const TRIES: usize = 5;
+        for _ in 0..TRIES {
+            if let Some(relay) = Self::try_start(store) {
+                return relay;
+            }
+        }
+        panic!("no free ports");
+    }
+
+    fn try_start(store: &Store) -> Option<Self> {
         let ports = free_ports::<4>();
         let file = format!(
             "marigoldstage-relay-{}-{}.toml",
@@ -79,14 +90,18 @@
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program");
-        let relay = Self {
+        let mut relay = Self {
             child,
             client: SocketAddr::from(([127, 0, 0, 1], ports[0])),
             ready: SocketAddr::from(([127, 0, 0, 1], ports[1])),
             settings: path,
         };
-        wait_until("readiness", || relay.readiness() == 200);
-        relay
+        let mut is_over = false;
+        wait_until("readiness", || {
+            is_over = relay.child.try_wait().expect("a state").is_some();
+            is_over || relay.readiness() == 200
+        });
+        (!is_over).then_some(relay)
     }
 
     /// What the balancer is told; 0 without an answer.
