perf(relay): few gateways ask the store often, and tell the others how fresh it is

Now readings that bring newcomers only let more gather for 300 ms; a gateway that is listed from an earlier life writes nothing; the two first gateways by address ask each 1.5 s and messages between gateways say what is known and how old it is; the others wait 15 s at the store, so no change depends on a peer. A gateway that the store turns away takes from a peer what that knows.

Ruled out: gathering also when somebody leaves: a held prompt would go to an engine that began to leave (an existing test fails).

--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -3,6 +3,9 @@
 //! A message carries the whole of what its sender holds, so a lost one does no harm beyond its age, and
 //! the reading placed since the one before it, of which a lost message loses the estimate only.
 //! Endpoints are named by a hash, since keys are a process's own.
+//!
+//! It also says what the sender knows of the store and how fresh that is, so that not each gateway has to ask
+//! the store often whether anything is new.
 
 use serde::Deserialize;
 use serde::Serialize;
@@ -27,6 +30,15 @@
     pub read_ms: u16,
 }
 
+/// What the sender knows of one topic of the store.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct Knows {
+    /// Names what it knows: a version, or a hash.
+    pub content: u64,
+    /// Time since the store confirmed it, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// One message.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -38,6 +50,10 @@
     pub leaving: bool,
     /// Score of the prompt that goes first among those that wait there, if any.
     pub waiting: Option<u32>,
+    /// The configuration that it knows, once the store has confirmed one.
+    pub configuration: Option<Knows>,
+    /// The endpoints that it knows, once the store has confirmed them.
+    pub endpoints: Option<Knows>,
     /// All that it holds.
     pub held: Vec<HeldAt>,
     /// Reading that it placed since its last message.
--- a/crates/mgs-relay/src/drain.rs
+++ b/crates/mgs-relay/src/drain.rs
@@ -41,7 +41,6 @@
 pub(crate) struct Drain {
     phase: watch::Sender<Phase>,
     open: Cell<usize>,
-    since: Cell<Option<Instant>>,
 }
 
 impl Drain {
@@ -50,7 +49,6 @@
         Self {
             phase,
             open: Cell::new(0),
-            since: Cell::new(None),
         }
     }
 
@@ -78,7 +76,6 @@
     pub(crate) async fn leave(&self, options: Options) {
         const LOOK: Duration = Duration::from_millis(50);
         let start = Instant::now();
-        self.since.set(Some(start));
         self.phase.send_replace(Phase::Closing);
         tokio::time::sleep(Duration::from_millis(options.accept_ms)).await;
         self.phase.send_replace(Phase::Ending);
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -4,28 +4,28 @@
 //! known stays in force meanwhile. A history that the store has dropped is replaced by a whole reading. A
 //! configuration never goes back, whatever is read.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::net::SocketAddr;
+use std::rc::Rc;
 use std::sync::Arc;
 use std::thread;
 use std::time::Duration;
 
-use mgs_fleet::view::EndpointKey;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
-use crate::handover;
+use crate::belief::Belief;
+use crate::help;
+use crate::membership::Endpoints;
 use crate::source::Batch;
-use crate::source::EndpointFacts;
 use crate::source::Source;
 use crate::source::SourceError;
 use crate::source::SourceFactory;
 use crate::source::Topic;
 use crate::source::Update;
-use crate::view::Configuration;
-use crate::view::Endpoint;
-use crate::view::Fleet;
 use crate::view::Published;
 
 /// Settings of following.
@@ -37,15 +37,24 @@
     pub peer_address: SocketAddr,
     /// Peers known from the settings; some may be gone.
     pub first_peers: Vec<SocketAddr>,
-    /// Longest wait of the store for a change of configuration or endpoints, in milliseconds. An answer
-    /// each time shows that the connection lives. A call that hangs since an outage is given up 1.5 s
-    /// later, so changes are in force 4 s after an outage's end at the latest; hosts are held to them
-    /// 5 s after it. Calls are the largest price of a fleet of 27 hosts.
+    /// Longest wait of the store for a change of configuration or endpoints, in milliseconds, where this
+    /// gateway is a reader or hears nothing fresh from one. An answer each time shows that the connection
+    /// lives. What is confirmed is the moment at which a call began, so what readers know is at most twice
+    /// as old; a call that hangs since an outage is given up 1.5 s later, 3 s after the outage's end at
+    /// the latest, and hosts are held to changes 5 s after it.
     pub wait_ms: u64,
-    /// The same for gateways: new ones make themselves heard.
+    /// The same where peers say often that nothing else is known, in milliseconds. The store allows 30 s;
+    /// half of it, since a call is the only thing that keeps a connection from being forgotten on the way.
+    pub long_wait_ms: u64,
+    /// The wait for changes among gateways, in milliseconds: new ones make themselves heard.
     pub gateways_wait_ms: u64,
+    /// Wait after a reading that brought newcomers only, in milliseconds: endpoints and gateways start many
+    /// at a time, and each of them would be a call at each gateway. Who leaves or goes is read at once.
+    pub gather_ms: u64,
     /// Wait after a reading that failed, in milliseconds.
     pub retry_ms: u64,
+    /// The same where readers say when the store is back, in milliseconds.
+    pub long_retry_ms: u64,
     /// How long the first reading may take before peers are asked, in milliseconds: a slow store takes some
     /// hundred, and without a configuration nobody is served.
     pub start_patience_ms: u64,
@@ -60,9 +69,12 @@
             name: String::new(),
             peer_address: SocketAddr::from(([127, 0, 0, 1], 0)),
             first_peers: Vec::new(),
-            wait_ms: 2_500,
+            wait_ms: 1_500,
+            long_wait_ms: 15_000,
             gateways_wait_ms: 20_000,
+            gather_ms: 300,
             retry_ms: 500,
+            long_retry_ms: 2_000,
             start_patience_ms: 400,
             lapse_grace_ms: 2_200,
         }
@@ -81,61 +93,71 @@
         .build()?;
     let body = move || {
         let local = LocalSet::new();
-        local.spawn_local(follow(
-            Topic::Configuration,
-            options.clone(),
-            factory.source(),
-            published.clone(),
-        ));
-        local.spawn_local(follow(
-            Topic::Endpoints,
+        let endpoints = Endpoints::new(options.lapse_grace_ms);
+        let endpoints = Rc::new(RefCell::new(endpoints));
+        local.spawn_local(help::run(
             options.clone(),
-            factory.source(),
             published.clone(),
+            endpoints.clone(),
         ));
-        let gateways = follow_gateways(options, factory.source(), published);
+        let follower = |topic| {
+            let endpoints = endpoints.clone();
+            Follower::new(topic, options.clone(), published.clone(), endpoints)
+        };
+        local.spawn_local(follow(follower(Topic::Configuration), factory.source()));
+        local.spawn_local(follow(follower(Topic::Endpoints), factory.source()));
+        let gateways = follow_gateways(follower(Topic::Gateways), factory.source());
         local.block_on(&runtime, gateways);
     };
     let thread = thread::Builder::new().name("follow".to_string());
     thread.spawn(body).map(|_| ())
 }
 
-async fn follow_gateways(options: Options, mut source: Box<dyn Source>, published: Arc<Published>) {
-    published.put_peers(options.first_peers.clone());
-    while let Err(error) = source.register(&options.name, options.peer_address).await {
+/// Lists this gateway, unless it is listed from an earlier life, and follows the others.
+async fn follow_gateways(mut follower: Follower, mut source: Box<dyn Source>) {
+    let first_peers = follower.options.first_peers.clone();
+    follower.published.put_peers(first_peers);
+    while let Err(error) = follower.join(source.as_mut()).await {
         log::warn!(error:% = error; "this gateway can't be listed");
-        sleep(Duration::from_millis(options.retry_ms)).await;
+        sleep(Duration::from_millis(follower.options.retry_ms)).await;
     }
-    follow(Topic::Gateways, options, source, published).await;
+    follow(follower, source).await;
 }
 
-async fn follow(
-    topic: Topic,
-    options: Options,
-    mut source: Box<dyn Source>,
-    published: Arc<Published>,
-) {
-    let mut follower = Follower::new(topic, options, published);
+async fn follow(mut follower: Follower, mut source: Box<dyn Source>) {
     loop {
         let start_ms = follower.published.now_ms();
-        let read = match follower.revision {
-            None => follower.read_all(source.as_mut()).await,
-            Some(after) => {
-                let wait_ms = follower.wait_ms();
-                source.read_changes(topic, after, wait_ms).await
-            }
+        let pause = match follower.read(source.as_mut()).await {
+            Some(read) => follower.take(read, start_ms),
+            None => follower.doubt(),
         };
-        let is_lost = read.is_err();
-        let pause_ms = follower.take(read, start_ms);
-        if is_lost && follower.knows_nothing() {
-            follower.ask_peers().await;
-        }
-        if pause_ms > 0 {
-            sleep(Duration::from_millis(pause_ms)).await;
-        }
+        follower.pause(pause).await;
     }
 }
 
+/// What to do before the next reading.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Pause {
+    /// Nothing.
+    None,
+    /// Let changes gather.
+    Gather,
+    /// Give the store time, or wait until peers say that it is back.
+    Retry,
+}
+
+/// Whether a batch tells of newcomers only, of whom more may follow.
+fn may_gather(batch: &Batch) -> bool {
+    let is_newcomer = |update: &Update| match update {
+        Update::Endpoint(facts) => !facts.is_leaving,
+        Update::Gateway { .. } => true,
+        Update::Configuration(_) | Update::EndpointGone { .. } | Update::GatewayGone { .. } => {
+            false
+        }
+    };
+    !batch.updates.is_empty() && batch.updates.iter().all(is_newcomer)
+}
+
 /// What is known of one topic.
 struct Follower {
     topic: Topic,
@@ -143,95 +165,139 @@
     published: Arc<Published>,
     revision: Option<u64>,
     is_lost: bool,
-    endpoints: Endpoints,
+    /// Whether a peer knows better than the call that waited.
+    is_doubtful: bool,
+    endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
 }
 
 impl Follower {
-    fn new(topic: Topic, options: Options, published: Arc<Published>) -> Self {
-        let endpoints = Endpoints::new(options.lapse_grace_ms);
+    fn new(
+        topic: Topic,
+        options: Options,
+        published: Arc<Published>,
+        endpoints: Rc<RefCell<Endpoints>>,
+    ) -> Self {
         Self {
             topic,
             options,
             published,
             revision: None,
             is_lost: false,
+            is_doubtful: false,
             endpoints,
             gateways: HashMap::new(),
         }
     }
 
-    fn wait_ms(&self) -> u64 {
-        let now_ms = self.published.now_ms();
+    /// How fresh the topic is; gateways tell of themselves.
+    fn belief(&self) -> Option<&Belief> {
         match self.topic {
-            Topic::Gateways => self.options.gateways_wait_ms,
-            // What has lapsed in an outage is to be dropped in time.
-            Topic::Endpoints => self.endpoints.wait_ms(self.options.wait_ms, now_ms),
-            Topic::Configuration => self.options.wait_ms,
+            Topic::Configuration => Some(self.published.configuration_belief()),
+            Topic::Endpoints => Some(self.published.endpoint_belief()),
+            Topic::Gateways => None,
         }
     }
 
-    /// Reads all; at the start of the process peers are asked meanwhile if the store takes long.
-    async fn read_all(&mut self, source: &mut dyn Source) -> Result<Batch, SourceError> {
-        let mut reading = source.read_all(self.topic);
-        if !self.knows_nothing() {
-            return reading.await;
+    /// Reads the gateways, and adds this one if it isn't listed where it is.
+    async fn join(&mut self, source: &mut dyn Source) -> Result<(), SourceError> {
+        let start_ms = self.published.now_ms();
+        let batch = source.read_all(self.topic).await?;
+        self.apply(batch, start_ms);
+        let own = self.options.peer_address;
+        if self.gateways.get(&self.options.name) == Some(&own) {
+            return Ok(());
         }
-        let patience = sleep(Duration::from_millis(self.options.start_patience_ms));
-        tokio::select! {
-            read = &mut reading => return read,
-            () = patience => {}
+        source.register(&self.options.name, own).await
+    }
+
+    /// Reads all, or waits for changes; `None` if the wait was given up, since a peer knows better.
+    async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
+        let Some(after) = self.revision else {
+            return Some(source.read_all(self.topic).await);
+        };
+        let wait_ms = self.wait_ms();
+        let is_long = wait_ms > self.options.wait_ms;
+        let reading = source.read_changes(self.topic, after, wait_ms);
+        match self.belief().filter(|_| is_long) {
+            None => Some(reading.await),
+            Some(belief) => tokio::select! {
+                read = reading => Some(read),
+                () = self.doubted(belief) => None,
+            },
         }
-        self.ask_peers().await;
-        reading.await
     }
 
-    /// Whether the topic was never read and nobody told of it.
-    fn knows_nothing(&self) -> bool {
-        match self.topic {
-            Topic::Configuration => self.published.configuration().is_none(),
-            Topic::Endpoints => self.endpoints.entries.is_empty(),
-            Topic::Gateways => false,
+    /// Comes back when a call that waits long isn't to be trusted.
+    async fn doubted(&self, belief: &Belief) {
+        loop {
+            belief.news().await;
+            if self.is_stale(belief) {
+                return;
+            }
+            // What a peer has just read is on its way here too, unless this call is dead.
+            sleep(Duration::from_millis(self.options.gather_ms)).await;
+            if belief.doubts() {
+                return;
+            }
         }
     }
 
-    /// Takes what a peer knows of the topic.
-    async fn ask_peers(&mut self) {
-        let Some(handover) = handover::ask(&self.options.first_peers).await else {
-            return;
+    fn is_stale(&self, belief: &Belief) -> bool {
+        belief.is_stale(self.published.now_ms())
+    }
+
+    fn wait_ms(&mut self) -> u64 {
+        let is_doubtful = std::mem::take(&mut self.is_doubtful);
+        let Some(belief) = self.belief() else {
+            return self.options.gateways_wait_ms;
+        };
+        let is_short = is_doubtful || self.published.is_reader() || self.is_stale(belief);
+        let longest_ms = match is_short {
+            true => self.options.wait_ms,
+            false => self.options.long_wait_ms,
         };
+        let now_ms = self.published.now_ms();
         match self.topic {
-            Topic::Configuration => {
-                let configuration = Configuration::clone(&handover.configuration);
-                self.published.put_configuration(configuration);
-            }
-            Topic::Endpoints => {
-                for facts in handover.endpoints {
-                    self.endpoints.see(facts);
-                }
-                self.published.put_fleet(self.endpoints.fleet());
-            }
-            Topic::Gateways => {}
+            Topic::Endpoints => self.endpoints.borrow().wait_ms(longest_ms, now_ms),
+            _ => longest_ms,
         }
     }
 
-    /// Takes a reading; answers how long to wait before the next.
-    fn take(&mut self, read: Result<Batch, SourceError>, start_ms: u64) -> u64 {
+    /// A waiting call was given up.
+    fn doubt(&mut self) -> Pause {
+        let age_ms = self
+            .belief()
+            .and_then(|b| b.age_ms(self.published.now_ms()));
+        log::info!(
+            topic = self.topic.name(), age_ms = age_ms.unwrap_or(u64::MAX);
+            "a call to the store that waits isn't trusted"
+        );
+        self.is_doubtful = true;
+        Pause::None
+    }
+
+    /// Takes a reading.
+    fn take(&mut self, read: Result<Batch, SourceError>, start_ms: u64) -> Pause {
         match read {
             Ok(batch) => {
+                let pause = match self.revision.is_some() && may_gather(&batch) {
+                    true => Pause::Gather,
+                    false => Pause::None,
+                };
                 self.found();
                 self.apply(batch, start_ms);
-                0
+                pause
             }
             Err(SourceError::HistoryGone) => {
                 log::info!(topic = self.topic.name(); "the store has dropped its history");
                 self.found();
                 self.revision = None;
-                0
+                Pause::None
             }
             Err(error) => {
                 self.lost(&error);
-                self.options.retry_ms
+                Pause::Retry
             }
         }
     }
@@ -239,18 +305,46 @@
     fn lost(&mut self, error: &SourceError) {
         if !self.is_lost {
             log::warn!(topic = self.topic.name(), error:% = error; "the store is lost");
+            if let Some(belief) = self.belief() {
+                belief.lose(self.published.now_ms());
+            }
         }
         self.is_lost = true;
     }
 
     fn found(&mut self) {
+        let is_stale = self.belief().is_some_and(|belief| self.is_stale(belief));
         if self.is_lost {
             log::info!(topic = self.topic.name(); "the store is back");
-            self.endpoints.outage_ended(self.published.now_ms());
+        }
+        // An outage may also pass between two calls.
+        if self.is_lost || (is_stale && self.revision.is_some()) {
+            let now_ms = self.published.now_ms();
+            self.endpoints.borrow_mut().outage_ended(now_ms);
+        }
+        if let Some(belief) = self.belief() {
+            belief.find();
         }
         self.is_lost = false;
     }
 
+    async fn pause(&self, pause: Pause) {
+        let options = &self.options;
+        match pause {
+            Pause::None => {}
+            Pause::Gather => sleep(Duration::from_millis(options.gather_ms)).await,
+            Pause::Retry => {
+                sleep(Duration::from_millis(options.retry_ms)).await;
+                let Some(belief) = self.belief().filter(|_| !self.published.is_reader()) else {
+                    return;
+                };
+                let more_ms = options.long_retry_ms.saturating_sub(options.retry_ms);
+                // Whether there is news or time is up is all the same.
+                let _ = timeout(Duration::from_millis(more_ms), belief.news()).await;
+            }
+        }
+    }
+
     fn apply(&mut self, batch: Batch, start_ms: u64) {
         let is_whole = self.revision.is_none();
         self.revision = Some(batch.revision);
@@ -271,26 +365,29 @@
             let is_newer = self.published.put_configuration(*configuration);
             log::info!(version = version, routes = routes, in_force = is_newer; "configuration read");
         }
-        self.published.confirm_configuration(start_ms);
+        self.published.configuration_belief().confirm(start_ms);
     }
 
     fn apply_endpoints(&mut self, updates: Vec<Update>, is_whole: bool, start_ms: u64) {
         let now_ms = self.published.now_ms();
+        let mut endpoints = self.endpoints.borrow_mut();
         if is_whole {
-            self.endpoints.miss_all(&updates, now_ms);
+            endpoints.miss_all(&updates, now_ms);
         }
         for update in updates {
             match update {
-                Update::Endpoint(facts) => self.endpoints.see(facts),
-                Update::EndpointGone { id } => self.endpoints.miss(&id, now_ms),
+                Update::Endpoint(facts) => endpoints.see(facts),
+                Update::EndpointGone { id } => endpoints.miss(&id, now_ms),
                 _ => {}
             }
         }
-        self.endpoints.drop_missing(now_ms);
-        if self.endpoints.take_changed() || is_whole {
-            self.published.put_fleet(self.endpoints.fleet());
+        endpoints.drop_missing(now_ms);
+        let belief = self.published.endpoint_belief();
+        belief.put(endpoints.content());
+        if endpoints.take_changed() || is_whole {
+            self.published.put_fleet(endpoints.fleet());
         }
-        self.published.confirm_fleet(start_ms);
+        belief.confirm(start_ms);
     }
 
     fn apply_gateways(&mut self, updates: Vec<Update>, is_whole: bool) {
@@ -318,154 +415,3 @@
         self.published.put_peers(peers);
     }
 }
-
-/// An endpoint and since when it isn't listed.
-#[derive(Debug, Clone)]
-struct Entry {
-    key: EndpointKey,
-    facts: EndpointFacts,
-    missing_since_ms: Option<u64>,
-}
-
-/// The endpoints that are listed, and those whose entry may only have lapsed in an outage.
-#[derive(Debug)]
-pub struct Endpoints {
-    entries: HashMap<String, Entry>,
-    next_key: u32,
-    grace_ms: u64,
-    outage_ended_ms: Option<u64>,
-    is_changed: bool,
-}
-
-impl Endpoints {
-    /// None yet.
-    pub fn new(grace_ms: u64) -> Self {
-        Self {
-            entries: HashMap::new(),
-            next_key: 0,
-            grace_ms,
-            outage_ended_ms: None,
-            is_changed: false,
-        }
-    }
-
-    /// The store can be read again.
-    pub fn outage_ended(&mut self, now_ms: u64) {
-        self.outage_ended_ms = Some(now_ms);
-    }
-
-    /// An endpoint is listed.
-    pub fn see(&mut self, facts: EndpointFacts) {
-        self.replace_at(&facts);
-        if let Some(entry) = self.entries.get_mut(&facts.id) {
-            let is_same = entry.facts == facts && entry.missing_since_ms.is_none();
-            if is_same {
-                return;
-            }
-            log::info!(endpoint = facts.id, leaving = facts.is_leaving; "endpoint changed");
-            entry.facts = facts;
-            entry.missing_since_ms = None;
-        } else {
-            log::info!(
-                endpoint = facts.id, service = facts.service, address:% = facts.address,
-                leaving = facts.is_leaving;
-                "endpoint listed"
-            );
-            let key = EndpointKey(self.next_key);
-            self.next_key += 1;
-            let entry = Entry {
-                key,
-                facts: facts.clone(),
-                missing_since_ms: None,
-            };
-            self.entries.insert(facts.id, entry);
-        }
-        self.is_changed = true;
-    }
-
-    /// A later incarnation at the same address ends the earlier one.
-    fn replace_at(&mut self, facts: &EndpointFacts) {
-        let is_earlier =
-            |entry: &Entry| entry.facts.address == facts.address && entry.facts.id != facts.id;
-        let before = self.entries.len();
-        self.entries.retain(|_, entry| !is_earlier(entry));
-        self.is_changed |= self.entries.len() != before;
-    }
-
-    /// An endpoint isn't listed any more.
-    pub fn miss(&mut self, id: &str, now_ms: u64) {
-        let Some(entry) = self.entries.get_mut(id) else {
-            return;
-        };
-        if entry.missing_since_ms.is_none() {
-            log::info!(endpoint = id; "endpoint not listed any more");
-            entry.missing_since_ms = Some(now_ms);
-        }
-    }
-
-    /// All were read: those that aren't among them aren't listed any more.
-    fn miss_all(&mut self, updates: &[Update], now_ms: u64) {
-        let is_listed = |id: &String| {
-            updates
-                .iter()
-                .any(|update| matches!(update, Update::Endpoint(facts) if facts.id == *id))
-        };
-        let missing: Vec<String> = self
-            .entries
-            .keys()
-            .filter(|id| !is_listed(id))
-            .cloned()
-            .collect();
-        for id in missing {
-            self.miss(&id, now_ms);
-        }
-    }
-
-    /// Drops those that aren't listed, except shortly after an outage. One that was leaving is dropped at
-    /// once: it was to go.
-    pub fn drop_missing(&mut self, now_ms: u64) {
-        let grace_ms = self.grace_ms;
-        let ended_ms = self.outage_ended_ms;
-        let in_grace = ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + grace_ms);
-        let before = self.entries.len();
-        self.entries.retain(|id, entry| {
-            let is_missing = entry.missing_since_ms.is_some();
-            let stays = !is_missing || (in_grace && !entry.facts.is_leaving);
-            if !stays {
-                log::info!(endpoint = id; "endpoint dropped");
-            }
-            stays
-        });
-        self.is_changed |= self.entries.len() != before;
-    }
-
-    /// How long to wait for changes, at most `longest_ms`.
-    fn wait_ms(&self, longest_ms: u64, now_ms: u64) -> u64 {
-        let has_missing = self.entries.values().any(|e| e.missing_since_ms.is_some());
-        let Some(ended_ms) = self.outage_ended_ms.filter(|_| has_missing) else {
-            return longest_ms;
-        };
-        let due_ms = (ended_ms + self.grace_ms).saturating_sub(now_ms);
-        longest_ms.min(due_ms.max(50))
-    }
-
-    fn take_changed(&mut self) -> bool {
-        std::mem::take(&mut self.is_changed)
-    }
-
-    /// All that may be used.
-    pub fn fleet(&self) -> Fleet {
-        let endpoint = |entry: &Entry| Endpoint {
-            key: entry.key,
-            id: entry.facts.id.clone(),
-            service: entry.facts.service.clone(),
-            address: entry.facts.address,
-            zone: entry.facts.zone.clone(),
-            slots: entry.facts.slots,
-            is_leaving: entry.facts.is_leaving,
-        };
-        let mut endpoints: Vec<Endpoint> = self.entries.values().map(endpoint).collect();
-        endpoints.sort_by_key(|endpoint| endpoint.key);
-        Fleet::of(endpoints)
-    }
-}
--- a/crates/mgs-relay/src/handover.rs
+++ b/crates/mgs-relay/src/handover.rs
@@ -1,9 +1,4 @@
-//! What a gateway that starts while the store is away gets from one that runs.
-//!
-//! A rolling restart during an outage of the store would otherwise leave no gateway with a configuration.
-//! What a peer has may be older than what the store has; it is taken only while nothing else is known, never
-//! over a newer version, and the first reading of the store replaces it. Nobody refuses a key or a route for
-//! good by it, since it isn't confirmed.
+//! All that a gateway knows of the store, told to a peer that asks ([`crate::help`]).
 
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -40,15 +35,7 @@
     fn of(published: &Published) -> Option<Self> {
         let configuration = published.configuration()?;
         let fleet = published.fleet();
-        let endpoints = fleet.by_key.values();
-        let endpoints = endpoints.map(|endpoint| EndpointFacts {
-            id: endpoint.id.clone(),
-            service: endpoint.service.clone(),
-            address: endpoint.address,
-            zone: endpoint.zone.clone(),
-            slots: endpoint.slots,
-            is_leaving: endpoint.is_leaving,
-        });
+        let endpoints = fleet.by_key.values().map(|endpoint| endpoint.facts.clone());
         Some(Self {
             configuration,
             endpoints: endpoints.collect(),
@@ -82,7 +69,7 @@
     log::info!(
         peer:% = peer, configuration = handover.configuration.version,
         endpoints = handover.endpoints.len(), whole = matches!(sent, Ok(Ok(())));
-        "a peer that starts was told"
+        "a peer was told"
     );
 }
 
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod answer;
 mod attempt;
+pub mod belief;
 mod budget;
 mod client;
 pub mod connect;
@@ -29,6 +30,8 @@
 pub mod follow;
 mod grant;
 mod handover;
+mod help;
+pub mod membership;
 mod memory;
 pub mod metrics;
 mod peers;
--- a/crates/mgs-relay/src/memory.rs
+++ b/crates/mgs-relay/src/memory.rs
@@ -58,10 +58,10 @@
         for reserve in reserves {
             let endpoint = fleet.by_key.get(&reserve.endpoint)?;
             let place = Place {
-                address: endpoint.address,
+                address: endpoint.facts.address,
                 reservation: Reservation {
                     id: all.next_id(),
-                    endpoint_id: endpoint.id.clone(),
+                    endpoint_id: endpoint.facts.id.clone(),
                     tokens: reserve.tokens,
                     hold_ms: HOLD_MS,
                 },
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -10,8 +10,10 @@
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Held;
 use mgs_placing::board::PeerKey;
+use mgs_placing::board::PEER_SILENCE_MS;
 use mgs_placing::share::Beacon;
 use mgs_placing::share::HeldAt;
+use mgs_placing::share::Knows;
 use mgs_placing::share::ReadAt;
 use mgs_placing::turn::Score;
 use tokio::net::UdpSocket;
@@ -19,6 +21,8 @@
 use tokio::time::timeout;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::belief::Belief;
+use crate::belief::Word;
 use crate::core::Core;
 use crate::drain::Phase;
 use crate::view::Fleet;
@@ -38,18 +42,32 @@
 /// The number of gateways that shares the budget of second tries: how long the largest one counts.
 const GATEWAYS_MEMORY: Duration = Duration::from_secs(20);
 
-/// Peers by address: when each was last heard, and the last message's number by incarnation.
+/// Gateways that ask the store often, so that the others needn't: two, so that the end of one isn't felt.
+const READERS: usize = 2;
+
+/// Added to the age of what a peer knows for its way here, in milliseconds: an interval between two messages
+/// and a busy host's delay.
+const ON_THE_WAY_MS: u64 = 50;
+
+/// What is known of one address.
+#[derive(Debug, Clone, Copy)]
+struct Heard {
+    at_ms: f64,
+    is_leaving: bool,
+}
+
+/// Peers by address, and the last message's number by incarnation.
 #[derive(Debug, Default)]
 struct Known {
-    heard_ms: HashMap<SocketAddr, f64>,
+    heard: HashMap<SocketAddr, Heard>,
     sequences: HashMap<PeerKey, u64>,
 }
 
 impl Known {
     /// Who is told: those heard of late, and at times all that are listed.
     fn addresses(&self, core: &Core, now_ms: f64, to_all: bool) -> Vec<SocketAddr> {
-        let near = self.heard_ms.iter();
-        let near = near.filter(|(_, at_ms)| now_ms - **at_ms < SILENT_MS);
+        let near = self.heard.iter();
+        let near = near.filter(|(_, heard)| now_ms - heard.at_ms < SILENT_MS);
         let mut addresses: Vec<SocketAddr> = near.map(|(address, _)| *address).collect();
         if to_all {
             addresses.extend(core.published.peers().iter());
@@ -58,6 +76,14 @@
         }
         addresses
     }
+
+    /// Whether the gateway at `own` is among the first that stay, by address; all agree without talking.
+    fn is_reader(&self, own: SocketAddr, now_ms: f64) -> bool {
+        let goes_before = |(address, heard): &(&SocketAddr, &Heard)| {
+            **address < own && !heard.is_leaving && now_ms - heard.at_ms < PEER_SILENCE_MS
+        };
+        self.heard.iter().filter(goes_before).count() < READERS
+    }
 }
 
 /// Talks with peers until the process ends.
@@ -65,7 +91,7 @@
     let socket = Rc::new(socket);
     let known = Rc::new(RefCell::new(Known::default()));
     tokio::task::spawn_local(listen(core.clone(), socket.clone(), known.clone()));
-    tokio::task::spawn_local(count(core.clone()));
+    tokio::task::spawn_local(count(core.clone(), known.clone()));
     let mut sequence = 0;
     loop {
         sequence += 1;
@@ -97,6 +123,8 @@
         sequence,
         leaving: core.drain.phase() != Phase::Serving,
         waiting: core.best_waiting().map(|score| score.0),
+        configuration: knows(core, core.published.configuration_belief()),
+        endpoints: knows(core, core.published.endpoint_belief()),
         held: Vec::new(),
         reads: Vec::new(),
     };
@@ -124,9 +152,17 @@
     }
 }
 
+fn knows(core: &Core, belief: &Belief) -> Option<Knows> {
+    let age_ms = belief.age_ms(core.now_whole_ms())?;
+    Some(Knows {
+        content: belief.content(),
+        age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+    })
+}
+
 fn hash_of(fleet: &Fleet, key: EndpointKey) -> Option<u64> {
     let endpoint = fleet.by_key.get(&key)?;
-    Some(xxh3_64(endpoint.id.as_bytes()))
+    Some(xxh3_64(endpoint.facts.id.as_bytes()))
 }
 
 async fn listen(core: Rc<Core>, socket: Rc<UdpSocket>, known: Rc<RefCell<Known>>) {
@@ -167,13 +203,18 @@
         known.sequences.insert(peer, newest);
         return;
     }
+    let heard = Heard {
+        at_ms: now_ms,
+        is_leaving: beacon.leaving,
+    };
     let was_silent = known
-        .heard_ms
-        .insert(from, now_ms)
-        .is_none_or(|at_ms| now_ms - at_ms > SILENT_MS);
+        .heard
+        .insert(from, heard)
+        .is_none_or(|before| now_ms - before.at_ms > SILENT_MS);
     if was_silent {
         log::info!(peer:% = from; "a peer is heard");
     }
+    hear_knows(core, from, beacon);
     let fleet = core.published.fleet();
     let by_hash = core.published.endpoint_hashes();
     let key_of = |hash: u64| by_hash.get(&hash).copied();
@@ -191,8 +232,44 @@
     }
 }
 
+/// Takes what a peer knows of the store.
+fn hear_knows(core: &Core, from: SocketAddr, beacon: &Beacon) {
+    let published = &core.published;
+    let now_ms = core.now_whole_ms();
+    let hear = |belief: &Belief, knows: Option<Knows>| {
+        let Some(knows) = knows else {
+            return;
+        };
+        belief.hear(Word {
+            content: knows.content,
+            confirmed_ms: now_ms.saturating_sub(u64::from(knows.age_ms) + ON_THE_WAY_MS),
+            from,
+        });
+    };
+    hear(published.configuration_belief(), beacon.configuration);
+    hear(published.endpoint_belief(), beacon.endpoints);
+}
+
+/// Finds out whether this gateway is a reader, and wakes followers whose knowledge gets old.
+fn look_at_beliefs(core: &Core, known: &Known) {
+    let published = &core.published;
+    let is_reader = known.is_reader(core.options.peer_listen, core.now_ms());
+    if published.put_reader(is_reader) {
+        log::info!(reader = is_reader; "who asks the store often has changed");
+    }
+    let now_ms = core.now_whole_ms();
+    for belief in [
+        published.configuration_belief(),
+        published.endpoint_belief(),
+    ] {
+        if is_reader || belief.is_stale(now_ms) {
+            belief.wake();
+        }
+    }
+}
+
 /// Keeps count of the gateways, and forgets those that fell silent.
-async fn count(core: Rc<Core>) {
+async fn count(core: Rc<Core>, known: Rc<RefCell<Known>>) {
     const LOOK: Duration = Duration::from_millis(250);
     let mut most_at = tokio::time::Instant::now();
     loop {
@@ -202,7 +279,9 @@
             let mut board = core.board.borrow_mut();
             (board.expire(now_ms), board.peers())
         };
+        look_at_beliefs(&core, &known.borrow());
         for peer in gone {
+            known.borrow_mut().sequences.remove(&peer);
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -62,7 +62,7 @@
 impl Placed {
     /// Whether all its endpoints are still listed and none of them leaves.
     pub(crate) fn is_present(&self, fleet: &Fleet) -> bool {
-        let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.is_leaving);
+        let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.facts.is_leaving);
         stays(&self.endpoint.key) && self.helper_keys.iter().all(stays)
     }
 }
@@ -76,7 +76,7 @@
     let present: Vec<Arc<Endpoint>> = fleet
         .of_service(service)
         .iter()
-        .filter(|endpoint| !endpoint.is_leaving)
+        .filter(|endpoint| !endpoint.facts.is_leaving)
         .cloned()
         .collect();
     core.outliers.known(present.len());
@@ -113,8 +113,8 @@
     let endpoints = usable(core, &fleet, service, tried);
     let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
         key: endpoint.key,
-        slots: endpoint.slots,
-        near: endpoint.zone == core.options.zone,
+        slots: endpoint.facts.slots,
+        near: endpoint.facts.zone == core.options.zone,
         trial: on_trial(core, endpoint),
     };
     let candidates: Vec<plain::Candidate> = endpoints.iter().map(candidate).collect();
@@ -124,7 +124,7 @@
         .ok_or_else(no_endpoint)?;
     log::info!(
         request_id = request_id,
-        endpoint = endpoint.id,
+        endpoint = endpoint.facts.id,
         running_calls = core.board.borrow().held(endpoint.key).calls,
         usable_endpoints = candidates.len(),
         tried = tried.len(),
@@ -388,7 +388,7 @@
     grant: Grant,
     reservations: Reservations,
 ) -> Result<Placed, Refusal> {
-    let address_of = |key: &EndpointKey| fleet.by_key.get(key).map(|e| e.address);
+    let address_of = |key: &EndpointKey| fleet.by_key.get(key).map(|e| e.facts.address);
     let first = fleet.by_key.get(&placement.first).ok_or_else(no_endpoint)?;
     // Reservations are filled in turn, so their holders come first, as placed.
     let addresses: Vec<SocketAddr> = placement.helpers.iter().filter_map(address_of).collect();
@@ -410,12 +410,12 @@
 
 fn log_placement(core: &Core, request_id: &str, fleet: &Fleet, need: &Need, placement: &Placement) {
     let first = fleet.by_key.get(&placement.first);
-    let endpoint = first.map_or("gone", |endpoint| endpoint.id.as_str());
+    let endpoint = first.map_or("gone", |endpoint| endpoint.facts.id.as_str());
     let helpers: Vec<&str> = placement
         .helpers
         .iter()
         .filter_map(|key| fleet.by_key.get(key))
-        .map(|endpoint| endpoint.id.as_str())
+        .map(|endpoint| endpoint.facts.id.as_str())
         .collect();
     log::info!(
         request_id = request_id,
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -58,7 +58,7 @@
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: String,
-    pub(crate) model: Option<EngineModel>,
+    pub(crate) model: Option<Arc<EngineModel>>,
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) progress: Progress,
@@ -149,7 +149,7 @@
                 return Ok(placed);
             }
             log::info!(
-                request_id = self.ask.request_id, endpoint = placed.endpoint.id;
+                request_id = self.ask.request_id, endpoint = placed.endpoint.facts.id;
                 "an engine began to leave before the dispatch"
             );
         }
@@ -200,7 +200,7 @@
         let is_streaming = self.route.kind.is_streaming();
         let sending = attempt::send(
             &self.core,
-            endpoint.address,
+            endpoint.facts.address,
             request,
             &self.ask,
             is_streaming,
@@ -294,7 +294,7 @@
 
     fn request(&self, placed: &Placed, last_event_id: Option<&str>) -> Request<Bytes> {
         let dispatch = Dispatch {
-            endpoint_id: placed.endpoint.id.clone(),
+            endpoint_id: placed.endpoint.facts.id.clone(),
             left_ms: self.left().as_millis() as u64,
             organisation: self.organisation.as_ref().map(|o| o.name.clone()),
             rank: self.model.as_ref().map(|_| self.rank()),
@@ -370,7 +370,7 @@
         let at_fault = at_fault.unwrap_or_default();
         log::info!(
             request_id = self.ask.request_id,
-            endpoint = placed.endpoint.id,
+            endpoint = placed.endpoint.facts.id,
             dispatch = self.progress.dispatches,
             helpers = placed.helper_keys.len(),
             predicted_ms = placed.first_token_ms as u64,
@@ -385,7 +385,7 @@
     fn key_at(&self, address: std::net::SocketAddr) -> Option<EndpointKey> {
         let fleet = self.core.published.fleet();
         let of_service = fleet.of_service(&self.service);
-        let at = of_service.iter().find(|e| e.address == address)?;
+        let at = of_service.iter().find(|e| e.facts.address == address)?;
         Some(at.key)
     }
 }
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -106,7 +106,7 @@
         }
         log::info!(
             request_id = self.pursuit.ask.request_id,
-            endpoint = self.placed.endpoint.id,
+            endpoint = self.placed.endpoint.facts.id,
             outcome = end.name(),
             events = self.events,
             longest_pause_ms = self.longest_pause_ms,
@@ -125,7 +125,7 @@
             };
             log::info!(
                 request_id = self.pursuit.ask.request_id,
-                endpoint = self.placed.endpoint.id,
+                endpoint = self.placed.endpoint.facts.id,
                 last_event_id = self.last_id.as_deref().unwrap_or(""),
                 why = broke_off;
                 "stream broke off"
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -3,7 +3,7 @@
 
 use std::collections::HashMap;
 use std::net::SocketAddr;
-use std::sync::atomic::AtomicU64;
+use std::sync::atomic::AtomicBool;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
@@ -16,8 +16,11 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::belief::Belief;
+use crate::belief::Contents;
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
+use crate::source::EndpointFacts;
 
 /// What may be done again with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -97,7 +100,7 @@
 #[derive(Debug, Clone, PartialEq, Default, Serialize, Deserialize)]
 pub struct Service {
     /// Figures of its engines; `None` for a plain service.
-    pub engine: Option<EngineModel>,
+    pub engine: Option<Arc<EngineModel>>,
 }
 
 /// Bounds on what a client may send.
@@ -157,18 +160,8 @@
 pub struct Endpoint {
     /// Key of this incarnation, stable while the process lives.
     pub key: EndpointKey,
-    /// Identifier of this incarnation.
-    pub id: String,
-    /// Name of its service.
-    pub service: String,
-    /// Where it listens.
-    pub address: SocketAddr,
-    /// Availability zone.
-    pub zone: String,
-    /// Requests that it runs at once.
-    pub slots: u32,
-    /// Whether it is leaving: nothing new is sent to it.
-    pub is_leaving: bool,
+    /// What it says of itself.
+    pub facts: EndpointFacts,
 }
 
 /// All endpoints that are known.
@@ -187,7 +180,7 @@
         for endpoint in endpoints {
             let endpoint = Arc::new(endpoint);
             fleet.by_key.insert(endpoint.key, endpoint.clone());
-            let of_service = fleet.by_service.entry(endpoint.service.clone());
+            let of_service = fleet.by_service.entry(endpoint.facts.service.clone());
             of_service.or_default().push(endpoint);
         }
         fleet
@@ -217,13 +210,11 @@
     peers: ArcSwap<Vec<SocketAddr>>,
     live: ArcSwap<Live>,
     started: Instant,
-    configuration_confirmed_ms: AtomicU64,
-    fleet_confirmed_ms: AtomicU64,
+    configuration_belief: Belief,
+    endpoint_belief: Belief,
+    is_reader: AtomicBool,
 }
 
-/// Stands for an instant that never was.
-const NEVER_MS: u64 = u64::MAX;
-
 impl Published {
     /// Nothing known yet; the process's clock starts now.
     pub fn new() -> Self {
@@ -234,8 +225,9 @@
             peers: ArcSwap::default(),
             live: ArcSwap::default(),
             started: Instant::now(),
-            configuration_confirmed_ms: AtomicU64::new(NEVER_MS),
-            fleet_confirmed_ms: AtomicU64::new(NEVER_MS),
+            configuration_belief: Belief::new(Contents::Versions),
+            endpoint_belief: Belief::new(Contents::Hashes),
+            is_reader: AtomicBool::new(true),
         }
     }
 
@@ -266,6 +258,7 @@
             .as_ref()
             .is_none_or(|known| configuration.version > known.version);
         if is_newer {
+            self.configuration_belief.put(configuration.version);
             self.configuration.store(Some(Arc::new(configuration)));
         }
         is_newer
@@ -298,38 +291,40 @@
 
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
-        let hash = |endpoint: &Arc<Endpoint>| xxh3_64(endpoint.id.as_bytes());
+        let hash = |endpoint: &Arc<Endpoint>| xxh3_64(endpoint.facts.id.as_bytes());
         let hashes = fleet.by_key.values().map(|e| (hash(e), e.key)).collect();
         self.endpoint_hashes.store(Arc::new(hashes));
         self.fleet.store(Arc::new(fleet));
     }
 
-    /// The store has confirmed that no newer configuration than the one in force existed at `at_ms`.
-    pub fn confirm_configuration(&self, at_ms: u64) {
-        self.configuration_confirmed_ms
-            .store(at_ms, Ordering::Relaxed);
+    /// How fresh the configuration is.
+    pub fn configuration_belief(&self) -> &Belief {
+        &self.configuration_belief
     }
 
-    /// The store has confirmed the fleet as of `at_ms`.
-    pub fn confirm_fleet(&self, at_ms: u64) {
-        self.fleet_confirmed_ms.store(at_ms, Ordering::Relaxed);
+    /// How fresh the fleet is.
+    pub fn endpoint_belief(&self) -> &Belief {
+        &self.endpoint_belief
     }
 
     /// Time since the configuration was last confirmed; `None` if it never was.
     pub fn configuration_age_ms(&self) -> Option<u64> {
-        self.age_ms(&self.configuration_confirmed_ms)
+        self.configuration_belief.age_ms(self.now_ms())
     }
 
     /// Time since the fleet was last confirmed; `None` if it never was.
     pub fn fleet_age_ms(&self) -> Option<u64> {
-        self.age_ms(&self.fleet_confirmed_ms)
+        self.endpoint_belief.age_ms(self.now_ms())
     }
 
-    fn age_ms(&self, confirmed_ms: &AtomicU64) -> Option<u64> {
-        match confirmed_ms.load(Ordering::Relaxed) {
-            NEVER_MS => None,
-            at_ms => Some(self.now_ms().saturating_sub(at_ms)),
-        }
+    /// Whether this gateway is one of those that ask the store often.
+    pub fn is_reader(&self) -> bool {
+        self.is_reader.load(Ordering::Relaxed)
+    }
+
+    /// Makes it one of them, or not; tells whether that is a change.
+    pub fn put_reader(&self, is_reader: bool) -> bool {
+        self.is_reader.swap(is_reader, Ordering::Relaxed) != is_reader
     }
 
     /// Whether there is what serving needs: a configuration, and a fleet that was read or heard of.
--- /dev/null
+++ b/crates/mgs-relay/tests/membership.rs
@@ -0,0 +1,68 @@
+//! The endpoints that are listed, as several gateways see them.
+
+use mgs_relay::membership::Endpoints;
+use mgs_relay::source::EndpointFacts;
+
+const GRACE_MS: u64 = 2_200;
+
+fn facts(number: u16) -> EndpointFacts {
+    EndpointFacts {
+        id: format!("i-{number}"),
+        service: "model".to_string(),
+        address: ([10, 0, 0, 1], number).into(),
+        zone: "north".to_string(),
+        slots: 16,
+        is_leaving: false,
+    }
+}
+
+fn listed(numbers: &[u16]) -> Endpoints {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    for number in numbers {
+        endpoints.see(facts(*number));
+    }
+    endpoints
+}
+
+#[test]
+fn content_is_alike_for_the_same_list_in_any_order() {
+    assert_eq!(listed(&[1, 2, 3]).content(), listed(&[3, 1, 2]).content());
+    assert_ne!(listed(&[1, 2, 3]).content(), listed(&[1, 2]).content());
+    assert_ne!(
+        listed(&[]).content(),
+        0,
+        "nothing was read yet is told apart"
+    );
+}
+
+#[test]
+fn content_tells_who_leaves_and_leaves_out_whose_entry_lapsed() {
+    let mut leaving = listed(&[1, 2]);
+    leaving.see(EndpointFacts {
+        is_leaving: true,
+        ..facts(2)
+    });
+    assert_ne!(leaving.content(), listed(&[1, 2]).content());
+    let mut lapsed = listed(&[1, 2]);
+    lapsed.outage_ended(100);
+    lapsed.miss("i-2", 200);
+    lapsed.drop_missing(300);
+    assert_eq!(lapsed.fleet().by_key.len(), 2, "still used");
+    assert_eq!(lapsed.content(), listed(&[1]).content());
+}
+
+#[test]
+fn a_peers_list_replaces_our_own_and_keeps_keys() {
+    let mut endpoints = listed(&[1, 2]);
+    let key = |endpoints: &Endpoints, id: &str| {
+        let fleet = endpoints.fleet();
+        let mut known = fleet.by_key.values();
+        known.find(|e| e.facts.id == id).map(|e| e.key)
+    };
+    let before = key(&endpoints, "i-2");
+    endpoints.replace_by(vec![facts(2), facts(3)], 100);
+    assert_eq!(key(&endpoints, "i-1"), None);
+    assert_eq!(key(&endpoints, "i-2"), before);
+    assert!(key(&endpoints, "i-3").is_some());
+    assert_eq!(endpoints.content(), listed(&[2, 3]).content());
+}
