--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -14,6 +14,7 @@
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
 
@@ -41,6 +42,13 @@
 /// When a client may come back where this host knows too little, in milliseconds.
 const RETRY_AFTER_UNKNOWING_MS: u64 = 400;
 
+/// A process is starting for this long, in milliseconds: it has read the store or asked peers by then.
+const START_MS: u64 = 1_500;
+
+/// Longest wait of a request for a process that is starting, in milliseconds: the shortest time to an
+/// answer that is on time on the deployments, which would be lost by coming back.
+const START_PATIENCE_MS: u64 = 250;
+
 /// When a client may come back to another host, in milliseconds.
 const RETRY_AFTER_LEAVING_MS: u64 = 50;
 
@@ -152,9 +160,8 @@
     if core.drain.phase() == Phase::Ending {
         return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
     }
-    let configuration = core
-        .published
-        .configuration()
+    let configuration = known_configuration(core)
+        .await
         .ok_or_else(|| Refusal::after(Fault::NoConfiguration, RETRY_AFTER_UNKNOWING_MS))?;
     let admitted = admit(core, &configuration, &ask, &head)?;
     let timeout_ms = ask.deadline_ms.map_or(admitted.route.timeout_ms, |d| {
@@ -190,6 +197,18 @@
     Ok(pass_on(core, pursuit, got, open))
 }
 
+/// The configuration in force. A process that has just started gets a moment to learn it: when all hosts
+/// start anew at once, the balancer sends them requests before they are ready, and the store answers within
+/// a tenth of a second.
+async fn known_configuration(core: &Core) -> Option<Arc<Configuration>> {
+    if core.published.now_ms() < START_MS {
+        let patience = Duration::from_millis(START_PATIENCE_MS);
+        // Whether all is known or time is up shows below.
+        let _ = timeout(patience, core.published.complete()).await;
+    }
+    core.published.configuration()
+}
+
 fn pass_on(core: &Rc<Core>, pursuit: Pursuit, got: Got, open: Open) -> Answer {
     match got {
         Got::Whole(whole) => endpoint_answer(core, &whole.head, answer::whole(whole.body)),
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -14,6 +14,7 @@
 use mgs_placing::model::EngineModel;
 use serde::Deserialize;
 use serde::Serialize;
+use tokio::sync::Notify;
 use xxhash_rust::xxh3::xxh3_64;
 
 use crate::belief::Belief;
@@ -213,6 +214,7 @@
     configuration_belief: Belief,
     endpoint_belief: Belief,
     is_reader: AtomicBool,
+    completed: Notify,
 }
 
 impl Published {
@@ -228,6 +230,7 @@
             configuration_belief: Belief::new(Contents::Versions),
             endpoint_belief: Belief::new(Contents::Hashes),
             is_reader: AtomicBool::new(true),
+            completed: Notify::new(),
         }
     }
 
@@ -260,6 +263,7 @@
         if is_newer {
             self.configuration_belief.put(configuration.version);
             self.configuration.store(Some(Arc::new(configuration)));
+            self.completed.notify_waiters();
         }
         is_newer
     }
@@ -295,6 +299,7 @@
         let hashes = fleet.by_key.values().map(|e| (hash(e), e.key)).collect();
         self.endpoint_hashes.store(Arc::new(hashes));
         self.fleet.store(Arc::new(fleet));
+        self.completed.notify_waiters();
     }
 
     /// How fresh the configuration is.
@@ -327,6 +332,18 @@
         self.is_reader.swap(is_reader, Ordering::Relaxed) != is_reader
     }
 
+    /// Comes back when there is what serving needs; waits for nothing if there is.
+    pub async fn complete(&self) {
+        loop {
+            let mut changed = std::pin::pin!(self.completed.notified());
+            changed.as_mut().enable();
+            if self.is_complete() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Whether there is what serving needs: a configuration, and a fleet that was read or heard of.
     pub fn is_complete(&self) -> bool {
         let has_fleet = self.fleet_age_ms().is_some() || !self.fleet.load().by_key.is_empty();
