test(soak): real relays under faults from outside; feat(cli): explain a request from its logs

The soak starts three relays as processes, with proxies before the store and each endpoint, and injects from a seed: slow, refused, cut, silent, one-way and forgotten paths, lost replies, a store that is busy or silent or has dropped its history, endpoints that answer badly, leave, come back and are replaced at their address, processes that are paused, killed, told to stop and hung up, settings that are spoiled, configurations in series. Clients keep their connections until the process is gone. It checks: at most one run, refusals that are true, whole answers of one's own, an end in time, configurations in force and never going back, nothing new for who has left, stops within the grace, recovery. Each check finds a planted violation.

`marigoldstage explain ID` puts a request's lines of several hosts in order and says the cause in a sentence; tests cover a refusal under load, a stream cut by its endpoint, a call that may have run, and a process that ended.

--- /dev/null
+++ b/src/command/explain.rs
@@ -0,0 +1,90 @@
+//! `marigoldstage explain`: what happened to one request, from the logs of the gateways.
+
+use std::fs::File;
+use std::io::stdin;
+use std::io::BufRead;
+use std::io::BufReader;
+use std::io::Write;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::error::Error;
+use crate::explain::cause::cause;
+use crate::explain::Line;
+use crate::explain::Story;
+
+const REQUEST: &str = "request-id";
+const LOGS: &str = "logs";
+
+const EXAMPLES: &str = "\
+Examples:
+  marigoldstage explain 9c41d07be2a35f68 /var/log/front-*.log
+  collect-logs | marigoldstage explain 9c41d07be2a35f68
+
+Reads JSON lines, from files or from standard input; text before a line's JSON, such as a host's name, is
+taken for its source. Prints the request's lines in order of time and then why it ended as it did. Exit
+code 1 if no line names it. Times are those of each host's own clock.";
+
+/// Declares the subcommand.
+pub fn command() -> Command {
+    Command::new("explain")
+        .about("Tell what happened to one request, from the logs of the gateways")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new(REQUEST)
+                .value_name("REQUEST-ID")
+                .required(true)
+                .help("The identifier that the client sent"),
+        )
+        .arg(
+            Arg::new(LOGS)
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .num_args(0..)
+                .help("Logs; standard input without any"),
+        )
+}
+
+/// Reads the logs and prints the story.
+pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let request_id: &String = matches.get_one(REQUEST).expect("BUG: clap requires it");
+    let files: Vec<&String> = matches.get_many(LOGS).into_iter().flatten().collect();
+    let mut lines = Vec::new();
+    for file in &files {
+        let opened = File::open(file).map_err(|error| failed(file, &error))?;
+        read(BufReader::new(opened), request_id, file, &mut lines)?;
+    }
+    if files.is_empty() {
+        read(stdin().lock(), request_id, "-", &mut lines)?;
+    }
+    let story = Story::of(lines);
+    let is_known = !story.lines.is_empty();
+    let told = writeln!(out, "{story}{}", cause(&story));
+    told.map_err(|error| failed("standard output", &error))?;
+    match is_known {
+        true => Ok(()),
+        false => Err(Error::Failed(format!("{request_id} isn't in these logs"))),
+    }
+}
+
+fn read(
+    log: impl BufRead,
+    request_id: &str,
+    file: &str,
+    lines: &mut Vec<Line>,
+) -> Result<(), Error> {
+    // Bytes that are no text, as of a line that was cut, spoil their own line only.
+    for line in log.split(b'\n') {
+        let line = line.map_err(|error| failed(file, &error))?;
+        let line = String::from_utf8_lossy(&line);
+        lines.extend(Line::read(&line, request_id, file));
+    }
+    Ok(())
+}
+
+fn failed(what: &str, error: &std::io::Error) -> Error {
+    Error::Failed(format!("{what}: {error}"))
+}
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -15,6 +15,7 @@
 #[cfg(feature = "demo")]
 pub mod demo;
 pub mod endpoint;
+pub mod explain;
 pub mod gateway;
 pub mod organisation;
 pub mod process;
@@ -42,6 +43,7 @@
   marigoldstage table get                 the rows of weights, limits and priorities
   marigoldstage endpoint stop engine-7    let an endpoint finish its work and take no more
   marigoldstage status                    what each process says of itself
+  marigoldstage explain ID LOG...         what happened to one request
 
 Every setting is a flag and an environment variable: `--log-level` is MARIGOLDSTAGE_LOG_LEVEL.
 The flag goes first. All settings are checked before anything starts.
@@ -70,6 +72,7 @@
         entry(organisation::command(), organisation::run),
         entry(request::command(), request::run),
         entry(status::command(), status::run),
+        entry(explain::command(), explain::run),
         #[cfg(feature = "demo")]
         entry(demo::command(), demo::run),
         #[cfg(feature = "demo")]
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -12,6 +12,7 @@
 #[cfg(feature = "demo")]
 pub mod demo;
 pub mod error;
+pub mod explain;
 pub mod operator;
 pub mod setting;
 pub mod status;
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -30,6 +30,7 @@
         "organisation",
         "request",
         "status",
+        "explain",
         "demo",
         "standin",
         "completions",
@@ -50,6 +51,7 @@
 #[case("organisation")]
 #[case("request")]
 #[case("status")]
+#[case("explain")]
 #[case("demo")]
 #[case("standin")]
 #[case("completions")]
--- /dev/null
+++ b/tests/explain.rs
@@ -0,0 +1,81 @@
+//! `marigoldstage explain`: the cause of a failed request, from logs alone.
+
+mod common;
+
+use std::io::Write;
+use std::process::Output;
+use std::process::Stdio;
+
+use common::code;
+use common::marigoldstage;
+use common::stderr;
+use common::stdout;
+use rstest::rstest;
+
+/// Lines as gateways write them, of several requests and hosts, with lines of other processes between.
+const LOG: &str = r#"
+front-1 {"timestamp":"2026-05-30 03:20:24.100 +00:00","text":"started","kv":{"host":"front-1"}}
+front-1 {"timestamp":"2026-05-30 03:20:25.000 +00:00","text":"waits for its turn","kv":{"request_id":"late","score":595,"best_other_score":282,"engines_backlog_ms":76,"room":11,"left_ms":14995}}
+front-1 {"timestamp":"2026-05-30 03:20:36.200 +00:00","text":"not placed","kv":{"request_id":"late","reason":"too_late","usable_engines":21,"retry_after_ms":150}}
+front-1 {"timestamp":"2026-05-30 03:20:36.285 +00:00","text":"request ended","kv":{"request_id":"late","outcome":"refused","status":503,"detail":"too_late","total_ms":11285}}
+front-2 {"timestamp":"2026-05-30 03:20:27.600 +00:00","text":"stream ended","kv":{"request_id":"cut","outcome":"answered","events":21,"longest_pause_ms":840,"resumes":1,"total_ms":2710}}
+front-2 {"timestamp":"2026-05-30 03:20:25.335 +00:00","text":"dispatch ended","kv":{"request_id":"cut","endpoint":"i-1","end":"started","why":"started","took_ms":335,"predicted_ms":335}}
+front-2 {"timestamp":"2026-05-30 03:20:25.400 +00:00","text":"stream broke off","kv":{"request_id":"cut","endpoint":"i-1","why":"end of file","last_event_id":"1"}}
+front-1 {"timestamp":"2026-05-30 03:20:28.000 +00:00","text":"dispatch ended","kv":{"request_id":"lost","endpoint":"i-7","end":"unknown","why":"connection reset","took_ms":2}}
+front-1 {"timestamp":"2026-05-30 03:20:28.001 +00:00","text":"request ended","kv":{"request_id":"lost","outcome":"refused","status":502,"detail":"unknown","total_ms":37}}
+front-1 {"timestamp":"2026-05-30 03:20:29.000 +00:00","text":"placed","kv":{"request_id":"open","endpoint":"i-7"}}
+front-1 {"timestamp":"2026-05-30 03:20:30.000 +00:00","text":"request ended","kv":{"request_id":"old","outcome":"refused","status":503,"detail":"stale_configuration","total_ms":0,"configuration_age_ms":5120}}
+front-1 {"timestamp":"2026-05-30 03:20:31
+"#;
+
+fn explain(request_id: &str) -> Output {
+    let mut child = marigoldstage()
+        .args(["explain", request_id])
+        .stdin(Stdio::piped())
+        .stdout(Stdio::piped())
+        .stderr(Stdio::piped())
+        .spawn()
+        .expect("the program");
+    let mut log = child.stdin.take().expect("a pipe");
+    log.write_all(LOG.as_bytes()).expect("a reader");
+    drop(log);
+    child.wait_with_output().expect("an end")
+}
+
+#[rstest]
+#[case::refused_under_load("late", &["503", "11285 ms", "11 engines free", "before its deadline", "went first", "21 engines", "has not run"])]
+#[case::cut_by_an_endpoint("cut", &["whole", "21 events", "i-1 broke off (end of file)", "840 ms"])]
+#[case::may_have_run("lost", &["502", "may have run", "i-7 (connection reset, 2 ms)"])]
+#[case::process_ended("open", &["process ended while it was open"])]
+#[case::old_configuration("old", &["5120 ms", "the store is lost"])]
+fn a_request_s_cause_is_told(#[case] request_id: &str, #[case] said: &[&str]) {
+    let output = explain(request_id);
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    let text = stdout(&output);
+    let cause = text.lines().last().expect("a cause");
+    for words in said {
+        assert!(cause.contains(words), "{words:?} in {cause:?}");
+    }
+}
+
+#[test]
+fn lines_come_in_order_of_time_with_their_host() {
+    let text = stdout(&explain("cut"));
+    let order: Vec<usize> = ["dispatch ended", "stream broke off", "stream ended"]
+        .iter()
+        .map(|kind| text.find(kind).expect("the line"))
+        .collect();
+    assert!(order.is_sorted(), "{text}");
+    assert!(
+        text.lines().take(3).all(|line| line.contains("front-2")),
+        "{text}"
+    );
+    assert!(text.contains("   65.0 ms"), "{text}");
+}
+
+#[test]
+fn a_request_that_nobody_knows_is_said_so() {
+    let output = explain("nobody");
+    assert_eq!(code(&output), 1);
+    assert!(stdout(&output).contains("no line names this request"));
+}
--- /dev/null
+++ b/tests/soak/plan.rs
@@ -0,0 +1,181 @@
+//! What goes wrong and when, drawn from a seed.
+
+use rand::Rng;
+use rand::SeedableRng;
+use rand_chacha::ChaCha8Rng;
+
+use crate::standin::endpoint::Act;
+use crate::standin::store::Mode;
+use crate::world::ENDPOINTS;
+use crate::world::GATEWAYS;
+
+/// What is wrong with a path through a proxy.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum PathFault {
+    Delayed,
+    Refused,
+    Cut,
+    Silent,
+    SilentOneWay,
+    /// Open connections fall silent, new ones work.
+    Forgotten,
+    RepliesLost,
+}
+
+/// One thing that happens.
+#[derive(Debug, Clone)]
+pub(crate) enum Step {
+    StorePath(usize, PathFault),
+    StorePathHealed(usize),
+    StoreMode(Mode),
+    HistoryDropped,
+    EndpointPath(usize, PathFault),
+    EndpointPathHealed(usize),
+    EndpointActs(usize, Act),
+    EndpointWell(usize),
+    EndpointLeaves(usize),
+    EndpointGone(usize),
+    /// Another incarnation at the same address; the entry of the one before stays.
+    EndpointBack(usize),
+    /// Entries of earlier incarnations are gone.
+    EndpointLapsed(usize),
+    Paused(usize),
+    Continued(usize),
+    Killed(usize),
+    Terminated(usize),
+    Started(usize),
+    HungUp(usize),
+    SettingsSpoiled(usize),
+    SettingsMended(usize),
+    Configured,
+}
+
+/// A step and when it comes, in milliseconds from the start.
+#[derive(Debug, Clone)]
+pub(crate) struct Timed {
+    pub(crate) at_ms: u64,
+    pub(crate) step: Step,
+}
+
+/// The steps of a seed within `length_ms`; whatever began has ended by then.
+pub(crate) fn plan(seed: u64, length_ms: u64) -> Vec<Timed> {
+    let mut planner = Planner {
+        numbers: ChaCha8Rng::seed_from_u64(seed),
+        length_ms,
+        steps: Vec::new(),
+    };
+    // About two faults a second, so that several overlap.
+    for _ in 0..length_ms / 500 {
+        planner.fault();
+    }
+    planner.steps.sort_by_key(|timed| timed.at_ms);
+    planner.steps
+}
+
+struct Planner {
+    numbers: ChaCha8Rng,
+    length_ms: u64,
+    steps: Vec<Timed>,
+}
+
+impl Planner {
+    fn below(&mut self, most: u64) -> u64 {
+        u64::from(self.numbers.next_u32()) % most.max(1)
+    }
+
+    fn add(&mut self, at_ms: u64, step: Step) {
+        let at_ms = at_ms.min(self.length_ms);
+        self.steps.push(Timed { at_ms, step });
+    }
+
+    fn fault(&mut self) {
+        let at_ms = self.below(self.length_ms);
+        let end_ms = at_ms + 100 + self.below(3_000);
+        let gateway = self.below(GATEWAYS as u64) as usize;
+        let endpoint = self.below(ENDPOINTS as u64) as usize;
+        let path = self.path_fault();
+        let pause_ms = self.below(1_500);
+        match self.below(15) {
+            0 | 1 => {
+                self.add(at_ms, Step::StorePath(gateway, path));
+                self.add(end_ms, Step::StorePathHealed(gateway));
+            }
+            2 => {
+                let mode = [Mode::Busy, Mode::Silent][self.below(2) as usize];
+                self.add(at_ms, Step::StoreMode(mode));
+                self.add(end_ms, Step::StoreMode(Mode::Up));
+            }
+            3 => self.add(at_ms, Step::HistoryDropped),
+            4 | 5 => {
+                self.add(at_ms, Step::EndpointPath(endpoint, path));
+                self.add(end_ms, Step::EndpointPathHealed(endpoint));
+            }
+            6 | 7 => {
+                let act = self.act();
+                self.add(at_ms, Step::EndpointActs(endpoint, act));
+                self.add(end_ms, Step::EndpointWell(endpoint));
+            }
+            8 => {
+                self.add(at_ms, Step::EndpointLeaves(endpoint));
+                self.add(at_ms + 2_500, Step::EndpointGone(endpoint));
+                self.add(at_ms + 3_000 + pause_ms, Step::EndpointBack(endpoint));
+            }
+            9 => {
+                self.add(at_ms, Step::Paused(gateway));
+                self.add(end_ms, Step::Continued(gateway));
+            }
+            10 => {
+                self.add(at_ms, Step::Killed(gateway));
+                self.add(at_ms + 200 + pause_ms / 2, Step::Started(gateway));
+            }
+            11 => {
+                self.add(at_ms, Step::Terminated(gateway));
+                self.add(at_ms + 8_500, Step::Started(gateway));
+            }
+            12 => {
+                self.add(at_ms, Step::SettingsSpoiled(gateway));
+                self.add(at_ms + 50, Step::HungUp(gateway));
+                self.add(end_ms, Step::SettingsMended(gateway));
+                self.add(end_ms, Step::HungUp(gateway));
+            }
+            13 => {
+                // Entries lapse after three renewals that didn't come.
+                self.add(at_ms, Step::EndpointBack(endpoint));
+                self.add(at_ms + 3_600, Step::EndpointLapsed(endpoint));
+            }
+            _ => {
+                for number in 0..1 + self.below(4) {
+                    self.add(at_ms + number * 150, Step::Configured);
+                }
+            }
+        }
+    }
+
+    fn path_fault(&mut self) -> PathFault {
+        let all = [
+            PathFault::Delayed,
+            PathFault::Refused,
+            PathFault::Cut,
+            PathFault::Silent,
+            PathFault::SilentOneWay,
+            PathFault::Forgotten,
+            PathFault::RepliesLost,
+        ];
+        all[self.below(all.len() as u64) as usize]
+    }
+
+    fn act(&mut self) -> Act {
+        let all = [
+            Act::Fail,
+            Act::Hang,
+            Act::Reset,
+            Act::Unsigned,
+            Act::Twice,
+            Act::OtherId,
+            Act::Short,
+            Act::BreakAfter(3),
+            Act::Refuse(None),
+        ];
+        all[self.below(all.len() as u64) as usize].clone()
+    }
+}
--- /dev/null
+++ b/tests/soak/planted.rs
@@ -0,0 +1,127 @@
+//! Each check finds the violation that it is for.
+
+use std::time::Duration;
+use std::time::Instant;
+
+use rstest::rstest;
+
+use crate::callers::Kind;
+use crate::callers::Record;
+use crate::check::Seen;
+use crate::standin::client::Answer;
+use crate::standin::endpoint::Run;
+use crate::standin::Message;
+use crate::world::History;
+use crate::world::Leave;
+use crate::world::Life;
+
+fn answer(id: &str, status: u16, text: &str) -> Answer {
+    let field = |name: &str, value: &str| (name.to_string(), value.to_string());
+    Answer {
+        status,
+        head: Message {
+            fields: vec![field("request-id", id), field("server-stamp", "3e1b")],
+            ..Message::default()
+        },
+        text: text.to_string(),
+        is_whole: true,
+    }
+}
+
+/// A good request, sent `at_ms` after `start`.
+fn good(start: Instant, at_ms: u64, version: u64) -> Record {
+    let sent = start + Duration::from_millis(at_ms);
+    Record {
+        id: "r".to_string(),
+        kind: Kind::Once,
+        gateway: 0,
+        is_kept: false,
+        sent,
+        ended: sent + Duration::from_millis(20),
+        answer: Some(answer("r", 200, &format!("r nursery-{version}"))),
+    }
+}
+
+fn run(id: &str, at: Instant) -> (String, Run) {
+    let request_id = id.to_string();
+    ("i-1".to_string(), Run { request_id, at })
+}
+
+fn violations(history: &History, records: &[Record], runs: &[(String, Run)]) -> Vec<String> {
+    let seen = Seen {
+        history,
+        records,
+        runs,
+    };
+    seen.violations()
+}
+
+#[test]
+fn nothing_is_found_where_all_is_well() {
+    let start = Instant::now();
+    let history = History {
+        versions: vec![(1, start)],
+        ..History::default()
+    };
+    let records = [good(start, 5_000, 1)];
+    assert_eq!(violations(&history, &records, &[run("r", start)]), [""; 0]);
+}
+
+#[rstest]
+#[case::ran_twice(|r: &mut Record| r.kind = Kind::Once, 2, "ran 2 times")]
+#[case::refused_and_ran(|r: &mut Record| r.answer = Some(answer("r", 503, "")), 1, "got 503 and ran")]
+#[case::denied(|r: &mut Record| r.answer = Some(answer("r", 404, "")), 0, "was denied")]
+#[case::another_s(|r: &mut Record| r.answer = Some(answer("x", 200, "stock: 7")), 1, "another one's answer")]
+#[case::spoiled(|r: &mut Record| r.answer = Some(answer("r", 200, "stock: 9")), 1, "spoiled")]
+#[case::gap(|r: &mut Record| {
+    r.kind = Kind::Talk;
+    r.answer = Some(answer("r", 200, "id: 1\ndata: piece 1\n\nid: 3\ndata: piece 3\n\n"));
+}, 1, "spoiled")]
+#[case::held(|r: &mut Record| r.ended = r.sent + Duration::from_secs(3), 1, "took 3s")]
+#[case::closed(|r: &mut Record| r.answer = None, 1, "its connection was closed")]
+#[case::unread(|r: &mut Record| r.answer = None, 0, "closed on a new connection")]
+fn a_request_gone_wrong_is_found(
+    #[case] spoil: fn(&mut Record),
+    #[case] runs: usize,
+    #[case] said: &str,
+) {
+    let start = Instant::now();
+    let mut record = good(start, 0, 1);
+    spoil(&mut record);
+    let runs = vec![run("r", start); runs];
+    let found = violations(&History::default(), &[record], &runs);
+    assert!(found.iter().any(|text| text.contains(said)), "{found:?}");
+}
+
+#[test]
+fn a_configuration_that_is_late_or_goes_back_is_found() {
+    let start = Instant::now();
+    let history = History {
+        versions: vec![(1, start), (2, start + Duration::from_secs(1))],
+        lives: vec![Life {
+            gateway: 0,
+            from: start,
+            until: None,
+        }],
+        ..History::default()
+    };
+    let late = violations(&history, &[good(start, 5_000, 1)], &[]);
+    assert!(late[0].contains("met version 1, not 2"), "{late:?}");
+    let records = [good(start, 1_500, 2), good(start, 2_000, 1)];
+    let back = violations(&history, &records, &[]);
+    assert!(back[0].contains("met 1 after 2"), "{back:?}");
+}
+
+#[test]
+fn work_at_an_endpoint_that_has_left_is_found() {
+    let start = Instant::now();
+    let id = "i-1".to_string();
+    let history = History {
+        leaves: vec![Leave { id, at: start }],
+        ..History::default()
+    };
+    let record = good(start, 3_000, 1);
+    let runs = [run("r", record.sent)];
+    let found = violations(&history, &[record], &runs);
+    assert!(found[0].contains("which had left"), "{found:?}");
+}
--- /dev/null
+++ b/tests/soak/world.rs
@@ -0,0 +1,488 @@
+//! The gateways as processes, the outside systems as stand-ins, and what goes wrong with them.
+
+use std::fs::File;
+use std::net::SocketAddr;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use mgs_testing::proxy::Direction;
+use mgs_testing::proxy::Faults;
+use mgs_testing::proxy::Route;
+use rustix::process::kill_process;
+use rustix::process::Pid;
+use rustix::process::Signal;
+use serde_json::json;
+use serde_json::Value;
+
+use crate::common::marigoldstage;
+use crate::plan::PathFault;
+use crate::plan::Step;
+use crate::standin::endpoint::Act;
+use crate::standin::endpoint::Endpoint;
+use crate::standin::endpoint::Run;
+use crate::standin::gateway::configuration;
+use crate::standin::store::Mode;
+use crate::standin::store::Store;
+
+/// Gateways.
+pub(crate) const GATEWAYS: usize = 3;
+
+/// Endpoints: plain ones, then engines.
+pub(crate) const ENDPOINTS: usize = 7;
+
+const PLAIN_ENDPOINTS: usize = 3;
+
+/// Events of a stream.
+pub(crate) const EVENTS: u32 = 15;
+
+/// Time that the platform gives a process to end after SIGTERM, in seconds.
+const GRACE_S: u64 = 8;
+
+/// Delay of a slow path, in milliseconds: an answer takes twice that.
+const SLOW_MS: u64 = 250;
+
+/// What was disturbed.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum What {
+    Process(usize),
+    StorePath(usize),
+    Store,
+}
+
+/// A disturbance; `until` is none while it lasts.
+#[derive(Debug, Clone)]
+pub(crate) struct Upset {
+    pub(crate) what: What,
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+}
+
+/// The life of one process.
+#[derive(Debug, Clone)]
+pub(crate) struct Life {
+    pub(crate) gateway: usize,
+    pub(crate) from: Instant,
+    pub(crate) until: Option<Instant>,
+}
+
+/// An endpoint that said that it leaves.
+#[derive(Debug, Clone)]
+pub(crate) struct Leave {
+    pub(crate) id: String,
+    pub(crate) at: Instant,
+}
+
+/// What happened, for the checks.
+#[derive(Debug, Default)]
+pub(crate) struct History {
+    pub(crate) upsets: Vec<Upset>,
+    pub(crate) lives: Vec<Life>,
+    pub(crate) leaves: Vec<Leave>,
+    /// Versions of the configuration and when the store had them.
+    pub(crate) versions: Vec<(u64, Instant)>,
+    /// Promises seen broken while it ran.
+    pub(crate) violations: Vec<String>,
+}
+
+struct Host {
+    number: usize,
+    ip: String,
+    ports: [u16; 4],
+    settings: PathBuf,
+    log: PathBuf,
+    store_path: Route,
+    child: Option<Child>,
+    terminated: Option<Instant>,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+struct Place {
+    path: Route,
+    present: Endpoint,
+    past: Vec<Endpoint>,
+    /// Whether it has said that it leaves.
+    is_leaving: bool,
+}
+
+/// All of it.
+pub(crate) struct World {
+    store: Store,
+    hosts: Vec<Host>,
+    places: Vec<Place>,
+    version: u64,
+    incarnations: u64,
+    pub(crate) history: History,
+}
+
+impl World {
+    /// Starts everything; files go below `folder`.
+    pub(crate) fn start(folder: &std::path::Path, port: u16) -> Self {
+        let store = Store::start();
+        let mut world = Self {
+            places: Vec::new(),
+            hosts: Vec::new(),
+            version: 0,
+            incarnations: 0,
+            history: History::default(),
+            store,
+        };
+        world.configure();
+        for number in 0..ENDPOINTS {
+            let present = world.endpoint(number);
+            let path = Route::start(present.address).expect("a proxy");
+            world.places.push(Place {
+                path,
+                present,
+                past: Vec::new(),
+                is_leaving: false,
+            });
+            world.list(number, "ready");
+        }
+        for number in 0..GATEWAYS {
+            let host = Host {
+                number,
+                ip: ip(number),
+                ports: [port, port + 1, port + 2, port + 3],
+                settings: folder.join(format!("gateway-{number}.toml")),
+                log: folder.join(format!("gateway-{number}.log")),
+                store_path: Route::start(world.store.address).expect("a proxy"),
+                child: None,
+                terminated: None,
+            };
+            host.write_settings();
+            world.hosts.push(host);
+            world.launch(number);
+        }
+        world
+    }
+
+    /// Where clients connect.
+    pub(crate) fn client_addresses(&self) -> Vec<SocketAddr> {
+        let address = |host: &Host| format!("{}:{}", host.ip, host.ports[0]);
+        let addresses = self.hosts.iter().map(address);
+        addresses
+            .map(|text| text.parse().expect("an address"))
+            .collect()
+    }
+
+    /// Waits until all take connections.
+    pub(crate) fn wait_for_all(&self) {
+        crate::common::wait_until("all gateways", || {
+            let mut addresses = self.client_addresses().into_iter();
+            addresses.all(|address| std::net::TcpStream::connect(address).is_ok())
+        });
+    }
+
+    /// What all incarnations of endpoints ran, with their identifiers.
+    pub(crate) fn runs(&self) -> Vec<(String, Run)> {
+        let of = |endpoint: &Endpoint| {
+            let id = endpoint.id.clone();
+            let runs = endpoint.runs();
+            runs.into_iter().map(move |run| (id.clone(), run))
+        };
+        let places = self.places.iter();
+        let all = places.flat_map(|place| place.past.iter().chain([&place.present]));
+        all.flat_map(of).collect()
+    }
+
+    /// The newest version of the configuration.
+    pub(crate) fn version(&self) -> u64 {
+        self.version
+    }
+
+    fn endpoint(&mut self, number: usize) -> Endpoint {
+        self.incarnations += 1;
+        let id = format!("i-{number}-{}", self.incarnations);
+        match number < PLAIN_ENDPOINTS {
+            true => Endpoint::start(&id, "desk", &[well(number)]),
+            false => Endpoint::start(&id, "model", &[well(number)]),
+        }
+    }
+
+    fn list(&self, number: usize, state: &str) {
+        let place = &self.places[number];
+        let mut entry = place.present.entry(state);
+        entry["address"] = json!(place.path.address().to_string());
+        self.store.put("servers", &place.present.id, &entry);
+    }
+
+    fn configure(&mut self) {
+        self.version += 1;
+        let mut all: Value = configuration(self.version);
+        // The organisation's name tells which version was in force.
+        all["tenants"][0]["name"] = json!(format!("nursery-{}", self.version));
+        self.store.put("op", "config", &all);
+        self.history.versions.push((self.version, Instant::now()));
+    }
+
+    fn launch(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        if host.child.is_some() {
+            return;
+        }
+        host.terminated = None;
+        host.child = Some(host.spawn());
+        self.history.lives.push(Life {
+            gateway: number,
+            from: Instant::now(),
+            until: None,
+        });
+        self.ends(What::Process(number));
+    }
+
+    fn upset(&mut self, what: What) {
+        self.history.upsets.push(Upset {
+            what,
+            from: Instant::now(),
+            until: None,
+        });
+    }
+
+    fn ends(&mut self, what: What) {
+        let open = self.history.upsets.iter_mut();
+        for upset in open.filter(|upset| upset.what == what && upset.until.is_none()) {
+            upset.until = Some(Instant::now());
+        }
+    }
+
+    fn signal(&self, number: usize, signal: Signal) {
+        if let Some(child) = &self.hosts[number].child {
+            // It may have ended, but its number is ours until it is waited for.
+            let _ = kill_process(Pid::from_child(child), signal);
+        }
+    }
+
+    /// Takes note of the end of a process.
+    fn buried(&mut self, number: usize) {
+        let open = self.history.lives.iter_mut();
+        for life in open.filter(|life| life.gateway == number && life.until.is_none()) {
+            life.until = Some(Instant::now());
+        }
+    }
+
+    fn kill(&mut self, number: usize) {
+        self.upset(What::Process(number));
+        if let Some(mut child) = self.hosts[number].child.take() {
+            child.kill().expect("our own process");
+            child.wait().expect("our own process");
+        }
+        self.buried(number);
+    }
+
+    fn terminate(&mut self, number: usize) {
+        let host = &mut self.hosts[number];
+        if host.child.is_some() && host.terminated.is_none() {
+            host.terminated = Some(Instant::now());
+            self.upset(What::Process(number));
+            self.signal(number, Signal::TERM);
+        }
+    }
+
+    /// Starts a process again; one that was told to end must have done so.
+    fn start_again(&mut self, number: usize) {
+        let Some(terminated) = self.hosts[number].terminated else {
+            self.launch(number);
+            return;
+        };
+        let is_due = terminated.elapsed() >= Duration::from_secs(GRACE_S);
+        let Some(child) = &mut self.hosts[number].child else {
+            self.launch(number);
+            return;
+        };
+        match child.try_wait().expect("our own process") {
+            Some(status) if status.success() => {}
+            Some(status) => self.violation(format!("gateway {number} ended with {status}")),
+            None if !is_due => return,
+            None if self.was_paused_since(number, terminated) => {}
+            None => self.violation(format!("gateway {number} lives on after its grace")),
+        }
+        self.kill(number);
+        self.launch(number);
+    }
+
+    fn was_paused_since(&self, number: usize, since: Instant) -> bool {
+        let mut upsets = self.history.upsets.iter();
+        upsets.any(|upset| upset.what == What::Process(number) && upset.from > since)
+    }
+
+    fn violation(&mut self, text: String) {
+        self.history.violations.push(text);
+    }
+
+    /// Does one step.
+    pub(crate) fn apply(&mut self, step: &Step) {
+        match step {
+            Step::StorePath(number, fault) => {
+                self.upset(What::StorePath(*number));
+                harm(&self.hosts[*number].store_path, *fault);
+            }
+            Step::StorePathHealed(number) => {
+                heal(&self.hosts[*number].store_path);
+                self.ends(What::StorePath(*number));
+            }
+            Step::StoreMode(mode) => {
+                self.store.set_mode(*mode);
+                match mode {
+                    Mode::Up => self.ends(What::Store),
+                    _ => self.upset(What::Store),
+                }
+            }
+            Step::HistoryDropped => self.store.drop_history(),
+            Step::EndpointPath(number, fault) => harm(&self.places[*number].path, *fault),
+            Step::EndpointPathHealed(number) => heal(&self.places[*number].path),
+            Step::EndpointActs(number, act) => self.places[*number].present.set_act(act.clone()),
+            Step::EndpointWell(number) => self.places[*number].present.set_act(well(*number)),
+            Step::EndpointLeaves(number) => {
+                self.list(*number, "draining");
+                self.places[*number].is_leaving = true;
+                let id = self.places[*number].present.id.clone();
+                let at = Instant::now();
+                self.history.leaves.push(Leave { id, at });
+            }
+            Step::EndpointGone(number) => {
+                self.store
+                    .remove("servers", &self.places[*number].present.id);
+            }
+            Step::EndpointBack(number) => self.bring_back(*number),
+            Step::EndpointLapsed(number) => self.lapse(*number),
+            Step::Paused(number) => {
+                self.upset(What::Process(*number));
+                self.signal(*number, Signal::STOP);
+            }
+            Step::Continued(number) => {
+                self.signal(*number, Signal::CONT);
+                let host = &self.hosts[*number];
+                if host.child.is_some() && host.terminated.is_none() {
+                    self.ends(What::Process(*number));
+                }
+            }
+            Step::Killed(number) => self.kill(*number),
+            Step::Terminated(number) => self.terminate(*number),
+            Step::Started(number) => self.start_again(*number),
+            Step::HungUp(number) => self.signal(*number, Signal::HUP),
+            Step::SettingsSpoiled(number) => {
+                let path = &self.hosts[*number].settings;
+                std::fs::write(path, "zone = 7\n[listen").expect("a temporary file");
+            }
+            Step::SettingsMended(number) => self.hosts[*number].write_settings(),
+            Step::Configured => self.configure(),
+        }
+    }
+
+    fn bring_back(&mut self, number: usize) {
+        let next = self.endpoint(number);
+        let place = &mut self.places[number];
+        place.path.set_target(next.address);
+        let past = std::mem::replace(&mut place.present, next);
+        place.past.push(past);
+        place.is_leaving = false;
+        self.list(number, "ready");
+    }
+
+    /// The entries of incarnations that are gone are removed, as nobody renews them.
+    fn lapse(&mut self, number: usize) {
+        for past in &self.places[number].past {
+            self.store.remove("servers", &past.id);
+        }
+    }
+
+    /// Ends all disturbances.
+    pub(crate) fn heal_all(&mut self) {
+        self.apply(&Step::StoreMode(Mode::Up));
+        for number in 0..ENDPOINTS {
+            heal(&self.places[number].path);
+            self.places[number].present.set_act(well(number));
+            if self.places[number].is_leaving {
+                self.bring_back(number);
+            }
+            self.lapse(number);
+        }
+        for number in 0..GATEWAYS {
+            self.hosts[number].write_settings();
+            self.apply(&Step::StorePathHealed(number));
+            self.apply(&Step::Continued(number));
+            if self.hosts[number].terminated.is_some() {
+                self.kill(number);
+            }
+            self.launch(number);
+            self.ends(What::Process(number));
+        }
+    }
+}
+
+impl Host {
+    fn write_settings(&self) {
+        let seeds: Vec<String> = (0..GATEWAYS)
+            .map(|number| format!("\"{}:1\"", ip(number)))
+            .collect();
+        let [client, ready, peer, metrics] = self.ports;
+        let text = format!(
+            "nodeName = \"front-{}\"\nzone = \"north\"\nip = \"{ip}\"\n\
+             internalPortRange = [{peer}, {metrics}]\nseedNodes = [{}]\n\
+             [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\n\
+             [bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
+             budgetExtraRetries = 100\n[platformSettings]\naddress = \"{}\"\n",
+            self.number,
+            seeds.join(", "),
+            self.store_path.address(),
+            ip = self.ip,
+        );
+        std::fs::write(&self.settings, text).expect("a temporary file");
+    }
+
+    fn spawn(&self) -> Child {
+        let log = File::options().create(true).append(true).open(&self.log);
+        marigoldstage()
+            .arg("relay")
+            .args(["--metrics-port", &self.ports[3].to_string()])
+            .env("MARIGOLDSTAGE_BOOT", &self.settings)
+            .stdout(log.expect("a log file"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program")
+    }
+}
+
+fn ip(number: usize) -> String {
+    format!("127.0.77.{}", number + 1)
+}
+
+/// What an endpoint does when all is well.
+fn well(number: usize) -> Act {
+    match number < PLAIN_ENDPOINTS {
+        true => Act::Work(15),
+        false => Act::Stream(EVENTS),
+    }
+}
+
+fn harm(path: &Route, fault: PathFault) {
+    match fault {
+        PathFault::Delayed => path.set_all(Faults::delayed(SLOW_MS)),
+        PathFault::Refused => path.refuse(true).expect("a listener"),
+        PathFault::Cut => {
+            path.cut();
+        }
+        PathFault::Silent => path.set_all(Faults::silent()),
+        PathFault::SilentOneWay => path.set_all(Faults::silent_towards(Direction::ToCaller)),
+        PathFault::Forgotten => path.set_existing(Faults::silent()),
+        PathFault::RepliesLost => path.set_all(Faults::reply_lost()),
+    }
+}
+
+/// New connections work again; those that had fallen silent stay so, as nobody on the way remembers them.
+fn heal(path: &Route) {
+    path.set_new(Faults::default());
+    path.refuse(false).expect("a listener");
+}
