fix(relay): an outage of the store ends when the store is back; fix(placing): slowness refuses nobody, also beside one quick engine

Ruled out: messages of peers, a slow store.

Where a prompt would be too late, engines now count with their declared speed, and a hundredth of how slow they seem tells them apart. A test failed first.

--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -22,6 +22,10 @@
 /// events at 45 ms each.
 const PLACE_FREE_MS: f64 = 750.0;
 
+/// What is left of how slow engines seem where they are taken to keep to their declared speed: enough to
+/// tell them apart.
+const DECLARED_BLUR: f64 = 0.01;
+
 /// One decision.
 pub(crate) struct Placing<'a> {
     pub(crate) need: &'a Need,
@@ -51,17 +55,12 @@
 
     /// The same if engines keep to what their operator declares, for a prompt that would be too late by how
     /// slow they seem. That is learned from first tokens, which also come late when this gateway was paused,
-    /// and isn't learned anew where nothing is sent: it tells engines apart and refuses nobody. The engine is
-    /// still the one that seems least slow.
+    /// and isn't learned anew where nothing is sent: it tells engines apart and refuses nobody.
     pub(crate) fn place_at_declared_speed(&mut self) -> Result<Placement, NoPlace> {
-        let least = self
-            .surveys
-            .iter()
-            .map(|s| s.slowness)
-            .fold(f64::INFINITY, f64::min);
         for survey in &mut self.surveys {
-            survey.pass_ms /= least;
-            survey.slowness /= least;
+            let seems_slow = 1.0 + (survey.slowness - 1.0) * DECLARED_BLUR;
+            survey.pass_ms *= seems_slow / survey.slowness;
+            survey.slowness = seems_slow;
         }
         self.place()
     }
--- a/crates/mgs-placing/tests/slow.rs
+++ b/crates/mgs-placing/tests/slow.rs
@@ -57,6 +57,15 @@
     );
 }
 
+/// The same once one engine had been measured anew: all went there, until it had a backlog too.
+#[test]
+fn slowness_of_the_others_leaves_nobody_to_one_engine_alone() {
+    let mut board = busy(3);
+    board.read(EndpointKey(1), 0.0, 900.0);
+    let placement = place(&[20.0, 1.0, 30.0], &board).expect("a place");
+    assert_eq!(placement.first, EndpointKey(0));
+}
+
 #[test]
 fn an_engine_that_seems_slow_is_passed_over_where_another_will_do() {
     let placement = place(&[20.0, 1.0, 30.0], &busy(3)).expect("a place");
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -249,6 +249,10 @@
 
     fn wait_ms(&mut self) -> u64 {
         let is_doubtful = std::mem::take(&mut self.is_doubtful);
+        if self.is_lost {
+            // The end of an outage is to be known when it comes, not with the next change.
+            return 0;
+        }
         let Some(belief) = self.belief() else {
             return self.options.gateways_wait_ms;
         };
