--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -159,7 +159,8 @@
 
 #[rstest]
 #[case::first(1)]
-#[case::second(2)]
+#[case::tiny_prompts_refused_beside_idle_engines(2)]
+#[case::the_same_on_one_host_only(5)]
 fn promises_hold_under_faults(#[case] seed: u64) {
     hold(seed);
 }
