test(settings): a planted fault is sought in four races, since one in seventy doesn't meet it

A process that serves early is seen only if one starts while the store is away, which thread timing decides: 200 runs of that test, eight at a time, failed 3 times. Ruled out: the check itself and this change's code (the test doesn't touch the relay or placing). The test now plays up to four races with different seeds and still demands that the check finds the fault; the chance that none meets it is about 5e-8.

--- a/crates/mgs-testing/tests/settings.rs
+++ b/crates/mgs-testing/tests/settings.rs
@@ -26,6 +26,10 @@
     assert!(outcome.counters.replies_lost > 0 && outcome.counters.refused > 0);
 }
 
+/// Races that are played until a planted fault is met. A process that serves early is seen only if one starts
+/// while the store is away: in 3 of 200 races none did.
+const RACES: u64 = 4;
+
 #[rstest]
 #[case::lost(Plant::BlindWrites, |v: &Violation| matches!(v, Violation::Lost(_)))]
 #[case::overwrote(Plant::BlindRebase, |v: &Violation| matches!(v, Violation::Overwrote(_)))]
@@ -33,10 +37,14 @@
 #[case::served_old(Plant::ServesEarly, |v: &Violation| matches!(v, Violation::ServedOld { .. }))]
 #[case::went_back(Plant::GoesBack, |v: &Violation| matches!(v, Violation::WentBack { .. }))]
 fn a_planted_fault_is_found(#[case] plant: Plant, #[case] expected: fn(&Violation) -> bool) {
-    let outcome = race::run(Options {
-        plant,
-        ..Options::default()
-    });
-    let violations = history::check(&outcome.history);
-    assert!(violations.iter().any(expected), "found only {violations:?}");
+    let violations = |seed| {
+        let outcome = race::run(Options {
+            seed,
+            plant,
+            ..Options::default()
+        });
+        history::check(&outcome.history)
+    };
+    let mut found = (1..=RACES).flat_map(violations);
+    assert!(found.any(|violation| expected(&violation)), "not found");
 }
