feat(relay,explain): outcomes by size, waits in line and what is lacking are told

Cause: logs and metrics told the reason and length of a refusal, but not which share of each length is served, how long others went first, what was lacking, and that a client left after a silence.

No decision changed.

--- a/crates/mgs-observe/src/metrics.rs
+++ b/crates/mgs-observe/src/metrics.rs
@@ -26,6 +26,8 @@
 
 type Labels = [(String, String); 1];
 
+type TwoLabels = [(String, String); 2];
+
 /// The metrics of one process, or of one role where several share a process. Clones share it.
 ///
 /// ```
@@ -75,6 +77,27 @@
         counters
     }
 
+    /// Registers a family of counters that differ in the values of two labels.
+    ///
+    /// ```
+    /// use mgs_observe::metrics::Registry;
+    ///
+    /// let registry = Registry::new();
+    /// let ends = registry.table("ends", "Requests, by size and outcome", ["size", "outcome"]);
+    /// ends.inc(["under_2k", "answered"]);
+    /// assert!(registry
+    ///     .encode()
+    ///     .contains(r#"mgs_ends_total{size="under_2k",outcome="answered"} 1"#));
+    /// ```
+    pub fn table(&self, name: &str, help: &str, labels: [&str; 2]) -> CounterTable {
+        let table = CounterTable {
+            labels: labels.map(str::to_string),
+            family: Family::default(),
+        };
+        self.register(name, help, table.family.clone());
+        table
+    }
+
     /// Registers a gauge.
     pub fn gauge(&self, name: &str, help: &str) -> Gauge {
         let gauge = Gauge::default();
@@ -181,6 +204,25 @@
     }
 }
 
+/// Counters that differ in the values of two labels. Clones share them.
+#[derive(Debug, Clone)]
+pub struct CounterTable {
+    labels: [String; 2],
+    family: Family<TwoLabels, counter::Counter>,
+}
+
+impl CounterTable {
+    /// Adds one to the counter of these label values.
+    pub fn inc(&self, values: [&str; 2]) {
+        let [first, second] = &self.labels;
+        let labels = [
+            (first.clone(), values[0].to_string()),
+            (second.clone(), values[1].to_string()),
+        ];
+        self.family.get_or_create(&labels).inc();
+    }
+}
+
 /// A value that goes up and down. Clones share it.
 #[derive(Debug, Clone, Default)]
 pub struct Gauge(gauge::Gauge);
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -6,6 +6,7 @@
 use crate::survey::late;
 use crate::survey::Survey;
 use crate::survey::LATE_SHARE;
+use crate::way::Lack;
 use crate::way::NoPlace;
 use crate::way::Placement;
 use crate::way::Scene;
@@ -131,12 +132,12 @@
         survey.running < self.model.slots * 2
     }
 
-    pub(crate) fn full(&self) -> NoPlace {
+    pub(crate) fn full(&self, lack: Lack) -> NoPlace {
         let backlogs = self.surveys.iter().map(|survey| survey.backlog_ms);
         let backlog_ms = backlogs.fold(f64::INFINITY, f64::min);
         let free = self.surveys.iter().map(|survey| self.place_free_ms(survey));
         let backlog_ms = backlog_ms.max(free.fold(f64::INFINITY, f64::min));
-        NoPlace::Full { backlog_ms }
+        NoPlace::Full { backlog_ms, lack }
     }
 
     pub(crate) fn best_width(&self) -> Result<Placement, NoPlace> {
@@ -157,7 +158,7 @@
                 best = Some(placement);
             }
         }
-        best.ok_or_else(|| self.full())
+        best.ok_or_else(|| self.full(Lack::Place))
     }
 
     /// Whether a prompt of `read_ms` may be read by `width` engines.
--- a/crates/mgs-placing/src/need.rs
+++ b/crates/mgs-placing/src/need.rs
@@ -39,6 +39,12 @@
 }
 
 /// Size of a request in read tokens.
-pub(crate) fn size(prompt_tokens: f64, answer_tokens: f64) -> f64 {
+///
+/// ```
+/// use mgs_placing::need::size;
+///
+/// assert_eq!(size(5_000.0, 800.0), 13_000.0);
+/// ```
+pub fn size(prompt_tokens: f64, answer_tokens: f64) -> f64 {
     prompt_tokens + WRITTEN_FACTOR * answer_tokens
 }
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -7,6 +7,7 @@
 use crate::judge::longest_backlog_ms;
 use crate::judge::Placing;
 use crate::survey::Survey;
+use crate::way::Lack;
 use crate::way::NoPlace;
 use crate::way::Placement;
 use crate::way::Reserve;
@@ -29,7 +30,7 @@
     if (needed as f64) > capacity as f64 * RESERVED_SHARE {
         return Err(NoPlace::TooLarge);
     }
-    let first = roomiest(placing).ok_or_else(|| placing.full())?;
+    let first = roomiest(placing).ok_or_else(|| placing.full(Lack::Place))?;
     let at_first = (first.free_tokens as f64 * FIRST_SHARE) as u64;
     let mut missing = needed.saturating_sub(at_first);
     let mut holders = Vec::new();
@@ -51,7 +52,10 @@
         });
     }
     if missing > 0 {
-        return Err(placing.full());
+        return Err(placing.full(Lack::Memory {
+            needed_tokens: needed,
+            engines_max: placing.engines_max,
+        }));
     }
     let readers = readers(placing, first, holders);
     let width = (readers.len() + 1) as f64;
--- a/crates/mgs-placing/src/way.rs
+++ b/crates/mgs-placing/src/way.rs
@@ -85,5 +85,21 @@
     Full {
         /// Predicted time until there is room, in milliseconds.
         backlog_ms: f64,
+        /// What is taken.
+        lack: Lack,
+    },
+}
+
+/// What engines lack for a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lack {
+    /// A place to write its answer.
+    Place,
+    /// Memory at the engines that it may use together.
+    Memory {
+        /// Tokens that it needs.
+        needed_tokens: u64,
+        /// Most engines that it may use.
+        engines_max: usize,
     },
 }
--- a/crates/mgs-relay/src/dialect.rs
+++ b/crates/mgs-relay/src/dialect.rs
@@ -8,6 +8,7 @@
 use http::response;
 use http::HeaderMap;
 use http::Request;
+use mgs_placing::need;
 
 /// A client's request as it is understood.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -30,6 +31,16 @@
     pub last_event_id: Option<String>,
 }
 
+impl Ask {
+    /// Size of the request in read tokens, with the answer that the client expects or, without its word, the
+    /// longest one that it takes.
+    pub fn size_tokens(&self) -> u64 {
+        let answer = self.expected_tokens.unwrap_or(self.output_tokens);
+        let answer = answer.min(self.output_tokens);
+        need::size(self.prompt_tokens as f64, answer as f64) as u64
+    }
+}
+
 /// Why a request isn't understood.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum Malformed {
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -1,6 +1,7 @@
 //! Counters and histograms of the path of a request.
 
 use mgs_observe::metrics::Counter;
+use mgs_observe::metrics::CounterTable;
 use mgs_observe::metrics::Counters;
 use mgs_observe::metrics::Gauge;
 use mgs_observe::metrics::HistogramMs;
@@ -15,11 +16,28 @@
     (u64::MAX, "over_100k"),
 ];
 
+/// Sizes by which outcomes are told apart, in read tokens, with their labels: each twice the one before, so that
+/// the longest requests of a kind stand apart from the others.
+const SIZES: [(u64, &str); 10] = [
+    (4_000, "under_4k"),
+    (8_000, "4k_to_8k"),
+    (16_000, "8k_to_16k"),
+    (32_000, "16k_to_32k"),
+    (64_000, "32k_to_64k"),
+    (128_000, "64k_to_128k"),
+    (256_000, "128k_to_256k"),
+    (512_000, "256k_to_512k"),
+    (1_024_000, "512k_to_1024k"),
+    (u64::MAX, "over_1024k"),
+];
+
 /// The metrics of one relay.
 #[derive(Debug, Clone)]
 pub struct Metrics {
     /// Requests by outcome.
     pub(crate) requests: Counters,
+    /// Prompts by size and final outcome.
+    pub(crate) outcomes: CounterTable,
     /// Requests that ended without an endpoint's answer, by reason.
     pub(crate) refusals: Counters,
     /// Second tries, by reason.
@@ -61,6 +79,11 @@
     pub fn new(registry: &Registry) -> Self {
         Self {
             requests: registry.counters("relay_requests", "Requests, by outcome", "outcome"),
+            outcomes: registry.table(
+                "relay_outcomes",
+                "Prompts, by size in read tokens and final outcome",
+                ["size", "outcome"],
+            ),
             refusals: registry.counters("relay_refusals", "Requests without an answer", "reason"),
             retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
             dispatches: registry.counters("relay_dispatches", "Dispatches, by end", "end"),
@@ -88,9 +111,17 @@
 
 /// Label of a prompt's length.
 pub(crate) fn length(prompt_tokens: u64) -> &'static str {
-    let fits = |(below, _): &&(u64, &str)| prompt_tokens < *below;
-    LENGTHS
-        .iter()
-        .find(fits)
-        .map_or("over_100k", |(_, label)| label)
+    label(&LENGTHS, prompt_tokens)
+}
+
+/// Label of a request's size.
+pub(crate) fn size(size_tokens: u64) -> &'static str {
+    label(&SIZES, size_tokens)
+}
+
+/// The first label whose bound exceeds `tokens`, else the last.
+fn label(bounds: &[(u64, &'static str)], tokens: u64) -> &'static str {
+    let fits = |(below, _): &&(u64, &'static str)| tokens < *below;
+    let label = bounds.iter().find(fits).or(bounds.last());
+    label.map_or("", |(_, label)| label)
 }
--- /dev/null
+++ b/crates/mgs-relay/src/place_log.rs
@@ -0,0 +1,144 @@
+//! The log lines on where prompts go: what decided it and how old that was.
+
+use mgs_placing::need::Need;
+use mgs_placing::turn;
+use mgs_placing::way::Lack;
+use mgs_placing::way::NoPlace;
+
+use crate::core::Core;
+use crate::fault::Refusal;
+use crate::place::Prompt;
+use crate::view::Fleet;
+use crate::wait::Turned;
+
+/// A short prompt waits for a place that others can do without.
+pub(crate) fn waits_for_place(prompt: &Prompt<'_>, asked: &turn::Waiting<'_>) {
+    log::info!(
+        request_id = prompt.request_id,
+        prompt_tokens = asked.need.prompt_tokens,
+        aim_ms = asked.need.aim_ms as i64,
+        left_ms = asked.need.left_ms as u64,
+        ahead = asked.ahead,
+        spare_per_s = asked.spare_per_s,
+        gateways = asked.gateways,
+        places_taken_permille = asked.placement.scene.places_taken_permille,
+        predicted_first_token_ms = asked.placement.first_token_ms as u64;
+        "waits for a place"
+    );
+}
+
+/// A prompt waits for its turn among long ones.
+pub(crate) fn waits_for_turn(prompt: &Prompt<'_>, asked: &turn::Waiting<'_>) {
+    let placement = asked.placement;
+    log::info!(
+        request_id = prompt.request_id,
+        prompt_tokens = asked.need.prompt_tokens,
+        left_ms = asked.need.left_ms as u64,
+        score = asked.own.0,
+        best_other_score = asked.best_other.0,
+        engines_backlog_ms = placement.backlog_ms as u64,
+        room = placement.scene.room,
+        predicted_first_token_ms = placement.first_token_ms as u64;
+        "waits for its turn"
+    );
+}
+
+/// What engines lack, as it is told in a line.
+#[derive(Debug, Default)]
+struct Lacking {
+    what: &'static str,
+    needed_tokens: u64,
+    engines_max: usize,
+}
+
+impl Lacking {
+    fn of(no_place: &NoPlace) -> Self {
+        let NoPlace::Full { lack, .. } = no_place else {
+            return Self::default();
+        };
+        match *lack {
+            Lack::Place => Self {
+                what: "place",
+                ..Self::default()
+            },
+            Lack::Memory {
+                needed_tokens,
+                engines_max,
+            } => Self {
+                what: "memory",
+                needed_tokens,
+                engines_max,
+            },
+        }
+    }
+}
+
+/// A prompt is refused.
+pub(crate) fn not_placed(
+    prompt: &Prompt<'_>,
+    need: &Need,
+    usable: usize,
+    no_place: &NoPlace,
+    refusal: &Refusal,
+) {
+    let core = prompt.core;
+    let lack = Lacking::of(no_place);
+    log::info!(
+        request_id = prompt.request_id,
+        service = prompt.service,
+        reason = refusal.fault.name(),
+        lacks = lack.what,
+        needed_tokens = lack.needed_tokens,
+        engines_allowed = lack.engines_max,
+        retry_after_ms = refusal.retry_after_ms.unwrap_or(0),
+        prompt_tokens = need.prompt_tokens,
+        left_ms = need.left_ms as u64,
+        usable_engines = usable,
+        tried = prompt.tried.len(),
+        waiting_here = core.waiting.borrow().len(),
+        peers = core.board.borrow().peers(),
+        fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
+        "not placed"
+    );
+}
+
+/// A prompt is sent.
+pub(crate) fn placed(core: &Core, request_id: &str, fleet: &Fleet, turned: &Turned) {
+    let (need, placement) = (&turned.need, &turned.placement);
+    let first = fleet.by_key.get(&placement.first);
+    let endpoint = first.map_or("gone", |endpoint| endpoint.facts.id.as_str());
+    let helpers: Vec<&str> = placement
+        .helpers
+        .iter()
+        .filter_map(|key| fleet.by_key.get(key))
+        .map(|endpoint| endpoint.facts.id.as_str())
+        .collect();
+    log::info!(
+        request_id = request_id,
+        endpoint = endpoint,
+        prompt_tokens = need.prompt_tokens,
+        output_tokens = need.output_tokens,
+        expected_tokens = need.expected_tokens,
+        behind_ms = turned.waited.behind_ms,
+        first_in_line_ms = turned.waited.first_ms,
+        engines = placement.helpers.len() + 1,
+        helpers = helpers.join(" "),
+        reservations = placement.reserves.len(),
+        read_ms = placement.read_ms as u64,
+        hold_ms = placement.hold_ms as u64,
+        predicted_first_token_ms = placement.first_token_ms as u64,
+        left_ms = need.left_ms as u64,
+        loss_milliunits = (placement.loss_units * 1e3) as u64,
+        room = placement.scene.room,
+        usable_engines = placement.scene.engines,
+        engines_with_short_streams = placement.scene.with_short_streams,
+        engines_with_other_streams = placement.scene.with_other_streams,
+        engines_without_reading = placement.scene.without_reading,
+        engines_with_late_prompts = placement.scene.late_engines,
+        is_late = placement.is_late,
+        backlog_ms = placement.scene.backlog_ms,
+        fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX),
+        peers = core.board.borrow().peers();
+        "placed"
+    );
+}
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -50,6 +50,9 @@
 /// answer that is on time on the deployments, which would be lost by coming back.
 const START_PATIENCE_MS: u64 = 250;
 
+/// Least status of an answer that is a failure.
+const ERROR_STATUS_MIN: u16 = 400;
+
 /// Counts a request as open while it lives.
 struct Open {
     core: Rc<Core>,
@@ -74,6 +77,10 @@
 struct Watch {
     core: Rc<Core>,
     request_id: String,
+    prompt_tokens: u64,
+    size_tokens: u64,
+    /// Name of its route; empty while none is known.
+    route: String,
     arrived: Instant,
     is_told: bool,
 }
@@ -82,17 +89,30 @@
     fn tell(&mut self, outcome: &str, status: u16, detail: &str) {
         self.is_told = true;
         self.core.metrics.requests.inc(outcome);
+        self.count_size(outcome, status);
         log::info!(
             request_id = self.request_id,
             outcome = outcome,
             status = status,
             detail = detail,
+            route = self.route,
+            prompt_tokens = self.prompt_tokens,
+            size_tokens = self.size_tokens,
             total_ms = self.arrived.elapsed().as_millis() as u64,
             configuration = self.core.published.configuration().map_or(0, |c| c.version),
             configuration_age_ms = self.core.published.configuration_age_ms().unwrap_or(u64::MAX);
             "request ended"
         );
     }
+
+    /// Counts a prompt by its size, unless a stream has begun, which counts itself when it ends.
+    fn count_size(&self, outcome: &str, status: u16) {
+        let has_begun = outcome == "answered" && status < ERROR_STATUS_MIN;
+        if self.prompt_tokens > 0 && !has_begun {
+            let size = metrics::size(self.size_tokens);
+            self.core.metrics.outcomes.inc([size, outcome]);
+        }
+    }
 }
 
 impl Drop for Watch {
@@ -124,11 +144,14 @@
     let mut watch = Watch {
         core: core.clone(),
         request_id: ask.request_id.clone(),
+        prompt_tokens: ask.prompt_tokens,
+        size_tokens: ask.size_tokens(),
+        route: String::new(),
         arrived,
         is_told: false,
     };
     let request_id = ask.request_id.clone();
-    let answered = handle(&core, ask, head, body, arrived, open).await;
+    let answered = handle(&core, ask, head, body, &mut watch, open).await;
     let mut answer = match answered {
         Ok(answer) => {
             watch.tell("answered", answer.status().as_u16(), "");
@@ -152,9 +175,10 @@
     ask: Ask,
     head: request::Parts,
     body: Incoming,
-    arrived: Instant,
+    watch: &mut Watch,
     open: Open,
 ) -> Result<Answer, Refusal> {
+    let arrived = watch.arrived;
     if core.drain.phase() == Phase::Ending {
         return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
     }
@@ -162,6 +186,7 @@
         .await
         .ok_or_else(|| Refusal::after(Fault::NoConfiguration, RETRY_AFTER_UNKNOWING_MS))?;
     let admitted = admit(core, &configuration, &ask, &head)?;
+    watch.route = admitted.route.name.clone();
     let timeout_ms = ask.deadline_ms.map_or(admitted.route.timeout_ms, |d| {
         d.min(admitted.route.timeout_ms)
     });
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -12,6 +12,7 @@
 use crate::answer::Piece;
 use crate::attempt::Stream;
 use crate::connect::describe;
+use crate::metrics;
 use crate::place::Placed;
 use crate::pursue::Got;
 use crate::pursue::Pursuit;
@@ -106,16 +107,22 @@
             // A client that has left takes no error either.
             let _ = self.client.try_send(Err(broken));
         }
+        let size_tokens = self.pursuit.ask.size_tokens();
+        let size = metrics::size(size_tokens);
+        let outcomes = &self.pursuit.core.metrics.outcomes;
+        outcomes.inc([size, end.name()]);
         log::info!(
             request_id = self.pursuit.ask.request_id,
             endpoint = self.placed.endpoint.facts.id,
             outcome = end.name(),
             events = self.events,
+            size_tokens = size_tokens,
             route = self.pursuit.route.name,
             first_event_ms = self.first_event_ms,
             aim_ms = self.pursuit.route.aim_ms,
             longest_pause_ms = self.longest_pause_ms,
             pause_limit_ms = self.pursuit.route.pause_ms,
+            silent_ms = self.last_event_at.elapsed().as_millis() as u64,
             resumes = self.resumes,
             total_ms = self.pursuit.arrived.elapsed().as_millis() as u64;
             "stream ended"
--- /dev/null
+++ b/crates/mgs-relay/src/wait.rs
@@ -0,0 +1,278 @@
+//! The wait of a prompt until it is its turn, or until it is refused.
+
+use std::cell::Cell;
+use std::rc::Rc;
+use std::sync::Arc;
+use std::time::Duration;
+
+use mgs_placing::choose::choose;
+use mgs_placing::line::Firsts;
+use mgs_placing::line::Score;
+use mgs_placing::model::EngineModel;
+use mgs_placing::need::Need;
+use mgs_placing::turn;
+use mgs_placing::turn::Turn;
+use mgs_placing::way::Candidate;
+use mgs_placing::way::NoPlace;
+use mgs_placing::way::Placement;
+use tokio::time::sleep;
+
+use crate::core::Core;
+use crate::drain::Phase;
+use crate::drain::RETRY_AFTER_LEAVING_MS;
+use crate::fault::Fault;
+use crate::fault::Refusal;
+use crate::place::no_endpoint;
+use crate::place::on_trial;
+use crate::place::usable;
+use crate::place::Prompt;
+use crate::place::Tried;
+use crate::place_log;
+use crate::view::Endpoint;
+
+/// Least time after which a client is asked to come back, in milliseconds: a few answers have ended by
+/// then, and a client that returns sooner only meets the same load.
+pub(crate) const RETRY_AFTER_MIN_MS: u64 = 150;
+
+/// Most time after which a client is asked to come back, in milliseconds.
+const RETRY_AFTER_MAX_MS: u64 = 3_000;
+
+/// Time between two looks whether it is a prompt's turn.
+const TURN_LOOK: Duration = Duration::from_millis(12);
+
+/// Looks after which a prompt that isn't first in line judges its chances anew: choosing engines costs
+/// more than comparing scores, and dozens may wait on a host with a tenth of a core.
+const LOOKS_PER_JUDGEMENT: u32 = 20;
+
+/// Short prompts that wait for a spare place and are looked at together: some find one at each look.
+const AHEAD_PER_LOOK: usize = 4;
+
+/// A prompt whose turn has come.
+pub(crate) struct Turned {
+    /// What is left of its time now.
+    pub(crate) need: Need,
+    /// Where it goes.
+    pub(crate) placement: Placement,
+    /// How long it waited.
+    pub(crate) waited: Waited,
+}
+
+/// How long a prompt has waited for its turn.
+#[derive(Debug, Clone, Copy, Default)]
+pub(crate) struct Waited {
+    /// While others went before it in its line, in milliseconds.
+    pub(crate) behind_ms: u64,
+    /// While it was first and its engines weren't done with what was sent before, in milliseconds.
+    pub(crate) first_ms: u64,
+}
+
+/// Waits until it is the prompt's turn.
+pub(crate) async fn for_turn(
+    prompt: &Prompt<'_>,
+    need: impl Fn() -> Need,
+    tried: &Tried,
+) -> Result<Turned, Refusal> {
+    let core = prompt.core;
+    let waiting = Waiting::new(core);
+    loop {
+        let need = need();
+        let placement = choose_engines(prompt, &need, tried)?;
+        let own = turn::score(&need, &placement, prompt.model);
+        let best_other = waiting.best_other(own);
+        let asked = turn::Waiting {
+            need: &need,
+            placement: &placement,
+            model: prompt.model,
+            own,
+            best_other,
+            ahead: waiting.ahead(),
+            spare_per_s: core.spare.borrow().per_s(core.now_ms()),
+            gateways: core.gateways.get(),
+        };
+        let turns = &core.options.turns;
+        let is_short = asked.is_short(turns);
+        match turn::turn(&asked, turns) {
+            Turn::Go if is_short && turn::takes_spare(&asked, turns) => {
+                core.spare.borrow_mut().found(core.now_ms());
+                return Ok(waiting.turned(need, placement));
+            }
+            Turn::Go => return Ok(waiting.turned(need, placement)),
+            Turn::Refuse => {
+                let wait_ms = match is_short {
+                    true => asked.spare_ms(turns),
+                    false => placement.backlog_ms,
+                };
+                return Err(too_late(prompt, &need, &placement, wait_ms));
+            }
+            // Another host has all of its time for it.
+            Turn::Wait if core.drain.phase() != Phase::Serving => {
+                return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
+            }
+            Turn::Wait => {}
+        }
+        let is_new = match is_short {
+            true => waiting.set_for_spare(),
+            false => waiting.set(own),
+        };
+        match (is_new, is_short) {
+            (true, true) => place_log::waits_for_place(prompt, &asked),
+            (true, false) => place_log::waits_for_turn(prompt, &asked),
+            (false, _) => {}
+        }
+        match is_short {
+            true => waiting.until_near().await,
+            false => waiting.until_first(own).await,
+        }
+    }
+}
+
+/// Lists a prompt among those that wait, until dropped.
+struct Waiting {
+    core: Rc<Core>,
+    number: u64,
+    waited: Cell<Waited>,
+}
+
+impl Waiting {
+    fn new(core: &Rc<Core>) -> Self {
+        let number = core.next_number();
+        Self {
+            core: core.clone(),
+            number,
+            waited: Cell::default(),
+        }
+    }
+
+    fn turned(&self, need: Need, placement: Placement) -> Turned {
+        let waited = self.waited.get();
+        Turned {
+            need,
+            placement,
+            waited,
+        }
+    }
+
+    /// Lists it with a score; tells whether it wasn't listed before.
+    fn set(&self, score: Score) -> bool {
+        let before = self.core.waiting.borrow_mut().insert(self.number, score);
+        if before != Some(score) {
+            self.core.board_changed.notify_one();
+        }
+        before.is_none()
+    }
+
+    /// Lists it among the short prompts that wait for a spare place; tells whether it wasn't listed before.
+    fn set_for_spare(&self) -> bool {
+        self.core.waiting_for_spare.borrow_mut().insert(self.number)
+    }
+
+    /// How many short prompts wait for a spare place since before it came.
+    fn ahead(&self) -> usize {
+        let waiting = self.core.waiting_for_spare.borrow();
+        waiting.range(..self.number).count()
+    }
+
+    /// Waits for the next look, the longer the more wait before it.
+    async fn until_near(&self) {
+        let looks = (1 + self.ahead() / AHEAD_PER_LOOK).min(LOOKS_PER_JUDGEMENT as usize);
+        sleep(TURN_LOOK * looks as u32).await;
+    }
+
+    /// Waits for the next look, or for more of them while others go first.
+    async fn until_first(&self, own: Score) {
+        for _ in 0..LOOKS_PER_JUDGEMENT {
+            sleep(TURN_LOOK).await;
+            let is_first = own <= self.best_other(own);
+            self.note_look(is_first);
+            if is_first {
+                return;
+            }
+        }
+    }
+
+    fn note_look(&self, is_first: bool) {
+        let look_ms = TURN_LOOK.as_millis() as u64;
+        let mut waited = self.waited.get();
+        match is_first {
+            true => waited.first_ms += look_ms,
+            false => waited.behind_ms += look_ms,
+        }
+        self.waited.set(waited);
+    }
+
+    /// The least score of the others in the line of `own`, here and at peers.
+    fn best_other(&self, own: Score) -> Score {
+        let waiting = self.core.waiting.borrow();
+        let others = waiting.iter().filter(|(number, _)| **number != self.number);
+        let here = others.fold(Firsts::default(), |firsts, (_, score)| firsts.with(*score));
+        here.and(self.core.board.borrow().waiting()).in_line_of(own)
+    }
+}
+
+impl Drop for Waiting {
+    fn drop(&mut self) {
+        self.core
+            .waiting_for_spare
+            .borrow_mut()
+            .remove(&self.number);
+        let waited = self.core.waiting.borrow_mut().remove(&self.number);
+        if waited.is_some() {
+            self.core.board_changed.notify_one();
+        }
+    }
+}
+
+fn choose_engines(prompt: &Prompt<'_>, need: &Need, tried: &Tried) -> Result<Placement, Refusal> {
+    let core = prompt.core;
+    let fleet = core.published.fleet();
+    let endpoints = usable(core, &fleet, prompt.service, tried);
+    let candidate = |endpoint: &Arc<Endpoint>| Candidate {
+        key: endpoint.key,
+        slowness: core.outliers.slowness(endpoint.key),
+        trial: on_trial(core, endpoint),
+    };
+    let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
+    know_passes(core, &candidates, prompt.model);
+    let board = core.board.borrow();
+    let options = &core.options.placing;
+    let chosen = choose(
+        need,
+        &candidates,
+        &board,
+        prompt.model,
+        options,
+        core.now_ms(),
+    );
+    chosen.map_err(|no_place| {
+        let refusal = refuse(no_place);
+        place_log::not_placed(prompt, need, candidates.len(), &no_place, &refusal);
+        refusal
+    })
+}
+
+/// Engines of one service have passes of one length.
+fn know_passes(core: &Core, candidates: &[Candidate], model: &EngineModel) {
+    let pass_ms = model.bare_pass_ms();
+    let mut board = core.board.borrow_mut();
+    for candidate in candidates {
+        board.know_pass(candidate.key, pass_ms);
+    }
+}
+
+/// It has waited in vain: it can't end in time any more without more harm than it is worth.
+fn too_late(prompt: &Prompt<'_>, need: &Need, placement: &Placement, backlog_ms: f64) -> Refusal {
+    let no_place = NoPlace::TooLate { backlog_ms };
+    let refusal = refuse(no_place);
+    place_log::not_placed(prompt, need, placement.scene.engines, &no_place, &refusal);
+    refusal
+}
+
+fn refuse(no_place: NoPlace) -> Refusal {
+    let after = |backlog_ms: f64| (backlog_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+    match no_place {
+        NoPlace::NoEndpoint => no_endpoint(),
+        NoPlace::TooLarge => Refusal::of(Fault::TooLarge),
+        NoPlace::TooLate { backlog_ms } => Refusal::after(Fault::TooLate, after(backlog_ms)),
+        NoPlace::Full { backlog_ms, .. } => Refusal::after(Fault::Full, after(backlog_ms)),
+    }
+}
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -13,6 +13,7 @@
 
 use crate::error::Error;
 use crate::explain::cause::cause;
+use crate::explain::sizes::Sizes;
 use crate::explain::summary::Summary;
 use crate::explain::Line;
 use crate::explain::Story;
@@ -20,17 +21,19 @@
 const REQUEST: &str = "request-id";
 const LOGS: &str = "logs";
 const ALL: &str = "all";
+const SIZES: &str = "sizes";
 
 const EXAMPLES: &str = "\
 Examples:
   marigoldstage explain 9c41d07be2a35f68 /var/log/front-*.log
   collect-logs | marigoldstage explain 9c41d07be2a35f68
   marigoldstage explain --all /var/log/front-*.log
+  marigoldstage explain --sizes /var/log/front-*.log
 
 Reads JSON lines, from files or from standard input; text before a line's JSON, such as a host's name, is
 taken for its source. Prints the request's lines in order of time and then why it ended as it did. Exit
 code 1 if no line names it. Times are those of each host's own clock. With --all, counts by route why
-requests weren't on time.";
+requests weren't on time; with --sizes, tells by route whether the longest are answered as often as the others.";
 
 /// Declares the subcommand.
 pub fn command() -> Command {
@@ -40,7 +43,7 @@
         .arg(
             Arg::new(REQUEST)
                 .value_name("REQUEST-ID")
-                .required_unless_present(ALL)
+                .required_unless_present_any([ALL, SIZES])
                 .help("The identifier that the client sent"),
         )
         .arg(
@@ -49,6 +52,13 @@
                 .action(ArgAction::SetTrue)
                 .help("Count the causes of all requests instead"),
         )
+        .arg(
+            Arg::new(SIZES)
+                .long(SIZES)
+                .action(ArgAction::SetTrue)
+                .conflicts_with(ALL)
+                .help("Compare the longest prompts of each route with the others instead"),
+        )
         .arg(
             Arg::new(LOGS)
                 .value_name("FILE")
@@ -62,11 +72,14 @@
 pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
     let first: Option<&String> = matches.get_one(REQUEST);
     let mut files: Vec<&String> = matches.get_many(LOGS).into_iter().flatten().collect();
-    if matches.get_flag(ALL) {
+    if matches.get_flag(ALL) || matches.get_flag(SIZES) {
         // Without an identifier, what stands in its place is the first file.
         files.splice(0..0, first);
         let lines = read_all(&files, &|text, file| Line::of_any(text, file))?;
-        let told = write!(out, "{}", Summary::of(lines));
+        let told = match matches.get_flag(ALL) {
+            true => write!(out, "{}", Summary::of(lines)),
+            false => write!(out, "{}", Sizes::of(lines)),
+        };
         return told.map_err(|error| failed("standard output", &error));
     }
     let request_id = first.expect("BUG: clap requires it");
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -119,6 +119,16 @@
             wait.number("spare_per_s"),
         );
     }
+    if let Some(full) = story
+        .last("not placed")
+        .filter(|line| line.field("lacks") == "memory")
+    {
+        text += &format!(
+            "; it needs {} tokens of memory at no more than {} engines together",
+            full.number("needed_tokens"),
+            full.number("engines_allowed"),
+        );
+    }
     if let Some(refused) = story.last("not placed") {
         text += &format!(
             "; {} engines were usable, and it was told to come back after {} ms",
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -1,6 +1,7 @@
 //! The story of one request, put together from the logs of several processes.
 
 pub mod cause;
+pub mod sizes;
 pub mod summary;
 
 use std::fmt::Display;
@@ -122,6 +123,13 @@
         self.lines.iter().rev().find(|line| line.text == text)
     }
 
+    /// The route that took the request; `-` if none did.
+    pub fn route(&self) -> String {
+        let told = self.lines.iter().map(|line| line.field("route"));
+        let known = told.into_iter().find(|route| !route.is_empty());
+        known.unwrap_or_else(|| "-".to_string())
+    }
+
     /// All lines of a kind.
     pub fn all(&self, text: &str) -> Vec<&Line> {
         self.lines.iter().filter(|line| line.text == text).collect()
--- a/src/explain/summary.rs
+++ b/src/explain/summary.rs
@@ -28,6 +28,8 @@
     LaterThanPredicted,
     /// Its first event was in time and a pause between two later ones was too long.
     Pause,
+    /// Its client left after a silence of the endpoint.
+    LeftInSilence,
     /// It ended so.
     Ended(String),
 }
@@ -42,6 +44,7 @@
             Self::PredictedLate => "first event late, as predicted",
             Self::LaterThanPredicted => "first event late, later than predicted",
             Self::Pause => "a pause too long",
+            Self::LeftInSilence => "its client left while its endpoint wrote nothing",
             Self::Ended(how) => how,
         };
         f.write_str(text)
@@ -65,6 +68,9 @@
 
     fn of_stream(story: &Story, ended: &Line) -> Self {
         let outcome = ended.field("outcome");
+        if outcome == "client_left" && ended.number("silent_ms") > ended.number("pause_limit_ms") {
+            return Self::LeftInSilence;
+        }
         if outcome != "answered" {
             return Self::Ended(outcome);
         }
@@ -98,7 +104,7 @@
     }
 }
 
-/// Counts by route and cause; calls of plain services and what was refused have no route.
+/// Counts by route and cause.
 #[derive(Debug, Clone, Default, PartialEq, Eq)]
 pub struct Summary {
     counts: BTreeMap<String, BTreeMap<Cause, u64>>,
@@ -131,10 +137,7 @@
         let Some(cause) = Cause::of(story) else {
             return;
         };
-        let route = story
-            .last("stream ended")
-            .map_or_else(|| "-".to_string(), |line| line.field("route"));
-        let of_route = self.counts.entry(route).or_default();
+        let of_route = self.counts.entry(story.route()).or_default();
         *of_route.entry(cause).or_default() += 1;
     }
 }
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -93,18 +93,64 @@
 front-2 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"request ended","kv":{"request_id":"d","outcome":"refused","detail":"too_late"}}
 "#;
 
-#[test]
-fn the_causes_of_all_requests_are_counted_by_route() {
-    let path = std::env::temp_dir().join(format!("explain-all-{}.log", std::process::id()));
-    std::fs::write(&path, DAY).expect("a file");
+/// What is said of a whole log.
+fn explain_all(flag: &str, log: &str) -> String {
+    let name = format!("explain{flag}-{}.log", std::process::id());
+    let path = std::env::temp_dir().join(name);
+    std::fs::write(&path, log).expect("a file");
     let output = marigoldstage()
-        .args(["explain", "--all"])
+        .args(["explain", flag])
         .arg(&path)
         .output()
         .expect("the program");
     std::fs::remove_file(&path).expect("the file");
     assert_eq!(code(&output), 0, "{}", stderr(&output));
-    let text = stdout(&output);
+    stdout(&output)
+}
+
+/// Ten prompts of one route, of 10,000 to 100,000 read tokens: the three largest aren't answered.
+fn prompts_by_size() -> String {
+    let line = |number: u32| {
+        let (text, end) = match number {
+            8 => ("request ended", r#""outcome":"refused","detail":"full""#),
+            9 => (
+                "stream ended",
+                r#""outcome":"client_left","silent_ms":2000,"pause_limit_ms":250"#,
+            ),
+            10 => ("stream ended", r#""outcome":"stream_timed_out""#),
+            _ => (
+                "stream ended",
+                r#""outcome":"answered","first_event_ms":900,"aim_ms":3000"#,
+            ),
+        };
+        format!(
+            "front-1 {{\"timestamp\":\"2026-05-30 03:20:25.000 +00:00\",\"text\":\"{text}\",\"kv\":{{\
+             \"request_id\":\"r{number}\",\"route\":\"audit\",\"size_tokens\":{number}0000,\
+             \"prompt_tokens\":9000,{end}}}}}\n"
+        )
+    };
+    (1..=10).map(line).collect()
+}
+
+#[test]
+fn the_longest_prompts_of_a_route_are_told_apart() {
+    let text = explain_all("--sizes", &prompts_by_size());
+    for words in [
+        "audit: 10 prompts, 0.70 answered",
+        "7 below the largest three tenths: 10000 to 70000 read tokens, 1.00 answered, 1.43 of all",
+        "2 the fifth below the largest tenth: 80000 to 90000 read tokens, 0.00 answered, 0.00 of all",
+        "1 refused: full",
+        "1 its client left while its endpoint wrote nothing",
+        "1 the largest tenth: 100000 to 100000 read tokens, 0.00 answered",
+        "1 stream_timed_out",
+    ] {
+        assert!(text.contains(words), "{words:?} in {text}");
+    }
+}
+
+#[test]
+fn the_causes_of_all_requests_are_counted_by_route() {
+    let text = explain_all("--all", DAY);
     for words in [
         "short: 2 requests",
         "1  50.0%  on time",
