test(placing): the longest requests of a kind starve, in the emulator

The emulator's clients may leave after a silence and at their deadline, and expect another length than comes; the loads of the earlier tests are as before, and their results too.

--- /dev/null
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -0,0 +1,328 @@
+//! A gateway before emulated engines: it places prompts as the relay does.
+
+use std::collections::HashMap;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::board::Board;
+use mgs_placing::board::Held;
+use mgs_placing::choose::choose;
+use mgs_placing::choose::is_long;
+use mgs_placing::line::Firsts;
+use mgs_placing::line::Score;
+use mgs_placing::model::EngineModel;
+use mgs_placing::need::Need;
+use mgs_placing::options;
+use mgs_placing::spare::Spare;
+use mgs_placing::streams::Streams;
+use mgs_placing::turn;
+use mgs_placing::turn::score;
+use mgs_placing::turn::Turn;
+use mgs_placing::way::Candidate;
+use mgs_placing::way::Placement;
+use mgs_placing::way::Scene;
+
+use super::load;
+use super::Audits;
+use super::Emulator;
+use super::Event;
+use super::Phase;
+use super::Prompt;
+use super::Questions;
+
+const LOOK_MS: f64 = 12.0;
+
+/// Prompts of fewer tokens are short in each load.
+const SHORT_TOKENS: u64 = 24_000;
+
+/// A fleet and the longest prompts that it gets.
+#[derive(Debug, Clone)]
+pub(crate) struct Deployment {
+    pub(crate) engines: usize,
+    pub(crate) model: EngineModel,
+    pub(crate) audits: Audits,
+    /// Short prompts and clients unlike those of the sheets.
+    pub(crate) questions: Option<Questions>,
+    /// Requests and parts that an engine runs at once; more wait at the engine.
+    pub(crate) places: usize,
+    /// Plays with different numbers, over which the mean is taken.
+    pub(crate) plays: u64,
+}
+
+/// How prompts are placed in a play.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Policy {
+    /// As the gateway does.
+    Turns,
+    /// As the gateway does, and nobody waits for a turn.
+    NoTurns,
+    /// As the gateway does, but short prompts are sent also when they can't be on time.
+    NoSpare,
+    /// As the gateway does, but late prompts go at their last chance and over as many engines as may be.
+    WideWhenLate,
+    /// On the one engine with the least reading and writing.
+    LeastLoaded,
+}
+
+struct Gateway {
+    policy: Policy,
+    engines: u32,
+    board: Board,
+    options: options::Options,
+    turns: turn::Options,
+    waiting: Vec<usize>,
+    spare: Spare,
+    placed: HashMap<usize, Placed>,
+}
+
+struct Placed {
+    placement: Placement,
+    parts: Vec<(EndpointKey, Held)>,
+    /// The writer and memory, until the end.
+    rest: Vec<(EndpointKey, Held)>,
+}
+
+impl Gateway {
+    fn new(policy: Policy, deployment: &Deployment) -> Self {
+        let mut options = options::Options::default();
+        let mut turns = turn::Options::default();
+        // Engines that never run out of places have no spare ones to wait for.
+        if policy == Policy::NoSpare || deployment.places == usize::MAX {
+            turns.spare_from_share = f64::INFINITY;
+        }
+        if policy == Policy::WideWhenLate {
+            // Nothing narrow ends in time by this, and there are always engines for the last chance.
+            options.late_margin_factor = 100.0;
+            turns.last_engines = 10.0;
+            turns.last_share = 1.0;
+        }
+        let mut board = Board::new();
+        for key in 0..deployment.engines as u32 {
+            board.know_pass(EndpointKey(key), deployment.model.bare_pass_ms());
+        }
+        Self {
+            policy,
+            engines: deployment.engines as u32,
+            board,
+            options,
+            turns,
+            waiting: Vec::new(),
+            spare: Spare::default(),
+            placed: HashMap::new(),
+        }
+    }
+
+    fn need(prompt: &Prompt, model: &EngineModel, now_ms: f64) -> Need {
+        let stride = u64::from(model.stride_steps);
+        let waited_ms = now_ms - prompt.at_ms;
+        Need {
+            prompt_tokens: prompt.tokens,
+            output_tokens: u64::from(prompt.most_events) * stride,
+            expected_tokens: u64::from(prompt.expected_events) * stride,
+            pause_ms: prompt.pause_ms,
+            full_aim_ms: prompt.aim_ms,
+            aim_ms: prompt.aim_ms - waited_ms,
+            left_ms: prompt.deadline_ms - waited_ms,
+        }
+    }
+
+    fn place(&self, need: &Need, model: &EngineModel, now_ms: f64) -> Option<Placement> {
+        let candidate = |key| Candidate {
+            key: EndpointKey(key),
+            slowness: 1.0,
+            trial: false,
+        };
+        let candidates: Vec<Candidate> = (0..self.engines).map(candidate).collect();
+        choose(need, &candidates, &self.board, model, &self.options, now_ms).ok()
+    }
+
+    fn look(&mut self, emulator: &mut Emulator) {
+        self.note(emulator);
+        let now_ms = emulator.now_ms;
+        let mut scored = Vec::new();
+        for prompt in std::mem::take(&mut self.waiting) {
+            let need = Self::need(&emulator.prompts[prompt], &emulator.model, now_ms);
+            let Some(placement) = self.place(&need, &emulator.model, now_ms) else {
+                continue;
+            };
+            scored.push((score(&need, &placement, &emulator.model), prompt));
+        }
+        scored.sort();
+        for (position, (own, prompt)) in scored.iter().enumerate() {
+            let need = Self::need(&emulator.prompts[*prompt], &emulator.model, now_ms);
+            let Some(placement) = self.place(&need, &emulator.model, now_ms) else {
+                continue;
+            };
+            let before = scored[..position].iter();
+            let before = before.fold(Firsts::default(), |firsts, (score, _)| firsts.with(*score));
+            let best_other = before.in_line_of(*own);
+            let waiting = turn::Waiting {
+                need: &need,
+                placement: &placement,
+                model: &emulator.model,
+                own: *own,
+                best_other,
+                ahead: self.ahead(&emulator.prompts, &scored, *prompt),
+                spare_per_s: self.spare.per_s(now_ms),
+                gateways: 1,
+            };
+            let turn = turn::turn(&waiting, &self.turns);
+            if turn == Turn::Go
+                && waiting.is_short(&self.turns)
+                && turn::takes_spare(&waiting, &self.turns)
+            {
+                self.spare.found(now_ms);
+            }
+            if turn == Turn::Go || self.policy == Policy::NoTurns {
+                self.send(emulator, *prompt, &need, placement);
+            } else if turn == Turn::Wait {
+                self.waiting.push(*prompt);
+            }
+        }
+    }
+
+    /// Short prompts that wait since before this one came; prompts are numbered as they come.
+    fn ahead(&self, prompts: &[Prompt], waiting: &[(Score, usize)], own: usize) -> usize {
+        let is_short = |prompt: usize| prompts[prompt].tokens < SHORT_TOKENS;
+        let ahead = waiting
+            .iter()
+            .filter(|(_, prompt)| *prompt < own && is_short(*prompt));
+        ahead.count()
+    }
+
+    fn note(&mut self, emulator: &mut Emulator) {
+        for (engine, at_ms) in emulator.wrote.drain(..) {
+            self.board.event(EndpointKey(engine as u32), at_ms);
+        }
+        for prompt in emulator.started.drain(..) {
+            let placed = &self.placed[&prompt];
+            for (key, part) in &placed.parts {
+                self.board.let_go(*key, part);
+            }
+        }
+        for prompt in emulator.ended.drain(..) {
+            if let Some(placed) = self.placed.remove(&prompt) {
+                for (key, held) in &placed.rest {
+                    self.board.let_go(*key, held);
+                }
+            }
+        }
+    }
+
+    fn send(&mut self, emulator: &mut Emulator, prompt: usize, need: &Need, placement: Placement) {
+        let memory = |tokens: u64| Held {
+            memory_tokens: tokens as u32,
+            ..Held::default()
+        };
+        let reserves = placement.reserves.iter();
+        let mut rest: Vec<(EndpointKey, Held)> = reserves
+            .map(|reserve| (reserve.endpoint, memory(reserve.tokens)))
+            .collect();
+        let reserved: u64 = placement.reserves.iter().map(|r| r.tokens).sum();
+        let mut writer = memory(need.memory_tokens().saturating_sub(reserved));
+        let is_long = is_long(need, &emulator.model, &self.options);
+        let passes = emulator.model.passes(need.expected_tokens);
+        let units = need.units(&emulator.model);
+        writer.streams = vec![Streams::one(need.pause_ms, is_long, units, passes)];
+        rest.push((placement.first, writer));
+        let mut readers = vec![placement.first];
+        readers.extend(&placement.helpers);
+        for key in &readers {
+            self.board.read(*key, emulator.now_ms, placement.read_ms);
+        }
+        for (key, held) in &rest {
+            self.board.hold(*key, held);
+        }
+        let part = Held {
+            parts: 1,
+            late_parts: u16::from(placement.is_late),
+            shared_read_ms: placement.read_ms as u32,
+            ..Held::default()
+        };
+        let mut parts = Vec::new();
+        for key in &readers {
+            if readers.len() > 1 {
+                self.board.hold(*key, &part);
+                parts.push((*key, part.clone()));
+            }
+        }
+        let at_ms = emulator.now_ms + placement.hold_ms;
+        let placed = Placed {
+            placement,
+            parts,
+            rest,
+        };
+        self.placed.insert(prompt, placed);
+        emulator.schedule(at_ms, Event::Send(prompt));
+    }
+
+    fn least_loaded(&mut self, emulator: &mut Emulator, prompt: usize) {
+        self.note(emulator);
+        let now_ms = emulator.now_ms;
+        let need = Self::need(&emulator.prompts[prompt], &emulator.model, now_ms);
+        let load = |key: &u32| {
+            let key = EndpointKey(*key);
+            let running = self.board.held(key).running();
+            self.board.backlog_ms(key, now_ms, 0.0) + 50.0 * f64::from(running)
+        };
+        let least = (0..self.engines).min_by(|a, b| load(a).total_cmp(&load(b)));
+        let placement = Placement {
+            first: EndpointKey(least.expect("there are engines")),
+            helpers: Vec::new(),
+            reserves: Vec::new(),
+            read_ms: emulator.model.read_ms(need.prompt_tokens),
+            backlog_ms: 0.0,
+            hold_ms: 0.0,
+            first_token_ms: 0.0,
+            loss_units: 0.0,
+            is_late: false,
+            scene: Scene::default(),
+        };
+        self.send(emulator, prompt, &need, placement);
+    }
+}
+
+/// Plays a load to its end; what became of each prompt is in the emulator.
+pub(crate) fn play(
+    policy: Policy,
+    deployment: &Deployment,
+    phases: &[Phase],
+    seed: u64,
+) -> Emulator {
+    let mut prompts = load(phases, &deployment.audits, seed);
+    if let Some(questions) = &deployment.questions {
+        questions.draw(&mut prompts, seed);
+    }
+    let model = deployment.model.clone();
+    let mut emulator = Emulator::new(model, deployment.engines, prompts);
+    emulator.places = deployment.places;
+    let mut gateway = Gateway::new(policy, deployment);
+    emulator.schedule(LOOK_MS, Event::Look);
+    let end_ms = phases.iter().map(|phase| phase.length_ms).sum::<f64>() + 15_000.0;
+    while let Some(event) = emulator.next() {
+        if emulator.now_ms > end_ms {
+            break;
+        }
+        match event {
+            Event::Arrival(prompt) if policy == Policy::LeastLoaded => {
+                gateway.least_loaded(&mut emulator, prompt);
+            }
+            Event::Arrival(prompt) => {
+                gateway.waiting.push(prompt);
+                gateway.look(&mut emulator);
+            }
+            Event::Look => {
+                gateway.look(&mut emulator);
+                let at_ms = emulator.now_ms + LOOK_MS;
+                emulator.schedule(at_ms, Event::Look);
+            }
+            Event::Send(prompt) => {
+                let placement = &gateway.placed[&prompt].placement;
+                let mut readers = vec![placement.first.0 as usize];
+                readers.extend(placement.helpers.iter().map(|key| key.0 as usize));
+                emulator.send(prompt, &readers);
+            }
+            Event::Pass(_) => unreachable!("passes are played by the emulator"),
+        }
+    }
+    emulator
+}
--- a/crates/mgs-placing/tests/emulator/mod.rs
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -1,6 +1,13 @@
 //! Engines that work in passes, as calibrated against the users' bench (design note 91), and a load of
 //! short and long prompts that swings between two mixes.
 
+// Each test program uses a part of it.
+#![allow(dead_code)]
+
+pub(crate) mod deployments;
+pub(crate) mod gateway;
+pub(crate) mod sizes;
+
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
 use std::collections::VecDeque;
@@ -13,9 +20,24 @@
     pub(crate) at_ms: f64,
     pub(crate) tokens: u64,
     pub(crate) events: u32,
+    /// Events that the client expects.
+    pub(crate) expected_events: u32,
+    /// Most events that the client takes.
+    pub(crate) most_events: u32,
     pub(crate) aim_ms: f64,
     pub(crate) pause_ms: f64,
     pub(crate) deadline_ms: f64,
+    /// The client leaves after a longer silence than this, and at its deadline; those that bear any silence stay
+    /// to the end.
+    pub(crate) patience_ms: f64,
+}
+
+impl Prompt {
+    /// Whether the client is gone, `silent_ms` after the last event.
+    fn is_given_up(&self, now_ms: f64, silent_ms: f64) -> bool {
+        let is_over = now_ms - self.at_ms > self.deadline_ms;
+        self.patience_ms.is_finite() && (is_over || silent_ms > self.patience_ms)
+    }
 }
 
 /// What became of a prompt.
@@ -253,8 +275,13 @@
 
     fn start_writing(&mut self, prompt: usize) {
         let wanted = self.prompts[prompt];
-        self.fates[prompt].first_token_ms = Some(self.now_ms - wanted.at_ms);
+        let after_ms = self.now_ms - wanted.at_ms;
         self.started.push(prompt);
+        if wanted.is_given_up(self.now_ms, after_ms) {
+            self.ended.push(prompt);
+            return;
+        }
+        self.fates[prompt].first_token_ms = Some(after_ms);
         let engine = self.firsts[prompt];
         self.engines[engine].writers.push(Writer {
             prompt,
@@ -279,9 +306,14 @@
             let fate = &mut self.fates[writer.prompt];
             fate.longest_pause_ms = fate.longest_pause_ms.max(pause_ms);
             writer.last_ms = now_ms;
+            let prompt = &self.prompts[writer.prompt];
+            if prompt.is_given_up(now_ms, pause_ms) {
+                writer.events_left = 0;
+                self.ended.push(writer.prompt);
+                continue;
+            }
             writer.events_left = writer.events_left.saturating_sub(1);
             if writer.events_left == 0 {
-                let prompt = &self.prompts[writer.prompt];
                 fate.is_whole = now_ms - prompt.at_ms <= prompt.deadline_ms;
                 self.ended.push(writer.prompt);
             }
@@ -310,6 +342,58 @@
     pub(crate) aim_ms: f64,
 }
 
+/// The short prompts of a deployment, whose answers are as unlike as their sizes.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Questions {
+    pub(crate) mean_tokens: f64,
+    pub(crate) spread: f64,
+    pub(crate) most_tokens: f64,
+    pub(crate) mean_events: f64,
+    pub(crate) events_spread: f64,
+    pub(crate) most_events: f64,
+    /// Spread of what clients expect around the true length.
+    pub(crate) hint_spread: f64,
+    pub(crate) aim_ms: f64,
+    pub(crate) pause_ms: f64,
+}
+
+impl Questions {
+    /// Those of the load, in which all answers are of one length, drawn anew; their clients leave.
+    pub(crate) fn draw(&self, prompts: &mut [Prompt], seed: u64) {
+        let mut numbers = Numbers::new(seed);
+        let is_short = |prompt: &&mut Prompt| prompt.aim_ms == QUESTION_AIM_MS;
+        for prompt in prompts.iter_mut().filter(is_short) {
+            let tokens = numbers.spread(self.mean_tokens, self.spread);
+            let events = numbers.spread(self.mean_events, self.events_spread);
+            let events = events.clamp(2.0, self.most_events);
+            let expected = events * numbers.spread(1.0, self.hint_spread);
+            prompt.tokens = tokens.clamp(400.0, self.most_tokens) as u64;
+            prompt.events = events as u32;
+            prompt.most_events = self.most_events as u32;
+            prompt.expected_events = expected.clamp(1.0, self.most_events) as u32;
+            prompt.aim_ms = self.aim_ms;
+            prompt.pause_ms = self.pause_ms;
+        }
+        prompts.iter_mut().for_each(Prompt::leaves);
+    }
+}
+
+impl Prompt {
+    /// Its client leaves as those of the deployments do.
+    pub(crate) fn leaves(&mut self) {
+        let patience_ms: f64 = 2_000.0;
+        self.patience_ms = patience_ms.max(4.0 * self.aim_ms).max(8.0 * self.pause_ms);
+    }
+
+    /// Its length as tokens read, with ten for each that is written.
+    pub(crate) fn size_tokens(&self, stride: u32) -> u64 {
+        self.tokens + 10 * u64::from(self.events * stride)
+    }
+}
+
+/// Time to the first event that short prompts of the load ask for.
+const QUESTION_AIM_MS: f64 = 300.0;
+
 /// The load of some phases, one after the other.
 pub(crate) fn load(phases: &[Phase], audits: &Audits, seed: u64) -> Vec<Prompt> {
     let mut numbers = Numbers::new(seed);
@@ -340,7 +424,7 @@
 fn prompt(numbers: &mut Numbers, audits: &Audits, at_ms: f64, kind: usize) -> Prompt {
     // As on the sheets of the deployments: mean tokens and events, spreads, aims and limits.
     let (tokens, spread, most, events, aim_ms, pause_ms, deadline_ms) = [
-        (4_960.0, 0.8, 23_800.0, 33, 300.0, 250.0, 10_000.0),
+        (4_960.0, 0.8, 23_800.0, 33, QUESTION_AIM_MS, 250.0, 10_000.0),
         (45_000.0, 0.47, 110_000.0, 20, 1_500.0, 600.0, 10_000.0),
         (
             audits.mean_tokens,
@@ -356,8 +440,11 @@
         at_ms,
         tokens: numbers.spread(tokens, spread).min(most).max(400.0) as u64,
         events,
+        expected_events: events,
+        most_events: events,
         aim_ms,
         pause_ms,
         deadline_ms,
+        patience_ms: f64::INFINITY,
     }
 }
