feat(membership): an incarnation is an identifier and its start; entries by other writers name nothing to use

Cause: three promises rested on 'another start, another identifier'. Two lives under one identifier shared a key, so what was believed of the first (work placed, failures, memory) was taken for the second; a reservation was renewed at a life that never granted it; an older life's entry that came late replaced the newer one; an entry that became unreadable left its endpoint in use, any entry with a listed address ended the true one, and one row of another shape hid the table.

A later start is a new key, an older one changes nothing, one that stops telling its start is foreign. A row that can't be understood hides its endpoint until it can, with one line for each change and relay_bad_rows{fault}; all others hold. At one address the later start ends the earlier one, or, where neither tells, the entry written later; never one of a service that nobody names.

--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -17,7 +17,7 @@
 /// What is held at one endpoint.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct HeldAt {
-    /// Hash of the endpoint's identifier.
+    /// Hash of the endpoint's incarnation.
     pub endpoint: u64,
     /// What the sender holds there.
     pub held: Held,
@@ -26,7 +26,7 @@
 /// Reading placed at one endpoint since the last message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadAt {
-    /// Hash of the endpoint's identifier.
+    /// Hash of the endpoint's incarnation.
     pub endpoint: u64,
     /// Predicted reading, in milliseconds.
     pub read_ms: u16,
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -12,11 +12,14 @@
 use std::thread;
 use std::time::Duration;
 
+use mgs_observe::metrics::Counters;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
 
+use crate::bad_rows::BadRow;
+use crate::bad_rows::BadRows;
 use crate::belief::Belief;
 use crate::help;
 use crate::membership::Endpoints;
@@ -26,6 +29,7 @@
 use crate::source::SourceFactory;
 use crate::source::Topic;
 use crate::source::Update;
+use crate::view::Configuration;
 use crate::view::Published;
 
 /// Settings of following.
@@ -81,11 +85,13 @@
     }
 }
 
-/// Starts to follow; the thread lives as long as the process.
+/// Starts to follow; the thread lives as long as the process. `bad_rows` counts the rows that can't be understood, by
+/// what is wrong with them.
 pub fn start(
     options: Options,
     factory: Box<dyn SourceFactory>,
     published: Arc<Published>,
+    bad_rows: Counters,
 ) -> std::io::Result<()> {
     let runtime = Builder::new_current_thread()
         .enable_io()
@@ -102,7 +108,8 @@
         ));
         let follower = |topic| {
             let endpoints = endpoints.clone();
-            Follower::new(topic, options.clone(), published.clone(), endpoints)
+            let rows = BadRows::new(bad_rows.clone());
+            Follower::new(topic, options.clone(), published.clone(), endpoints, rows)
         };
         local.spawn_local(follow(follower(Topic::Configuration), factory.source()));
         local.spawn_local(follow(follower(Topic::Endpoints), factory.source()));
@@ -151,9 +158,10 @@
     let is_newcomer = |update: &Update| match update {
         Update::Endpoint(facts) => !facts.is_leaving,
         Update::Gateway { .. } => true,
-        Update::Configuration(_) | Update::EndpointGone { .. } | Update::GatewayGone { .. } => {
-            false
-        }
+        Update::Configuration(_)
+        | Update::EndpointGone { .. }
+        | Update::GatewayGone { .. }
+        | Update::Unreadable { .. } => false,
     };
     !batch.updates.is_empty() && batch.updates.iter().all(is_newcomer)
 }
@@ -169,6 +177,7 @@
     is_doubtful: bool,
     endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
+    rows: BadRows,
 }
 
 impl Follower {
@@ -177,6 +186,7 @@
         options: Options,
         published: Arc<Published>,
         endpoints: Rc<RefCell<Endpoints>>,
+        rows: BadRows,
     ) -> Self {
         Self {
             topic,
@@ -187,6 +197,7 @@
             is_doubtful: false,
             endpoints,
             gateways: HashMap::new(),
+            rows,
         }
     }
 
@@ -350,6 +361,9 @@
     }
 
     fn apply(&mut self, batch: Batch, start_ms: u64) {
+        for update in &batch.updates {
+            self.note_row(update);
+        }
         let is_whole = self.revision.is_none();
         self.revision = Some(batch.revision);
         match self.topic {
@@ -359,6 +373,32 @@
         }
     }
 
+    /// Says what rows can't be understood, and which of them can again.
+    fn note_row(&mut self, update: &Update) {
+        match update {
+            Update::Unreadable {
+                key,
+                fault,
+                detail,
+                revision,
+            } => {
+                let row = BadRow {
+                    key,
+                    fault: *fault,
+                    detail,
+                    revision: *revision,
+                };
+                self.rows.note(self.topic, &row);
+            }
+            Update::Gateway { name, .. } | Update::GatewayGone { name } => {
+                self.rows.clear(self.topic, name);
+            }
+            Update::Configuration(_) => self.rows.clear_all(self.topic),
+            // Whether an endpoint's entry is taken shows when it is.
+            Update::Endpoint(_) | Update::EndpointGone { .. } => {}
+        }
+    }
+
     fn apply_configuration(&mut self, updates: Vec<Update>, start_ms: u64) {
         for update in updates {
             let Update::Configuration(configuration) = update else {
@@ -378,10 +418,24 @@
         if is_whole {
             endpoints.miss_all(&updates, now_ms);
         }
+        let configuration = self.published.configuration();
         for update in updates {
             match update {
-                Update::Endpoint(facts) => endpoints.see(facts),
-                Update::EndpointGone { id } => endpoints.miss(&id, now_ms),
+                Update::Endpoint(facts) => {
+                    let id = facts.incarnation.id.clone();
+                    // Without a configuration nobody knows which services there are.
+                    let names = |c: &Arc<Configuration>| c.services.contains_key(&facts.service);
+                    let is_named = configuration.as_ref().is_none_or(names);
+                    match endpoints.see(facts, is_named) {
+                        Ok(()) => self.rows.clear(self.topic, &id),
+                        Err(fault) => self.rows.note(self.topic, &BadRow::of(&id, fault)),
+                    }
+                }
+                Update::EndpointGone { id } => {
+                    self.rows.clear(self.topic, &id);
+                    endpoints.miss(&id, now_ms);
+                }
+                Update::Unreadable { key, .. } => endpoints.hide(&key),
                 _ => {}
             }
         }
@@ -403,7 +457,7 @@
                 Update::Gateway { name, address } => {
                     self.gateways.insert(name, address);
                 }
-                Update::GatewayGone { name } => {
+                Update::GatewayGone { name } | Update::Unreadable { key: name, .. } => {
                     self.gateways.remove(&name);
                 }
                 _ => {}
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -18,6 +18,7 @@
 
 mod answer;
 mod attempt;
+mod bad_rows;
 pub mod belief;
 mod budget;
 mod client;
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -1,27 +1,49 @@
 //! The endpoints that are listed, and those whose entry may only have lapsed in an outage.
+//!
+//! All that is kept here belongs to an incarnation: an endpoint that starts again, under another identifier or under
+//! the same one with a later start, gets a key of its own, and nothing that is believed of its earlier life is taken
+//! for its new one. What an older life says that comes late (from a slow store, a peer, a reading in an outage) changes
+//! nothing. An entry that can't be understood names no endpoint; what it named before isn't used until it can be
+//! understood again.
 
 use std::collections::HashMap;
+use std::net::SocketAddr;
 
 use mgs_fleet::view::EndpointKey;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::source::EndpointFacts;
+use crate::source::Incarnation;
+use crate::source::RowFault;
 use crate::source::Update;
 use crate::view::Endpoint;
 use crate::view::Fleet;
 
+/// Identifiers whose newest start is remembered although they aren't listed any more; more are forgotten, so that a
+/// writer of ever new identifiers can't fill a host's memory.
+const STARTS_MAX: usize = 10_000;
+
 /// An endpoint and since when it isn't listed.
 #[derive(Debug, Clone)]
 struct Entry {
     key: EndpointKey,
     facts: EndpointFacts,
     missing_since_ms: Option<u64>,
+    /// Whether its row can't be understood any more.
+    is_unreadable: bool,
+}
+
+impl Entry {
+    fn is_listed(&self) -> bool {
+        self.missing_since_ms.is_none() && !self.is_unreadable
+    }
 }
 
 /// The endpoints that are listed, and those whose entry may only have lapsed in an outage.
 #[derive(Debug)]
 pub struct Endpoints {
     entries: HashMap<String, Entry>,
+    /// The latest start of each identifier that has ever told one, in Unix milliseconds.
+    starts_ms: HashMap<String, u64>,
     next_key: u32,
     grace_ms: u64,
     outage_ended_ms: Option<u64>,
@@ -33,6 +55,7 @@
     pub fn new(grace_ms: u64) -> Self {
         Self {
             entries: HashMap::new(),
+            starts_ms: HashMap::new(),
             next_key: 0,
             grace_ms,
             outage_ended_ms: None,
@@ -45,44 +68,127 @@
         self.outage_ended_ms = Some(now_ms);
     }
 
-    /// An endpoint is listed.
-    pub fn see(&mut self, facts: EndpointFacts) {
-        self.replace_at(&facts);
-        if let Some(entry) = self.entries.get_mut(&facts.id) {
-            let is_same = entry.facts == facts && entry.missing_since_ms.is_none();
-            if is_same {
-                return;
+    /// An endpoint is listed. `is_named`: whether the configuration names its service; one whose service nobody
+    /// names ends no other. Answers why the entry isn't taken, if it isn't.
+    pub fn see(&mut self, facts: EndpointFacts, is_named: bool) -> Result<(), RowFault> {
+        let id = facts.incarnation.id.clone();
+        match self.fault_of(&facts, is_named) {
+            Some(RowFault::NoStart) => {
+                self.hide(&id);
+                return Err(RowFault::NoStart);
             }
-            log::info!(endpoint = facts.id, leaving = facts.is_leaving; "endpoint changed");
-            entry.facts = facts;
-            entry.missing_since_ms = None;
-        } else {
-            log::info!(
-                endpoint = facts.id, service = facts.service, address:% = facts.address,
-                leaving = facts.is_leaving;
-                "endpoint listed"
-            );
-            let key = EndpointKey(self.next_key);
-            self.next_key += 1;
-            let entry = Entry {
-                key,
-                facts: facts.clone(),
-                missing_since_ms: None,
-            };
-            self.entries.insert(facts.id, entry);
+            Some(fault) => return Err(fault),
+            None => {}
+        }
+        self.note_start(&facts.incarnation);
+        if is_named {
+            self.end_at(facts.address, &facts.incarnation);
+        }
+        self.put(facts);
+        match is_named {
+            true => Ok(()),
+            false => Err(RowFault::Service),
+        }
+    }
+
+    /// Why an entry tells nothing of the endpoint as it is now.
+    fn fault_of(&self, facts: &EndpointFacts, is_named: bool) -> Option<RowFault> {
+        let own = &facts.incarnation;
+        if let Some(newest_ms) = self.starts_ms.get(&own.id) {
+            match own.born_ms {
+                None => return Some(RowFault::NoStart),
+                Some(born_ms) if born_ms < *newest_ms => return Some(RowFault::OlderStart),
+                Some(_) => {}
+            }
+        }
+        let is_later = |entry: &&Entry| {
+            let other = &entry.facts.incarnation;
+            let is_start_later = other.born_ms > own.born_ms && own.born_ms.is_some();
+            entry.facts.address == facts.address && entry.is_listed() && is_start_later
+        };
+        let is_ended = is_named && self.entries.values().any(|entry| is_later(&entry));
+        is_ended.then_some(RowFault::OlderStart)
+    }
+
+    fn note_start(&mut self, incarnation: &Incarnation) {
+        let Some(born_ms) = incarnation.born_ms else {
+            return;
+        };
+        self.starts_ms.insert(incarnation.id.clone(), born_ms);
+        if self.starts_ms.len() > STARTS_MAX {
+            let entries = &self.entries;
+            self.starts_ms.retain(|id, _| entries.contains_key(id));
         }
-        self.is_changed = true;
     }
 
     /// A later incarnation at the same address ends the earlier one.
-    fn replace_at(&mut self, facts: &EndpointFacts) {
-        let is_earlier =
-            |entry: &Entry| entry.facts.address == facts.address && entry.facts.id != facts.id;
+    fn end_at(&mut self, address: SocketAddr, later: &Incarnation) {
+        let is_ended = |entry: &Entry| {
+            let earlier = &entry.facts.incarnation;
+            entry.facts.address == address && earlier.id != later.id && later.ends(earlier)
+        };
         let before = self.entries.len();
-        self.entries.retain(|_, entry| !is_earlier(entry));
+        self.entries.retain(|id, entry| {
+            let is_ended = is_ended(entry);
+            if is_ended {
+                log::info!(endpoint = id, by = later.id; "endpoint ended by another at its address");
+            }
+            !is_ended
+        });
         self.is_changed |= self.entries.len() != before;
     }
 
+    fn put(&mut self, facts: EndpointFacts) {
+        let known = self.entries.get_mut(&facts.incarnation.id);
+        match known.filter(|entry| entry.facts.incarnation == facts.incarnation) {
+            Some(entry) => {
+                if entry.facts == facts && entry.is_listed() {
+                    return;
+                }
+                log::info!(
+                    endpoint = facts.incarnation.id, leaving = facts.is_leaving;
+                    "endpoint changed"
+                );
+                entry.facts = facts;
+                entry.missing_since_ms = None;
+                entry.is_unreadable = false;
+            }
+            None => self.add(facts),
+        }
+        self.is_changed = true;
+    }
+
+    /// Adds an incarnation that isn't known, in place of an earlier one of the same identifier.
+    fn add(&mut self, facts: EndpointFacts) {
+        let is_restart = self.entries.contains_key(&facts.incarnation.id);
+        log::info!(
+            endpoint = facts.incarnation.id, service = facts.service, address:% = facts.address,
+            born_ms = facts.incarnation.born_ms.unwrap_or(0), restarted = is_restart,
+            leaving = facts.is_leaving;
+            "endpoint listed"
+        );
+        let key = EndpointKey(self.next_key);
+        self.next_key += 1;
+        let id = facts.incarnation.id.clone();
+        let entry = Entry {
+            key,
+            facts,
+            missing_since_ms: None,
+            is_unreadable: false,
+        };
+        self.entries.insert(id, entry);
+    }
+
+    /// The row of an endpoint can't be understood: it isn't used until it can. The key is kept, since it may be the
+    /// same life that is listed again.
+    pub fn hide(&mut self, id: &str) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            self.is_changed |= !entry.is_unreadable;
+            entry.is_unreadable = true;
+            entry.missing_since_ms = None;
+        }
+    }
+
     /// An endpoint isn't listed any more.
     pub fn miss(&mut self, id: &str, now_ms: u64) {
         let Some(entry) = self.entries.get_mut(id) else {
@@ -97,9 +203,11 @@
     /// All were read: those that aren't among them aren't listed any more.
     pub fn miss_all(&mut self, updates: &[Update], now_ms: u64) {
         let is_listed = |id: &String| {
-            updates
-                .iter()
-                .any(|update| matches!(update, Update::Endpoint(facts) if facts.id == *id))
+            updates.iter().any(|update| match update {
+                Update::Endpoint(facts) => facts.incarnation.id == *id,
+                Update::Unreadable { key, .. } => key == id,
+                _ => false,
+            })
         };
         let missing: Vec<String> = self
             .entries
@@ -118,14 +226,17 @@
         self.miss_all(&updates, now_ms);
         for update in updates {
             if let Update::Endpoint(facts) = update {
-                self.see(facts);
+                let id = facts.incarnation.id.clone();
+                if let Err(fault) = self.see(facts, true) {
+                    log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
+                }
             }
         }
         self.drop_missing(now_ms);
     }
 
     /// Drops those that aren't listed, except shortly after an outage. One that was leaving is dropped at
-    /// once: it was to go.
+    /// once: it was to go; so is one whose row couldn't be understood.
     pub fn drop_missing(&mut self, now_ms: u64) {
         let grace_ms = self.grace_ms;
         let ended_ms = self.outage_ended_ms;
@@ -133,7 +244,8 @@
         let before = self.entries.len();
         self.entries.retain(|id, entry| {
             let is_missing = entry.missing_since_ms.is_some();
-            let stays = !is_missing || (in_grace && !entry.facts.is_leaving);
+            let may_lapse = !entry.facts.is_leaving && !entry.is_unreadable;
+            let stays = !is_missing || (in_grace && may_lapse);
             if !stays {
                 log::info!(endpoint = id; "endpoint dropped");
             }
@@ -164,13 +276,14 @@
 
     /// Names what is listed, alike at all gateways that have read the same.
     pub fn content(&self) -> u64 {
-        let listed = self
-            .entries
-            .values()
-            .filter(|e| e.missing_since_ms.is_none());
+        let listed = self.entries.values().filter(|entry| entry.is_listed());
+        // One that is leaving differs from itself before.
         let hash = |entry: &Entry| {
-            let leaving = if entry.facts.is_leaving { "-" } else { "+" };
-            xxh3_64(format!("{leaving}{}", entry.facts.id).as_bytes())
+            let hash = entry.facts.incarnation.hash_64();
+            match entry.facts.is_leaving {
+                true => !hash,
+                false => hash,
+            }
         };
         // A sum, since the order isn't the same everywhere.
         listed.map(hash).fold(1, u64::wrapping_add)
@@ -182,7 +295,8 @@
             key: entry.key,
             facts: entry.facts.clone(),
         };
-        let mut endpoints: Vec<Endpoint> = self.entries.values().map(endpoint).collect();
+        let used = self.entries.values().filter(|entry| !entry.is_unreadable);
+        let mut endpoints: Vec<Endpoint> = used.map(endpoint).collect();
         endpoints.sort_by_key(|endpoint| endpoint.key);
         Fleet::of(endpoints)
     }
--- a/crates/mgs-relay/src/memory.rs
+++ b/crates/mgs-relay/src/memory.rs
@@ -15,6 +15,7 @@
 use crate::connect::Connection;
 use crate::core::Core;
 use crate::dialect::Reservation;
+use crate::source::Incarnation;
 use crate::view::Fleet;
 
 /// How long an engine keeps memory that isn't renewed, in milliseconds: below the time in which memory
@@ -30,6 +31,8 @@
 /// One reservation and where it is.
 #[derive(Debug, Clone)]
 struct Place {
+    /// The life of the engine that sets the memory aside.
+    incarnation: Incarnation,
     address: SocketAddr,
     reservation: Reservation,
 }
@@ -58,10 +61,11 @@
         for reserve in reserves {
             let endpoint = fleet.by_key.get(&reserve.endpoint)?;
             let place = Place {
+                incarnation: endpoint.facts.incarnation.clone(),
                 address: endpoint.facts.address,
                 reservation: Reservation {
                     id: all.next_id(),
-                    endpoint_id: endpoint.facts.id.clone(),
+                    endpoint_id: endpoint.facts.incarnation.id.clone(),
                     tokens: reserve.tokens,
                     hold_ms: HOLD_MS,
                 },
@@ -96,7 +100,11 @@
         let task = tokio::task::spawn_local(async move {
             loop {
                 tokio::time::sleep(RENEW).await;
-                for place in &places {
+                let fleet = core.published.fleet();
+                // An engine that has started again holds nothing of this, and would set memory aside anew, under
+                // the same identifier, for a prompt that is gone.
+                let is_over = |place: &&Place| fleet.has_restarted(&place.incarnation);
+                for place in places.iter().filter(|place| !is_over(place)) {
                     let request = core.dialect.reserve(&place.reservation);
                     tokio::task::spawn_local(call(place.address, request));
                 }
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -70,6 +70,8 @@
     pub(crate) pause_ms: HistogramMs,
     /// Times to connect to an endpoint.
     pub(crate) connect_ms: HistogramMs,
+    /// Rows of the store that name nothing to use, by what is wrong with them.
+    pub bad_rows: Counters,
     /// Messages of peers that couldn't be read or sent.
     pub(crate) peer_faults: Counter,
 }
@@ -104,6 +106,11 @@
             late_by_ms: registry.histogram_ms("relay_late_by_ms", "First token after prediction"),
             pause_ms: registry.histogram_ms("relay_pause_ms", "Pauses between events"),
             connect_ms: registry.histogram_ms("relay_connect_ms", "Connecting to an endpoint"),
+            bad_rows: registry.counters(
+                "relay_bad_rows",
+                "Rows of the store that name nothing to use",
+                "fault",
+            ),
             peer_faults: registry.counter("relay_peer_faults", "Unusable messages of peers"),
         }
     }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -19,7 +19,6 @@
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::belief::Belief;
 use crate::belief::Word;
@@ -163,7 +162,7 @@
 
 fn hash_of(fleet: &Fleet, key: EndpointKey) -> Option<u64> {
     let endpoint = fleet.by_key.get(&key)?;
-    Some(xxh3_64(endpoint.facts.id.as_bytes()))
+    Some(endpoint.facts.incarnation.hash_64())
 }
 
 async fn listen(core: Rc<Core>, socket: Rc<UdpSocket>, known: Rc<RefCell<Known>>) {
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -118,7 +118,7 @@
         .ok_or_else(no_endpoint)?;
     log::info!(
         request_id = request_id,
-        endpoint = endpoint.facts.id,
+        endpoint = endpoint.facts.incarnation.id,
         running_calls = core.board.borrow().held(endpoint.key).calls,
         usable_endpoints = candidates.len(),
         tried = tried.len(),
--- a/crates/mgs-relay/src/place_log.rs
+++ b/crates/mgs-relay/src/place_log.rs
@@ -106,12 +106,12 @@
 pub(crate) fn placed(core: &Core, request_id: &str, fleet: &Fleet, turned: &Turned) {
     let (need, placement) = (&turned.need, &turned.placement);
     let first = fleet.by_key.get(&placement.first);
-    let endpoint = first.map_or("gone", |endpoint| endpoint.facts.id.as_str());
+    let endpoint = first.map_or("gone", |endpoint| endpoint.facts.incarnation.id.as_str());
     let helpers: Vec<&str> = placement
         .helpers
         .iter()
         .filter_map(|key| fleet.by_key.get(key))
-        .map(|endpoint| endpoint.facts.id.as_str())
+        .map(|endpoint| endpoint.facts.incarnation.id.as_str())
         .collect();
     log::info!(
         request_id = request_id,
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -149,7 +149,7 @@
                 return Ok(placed);
             }
             log::info!(
-                request_id = self.ask.request_id, endpoint = placed.endpoint.facts.id;
+                request_id = self.ask.request_id, endpoint = placed.endpoint.facts.incarnation.id;
                 "an engine began to leave before the dispatch"
             );
         }
@@ -308,7 +308,7 @@
 
     fn request(&self, placed: &Placed, last_event_id: Option<&str>) -> Request<Bytes> {
         let dispatch = Dispatch {
-            endpoint_id: placed.endpoint.facts.id.clone(),
+            endpoint_id: placed.endpoint.facts.incarnation.id.clone(),
             left_ms: self.left().as_millis() as u64,
             organisation: self.organisation.as_ref().map(|o| o.name.clone()),
             rank: self.model.as_ref().map(|_| self.rank()),
@@ -384,7 +384,7 @@
         let at_fault = at_fault.unwrap_or_default();
         log::info!(
             request_id = self.ask.request_id,
-            endpoint = placed.endpoint.facts.id,
+            endpoint = placed.endpoint.facts.incarnation.id,
             dispatch = self.progress.dispatches,
             helpers = placed.helper_keys.len(),
             predicted_ms = placed.first_token_ms as u64,
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -7,6 +7,7 @@
 use displaydoc::Display;
 use serde::Deserialize;
 use serde::Serialize;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::view::Configuration;
 
@@ -32,11 +33,50 @@
     }
 }
 
+/// One life of an endpoint, from a start of its process to the next.
+#[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
+pub struct Incarnation {
+    /// Its identifier; an endpoint may start again under the one that it had.
+    pub id: String,
+    /// When it started, in Unix milliseconds, if it tells.
+    pub born_ms: Option<u64>,
+}
+
+impl Incarnation {
+    /// Names it among gateways, whose own keys differ.
+    ///
+    /// ```
+    /// use mgs_relay::source::Incarnation;
+    ///
+    /// let born = |born_ms| Incarnation { id: "i-1".to_string(), born_ms };
+    /// assert_ne!(born(Some(1)).hash_64(), born(Some(2)).hash_64());
+    /// assert_ne!(born(Some(1)).hash_64(), born(None).hash_64());
+    /// ```
+    pub fn hash_64(&self) -> u64 {
+        match self.born_ms {
+            None => xxh3_64(self.id.as_bytes()),
+            // No identifier holds a line feed.
+            Some(born_ms) => xxh3_64(format!("{}\n{born_ms}", self.id).as_bytes()),
+        }
+    }
+
+    /// Whether this start ends an `other` one at the same address. Of two that tell when they started the later one
+    /// does, of two that don't the one that is written later. If only one of them tells, both stay: requests name
+    /// the one that they are meant for, and the other refuses them unrun.
+    pub fn ends(&self, other: &Self) -> bool {
+        match (self.born_ms, other.born_ms) {
+            (Some(own_ms), Some(other_ms)) => own_ms > other_ms,
+            (None, None) => true,
+            _ => false,
+        }
+    }
+}
+
 /// What an endpoint says of itself.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct EndpointFacts {
-    /// Identifier of its incarnation.
-    pub id: String,
+    /// Which life of which endpoint.
+    pub incarnation: Incarnation,
     /// Name of its service.
     pub service: String,
     /// Where it listens.
@@ -49,6 +89,43 @@
     pub is_leaving: bool,
 }
 
+/// What is wrong with a row of the store, which other writers may have written.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
+pub enum RowFault {
+    /// the row's own fields are missing or of another type
+    Shape,
+    /// its content isn't base64
+    Encoding,
+    /// its content lacks a field, or has one of another type or with an unknown value
+    Content,
+    /// its key can't be an endpoint's identifier
+    Identifier,
+    /// its address can't be an endpoint's
+    Address,
+    /// the configuration names no such service
+    Service,
+    /// it doesn't say when it started, and earlier entries under its key did
+    NoStart,
+    /// a later start of the same endpoint, or at the same address, is known
+    OlderStart,
+}
+
+impl RowFault {
+    /// Name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Shape => "shape",
+            Self::Encoding => "encoding",
+            Self::Content => "content",
+            Self::Identifier => "identifier",
+            Self::Address => "address",
+            Self::Service => "service",
+            Self::NoStart => "no_start",
+            Self::OlderStart => "older_start",
+        }
+    }
+}
+
 /// One change.
 #[derive(Debug, Clone)]
 pub enum Update {
@@ -58,9 +135,20 @@
     Endpoint(EndpointFacts),
     /// An endpoint isn't listed any more.
     EndpointGone {
-        /// Identifier of its incarnation.
+        /// Its identifier.
         id: String,
     },
+    /// A row that can't be understood: whatever it named before, it names nothing now.
+    Unreadable {
+        /// Its key; empty if that can't be read either.
+        key: String,
+        /// What is wrong with it.
+        fault: RowFault,
+        /// The same in words.
+        detail: String,
+        /// The store's revision at which it was written, by which its writer can be found; 0 if it has none.
+        revision: u64,
+    },
     /// A gateway is there.
     Gateway {
         /// Its name.
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -113,7 +113,7 @@
         outcomes.inc([size, end.name()]);
         log::info!(
             request_id = self.pursuit.ask.request_id,
-            endpoint = self.placed.endpoint.facts.id,
+            endpoint = self.placed.endpoint.facts.incarnation.id,
             outcome = end.name(),
             events = self.events,
             size_tokens = size_tokens,
@@ -138,7 +138,7 @@
             };
             log::info!(
                 request_id = self.pursuit.ask.request_id,
-                endpoint = self.placed.endpoint.facts.id,
+                endpoint = self.placed.endpoint.facts.incarnation.id,
                 last_event_id = self.last_id.as_deref().unwrap_or(""),
                 why = broke_off;
                 "stream broke off"
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -15,13 +15,13 @@
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
-use xxhash_rust::xxh3::xxh3_64;
 
 use crate::belief::Belief;
 use crate::belief::Contents;
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
 use crate::source::EndpointFacts;
+use crate::source::Incarnation;
 
 /// What may be done again with a request of a route.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -189,6 +189,16 @@
         fleet
     }
 
+    /// Whether an endpoint is listed in a later life than this one. One that isn't listed may still serve what it
+    /// has.
+    pub fn has_restarted(&self, incarnation: &Incarnation) -> bool {
+        let is_other = |endpoint: &&Arc<Endpoint>| {
+            let listed = &endpoint.facts.incarnation;
+            listed.id == incarnation.id && listed != incarnation
+        };
+        self.by_key.values().find(is_other).is_some()
+    }
+
     /// The endpoints of a service.
     pub fn of_service(&self, service: &str) -> &[Arc<Endpoint>] {
         self.by_service.get(service).map_or(&[], Vec::as_slice)
@@ -270,7 +280,7 @@
         is_newer
     }
 
-    /// Keys of the endpoints by the hash of their identifiers, which gateways tell each other.
+    /// Keys of the endpoints by the hash of their incarnations, which gateways tell each other.
     pub fn endpoint_hashes(&self) -> Arc<HashMap<u64, EndpointKey>> {
         self.endpoint_hashes.load_full()
     }
@@ -297,7 +307,7 @@
 
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
-        let hash = |endpoint: &Arc<Endpoint>| xxh3_64(endpoint.facts.id.as_bytes());
+        let hash = |endpoint: &Arc<Endpoint>| endpoint.facts.incarnation.hash_64();
         let hashes = fleet.by_key.values().map(|e| (hash(e), e.key)).collect();
         self.endpoint_hashes.store(Arc::new(hashes));
         self.fleet.store(Arc::new(fleet));
--- /dev/null
+++ b/crates/mgs-relay/tests/incarnations.rs
@@ -0,0 +1,289 @@
+//! Endpoints that start again under their identifier, and entries by other writers, in any order.
+//!
+//! What operators feared: two lives of an endpoint under one identifier were one to a gateway, so what it believed of the
+//! first (work placed there, failures, memory set aside) was taken for the second; an older life's entry that came
+//! late replaced the newer one; and whoever wrote an entry with a listed address ended the true one.
+
+use std::collections::HashMap;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_relay::membership::Endpoints;
+use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::Incarnation;
+use mgs_relay::source::RowFault;
+use proptest::prelude::prop;
+use proptest::prelude::prop_assert;
+use proptest::prelude::prop_assert_eq;
+use proptest::prelude::prop_oneof;
+use proptest::prelude::proptest;
+use proptest::prelude::Strategy;
+use rstest::rstest;
+
+const GRACE_MS: u64 = 2_200;
+
+fn facts(id: u8, born_ms: Option<u64>) -> EndpointFacts {
+    EndpointFacts {
+        incarnation: Incarnation {
+            id: format!("i-{id}"),
+            born_ms,
+        },
+        service: "model".to_string(),
+        address: ([10, 0, 0, 1], 1_000 + u16::from(id)).into(),
+        zone: "north".to_string(),
+        slots: 16,
+        is_leaving: false,
+    }
+}
+
+fn key_of(endpoints: &Endpoints, id: u8) -> Option<EndpointKey> {
+    let id = format!("i-{id}");
+    let fleet = endpoints.fleet();
+    let mut known = fleet.by_key.values();
+    let found = known.find(|endpoint| endpoint.facts.incarnation.id == id);
+    found.map(|endpoint| endpoint.key)
+}
+
+#[test]
+fn a_start_under_the_same_identifier_is_another_endpoint() {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    endpoints.see(facts(1, Some(10)), true).expect("used");
+    let first = key_of(&endpoints, 1);
+    let content = endpoints.content();
+    endpoints.see(facts(1, Some(20)), true).expect("used");
+    assert_ne!(key_of(&endpoints, 1), first);
+    assert_ne!(
+        endpoints.content(),
+        content,
+        "peers see that it isn't the same"
+    );
+    let earlier = facts(1, Some(10)).incarnation;
+    assert!(endpoints.fleet().has_restarted(&earlier));
+    assert!(!endpoints
+        .fleet()
+        .has_restarted(&facts(1, Some(20)).incarnation));
+}
+
+#[rstest]
+#[case::older(Some(10), Err(RowFault::OlderStart), true)]
+#[case::the_same(Some(20), Ok(()), true)]
+#[case::without_a_start(None, Err(RowFault::NoStart), false)]
+fn an_entry_after_a_later_start(
+    #[case] born_ms: Option<u64>,
+    #[case] expected: Result<(), RowFault>,
+    #[case] is_used: bool,
+) {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    endpoints.see(facts(1, Some(20)), true).expect("used");
+    let key = key_of(&endpoints, 1);
+    assert_eq!(endpoints.see(facts(1, born_ms), true), expected);
+    assert_eq!(key_of(&endpoints, 1), key.filter(|_| is_used));
+    endpoints.see(facts(1, Some(20)), true).expect("used");
+    assert_eq!(key_of(&endpoints, 1), key, "the same life is known again");
+}
+
+#[test]
+fn an_endpoint_that_never_told_its_start_stays_in_use() {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    endpoints.see(facts(1, None), true).expect("used");
+    let key = key_of(&endpoints, 1);
+    endpoints.see(facts(1, None), true).expect("used");
+    assert_eq!(key_of(&endpoints, 1), key);
+}
+
+#[test]
+fn an_older_start_is_remembered_after_the_endpoint_is_gone() {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    endpoints.see(facts(1, Some(20)), true).expect("used");
+    endpoints.miss("i-1", 100);
+    endpoints.drop_missing(100);
+    assert_eq!(
+        endpoints.see(facts(1, Some(10)), true),
+        Err(RowFault::OlderStart)
+    );
+    assert_eq!(key_of(&endpoints, 1), None);
+}
+
+/// An entry with the address of a listed endpoint.
+fn at_address_of_1(born_ms: Option<u64>, service: &str) -> EndpointFacts {
+    EndpointFacts {
+        address: facts(1, None).address,
+        service: service.to_string(),
+        ..facts(2, born_ms)
+    }
+}
+
+#[rstest]
+#[case::of_a_service_that_nobody_names(None, None, false, true)]
+#[case::written_later(None, None, true, false)]
+#[case::started_later(Some(10), Some(20), true, false)]
+#[case::started_earlier(Some(20), Some(10), true, true)]
+#[case::that_tells_no_start(Some(20), None, true, true)]
+#[case::that_tells_one_where_the_other_doesn_t(None, Some(20), true, true)]
+fn an_entry_at_a_listed_address(
+    #[case] listed_born_ms: Option<u64>,
+    #[case] born_ms: Option<u64>,
+    #[case] is_named: bool,
+    #[case] stays: bool,
+) {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    endpoints.see(facts(1, listed_born_ms), true).expect("used");
+    let taken = endpoints.see(at_address_of_1(born_ms, "other"), is_named);
+    assert_eq!(key_of(&endpoints, 1).is_some(), stays, "{taken:?}");
+}
+
+#[test]
+fn an_unreadable_row_hides_its_endpoint_until_it_is_right_again() {
+    let mut endpoints = Endpoints::new(GRACE_MS);
+    for id in 1..=2 {
+        endpoints.see(facts(id, Some(10)), true).expect("used");
+    }
+    let key = key_of(&endpoints, 1);
+    endpoints.hide("i-1");
+    endpoints.hide("nobody");
+    assert_eq!(key_of(&endpoints, 1), None);
+    assert!(key_of(&endpoints, 2).is_some(), "the others hold");
+    endpoints.see(facts(1, Some(10)), true).expect("used");
+    assert_eq!(key_of(&endpoints, 1), key);
+    endpoints.hide("i-1");
+    endpoints.outage_ended(100);
+    endpoints.miss("i-1", 100);
+    endpoints.drop_missing(200);
+    assert_eq!(key_of(&endpoints, 1), None, "it didn't lapse in an outage");
+}
+
+/// Something that happens to the entries.
+#[derive(Debug, Clone)]
+enum Event {
+    /// An entry is read, perhaps an old one.
+    Entry {
+        id: u8,
+        born_ms: Option<u64>,
+        is_leaving: bool,
+    },
+    /// A row can't be read.
+    Unreadable { id: u8 },
+    /// A row is gone.
+    Gone { id: u8 },
+    /// The store was away until now.
+    OutageEnded,
+    /// A peer tells what it has read.
+    Peer { entries: Vec<(u8, u64)> },
+}
+
+fn event() -> impl Strategy<Value = Event> {
+    let id = || 0u8..4;
+    let start = || prop::option::weighted(0.9, 1u64..6);
+    prop_oneof![
+        4 => (id(), start(), prop::bool::weighted(0.2)).prop_map(|(id, born_ms, is_leaving)| {
+            Event::Entry { id, born_ms, is_leaving }
+        }),
+        1 => id().prop_map(|id| Event::Unreadable { id }),
+        1 => id().prop_map(|id| Event::Gone { id }),
+        1 => proptest::prelude::Just(Event::OutageEnded),
+        1 => prop::collection::vec((id(), 1u64..6), 0..4).prop_map(|entries| Event::Peer { entries }),
+    ]
+}
+
+fn play(endpoints: &mut Endpoints, event: &Event, now_ms: u64) {
+    match event {
+        Event::Entry {
+            id,
+            born_ms,
+            is_leaving,
+        } => {
+            let entry = EndpointFacts {
+                is_leaving: *is_leaving,
+                ..facts(*id, *born_ms)
+            };
+            // Whether it is taken is what the properties tell.
+            let _ = endpoints.see(entry, true);
+        }
+        Event::Unreadable { id } => endpoints.hide(&format!("i-{id}")),
+        Event::Gone { id } => endpoints.miss(&format!("i-{id}"), now_ms),
+        Event::OutageEnded => endpoints.outage_ended(now_ms),
+        Event::Peer { entries } => {
+            let listed = entries
+                .iter()
+                .map(|(id, born_ms)| facts(*id, Some(*born_ms)));
+            endpoints.replace_by(listed.collect(), now_ms);
+        }
+    }
+    endpoints.drop_missing(now_ms);
+}
+
+/// What the entries so far say, kept apart from the code under test.
+#[derive(Debug, Default)]
+struct Told {
+    newest_ms: HashMap<u8, u64>,
+    /// Whether the last row of an identifier can be read and says enough.
+    is_right: HashMap<u8, bool>,
+}
+
+impl Told {
+    fn hear(&mut self, event: &Event) {
+        match event {
+            Event::Entry { id, born_ms, .. } => self.hear_entry(*id, *born_ms),
+            Event::Unreadable { id } => {
+                self.is_right.insert(*id, false);
+            }
+            Event::Gone { .. } | Event::OutageEnded => {}
+            Event::Peer { entries } => {
+                for (id, born_ms) in entries {
+                    self.hear_entry(*id, Some(*born_ms));
+                }
+            }
+        }
+    }
+
+    fn hear_entry(&mut self, id: u8, born_ms: Option<u64>) {
+        let newest_ms = self.newest_ms.get(&id).copied();
+        match born_ms {
+            None => {
+                self.is_right.insert(id, newest_ms.is_none());
+            }
+            Some(born_ms) if newest_ms.is_none_or(|newest_ms| born_ms >= newest_ms) => {
+                self.newest_ms.insert(id, born_ms);
+                self.is_right.insert(id, true);
+            }
+            // An old entry changes nothing.
+            Some(_) => {}
+        }
+    }
+}
+
+proptest! {
+    /// An endpoint in use is one whose newest readable entry says so, and no key is ever another life's.
+    #[test]
+    fn whatever_comes_in_whichever_order(events in prop::collection::vec(event(), 1..60)) {
+        let mut endpoints = Endpoints::new(GRACE_MS);
+        let mut told = Told::default();
+        let mut lives: HashMap<EndpointKey, Incarnation> = HashMap::new();
+        for (step, event) in events.iter().enumerate() {
+            told.hear(event);
+            play(&mut endpoints, event, step as u64 * 700);
+            for endpoint in endpoints.fleet().by_key.values() {
+                let life = &endpoint.facts.incarnation;
+                let id: u8 = life.id[2..].parse().expect("a number");
+                let newest_ms = told.newest_ms.get(&id).copied();
+                prop_assert_eq!(life.born_ms, newest_ms, "{:?}", event);
+                prop_assert!(told.is_right.get(&id) == Some(&true), "{:?} after {:?}", life, event);
+                let first = lives.entry(endpoint.key).or_insert_with(|| life.clone());
+                prop_assert_eq!(&*first, life, "a key of two lives");
+            }
+        }
+    }
+
+    /// Two gateways that have read the same in the end agree, whatever each read before.
+    #[test]
+    fn gateways_agree_in_the_end(events in prop::collection::vec(event(), 1..40)) {
+        let (mut one, mut other) = (Endpoints::new(GRACE_MS), Endpoints::new(GRACE_MS));
+        for (step, event) in events.iter().enumerate() {
+            play(&mut one, event, step as u64 * 700);
+        }
+        let last = [(0u8, 9u64), (1, 9), (2, 9)];
+        let peer = Event::Peer { entries: last.to_vec() };
+        play(&mut one, &peer, 1_000_000);
+        play(&mut other, &peer, 1_000_000);
+        prop_assert_eq!(one.content(), other.content());
+    }
+}
--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -2,12 +2,16 @@
 
 use mgs_relay::membership::Endpoints;
 use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::Incarnation;
 
 const GRACE_MS: u64 = 2_200;
 
 fn facts(number: u16) -> EndpointFacts {
     EndpointFacts {
-        id: format!("i-{number}"),
+        incarnation: Incarnation {
+            id: format!("i-{number}"),
+            born_ms: None,
+        },
         service: "model".to_string(),
         address: ([10, 0, 0, 1], number).into(),
         zone: "north".to_string(),
@@ -19,7 +23,9 @@
 fn listed(numbers: &[u16]) -> Endpoints {
     let mut endpoints = Endpoints::new(GRACE_MS);
     for number in numbers {
-        endpoints.see(facts(*number));
+        endpoints
+            .see(facts(*number), true)
+            .expect("an entry to use");
     }
     endpoints
 }
@@ -38,10 +44,11 @@
 #[test]
 fn content_tells_who_leaves_and_leaves_out_whose_entry_lapsed() {
     let mut leaving = listed(&[1, 2]);
-    leaving.see(EndpointFacts {
+    let leaves = EndpointFacts {
         is_leaving: true,
         ..facts(2)
-    });
+    };
+    leaving.see(leaves, true).expect("an entry to use");
     assert_ne!(leaving.content(), listed(&[1, 2]).content());
     let mut lapsed = listed(&[1, 2]);
     lapsed.outage_ended(100);
@@ -57,7 +64,7 @@
     let key = |endpoints: &Endpoints, id: &str| {
         let fleet = endpoints.fleet();
         let mut known = fleet.by_key.values();
-        known.find(|e| e.facts.id == id).map(|e| e.key)
+        known.find(|e| e.facts.incarnation.id == id).map(|e| e.key)
     };
     let before = key(&endpoints, "i-2");
     endpoints.replace_by(vec![facts(2), facts(3)], 100);
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -185,7 +185,8 @@
         address: store.clone(),
     };
     published.put_live(plan.live);
-    follow::start(plan.follow, Box::new(factory), published.clone())
+    let bad_rows = metrics.bad_rows.clone();
+    follow::start(plan.follow, Box::new(factory), published.clone(), bad_rows)
         .map_err(|error| failed(error.to_string()))?;
     let started = |addresses: relay::Addresses| {
         log::info!(clients:% = addresses.client, peers:% = addresses.peer; "listening");
--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -32,6 +32,8 @@
 use callers::Record;
 use check::Seen;
 use plan::plan;
+use plan::plan_with_restarts;
+use plan::Timed;
 use rstest::rstest;
 use world::World;
 
@@ -68,15 +70,33 @@
     folder: PathBuf,
 }
 
-fn run(seed: u64) -> Outcome {
+/// What goes wrong in a run.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+enum Faults {
+    /// Anything but what stands below.
+    Plain,
+    /// Besides, endpoints start again under their identifiers, and others spoil their entries.
+    Restarts,
+}
+
+impl Faults {
+    fn plan(self, seed: u64) -> Vec<Timed> {
+        match self {
+            Self::Plain => plan(seed, LENGTH_MS),
+            Self::Restarts => plan_with_restarts(seed, LENGTH_MS),
+        }
+    }
+}
+
+fn run(seed: u64, faults: Faults) -> Outcome {
     let turn = TURN.lock();
     let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let mut world = World::start(&folder, first_port());
+    let mut world = World::start(&folder, first_port(), faults == Faults::Restarts);
     world.wait_for_all();
     let callers = Callers::start(seed, CALLERS, &world.client_addresses());
     let start = Instant::now();
-    for timed in plan(seed, LENGTH_MS) {
+    for timed in faults.plan(seed) {
         let due = start + Duration::from_millis(timed.at_ms);
         thread::sleep(due.saturating_duration_since(Instant::now()));
         world.apply(&timed.step);
@@ -144,8 +164,8 @@
     writeln!(std::io::stdout(), "{text}").expect("standard output");
 }
 
-fn hold(seed: u64) {
-    let outcome = run(seed);
+fn hold(seed: u64, faults: Faults) {
+    let outcome = run(seed, faults);
     say(&report(seed, &outcome));
     let folder = outcome.folder.display().to_string();
     assert!(
@@ -162,7 +182,12 @@
 #[case::tiny_prompts_refused_beside_idle_engines(2)]
 #[case::the_same_on_one_host_only(5)]
 fn promises_hold_under_faults(#[case] seed: u64) {
-    hold(seed);
+    hold(seed, Faults::Plain);
+}
+
+#[test]
+fn promises_hold_while_endpoints_start_again_under_their_identifiers() {
+    hold(1, Faults::Restarts);
 }
 
 #[test]
@@ -174,7 +199,7 @@
     let last: u64 = last.parse().expect("a number");
     let mut red = Vec::new();
     for seed in first..=last {
-        let outcome = run(seed);
+        let outcome = run(seed, Faults::Restarts);
         say(&report(seed, &outcome));
         if outcome.violations.is_empty() {
             let _ = std::fs::remove_dir_all(outcome.folder);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -39,6 +39,12 @@
     EndpointBack(usize),
     /// Entries of earlier incarnations are gone.
     EndpointLapsed(usize),
+    /// It crashes and starts again under its identifier and address; nothing tells so yet.
+    EndpointStartsAgain(usize),
+    /// Its entry is written anew.
+    EndpointListed(usize),
+    /// Another writer spoils its entry.
+    EndpointRowSpoilt(usize),
     Paused(usize),
     Continued(usize),
     Killed(usize),
@@ -72,6 +78,20 @@
     planner.steps
 }
 
+/// The same with endpoints that start again under their identifiers, and entries that others spoil meanwhile.
+pub(crate) fn plan_with_restarts(seed: u64, length_ms: u64) -> Vec<Timed> {
+    let mut planner = Planner {
+        numbers: ChaCha8Rng::seed_from_u64(!seed),
+        length_ms,
+        steps: plan(seed, length_ms),
+    };
+    for _ in 0..length_ms / 700 {
+        planner.restart();
+    }
+    planner.steps.sort_by_key(|timed| timed.at_ms);
+    planner.steps
+}
+
 struct Planner {
     numbers: ChaCha8Rng,
     length_ms: u64,
@@ -151,6 +171,28 @@
         }
     }
 
+    fn restart(&mut self) {
+        let at_ms = self.below(self.length_ms);
+        let endpoint = self.below(ENDPOINTS as u64) as usize;
+        let told_ms = at_ms + self.below(1_500);
+        match self.below(3) {
+            0 => {
+                self.add(at_ms, Step::EndpointStartsAgain(endpoint));
+                self.add(told_ms, Step::EndpointListed(endpoint));
+            }
+            1 => {
+                for again in 0..3 {
+                    self.add(at_ms + again * 200, Step::EndpointStartsAgain(endpoint));
+                    self.add(at_ms + again * 200, Step::EndpointListed(endpoint));
+                }
+            }
+            _ => {
+                self.add(at_ms, Step::EndpointRowSpoilt(endpoint));
+                self.add(told_ms, Step::EndpointListed(endpoint));
+            }
+        }
+    }
+
     fn path_fault(&mut self) -> PathFault {
         let all = [
             PathFault::Delayed,
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -38,6 +38,9 @@
 /// Events of a stream.
 pub(crate) const EVENTS: u32 = 15;
 
+/// When the first incarnations started, in Unix milliseconds.
+const BORN_MS: u64 = 1_790_000_000_000;
+
 /// Time that the platform gives a process to end after SIGTERM, in seconds.
 const GRACE_S: u64 = 8;
 
@@ -114,6 +117,8 @@
     past: Vec<Endpoint>,
     /// Whether it has said that it leaves.
     is_leaving: bool,
+    /// When its process started, in Unix milliseconds.
+    born_ms: u64,
 }
 
 /// All of it.
@@ -123,18 +128,21 @@
     places: Vec<Place>,
     version: u64,
     incarnations: u64,
+    /// Whether endpoints tell when they started.
+    tells_starts: bool,
     pub(crate) history: History,
 }
 
 impl World {
     /// Starts everything; files go below `folder`.
-    pub(crate) fn start(folder: &std::path::Path, port: u16) -> Self {
+    pub(crate) fn start(folder: &std::path::Path, port: u16, tells_starts: bool) -> Self {
         let store = Store::start();
         let mut world = Self {
             places: Vec::new(),
             hosts: Vec::new(),
             version: 0,
             incarnations: 0,
+            tells_starts,
             history: History::default(),
             store,
         };
@@ -147,6 +155,7 @@
                 present,
                 past: Vec::new(),
                 is_leaving: false,
+                born_ms: BORN_MS,
             });
             world.list(number, "ready");
         }
@@ -215,6 +224,9 @@
         let place = &self.places[number];
         let mut entry = place.present.entry(state);
         entry["address"] = json!(place.path.address().to_string());
+        if self.tells_starts {
+            entry["born"] = json!(place.born_ms);
+        }
         self.store.put("servers", &place.present.id, &entry);
     }
 
@@ -369,6 +381,12 @@
             }
             Step::EndpointBack(number) => self.bring_back(*number),
             Step::EndpointLapsed(number) => self.lapse(*number),
+            Step::EndpointStartsAgain(number) => self.start_under_its_id(*number),
+            Step::EndpointListed(number) => self.list_again(*number),
+            Step::EndpointRowSpoilt(number) => {
+                let id = &self.places[*number].present.id;
+                self.store.put_text("servers", id, "{\"state\": 7");
+            }
             Step::Paused(number) => {
                 self.upset(What::Process(*number));
                 self.signal(*number, Signal::STOP);
@@ -400,12 +418,35 @@
         let past = std::mem::replace(&mut place.present, next);
         place.past.push(past);
         place.is_leaving = false;
+        place.born_ms += 1;
         self.list(number, "ready");
     }
 
+    /// A crash and another start under the same identifier; one that leaves stays away.
+    fn start_under_its_id(&mut self, number: usize) {
+        let place = &mut self.places[number];
+        if place.is_leaving {
+            return;
+        }
+        let present = &place.present;
+        let next = Endpoint::start(&present.id, &present.service, &[well(number)]);
+        place.path.cut();
+        place.path.set_target(next.address);
+        let past = std::mem::replace(&mut place.present, next);
+        place.past.push(past);
+        place.born_ms += 1;
+    }
+
+    fn list_again(&self, number: usize) {
+        if !self.places[number].is_leaving {
+            self.list(number, "ready");
+        }
+    }
+
     /// The entries of incarnations that are gone are removed, as nobody renews them.
     fn lapse(&mut self, number: usize) {
-        for past in &self.places[number].past {
+        let place = &self.places[number];
+        for past in place.past.iter().filter(|past| past.id != place.present.id) {
             self.store.remove("servers", &past.id);
         }
     }
@@ -416,8 +457,10 @@
         for number in 0..ENDPOINTS {
             heal(&self.places[number].path);
             self.places[number].present.set_act(well(number));
-            if self.places[number].is_leaving {
-                self.bring_back(number);
+            match self.places[number].is_leaving {
+                true => self.bring_back(number),
+                false if self.tells_starts => self.list(number, "ready"),
+                false => {}
             }
             self.lapse(number);
         }
