--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -175,7 +175,7 @@
 fn long_band(prompt: &Prompt<'_>, need: &Need) -> Option<Band> {
     let read_ms = prompt.model.read_ms(need.prompt_tokens);
     let is_long = read_ms > prompt.core.options.turns.short_work_ms;
-    is_long.then(|| Band::of(need.prompt_tokens))
+    is_long.then(|| Band::of(need.prompt_tokens, need.full_aim_ms))
 }
 
 async fn place_in_turn(prompt: &Prompt<'_>, need: impl Fn() -> Need) -> Result<Placed, Refusal> {
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -79,7 +79,7 @@
         let need = need();
         let placement = choose_engines(prompt, &need, tried)?;
         let turns = &core.options.turns;
-        let sent_ratio = core.sent_ratio(Band::of(need.prompt_tokens));
+        let sent_ratio = core.sent_ratio(Band::of(need.prompt_tokens, need.full_aim_ms));
         let own = turn::score(&need, &placement, prompt.model, sent_ratio, turns);
         let asked = turn::Waiting {
             need: &need,
