--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -40,8 +40,8 @@
     pub(crate) helpers: Vec<Helper>,
     pub(crate) helper_keys: Vec<EndpointKey>,
     pub(crate) grant: Grant,
-    /// Kept until the request ends.
-    pub(crate) _reservations: Reservations,
+    /// Kept until the request ends or goes on elsewhere.
+    pub(crate) reservations: Reservations,
     /// Predicted time to the first token, in milliseconds; 0 without a prediction.
     pub(crate) first_token_ms: f64,
     /// How long to wait before it is sent, in milliseconds.
@@ -49,6 +49,12 @@
 }
 
 impl Placed {
+    /// Gives back its places and memory: the run that used them is over.
+    pub(crate) fn give_back(&mut self, core: &Rc<Core>) {
+        self.grant = Grant::take(core, Vec::new(), Vec::new(), 0.0);
+        self.reservations = Reservations::none(core);
+    }
+
     /// Whether all its endpoints are still listed and none of them leaves.
     pub(crate) fn is_present(&self, fleet: &Fleet) -> bool {
         let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.facts.is_leaving);
@@ -135,7 +141,7 @@
         helpers: Vec::new(),
         helper_keys: Vec::new(),
         grant,
-        _reservations: Reservations::none(core),
+        reservations: Reservations::none(core),
         first_token_ms: 0.0,
         hold_ms: 0.0,
     })
@@ -261,7 +267,7 @@
         helpers,
         helper_keys: placement.helpers,
         grant,
-        _reservations: reservations,
+        reservations,
         first_token_ms: placement.first_token_ms,
         hold_ms: placement.hold_ms,
     })
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -223,6 +223,8 @@
         if !self.pursuit.may_resume(broken_off) {
             return Resumed::Not;
         }
+        // Engines hold memory four seconds for a run that is over, and the next one may be queued as long.
+        self.placed.give_back(&self.pursuit.core);
         let deadline = self.pursuit.deadline;
         let running = self.pursuit.run(Some(&last_id));
         let got = tokio::select! {
