fix(relay): the silence of the gateways that ask often isn't an outage of the store

The first call after a belief has grown old waits for nothing and counts as the end of an outage only if it tells of entries that are gone.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -166,6 +166,12 @@
     !batch.updates.is_empty() && batch.updates.iter().all(is_newcomer)
 }
 
+/// Whether a batch tells of endpoints that are gone.
+fn has_gone(batch: &Batch) -> bool {
+    let is_gone = |update: &Update| matches!(update, Update::EndpointGone { .. });
+    batch.updates.iter().any(is_gone)
+}
+
 /// What is known of one topic.
 struct Follower {
     topic: Topic,
@@ -267,8 +273,11 @@
         let Some(belief) = self.belief() else {
             return self.options.gateways_wait_ms;
         };
-        let is_short = is_doubtful || self.published.is_reader() || self.is_stale(belief);
-        let longest_ms = match is_short {
+        if is_doubtful || self.is_stale(belief) {
+            // What has happened until now is to be told apart from what happens next: see `found`.
+            return 0;
+        }
+        let longest_ms = match self.published.is_reader() {
             true => self.options.wait_ms,
             false => self.options.long_wait_ms,
         };
@@ -300,13 +309,13 @@
                     true => Pause::Gather,
                     false => Pause::None,
                 };
-                self.found();
+                self.found(has_gone(&batch));
                 self.apply(batch, start_ms);
                 pause
             }
             Err(SourceError::HistoryGone) => {
                 log::info!(topic = self.topic.name(); "the store has dropped its history");
-                self.found();
+                self.found(true);
                 self.revision = None;
                 Pause::None
             }
@@ -327,13 +336,16 @@
         self.is_lost = true;
     }
 
-    fn found(&mut self) {
+    /// The store answers. `has_gone`: whether entries are gone, by this answer, or may be.
+    fn found(&mut self, has_gone: bool) {
         let is_stale = self.belief().is_some_and(|belief| self.is_stale(belief));
         if self.is_lost {
             log::info!(topic = self.topic.name(); "the store is back");
         }
-        // An outage may also pass between two calls.
-        if self.is_lost || (is_stale && self.revision.is_some()) {
+        // An outage may also pass between two calls. But a belief grows old too when those who ask often are silent;
+        // the first call after that waits for nothing, so what it doesn't tell of hasn't lapsed, and what goes
+        // later has left. Taken for an outage each time, endpoints that had left were used for four seconds.
+        if self.is_lost || (is_stale && has_gone && self.revision.is_some()) {
             let now_ms = self.published.now_ms();
             self.endpoints.borrow_mut().outage_ended(now_ms);
         }
