--- a/crates/mgs-placing/src/model.rs
+++ b/crates/mgs-placing/src/model.rs
@@ -35,6 +35,22 @@
     pub usual_answer_tokens: f64,
 }
 
+/// What one more writing request adds to a pass of an engine.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct WriterCost {
+    /// Without any context, in milliseconds.
+    alone_ms: f64,
+    /// For each 1,000 tokens of its context, in milliseconds.
+    per_1k_tokens_ms: f64,
+}
+
+impl WriterCost {
+    /// The same with a context, in milliseconds.
+    pub(crate) fn with_context_ms(self, context_tokens: f64) -> f64 {
+        self.alone_ms + self.per_1k_tokens_ms * context_tokens / 1e3
+    }
+}
+
 impl Default for EngineModel {
     /// The figures of the first deployments, for engines that declare none.
     fn default() -> Self {
@@ -102,14 +118,13 @@
             .max(1)
     }
 
-    /// What one more writing request adds to a pass for each 1,000 tokens of its context, and what it adds without
-    /// any, in milliseconds.
-    pub(crate) fn writer_pass_ms(&self) -> (f64, f64) {
+    /// What one more writing request adds to a pass.
+    pub(crate) fn writer_cost(&self) -> WriterCost {
         let steps = f64::from(self.stride_steps);
-        (
-            self.context_step_ms_per_1k * steps,
-            self.writer_step_ms * steps,
-        )
+        WriterCost {
+            alone_ms: self.writer_step_ms * steps,
+            per_1k_tokens_ms: self.context_step_ms_per_1k * steps,
+        }
     }
 
     /// Time of a pass that writes for `writers` requests and reads nothing, in milliseconds.
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -5,6 +5,7 @@
 use crate::board::Board;
 use crate::board::Held;
 use crate::model::EngineModel;
+use crate::model::WriterCost;
 use crate::options::Options;
 use crate::streams::Streams;
 use crate::way::Candidate;
@@ -47,9 +48,8 @@
     pub(crate) busy_pass_ms: f64,
     /// Share of its time by which reading, other writers and slowness keep a stream from being written.
     overhead_share: f64,
-    /// What one more writer with a thousand tokens of context adds to a pass, and what it adds without any, in
-    /// milliseconds.
-    writer_pass_ms: (f64, f64),
+    /// What one more writer adds to a pass.
+    writer_cost: WriterCost,
     /// Time until a prompt without any reading would show its first token, in milliseconds.
     ready_ms: f64,
     /// Length of its next pass, in milliseconds; 0 without writers.
@@ -84,7 +84,7 @@
             next_pass_ms: 0.0,
             busy_pass_ms: 0.0,
             overhead_share: 0.0,
-            writer_pass_ms: model.writer_pass_ms(),
+            writer_cost: model.writer_cost(),
             free_tokens: model.memory_tokens.saturating_sub(held_tokens),
             slowness: 1.0,
             trial: candidate.trial,
@@ -158,8 +158,7 @@
     /// Worth of the streams there that end after their deadlines if one more with `context_tokens` is written, in
     /// units: each pass is longer by it.
     pub(crate) fn writer_harm(&self, context_tokens: f64) -> f64 {
-        let (per_1k_ms, alone_ms) = self.writer_pass_ms;
-        let longer_ms = alone_ms + per_1k_ms * context_tokens / 1e3;
+        let longer_ms = self.writer_cost.with_context_ms(context_tokens);
         let more_share = longer_ms / self.busy_pass_ms.max(1.0);
         let harm = |streams: &Streams| streams.units() * self.overdue_share(streams, more_share);
         self.held.streams.iter().map(harm).sum()
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -58,7 +58,7 @@
     /// How often prompts of each length are to be sent beside all others at least, as far as their order can do it.
     pub sent_least_ratio: f64,
     /// How strongly a length that is sent less often goes before others, as a power of its ratio: two that are asked
-    /// for and none that is sent weigh as much as six times the worth for the reading.
+    /// for and none that is sent weigh as much as seven times the worth for the reading.
     pub sent_power: f64,
     /// Share of a request's worth that is left when it is late: the most that it may cost others then.
     pub late_worth_share: f64,
@@ -273,7 +273,9 @@
 
 /// A prompt that is late anyway goes when nobody waits who can be on time, or at its last chance, while few engines
 /// will still do; and only if few read for others like it, and if it harms no streams that are worth more. Sooner it
-/// would take engines from those that can be on time. It is refused as soon as it can't end in time on the engines that short streams leave: kept waiting for more, such
+/// would take engines from those that can be on time.
+///
+/// It is refused as soon as it can't end in time on the engines that short streams leave: kept waiting for more, such
 /// prompts were refused 1.7 s later in the mean, and 0.02 fewer of all long ones were answered (12 plays).
 fn late_turn(waiting: &Waiting<'_>, options: &Options) -> Turn {
     if !waiting.ends_in_time(options) {
