--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -73,3 +73,23 @@
     assert!(key(&endpoints, "i-3").is_some());
     assert_eq!(endpoints.content(), listed(&[2, 3]).content());
 }
+
+/// Found by a hunt (kitami-leasing, scale-2, seed 1057906029073): a host that was cut off from the store until 13.0 s found it
+/// again for the configuration at 13.4 s and for the endpoints at 13.9 s. The second finding counted as the end of another
+/// outage, so an endpoint that had left at 13.45 s was used until 16.1 s, as its entry might have lapsed (the host's log:
+/// `the store is back` twice, `endpoint not listed any more` between, requests reaching the endpoint until 16.04 s).
+#[test]
+fn the_end_of_an_outage_counts_once_however_many_topics_find_it() {
+    let mut endpoints = listed(&[1, 2]);
+    endpoints.outage_ended(100);
+    endpoints.miss("i-2", 200);
+    endpoints.outage_ended(600);
+    endpoints.drop_missing(2_200);
+    assert_eq!(endpoints.fleet().by_key.len(), 2, "it may have lapsed");
+    endpoints.drop_missing(2_400);
+    assert_eq!(endpoints.fleet().by_key.len(), 1);
+    endpoints.outage_ended(5_000);
+    endpoints.miss("i-1", 5_100);
+    endpoints.drop_missing(6_000);
+    assert_eq!(endpoints.fleet().by_key.len(), 1, "another outage");
+}
