fix(membership): an outage has one end, the first that a topic finds

A follower keeps since when the store is lost for it, in place of a flag, so that a further outage within the grace is told apart from another topic's finding of the same one.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -178,7 +178,8 @@
     options: Options,
     published: Arc<Published>,
     revision: Option<u64>,
-    is_lost: bool,
+    /// Since when the store can't be read for it, in milliseconds.
+    lost_since_ms: Option<u64>,
     /// Whether a peer knows better than the call that waited.
     is_doubtful: bool,
     endpoints: Rc<RefCell<Endpoints>>,
@@ -199,7 +200,7 @@
             options,
             published,
             revision: None,
-            is_lost: false,
+            lost_since_ms: None,
             is_doubtful: false,
             endpoints,
             gateways: HashMap::new(),
@@ -266,7 +267,7 @@
 
     fn wait_ms(&mut self) -> u64 {
         let is_doubtful = std::mem::take(&mut self.is_doubtful);
-        if self.is_lost {
+        if self.lost_since_ms.is_some() {
             // The end of an outage is to be known when it comes, not with the next change.
             return 0;
         }
@@ -327,32 +328,41 @@
     }
 
     fn lost(&mut self, error: &SourceError) {
-        if !self.is_lost {
-            log::warn!(topic = self.topic.name(), error:% = error; "the store is lost");
-            if let Some(belief) = self.belief() {
-                belief.lose(self.published.now_ms());
-            }
+        if self.lost_since_ms.is_some() {
+            return;
+        }
+        log::warn!(topic = self.topic.name(), error:% = error; "the store is lost");
+        let now_ms = self.published.now_ms();
+        self.lost_since_ms = Some(now_ms);
+        if let Some(belief) = self.belief() {
+            belief.lose(now_ms);
         }
-        self.is_lost = true;
     }
 
     /// The store answers. `has_gone`: whether entries are gone, by this answer, or may be.
     fn found(&mut self, has_gone: bool) {
-        let is_stale = self.belief().is_some_and(|belief| self.is_stale(belief));
-        if self.is_lost {
+        let now_ms = self.published.now_ms();
+        if self.lost_since_ms.is_some() {
             log::info!(topic = self.topic.name(); "the store is back");
         }
         // An outage may also pass between two calls. But a belief grows old too when those who ask often are silent;
         // the first call after that waits for nothing, so what it doesn't tell of hasn't lapsed, and what goes
         // later has left. Taken for an outage each time, endpoints that had left were used for four seconds.
-        if self.is_lost || (is_stale && has_gone && self.revision.is_some()) {
-            let now_ms = self.published.now_ms();
-            self.endpoints.borrow_mut().outage_ended(now_ms);
+        let unseen_since_ms = self.stale_since_ms(now_ms).filter(|_| has_gone);
+        if let Some(began_ms) = self.lost_since_ms.or(unseen_since_ms) {
+            self.endpoints.borrow_mut().outage_ended(began_ms, now_ms);
         }
         if let Some(belief) = self.belief() {
             belief.find();
         }
-        self.is_lost = false;
+        self.lost_since_ms = None;
+    }
+
+    /// When what is known was last confirmed, if that is long ago; nothing is known before the first reading.
+    fn stale_since_ms(&self, now_ms: u64) -> Option<u64> {
+        let belief = self.belief().filter(|belief| belief.is_stale(now_ms))?;
+        let age_ms = belief.age_ms(now_ms).unwrap_or(now_ms);
+        self.revision.map(|_| now_ms.saturating_sub(age_ms))
     }
 
     async fn pause(&self, pause: Pause) {
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -63,9 +63,20 @@
         }
     }
 
-    /// The store can be read again.
-    pub fn outage_ended(&mut self, now_ms: u64) {
-        self.outage_ended_ms = Some(now_ms);
+    /// The store can be read again, which it couldn't since `began_ms`. Each topic finds the end of one outage by
+    /// itself, up to a retry later; the first counts, else an endpoint that has left is used for as much longer.
+    pub fn outage_ended(&mut self, began_ms: u64, now_ms: u64) {
+        let began_before = |ended_ms: u64| began_ms < ended_ms;
+        let is_known = self.is_in_grace(now_ms) && self.outage_ended_ms.is_some_and(began_before);
+        if !is_known {
+            self.outage_ended_ms = Some(now_ms);
+        }
+    }
+
+    /// Whether an entry that isn't there may have lapsed in an outage.
+    fn is_in_grace(&self, now_ms: u64) -> bool {
+        let ended_ms = self.outage_ended_ms;
+        ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + self.grace_ms)
     }
 
     /// An endpoint is listed. `is_named`: whether the configuration names its service; one whose service nobody
@@ -238,9 +249,7 @@
     /// Drops those that aren't listed, except shortly after an outage. One that was leaving is dropped at
     /// once: it was to go; so is one whose row couldn't be understood.
     pub fn drop_missing(&mut self, now_ms: u64) {
-        let grace_ms = self.grace_ms;
-        let ended_ms = self.outage_ended_ms;
-        let in_grace = ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + grace_ms);
+        let in_grace = self.is_in_grace(now_ms);
         let before = self.entries.len();
         self.entries.retain(|id, entry| {
             let is_missing = entry.missing_since_ms.is_some();
--- a/crates/mgs-relay/tests/incarnations.rs
+++ b/crates/mgs-relay/tests/incarnations.rs
@@ -145,7 +145,7 @@
     endpoints.see(facts(1, Some(10)), true).expect("used");
     assert_eq!(key_of(&endpoints, 1), key);
     endpoints.hide("i-1");
-    endpoints.outage_ended(100);
+    endpoints.outage_ended(0, 100);
     endpoints.miss("i-1", 100);
     endpoints.drop_missing(200);
     assert_eq!(key_of(&endpoints, 1), None, "it didn't lapse in an outage");
@@ -200,7 +200,7 @@
         }
         Event::Unreadable { id } => endpoints.hide(&format!("i-{id}")),
         Event::Gone { id } => endpoints.miss(&format!("i-{id}"), now_ms),
-        Event::OutageEnded => endpoints.outage_ended(now_ms),
+        Event::OutageEnded => endpoints.outage_ended(now_ms.saturating_sub(1), now_ms),
         Event::Peer { entries } => {
             let listed = entries
                 .iter()
--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -51,7 +51,7 @@
     leaving.see(leaves, true).expect("an entry to use");
     assert_ne!(leaving.content(), listed(&[1, 2]).content());
     let mut lapsed = listed(&[1, 2]);
-    lapsed.outage_ended(100);
+    lapsed.outage_ended(0, 100);
     lapsed.miss("i-2", 200);
     lapsed.drop_missing(300);
     assert_eq!(lapsed.fleet().by_key.len(), 2, "still used");
@@ -81,15 +81,29 @@
 #[test]
 fn the_end_of_an_outage_counts_once_however_many_topics_find_it() {
     let mut endpoints = listed(&[1, 2]);
-    endpoints.outage_ended(100);
+    endpoints.outage_ended(20, 100);
     endpoints.miss("i-2", 200);
-    endpoints.outage_ended(600);
+    endpoints.outage_ended(50, 600);
     endpoints.drop_missing(2_200);
     assert_eq!(endpoints.fleet().by_key.len(), 2, "it may have lapsed");
     endpoints.drop_missing(2_400);
     assert_eq!(endpoints.fleet().by_key.len(), 1);
-    endpoints.outage_ended(5_000);
+    endpoints.outage_ended(4_000, 5_000);
     endpoints.miss("i-1", 5_100);
     endpoints.drop_missing(6_000);
     assert_eq!(endpoints.fleet().by_key.len(), 1, "another outage");
 }
+
+#[test]
+fn an_outage_that_begins_after_another_has_ended_is_one_of_its_own() {
+    let mut endpoints = listed(&[1, 2]);
+    endpoints.outage_ended(0, 100);
+    endpoints.miss("i-2", 100);
+    endpoints.outage_ended(200, 2_000);
+    endpoints.drop_missing(2_400);
+    assert_eq!(
+        endpoints.fleet().by_key.len(),
+        2,
+        "nothing could come back between"
+    );
+}
