refactor(placing,explain): one place says which prompts may wait; counts aren't summed for short prompts

On a hot path: what all peers count of each length was summed for each short prompt too, whose score nobody uses; now for those only that stand in line.

--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -9,6 +9,7 @@
 
 use crate::figure::apply;
 use crate::figure::Figure;
+use crate::lengths::Band;
 use crate::line::Firsts;
 use crate::line::Score;
 use crate::line::NOBODY;
@@ -135,6 +136,12 @@
     Refuse,
 }
 
+/// The band of lengths in which a prompt counts, if reading it takes so long that it may have to wait for its turn.
+pub fn band(need: &Need, model: &EngineModel, options: &Options) -> Option<Band> {
+    let is_long = model.read_ms(need.prompt_tokens) > options.short_work_ms;
+    is_long.then(|| Band::of(need.prompt_tokens, need.full_aim_ms))
+}
+
 /// The score of a prompt: milliseconds of reading on one engine for a unit of worth while it can be on time, less
 /// if prompts of its length are sent less often than others (`sent_ratio`), and then what is left of its time.
 pub fn score(
--- a/crates/mgs-placing/tests/company.rs
+++ b/crates/mgs-placing/tests/company.rs
@@ -24,6 +24,10 @@
 };
 
 fn place(need: &Need, board: &Board) -> Placement {
+    place_at(need, board, &EngineModel::default(), 0.0)
+}
+
+fn place_at(need: &Need, board: &Board, model: &EngineModel, now_ms: f64) -> Placement {
     let candidate = |key| Candidate {
         key: EndpointKey(key),
         slowness: 1.0,
@@ -31,8 +35,7 @@
     };
     let candidates: Vec<Candidate> = (0..4).map(candidate).collect();
     let options = options::Options::default();
-    let model = EngineModel::default();
-    choose(need, &candidates, board, &model, &options, 0.0).expect("a place")
+    choose(need, &candidates, board, model, &options, now_ms).expect("a place")
 }
 
 /// One engine with short streams and this much reading left.
@@ -113,19 +116,11 @@
         board.read(EndpointKey(2), now_ms, 35.0);
         now_ms += 100.0;
     }
-    let candidate = |key| Candidate {
-        key: EndpointKey(key),
-        slowness: 1.0,
-        trial: false,
-    };
-    let candidates: Vec<Candidate> = (0..4).map(candidate).collect();
-    let options = options::Options::default();
     let model = EngineModel {
         stride_steps: 85,
         ..EngineModel::default()
     };
-    let place =
-        |need: &Need| choose(need, &candidates, &board, &model, &options, now_ms).expect("a place");
+    let place = |need: &Need| place_at(need, &board, &model, now_ms);
     let long_answer = Need {
         output_tokens: 9_000,
         expected_tokens: 9_000,
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -169,15 +169,9 @@
         counts.ratio(Band::of(need.prompt_tokens, need.full_aim_ms))
     }
 
-    /// The band of lengths in which a prompt counts.
-    fn long_band(&self, tokens: u64, aim_ms: f64, model: &EngineModel) -> Option<Band> {
-        let is_long = model.read_ms(tokens) > self.turns.short_work_ms;
-        is_long.then(|| Band::of(tokens, aim_ms))
-    }
-
     fn arrive(&mut self, emulator: &mut Emulator, prompt: usize) {
-        let Prompt { tokens, aim_ms, .. } = emulator.prompts[prompt];
-        if let Some(band) = self.long_band(tokens, aim_ms, &emulator.model) {
+        let need = Self::need(&emulator.prompts[prompt], &emulator.model, emulator.now_ms);
+        if let Some(band) = turn::band(&need, &emulator.model, &self.turns) {
             self.lengths.asked(band, emulator.now_ms);
         }
         self.waiting.push(prompt);
@@ -283,7 +277,7 @@
     }
 
     fn send(&mut self, emulator: &mut Emulator, prompt: usize, need: &Need, placement: Placement) {
-        if let Some(band) = self.long_band(need.prompt_tokens, need.full_aim_ms, &emulator.model) {
+        if let Some(band) = turn::band(need, &emulator.model, &self.turns) {
             self.lengths.sent(band, emulator.now_ms);
         }
         let memory = |tokens: u64| Held {
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -114,7 +114,7 @@
         }
         let is_later = |entry: &&Entry| {
             let other = &entry.facts.incarnation;
-            let is_start_later = other.born_ms > own.born_ms && own.born_ms.is_some();
+            let is_start_later = own.born_ms.is_some() && other.ends(own);
             entry.facts.address == facts.address && entry.is_listed() && is_start_later
         };
         let is_ended = is_named && self.entries.values().any(|entry| is_later(&entry));
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -12,6 +12,7 @@
 use mgs_placing::need::Need;
 use mgs_placing::plain;
 use mgs_placing::streams::Streams;
+use mgs_placing::turn;
 use mgs_placing::way::Placement;
 use mgs_routing::outlier::Standing;
 
@@ -166,29 +167,26 @@
     need: impl Fn() -> Need,
 ) -> Result<Placed, Refusal> {
     let core = prompt.core;
-    let band = long_band(prompt, &need());
+    let band = turn::band(&need(), prompt.model, &core.options.turns);
     if let Some(band) = band {
         core.lengths.borrow_mut().asked(band, core.now_ms());
     }
-    let placed = place_in_turn(prompt, need).await?;
+    let placed = place_in_turn(prompt, band, need).await?;
     if let Some(band) = band {
         core.lengths.borrow_mut().sent(band, core.now_ms());
     }
     Ok(placed)
 }
 
-/// The band of lengths in which a prompt counts that may have to wait for its turn.
-fn long_band(prompt: &Prompt<'_>, need: &Need) -> Option<Band> {
-    let read_ms = prompt.model.read_ms(need.prompt_tokens);
-    let is_long = read_ms > prompt.core.options.turns.short_work_ms;
-    is_long.then(|| Band::of(need.prompt_tokens, need.full_aim_ms))
-}
-
-async fn place_in_turn(prompt: &Prompt<'_>, need: impl Fn() -> Need) -> Result<Placed, Refusal> {
+async fn place_in_turn(
+    prompt: &Prompt<'_>,
+    band: Option<Band>,
+    need: impl Fn() -> Need,
+) -> Result<Placed, Refusal> {
     let core = prompt.core;
     let mut avoided = prompt.tried.clone();
     for _ in 0..RESERVE_TRIES {
-        let turned = wait::for_turn(prompt, &need, &avoided).await?;
+        let turned = wait::for_turn(prompt, band, &need, &avoided).await?;
         let fleet = core.published.fleet();
         place_log::placed(core, prompt.request_id, &fleet, &turned);
         let (need, placement) = (turned.need, turned.placement);
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -192,11 +192,11 @@
     /// Whether an endpoint is listed in a later life than this one. One that isn't listed may still serve what it
     /// has.
     pub fn has_restarted(&self, incarnation: &Incarnation) -> bool {
-        let is_other = |endpoint: &&Arc<Endpoint>| {
+        let is_other = |endpoint: &Arc<Endpoint>| {
             let listed = &endpoint.facts.incarnation;
             listed.id == incarnation.id && listed != incarnation
         };
-        self.by_key.values().find(is_other).is_some()
+        self.by_key.values().any(is_other)
     }
 
     /// The endpoints of a service.
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -70,6 +70,7 @@
 /// Waits until it is the prompt's turn.
 pub(crate) async fn for_turn(
     prompt: &Prompt<'_>,
+    band: Option<Band>,
     need: impl Fn() -> Need,
     tried: &Tried,
 ) -> Result<Turned, Refusal> {
@@ -79,7 +80,8 @@
         let need = need();
         let placement = choose_engines(prompt, &need, tried)?;
         let turns = &core.options.turns;
-        let sent_ratio = core.sent_ratio(Band::of(need.prompt_tokens, need.full_aim_ms));
+        // Short prompts stand in no line, and a hundred come in a second: what peers count isn't summed for them.
+        let sent_ratio = band.map_or(1.0, |band| core.sent_ratio(band));
         let own = turn::score(&need, &placement, prompt.model, sent_ratio, turns);
         let asked = turn::Waiting {
             need: &need,
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -4,6 +4,7 @@
 pub mod sizes;
 pub mod summary;
 
+use std::collections::HashMap;
 use std::fmt::Display;
 use std::fmt::Formatter;
 
@@ -118,6 +119,15 @@
         Self { lines }
     }
 
+    /// The stories of all requests that some lines tell of, in any order.
+    pub fn all_of(lines: Vec<Line>) -> Vec<Self> {
+        let mut by_request: HashMap<String, Vec<Line>> = HashMap::new();
+        for line in lines {
+            by_request.entry(line.request_id()).or_default().push(line);
+        }
+        by_request.into_values().map(Self::of).collect()
+    }
+
     /// The last line of a kind.
     pub fn last(&self, text: &str) -> Option<&Line> {
         self.lines.iter().rev().find(|line| line.text == text)
--- a/src/explain/sizes.rs
+++ b/src/explain/sizes.rs
@@ -1,7 +1,6 @@
 //! Whether long requests of a route are served as often as the others.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::fmt::Display;
 use std::fmt::Formatter;
 
@@ -69,13 +68,9 @@
     /// assert!(sizes.to_string().contains("audit: 1 prompts"));
     /// ```
     pub fn of(lines: Vec<Line>) -> Self {
-        let mut by_request: HashMap<String, Vec<Line>> = HashMap::new();
-        for line in lines {
-            by_request.entry(line.request_id()).or_default().push(line);
-        }
         let mut sizes = Self::default();
-        for lines in by_request.into_values() {
-            sizes.count(&Story::of(lines));
+        for story in Story::all_of(lines) {
+            sizes.count(&story);
         }
         for ended in sizes.routes.values_mut() {
             ended.sort_by(|a, b| (a.size_tokens, &a.cause).cmp(&(b.size_tokens, &b.cause)));
--- a/src/explain/summary.rs
+++ b/src/explain/summary.rs
@@ -1,7 +1,6 @@
 //! Why requests weren't on time, counted over all of them.
 
 use std::collections::BTreeMap;
-use std::collections::HashMap;
 use std::fmt::Display;
 use std::fmt::Formatter;
 
@@ -122,13 +121,9 @@
     /// assert!(summary.to_string().contains("refused: full"));
     /// ```
     pub fn of(lines: Vec<Line>) -> Self {
-        let mut by_request: HashMap<String, Vec<Line>> = HashMap::new();
-        for line in lines {
-            by_request.entry(line.request_id()).or_default().push(line);
-        }
         let mut summary = Self::default();
-        for lines in by_request.into_values() {
-            summary.count(&Story::of(lines));
+        for story in Story::all_of(lines) {
+            summary.count(&story);
         }
         summary
     }
