test(gateway): a path that is lost again and again uses up all attempts

Ruled out: an endpoint that isn't in the index yet (3 of 3 were, in each failure). Cause, by the log of a failed run: 'path lost' four times within 25 ms for one request, all attempts at the same endpoint, which may be chosen again after each. The test makes the other endpoint the worse choice, so it fails each time (503 for 200).

--- a/crates/mgs-gateway/tests/path.rs
+++ b/crates/mgs-gateway/tests/path.rs
@@ -2,6 +2,8 @@
 
 mod support;
 
+use std::sync::atomic::Ordering;
+
 use attohttpc::RequestBuilder;
 use mgs_gateway::gateway::Gateway;
 use mgs_gateway::gateway::Options;
@@ -13,6 +15,7 @@
 use support::gateway;
 use support::sidecar;
 use support::snapshot;
+use support::until;
 use support::Script;
 use support::Sidecar;
 use support::KEY;
@@ -153,6 +156,27 @@
     assert_eq!(bench.ran(), 4);
 }
 
+/// The test above failed once in thirty runs on a busy machine: each time the path was lost, the endpoint could be
+/// chosen again, and where it seemed the better one it was, four times within 25 ms, until no attempt was left (its
+/// log: `path lost` four times for one request, all attempts at the same endpoint).
+#[test]
+fn a_path_that_is_lost_again_sends_the_request_elsewhere_however_busy_that_is() {
+    let bench = bench(Script::LoseBefore, Script::Answer(3));
+    let busy_tokens = 300_000;
+    let waiting = &bench.second.fake.waiting_tokens;
+    waiting.store(busy_tokens, Ordering::Relaxed);
+    until("the report", || {
+        let view = bench.gateway.core().view();
+        let mut endpoints = view.endpoints.iter().flatten();
+        endpoints.any(|endpoint| endpoint.load.short_prefill_waiting_tokens == busy_tokens)
+    });
+    for _ in 0..3 {
+        let (status, answer) = bench.complete(false);
+        assert_eq!(status, 200, "{answer}");
+    }
+    assert_eq!(bench.ran(), 3);
+}
+
 #[rstest]
 #[case(0)]
 #[case(3)]
--- a/crates/mgs-gateway/tests/support/mod.rs
+++ b/crates/mgs-gateway/tests/support/mod.rs
@@ -83,6 +83,8 @@
     pub(crate) cancels: Mutex<Vec<RequestId>>,
     /// Settings that it was sent.
     pub(crate) settings: Arc<Holder>,
+    /// Tokens of short prompts that wait at its engine, as it reports them.
+    pub(crate) waiting_tokens: Arc<AtomicU64>,
     /// Replies kept open by `Stall`.
     stalled: Mutex<Vec<Reply>>,
 }
@@ -107,6 +109,7 @@
     fn hello(&self, reply: Reply) {
         let incarnation = self.incarnation;
         let settings = self.settings.clone();
+        let waiting_tokens = self.waiting_tokens.clone();
         let welcome = Welcome {
             incarnation,
             zone: "zone-1".into(),
@@ -120,6 +123,8 @@
                     incarnation,
                     report,
                     state: EndpointState::Live.into(),
+                    prefill_waiting_tokens: waiting_tokens.load(Ordering::Relaxed),
+                    short_prefill_waiting_tokens: waiting_tokens.load(Ordering::Relaxed),
                     kv_capacity_tokens: 4_000_000,
                     prefill_tokens_per_s: 1e6,
                     decode_step_ms: 1.0,
@@ -276,6 +281,7 @@
         dispatches: Mutex::default(),
         cancels: Mutex::default(),
         settings: Arc::default(),
+        waiting_tokens: Arc::default(),
         stalled: Mutex::default(),
     });
     let listener = TcpListener::bind("127.0.0.1:0").unwrap();
