fix(gateway): an endpoint whose path is lost again isn't chosen a third time

An endpoint may be chosen again after the first loss of its path, since a new one has just been used, and not after a second.

--- a/crates/mgs-gateway/src/drive/hear.rs
+++ b/crates/mgs-gateway/src/drive/hear.rs
@@ -125,8 +125,9 @@
             Ok(Body::WithdrawReply(reply)) => {
                 let state = reply.state();
                 self.attempts[index].call = None;
-                if state == WithdrawState::NeverStarted {
-                    // Its path was at fault, and a new one has just been used.
+                if state == WithdrawState::NeverStarted && self.is_first_at_its_endpoint(index) {
+                    // Its path was at fault, and a new one has just been used. Allowed each time, an endpoint that
+                    // seems the better one takes all attempts within 25 ms.
                     self.allow_again(index);
                 }
                 Event::Withdrawn {
@@ -177,6 +178,13 @@
         self.attempt_ended(index, Outcome::Refused);
     }
 
+    /// Whether no earlier attempt was made at an attempt's endpoint.
+    fn is_first_at_its_endpoint(&self, index: usize) -> bool {
+        let endpoint = self.attempts[index].endpoint;
+        let mut earlier = self.attempts[..index].iter();
+        earlier.all(|attempt| attempt.endpoint != endpoint)
+    }
+
     /// Lets an attempt's endpoint be chosen again.
     fn allow_again(&mut self, index: usize) {
         let endpoint = self.attempts[index].endpoint;
