test(relay): gateways that start anew and know nobody exceed the budget of second tries

Cause: the fixed part of the allowance is divided by the gateways known, and a gateway that has just started knows one. The count is a type of its own now (headcount), unchanged, so that the case needs no gateways.

--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -38,21 +38,33 @@
 }
 
 /// Second tries of one gateway, by service.
+///
+/// ```
+/// use mgs_relay::budget::Budget;
+/// use mgs_relay::budget::Options;
+///
+/// let options = Options { extra: 4.0, used_share: 1.0, ..Options::default() };
+/// let mut budget = Budget::default();
+/// // Two gateways share four.
+/// assert!(budget.again(&options, "model", 0.0, 2));
+/// assert!(budget.again(&options, "model", 1.0, 2));
+/// assert!(!budget.again(&options, "model", 2.0, 2));
+/// ```
 #[derive(Debug, Default)]
-pub(crate) struct Budget {
+pub struct Budget {
     by_service: HashMap<String, Counts>,
 }
 
 impl Budget {
     /// A request is sent for the first time.
-    pub(crate) fn first(&mut self, options: &Options, service: &str, now_ms: f64) {
+    pub fn first(&mut self, options: &Options, service: &str, now_ms: f64) {
         let counts = self.counts(service);
         counts.firsts_ms.push_back(now_ms);
         forget(&mut counts.firsts_ms, now_ms - options.window_ms);
     }
 
     /// Takes one second try, or tells that there is none.
-    pub(crate) fn again(
+    pub fn again(
         &mut self,
         options: &Options,
         service: &str,
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -21,6 +21,7 @@
 use crate::budget::Budget;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
+use crate::headcount::Headcount;
 use crate::metrics::Metrics;
 use crate::relay::Options;
 use crate::view::Published;
@@ -52,8 +53,7 @@
     pub(crate) budget: RefCell<Budget>,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
-    /// Most gateways known at once of late, this one included.
-    pub(crate) gateways: Cell<usize>,
+    pub(crate) headcount: RefCell<Headcount>,
     pub(crate) random: RefCell<ChaCha8Rng>,
     /// Last number given to something of this process.
     pub(crate) last_number: Cell<u64>,
@@ -113,7 +113,7 @@
     /// Takes one second try of the budget.
     pub(crate) fn may_try_again(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
-        let gateways = self.gateways.get();
+        let gateways = self.headcount.borrow().gateways();
         let live = self.published.live();
         let mut budget = self.budget.borrow_mut();
         budget.again(&live.budget, service, now_ms, gateways)
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -38,9 +38,6 @@
 /// A peer that was not heard of for this long gets signs of life only, in milliseconds.
 const SILENT_MS: f64 = 2_000.0;
 
-/// The number of gateways that shares the budget of second tries: how long the largest one counts.
-const GATEWAYS_MEMORY: Duration = Duration::from_secs(20);
-
 /// Gateways that ask the store often, so that the others needn't: two, so that the end of one isn't felt.
 const READERS: usize = 2;
 
@@ -276,7 +273,6 @@
 /// Keeps count of the gateways, and forgets those that fell silent.
 async fn count(core: Rc<Core>, known: Rc<RefCell<Known>>) {
     const LOOK: Duration = Duration::from_millis(250);
-    let mut most_at = tokio::time::Instant::now();
     loop {
         sleep(LOOK).await;
         let now_ms = core.now_ms();
@@ -290,11 +286,7 @@
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
-        let gateways = peers + 1;
-        if gateways >= core.gateways.get() || most_at.elapsed() > GATEWAYS_MEMORY {
-            core.gateways.set(gateways);
-            most_at = tokio::time::Instant::now();
-        }
+        core.headcount.borrow_mut().heard(peers, now_ms);
         note_beliefs(&core);
     }
 }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -33,6 +33,7 @@
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::handover;
+use crate::headcount::Headcount;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::readiness;
@@ -158,7 +159,7 @@
         budget: RefCell::new(Budget::default()),
         metrics,
         drain: Drain::new(),
-        gateways: Cell::new(1),
+        headcount: RefCell::new(Headcount::default()),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
         last_number: Cell::new(0),
         incarnation,
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -91,7 +91,7 @@
             others: waiting.others(),
             ahead: waiting.ahead(),
             spare_per_s: core.spare.borrow().per_s(core.now_ms()),
-            gateways: core.gateways.get(),
+            gateways: core.headcount.borrow().gateways(),
         };
         let is_short = asked.is_short(turns);
         match turn::turn(&asked, turns) {
