fix(relay): a gateway that doesn't know how many there are takes no part of shared allowances

Cause: with the store silent, each of 103 gateways that lost power at once started with a count of one and took the whole fixed part of the budget of second tries (1,773 arrivals beyond the first, 1,343 allowed). Change: the count is known from the store's list or from a peer that knows; until then only the share of the gateway's own requests is used. The list counts also where fewer are heard, so one that is cut off doesn't take all.

--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -56,6 +56,8 @@
     pub configuration: Option<Knows>,
     /// The endpoints that it knows, once the store has confirmed them.
     pub endpoints: Option<Knows>,
+    /// How many gateways there are, as far as the sender knows.
+    pub gateways: Option<u32>,
     /// How often prompts of each length were asked of it and sent by it.
     pub lengths: Vec<Told>,
     /// All that it holds.
--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -1,8 +1,9 @@
 //! Second tries as a bounded share of the requests, agreed with the other gateways without talking.
 //!
 //! All gateways together may send again a share of a service's requests plus a fixed number in each
-//! window. Each takes the share of its own requests, and an equal part of the fixed number by the most
-//! gateways that it has known of late: one that is cut off must not take all of it.
+//! window. Each takes the share of its own requests, and an equal part of the fixed number by the gateways
+//! that it knows of ([`crate::headcount`]): neither one that is cut off nor one that has just started must
+//! take all of it.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
@@ -46,9 +47,9 @@
 /// let options = Options { extra: 4.0, used_share: 1.0, ..Options::default() };
 /// let mut budget = Budget::default();
 /// // Two gateways share four.
-/// assert!(budget.again(&options, "model", 0.0, 2));
-/// assert!(budget.again(&options, "model", 1.0, 2));
-/// assert!(!budget.again(&options, "model", 2.0, 2));
+/// assert!(budget.again(&options, "model", 0.0, Some(2)));
+/// assert!(budget.again(&options, "model", 1.0, Some(2)));
+/// assert!(!budget.again(&options, "model", 2.0, Some(2)));
 /// ```
 #[derive(Debug, Default)]
 pub struct Budget {
@@ -63,19 +64,20 @@
         forget(&mut counts.firsts_ms, now_ms - options.window_ms);
     }
 
-    /// Takes one second try, or tells that there is none.
+    /// Takes one second try, or tells that there is none. `gateways`: how many share the fixed number, if that is
+    /// known; if not, none of it is taken.
     pub fn again(
         &mut self,
         options: &Options,
         service: &str,
         now_ms: f64,
-        gateways: usize,
+        gateways: Option<usize>,
     ) -> bool {
         let counts = self.counts(service);
         forget(&mut counts.firsts_ms, now_ms - options.window_ms);
         forget(&mut counts.again_ms, now_ms - options.window_ms);
         let own = options.ratio * counts.firsts_ms.len() as f64;
-        let shared = options.extra / gateways.max(1) as f64;
+        let shared = gateways.map_or(0.0, |gateways| options.extra / gateways.max(1) as f64);
         let most = (own + shared) * options.used_share;
         if counts.again_ms.len() as f64 + 1.0 > most {
             return false;
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -113,7 +113,7 @@
     /// Takes one second try of the budget.
     pub(crate) fn may_try_again(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
-        let gateways = self.headcount.borrow().gateways();
+        let gateways = self.headcount.borrow().sharing();
         let live = self.published.live();
         let mut budget = self.budget.borrow_mut();
         budget.again(&live.budget, service, now_ms, gateways)
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -492,6 +492,7 @@
         peers.sort();
         peers.dedup();
         log::info!(peers = peers.len(); "gateways read");
+        self.published.put_listed_gateways(peers.len() + 1);
         self.published.put_peers(peers);
     }
 }
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -54,6 +54,8 @@
     pub(crate) open_connections: Gauge,
     /// Peers heard of late.
     pub(crate) peers: Gauge,
+    /// Gateways that share the budget of second tries; -1 while that isn't known.
+    pub(crate) gateways: Gauge,
     /// Version of the configuration in force.
     pub(crate) configuration_version: Gauge,
     /// Age of the configuration's last confirmation, in milliseconds; -1 if it never was.
@@ -94,6 +96,7 @@
             open_requests: registry.gauge("relay_open_requests", "Open requests"),
             open_connections: registry.gauge("relay_open_connections", "Clients' connections"),
             peers: registry.gauge("relay_peers", "Peers heard of late"),
+            gateways: registry.gauge("relay_gateways", "Gateways that share budgets"),
             configuration_version: registry.gauge("relay_configuration_version", "In force"),
             configuration_age_ms: registry.gauge("relay_configuration_age_ms", "Since confirmed"),
             fleet_age_ms: registry.gauge("relay_fleet_age_ms", "Since confirmed"),
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -122,6 +122,7 @@
         configuration: knows(core, core.published.configuration_belief()),
         endpoints: knows(core, core.published.endpoint_belief()),
         lengths: core.lengths.borrow().told(core.now_ms()),
+        gateways: sharing(core),
         held: Vec::new(),
         reads: Vec::new(),
     };
@@ -149,6 +150,11 @@
     }
 }
 
+fn sharing(core: &Core) -> Option<u32> {
+    let gateways = core.headcount.borrow().sharing()?;
+    u32::try_from(gateways).ok()
+}
+
 fn knows(core: &Core, belief: &Belief) -> Option<Knows> {
     let age_ms = belief.age_ms(core.now_whole_ms())?;
     Some(Knows {
@@ -212,6 +218,9 @@
         log::info!(peer:% = from; "a peer is heard");
     }
     hear_knows(core, from, beacon);
+    if let Some(gateways) = beacon.gateways {
+        core.headcount.borrow_mut().told(gateways as usize);
+    }
     let fleet = core.published.fleet();
     let by_hash = core.published.endpoint_hashes();
     let key_of = |hash: u64| by_hash.get(&hash).copied();
@@ -286,11 +295,26 @@
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
-        core.headcount.borrow_mut().heard(peers, now_ms);
+        count_gateways(&core, peers, now_ms);
         note_beliefs(&core);
     }
 }
 
+/// Brings the number of gateways up to date.
+fn count_gateways(core: &Core, peers: usize, now_ms: f64) {
+    let mut headcount = core.headcount.borrow_mut();
+    let before = headcount.sharing();
+    headcount.heard(peers, now_ms);
+    if let Some(listed) = core.published.listed_gateways() {
+        headcount.listed(listed);
+    }
+    let sharing = headcount.sharing();
+    core.metrics.gateways.set(sharing.map_or(-1, |n| n as i64));
+    if before.is_none() && sharing.is_some() {
+        log::info!(gateways = sharing.unwrap_or(0), heard = peers; "how many gateways there are is known");
+    }
+}
+
 fn note_beliefs(core: &Core) {
     let age = |age_ms: Option<u64>| age_ms.map_or(-1, |age_ms| age_ms as i64);
     let published = &core.published;
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -4,6 +4,7 @@
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::sync::atomic::AtomicBool;
+use std::sync::atomic::AtomicUsize;
 use std::sync::atomic::Ordering;
 use std::sync::Arc;
 use std::time::Instant;
@@ -221,6 +222,8 @@
     fleet: ArcSwap<Fleet>,
     endpoint_hashes: ArcSwap<HashMap<u64, EndpointKey>>,
     peers: ArcSwap<Vec<SocketAddr>>,
+    /// Gateways that the store lists; 0 before it has been read.
+    listed_gateways: AtomicUsize,
     live: ArcSwap<Live>,
     started: Instant,
     configuration_belief: Belief,
@@ -237,6 +240,7 @@
             fleet: ArcSwap::from_pointee(Fleet::default()),
             endpoint_hashes: ArcSwap::default(),
             peers: ArcSwap::default(),
+            listed_gateways: AtomicUsize::new(0),
             live: ArcSwap::default(),
             started: Instant::now(),
             configuration_belief: Belief::new(Contents::Versions),
@@ -305,6 +309,17 @@
         self.peers.store(Arc::new(peers));
     }
 
+    /// How many gateways the store lists, this one included; `None` before it has been read.
+    pub fn listed_gateways(&self) -> Option<usize> {
+        let listed = self.listed_gateways.load(Ordering::Relaxed);
+        (listed > 0).then_some(listed)
+    }
+
+    /// Sets how many gateways the store lists, this one included.
+    pub fn put_listed_gateways(&self, gateways: usize) {
+        self.listed_gateways.store(gateways, Ordering::Relaxed);
+    }
+
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
         let hash = |endpoint: &Arc<Endpoint>| endpoint.facts.incarnation.hash_64();
--- a/crates/mgs-relay/tests/budget.rs
+++ b/crates/mgs-relay/tests/budget.rs
@@ -34,7 +34,7 @@
         for request in 0..requests_each {
             let now_ms = request as f64;
             budget.first(&options, SERVICE, now_ms);
-            let again = |_: &i32| budget.again(&options, SERVICE, now_ms, headcount.gateways());
+            let again = |_: &i32| budget.again(&options, SERVICE, now_ms, headcount.sharing());
             taken += (0..3).filter(again).count();
         }
     }
@@ -60,3 +60,22 @@
     let taken = taken(&vec![headcount; GATEWAYS], 20);
     assert!(taken <= allowed(GATEWAYS * 20), "{taken}");
 }
+
+#[test]
+fn gateways_that_know_how_many_they_are_may_use_the_fixed_part() {
+    let mut headcount = Headcount::default();
+    headcount.told(GATEWAYS);
+    let few_requests = taken(&vec![headcount; GATEWAYS], 1);
+    assert!(few_requests >= GATEWAYS, "{few_requests}");
+    assert!(few_requests <= allowed(GATEWAYS), "{few_requests}");
+}
+
+#[test]
+fn a_number_that_a_peer_told_gives_way_to_the_stores_list() {
+    let mut headcount = Headcount::default();
+    headcount.told(40);
+    headcount.listed(3);
+    assert_eq!(headcount.sharing(), Some(3));
+    headcount.heard(9, 0.0);
+    assert_eq!(headcount.sharing(), Some(10), "who is heard is there");
+}
