--- a/crates/mgs-placing/src/board.rs
+++ b/crates/mgs-placing/src/board.rs
@@ -15,6 +15,7 @@
 use crate::lengths::Told;
 use crate::line::Firsts;
 use crate::passes::Passes;
+use crate::share::Reads;
 use crate::streams;
 use crate::streams::Streams;
 
@@ -136,14 +137,21 @@
 #[derive(Debug, Default)]
 struct Peer {
     heard_ms: f64,
+    zone: ZoneKey,
     waiting: Firsts,
     lengths: Vec<Told>,
     held: Vec<(EndpointKey, Held)>,
 }
 
+/// Names an availability zone among gateways; 0 if it isn't told.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Serialize, Deserialize)]
+pub struct ZoneKey(pub u32);
+
 /// What a peer says of itself.
 #[derive(Debug, Clone, Default, PartialEq)]
 pub struct Said {
+    /// Its availability zone.
+    pub zone: ZoneKey,
     /// Who goes first among the prompts that wait there.
     pub waiting: Firsts,
     /// How often prompts of each length were asked of it and sent by it.
@@ -157,6 +165,55 @@
 pub struct Board {
     work: Vec<Work>,
     peers: HashMap<PeerKey, Peer>,
+    whole_elsewhere: Recent,
+    shared_elsewhere: Recent,
+}
+
+/// Prompts that peers placed, as they fade from memory.
+#[derive(Debug, Default)]
+struct Recent {
+    prompts: f64,
+    read_ms: f64,
+    at_ms: f64,
+}
+
+impl Recent {
+    fn add(&mut self, now_ms: f64, read_ms: f64) {
+        let left = self.left(now_ms);
+        self.prompts = self.prompts * left + 1.0;
+        self.read_ms = self.read_ms * left + read_ms;
+        self.at_ms = now_ms;
+    }
+
+    fn left(&self, now_ms: f64) -> f64 {
+        let age_ms = (now_ms - self.at_ms).max(0.0);
+        (-age_ms / RECENT_MS).exp()
+    }
+
+    fn rate(&self, now_ms: f64) -> Rate {
+        Rate {
+            per_ms: self.prompts * self.left(now_ms) / RECENT_MS,
+            mean_read_ms: self.read_ms / self.prompts.max(f64::MIN_POSITIVE),
+        }
+    }
+}
+
+/// How often peers place prompts.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Rate {
+    /// Prompts in a millisecond, by all peers.
+    pub per_ms: f64,
+    /// Mean reading of one at each of its engines, in milliseconds.
+    pub mean_read_ms: f64,
+}
+
+/// What peers place, as of late.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Elsewhere {
+    /// Prompts that one engine reads.
+    pub whole: Rate,
+    /// Prompts that several engines read.
+    pub shared: Rate,
 }
 
 impl Board {
@@ -202,6 +259,30 @@
         work.passes.read(now_ms, read_ms, is_writing);
     }
 
+    /// A peer placed reading.
+    pub fn read_elsewhere(
+        &mut self,
+        endpoint: EndpointKey,
+        now_ms: f64,
+        read_ms: f64,
+        reads: Reads,
+    ) {
+        self.read(endpoint, now_ms, read_ms);
+        match reads {
+            Reads::Whole => self.whole_elsewhere.add(now_ms, read_ms),
+            Reads::FirstPart => self.shared_elsewhere.add(now_ms, read_ms),
+            Reads::Part => {}
+        }
+    }
+
+    /// How often peers place prompts, as of late.
+    pub fn elsewhere(&self, now_ms: f64) -> Elsewhere {
+        Elsewhere {
+            whole: self.whole_elsewhere.rate(now_ms),
+            shared: self.shared_elsewhere.rate(now_ms),
+        }
+    }
+
     /// Reading ended `early_ms` before the prediction (negative: after it), or was given up.
     pub fn correct(&mut self, endpoint: EndpointKey, now_ms: f64, early_ms: f64) {
         let work = self.work_mut(endpoint);
@@ -225,6 +306,7 @@
         let heard_ms = now_ms;
         let heard = Peer {
             heard_ms,
+            zone: said.zone,
             waiting: said.waiting,
             lengths: said.lengths,
             held: said.held,
@@ -254,6 +336,22 @@
         waiting.fold(Firsts::default(), Firsts::and)
     }
 
+    /// The same among peers of one availability zone.
+    pub fn waiting_in(&self, zone: ZoneKey) -> Firsts {
+        let waiting = self.in_zone(zone).map(|peer| peer.waiting);
+        waiting.fold(Firsts::default(), Firsts::and)
+    }
+
+    /// How many peers of one availability zone have been heard of late.
+    pub fn peers_in(&self, zone: ZoneKey) -> usize {
+        self.in_zone(zone).count()
+    }
+
+    fn in_zone(&self, zone: ZoneKey) -> impl Iterator<Item = &Peer> {
+        let peers = self.peers.values();
+        peers.filter(move |peer| peer.zone == zone)
+    }
+
     /// Adds what peers counted of each length to this gateway's own counts.
     pub fn add_lengths(&self, counts: &mut Counts) {
         for peer in self.peers.values() {
--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -22,12 +22,22 @@
 /// tell them apart.
 const DECLARED_BLUR: f64 = 0.01;
 
-/// Places a prompt.
+/// By which gateways that see the same choose differently.
+#[derive(Debug, Clone, Copy, Default, PartialEq)]
+pub struct Lot {
+    /// A number from 0 up to 1, drawn for each choice; 0 for the way that looks best.
+    pub draw: f64,
+    /// Share of what peers place that goes to the candidates, as one of the same number would.
+    pub share: f64,
+}
+
+/// Places a prompt. Among engines that are as good the first candidates are taken.
 ///
 /// ```
 /// use mgs_fleet::view::EndpointKey;
 /// use mgs_placing::board::Board;
 /// use mgs_placing::choose::choose;
+/// use mgs_placing::choose::Lot;
 /// use mgs_placing::way::Candidate;
 /// use mgs_placing::options::Options;
 /// use mgs_placing::model::EngineModel;
@@ -46,7 +56,7 @@
 /// };
 /// let engines: Vec<Candidate> = (0..21).map(engine).collect();
 /// let model = EngineModel::default();
-/// let placement = choose(&need, &engines, &Board::new(), &model, &Options::default(), 0.0).unwrap();
+/// let placement = choose(&need, &engines, &Board::new(), &model, &Options::default(), Lot::default(), 0.0).unwrap();
 /// assert!(!placement.helpers.is_empty());
 /// assert!(placement.first_token_ms < need.aim_ms);
 /// ```
@@ -56,18 +66,22 @@
     board: &Board,
     model: &EngineModel,
     options: &Options,
+    lot: Lot,
     now_ms: f64,
 ) -> Result<Placement, NoPlace> {
     if candidates.is_empty() {
         return Err(NoPlace::NoEndpoint);
     }
     let survey = |candidate| Survey::of(candidate, board, model, options, now_ms);
+    let elsewhere = board.elsewhere(now_ms);
     let mut placing = Placing {
         need,
         model,
         options,
         engines_max: options.engines_max,
         surveys: candidates.iter().map(survey).collect(),
+        elsewhere,
+        lot,
         units: need.units(model),
         passes: model.passes(need.expected_tokens) as f64,
         is_long: is_long(need, model, options),
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -1,5 +1,10 @@
 //! Each way to place a prompt, judged by the worth that it is expected to lose.
 
+use crate::board::Elsewhere;
+use crate::board::Rate;
+use crate::choose::Lot;
+use crate::crowd;
+use crate::crowd::Crowd;
 use crate::model::EngineModel;
 use crate::need::Need;
 use crate::options::Options;
@@ -14,6 +19,9 @@
 /// A prompt is small if it takes less than this part of an engine's memory: one in so many.
 const SMALL_SHARE: u64 = 6;
 
+/// Engines whose parts would end within this share of the aim of each other are as good for a part.
+const PART_STEP_SHARE: f64 = 0.02;
+
 /// Numbers of engines that are tried for a prompt that is shared.
 const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 13, 16];
 
@@ -29,6 +37,10 @@
     pub(crate) units: f64,
     /// Passes of an engine that its answer is expected to take.
     pub(crate) passes: f64,
+    /// What peers place meanwhile.
+    pub(crate) elsewhere: Elsewhere,
+    /// By which it differs from others' choices.
+    pub(crate) lot: Lot,
     /// Whether it is long; see [`Options::long_aim_share`].
     pub(crate) is_long: bool,
     /// Whether its answer needs so much of its time that what is read beside it counts.
@@ -184,10 +196,11 @@
 
     pub(crate) fn with_width(&self, width: usize, part_ms: f64) -> Option<Placement> {
         let is_shared = width > 1;
-        let first = self.first_for(part_ms, is_shared)?;
         if !is_shared {
+            let first = self.first_alone(part_ms)?;
             return Some(self.judge_alone(first, part_ms));
         }
+        let first = self.first_shared(part_ms)?;
         let mut others: Vec<&Survey<'_>> = self
             .surveys
             .iter()
@@ -197,25 +210,60 @@
         if others.len() + 1 < width {
             return None;
         }
-        others.sort_by(|a, b| {
-            let (a, b) = (self.part_loss(a, part_ms), self.part_loss(b, part_ms));
-            a.total_cmp(&b)
-        });
+        others.sort_by_cached_key(|survey| self.part_rank(survey, part_ms));
         others.truncate(width - 1);
         Some(self.judge_shared(first, &others, part_ms))
     }
 
-    /// The engine that writes: expected loss of its own part, of its place and of its company.
-    fn first_for(&self, part_ms: f64, is_shared: bool) -> Option<&Survey<'_>> {
-        let loss = |survey: &Survey<'_>| match is_shared {
-            true => self.first_part_loss(survey, part_ms),
-            false => self.alone_loss(survey, part_ms),
-        };
-        self.surveys
+    /// Engines that may write the answer.
+    fn writers(&self) -> impl Iterator<Item = &Survey<'_>> {
+        let with_place = self.surveys.iter().filter(|survey| self.has_place(survey));
+        with_place.filter(|survey| self.is_small() || self.has_memory(survey))
+    }
+
+    /// The engine that writes a prompt whose reading is shared: the least loss of its own part, of its place and of
+    /// its company.
+    fn first_shared(&self, part_ms: f64) -> Option<&Survey<'_>> {
+        let loss = |survey: &Survey<'_>| self.first_part_loss(survey, part_ms);
+        self.pick(loss, part_ms, &self.elsewhere.shared)
+    }
+
+    /// The engine that reads and writes a whole prompt: one of those with the least loss, the others left to whoever
+    /// chooses at the same moment.
+    fn first_alone(&self, read_ms: f64) -> Option<&Survey<'_>> {
+        let loss = |survey: &Survey<'_>| self.alone_loss(survey, read_ms);
+        self.pick(loss, read_ms, &self.elsewhere.whole)
+    }
+
+    /// One of the engines with the least loss for a prompt that is read there for `read_ms`, while `others` are placed
+    /// elsewhere.
+    fn pick(
+        &self,
+        loss: impl Fn(&Survey<'_>) -> f64,
+        read_ms: f64,
+        others: &Rate,
+    ) -> Option<&Survey<'_>> {
+        let writers: Vec<&Survey<'_>> = self.writers().collect();
+        let losses: Vec<f64> = writers.iter().map(|survey| loss(survey)).collect();
+        let best = losses
             .iter()
-            .filter(|survey| self.has_place(survey))
-            .filter(|survey| self.is_small() || self.has_memory(survey))
-            .min_by(|a, b| loss(a).total_cmp(&loss(b)))
+            .zip(&writers)
+            .min_by(|(a, _), (b, _)| a.total_cmp(b))?;
+        let crowd = Crowd {
+            unseen: others.per_ms * self.options.unseen_ms * self.lot.share,
+            step_units: self.step_units(best.1, read_ms, others) * self.options.crowd_factor,
+            draw: self.lot.draw,
+        };
+        let picked = crowd::pick(&losses, &crowd)?;
+        writers.get(picked).copied()
+    }
+
+    /// What it loses for each prompt that somebody else has placed on its engine meanwhile, in units.
+    fn step_units(&self, survey: &Survey<'_>, read_ms: f64, others: &Rate) -> f64 {
+        let alone_ms = survey.ready_ms(read_ms) + self.place_price_ms(survey);
+        let with_one_ms = alone_ms + others.mean_read_ms * survey.slowness;
+        let waits = self.late_units(survey, with_one_ms) - self.late_units(survey, alone_ms);
+        waits + survey.harm(read_ms + others.mean_read_ms) - survey.harm(read_ms)
     }
 
     /// Loss by reading a part there and writing the answer.
@@ -235,6 +283,15 @@
         late + survey.harm(read_ms) + self.company_loss(survey) + self.trial_loss(survey)
     }
 
+    /// Order of an engine among those that may read a part: its loss in steps, so that engines that differ by little
+    /// are as good, and the first candidates of them are taken. Two gateways that choose at the same moment then
+    /// take engines that lie together each, and seldom the same; ordered to the last digit, both took the same
+    /// sixteen.
+    fn part_rank(&self, survey: &Survey<'_>, part_ms: f64) -> u64 {
+        let step_units = self.units * self.options.wait_units * PART_STEP_SHARE;
+        (self.part_loss(survey, part_ms) / step_units.max(f64::MIN_POSITIVE)).max(0.0) as u64
+    }
+
     /// Loss by reading a part there: the prompt's lateness if this engine were the last to be done,
     /// and the streams there that pause. Engines with less to read are better, also where the part
     /// would overtake what waits.
--- a/crates/mgs-placing/src/lib.rs
+++ b/crates/mgs-placing/src/lib.rs
@@ -16,12 +16,14 @@
 
 pub mod board;
 pub mod choose;
+pub mod crowd;
 mod figure;
 mod judge;
 mod late;
 pub mod lengths;
 pub mod line;
 pub mod model;
+pub mod near;
 pub mod need;
 pub mod options;
 pub mod passes;
--- /dev/null
+++ b/crates/mgs-placing/src/near.rs
@@ -0,0 +1,131 @@
+//! Engines of the gateway's own availability zone first.
+//!
+//! The load that this answers: a hundred gateways share 172 engines in five zones. Whoever chooses among all of them
+//! meets a hundred others that choose at the same moment; whoever chooses in its own zone meets twenty, surveys a
+//! fifth of the engines, and the parts of its prompts lie together. In the emulator 0.97 instead of 0.92 of the short
+//! prompts are on time so, and 0.99 instead of 0.96 of the reviews (100 gateways, 8 plays).
+//!
+//! It is done only where a zone has engines enough for the widest prompt, and only for a prompt that has time to spare
+//! there. Any other is judged over all engines as well, and goes where it loses least.
+
+use crate::board::Board;
+use crate::choose::choose;
+use crate::choose::Lot;
+use crate::model::EngineModel;
+use crate::need::Need;
+use crate::options::Options;
+use crate::way::Candidate;
+use crate::way::NoPlace;
+use crate::way::Placement;
+
+/// Engines that may take a prompt. Those that lie together stand together in both lists, and the first are taken where
+/// several are as good.
+#[derive(Debug, Clone, Copy)]
+pub struct Field<'a> {
+    /// Those in the gateway's own availability zone.
+    pub near: &'a [Candidate],
+    /// All, the near ones included.
+    pub all: &'a [Candidate],
+}
+
+/// Where a prompt was judged.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Scope {
+    /// Among the engines of the gateway's own availability zone.
+    Zone,
+    /// Among all.
+    Fleet,
+}
+
+/// A placement and where it was judged.
+#[derive(Debug, Clone, PartialEq)]
+pub struct Placed {
+    /// Where it goes.
+    pub placement: Placement,
+    /// Whom it competes with.
+    pub scope: Scope,
+}
+
+/// Places a prompt in the own zone if that is as good, else anywhere. `draw` as for [`choose`].
+///
+/// ```
+/// use mgs_fleet::view::EndpointKey;
+/// use mgs_placing::board::Board;
+/// use mgs_placing::model::EngineModel;
+/// use mgs_placing::near::place;
+/// use mgs_placing::near::Field;
+/// use mgs_placing::near::Scope;
+/// use mgs_placing::need::Need;
+/// use mgs_placing::options::Options;
+/// use mgs_placing::way::Candidate;
+///
+/// let need = Need {
+///     prompt_tokens: 5_000,
+///     output_tokens: 1_600,
+///     expected_tokens: 800,
+///     pause_ms: 250.0,
+///     full_aim_ms: 300.0,
+///     aim_ms: 300.0,
+///     left_ms: 10_000.0,
+///     patience_ms: 2_000.0,
+/// };
+/// let engine = |key| Candidate { key: EndpointKey(key), slowness: 1.0, trial: false };
+/// let all: Vec<Candidate> = (0..100).map(engine).collect();
+/// let field = Field { near: &all[..30], all: &all };
+/// let (board, model, options) = (Board::new(), EngineModel::default(), Options::default());
+/// let placed = place(&need, &field, &board, &model, &options, 0.5, 0.0).unwrap();
+/// assert_eq!(placed.scope, Scope::Zone);
+/// assert!(placed.placement.first.0 < 30);
+/// ```
+pub fn place(
+    need: &Need,
+    field: &Field<'_>,
+    board: &Board,
+    model: &EngineModel,
+    options: &Options,
+    draw: f64,
+    now_ms: f64,
+) -> Result<Placed, NoPlace> {
+    let among = |candidates: &[Candidate]| {
+        let share = candidates.len() as f64 / field.all.len().max(1) as f64;
+        choose(
+            need,
+            candidates,
+            board,
+            model,
+            options,
+            Lot { draw, share },
+            now_ms,
+        )
+    };
+    let near = match has_near(field, options) {
+        true => among(field.near).ok(),
+        false => None,
+    };
+    let in_zone = |placement| Placed {
+        placement,
+        scope: Scope::Zone,
+    };
+    if let Some(placement) = near.as_ref().filter(|near| has_time(need, near, options)) {
+        return Ok(in_zone(placement.clone()));
+    }
+    let anywhere = among(field.all);
+    match (near, anywhere) {
+        (Some(near), Ok(far)) if near.loss_units <= far.loss_units => Ok(in_zone(near)),
+        (Some(near), Err(_)) => Ok(in_zone(near)),
+        (_, anywhere) => anywhere.map(|placement| Placed {
+            placement,
+            scope: Scope::Fleet,
+        }),
+    }
+}
+
+/// Whether the own zone has engines enough for the widest prompt, and isn't all that there is.
+fn has_near(field: &Field<'_>, options: &Options) -> bool {
+    field.near.len() > options.engines_max && field.near.len() < field.all.len()
+}
+
+/// Whether a prompt's first token comes with time to spare.
+fn has_time(need: &Need, placement: &Placement, options: &Options) -> bool {
+    placement.first_token_ms <= need.aim_ms * options.near_aim_share
+}
--- a/crates/mgs-placing/src/options.rs
+++ b/crates/mgs-placing/src/options.rs
@@ -62,6 +62,15 @@
     /// Share of the length that a client expects which its answer is taken to have at least. Expectations are right
     /// at the median; at a spread of a half, nine of ten answers are longer than half of them.
     pub believed_share: f64,
+    /// Time that others' placements take to be known here, in milliseconds: up to 15 between two messages, one or
+    /// two on the way, and as much again on a host with a tenth of a core that tells a hundred peers.
+    pub unseen_ms: f64,
+    /// Share of its aim within which a prompt's first token must be expected from its own availability zone for other
+    /// zones not to be looked at.
+    pub near_aim_share: f64,
+    /// How much more one prompt placed unseen on the same engine costs than its reading predicts, as a factor: several
+    /// may come at once.
+    pub crowd_factor: f64,
     /// Memory of an engine, as a share, that is kept free of promises: answers that grow beyond their hint.
     pub memory_spare_share: f64,
 }
@@ -90,6 +99,9 @@
             wait_units: 0.3,
             unknown_share: 0.25,
             believed_share: 0.5,
+            unseen_ms: 30.0,
+            near_aim_share: 0.6,
+            crowd_factor: 8.0,
             memory_spare_share: 0.02,
         }
     }
@@ -132,6 +144,9 @@
             "overtake_units" => self.overtake_units = value,
             "wait_units" => self.wait_units = value,
             "memory_spare_share" => self.memory_spare_share = value,
+            "unseen_ms" => self.unseen_ms = value,
+            "near_aim_share" => self.near_aim_share = value,
+            "crowd_factor" => self.crowd_factor = value,
             "believed_share" => self.believed_share = value,
             "unknown_share" => self.unknown_share = value,
             _ => return false,
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 
 use crate::board::Held;
+use crate::board::ZoneKey;
 use crate::lengths::Told;
 use crate::line::Firsts;
 
@@ -23,6 +24,17 @@
     pub held: Held,
 }
 
+/// What an endpoint reads of a prompt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub enum Reads {
+    /// All of it.
+    Whole,
+    /// A part, and it writes the answer.
+    FirstPart,
+    /// A part.
+    Part,
+}
+
 /// Reading placed at one endpoint since the last message.
 #[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
 pub struct ReadAt {
@@ -30,6 +42,8 @@
     pub endpoint: u64,
     /// Predicted reading, in milliseconds.
     pub read_ms: u16,
+    /// What is read.
+    pub reads: Reads,
 }
 
 /// What the sender knows of one topic of the store.
@@ -50,6 +64,8 @@
     pub sequence: u64,
     /// Whether the sender is about to leave: what it holds no longer grows.
     pub leaving: bool,
+    /// Availability zone of the sender.
+    pub zone: ZoneKey,
     /// Who goes first among the prompts that wait there.
     pub waiting: Firsts,
     /// The configuration that it knows, once the store has confirmed one.
--- a/crates/mgs-placing/tests/company.rs
+++ b/crates/mgs-placing/tests/company.rs
@@ -4,6 +4,7 @@
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
 use mgs_placing::choose::choose;
+use mgs_placing::choose::Lot;
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
 use mgs_placing::options;
@@ -35,7 +36,16 @@
     };
     let candidates: Vec<Candidate> = (0..4).map(candidate).collect();
     let options = options::Options::default();
-    choose(need, &candidates, board, model, &options, now_ms).expect("a place")
+    choose(
+        need,
+        &candidates,
+        board,
+        model,
+        &options,
+        Lot::default(),
+        now_ms,
+    )
+    .expect("a place")
 }
 
 /// One engine with short streams and this much reading left.
--- a/crates/mgs-placing/tests/emulator/deployments.rs
+++ b/crates/mgs-placing/tests/emulator/deployments.rs
@@ -133,3 +133,53 @@
         audits_per_s: 0.03,
     },
 ];
+
+/// A large one.
+pub(crate) fn large() -> Deployment {
+    Deployment {
+        engines: 172,
+        model: EngineModel {
+            slots: 10,
+            memory_tokens: 315_000,
+            stride_steps: 80,
+            usual_prompt_tokens: 11_500.0,
+            usual_answer_tokens: 1_800.0,
+            ..EngineModel::default()
+        },
+        audits: Audits {
+            mean_tokens: 220_000.0,
+            spread: 0.55,
+            most_tokens: 700_000.0,
+            aim_ms: 4_000.0,
+        },
+        questions: Some(Questions {
+            mean_tokens: 4_960.0,
+            spread: 0.9,
+            most_tokens: 23_800.0,
+            mean_events: 23.5,
+            events_spread: 0.7,
+            most_events: 58.8,
+            hint_spread: 0.5,
+            aim_ms: 400.0,
+            pause_ms: 300.0,
+        }),
+        places: 10,
+        plays: 1,
+    }
+}
+
+/// Five seconds of long prompts and five of short ones, as many as a large one gets on a calm day.
+pub(crate) const LARGE_SWING: [Phase; 2] = [
+    Phase {
+        length_ms: 5_000.0,
+        short_per_s: 100.0,
+        reviews_per_s: 20.0,
+        audits_per_s: 12.0,
+    },
+    Phase {
+        length_ms: 5_000.0,
+        short_per_s: 400.0,
+        reviews_per_s: 15.0,
+        audits_per_s: 1.0,
+    },
+];
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -5,15 +5,20 @@
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
-use mgs_placing::choose::choose;
+use mgs_placing::board::ZoneKey;
 use mgs_placing::choose::is_long;
 use mgs_placing::lengths::Band;
 use mgs_placing::lengths::Lengths;
 use mgs_placing::line::Firsts;
 use mgs_placing::line::Score;
 use mgs_placing::model::EngineModel;
+use mgs_placing::near::place;
+use mgs_placing::near::Field;
+use mgs_placing::near::Placed;
+use mgs_placing::near::Scope;
 use mgs_placing::need::Need;
 use mgs_placing::options;
+use mgs_placing::share::Reads;
 use mgs_placing::spare::Spare;
 use mgs_placing::streams::Streams;
 use mgs_placing::turn;
@@ -27,15 +32,21 @@
 use super::Audits;
 use super::Emulator;
 use super::Event;
+use super::Numbers;
 use super::Phase;
 use super::Prompt;
 use super::Questions;
+use super::Seen;
+use super::Wrote;
 
-const LOOK_MS: f64 = 12.0;
+pub(super) const LOOK_MS: f64 = 12.0;
 
 /// Time between two judgements of a prompt that isn't first in line.
 const JUDGEMENT_MS: f64 = 240.0;
 
+/// Availability zones of a fleet.
+pub(super) const ZONES: usize = 5;
+
 /// Prompts of fewer tokens are short in each load.
 const SHORT_TOKENS: u64 = 24_000;
 
@@ -68,16 +79,34 @@
     LeastLoaded,
 }
 
-struct Gateway {
+/// Reading that was placed and that peers haven't been told of.
+#[derive(Debug, Clone, Copy)]
+pub(super) struct FreshRead {
+    pub(super) endpoint: EndpointKey,
+    pub(super) read_ms: f64,
+    pub(super) reads: Reads,
+}
+
+pub(super) struct Gateway {
     policy: Policy,
-    engines: u32,
-    board: Board,
-    options: options::Options,
+    /// Engines that it may choose.
+    pub(super) engines: Vec<u32>,
+    /// Its availability zone; the engines of each lie together.
+    pub(super) zone: usize,
+    /// Zones of its engines.
+    pub(super) zones: usize,
+    /// Gateways that share the engines.
+    pub(super) gateways: usize,
+    /// What its choices are drawn from; without it, it takes what looks best.
+    pub(super) draws: Option<Numbers>,
+    pub(super) fresh_reads: Vec<FreshRead>,
+    pub(super) board: Board,
+    pub(super) options: options::Options,
     turns: turn::Options,
-    waiting: Vec<usize>,
+    pub(super) waiting: Vec<usize>,
     spare: Spare,
-    lengths: Lengths,
-    placed: HashMap<usize, Placed>,
+    pub(super) lengths: Lengths,
+    placed: HashMap<usize, Sent>,
     judged: HashMap<usize, Judged>,
 }
 
@@ -95,7 +124,7 @@
     }
 }
 
-struct Placed {
+struct Sent {
     placement: Placement,
     parts: Vec<(EndpointKey, Held)>,
     /// The writer and memory, until the end.
@@ -103,7 +132,7 @@
 }
 
 impl Gateway {
-    fn new(policy: Policy, deployment: &Deployment) -> Self {
+    pub(super) fn new(policy: Policy, deployment: &Deployment) -> Self {
         let mut options = options::Options::default();
         let mut turns = turn::Options::default();
         // Engines that never run out of places have no spare ones to wait for.
@@ -122,7 +151,12 @@
         }
         Self {
             policy,
-            engines: deployment.engines as u32,
+            engines: (0..deployment.engines as u32).collect(),
+            zone: 0,
+            zones: 1,
+            gateways: 1,
+            draws: None,
+            fresh_reads: Vec::new(),
             board,
             options,
             turns,
@@ -149,14 +183,38 @@
         }
     }
 
-    fn place(&self, need: &Need, model: &EngineModel, now_ms: f64) -> Option<Placement> {
-        let candidate = |key| Candidate {
-            key: EndpointKey(key),
+    fn place(&mut self, need: &Need, model: &EngineModel, now_ms: f64) -> Option<Placed> {
+        let mut keys = self.engines.clone();
+        // Its own zone comes first, from another engine on each time.
+        let zone_engines = keys.len() / self.zones;
+        let mut draw = 0.0;
+        if let Some(draws) = &mut self.draws {
+            draw = draws.unit();
+            let before = self.zone * keys.len() / ZONES;
+            keys.rotate_left(before);
+            let first = (draws.unit() * zone_engines as f64) as usize;
+            keys[..zone_engines].rotate_left(first);
+        }
+        let candidate = |key: &u32| Candidate {
+            key: EndpointKey(*key),
             slowness: 1.0,
             trial: false,
         };
-        let candidates: Vec<Candidate> = (0..self.engines).map(candidate).collect();
-        choose(need, &candidates, &self.board, model, &self.options, now_ms).ok()
+        let all: Vec<Candidate> = keys.iter().map(candidate).collect();
+        let field = Field {
+            near: &all[..zone_engines],
+            all: &all,
+        };
+        place(
+            need,
+            &field,
+            &self.board,
+            model,
+            &self.options,
+            draw,
+            now_ms,
+        )
+        .ok()
     }
 
     fn score(&self, need: &Need, placement: &Placement, model: &EngineModel, now_ms: f64) -> Score {
@@ -165,11 +223,12 @@
     }
 
     fn sent_ratio(&self, need: &Need, now_ms: f64) -> f64 {
-        let counts = self.lengths.counts(now_ms);
+        let mut counts = self.lengths.counts(now_ms);
+        self.board.add_lengths(&mut counts);
         counts.ratio(Band::of(need.prompt_tokens, need.full_aim_ms))
     }
 
-    fn arrive(&mut self, emulator: &mut Emulator, prompt: usize) {
+    pub(super) fn arrive(&mut self, emulator: &mut Emulator, prompt: usize) {
         let need = Self::need(&emulator.prompts[prompt], &emulator.model, emulator.now_ms);
         if let Some(band) = turn::band(&need, &emulator.model, &self.turns) {
             self.lengths.asked(band, emulator.now_ms);
@@ -178,8 +237,8 @@
         self.look(emulator);
     }
 
-    fn look(&mut self, emulator: &mut Emulator) {
-        self.note(emulator);
+    pub(super) fn look(&mut self, emulator: &mut Emulator) {
+        self.note(&std::mem::take(&mut emulator.seen));
         let now_ms = emulator.now_ms;
         let mut scored = Vec::new();
         // Who stays in line; those that go at once never stand in it.
@@ -198,40 +257,45 @@
             }
             self.judged.remove(&prompt);
             let need = Self::need(&emulator.prompts[prompt], &emulator.model, now_ms);
-            let Some(placement) = self.place(&need, &emulator.model, now_ms) else {
+            let Some(placed) = self.place(&need, &emulator.model, now_ms) else {
                 continue;
             };
-            let own = self.score(&need, &placement, &emulator.model, now_ms);
-            scored.push((own, prompt, placement));
+            let own = self.score(&need, &placed.placement, &emulator.model, now_ms);
+            scored.push((own, prompt, placed));
         }
         scored.sort_by_key(|(score, prompt, _)| (*score, *prompt));
-        let short = |(_, prompt, _): &(Score, usize, Placement)| {
+        let short = |(_, prompt, _): &(Score, usize, Placed)| {
             let is_short = emulator.prompts[*prompt].tokens < SHORT_TOKENS;
             is_short.then_some(*prompt)
         };
         let mut shorts: Vec<usize> = scored.iter().filter_map(short).collect();
         shorts.sort();
         let mut has_sent = false;
-        for (own, prompt, placement) in scored {
+        for (own, prompt, placed) in scored {
             let need = Self::need(&emulator.prompts[prompt], &emulator.model, now_ms);
             // What was sent in this look takes engines from the others.
-            let placement = match has_sent {
-                false => Some(placement),
+            let placed = match has_sent {
+                false => Some(placed),
                 true => self.place(&need, &emulator.model, now_ms),
             };
-            let Some(placement) = placement else {
+            let Some(Placed { placement, scope }) = placed else {
                 continue;
             };
+            let zone = ZoneKey(self.zone as u32 + 1);
+            let (waiting, gateways) = match scope {
+                Scope::Zone => (self.board.waiting_in(zone), self.board.peers_in(zone) + 1),
+                Scope::Fleet => (self.board.waiting(), self.gateways),
+            };
             let waiting = turn::Waiting {
                 need: &need,
                 placement: &placement,
                 model: &emulator.model,
                 own,
-                others: before,
+                others: before.and(waiting),
                 // Short prompts that came before it; they are numbered as they come.
                 ahead: shorts.partition_point(|short| *short < prompt),
                 spare_per_s: self.spare.per_s(now_ms),
-                gateways: 1,
+                gateways,
             };
             let turn = turn::turn(&waiting, &self.turns);
             if turn == Turn::Go
@@ -257,18 +321,23 @@
         }
     }
 
-    fn note(&mut self, emulator: &mut Emulator) {
-        for (engine, at_ms) in emulator.wrote.drain(..) {
-            self.board.event(EndpointKey(engine as u32), at_ms);
+    /// Takes what it sees of its own streams.
+    pub(super) fn note(&mut self, seen: &Seen) {
+        let own = |wrote: &&Wrote| self.placed.contains_key(&wrote.prompt);
+        for wrote in seen.wrote.iter().filter(own) {
+            let key = EndpointKey(wrote.engine as u32);
+            self.board.event(key, wrote.at_ms);
         }
-        for prompt in emulator.started.drain(..) {
-            let placed = &self.placed[&prompt];
+        for prompt in &seen.started {
+            let Some(placed) = self.placed.get(prompt) else {
+                continue;
+            };
             for (key, part) in &placed.parts {
                 self.board.let_go(*key, part);
             }
         }
-        for prompt in emulator.ended.drain(..) {
-            if let Some(placed) = self.placed.remove(&prompt) {
+        for prompt in &seen.ended {
+            if let Some(placed) = self.placed.remove(prompt) {
                 for (key, held) in &placed.rest {
                     self.board.let_go(*key, held);
                 }
@@ -302,6 +371,15 @@
         readers.extend(&placement.helpers);
         for key in &readers {
             self.board.read(*key, emulator.now_ms, placement.read_ms);
+            self.fresh_reads.push(FreshRead {
+                endpoint: *key,
+                read_ms: placement.read_ms,
+                reads: match (readers.len(), *key == placement.first) {
+                    (1, _) => Reads::Whole,
+                    (_, true) => Reads::FirstPart,
+                    (_, false) => Reads::Part,
+                },
+            });
         }
         for (key, held) in &rest {
             self.board.hold(*key, held);
@@ -320,7 +398,7 @@
             }
         }
         let at_ms = emulator.now_ms + placement.hold_ms;
-        let placed = Placed {
+        let placed = Sent {
             placement,
             parts,
             rest,
@@ -329,18 +407,37 @@
         emulator.schedule(at_ms, Event::Send(prompt));
     }
 
+    /// The engines that read a prompt, the one that writes first.
+    pub(super) fn readers(&self, prompt: usize) -> Vec<usize> {
+        let placement = &self.placed[&prompt].placement;
+        let mut readers = vec![placement.first.0 as usize];
+        readers.extend(placement.helpers.iter().map(|key| key.0 as usize));
+        readers
+    }
+
+    /// Who goes first among the prompts that wait here, as last judged.
+    pub(super) fn first_waiting(&self) -> Firsts {
+        let judged = self.judged.values();
+        judged.fold(Firsts::default(), |firsts, judged| {
+            firsts.with(judged.score)
+        })
+    }
+
     fn least_loaded(&mut self, emulator: &mut Emulator, prompt: usize) {
-        self.note(emulator);
+        self.note(&std::mem::take(&mut emulator.seen));
         let now_ms = emulator.now_ms;
         let need = Self::need(&emulator.prompts[prompt], &emulator.model, now_ms);
-        let load = |key: &u32| {
-            let key = EndpointKey(*key);
+        let load = |key: &&u32| {
+            let key = EndpointKey(**key);
             let running = self.board.held(key).running();
             self.board.backlog_ms(key, now_ms, 0.0) + 50.0 * f64::from(running)
         };
-        let least = (0..self.engines).min_by(|a, b| load(a).total_cmp(&load(b)));
+        let least = self
+            .engines
+            .iter()
+            .min_by(|a, b| load(a).total_cmp(&load(b)));
         let placement = Placement {
-            first: EndpointKey(least.expect("there are engines")),
+            first: EndpointKey(*least.expect("there are engines")),
             helpers: Vec::new(),
             reserves: Vec::new(),
             read_ms: emulator.model.read_ms(need.prompt_tokens),
@@ -388,12 +485,10 @@
                 emulator.schedule(at_ms, Event::Look);
             }
             Event::Send(prompt) => {
-                let placement = &gateway.placed[&prompt].placement;
-                let mut readers = vec![placement.first.0 as usize];
-                readers.extend(placement.helpers.iter().map(|key| key.0 as usize));
-                emulator.send(prompt, &readers);
+                emulator.send(prompt, &gateway.readers(prompt));
             }
             Event::Pass(_) => unreachable!("passes are played by the emulator"),
+            Event::Tell(_) | Event::Hear(_) => unreachable!("one gateway has no peers"),
         }
     }
     emulator
--- a/crates/mgs-placing/tests/emulator/mod.rs
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -5,6 +5,7 @@
 #![allow(dead_code)]
 
 pub(crate) mod deployments;
+pub(crate) mod fleet;
 pub(crate) mod gateway;
 pub(crate) mod sizes;
 
@@ -122,6 +123,27 @@
     Send(usize),
     /// An engine ends a pass.
     Pass(usize),
+    /// A gateway tells its peers what it holds.
+    Tell(usize),
+    /// Peers hear a message.
+    Hear(usize),
+}
+
+/// An event of a stream.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Wrote {
+    pub(crate) prompt: usize,
+    pub(crate) engine: usize,
+    pub(crate) at_ms: f64,
+}
+
+/// What gateways see of their streams.
+#[derive(Debug, Default)]
+pub(crate) struct Seen {
+    /// Prompts whose first token came, and those that ended.
+    pub(crate) started: Vec<usize>,
+    pub(crate) ended: Vec<usize>,
+    pub(crate) wrote: Vec<Wrote>,
 }
 
 /// Engines and a clock.
@@ -137,11 +159,8 @@
     firsts: Vec<usize>,
     queue: BinaryHeap<Reverse<(u64, u64, Event)>>,
     sequence: u64,
-    /// Prompts whose first token came, and those that ended, since the last look.
-    pub(crate) started: Vec<usize>,
-    pub(crate) ended: Vec<usize>,
-    /// Engines that showed events, and when, since the last look.
-    pub(crate) wrote: Vec<(usize, f64)>,
+    /// What came since the last look.
+    pub(crate) seen: Seen,
 }
 
 impl Emulator {
@@ -156,9 +175,7 @@
             firsts: vec![0; prompts.len()],
             queue: BinaryHeap::new(),
             sequence: 0,
-            started: Vec::new(),
-            ended: Vec::new(),
-            wrote: Vec::new(),
+            seen: Seen::default(),
             prompts,
         };
         for index in 0..emulator.prompts.len() {
@@ -276,9 +293,9 @@
     fn start_writing(&mut self, prompt: usize) {
         let wanted = self.prompts[prompt];
         let after_ms = self.now_ms - wanted.at_ms;
-        self.started.push(prompt);
+        self.seen.started.push(prompt);
         if wanted.is_given_up(self.now_ms, after_ms) {
-            self.ended.push(prompt);
+            self.seen.ended.push(prompt);
             return;
         }
         self.fates[prompt].first_token_ms = Some(after_ms);
@@ -294,10 +311,12 @@
 
     fn write(&mut self, index: usize) {
         let now_ms = self.now_ms;
-        if !self.engines[index].writers.is_empty() {
-            self.wrote.push((index, now_ms));
-        }
         for writer in &mut self.engines[index].writers {
+            self.seen.wrote.push(Wrote {
+                prompt: writer.prompt,
+                engine: index,
+                at_ms: now_ms,
+            });
             // One that started within this pass has its event in the next.
             if writer.last_ms >= now_ms {
                 continue;
@@ -309,13 +328,13 @@
             let prompt = &self.prompts[writer.prompt];
             if prompt.is_given_up(now_ms, pause_ms) {
                 writer.events_left = 0;
-                self.ended.push(writer.prompt);
+                self.seen.ended.push(writer.prompt);
                 continue;
             }
             writer.events_left = writer.events_left.saturating_sub(1);
             if writer.events_left == 0 {
                 fate.is_whole = now_ms - prompt.at_ms <= prompt.deadline_ms;
-                self.ended.push(writer.prompt);
+                self.seen.ended.push(writer.prompt);
             }
         }
         self.engines[index]
--- a/crates/mgs-placing/tests/slow.rs
+++ b/crates/mgs-placing/tests/slow.rs
@@ -4,6 +4,7 @@
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
 use mgs_placing::choose::choose;
+use mgs_placing::choose::Lot;
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
 use mgs_placing::options;
@@ -33,7 +34,15 @@
     let candidates: Vec<Candidate> = slowness.iter().enumerate().map(candidate).collect();
     let options = options::Options::default();
     let model = EngineModel::default();
-    choose(&HURRIED, &candidates, board, &model, &options, 0.0)
+    choose(
+        &HURRIED,
+        &candidates,
+        board,
+        &model,
+        &options,
+        Lot::default(),
+        0.0,
+    )
 }
 
 /// Streams at each engine, so that a prompt waits for a pass.
--- a/crates/mgs-placing/tests/turn.rs
+++ b/crates/mgs-placing/tests/turn.rs
@@ -4,6 +4,7 @@
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
 use mgs_placing::choose::choose;
+use mgs_placing::choose::Lot;
 use mgs_placing::line::Firsts;
 use mgs_placing::line::Score;
 use mgs_placing::line::NOBODY;
@@ -48,7 +49,16 @@
     };
     let candidates: Vec<Candidate> = (0..engines).map(candidate).collect();
     let options = options::Options::default();
-    choose(need, &candidates, board, &model(), &options, 0.0).expect("a place")
+    choose(
+        need,
+        &candidates,
+        board,
+        &model(),
+        &options,
+        Lot::default(),
+        0.0,
+    )
+    .expect("a place")
 }
 
 fn turn_of(need: &Need, placement: &Placement, best_other: Score) -> Turn {
@@ -250,7 +260,15 @@
         ..late_audit(14_900.0)
     };
     let options = options::Options::default();
-    let placed = choose(&need, &candidates, &board, &model, &options, 0.0);
+    let placed = choose(
+        &need,
+        &candidates,
+        &board,
+        &model,
+        &options,
+        Lot::default(),
+        0.0,
+    );
     let is_full = matches!(placed, Err(NoPlace::Full { .. }));
     assert!(!is_full, "{placed:?}");
 }
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -8,10 +8,12 @@
 
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Board;
+use mgs_placing::board::ZoneKey;
 use mgs_placing::lengths::Band;
 use mgs_placing::lengths::Lengths;
 use mgs_placing::line::Firsts;
 use mgs_placing::line::Score;
+use mgs_placing::share::Reads;
 use mgs_placing::spare::Spare;
 use mgs_routing::outlier::Outliers;
 use rand::Rng;
@@ -31,6 +33,7 @@
 pub(crate) struct FreshRead {
     pub(crate) endpoint: EndpointKey,
     pub(crate) read_ms: f64,
+    pub(crate) reads: Reads,
 }
 
 /// The shared state.
@@ -57,6 +60,8 @@
     pub(crate) random: RefCell<ChaCha8Rng>,
     /// Last number given to something of this process.
     pub(crate) last_number: Cell<u64>,
+    /// Availability zone of this gateway, as peers are told it.
+    pub(crate) zone: ZoneKey,
     /// This process, among its predecessors and peers.
     pub(crate) incarnation: u64,
 }
@@ -86,13 +91,20 @@
         self.random.borrow_mut().next_u32() % below
     }
 
+    /// A number from 0 up to 1.
+    pub(crate) fn draw(&self) -> f64 {
+        f64::from(self.random.borrow_mut().next_u32()) / (f64::from(u32::MAX) + 1.0)
+    }
+
     /// Reading was placed by this gateway.
-    pub(crate) fn place_read(&self, endpoint: EndpointKey, read_ms: f64) {
+    pub(crate) fn place_read(&self, endpoint: EndpointKey, read_ms: f64, reads: Reads) {
         let now_ms = self.now_ms();
         self.board.borrow_mut().read(endpoint, now_ms, read_ms);
-        self.fresh_reads
-            .borrow_mut()
-            .push(FreshRead { endpoint, read_ms });
+        self.fresh_reads.borrow_mut().push(FreshRead {
+            endpoint,
+            read_ms,
+            reads,
+        });
         self.board_changed.notify_one();
     }
 
@@ -110,10 +122,19 @@
         counts.ratio(band)
     }
 
+    /// How many gateways share what all may spend, if that is known.
+    pub(crate) fn gateways_sharing(&self) -> Option<usize> {
+        let mut headcount = self.headcount.borrow_mut();
+        if let Some(listed) = self.published.listed_gateways() {
+            headcount.listed(listed);
+        }
+        headcount.sharing()
+    }
+
     /// Takes one second try of the budget.
     pub(crate) fn may_try_again(&self, service: &str) -> bool {
         let now_ms = self.now_ms();
-        let gateways = self.headcount.borrow().sharing();
+        let gateways = self.gateways_sharing();
         let live = self.published.live();
         let mut budget = self.budget.borrow_mut();
         budget.again(&live.budget, service, now_ms, gateways)
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -4,6 +4,7 @@
 
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Held;
+use mgs_placing::share::Reads;
 
 use crate::core::Core;
 
@@ -26,7 +27,8 @@
     ) -> Self {
         // Reading first: an engine that writes nothing yet begins to read at once.
         for endpoint in &readers {
-            core.place_read(*endpoint, read_ms);
+            let reads = reads(&held, readers.len(), *endpoint);
+            core.place_read(*endpoint, read_ms, reads);
         }
         for (endpoint, what) in &held {
             core.board.borrow_mut().hold(*endpoint, what);
@@ -53,6 +55,16 @@
     }
 }
 
+/// What one of `readers` endpoints reads of a prompt.
+fn reads(held: &[(EndpointKey, Held)], readers: usize, endpoint: EndpointKey) -> Reads {
+    let writes = |(key, held): &(EndpointKey, Held)| *key == endpoint && held.running() > 0;
+    match (readers, held.iter().any(writes)) {
+        (1, _) => Reads::Whole,
+        (_, true) => Reads::FirstPart,
+        (_, false) => Reads::Part,
+    }
+}
+
 impl Drop for Grant {
     fn drop(&mut self) {
         let now_ms = self.core.now_ms();
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -306,7 +306,12 @@
         };
         let used = self.entries.values().filter(|entry| !entry.is_unreadable);
         let mut endpoints: Vec<Endpoint> = used.map(endpoint).collect();
-        endpoints.sort_by_key(|endpoint| endpoint.key);
+        // The same order at each gateway: those that lie together stand together, and of engines that are as good the
+        // first are taken.
+        endpoints.sort_by_cached_key(|endpoint| {
+            let facts = &endpoint.facts;
+            (facts.zone.clone(), facts.incarnation.hash_64())
+        });
         Fleet::of(endpoints)
     }
 }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -118,6 +118,7 @@
         from: core.incarnation,
         sequence,
         leaving: core.drain.phase() != Phase::Serving,
+        zone: core.zone,
         waiting: core.first_waiting(),
         configuration: knows(core, core.published.configuration_belief()),
         endpoints: knows(core, core.published.endpoint_belief()),
@@ -134,7 +135,12 @@
     for read in core.fresh_reads.take() {
         if let Some(endpoint) = hash_of(&fleet, read.endpoint) {
             let read_ms = read.read_ms.round() as u16;
-            beacon.reads.push(ReadAt { endpoint, read_ms });
+            let reads = read.reads;
+            beacon.reads.push(ReadAt {
+                endpoint,
+                read_ms,
+                reads,
+            });
         }
     }
     loop {
@@ -151,8 +157,7 @@
 }
 
 fn sharing(core: &Core) -> Option<u32> {
-    let gateways = core.headcount.borrow().sharing()?;
-    u32::try_from(gateways).ok()
+    u32::try_from(core.gateways_sharing()?).ok()
 }
 
 fn knows(core: &Core, belief: &Belief) -> Option<Knows> {
@@ -232,10 +237,12 @@
     let mut board = core.board.borrow_mut();
     for read in &beacon.reads {
         if let Some(key) = key_of(read.endpoint).filter(|key| fleet.by_key.contains_key(key)) {
-            board.read(key, now_ms, f64::from(read.read_ms));
+            let read_ms = f64::from(read.read_ms);
+            board.read_elsewhere(key, now_ms, read_ms, read.reads);
         }
     }
     let said = Said {
+        zone: beacon.zone,
         waiting: beacon.waiting,
         lengths: beacon.lengths.clone(),
         held,
@@ -302,17 +309,12 @@
 
 /// Brings the number of gateways up to date.
 fn count_gateways(core: &Core, peers: usize, now_ms: f64) {
-    let mut headcount = core.headcount.borrow_mut();
-    let before = headcount.sharing();
-    headcount.heard(peers, now_ms);
-    if let Some(listed) = core.published.listed_gateways() {
-        headcount.listed(listed);
-    }
-    let sharing = headcount.sharing();
-    core.metrics.gateways.set(sharing.map_or(-1, |n| n as i64));
-    if before.is_none() && sharing.is_some() {
-        log::info!(gateways = sharing.unwrap_or(0), heard = peers; "how many gateways there are is known");
+    core.headcount.borrow_mut().heard(peers, now_ms);
+    let sharing = core.gateways_sharing().map_or(-1, |n| n as i64);
+    if core.metrics.gateways.get() != sharing {
+        log::info!(gateways = sharing, heard = peers; "how many gateways there are has changed");
     }
+    core.metrics.gateways.set(sharing);
 }
 
 fn note_beliefs(core: &Core) {
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -12,6 +12,7 @@
 
 use displaydoc::Display;
 use mgs_placing::board::Board;
+use mgs_placing::board::ZoneKey;
 use mgs_placing::lengths::Lengths;
 use mgs_placing::options;
 use mgs_placing::spare::Spare;
@@ -26,6 +27,7 @@
 use tokio::runtime::Builder;
 use tokio::sync::Notify;
 use tokio::task::LocalSet;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::budget::Budget;
 use crate::client;
@@ -61,6 +63,9 @@
     pub turns: turn::Options,
     /// Endpoints that are passed over.
     pub outliers: outlier::Options,
+    /// Where the numbers by which gateways choose differently begin; a new one each time if it isn't set. Two gateways
+    /// with the same seed choose the same engines.
+    pub random_seed: Option<u64>,
 }
 
 impl Default for Options {
@@ -82,6 +87,7 @@
                 ejection_max_ms: 8_000,
                 ..outlier::Options::default()
             },
+            random_seed: None,
         }
     }
 }
@@ -160,13 +166,21 @@
         metrics,
         drain: Drain::new(),
         headcount: RefCell::new(Headcount::default()),
-        random: RefCell::new(ChaCha8Rng::seed_from_u64(incarnation)),
+        random: RefCell::new(ChaCha8Rng::seed_from_u64(
+            options.random_seed.unwrap_or(incarnation),
+        )),
         last_number: Cell::new(0),
+        zone: zone_key(&options.zone),
         incarnation,
         options,
     }))
 }
 
+/// Names an availability zone among gateways, whatever their order of names.
+fn zone_key(name: &str) -> ZoneKey {
+    ZoneKey(xxh3_64(name.as_bytes()) as u32)
+}
+
 async fn serve(
     core: Rc<Core>,
     started: impl FnOnce(Addresses),
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -5,11 +5,14 @@
 use std::sync::Arc;
 use std::time::Duration;
 
-use mgs_placing::choose::choose;
 use mgs_placing::lengths::Band;
 use mgs_placing::line::Firsts;
 use mgs_placing::line::Score;
 use mgs_placing::model::EngineModel;
+use mgs_placing::near::place;
+use mgs_placing::near::Field;
+use mgs_placing::near::Placed;
+use mgs_placing::near::Scope;
 use mgs_placing::need::Need;
 use mgs_placing::turn;
 use mgs_placing::turn::Turn;
@@ -78,7 +81,7 @@
     let waiting = Waiting::new(core);
     loop {
         let need = need();
-        let placement = choose_engines(prompt, &need, tried)?;
+        let Placed { placement, scope } = choose_engines(prompt, &need, tried)?;
         let turns = &core.options.turns;
         // Short prompts stand in no line, and a hundred come in a second: what peers count isn't summed for them.
         let sent_ratio = band.map_or(1.0, |band| core.sent_ratio(band));
@@ -88,10 +91,10 @@
             placement: &placement,
             model: prompt.model,
             own,
-            others: waiting.others(),
+            others: waiting.others(scope),
             ahead: waiting.ahead(),
             spare_per_s: core.spare.borrow().per_s(core.now_ms()),
-            gateways: core.headcount.borrow().gateways(),
+            gateways: gateways(core, scope),
         };
         let is_short = asked.is_short(turns);
         match turn::turn(&asked, turns) {
@@ -124,7 +127,7 @@
         }
         match is_short {
             true => waiting.until_near().await,
-            false => waiting.until_first(own).await,
+            false => waiting.until_first(own, scope).await,
         }
     }
 }
@@ -182,10 +185,10 @@
     }
 
     /// Waits for the next look, or for more of them while others go first.
-    async fn until_first(&self, own: Score) {
+    async fn until_first(&self, own: Score, scope: Scope) {
         for _ in 0..LOOKS_PER_JUDGEMENT {
             sleep(TURN_LOOK).await;
-            let is_first = own <= self.others().in_line_of(own);
+            let is_first = own <= self.others(scope).in_line_of(own);
             self.note_look(is_first);
             if is_first {
                 return;
@@ -203,12 +206,24 @@
         self.waited.set(waited);
     }
 
-    /// The least scores of the others that wait, here and at peers.
-    fn others(&self) -> Firsts {
+    /// The least scores of the others that wait, here and at peers that wait for the same engines.
+    fn others(&self, scope: Scope) -> Firsts {
         let waiting = self.core.waiting.borrow();
         let others = waiting.iter().filter(|(number, _)| **number != self.number);
         let here = others.fold(Firsts::default(), |firsts, (_, score)| firsts.with(*score));
-        here.and(self.core.board.borrow().waiting())
+        let board = self.core.board.borrow();
+        here.and(match scope {
+            Scope::Zone => board.waiting_in(self.core.zone),
+            Scope::Fleet => board.waiting(),
+        })
+    }
+}
+
+/// Gateways that share the engines among which a prompt was judged, this one included.
+fn gateways(core: &Core, scope: Scope) -> usize {
+    match scope {
+        Scope::Zone => core.board.borrow().peers_in(core.zone) + 1,
+        Scope::Fleet => core.headcount.borrow().gateways(),
     }
 }
 
@@ -225,34 +240,45 @@
     }
 }
 
-fn choose_engines(prompt: &Prompt<'_>, need: &Need, tried: &Tried) -> Result<Placement, Refusal> {
+fn choose_engines(prompt: &Prompt<'_>, need: &Need, tried: &Tried) -> Result<Placed, Refusal> {
     let core = prompt.core;
     let fleet = core.published.fleet();
-    let endpoints = usable(core, &fleet, prompt.service, tried);
+    let mut endpoints = usable(core, &fleet, prompt.service, tried);
+    let near = own_zone_first(core, &mut endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
         key: endpoint.key,
         slowness: core.outliers.slowness(endpoint.key),
         trial: on_trial(core, endpoint),
     };
-    let candidates: Vec<Candidate> = endpoints.iter().map(candidate).collect();
-    know_passes(core, &candidates, prompt.model);
+    let all: Vec<Candidate> = endpoints.iter().map(candidate).collect();
+    know_passes(core, &all, prompt.model);
+    let field = Field {
+        near: &all[..near],
+        all: &all,
+    };
     let board = core.board.borrow();
     let options = &core.options.placing;
-    let chosen = choose(
-        need,
-        &candidates,
-        &board,
-        prompt.model,
-        options,
-        core.now_ms(),
-    );
+    let (draw, now_ms) = (core.draw(), core.now_ms());
+    let chosen = place(need, &field, &board, prompt.model, options, draw, now_ms);
     chosen.map_err(|no_place| {
         let refusal = refuse(no_place);
-        place_log::not_placed(prompt, need, candidates.len(), &no_place, &refusal);
+        place_log::not_placed(prompt, need, all.len(), &no_place, &refusal);
         refusal
     })
 }
 
+/// Puts the endpoints of the own availability zone first, and tells how many they are. They are in the order of all
+/// gateways, and begin with another one each time: gateways that choose at the same moment then take others.
+fn own_zone_first(core: &Core, endpoints: &mut [Arc<Endpoint>]) -> usize {
+    let is_near = |endpoint: &Arc<Endpoint>| endpoint.facts.zone == core.options.zone;
+    let first = endpoints.iter().position(is_near).unwrap_or(0);
+    endpoints.rotate_left(first);
+    let near = endpoints.iter().filter(|e| is_near(e)).count();
+    let turned = core.random_below(near as u32) as usize;
+    endpoints[..near].rotate_left(turned);
+    near
+}
+
 /// Engines of one service have passes of one length.
 fn know_passes(core: &Core, candidates: &[Candidate], model: &EngineModel) {
     let pass_ms = model.bare_pass_ms();
