--- a/crates/mgs-placing/tests/emulator/fleet.rs
+++ b/crates/mgs-placing/tests/emulator/fleet.rs
@@ -127,6 +127,9 @@
         owners.dedup();
         for owner in owners {
             self.gateways[owner].note(&seen);
+            if self.gateways[owner].has_freed {
+                self.changed(owner);
+            }
         }
     }
 
@@ -154,7 +157,8 @@
     fn tell(&mut self, from: usize) {
         let now_ms = self.emulator.now_ms;
         let gateway = &mut self.gateways[from];
-        let is_whole = now_ms - self.wholes_ms[from] >= WHOLE_MS;
+        let is_due = now_ms - self.wholes_ms[from] >= WHOLE_MS;
+        let is_whole = is_due || std::mem::take(&mut gateway.has_freed);
         if is_whole {
             self.wholes_ms[from] = now_ms;
             self.emulator.schedule(now_ms + WHOLE_MS, Event::Tell(from));
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -101,6 +101,8 @@
     pub(super) draws: Option<Numbers>,
     pub(super) fresh_reads: Vec<FreshRead>,
     pub(super) fresh_held: Vec<(EndpointKey, Held)>,
+    /// Whether engines are free again for which long prompts may wait.
+    pub(super) has_freed: bool,
     pub(super) board: Board,
     pub(super) options: options::Options,
     turns: turn::Options,
@@ -159,6 +161,7 @@
             draws: None,
             fresh_reads: Vec::new(),
             fresh_held: Vec::new(),
+            has_freed: false,
             board,
             options,
             turns,
@@ -334,12 +337,14 @@
             let Some(placed) = self.placed.get(prompt) else {
                 continue;
             };
+            self.has_freed |= !placed.parts.is_empty();
             for (key, part) in &placed.parts {
                 self.board.let_go(*key, part);
             }
         }
         for prompt in &seen.ended {
             if let Some(placed) = self.placed.remove(prompt) {
+                self.has_freed |= !placed.placement.helpers.is_empty();
                 for (key, held) in &placed.rest {
                     self.board.let_go(*key, held);
                 }
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -46,6 +46,8 @@
     pub(crate) fresh_reads: RefCell<Vec<FreshRead>>,
     /// What this gateway holds more since peers were last told.
     pub(crate) fresh_held: RefCell<Vec<(EndpointKey, Held)>>,
+    /// Whether peers are to be told all that this gateway holds at once.
+    pub(crate) whole_wanted: Cell<bool>,
     /// Wakes the one who tells peers: something was placed, or the line has changed.
     pub(crate) board_changed: Notify,
     /// Prompts that wait for their turn here, by number.
@@ -111,6 +113,12 @@
         self.board_changed.notify_one();
     }
 
+    /// Endpoints are free again for whom peers may wait.
+    pub(crate) fn tell_freed(&self) {
+        self.whole_wanted.set(true);
+        self.board_changed.notify_one();
+    }
+
     /// Who goes first among the prompts that wait here.
     pub(crate) fn first_waiting(&self) -> Firsts {
         let waiting = self.waiting.borrow();
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -56,6 +56,13 @@
     /// Wait after a reading that brought newcomers only, in milliseconds: endpoints and gateways start many
     /// at a time, and each of them would be a call at each gateway. Who leaves or goes is read at once.
     pub gather_ms: u64,
+    /// Wait after any other reading that brought something, in milliseconds, where the gateway isn't a reader and there
+    /// are many: changes that follow each other cost one call for each wait then, not one each. With 103 gateways a
+    /// second instead of none saves half of the calls of a day on which twelve configurations follow each other.
+    /// 0 for none.
+    pub gather_all_ms: u64,
+    /// Gateways from which on that is done: a few cost the store little.
+    pub gather_all_from: usize,
     /// Wait after a reading that failed, in milliseconds.
     pub retry_ms: u64,
     /// The same where readers say when the store is back, in milliseconds.
@@ -78,6 +85,8 @@
             long_wait_ms: 15_000,
             gateways_wait_ms: 20_000,
             gather_ms: 300,
+            gather_all_ms: 0,
+            gather_all_from: 25,
             retry_ms: 500,
             long_retry_ms: 2_000,
             start_patience_ms: 400,
@@ -162,8 +171,10 @@
 enum Pause {
     /// Nothing.
     None,
-    /// Let changes gather.
+    /// Let newcomers gather.
     Gather,
+    /// Let changes gather.
+    GatherAll,
     /// Give the store time, or wait until peers say that it is back.
     Retry,
 }
@@ -178,7 +189,7 @@
         | Update::GatewayGone { .. }
         | Update::Unreadable { .. } => false,
     };
-    !batch.updates.is_empty() && batch.updates.iter().all(is_newcomer)
+    batch.updates.iter().all(is_newcomer)
 }
 
 /// Whether a batch tells of endpoints that are gone.
@@ -364,10 +375,7 @@
     fn take(&mut self, read: Result<Batch, SourceError>, start_ms: u64) -> Pause {
         match read {
             Ok(batch) => {
-                let pause = match self.revision.is_some() && may_gather(&batch) {
-                    true => Pause::Gather,
-                    false => Pause::None,
-                };
+                let pause = self.gathering(&batch);
                 self.found(has_gone(&batch));
                 self.apply(batch, start_ms);
                 pause
@@ -385,6 +393,19 @@
         }
     }
 
+    /// Whether to wait for more of what a batch tells.
+    fn gathering(&self, batch: &Batch) -> Pause {
+        let is_change = self.revision.is_some() && !batch.updates.is_empty();
+        let gateways = self.published.listed_gateways().unwrap_or(0);
+        let has_many = gateways >= self.options.gather_all_from;
+        match is_change {
+            false => Pause::None,
+            true if has_many && !self.published.is_reader() => Pause::GatherAll,
+            true if may_gather(batch) => Pause::Gather,
+            true => Pause::None,
+        }
+    }
+
     fn lost(&mut self, error: &SourceError) {
         if self.lost_since_ms.is_some() {
             return;
@@ -428,12 +449,18 @@
         match pause {
             Pause::None => {}
             Pause::Gather => sleep(Duration::from_millis(options.gather_ms)).await,
+            Pause::GatherAll => sleep(Duration::from_millis(options.gather_all_ms)).await,
             Pause::Retry => {
                 sleep(Duration::from_millis(options.retry_ms)).await;
-                let Some(belief) = self.belief().filter(|_| !self.published.is_reader()) else {
+                if self.published.is_reader() {
                     return;
-                };
+                }
                 let more_ms = options.long_retry_ms.saturating_sub(options.retry_ms);
+                let Some(belief) = self.belief() else {
+                    // Other gateways make themselves heard; nobody waits for their list.
+                    sleep(Duration::from_millis(more_ms)).await;
+                    return;
+                };
                 // Whether there is news or time is up is all the same.
                 let _ = timeout(Duration::from_millis(more_ms), belief.news()).await;
             }
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -15,6 +15,8 @@
     /// Reading that isn't known to be done, in milliseconds at each endpoint.
     read_ms: f64,
     readers: Vec<EndpointKey>,
+    /// Whether several endpoints read: long prompts wait for them.
+    is_shared: bool,
 }
 
 impl Grant {
@@ -39,11 +41,14 @@
             core: core.clone(),
             held,
             read_ms,
+            is_shared: readers.len() > 1,
             readers,
         }
     }
 
-    /// The first token came: all parts have been read. Peers learn of it with the next whole message, as of the end.
+    /// The first token came: all parts have been read. Peers are told at once if there were several: told with the next
+    /// whole message, 0.82 instead of 0.91 of the longest prompts of a calm day were on time, as others waited for
+    /// engines that were free. Ends of short prompts can wait for it.
     pub(crate) fn first_token(&mut self) {
         self.readers.clear();
         let mut board = self.core.board.borrow_mut();
@@ -52,6 +57,9 @@
             board.let_go(*endpoint, held);
         }
         self.held.retain(|(_, held)| !is_part(held));
+        if self.is_shared {
+            self.core.tell_freed();
+        }
     }
 }
 
@@ -75,5 +83,8 @@
         for endpoint in &self.readers {
             board.correct(*endpoint, now_ms, self.read_ms);
         }
+        if self.is_shared {
+            self.core.tell_freed();
+        }
     }
 }
--- a/crates/mgs-relay/src/handover.rs
+++ b/crates/mgs-relay/src/handover.rs
@@ -24,6 +24,15 @@
 /// Longest message, in bytes: a configuration of some ten thousand routes.
 const BYTES_MAX: u64 = 32 * 1024 * 1024;
 
+/// What a gateway answers a peer.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+enum Answer {
+    /// It has no configuration itself, as when all start at once.
+    NothingYet,
+    /// What it knows.
+    All(Handover),
+}
+
 /// All that a gateway needs to serve.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct Handover {
@@ -56,28 +65,31 @@
 }
 
 async fn tell(core: Rc<Core>, mut stream: TcpStream, peer: SocketAddr) {
-    let Some(handover) = Handover::of(&core.published) else {
-        return;
-    };
-    let message = bincode::serde::encode_to_vec(&handover, bincode::config::standard())
+    let answer = Handover::of(&core.published).map_or(Answer::NothingYet, Answer::All);
+    let message = bincode::serde::encode_to_vec(&answer, bincode::config::standard())
         .expect("BUG: a handover is plain data");
     let sending = async {
         stream.write_all(&message).await?;
         stream.shutdown().await
     };
     let sent = timeout(ASK, sending).await;
-    log::info!(
-        peer:% = peer, configuration = handover.configuration.version,
-        endpoints = handover.endpoints.len(), whole = matches!(sent, Ok(Ok(())));
-        "a peer was told"
-    );
+    let whole = matches!(sent, Ok(Ok(())));
+    match answer {
+        Answer::NothingYet => log::info!(peer:% = peer, whole = whole; "a peer was told nothing"),
+        Answer::All(handover) => log::info!(
+            peer:% = peer, configuration = handover.configuration.version,
+            endpoints = handover.endpoints.len(), whole = whole;
+            "a peer was told"
+        ),
+    }
 }
 
 /// Asks peers one after the other; the first that knows enough is taken.
 pub(crate) async fn ask(peers: &[SocketAddr]) -> Option<Handover> {
     for peer in peers {
         match timeout(ASK, read(*peer)).await {
-            Ok(Ok(handover)) => {
+            Ok(Ok(Answer::NothingYet)) => log::info!(peer:% = peer; "a peer knows nothing yet"),
+            Ok(Ok(Answer::All(handover))) => {
                 log::info!(
                     peer:% = peer, configuration = handover.configuration.version,
                     endpoints = handover.endpoints.len();
@@ -92,7 +104,7 @@
     None
 }
 
-async fn read(peer: SocketAddr) -> Result<Handover, String> {
+async fn read(peer: SocketAddr) -> Result<Answer, String> {
     let stream = TcpStream::connect(peer).await;
     let stream = stream.map_err(|error| error.to_string())?;
     let mut message = Vec::new();
@@ -100,6 +112,6 @@
     let reading = bounded.read_to_end(&mut message).await;
     reading.map_err(|error| error.to_string())?;
     let decoded = bincode::serde::decode_from_slice(&message, bincode::config::standard());
-    let (handover, _) = decoded.map_err(|error| error.to_string())?;
-    Ok(handover)
+    let (answer, _) = decoded.map_err(|error| error.to_string())?;
+    Ok(answer)
 }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -107,6 +107,9 @@
             .await
             .is_ok()
         {
+            if teller.core.whole_wanted.get() {
+                break;
+            }
             teller.tell_more().await;
             sleep(INTERVAL_MIN).await;
         }
@@ -130,6 +133,7 @@
         let next = self.next();
         let core = &self.core;
         core.fresh_held.take();
+        core.whole_wanted.set(false);
         let mut beacon = Beacon {
             is_whole: true,
             configuration: knows(core, core.published.configuration_belief()),
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -157,6 +157,7 @@
         board: RefCell::new(Board::new()),
         fresh_reads: RefCell::new(Vec::new()),
         fresh_held: RefCell::new(Vec::new()),
+        whole_wanted: Cell::new(false),
         board_changed: Notify::new(),
         waiting_for_spare: RefCell::new(BTreeSet::new()),
         spare: RefCell::new(Spare::default()),
