--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -80,6 +80,7 @@
         options,
         engines_max: options.engines_max,
         surveys: candidates.iter().map(survey).collect(),
+        unseen_ms: options.unseen_ms + options.unseen_ms_per_peer * board.peers() as f64,
         elsewhere,
         lot,
         units: need.units(model),
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -37,6 +37,8 @@
     pub(crate) units: f64,
     /// Passes of an engine that its answer is expected to take.
     pub(crate) passes: f64,
+    /// Time that peers' placements take to be known here, in milliseconds.
+    pub(crate) unseen_ms: f64,
     /// What peers place meanwhile.
     pub(crate) elsewhere: Elsewhere,
     /// By which it differs from others' choices.
@@ -250,7 +252,7 @@
             .zip(&writers)
             .min_by(|(a, _), (b, _)| a.total_cmp(b))?;
         let crowd = Crowd {
-            unseen: others.per_ms * self.options.unseen_ms * self.lot.share,
+            unseen: others.per_ms * self.unseen_ms * self.lot.share,
             step_units: self.step_units(best.1, read_ms, others) * self.options.crowd_factor,
             draw: self.lot.draw,
         };
--- a/crates/mgs-placing/src/near.rs
+++ b/crates/mgs-placing/src/near.rs
@@ -122,7 +122,8 @@
 
 /// Whether the own zone has engines enough for the widest prompt, and isn't all that there is.
 fn has_near(field: &Field<'_>, options: &Options) -> bool {
-    field.near.len() > options.engines_max && field.near.len() < field.all.len()
+    let least = options.engines_max as f64 * options.near_engines_factor;
+    field.near.len() as f64 >= least && field.near.len() < field.all.len()
 }
 
 /// Whether a prompt's first token comes with time to spare.
--- a/crates/mgs-placing/src/options.rs
+++ b/crates/mgs-placing/src/options.rs
@@ -62,9 +62,14 @@
     /// Share of the length that a client expects which its answer is taken to have at least. Expectations are right
     /// at the median; at a spread of a half, nine of ten answers are longer than half of them.
     pub believed_share: f64,
-    /// Time that others' placements take to be known here, in milliseconds: up to 15 between two messages, one or
-    /// two on the way, and as much again on a host with a tenth of a core that tells a hundred peers.
+    /// Time that others' placements take to be known here, in milliseconds, without what telling takes: one or two on
+    /// the way, and now and then a part of the 15 between two messages.
     pub unseen_ms: f64,
+    /// The same for each peer that is told: a host with a tenth of a core tells a hundred in some 25 ms.
+    pub unseen_ms_per_peer: f64,
+    /// Engines that an availability zone must have for its gateways to choose there first, as a multiple of those that
+    /// the widest prompt takes: while one is read, the next must find nearly as many.
+    pub near_engines_factor: f64,
     /// Share of its aim within which a prompt's first token must be expected from its own availability zone for other
     /// zones not to be looked at.
     pub near_aim_share: f64,
@@ -99,7 +104,9 @@
             wait_units: 0.3,
             unknown_share: 0.25,
             believed_share: 0.5,
-            unseen_ms: 30.0,
+            unseen_ms: 5.0,
+            unseen_ms_per_peer: 0.25,
+            near_engines_factor: 1.75,
             near_aim_share: 0.6,
             crowd_factor: 8.0,
             memory_spare_share: 0.02,
@@ -145,6 +152,8 @@
             "wait_units" => self.wait_units = value,
             "memory_spare_share" => self.memory_spare_share = value,
             "unseen_ms" => self.unseen_ms = value,
+            "unseen_ms_per_peer" => self.unseen_ms_per_peer = value,
+            "near_engines_factor" => self.near_engines_factor = value,
             "near_aim_share" => self.near_aim_share = value,
             "crowd_factor" => self.crowd_factor = value,
             "believed_share" => self.believed_share = value,
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -29,6 +29,10 @@
 use crate::relay::Options;
 use crate::view::Published;
 
+/// Peers below which all of them are told of each change at once: four gateways send 0.01 GB on a calm day so, a
+/// hundred 0.9.
+const FEW_PEERS: usize = 12;
+
 /// Reading placed here that peers haven't been told of.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct FreshRead {
@@ -113,6 +117,11 @@
         self.board_changed.notify_one();
     }
 
+    /// Whether telling all peers at each change costs little.
+    pub(crate) fn has_few_peers(&self) -> bool {
+        self.board.borrow().peers() < FEW_PEERS
+    }
+
     /// Endpoints are free again for whom peers may wait.
     pub(crate) fn tell_freed(&self) {
         self.whole_wanted.set(true);
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -48,7 +48,7 @@
 
     /// The first token came: all parts have been read. Peers are told at once if there were several: told with the next
     /// whole message, 0.82 instead of 0.91 of the longest prompts of a calm day were on time, as others waited for
-    /// engines that were free. Ends of short prompts can wait for it.
+    /// engines that were free. Ends of short prompts can wait for it where there are many peers.
     pub(crate) fn first_token(&mut self) {
         self.readers.clear();
         let mut board = self.core.board.borrow_mut();
@@ -57,7 +57,13 @@
             board.let_go(*endpoint, held);
         }
         self.held.retain(|(_, held)| !is_part(held));
-        if self.is_shared {
+        drop(board);
+        self.tell_freed();
+    }
+
+    /// Tells peers at once of what is free again, where that is worth a message.
+    fn tell_freed(&self) {
+        if self.is_shared || self.core.has_few_peers() {
             self.core.tell_freed();
         }
     }
@@ -83,8 +89,7 @@
         for endpoint in &self.readers {
             board.correct(*endpoint, now_ms, self.read_ms);
         }
-        if self.is_shared {
-            self.core.tell_freed();
-        }
+        drop(board);
+        self.tell_freed();
     }
 }
