--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -12,8 +12,6 @@
 use std::thread;
 use std::time::Duration;
 
-use mgs_observe::metrics::CounterTable;
-use mgs_observe::metrics::Counters;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -22,6 +20,10 @@
 use crate::bad_rows::BadRow;
 use crate::bad_rows::BadRows;
 use crate::belief::Belief;
+use crate::calls::Calls;
+use crate::calls::Reason;
+use crate::gather;
+use crate::gather::Pause;
 use crate::help;
 use crate::membership::Endpoints;
 use crate::source::Batch;
@@ -33,6 +35,8 @@
 use crate::view::Configuration;
 use crate::view::Published;
 
+pub use crate::calls::Tallies;
+
 /// Settings of following.
 #[derive(Debug, Clone, PartialEq, Eq)]
 pub struct Options {
@@ -95,15 +99,6 @@
     }
 }
 
-/// What following counts.
-#[derive(Debug, Clone)]
-pub struct Tallies {
-    /// Rows that can't be understood, by what is wrong with them.
-    pub bad_rows: Counters,
-    /// Calls to the store by topic and reason.
-    pub store_calls: CounterTable,
-}
-
 /// Starts to follow; the thread lives as long as the process.
 pub fn start(
     options: Options,
@@ -166,32 +161,6 @@
     }
 }
 
-/// What to do before the next reading.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Pause {
-    /// Nothing.
-    None,
-    /// Let newcomers gather.
-    Gather,
-    /// Let changes gather.
-    GatherAll,
-    /// Give the store time, or wait until peers say that it is back.
-    Retry,
-}
-
-/// Whether a batch tells of newcomers only, of whom more may follow.
-fn may_gather(batch: &Batch) -> bool {
-    let is_newcomer = |update: &Update| match update {
-        Update::Endpoint(facts) => !facts.is_leaving,
-        Update::Gateway { .. } => true,
-        Update::Configuration(_)
-        | Update::EndpointGone { .. }
-        | Update::GatewayGone { .. }
-        | Update::Unreadable { .. } => false,
-    };
-    batch.updates.iter().all(is_newcomer)
-}
-
 /// Whether a batch tells of endpoints that are gone.
 fn has_gone(batch: &Batch) -> bool {
     let is_gone = |update: &Update| matches!(update, Update::EndpointGone { .. });
@@ -211,34 +180,7 @@
     endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
     rows: BadRows,
-    calls: CounterTable,
-}
-
-/// Why the store is called.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Reason {
-    /// Nothing is known yet, or the store has dropped its history.
-    Whole,
-    /// To list this gateway.
-    Register,
-    /// To know what has changed until now: the store was lost, a peer knows better, or nobody confirmed what is known.
-    Probe,
-    /// To wait for a change, as one of those that ask often.
-    Wait,
-    /// To wait for a change while others ask often.
-    LongWait,
-}
-
-impl Reason {
-    fn name(self) -> &'static str {
-        match self {
-            Self::Whole => "whole",
-            Self::Register => "register",
-            Self::Probe => "probe",
-            Self::Wait => "wait",
-            Self::LongWait => "long_wait",
-        }
-    }
+    calls: Calls,
 }
 
 impl Follower {
@@ -259,7 +201,7 @@
             endpoints,
             gateways: HashMap::new(),
             rows: BadRows::new(tallies.bad_rows),
-            calls: tallies.store_calls,
+            calls: Calls::new(topic, tallies.store_calls),
         }
     }
 
@@ -275,26 +217,26 @@
     /// Reads the gateways, and adds this one if it isn't listed where it is.
     async fn join(&mut self, source: &mut dyn Source) -> Result<(), SourceError> {
         let start_ms = self.published.now_ms();
-        self.count(Reason::Whole);
+        self.calls.count(Reason::Whole);
         let batch = source.read_all(self.topic).await?;
         self.apply(batch, start_ms);
         let own = self.options.peer_address;
         if self.gateways.get(&self.options.name) == Some(&own) {
             return Ok(());
         }
-        self.count(Reason::Register);
+        self.calls.count(Reason::Register);
         source.register(&self.options.name, own).await
     }
 
     /// Reads all, or waits for changes; `None` if the wait was given up, since a peer knows better.
     async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
         let Some(after) = self.revision else {
-            self.count(Reason::Whole);
+            self.calls.count(Reason::Whole);
             return Some(source.read_all(self.topic).await);
         };
         let wait_ms = self.wait_ms();
         let is_long = wait_ms > self.options.wait_ms;
-        self.count(match (wait_ms, is_long) {
+        self.calls.count(match (wait_ms, is_long) {
             (0, _) => Reason::Probe,
             (_, false) => Reason::Wait,
             (_, true) => Reason::LongWait,
@@ -309,12 +251,6 @@
         }
     }
 
-    /// Counts a call to the store.
-    fn count(&self, reason: Reason) {
-        self.calls.inc([self.topic.name(), reason.name()]);
-        log::info!(topic = self.topic.name(), reason = reason.name(); "the store is called");
-    }
-
     /// Comes back when a call that waits long isn't to be trusted.
     async fn doubted(&self, belief: &Belief) {
         loop {
@@ -395,14 +331,10 @@
 
     /// Whether to wait for more of what a batch tells.
     fn gathering(&self, batch: &Batch) -> Pause {
-        let is_change = self.revision.is_some() && !batch.updates.is_empty();
-        let gateways = self.published.listed_gateways().unwrap_or(0);
-        let has_many = gateways >= self.options.gather_all_from;
-        match is_change {
-            false => Pause::None,
-            true if has_many && !self.published.is_reader() => Pause::GatherAll,
-            true if may_gather(batch) => Pause::Gather,
-            true => Pause::None,
+        let is_crowded = self.published.listed_gateways() >= Some(self.options.gather_all_from);
+        match self.revision {
+            None => Pause::None,
+            Some(_) => gather::after(batch, is_crowded && !self.published.is_reader()),
         }
     }
 
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -1,5 +1,5 @@
-//! What gateways tell each other, over datagrams: each sends what it places at once, at most every few
-//! milliseconds, and all that it holds a few times a second.
+//! What gateways hear of each other, over datagrams: what each has placed, and what it knows of the store. What this
+//! one says is the matter of [`crate::tell`].
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -13,33 +13,17 @@
 use mgs_placing::board::Said;
 use mgs_placing::board::PEER_SILENCE_MS;
 use mgs_placing::share::Beacon;
-use mgs_placing::share::HeldAt;
 use mgs_placing::share::Knows;
-use mgs_placing::share::ReadAt;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
-use tokio::time::Instant;
 
 use crate::belief::Belief;
 use crate::belief::Word;
 use crate::core::Core;
-use crate::drain::Phase;
-use crate::view::Fleet;
+use crate::tell;
+use crate::tell::INTERVAL_MIN;
 
-/// Least time between two messages: what is placed meanwhile goes together.
-const INTERVAL_MIN: Duration = Duration::from_millis(15);
-
-/// Time between two whole messages.
-const WHOLE_INTERVAL: Duration = Duration::from_millis(300);
-
-/// Longest message; larger ones would be cut into fragments, all of which must arrive.
-const MESSAGE_BYTES_MAX: usize = 1_400;
-
-/// Whole messages go to all listed gateways each so many messages, else to those heard of late.
-const WHOLE_TO_ALL: u64 = 4;
-
-/// A peer that was not heard of for this long gets signs of life only, in milliseconds.
+/// A peer that was not heard of for this long is told about once a second only, in milliseconds.
 const SILENT_MS: f64 = 2_000.0;
 
 /// Gateways that ask the store often, so that the others needn't: two, so that the end of one isn't felt.
@@ -58,14 +42,14 @@
 
 /// Peers by address, and the last message's number by incarnation.
 #[derive(Debug, Default)]
-struct Known {
+pub(crate) struct Known {
     heard: HashMap<SocketAddr, Heard>,
     sequences: HashMap<PeerKey, u64>,
 }
 
 impl Known {
     /// Who is told: those heard of late, and at times all that are listed.
-    fn addresses(&self, core: &Core, now_ms: f64, to_all: bool) -> Vec<SocketAddr> {
+    pub(crate) fn addresses(&self, core: &Core, now_ms: f64, to_all: bool) -> Vec<SocketAddr> {
         let near = self.heard.iter();
         let near = near.filter(|(_, heard)| now_ms - heard.at_ms < SILENT_MS);
         let mut addresses: Vec<SocketAddr> = near.map(|(address, _)| *address).collect();
@@ -92,147 +76,7 @@
     let known = Rc::new(RefCell::new(Known::default()));
     tokio::task::spawn_local(listen(core.clone(), socket.clone(), known.clone()));
     tokio::task::spawn_local(count(core.clone(), known.clone()));
-    let mut teller = Teller {
-        core,
-        socket,
-        known,
-        sequence: 0,
-        wholes: 0,
-    };
-    loop {
-        teller.tell_all().await;
-        let whole_at = Instant::now() + WHOLE_INTERVAL;
-        sleep(INTERVAL_MIN).await;
-        while timeout_at(whole_at, teller.core.board_changed.notified())
-            .await
-            .is_ok()
-        {
-            if teller.core.whole_wanted.get() {
-                break;
-            }
-            teller.tell_more().await;
-            sleep(INTERVAL_MIN).await;
-        }
-    }
-}
-
-/// Tells peers.
-struct Teller {
-    core: Rc<Core>,
-    socket: Rc<UdpSocket>,
-    known: Rc<RefCell<Known>>,
-    /// Number of the last message.
-    sequence: u64,
-    /// Whole messages so far.
-    wholes: u64,
-}
-
-impl Teller {
-    /// Tells all that this gateway holds and knows.
-    async fn tell_all(&mut self) {
-        let next = self.next();
-        let core = &self.core;
-        core.fresh_held.take();
-        core.whole_wanted.set(false);
-        let mut beacon = Beacon {
-            is_whole: true,
-            configuration: knows(core, core.published.configuration_belief()),
-            endpoints: knows(core, core.published.endpoint_belief()),
-            lengths: core.lengths.borrow().told(core.now_ms()),
-            gateways: sharing(core),
-            ..next
-        };
-        let held = core.board.borrow().own();
-        add_held(&mut beacon, &core.published.fleet(), held);
-        // Silent ones hear from us about once a second.
-        let to_all = self.wholes.is_multiple_of(WHOLE_TO_ALL);
-        self.send(&shortened(beacon), to_all).await;
-        self.wholes += 1;
-    }
-
-    /// Tells what this gateway holds more since it was last told.
-    async fn tell_more(&mut self) {
-        let mut beacon = self.next();
-        let held = self.core.fresh_held.take();
-        add_held(&mut beacon, &self.core.published.fleet(), held);
-        self.send(&shortened(beacon), false).await;
-    }
-
-    /// A message with what each of them has.
-    fn next(&mut self) -> Beacon {
-        let core = &self.core;
-        self.sequence += 1;
-        let mut beacon = Beacon {
-            from: core.incarnation,
-            sequence: self.sequence,
-            leaving: core.drain.phase() != Phase::Serving,
-            zone: core.zone,
-            waiting: core.first_waiting(),
-            ..Beacon::default()
-        };
-        let fleet = core.published.fleet();
-        for read in core.fresh_reads.take() {
-            if let Some(endpoint) = hash_of(&fleet, read.endpoint) {
-                beacon.reads.push(ReadAt {
-                    endpoint,
-                    read_ms: read.read_ms.round() as u16,
-                    reads: read.reads,
-                });
-            }
-        }
-        beacon
-    }
-
-    async fn send(&self, message: &[u8], to_all: bool) {
-        let core = &self.core;
-        let addresses = self.known.borrow().addresses(core, core.now_ms(), to_all);
-        for address in addresses {
-            if let Err(error) = self.socket.send_to(message, address).await {
-                core.metrics.peer_faults.inc();
-                log::debug!(peer:% = address, error:% = error; "a peer can't be told");
-            }
-        }
-    }
-}
-
-fn add_held(beacon: &mut Beacon, fleet: &Fleet, held: Vec<(EndpointKey, Held)>) {
-    for (key, held) in held {
-        if let Some(endpoint) = hash_of(fleet, key) {
-            beacon.held.push(HeldAt { endpoint, held });
-        }
-    }
-}
-
-/// A message that fits a datagram.
-fn shortened(mut beacon: Beacon) -> Vec<u8> {
-    loop {
-        let message = bincode::serde::encode_to_vec(&beacon, bincode::config::standard())
-            .expect("BUG: a beacon is plain data");
-        if message.len() <= MESSAGE_BYTES_MAX || beacon.held.is_empty() {
-            return message;
-        }
-        // The endpoints named last are left out; peers see them as less loaded for a moment.
-        let fewer = beacon.held.len() * 3 / 4;
-        beacon.held.truncate(fewer);
-        beacon.reads.truncate(fewer.max(1));
-    }
-}
-
-fn sharing(core: &Core) -> Option<u32> {
-    u32::try_from(core.gateways_sharing()?).ok()
-}
-
-fn knows(core: &Core, belief: &Belief) -> Option<Knows> {
-    let age_ms = belief.age_ms(core.now_whole_ms())?;
-    Some(Knows {
-        content: belief.content(),
-        age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
-    })
-}
-
-fn hash_of(fleet: &Fleet, key: EndpointKey) -> Option<u64> {
-    let endpoint = fleet.by_key.get(&key)?;
-    Some(endpoint.facts.incarnation.hash_64())
+    tell::run(core, socket, known).await;
 }
 
 async fn listen(core: Rc<Core>, socket: Rc<UdpSocket>, known: Rc<RefCell<Known>>) {
