fix(placing): a long prompt doesn't wait in its zone while others have nothing to read

Cause: found by a test of zones first: an audit whose zone had nine seconds of reading was taken to be on time there, as engines read the newest part first, and would have waited for its turn until that no longer held. Change: its own zone counts only if its engines are done with what was sent before; else all are judged and the least loss decides.

--- a/crates/mgs-placing/src/near.rs
+++ b/crates/mgs-placing/src/near.rs
@@ -126,7 +126,9 @@
     field.near.len() as f64 >= least && field.near.len() < field.all.len()
 }
 
-/// Whether a prompt's first token comes with time to spare.
+/// Whether a prompt's first token comes with time to spare, and, if several engines read it, they are done with what was
+/// sent before: else it would wait for its turn there while other zones have nothing to read.
 fn has_time(need: &Need, placement: &Placement, options: &Options) -> bool {
-    placement.first_token_ms <= need.aim_ms * options.near_aim_share
+    let must_wait = !placement.helpers.is_empty() && placement.backlog_ms > options.near_backlog_ms;
+    !must_wait && placement.first_token_ms <= need.aim_ms * options.near_aim_share
 }
--- a/crates/mgs-placing/src/options.rs
+++ b/crates/mgs-placing/src/options.rs
@@ -73,6 +73,9 @@
     /// Share of its aim within which a prompt's first token must be expected from its own availability zone for other
     /// zones not to be looked at.
     pub near_aim_share: f64,
+    /// Backlog of the engines that would read a prompt in its own availability zone up to which other zones aren't
+    /// looked at, in milliseconds: as much as a prompt whose turn has come may find.
+    pub near_backlog_ms: f64,
     /// How much more one prompt placed unseen on the same engine costs than its reading predicts, as a factor: several
     /// may come at once.
     pub crowd_factor: f64,
@@ -108,6 +111,7 @@
             unseen_ms_per_peer: 0.25,
             near_engines_factor: 1.75,
             near_aim_share: 0.6,
+            near_backlog_ms: 60.0,
             crowd_factor: 8.0,
             memory_spare_share: 0.02,
         }
@@ -154,6 +158,7 @@
             "unseen_ms" => self.unseen_ms = value,
             "unseen_ms_per_peer" => self.unseen_ms_per_peer = value,
             "near_engines_factor" => self.near_engines_factor = value,
+            "near_backlog_ms" => self.near_backlog_ms = value,
             "near_aim_share" => self.near_aim_share = value,
             "crowd_factor" => self.crowd_factor = value,
             "believed_share" => self.believed_share = value,
