--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -23,6 +23,8 @@
 
 use std::io::Write;
 use std::path::PathBuf;
+use std::sync::atomic::AtomicUsize;
+use std::sync::atomic::Ordering;
 use std::sync::Mutex;
 use std::thread;
 use std::time::Duration;
@@ -37,6 +39,9 @@
 use rstest::rstest;
 use world::World;
 
+/// Runs of this process so far.
+static RUNS: AtomicUsize = AtomicUsize::new(0);
+
 /// Clients of a run.
 const CALLERS: u64 = 24;
 
@@ -90,7 +95,10 @@
 
 fn run(seed: u64, faults: Faults) -> Outcome {
     let turn = TURN.lock();
-    let folder = std::env::temp_dir().join(format!("soak-{}-{seed}", std::process::id()));
+    // Two tests may play the same seed: the folder of one isn't to be removed under the other.
+    let number = RUNS.fetch_add(1, Ordering::Relaxed);
+    let name = format!("soak-{}-{number}-{seed}", std::process::id());
+    let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let mut world = World::start(&folder, first_port(), faults == Faults::Restarts);
     world.wait_for_all();
