feat(relay): what became of the endpoint of a lost run, and which work a request is for

On call could not tell a request that crashes its endpoint from its neighbours: each was "unknown", an endpoint that ended looked like one that cut the connection, and two requests for the same work shared nothing but their size. Each lost run now has a line with the fate of its endpoint (ended, lives, left, unclear, found by one connection for all runs that it lost) and a counter; requests carry a digest of path, caller, service and body (mgs-quarantine, xxh3 of 128 bits). No body in a log. Nothing is decided by it yet.

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -12,8 +12,10 @@
 use hyper::body::Incoming;
 
 use crate::connect::describe;
+use crate::connect::lost;
 use crate::connect::CallError;
 use crate::connect::Connection;
+use crate::connect::Lost;
 use crate::core::Core;
 use crate::dialect::Ask;
 use crate::dialect::NotRun;
@@ -43,7 +45,7 @@
         at_fault: Option<std::net::SocketAddr>,
     },
     /// It may have run; there is no usable answer.
-    Unknown { why: String },
+    Unknown { lost: Lost, why: String },
     /// A whole answer.
     Whole { head: response::Parts, body: Bytes },
     /// A stream has begun.
@@ -72,17 +74,12 @@
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(error) if error.is_unsent() => return unsent(&error),
-        Err(error) => {
-            let why = error.to_string();
-            return Ended::Unknown { why };
-        }
+        Err(error) => return unanswered(&error),
     };
     let (head, body) = response.into_parts();
     match core.dialect.reply(ask, &head) {
         Reply::NotRun { reason, at_fault } => not_run(reason, at_fault),
-        Reply::Foreign(foreign) => Ended::Unknown {
-            why: foreign.to_string(),
-        },
+        Reply::Foreign(foreign) => unusable(&foreign.to_string()),
         Reply::Answer if is_streaming && head.status.is_success() => {
             first_events(connection, head, body).await
         }
@@ -124,8 +121,7 @@
             bytes.extend_from_slice(data);
         }
         if bytes.len() > ANSWER_BYTES_MAX {
-            let why = "the answer is too long".to_string();
-            return Ended::Unknown { why };
+            return unusable("the answer is too long");
         }
     }
     drop(connection);
@@ -142,8 +138,7 @@
             Some(Ok(frame)) => frame,
             Some(Err(error)) => return broken(&error),
             None if events.is_partial() => {
-                let why = "the stream ended within its first event".to_string();
-                return Ended::Unknown { why };
+                return unusable("the stream ended within its first event");
             }
             None => {
                 drop(connection);
@@ -165,14 +160,32 @@
             return Ended::Started { head, stream };
         }
         if events.is_excessive() {
-            let why = "an event without an end".to_string();
-            return Ended::Unknown { why };
+            return unusable("an event without an end");
         }
     }
 }
 
 fn broken(error: &hyper::Error) -> Ended {
     Ended::Unknown {
+        lost: lost(error),
         why: describe(error),
     }
 }
+
+fn unusable(why: &str) -> Ended {
+    Ended::Unknown {
+        lost: Lost::Unusable,
+        why: why.to_string(),
+    }
+}
+
+fn unanswered(error: &CallError) -> Ended {
+    let lost = match error {
+        CallError::NoAnswer { lost, .. } => *lost,
+        _ => Lost::PathLost,
+    };
+    Ended::Unknown {
+        lost,
+        why: error.to_string(),
+    }
+}
--- a/crates/mgs-relay/src/connect.rs
+++ b/crates/mgs-relay/src/connect.rs
@@ -3,6 +3,7 @@
 //! To endpoints there is one for each call: an answer that comes twice or late then belongs to no other
 //! request, and closing the connection ends the work.
 
+use std::io;
 use std::net::SocketAddr;
 use std::time::Duration;
 
@@ -28,21 +29,41 @@
 /// Time of silence before probes are sent, and between them.
 const PROBE: Duration = Duration::from_secs(1);
 
+/// How an answer was lost.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Lost {
+    /// The other end closed or reset the connection: its process may have ended.
+    BrokenOff,
+    /// Nothing comes from the other end any more.
+    PathLost,
+    /// No answer came in time.
+    Silent,
+    /// What came can't be used.
+    Unusable,
+}
+
 /// Why a call has no answer.
 #[derive(Debug, Clone, PartialEq, Eq, Display)]
 pub enum CallError {
+    /// nobody listens there: {0}
+    Refused(String),
     /// no connection: {0}
     NotConnected(String),
     /// the connection ended before the request was sent: {0}
     NotSent(String),
-    /// no usable answer: {0}
-    NoAnswer(String),
+    /// no usable answer: {reason}
+    NoAnswer {
+        /// What happened to it.
+        lost: Lost,
+        /// The same in words.
+        reason: String,
+    },
 }
 
 impl CallError {
     /// Whether the other end can't have seen the request.
     pub fn is_unsent(&self) -> bool {
-        !matches!(self, Self::NoAnswer(_))
+        !matches!(self, Self::NoAnswer { .. })
     }
 }
 
@@ -67,6 +88,9 @@
         let connecting = TcpStream::connect(address);
         let stream = match timeout(within, connecting).await {
             Ok(Ok(stream)) => stream,
+            Ok(Err(error)) if error.kind() == io::ErrorKind::ConnectionRefused => {
+                return Err(CallError::Refused(error.to_string()));
+            }
             Ok(Err(error)) => return Err(CallError::NotConnected(error.to_string())),
             Err(_) => return Err(CallError::NotConnected("timed out".to_string())),
         };
@@ -102,7 +126,8 @@
                 if unsent {
                     return Err(CallError::NotSent(reason));
                 }
-                Err(CallError::NoAnswer(reason))
+                let lost = lost(error.error());
+                Err(CallError::NoAnswer { lost, reason })
             }
         }
     }
@@ -117,7 +142,32 @@
     }
 }
 
-fn tune(stream: &TcpStream) -> std::io::Result<()> {
+/// How an answer was lost, by the error that ended it.
+pub(crate) fn lost(error: &hyper::Error) -> Lost {
+    if error.is_parse() {
+        return Lost::Unusable;
+    }
+    let mut cause = std::error::Error::source(error);
+    while let Some(error) = cause {
+        if let Some(error) = error.downcast_ref::<io::Error>() {
+            return lost_by(error.kind());
+        }
+        cause = error.source();
+    }
+    Lost::BrokenOff
+}
+
+fn lost_by(kind: io::ErrorKind) -> Lost {
+    match kind {
+        io::ErrorKind::TimedOut
+        | io::ErrorKind::HostUnreachable
+        | io::ErrorKind::NetworkUnreachable => Lost::PathLost,
+        io::ErrorKind::InvalidData | io::ErrorKind::InvalidInput => Lost::Unusable,
+        _ => Lost::BrokenOff,
+    }
+}
+
+fn tune(stream: &TcpStream) -> io::Result<()> {
     stream.set_nodelay(true)?;
     let socket = SockRef::from(stream);
     socket.set_tcp_user_timeout(Some(UNACKNOWLEDGED))?;
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -22,6 +22,7 @@
 use tokio::sync::Notify;
 
 use crate::budget::Budget;
+use crate::crash::Looks;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::headcount::Headcount;
@@ -63,6 +64,8 @@
     pub(crate) lengths: RefCell<Lengths>,
     pub(crate) outliers: Outliers,
     pub(crate) budget: RefCell<Budget>,
+    /// Looks under way whether an endpoint has ended.
+    pub(crate) looks: RefCell<Looks>,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
     pub(crate) headcount: RefCell<Headcount>,
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -25,6 +25,7 @@
 mod client;
 pub mod connect;
 mod core;
+mod crash;
 pub mod dialect;
 pub mod drain;
 mod event;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) dispatches: Counters,
     /// Streams that broke off, by reason.
     pub(crate) broken: Counters,
+    /// Runs of which no answer came, by what became of their endpoint.
+    pub(crate) lost_runs: Counters,
     /// Memory reservations, by outcome.
     pub(crate) reservations: Counters,
     /// Open requests.
@@ -94,6 +96,11 @@
             retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
             dispatches: registry.counters("relay_dispatches", "Dispatches, by end", "end"),
             broken: registry.counters("relay_broken_streams", "Streams that broke off", "reason"),
+            lost_runs: registry.counters(
+                "relay_lost_runs",
+                "Runs of which no answer came, by what became of their endpoint",
+                "fate",
+            ),
             reservations: registry.counters("relay_reservations", "Reservations", "outcome"),
             open_requests: registry.gauge("relay_open_requests", "Open requests"),
             open_connections: registry.gauge("relay_open_connections", "Clients' connections"),
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -11,13 +11,17 @@
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
+use mgs_quarantine::key::WorkKey;
 use tokio::time::timeout;
 use tokio::time::Instant;
 
 use crate::attempt;
 use crate::attempt::Ended;
 use crate::attempt::Stream;
+use crate::connect::Lost;
 use crate::core::Core;
+use crate::crash;
+use crate::crash::LostRun;
 use crate::dialect::Ask;
 use crate::dialect::Dispatch;
 use crate::fault::Fault;
@@ -55,6 +59,8 @@
     pub(crate) ask: Ask,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
+    /// Names the work among all requests for the same.
+    pub(crate) work: WorkKey,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: String,
@@ -245,8 +251,10 @@
                 self.progress.tried.push(at_fault.unwrap_or(endpoint.key));
                 Err(Failed::not_run(why))
             }
-            Ended::Unknown { .. } => {
+            Ended::Unknown { lost, .. } => {
                 self.progress.runs += 1;
+                let run = self.lost_run(&placed, 0);
+                tokio::task::spawn_local(crash::note(self.core.clone(), run, lost));
                 self.progress.tried.push(endpoint.key);
                 Err(Failed::unknown("unknown"))
             }
@@ -374,7 +382,7 @@
             }
         };
         let why = match ended {
-            Ended::Unknown { why } => why.as_str(),
+            Ended::Unknown { why, .. } => why.as_str(),
             _ => end,
         };
         let at_fault = match ended {
@@ -384,6 +392,7 @@
         let at_fault = at_fault.unwrap_or_default();
         log::info!(
             request_id = self.ask.request_id,
+            work:% = self.work,
             endpoint = placed.endpoint.facts.incarnation.id,
             dispatch = self.progress.dispatches,
             helpers = placed.helper_keys.len(),
@@ -396,6 +405,16 @@
         );
     }
 
+    /// The run that a dispatch was, once it is lost. `reached`: events that it had made.
+    pub(crate) fn lost_run(&self, placed: &Placed, reached: u32) -> LostRun {
+        LostRun {
+            request_id: self.ask.request_id.clone(),
+            work: self.work,
+            endpoint: placed.endpoint.clone(),
+            reached,
+        }
+    }
+
     fn key_at(&self, address: std::net::SocketAddr) -> Option<EndpointKey> {
         let fleet = self.core.published.fleet();
         let of_service = fleet.of_service(&self.service);
@@ -406,6 +425,7 @@
 
 fn silent() -> Ended {
     Ended::Unknown {
+        lost: Lost::Silent,
         why: "silent".to_string(),
     }
 }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -32,6 +32,7 @@
 use crate::budget::Budget;
 use crate::client;
 use crate::core::Core;
+use crate::crash::Looks;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::handover;
@@ -165,6 +166,7 @@
         waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
         budget: RefCell::new(Budget::default()),
+        looks: RefCell::new(Looks::default()),
         metrics,
         drain: Drain::new(),
         headcount: RefCell::new(Headcount::default()),
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -8,12 +8,15 @@
 use bytes::Bytes;
 use http::request;
 use http::response;
+use http::uri::PathAndQuery;
 use http::Request;
 use http::Response;
 use http_body_util::BodyExt;
 use http_body_util::LengthLimitError;
 use http_body_util::Limited;
 use hyper::body::Incoming;
+use mgs_quarantine::key::Work;
+use mgs_quarantine::key::WorkKey;
 use tokio::time::timeout;
 use tokio::time::timeout_at;
 use tokio::time::Instant;
@@ -79,6 +82,8 @@
     request_id: String,
     prompt_tokens: u64,
     size_tokens: u64,
+    /// Names the work among all requests for the same; empty until its body is read.
+    work: String,
     /// Name of its route; empty while none is known.
     route: String,
     arrived: Instant,
@@ -92,6 +97,7 @@
         self.count_size(outcome, status);
         log::info!(
             request_id = self.request_id,
+            work = self.work,
             outcome = outcome,
             status = status,
             detail = detail,
@@ -146,6 +152,7 @@
         request_id: ask.request_id.clone(),
         prompt_tokens: ask.prompt_tokens,
         size_tokens: ask.size_tokens(),
+        work: String::new(),
         route: String::new(),
         arrived,
         is_told: false,
@@ -197,8 +204,11 @@
         .services
         .get(&service)
         .and_then(|service| service.engine.clone());
+    let work = work(&ask, &head, &body, &admitted, &service);
+    watch.work = work.to_string();
     let mut pursuit = Pursuit {
         core: core.clone(),
+        work,
         ask,
         head,
         body,
@@ -220,6 +230,28 @@
     Ok(pass_on(core, pursuit, got, open))
 }
 
+/// Names what the request is for. The caller is its organisation, whichever of its keys it uses.
+fn work(
+    ask: &Ask,
+    head: &request::Parts,
+    body: &Bytes,
+    admitted: &Admitted,
+    service: &str,
+) -> WorkKey {
+    let organisation = admitted.organisation.as_ref();
+    let caller = organisation.map_or("", |organisation| organisation.name.as_str());
+    let target = head.uri.path_and_query();
+    let work = Work {
+        service,
+        host: &ask.host,
+        method: head.method.as_str(),
+        target: target.map_or("", PathAndQuery::as_str),
+        caller,
+        body,
+    };
+    work.key()
+}
+
 /// The configuration in force. A process that has just started gets a moment to learn it: when all hosts
 /// start anew at once, the balancer sends them requests before they are ready, and the store answers within
 /// a tenth of a second.
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -12,6 +12,9 @@
 use crate::answer::Piece;
 use crate::attempt::Stream;
 use crate::connect::describe;
+use crate::connect::lost;
+use crate::connect::Lost;
+use crate::crash;
 use crate::metrics;
 use crate::place::Placed;
 use crate::pursue::Got;
@@ -52,7 +55,7 @@
     client: mpsc::Sender<Piece>,
     last_id: Option<String>,
     last_event_at: Instant,
-    events: u64,
+    events: u32,
     first_event_ms: u64,
     longest_pause_ms: u64,
     resumes: u32,
@@ -72,7 +75,11 @@
 /// What one endpoint's part of the stream came to.
 enum Part {
     Ended(End),
-    BrokeOff(String),
+    BrokeOff(Lost, String),
+}
+
+fn unusable(why: &str) -> Part {
+    Part::BrokeOff(Lost::Unusable, why.to_string())
 }
 
 impl Passing {
@@ -132,18 +139,21 @@
 
     async fn pass_on(&mut self) -> End {
         loop {
-            let broke_off = match self.pass_part().await {
+            let (lost, broke_off) = match self.pass_part().await {
                 Part::Ended(end) => return end,
-                Part::BrokeOff(why) => why,
+                Part::BrokeOff(lost, why) => (lost, why),
             };
             log::info!(
                 request_id = self.pursuit.ask.request_id,
+                work:% = self.pursuit.work,
                 endpoint = self.placed.endpoint.facts.incarnation.id,
                 last_event_id = self.last_id.as_deref().unwrap_or(""),
                 why = broke_off;
                 "stream broke off"
             );
+            let run = self.pursuit.lost_run(&self.placed, self.events);
             let core = &self.pursuit.core;
+            tokio::task::spawn_local(crash::note(core.clone(), run, lost));
             core.outliers
                 .failed(self.placed.endpoint.key, core.now_whole_ms());
             match self.resume().await {
@@ -167,15 +177,15 @@
             let data = match frame {
                 Err(_) => return Part::Ended(End::TimedOut),
                 Ok(None) if self.stream.events.is_partial() => {
-                    return Part::BrokeOff("ended within an event".to_string());
+                    return unusable("ended within an event");
                 }
                 Ok(None) => return Part::Ended(End::Whole),
-                Ok(Some(Err(error))) => return Part::BrokeOff(describe(&error)),
+                Ok(Some(Err(error))) => return Part::BrokeOff(lost(&error), describe(&error)),
                 Ok(Some(Ok(frame))) => frame.into_data().unwrap_or_default(),
             };
             let events = self.stream.events.take(&data);
             if self.stream.events.is_excessive() {
-                return Part::BrokeOff("an event without an end".to_string());
+                return unusable("an event without an end");
             }
             if let Some(end) = self.forward(events).await {
                 return Part::Ended(end);
