feat(quarantine): which work crashes endpoints, told from its neighbours without I/O

Evidence is a set by crashed incarnation that gateways merge in any order; a crash stops to count when another run of the same work gets further or ends whole, or when a held work that has crashed more explains it. Three crashes hold a work, one more where any other endpoint ends, two more where a quarter of the fleet does.

Weighed: counting up (holds hot paths and neighbours: a test shows it), a likelihood with rates (needs figures that a gateway doesn't have in the first second), one run at a time by a lock between gateways (50 ms for each second try).

--- a/crates/mgs-quarantine/src/lib.rs
+++ b/crates/mgs-quarantine/src/lib.rs
@@ -5,8 +5,13 @@
 //! requests for each crash, goes on as before.
 //!
 //! - [`key`]: which requests are one and the same work.
+//! - [`record`]: the crashes under one work, as a set that gateways can merge in any order.
+//! - [`table`]: all that one gateway knows, and its verdict on a request.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod key;
+pub mod options;
+pub mod record;
+pub mod table;
