fix(relay): what crashes each endpoint that runs it is held by all gateways

Cause: nothing outlived a request. Each gateway judged each repetition as if it were the first, and sent it to a second engine besides. Class: no memory of failed work across retries (a query of death).

Now each crash is evidence under the work that ran (mgs-quarantine), told to all peers at once and again 250 ms later; a peer that is heard for the first time is told all, and one drawn by lot each second. A verdict is looked at when a request begins, right before each dispatch and before each second try; a second try after a crash waits 25 ms for what others see. What may be deadly (two crashes) runs on one endpoint, the same at each gateway. Held requests are refused at once, 503 with a true 'not run' unless an attempt ran. A held work has one trial after 20 s by one gateway.

--- a/crates/mgs-placing/src/board.rs
+++ b/crates/mgs-placing/src/board.rs
@@ -381,6 +381,11 @@
         }
     }
 
+    /// The peers that count.
+    pub fn peer_keys(&self) -> impl Iterator<Item = PeerKey> + '_ {
+        self.peers.keys().copied()
+    }
+
     /// How many peers have been heard of late.
     pub fn peers(&self) -> usize {
         self.peers.len()
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -42,6 +42,8 @@
         why: &'static str,
         /// Whether the endpoint at fault is gone or another one, rather than busy.
         is_lost: bool,
+        /// Whether nobody listens at its address.
+        is_refused: bool,
         at_fault: Option<std::net::SocketAddr>,
     },
     /// It may have run; there is no usable answer.
@@ -92,6 +94,7 @@
     Ended::NotRun {
         why: "not_connected",
         is_lost: true,
+        is_refused: matches!(error, CallError::Refused(_)),
         at_fault: None,
     }
 }
@@ -106,6 +109,7 @@
     Ended::NotRun {
         why,
         is_lost,
+        is_refused: false,
         at_fault,
     }
 }
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -27,6 +27,7 @@
 use crate::drain::Drain;
 use crate::headcount::Headcount;
 use crate::metrics::Metrics;
+use crate::quarantine::Crashes;
 use crate::relay::Options;
 use crate::view::Published;
 
@@ -66,6 +67,7 @@
     pub(crate) budget: RefCell<Budget>,
     /// Looks under way whether an endpoint has ended.
     pub(crate) looks: RefCell<Looks>,
+    pub(crate) crashes: Crashes,
     pub(crate) metrics: Metrics,
     pub(crate) drain: Drain,
     pub(crate) headcount: RefCell<Headcount>,
--- a/crates/mgs-relay/src/crash.rs
+++ b/crates/mgs-relay/src/crash.rs
@@ -72,6 +72,9 @@
         reached = run.reached;
         "run lost"
     );
+    if lost == Lost::BrokenOff {
+        core.run_lost(run, fate);
+    }
     fate
 }
 
@@ -79,13 +82,16 @@
     if !is_present(core, endpoint) {
         return Fate::Left;
     }
+    if core.has_crashed(endpoint) {
+        return Fate::Ended;
+    }
     let look = core
         .looks
         .borrow_mut()
         .entry(endpoint.key)
         .or_default()
         .clone();
-    let fate = *look.get_or_init(|| look_at(endpoint)).await;
+    let fate = *look.get_or_init(|| look_at(core, endpoint)).await;
     core.looks.borrow_mut().remove(&endpoint.key);
     fate
 }
@@ -97,10 +103,13 @@
     listed.is_some_and(|listed| !listed.facts.is_leaving)
 }
 
-async fn look_at(endpoint: &Endpoint) -> Fate {
+async fn look_at(core: &Core, endpoint: &Endpoint) -> Fate {
     match Connection::open(endpoint.facts.address, LOOK).await {
         Ok(_) => Fate::Lives,
-        Err(CallError::Refused(_)) => Fate::Ended,
+        Err(CallError::Refused(_)) => {
+            core.refused_connection(endpoint.key);
+            Fate::Ended
+        }
         Err(error) => {
             log::debug!(error:% = error; "an endpoint's end can't be told");
             Fate::Unclear
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -30,6 +30,8 @@
     TooLarge,
     /// the deadline would pass before it could be served
     TooLate,
+    /// the request has crashed the endpoints that ran it, and isn't sent to others
+    Quarantined,
     /// the endpoints said that they didn't run it
     NotRun,
     /// the endpoint gave no usable answer; it may have run
@@ -70,6 +72,7 @@
             Self::Full => "full",
             Self::TooLarge => "too_large",
             Self::TooLate => "too_late",
+            Self::Quarantined => "quarantined",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
             Self::TimeoutBefore => "timeout_before_dispatch",
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -48,6 +48,10 @@
     pub(crate) broken: Counters,
     /// Runs of which no answer came, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
+    /// Works that were held as crashing endpoints, or let go.
+    pub(crate) quarantine: Counters,
+    /// Works that are held.
+    pub(crate) held_works: Gauge,
     /// Memory reservations, by outcome.
     pub(crate) reservations: Counters,
     /// Open requests.
@@ -101,6 +105,12 @@
                 "Runs of which no answer came, by what became of their endpoint",
                 "fate",
             ),
+            quarantine: registry.counters(
+                "relay_quarantine",
+                "Works held as crashing endpoints, or let go",
+                "turn",
+            ),
+            held_works: registry.gauge("relay_held_works", "Works that are held"),
             reservations: registry.counters("relay_reservations", "Reservations", "outcome"),
             open_requests: registry.gauge("relay_open_requests", "Open requests"),
             open_connections: registry.gauge("relay_open_connections", "Clients' connections"),
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -14,12 +14,16 @@
 use mgs_placing::board::PEER_SILENCE_MS;
 use mgs_placing::share::Beacon;
 use mgs_placing::share::Knows;
+use mgs_quarantine::table::Told;
+use serde::Deserialize;
+use serde::Serialize;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 
 use crate::belief::Belief;
 use crate::belief::Word;
 use crate::core::Core;
+use crate::spread;
 use crate::tell;
 use crate::tell::INTERVAL_MIN;
 
@@ -33,6 +37,20 @@
 /// and a busy host's delay.
 const ON_THE_WAY_MS: u64 = 50;
 
+/// What a gateway tells its peers.
+#[derive(Debug, Clone, Serialize, Deserialize)]
+pub(crate) enum Message {
+    /// What it has placed and knows of the store.
+    Beacon(Box<Beacon>),
+    /// Requests that have crashed endpoints.
+    Crashes {
+        /// Incarnation of the sender.
+        from: u64,
+        /// What it knows of them, or a part of that.
+        works: Vec<Told>,
+    },
+}
+
 /// What is known of one address.
 #[derive(Debug, Clone, Copy)]
 struct Heard {
@@ -76,6 +94,7 @@
     let known = Rc::new(RefCell::new(Known::default()));
     tokio::task::spawn_local(listen(core.clone(), socket.clone(), known.clone()));
     tokio::task::spawn_local(count(core.clone(), known.clone()));
+    tokio::task::spawn_local(spread::run(core.clone(), socket.clone(), known.clone()));
     tell::run(core, socket, known).await;
 }
 
@@ -96,7 +115,12 @@
             bincode::config::standard().with_limit::<65_536>(),
         );
         match decoded {
-            Ok((beacon, _)) => hear(&core, &known, from, &beacon),
+            Ok((Message::Beacon(beacon), _)) => hear(&core, &known, from, &beacon),
+            Ok((Message::Crashes { from, works }, _)) => {
+                if from != core.incarnation {
+                    core.hear_crashes(&works);
+                }
+            }
             Err(error) => {
                 core.metrics.peer_faults.inc();
                 log::warn!(peer:% = from, error:% = error; "a peer's message can't be read");
@@ -125,6 +149,10 @@
         .heard
         .insert(from, heard)
         .is_none_or(|before| now_ms - before.at_ms > SILENT_MS);
+    if was_silent || before.is_none() {
+        core.crashes.newcomers.borrow_mut().push(from);
+        core.crashes.urgent.notify_one();
+    }
     if was_silent {
         log::info!(peer:% = from; "a peer is heard");
     }
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -82,8 +82,10 @@
         .collect();
     core.outliers.known(present.len());
     let now_ms = core.now_whole_ms();
+    // The entry of an endpoint that has ended lapses seconds later.
     let stands = |endpoint: &Arc<Endpoint>| {
         core.outliers.standing(endpoint.key, now_ms) != Standing::Ejected
+            && !core.refuses_connections(endpoint.key)
     };
     let fresh = |endpoint: &Arc<Endpoint>| !tried.contains(&endpoint.key);
     let best = present.iter().filter(|e| stands(e) && fresh(e));
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -12,6 +12,7 @@
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
 use mgs_quarantine::key::WorkKey;
+use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::Instant;
 
@@ -21,6 +22,7 @@
 use crate::connect::Lost;
 use crate::core::Core;
 use crate::crash;
+use crate::crash::Fate;
 use crate::crash::LostRun;
 use crate::dialect::Ask;
 use crate::dialect::Dispatch;
@@ -30,6 +32,9 @@
 use crate::place::Placed;
 use crate::place::Prompt;
 use crate::place::Tried;
+use crate::quarantine;
+use crate::quarantine::Leave;
+use crate::quarantine::SETTLE;
 use crate::view::Organisation;
 use crate::view::Route;
 
@@ -68,6 +73,8 @@
     pub(crate) arrived: Instant,
     pub(crate) deadline: Instant,
     pub(crate) progress: Progress,
+    /// What may be done with it, since requests like it may have crashed endpoints.
+    pub(crate) leave: Leave,
 }
 
 /// What has been tried so far.
@@ -121,7 +128,10 @@
     /// is continued.
     pub(crate) async fn run(&mut self, last_event_id: Option<&str>) -> Result<Got, Refusal> {
         loop {
+            self.admit()?;
             let placed = self.hold().await.map_err(|refusal| self.honest(refusal))?;
+            // It may have crashed others while it waited.
+            self.admit_again()?;
             let failed = match self.dispatch(placed, last_event_id).await {
                 Ok(got) => return Ok(got),
                 Err(failed) => failed,
@@ -135,6 +145,25 @@
         }
     }
 
+    /// Refuses at once what is held.
+    fn admit(&mut self) -> Result<(), Refusal> {
+        let leave = match self.progress.dispatches {
+            0 => self.core.leave_anew(self.work),
+            _ => self.core.leave(self.work),
+        };
+        self.leave = leave.map_err(|refusal| self.honest(refusal))?;
+        Ok(())
+    }
+
+    /// Refuses what has come to be held since it was placed.
+    fn admit_again(&self) -> Result<(), Refusal> {
+        if self.leave == Leave::Trial {
+            return Ok(());
+        }
+        let leave = self.core.leave(self.work);
+        leave.map(|_| ()).map_err(|refusal| self.honest(refusal))
+    }
+
     /// A refusal for lack of room after an earlier dispatch may have run isn't one.
     fn honest(&self, refusal: Refusal) -> Refusal {
         if self.progress.runs > 0 {
@@ -149,7 +178,7 @@
         loop {
             let placed = self.place().await?;
             if placed.hold_ms > 0.0 {
-                tokio::time::sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
+                sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
             }
             if placed.is_present(&self.core.published.fleet()) {
                 return Ok(placed);
@@ -162,7 +191,8 @@
     }
 
     async fn place(&self) -> Result<Placed, Refusal> {
-        let tried = &self.progress.tried;
+        let closed = self.closed();
+        let tried = closed.as_ref().unwrap_or(&self.progress.tried);
         let Some(model) = &self.model else {
             return place::plain(&self.core, &self.service, tried, &self.ask.request_id);
         };
@@ -176,6 +206,23 @@
         place::prompt(&prompt, || self.need()).await
     }
 
+    /// The endpoints at which it may not run, if there is only one at which it may. A prompt that exceeds the
+    /// memory of one engine needs several anyway.
+    fn closed(&self) -> Option<Tried> {
+        let exceeds = |model: &Arc<EngineModel>| self.need().memory_tokens() > model.memory_tokens;
+        if self.leave == Leave::Free || self.model.as_ref().is_some_and(exceeds) {
+            return None;
+        }
+        let fleet = self.core.published.fleet();
+        let tried = &self.progress.tried;
+        Some(quarantine::closed_to(
+            &fleet,
+            &self.service,
+            self.work,
+            tried,
+        ))
+    }
+
     fn need(&self) -> Need {
         let waited_ms = self.arrived.elapsed().as_secs_f64() * 1e3;
         let full_aim_ms = self.route.aim_ms as f64;
@@ -253,14 +300,27 @@
             }
             Ended::Unknown { lost, .. } => {
                 self.progress.runs += 1;
-                let run = self.lost_run(&placed, 0);
-                tokio::task::spawn_local(crash::note(self.core.clone(), run, lost));
                 self.progress.tried.push(endpoint.key);
+                let run = self.lost_run(&placed, 0);
+                drop(placed);
+                self.look_into(run, lost).await;
                 Err(Failed::unknown("unknown"))
             }
         }
     }
 
+    /// Finds out whether an endpoint has ended under the request, before another one gets it.
+    async fn look_into(&self, run: LostRun, lost: Lost) {
+        let fate = crash::note(self.core.clone(), run, lost);
+        if !self.may_repeat() {
+            tokio::task::spawn_local(fate);
+            return;
+        }
+        if fate.await == Fate::Ended {
+            sleep(SETTLE).await;
+        }
+    }
+
     /// A failure that the endpoint itself answers is passed on, unless another one may do better.
     fn judge_whole(
         &mut self,
@@ -269,6 +329,9 @@
         endpoint: EndpointKey,
     ) -> Result<Got, Failed> {
         self.progress.runs += 1;
+        if head.status.is_success() {
+            self.core.run_ended_whole(self.work);
+        }
         if !head.status.is_server_error() {
             return Ok(Got::Whole(Box::new(WholeAnswer { head, body })));
         }
@@ -302,6 +365,9 @@
     }
 
     fn may_try_again(&self, failed: &Failed) -> bool {
+        if self.leave == Leave::Trial || self.core.leave(self.work).is_err() {
+            return false;
+        }
         if self.left().is_zero() || self.progress.dispatches >= DISPATCHES_MAX {
             return false;
         }
@@ -352,10 +418,12 @@
                 "endpoint_error"
             }
             Ended::Whole { .. } => {
+                core.endpoint_answered(&placed.endpoint);
                 core.outliers.answered(key);
                 "answered"
             }
             Ended::Started { .. } => {
+                core.endpoint_answered(&placed.endpoint);
                 core.outliers.answered(key);
                 let predicted_ms = placed.first_token_ms as u64;
                 core.outliers
@@ -367,8 +435,12 @@
             Ended::NotRun {
                 why,
                 is_lost,
+                is_refused,
                 at_fault,
             } => {
+                if *is_refused {
+                    core.refused_connection(key);
+                }
                 let at_fault = at_fault.and_then(|address| self.key_at(address));
                 let helper = at_fault.filter(|at_fault| *at_fault != key);
                 if *is_lost || helper.is_some() {
--- /dev/null
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -0,0 +1,319 @@
+//! What this gateway knows of requests that crash endpoints, and what it does by that. Which requests these are is
+//! decided by `mgs-quarantine`; peers are told by [`crate::spread`].
+
+use std::cell::RefCell;
+use std::collections::HashMap;
+use std::net::SocketAddr;
+use std::rc::Rc;
+use std::time::Duration;
+
+use mgs_fleet::view::EndpointKey;
+use mgs_quarantine::key::WorkKey;
+use mgs_quarantine::options::Options;
+use mgs_quarantine::table::Quarantine;
+use mgs_quarantine::table::Told;
+use mgs_quarantine::table::Verdict;
+use tokio::sync::Notify;
+use tokio::time::sleep;
+use xxhash_rust::xxh3::xxh3_64_with_seed;
+
+use crate::core::Core;
+use crate::crash::Fate;
+use crate::crash::LostRun;
+use crate::fault::Fault;
+use crate::fault::Refusal;
+use crate::view::Endpoint;
+use crate::view::Fleet;
+
+/// When a client of a held request may come back, in milliseconds: longer than it waits, since nothing will have
+/// changed by then.
+const RETRY_AFTER_HELD_MS: u64 = 30_000;
+
+/// Wait between a crash and a second try that might crash the next endpoint: copies of the same request crash others
+/// at about the same time, and whoever sees that tells within a few milliseconds.
+pub(crate) const SETTLE: Duration = Duration::from_millis(25);
+
+/// Time within which the entry of an endpoint that has ended lapses, in milliseconds. So long its end may be found out
+/// after a run broke off there, and so long one that refuses connections is passed over.
+const LAPSE_MS: f64 = 6_000.0;
+
+/// Time between two looks at what is in doubt and at what may be forgotten.
+const LOOK: Duration = Duration::from_millis(250);
+
+/// Most runs that are in doubt; more are forgotten.
+const DOUBTS_MAX: usize = 1_000;
+
+/// A run that broke off at an endpoint of which it isn't known yet whether it has ended.
+struct Doubt {
+    run: LostRun,
+    at_ms: f64,
+}
+
+/// What a gateway knows of crashes.
+pub(crate) struct Crashes {
+    table: RefCell<Quarantine>,
+    /// Since when endpoints refuse connections from here, in milliseconds.
+    refuse_since_ms: RefCell<HashMap<EndpointKey, f64>>,
+    doubts: RefCell<Vec<Doubt>>,
+    /// Something is to be told to peers at once.
+    pub(crate) urgent: Notify,
+    /// Peers that have just been heard for the first time.
+    pub(crate) newcomers: RefCell<Vec<SocketAddr>>,
+}
+
+impl Crashes {
+    pub(crate) fn new(options: Options) -> Self {
+        Self {
+            table: RefCell::new(Quarantine::new(options)),
+            refuse_since_ms: RefCell::new(HashMap::new()),
+            doubts: RefCell::new(Vec::new()),
+            urgent: Notify::new(),
+            newcomers: RefCell::new(Vec::new()),
+        }
+    }
+
+    /// Works of which something is new here.
+    pub(crate) fn take_fresh(&self) -> Vec<WorkKey> {
+        self.table.borrow_mut().take_fresh()
+    }
+
+    /// What to tell of works.
+    pub(crate) fn told(&self, keys: &[WorkKey], now_ms: f64) -> Vec<Told> {
+        let table = self.table.borrow();
+        let told = keys.iter().map(|key| table.told(*key, now_ms));
+        told.flatten().collect()
+    }
+
+    /// Works that a peer must know: held ones, and those that may soon be.
+    pub(crate) fn grave(&self) -> Vec<WorkKey> {
+        let table = self.table.borrow();
+        let is_grave = |key: &WorkKey| table.verdict(*key) != Verdict::Free;
+        table.keys().into_iter().filter(is_grave).collect()
+    }
+}
+
+/// What may be done with one request.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum Leave {
+    /// As any other.
+    Free,
+    /// On one endpoint only.
+    Confined,
+    /// On one endpoint only, once: the trial of a held work.
+    Trial,
+}
+
+impl Core {
+    /// What may be done with a request, or the refusal of one that is held.
+    pub(crate) fn leave(&self, work: WorkKey) -> Result<Leave, Refusal> {
+        match self.crashes.table.borrow().verdict(work) {
+            Verdict::Free => Ok(Leave::Free),
+            Verdict::Confined => Ok(Leave::Confined),
+            Verdict::Held => Err(Refusal::after(Fault::Quarantined, RETRY_AFTER_HELD_MS)),
+        }
+    }
+
+    /// The same for a request that begins, which may be the trial of a held work. One gateway only takes that, the
+    /// same by the word of all that hear each other.
+    pub(crate) fn leave_anew(&self, work: WorkKey) -> Result<Leave, Refusal> {
+        let refused = match self.leave(work) {
+            Ok(leave) => return Ok(leave),
+            Err(refused) => refused,
+        };
+        let is_taken = self.is_first_for(work)
+            && self
+                .crashes
+                .table
+                .borrow_mut()
+                .take_trial(work, self.now_ms());
+        if !is_taken {
+            return Err(refused);
+        }
+        log::info!(work:% = work; "a held request is tried once more");
+        self.crashes.urgent.notify_one();
+        Ok(Leave::Trial)
+    }
+
+    /// Whether this gateway goes before all that it hears, for one work.
+    fn is_first_for(&self, work: WorkKey) -> bool {
+        let rank = |gateway: u64| xxh3_64_with_seed(&work.0.to_le_bytes(), gateway);
+        let own = rank(self.incarnation);
+        let board = self.board.borrow();
+        let mut peers = board.peer_keys();
+        peers.all(|peer| rank(peer.0) < own)
+    }
+
+    /// An endpoint refuses connections: its process has ended, or a cut keeps it out of reach.
+    pub(crate) fn refused_connection(&self, endpoint: EndpointKey) {
+        let now_ms = self.now_ms();
+        let mut refuse_since_ms = self.crashes.refuse_since_ms.borrow_mut();
+        refuse_since_ms.entry(endpoint).or_insert(now_ms);
+    }
+
+    /// Whether an endpoint refuses connections, and its entry may not have lapsed yet.
+    pub(crate) fn refuses_connections(&self, endpoint: EndpointKey) -> bool {
+        let refuse_since_ms = self.crashes.refuse_since_ms.borrow();
+        refuse_since_ms.contains_key(&endpoint)
+    }
+
+    /// An endpoint has answered.
+    pub(crate) fn endpoint_answered(&self, endpoint: &Endpoint) {
+        let mut refuse_since_ms = self.crashes.refuse_since_ms.borrow_mut();
+        refuse_since_ms.remove(&endpoint.key);
+        drop(refuse_since_ms);
+        let mut table = self.crashes.table.borrow_mut();
+        if !table.is_empty() {
+            let incarnation = endpoint.facts.incarnation.hash_64();
+            table.lives(incarnation, self.now_ms());
+        }
+    }
+
+    /// Whether an endpoint is known to have ended under some run.
+    pub(crate) fn has_crashed(&self, endpoint: &Endpoint) -> bool {
+        let incarnation = endpoint.facts.incarnation.hash_64();
+        self.crashes.table.borrow().has_ended(incarnation)
+    }
+
+    /// An endpoint has ended under a run.
+    fn crashed(&self, run: &LostRun, at_ms: f64) {
+        let incarnation = run.endpoint.facts.incarnation.hash_64();
+        let mut table = self.crashes.table.borrow_mut();
+        table.crashed(run.work, incarnation, run.reached, at_ms);
+        drop(table);
+        self.tell_turned();
+        self.crashes.urgent.notify_one();
+    }
+
+    /// A run of a work has made so many events.
+    pub(crate) fn run_reached(&self, work: WorkKey, events: u32) {
+        let now_ms = self.now_ms();
+        let mut table = self.crashes.table.borrow_mut();
+        if !table.is_empty() {
+            table.reached(work, events, now_ms);
+        }
+    }
+
+    /// A run of a work has ended whole.
+    pub(crate) fn run_ended_whole(&self, work: WorkKey) {
+        let now_ms = self.now_ms();
+        let mut table = self.crashes.table.borrow_mut();
+        if !table.is_empty() {
+            table.ended_whole(work, now_ms);
+        }
+    }
+
+    /// A peer tells of crashes.
+    pub(crate) fn hear_crashes(&self, works: &[Told]) {
+        let now_ms = self.now_ms();
+        let mut table = self.crashes.table.borrow_mut();
+        for told in works {
+            table.hear(told, now_ms);
+        }
+        drop(table);
+        self.tell_turned();
+    }
+
+    /// A run was lost, and this became of its endpoint.
+    pub(crate) fn run_lost(&self, run: LostRun, fate: Fate) {
+        let at_ms = self.now_ms();
+        match fate {
+            Fate::Ended => self.crashed(&run, at_ms),
+            Fate::Lives | Fate::Unclear => {
+                let mut doubts = self.crashes.doubts.borrow_mut();
+                if doubts.len() < DOUBTS_MAX {
+                    doubts.push(Doubt { run, at_ms });
+                }
+            }
+            Fate::Left => {}
+        }
+    }
+
+    /// Ends doubts by what the store says of the endpoints: one that is gone without a word, or has started again, had
+    /// ended under the run.
+    fn resolve_doubts(&self) {
+        let fleet = self.published.fleet();
+        let now_ms = self.now_ms();
+        let mut ended = Vec::new();
+        self.crashes.doubts.borrow_mut().retain(|doubt| {
+            let endpoint = &doubt.run.endpoint;
+            match fleet.by_key.get(&endpoint.key) {
+                None => {
+                    ended.push((doubt.run.clone(), doubt.at_ms));
+                    false
+                }
+                Some(listed) if listed.facts.is_leaving => false,
+                Some(_) => now_ms - doubt.at_ms < LAPSE_MS,
+            }
+        });
+        for (run, at_ms) in ended {
+            log::info!(
+                request_id = run.request_id, work:% = run.work,
+                endpoint = run.endpoint.facts.incarnation.id;
+                "the endpoint of a lost run has ended"
+            );
+            self.crashed(&run, at_ms);
+        }
+    }
+
+    /// Says which works are held now, or let go.
+    fn tell_turned(&self) {
+        let turned = self.crashes.table.borrow_mut().take_turned();
+        for (work, is_held) in turned {
+            let table = self.crashes.table.borrow();
+            let crashes = table.record(work).map_or(0, |record| record.crashes.len());
+            match is_held {
+                true => {
+                    self.metrics.quarantine.inc("held");
+                    log::warn!(work:% = work, crashes = crashes; "a request that crashes endpoints is held");
+                }
+                false => {
+                    self.metrics.quarantine.inc("let_go");
+                    log::info!(work:% = work, crashes = crashes; "a held request is let go");
+                }
+            }
+        }
+        let held = self.crashes.table.borrow().held().len();
+        self.metrics.held_works.set(held as i64);
+    }
+}
+
+/// Looks at what is in doubt and forgets what is old, until the process ends.
+pub(crate) async fn watch(core: Rc<Core>) {
+    loop {
+        sleep(LOOK).await;
+        core.resolve_doubts();
+        let now_ms = core.now_ms();
+        let mut refuse_since_ms = core.crashes.refuse_since_ms.borrow_mut();
+        refuse_since_ms.retain(|_, since_ms| now_ms - *since_ms < LAPSE_MS);
+        drop(refuse_since_ms);
+        let endpoints = core.published.fleet().by_key.len();
+        let mut table = core.crashes.table.borrow_mut();
+        table.know_endpoints(endpoints);
+        table.tidy(now_ms);
+        drop(table);
+        core.tell_turned();
+    }
+}
+
+/// All present endpoints but the one on which a work may run, the same at each gateway that knows the same fleet;
+/// `tried` are passed over.
+pub(crate) fn closed_to(
+    fleet: &Fleet,
+    service: &str,
+    work: WorkKey,
+    tried: &[EndpointKey],
+) -> Vec<EndpointKey> {
+    let present = fleet.of_service(service).iter();
+    let present = present.filter(|endpoint| !endpoint.facts.is_leaving);
+    let rank = |endpoint: &Endpoint| {
+        let seed = endpoint.facts.incarnation.hash_64();
+        xxh3_64_with_seed(&work.0.to_le_bytes(), seed)
+    };
+    let open = present
+        .clone()
+        .filter(|endpoint| !tried.contains(&endpoint.key))
+        .max_by_key(|endpoint| rank(endpoint));
+    let open = open.map(|endpoint| endpoint.key);
+    let closed = present.map(|endpoint| endpoint.key);
+    closed.filter(|key| Some(*key) != open).collect()
+}
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -39,6 +39,8 @@
 use crate::headcount::Headcount;
 use crate::metrics::Metrics;
 use crate::peers;
+use crate::quarantine;
+use crate::quarantine::Crashes;
 use crate::readiness;
 use crate::view::Published;
 
@@ -64,6 +66,8 @@
     pub turns: turn::Options,
     /// Endpoints that are passed over.
     pub outliers: outlier::Options,
+    /// Requests that crash endpoints.
+    pub quarantine: mgs_quarantine::options::Options,
     /// Where the numbers by which gateways choose differently begin; a new one each time if it isn't set. Two gateways
     /// with the same seed choose the same engines.
     pub random_seed: Option<u64>,
@@ -88,6 +92,7 @@
                 ejection_max_ms: 8_000,
                 ..outlier::Options::default()
             },
+            quarantine: mgs_quarantine::options::Options::default(),
             random_seed: None,
         }
     }
@@ -167,6 +172,7 @@
         outliers: Outliers::new(options.outliers),
         budget: RefCell::new(Budget::default()),
         looks: RefCell::new(Looks::default()),
+        crashes: Crashes::new(options.quarantine.clone()),
         metrics,
         drain: Drain::new(),
         headcount: RefCell::new(Headcount::default()),
@@ -202,6 +208,7 @@
     tokio::task::spawn_local(client::accept(core.clone(), clients));
     tokio::task::spawn_local(readiness::accept(core.clone(), balancer));
     tokio::task::spawn_local(peers::run(core.clone(), peers));
+    tokio::task::spawn_local(quarantine::watch(core.clone()));
     tokio::task::spawn_local(handover::serve(core.clone(), starting));
     stop.await;
     log::info!(open_requests = core.drain.open_requests(); "leaving");
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -108,6 +108,9 @@
     /// Passes the stream on to its end.
     pub(crate) async fn run(mut self) -> End {
         let end = self.pass_on().await;
+        if end == End::Whole {
+            self.pursuit.core.run_ended_whole(self.pursuit.work);
+        }
         if end != End::Whole {
             self.pursuit.core.metrics.broken.inc(end.name());
             let broken = io::Error::other(end.name());
@@ -151,7 +154,7 @@
                 why = broke_off;
                 "stream broke off"
             );
-            let run = self.pursuit.lost_run(&self.placed, self.events);
+            let run = self.pursuit.lost_run(&self.placed, self.reached());
             let core = &self.pursuit.core;
             tokio::task::spawn_local(crash::note(core.clone(), run, lost));
             core.outliers
@@ -218,12 +221,20 @@
         }
         self.events += 1;
         let core = &self.pursuit.core;
+        core.run_reached(self.pursuit.work, self.reached());
         let now_ms = core.now_ms();
         let engine = self.placed.endpoint.key;
         core.board.borrow_mut().event(engine, now_ms);
         self.last_event_at = Instant::now();
     }
 
+    /// How far the request has got: the number of the last event, or of portions where events have no numbers.
+    fn reached(&self) -> u32 {
+        let last_id = self.last_id.as_deref();
+        let numbered = last_id.and_then(|id| id.parse().ok());
+        numbered.unwrap_or(self.events)
+    }
+
     /// Has another endpoint go on after the last event that was passed on.
     async fn resume(&mut self) -> Resumed {
         let Some(last_id) = self.last_id.clone() else {
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -20,6 +20,7 @@
 use crate::core::Core;
 use crate::drain::Phase;
 use crate::peers::Known;
+use crate::peers::Message;
 use crate::view::Fleet;
 
 /// Least time between two messages: what is placed meanwhile goes together.
@@ -29,7 +30,7 @@
 const WHOLE_INTERVAL: Duration = Duration::from_millis(300);
 
 /// Longest message; larger ones would be cut into fragments, all of which must arrive.
-const MESSAGE_BYTES_MAX: usize = 1_400;
+pub(crate) const MESSAGE_BYTES_MAX: usize = 1_400;
 
 /// Whole messages go to all listed gateways each so many messages, else to those heard of late.
 const WHOLE_TO_ALL: u64 = 4;
@@ -147,13 +148,23 @@
     }
 }
 
+/// A message as it is sent.
+pub(crate) fn encode(message: &Message) -> Vec<u8> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .expect("BUG: a message is plain data")
+}
+
 /// A message that fits a datagram.
 fn shortened(mut beacon: Beacon) -> Vec<u8> {
     loop {
-        let message = bincode::serde::encode_to_vec(&beacon, bincode::config::standard())
-            .expect("BUG: a beacon is plain data");
-        if message.len() <= MESSAGE_BYTES_MAX || beacon.held.is_empty() {
-            return message;
+        let message = Message::Beacon(Box::new(beacon));
+        let encoded = encode(&message);
+        let Message::Beacon(boxed) = message else {
+            unreachable!("it was made as one")
+        };
+        beacon = *boxed;
+        if encoded.len() <= MESSAGE_BYTES_MAX || beacon.held.is_empty() {
+            return encoded;
         }
         // The endpoints named last are left out; peers see them as less loaded for a moment.
         let fewer = beacon.held.len() * 3 / 4;
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -67,6 +67,13 @@
         "body_too_slow" => "its body didn't arrive in time; it has not run",
         "no_endpoint" => "no endpoint of its service was known; it has not run",
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
+        "quarantined" => {
+            return format!(
+                "requests for the same work ({}) have crashed the endpoints that ran them, so it was sent to none; it has not \
+                 run (look for \"is held\" with that work, and for its lines \"run lost\")",
+                line.field("work")
+            );
+        }
         "full" | "too_late" | "timeout_before_dispatch" => return no_room(story, detail),
         "not_run" => {
             return format!(
