fix(placing): an engine that goes while a prompt is placed isn't taken for the end of all

Clients got 503 'no endpoint' beside nine good engines, in 6 of 25 runs of the new test with a request right after an engine's entry went. Cause: the fleet was read again after the choice, and the chosen engine was in the first reading only. The choice now keeps the fleet that it was made by; whether its engines are still there is looked at before the dispatch, as before, and then it is placed again. 0 of 25 since.

--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -189,9 +189,8 @@
     let mut avoided = prompt.tried.clone();
     for _ in 0..RESERVE_TRIES {
         let turned = wait::for_turn(prompt, band, &need, &avoided).await?;
-        let fleet = core.published.fleet();
-        place_log::placed(core, prompt.request_id, &fleet, &turned);
-        let (need, placement) = (turned.need, turned.placement);
+        place_log::placed(core, prompt.request_id, &turned);
+        let (need, placement, fleet) = (turned.need, turned.placement, turned.fleet);
         let grant = hold(prompt, &need, &placement);
         if placement.reserves.is_empty() {
             let none = Reservations::none(core);
--- a/crates/mgs-relay/src/place_log.rs
+++ b/crates/mgs-relay/src/place_log.rs
@@ -8,7 +8,6 @@
 use crate::core::Core;
 use crate::fault::Refusal;
 use crate::place::Prompt;
-use crate::view::Fleet;
 use crate::wait::Turned;
 
 /// A short prompt waits for a place that others can do without.
@@ -103,7 +102,8 @@
 }
 
 /// A prompt is sent.
-pub(crate) fn placed(core: &Core, request_id: &str, fleet: &Fleet, turned: &Turned) {
+pub(crate) fn placed(core: &Core, request_id: &str, turned: &Turned) {
+    let fleet = &turned.fleet;
     let (need, placement) = (&turned.need, &turned.placement);
     let first = fleet.by_key.get(&placement.first);
     let endpoint = first.map_or("gone", |endpoint| endpoint.facts.incarnation.id.as_str());
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -33,6 +33,7 @@
 use crate::place::Tried;
 use crate::place_log;
 use crate::view::Endpoint;
+use crate::view::Fleet;
 
 /// Least time after which a client is asked to come back, in milliseconds: a few answers have ended by
 /// then, and a client that returns sooner only meets the same load.
@@ -57,6 +58,8 @@
     pub(crate) need: Need,
     /// Where it goes.
     pub(crate) placement: Placement,
+    /// The fleet by which it was placed: one that was read since may lack the engines chosen.
+    pub(crate) fleet: Arc<Fleet>,
     /// How long it waited.
     pub(crate) waited: Waited,
 }
@@ -81,7 +84,8 @@
     let waiting = Waiting::new(core);
     loop {
         let need = need();
-        let Placed { placement, scope } = choose_engines(prompt, &need, tried)?;
+        let fleet = core.published.fleet();
+        let Placed { placement, scope } = choose_engines(prompt, &fleet, &need, tried)?;
         let turns = &core.options.turns;
         // Short prompts stand in no line, and a hundred come in a second: what peers count isn't summed for them.
         let sent_ratio = band.map_or(1.0, |band| core.sent_ratio(band));
@@ -100,9 +104,9 @@
         match turn::turn(&asked, turns) {
             Turn::Go if is_short && turn::takes_spare(&asked, turns) => {
                 core.spare.borrow_mut().found(core.now_ms());
-                return Ok(waiting.turned(need, placement));
+                return Ok(waiting.turned(need, placement, fleet));
             }
-            Turn::Go => return Ok(waiting.turned(need, placement)),
+            Turn::Go => return Ok(waiting.turned(need, placement, fleet)),
             Turn::Refuse => {
                 let wait_ms = match is_short {
                     true => asked.spare_ms(turns),
@@ -149,11 +153,12 @@
         }
     }
 
-    fn turned(&self, need: Need, placement: Placement) -> Turned {
+    fn turned(&self, need: Need, placement: Placement, fleet: Arc<Fleet>) -> Turned {
         let waited = self.waited.get();
         Turned {
             need,
             placement,
+            fleet,
             waited,
         }
     }
@@ -240,10 +245,14 @@
     }
 }
 
-fn choose_engines(prompt: &Prompt<'_>, need: &Need, tried: &Tried) -> Result<Placed, Refusal> {
+fn choose_engines(
+    prompt: &Prompt<'_>,
+    fleet: &Fleet,
+    need: &Need,
+    tried: &Tried,
+) -> Result<Placed, Refusal> {
     let core = prompt.core;
-    let fleet = core.published.fleet();
-    let mut endpoints = usable(core, &fleet, prompt.service, tried);
+    let mut endpoints = usable(core, fleet, prompt.service, tried);
     let near = own_zone_first(core, &mut endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
         key: endpoint.key,
