--- a/crates/mgs-relay/src/crash.rs
+++ b/crates/mgs-relay/src/crash.rs
@@ -11,6 +11,7 @@
 use mgs_fleet::view::EndpointKey;
 use mgs_quarantine::key::WorkKey;
 use tokio::sync::OnceCell;
+use tokio::time::sleep;
 
 use crate::connect::CallError;
 use crate::connect::Connection;
@@ -21,6 +22,9 @@
 /// Longest wait for a connection that shows whether an endpoint still listens.
 const LOOK: Duration = Duration::from_millis(150);
 
+/// Time between two looks at an endpoint.
+const LOOK_AGAIN: Duration = Duration::from_millis(50);
+
 /// What became of the endpoint of a lost run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum Fate {
@@ -73,11 +77,24 @@
         "run lost"
     );
     if lost == Lost::BrokenOff {
-        core.run_lost(run, fate);
+        let at_ms = core.now_ms();
+        if fate == Fate::Lives {
+            tokio::task::spawn_local(look_again(core.clone(), run.clone(), at_ms));
+        }
+        core.run_lost(run, fate, at_ms);
     }
     fate
 }
 
+/// Looks once more at an endpoint that took a connection: a process that ends closes its sockets one after the other, and
+/// whom it served may hear of it before it stops to listen.
+async fn look_again(core: Rc<Core>, run: LostRun, at_ms: f64) {
+    sleep(LOOK_AGAIN).await;
+    if look_at(&core, &run.endpoint).await == Fate::Ended {
+        core.run_lost(run, Fate::Ended, at_ms);
+    }
+}
+
 async fn fate(core: &Rc<Core>, endpoint: &Arc<Endpoint>) -> Fate {
     if !is_present(core, endpoint) {
         return Fate::Left;
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -214,8 +214,7 @@
     }
 
     /// A run was lost, and this became of its endpoint.
-    pub(crate) fn run_lost(&self, run: LostRun, fate: Fate) {
-        let at_ms = self.now_ms();
+    pub(crate) fn run_lost(&self, run: LostRun, fate: Fate, at_ms: f64) {
         match fate {
             Fate::Ended => self.crashed(&run, at_ms),
             Fate::Lives | Fate::Unclear => {
