feat(relay): what is held is kept in the store, for gateways that hear nobody who knows

All gateways may lose power at once, and then a request that had crashed three endpoints was sent to three more. A held work is now a row of the table that each gateway follows anyway; whoever saw a crash under it writes it, again after an outage, and removes it when a run ends whole.

--- a/crates/mgs-relay/src/calls.rs
+++ b/crates/mgs-relay/src/calls.rs
@@ -24,6 +24,8 @@
     Whole,
     /// To list this gateway.
     Register,
+    /// To write that a work is held, or isn't any more.
+    Hold,
     /// To know what has changed until now: the store was lost, a peer knows better, or nobody confirmed what is known.
     Probe,
     /// To wait for a change, as one of those that ask often.
@@ -38,6 +40,7 @@
         match self {
             Self::Whole => "whole",
             Self::Register => "register",
+            Self::Hold => "hold",
             Self::Probe => "probe",
             Self::Wait => "wait",
             Self::LongWait => "long_wait",
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -12,6 +12,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mgs_quarantine::table::Told;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
@@ -25,6 +26,8 @@
 use crate::gather;
 use crate::gather::Pause;
 use crate::help;
+use crate::holds::Word;
+use crate::holds::Write;
 use crate::membership::Endpoints;
 use crate::source::Batch;
 use crate::source::Source;
@@ -130,6 +133,12 @@
                 tallies,
             )
         };
+        local.spawn_local(keep_holds(
+            options.clone(),
+            published.clone(),
+            Calls::new(Topic::Gateways, tallies.store_calls.clone()),
+            factory.source(),
+        ));
         local.spawn_local(follow(follower(Topic::Configuration), factory.source()));
         local.spawn_local(follow(follower(Topic::Endpoints), factory.source()));
         let gateways = follow_gateways(follower(Topic::Gateways), factory.source());
@@ -161,6 +170,33 @@
     }
 }
 
+/// Writes to the store what is held, until the process ends; what can't be written now is written when the store is back.
+async fn keep_holds(
+    options: Options,
+    published: Arc<Published>,
+    calls: Calls,
+    mut source: Box<dyn Source>,
+) {
+    let holds = published.holds();
+    loop {
+        for (work, write) in holds.to_write().await {
+            calls.count(Reason::Hold);
+            let written = match &write {
+                Write::Hold(hold) => source.put_hold(hold).await,
+                Write::LetGo => source.remove_hold(work).await,
+            };
+            match written {
+                Ok(()) => log::info!(work:% = work; "what is held was written"),
+                Err(error) => {
+                    log::warn!(work:% = work, error:% = error; "what is held can't be written");
+                    sleep(Duration::from_millis(options.retry_ms)).await;
+                    holds.write_if_none(work, write);
+                }
+            }
+        }
+    }
+}
+
 /// Whether a batch tells of endpoints that are gone.
 fn has_gone(batch: &Batch) -> bool {
     let is_gone = |update: &Update| matches!(update, Update::EndpointGone { .. });
@@ -432,6 +468,9 @@
             Update::Gateway { name, .. } | Update::GatewayGone { name } => {
                 self.rows.clear(self.topic, name);
             }
+            Update::Held(Told { key, .. }) | Update::LetGo(key) => {
+                self.rows.clear(self.topic, &key.to_string());
+            }
             Update::Configuration(_) => self.rows.clear_all(self.topic),
             // Whether an endpoint's entry is taken shows when it is.
             Update::Endpoint(_) | Update::EndpointGone { .. } => {}
@@ -491,8 +530,11 @@
         if is_whole {
             self.gateways.clear();
         }
+        let mut words = Vec::new();
         for update in updates {
             match update {
+                Update::Held(told) => words.push(Word::Held(told)),
+                Update::LetGo(work) => words.push(Word::LetGo(work)),
                 Update::Gateway { name, address } => {
                     self.gateways.insert(name, address);
                 }
@@ -502,6 +544,7 @@
                 _ => {}
             }
         }
+        self.published.holds().say(words);
         let own = self.options.peer_address;
         let mut peers: Vec<SocketAddr> = self.gateways.values().copied().collect();
         peers.extend(&self.options.first_peers);
--- a/crates/mgs-relay/src/gather.rs
+++ b/crates/mgs-relay/src/gather.rs
@@ -35,6 +35,8 @@
         Update::Configuration(_)
         | Update::EndpointGone { .. }
         | Update::GatewayGone { .. }
+        | Update::Held(_)
+        | Update::LetGo(_)
         | Update::Unreadable { .. } => false,
     };
     batch.updates.iter().all(is_newcomer)
--- /dev/null
+++ b/crates/mgs-relay/src/holds.rs
@@ -0,0 +1,93 @@
+//! Works that are held, as the store keeps them: between the thread that follows the store and the one that serves.
+//!
+//! Gateways tell each other what they hold, but all of them may lose power at once. What is held is therefore a row of the
+//! store too, in the table that each gateway follows anyway: a table of its own would be one more call that waits at each.
+
+use std::collections::BTreeMap;
+use std::sync::Mutex;
+use std::sync::PoisonError;
+
+use mgs_quarantine::key::WorkKey;
+use mgs_quarantine::table::Told;
+use tokio::sync::Notify;
+
+/// What the store says of a work.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Word {
+    /// It is held.
+    Held(Told),
+    /// It was held, and somebody has let it go.
+    LetGo(WorkKey),
+}
+
+/// What is to be written of a work.
+#[derive(Debug, Clone, PartialEq)]
+pub enum Write {
+    /// That it is held.
+    Hold(Told),
+    /// That it isn't any more.
+    LetGo,
+}
+
+/// What has yet to be taken by either side.
+#[derive(Debug, Default)]
+pub struct Holds {
+    words: Mutex<Vec<Word>>,
+    said: Notify,
+    writes: Mutex<BTreeMap<WorkKey, Write>>,
+    wanted: Notify,
+    is_rewrite_wanted: Notify,
+}
+
+impl Holds {
+    /// The store says something.
+    pub fn say(&self, words: Vec<Word>) {
+        if words.is_empty() {
+            return;
+        }
+        let mut all = self.words.lock().unwrap_or_else(PoisonError::into_inner);
+        all.extend(words);
+        drop(all);
+        self.said.notify_one();
+    }
+
+    /// Waits for what the store says.
+    pub async fn heard(&self) -> Vec<Word> {
+        self.said.notified().await;
+        let mut words = self.words.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *words)
+    }
+
+    /// Something is to be written; it replaces what was to be written of the same work.
+    pub fn write(&self, work: WorkKey, write: Write) {
+        let mut writes = self.writes.lock().unwrap_or_else(PoisonError::into_inner);
+        writes.insert(work, write);
+        drop(writes);
+        self.wanted.notify_one();
+    }
+
+    /// Something couldn't be written; it still is to be, unless something else is by now.
+    pub fn write_if_none(&self, work: WorkKey, write: Write) {
+        let mut writes = self.writes.lock().unwrap_or_else(PoisonError::into_inner);
+        writes.entry(work).or_insert(write);
+        drop(writes);
+        self.wanted.notify_one();
+    }
+
+    /// Waits for something to write.
+    pub async fn to_write(&self) -> BTreeMap<WorkKey, Write> {
+        self.wanted.notified().await;
+        let mut writes = self.writes.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *writes)
+    }
+
+    /// The store may have lost what was written: whoever serves is to write it again.
+    pub fn want_rewrite(&self) {
+        self.is_rewrite_wanted.notify_one();
+    }
+
+    /// Waits until what is held is to be written again.
+    pub async fn rewrite_wanted(&self) {
+        self.is_rewrite_wanted.notified().await;
+    }
+}
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -2,6 +2,7 @@
 //! decided by `mgs-quarantine`; peers are told by [`crate::spread`].
 
 use std::cell::RefCell;
+use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::net::SocketAddr;
 use std::rc::Rc;
@@ -22,6 +23,8 @@
 use crate::crash::LostRun;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::holds::Word;
+use crate::holds::Write;
 use crate::view::Endpoint;
 use crate::view::Fleet;
 
@@ -52,6 +55,8 @@
 /// What a gateway knows of crashes.
 pub(crate) struct Crashes {
     table: RefCell<Quarantine>,
+    /// Works under which this gateway saw an endpoint end.
+    seen_here: RefCell<BTreeSet<WorkKey>>,
     /// Since when endpoints refuse connections from here, in milliseconds.
     refuse_since_ms: RefCell<HashMap<EndpointKey, f64>>,
     doubts: RefCell<Vec<Doubt>>,
@@ -65,6 +70,7 @@
     pub(crate) fn new(options: Options) -> Self {
         Self {
             table: RefCell::new(Quarantine::new(options)),
+            seen_here: RefCell::new(BTreeSet::new()),
             refuse_since_ms: RefCell::new(HashMap::new()),
             doubts: RefCell::new(Vec::new()),
             urgent: Notify::new(),
@@ -130,6 +136,7 @@
             return Err(refused);
         }
         log::info!(work:% = work; "a held request is tried once more");
+        self.write_hold(work, true);
         self.crashes.urgent.notify_one();
         Ok(Leave::Trial)
     }
@@ -168,6 +175,16 @@
         }
     }
 
+    /// Has the store keep what is known of a work.
+    fn write_hold(&self, work: WorkKey, is_held: bool) {
+        let told = self.crashes.table.borrow().told(work, self.now_ms());
+        let write = match told.filter(|_| is_held) {
+            Some(told) => Write::Hold(told),
+            None => Write::LetGo,
+        };
+        self.published.holds().write(work, write);
+    }
+
     /// Whether an endpoint is known to have ended under some run.
     pub(crate) fn has_crashed(&self, endpoint: &Endpoint) -> bool {
         let incarnation = endpoint.facts.incarnation.hash_64();
@@ -180,6 +197,7 @@
         let mut table = self.crashes.table.borrow_mut();
         table.crashed(run.work, incarnation, run.reached, at_ms);
         drop(table);
+        self.crashes.seen_here.borrow_mut().insert(run.work);
         self.tell_turned();
         self.crashes.urgent.notify_one();
     }
@@ -213,6 +231,13 @@
         self.tell_turned();
     }
 
+    /// Somebody has let a work go: an operator, or a gateway at which it ended whole.
+    fn lift(&self, work: WorkKey) {
+        let now_ms = self.now_ms();
+        self.crashes.table.borrow_mut().lift(work, now_ms);
+        self.tell_turned();
+    }
+
     /// A run was lost, and this became of its endpoint.
     pub(crate) fn run_lost(&self, run: LostRun, fate: Fate, at_ms: f64) {
         match fate {
@@ -254,10 +279,13 @@
         }
     }
 
-    /// Says which works are held now, or let go.
+    /// Says which works are held now, or let go, and has the store keep those that this gateway saw.
     fn tell_turned(&self) {
         let turned = self.crashes.table.borrow_mut().take_turned();
         for (work, is_held) in turned {
+            if self.crashes.seen_here.borrow().contains(&work) {
+                self.write_hold(work, is_held);
+            }
             let table = self.crashes.table.borrow();
             let crashes = table.record(work).map_or(0, |record| record.crashes.len());
             match is_held {
@@ -289,11 +317,25 @@
         let mut table = core.crashes.table.borrow_mut();
         table.know_endpoints(endpoints);
         table.tidy(now_ms);
-        drop(table);
+        let mut seen_here = core.crashes.seen_here.borrow_mut();
+        seen_here.retain(|work| table.record(*work).is_some());
+        drop((table, seen_here));
         core.tell_turned();
     }
 }
 
+/// Takes what the store says is held, until the process ends.
+pub(crate) async fn follow_store(core: Rc<Core>) {
+    loop {
+        for word in core.published.holds().heard().await {
+            match word {
+                Word::Held(told) => core.hear_crashes(&[told]),
+                Word::LetGo(work) => core.lift(work),
+            }
+        }
+    }
+}
+
 /// All present endpoints but the one on which a work may run, the same at each gateway that knows the same fleet;
 /// `tried` are passed over.
 pub(crate) fn closed_to(
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -5,6 +5,8 @@
 use std::pin::Pin;
 
 use displaydoc::Display;
+use mgs_quarantine::key::WorkKey;
+use mgs_quarantine::table::Told;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
@@ -18,7 +20,7 @@
     Configuration,
     /// Endpoints that registered themselves.
     Endpoints,
-    /// Gateways that registered themselves.
+    /// Gateways that registered themselves, and the works that they hold.
     Gateways,
 }
 
@@ -161,6 +163,10 @@
         /// Its name.
         name: String,
     },
+    /// A work that crashes endpoints is held.
+    Held(Told),
+    /// A work is held no more.
+    LetGo(WorkKey),
 }
 
 /// What was read.
@@ -196,6 +202,12 @@
 
     /// Lists this gateway for its peers.
     fn register(&mut self, name: &str, address: SocketAddr) -> Reading<'_, ()>;
+
+    /// Writes that a work is held.
+    fn put_hold(&mut self, hold: &Told) -> Reading<'_, ()>;
+
+    /// Writes that a work isn't held any more.
+    fn remove_hold(&mut self, work: WorkKey) -> Reading<'_, ()>;
 }
 
 /// Makes sources.
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -21,6 +21,7 @@
 use crate::belief::Contents;
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
+use crate::holds::Holds;
 use crate::source::EndpointFacts;
 use crate::source::Incarnation;
 
@@ -228,6 +229,7 @@
     started: Instant,
     configuration_belief: Belief,
     endpoint_belief: Belief,
+    holds: Holds,
     is_reader: AtomicBool,
     completed: Notify,
 }
@@ -245,6 +247,7 @@
             started: Instant::now(),
             configuration_belief: Belief::new(Contents::Versions),
             endpoint_belief: Belief::new(Contents::Hashes),
+            holds: Holds::default(),
             is_reader: AtomicBool::new(true),
             completed: Notify::new(),
         }
@@ -334,6 +337,11 @@
         &self.configuration_belief
     }
 
+    /// Works that are held, as the store keeps them.
+    pub fn holds(&self) -> &Holds {
+        &self.holds
+    }
+
     /// How fresh the fleet is.
     pub fn endpoint_belief(&self) -> &Belief {
         &self.endpoint_belief
