--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -19,6 +19,7 @@
 pub mod gateway;
 pub mod organisation;
 pub mod process;
+pub mod quarantine;
 pub mod relay;
 pub mod request;
 pub mod sidecar;
@@ -44,6 +45,7 @@
   marigoldstage endpoint stop engine-7    let an endpoint finish its work and take no more
   marigoldstage status                    what each process says of itself
   marigoldstage explain ID LOG...         what happened to one request
+  marigoldstage quarantine list           requests that are held since they crash endpoints
 
 Every setting is a flag and an environment variable: `--log-level` is MARIGOLDSTAGE_LOG_LEVEL.
 The flag goes first. All settings are checked before anything starts.
@@ -73,6 +75,7 @@
         entry(request::command(), request::run),
         entry(status::command(), status::run),
         entry(explain::command(), explain::run),
+        entry(quarantine::command(), quarantine::run),
         #[cfg(feature = "demo")]
         entry(demo::command(), demo::run),
         #[cfg(feature = "demo")]
--- a/tests/command.rs
+++ b/tests/command.rs
@@ -55,6 +55,7 @@
 #[case("demo")]
 #[case("standin")]
 #[case("completions")]
+#[case("quarantine")]
 fn every_subcommand_teaches_by_examples(#[case] name: &str) {
     let output = run(&[name, "--help"]);
     assert_eq!(code(&output), 0);
