test(soak): one request ends each engine that runs it, at every gateway, beside all other faults

The engines are back 1.5 s later under other identifiers. Checked: no other request is held, a held one has not run, and at most six engines end of those whose end their gateway could see.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -37,6 +37,7 @@
 use plan::plan_with_restarts;
 use plan::Timed;
 use rstest::rstest;
+use world::Nature;
 use world::World;
 
 /// Runs of this process so far.
@@ -82,13 +83,22 @@
     Plain,
     /// Besides, endpoints start again under their identifiers, and others spoil their entries.
     Restarts,
+    /// The same, while one request ends each engine that runs it and is sent again and again.
+    Deadly,
 }
 
 impl Faults {
     fn plan(self, seed: u64) -> Vec<Timed> {
         match self {
             Self::Plain => plan(seed, LENGTH_MS),
-            Self::Restarts => plan_with_restarts(seed, LENGTH_MS),
+            Self::Restarts | Self::Deadly => plan_with_restarts(seed, LENGTH_MS),
+        }
+    }
+
+    fn nature(self) -> Nature {
+        Nature {
+            tells_starts: self != Self::Plain,
+            is_mortal: self == Self::Deadly,
         }
     }
 }
@@ -100,17 +110,20 @@
     let name = format!("soak-{}-{number}-{seed}", std::process::id());
     let folder = std::env::temp_dir().join(name);
     std::fs::create_dir_all(&folder).expect("a temporary folder");
-    let mut world = World::start(&folder, first_port(), faults == Faults::Restarts);
+    let mut world = World::start(&folder, first_port(), faults.nature());
     world.wait_for_all();
-    let callers = Callers::start(seed, CALLERS, &world.client_addresses());
+    let mut callers = Callers::start(seed, CALLERS, &world.client_addresses());
+    if faults == Faults::Deadly {
+        callers.add_deadly(seed, &world.client_addresses());
+    }
     let start = Instant::now();
     for timed in faults.plan(seed) {
         let due = start + Duration::from_millis(timed.at_ms);
-        thread::sleep(due.saturating_duration_since(Instant::now()));
+        tend_until(&mut world, due);
         world.apply(&timed.step);
     }
     world.heal_all();
-    thread::sleep(CALM);
+    tend_until(&mut world, Instant::now() + CALM);
     let end = Instant::now();
     let records = callers.stop();
     let runs = world.runs();
@@ -130,11 +143,20 @@
     }
 }
 
+/// Waits, and starts engines again that were ended.
+fn tend_until(world: &mut World, due: Instant) {
+    const LOOK: Duration = Duration::from_millis(10);
+    while Instant::now() < due {
+        world.tend_crashed();
+        thread::sleep(LOOK.min(due.saturating_duration_since(Instant::now())));
+    }
+}
+
 /// Whether all is well again at the end.
 fn recovery(records: &[Record], end: Instant, version: u64) -> Option<String> {
     let last: Vec<&Record> = records
         .iter()
-        .filter(|r| r.sent > end - LAST && r.sent < end)
+        .filter(|r| r.sent > end - LAST && r.sent < end && !r.is_deadly)
         .collect();
     let is_answered = |record: &&&Record| {
         let answer = record.answer.as_ref();
@@ -198,6 +220,11 @@
     hold(1, Faults::Restarts);
 }
 
+#[test]
+fn promises_hold_while_a_request_ends_each_engine_that_runs_it() {
+    hold(1, Faults::Deadly);
+}
+
 #[test]
 #[ignore = "by hand, for the seeds of SOAK_SEEDS"]
 fn promises_hold_for_the_seeds_asked_for() {
@@ -207,7 +234,11 @@
     let last: u64 = last.parse().expect("a number");
     let mut red = Vec::new();
     for seed in first..=last {
-        let outcome = run(seed, Faults::Restarts);
+        let faults = match seed % 2 {
+            0 => Faults::Restarts,
+            _ => Faults::Deadly,
+        };
+        let outcome = run(seed, faults);
         say(&report(seed, &outcome));
         if outcome.violations.is_empty() {
             let _ = std::fs::remove_dir_all(outcome.folder);
--- a/tests/soak/callers.rs
+++ b/tests/soak/callers.rs
@@ -17,6 +17,7 @@
 
 use crate::standin::client::read_answer;
 use crate::standin::client::Answer;
+use crate::standin::endpoint::DEADLY;
 use crate::standin::gateway::HOST;
 use crate::standin::gateway::KEY;
 
@@ -36,6 +37,8 @@
     Once,
     Talk,
     OnceTalk,
+    /// A stream that needs no key, so that its caller stays the same through all configurations.
+    OpenTalk,
 }
 
 impl Kind {
@@ -45,11 +48,12 @@
             Self::Once => "/once/1",
             Self::Talk => "/talk/1",
             Self::OnceTalk => "/once-talk/1",
+            Self::OpenTalk => "/open-talk/1",
         }
     }
 
     pub(crate) fn is_stream(self) -> bool {
-        matches!(self, Self::Talk | Self::OnceTalk)
+        matches!(self, Self::Talk | Self::OnceTalk | Self::OpenTalk)
     }
 
     pub(crate) fn runs_once(self) -> bool {
@@ -64,6 +68,8 @@
     pub(crate) kind: Kind,
     pub(crate) gateway: usize,
     pub(crate) is_kept: bool,
+    /// Whether it ends the engine that runs it.
+    pub(crate) is_deadly: bool,
     pub(crate) sent: Instant,
     pub(crate) ended: Instant,
     /// `None` if the connection ended, or nothing came, before an answer's head.
@@ -94,6 +100,27 @@
         Self { stop, threads }
     }
 
+    /// Adds a client that sends the same deadly request again and again, at any gateway.
+    pub(crate) fn add_deadly(&mut self, seed: u64, gateways: &[SocketAddr]) {
+        let mut caller = Caller {
+            numbers: ChaCha8Rng::seed_from_u64(seed),
+            name: format!("{seed:x}-{DEADLY}"),
+            gateways: gateways.to_vec(),
+            records: Vec::new(),
+        };
+        let stop = self.stop.clone();
+        self.threads.push(thread::spawn(move || {
+            while !stop.load(Ordering::Relaxed) {
+                thread::sleep(PAUSE);
+                let gateway = caller.below(caller.gateways.len() as u32) as usize;
+                if let Ok(mut stream) = connect(caller.gateways[gateway]) {
+                    caller.send(gateway, &mut stream, false, Kind::OpenTalk, DEADLY);
+                }
+            }
+            caller.records
+        }));
+    }
+
     /// Stops them; what they saw.
     pub(crate) fn stop(self) -> Vec<Record> {
         self.stop.store(true, Ordering::Relaxed);
@@ -140,11 +167,28 @@
     fn call(&mut self, gateway: usize, stream: &mut TcpStream, is_kept: bool) -> bool {
         let kinds = [Kind::Safe, Kind::Once, Kind::Talk, Kind::OnceTalk];
         let kind = kinds[self.below(4) as usize];
+        self.send(gateway, stream, is_kept, kind, "hi")
+    }
+
+    /// Sends one request; whether the connection may take another.
+    fn send(
+        &mut self,
+        gateway: usize,
+        stream: &mut TcpStream,
+        is_kept: bool,
+        kind: Kind,
+        body: &str,
+    ) -> bool {
         let id = format!("{}-{}", self.name, self.records.len());
+        let key = match kind {
+            Kind::OpenTalk => String::new(),
+            _ => format!("Credential: {KEY}\r\n"),
+        };
         let text = format!(
             "POST {} HTTP/1.1\r\nHost: {HOST}\r\nRequest-Id: {id}\r\nDeadline-Ms: 5000\r\n\
-             Credential: {KEY}\r\nToken-Count: 900,200\r\nContent-Length: 2\r\n\r\nhi",
+             {key}Token-Count: 900,200\r\nContent-Length: {}\r\n\r\n{body}",
             kind.path(),
+            body.len(),
         );
         let sent = Instant::now();
         let is_sent = stream.write_all(text.as_bytes()).is_ok();
@@ -160,6 +204,7 @@
             kind,
             gateway,
             is_kept,
+            is_deadly: body == DEADLY,
             sent,
             ended: Instant::now(),
             answer,
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -7,6 +7,7 @@
 use crate::callers::Kind;
 use crate::callers::Record;
 use crate::standin::endpoint::Run;
+use crate::world::Crash;
 use crate::world::History;
 use crate::world::What;
 use crate::world::EVENTS;
@@ -27,6 +28,12 @@
 /// Time after which a leaving endpoint gets nothing new.
 const LEFT: Duration = Duration::from_millis(2_300);
 
+/// Engines that a deadly request may end: three before it is known, and what was on its way then.
+const ENDED_MAX: usize = 6;
+
+/// Time around an engine's end in which its gateway must be able to see it.
+const SEEN: Duration = Duration::from_millis(400);
+
 /// Answers that say that the request has not run.
 const NOT_RUN: [u16; 4] = [408, 421, 429, 503];
 
@@ -56,6 +63,8 @@
             self.check_answer(record, &mut found);
             self.check_end(record, runs, &mut found);
         }
+        self.check_held(&mut found);
+        self.check_crashes(&mut found);
         self.check_versions(&mut found);
         self.check_leaves(&mut found);
         found
@@ -66,7 +75,8 @@
             found.push(format!("{} ran {} times", record.id, runs.len()));
         }
         let status = record.answer.as_ref().map_or(0, |answer| answer.status);
-        if NOT_RUN.contains(&status) && !runs.is_empty() && !record.kind.is_stream() {
+        let must_not_have_run = !record.kind.is_stream() || is_held(record);
+        if NOT_RUN.contains(&status) && !runs.is_empty() && must_not_have_run {
             found.push(format!("{} got {status} and ran", record.id));
         }
     }
@@ -155,6 +165,39 @@
         }
     }
 
+    /// Nothing is held but what is deadly.
+    fn check_held(&self, found: &mut Vec<String>) {
+        for record in self.records.iter().filter(|record| !record.is_deadly) {
+            if is_held(record) {
+                found.push(format!("{} was held and isn't deadly", record.id));
+            }
+        }
+    }
+
+    /// A deadly request ends few engines. Those don't count of which its gateway could see no end: it was killed or paused
+    /// itself, or the path was harmed.
+    fn check_crashes(&self, found: &mut Vec<String>) {
+        let by_id: HashMap<&str, &Record> =
+            self.records.iter().map(|r| (r.id.as_str(), r)).collect();
+        let is_seen = |crash: &&Crash| {
+            let mut runs = self.runs.iter().filter(|(id, _)| *id == crash.id);
+            let last = runs.rfind(|(_, run)| {
+                let record = by_id.get(run.request_id.as_str());
+                record.is_some_and(|record| record.is_deadly)
+            });
+            let gateway = last.and_then(|(_, run)| by_id.get(run.request_id.as_str()));
+            let upsets = [
+                What::Process(gateway.map_or(usize::MAX, |record| record.gateway)),
+                What::EndpointPath(crash.place),
+            ];
+            !self.is_upset(&upsets, crash.at - SEEN, crash.at + SEEN)
+        };
+        let seen = self.history.crashes.iter().filter(is_seen).count();
+        if seen > ENDED_MAX {
+            found.push(format!("a deadly request ended {seen} engines"));
+        }
+    }
+
     fn check_leaves(&self, found: &mut Vec<String>) {
         let by_id: HashMap<&str, &Record> =
             self.records.iter().map(|r| (r.id.as_str(), r)).collect();
@@ -185,6 +228,12 @@
     }
 }
 
+/// Whether the client was told that such requests are held.
+fn is_held(record: &Record) -> bool {
+    let answer = record.answer.as_ref();
+    answer.is_some_and(|answer| answer.text.contains("quarantined"))
+}
+
 /// The version that the answer names.
 fn version(record: &Record) -> Option<u64> {
     let answer = record.answer.as_ref().filter(|a| a.status == 200)?;
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -36,6 +36,7 @@
         kind: Kind::Once,
         gateway: 0,
         is_kept: false,
+        is_deadly: false,
         sent,
         ended: sent + Duration::from_millis(20),
         answer: Some(answer("r", 200, &format!("r nursery-{version}"))),
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -44,6 +44,9 @@
 /// Time that the platform gives a process to end after SIGTERM, in seconds.
 const GRACE_S: u64 = 8;
 
+/// Time for which an engine is away after a deadly request.
+const AWAY: Duration = Duration::from_millis(1_500);
+
 /// Delay of a slow path, in milliseconds: an answer takes twice that.
 const SLOW_MS: u64 = 250;
 
@@ -51,6 +54,7 @@
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum What {
     Process(usize),
+    EndpointPath(usize),
     StorePath(usize),
     Store,
 }
@@ -78,12 +82,30 @@
     pub(crate) at: Instant,
 }
 
+/// An endpoint that a deadly request ended.
+#[derive(Debug, Clone)]
+pub(crate) struct Crash {
+    pub(crate) id: String,
+    pub(crate) place: usize,
+    pub(crate) at: Instant,
+}
+
+/// What kind of endpoints there are.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
+pub(crate) struct Nature {
+    /// They tell when they started.
+    pub(crate) tells_starts: bool,
+    /// Engines end when they begin with a deadly request.
+    pub(crate) is_mortal: bool,
+}
+
 /// What happened, for the checks.
 #[derive(Debug, Default)]
 pub(crate) struct History {
     pub(crate) upsets: Vec<Upset>,
     pub(crate) lives: Vec<Life>,
     pub(crate) leaves: Vec<Leave>,
+    pub(crate) crashes: Vec<Crash>,
     /// Versions of the configuration and when the store had them.
     pub(crate) versions: Vec<(u64, Instant)>,
     /// Promises seen broken while it ran.
@@ -119,6 +141,8 @@
     is_leaving: bool,
     /// When its process started, in Unix milliseconds.
     born_ms: u64,
+    /// When a deadly request ended it, if it isn't back yet.
+    crashed: Option<Instant>,
 }
 
 /// All of it.
@@ -128,21 +152,20 @@
     places: Vec<Place>,
     version: u64,
     incarnations: u64,
-    /// Whether endpoints tell when they started.
-    tells_starts: bool,
+    nature: Nature,
     pub(crate) history: History,
 }
 
 impl World {
     /// Starts everything; files go below `folder`.
-    pub(crate) fn start(folder: &std::path::Path, port: u16, tells_starts: bool) -> Self {
+    pub(crate) fn start(folder: &std::path::Path, port: u16, nature: Nature) -> Self {
         let store = Store::start();
         let mut world = Self {
             places: Vec::new(),
             hosts: Vec::new(),
             version: 0,
             incarnations: 0,
-            tells_starts,
+            nature,
             history: History::default(),
             store,
         };
@@ -156,6 +179,7 @@
                 past: Vec::new(),
                 is_leaving: false,
                 born_ms: BORN_MS,
+                crashed: None,
             });
             world.list(number, "ready");
         }
@@ -214,17 +238,18 @@
     fn endpoint(&mut self, number: usize) -> Endpoint {
         self.incarnations += 1;
         let id = format!("i-{number}-{}", self.incarnations);
-        match number < PLAIN_ENDPOINTS {
-            true => Endpoint::start(&id, "desk", &[well(number)]),
-            false => Endpoint::start(&id, "model", &[well(number)]),
-        }
+        let service = match number < PLAIN_ENDPOINTS {
+            true => "desk",
+            false => "model",
+        };
+        Endpoint::start(&id, service, &[self.nature.well(number)])
     }
 
     fn list(&self, number: usize, state: &str) {
         let place = &self.places[number];
         let mut entry = place.present.entry(state);
         entry["address"] = json!(place.path.address().to_string());
-        if self.tells_starts {
+        if self.nature.tells_starts {
             entry["born"] = json!(place.born_ms);
         }
         self.store.put("servers", &place.present.id, &entry);
@@ -364,10 +389,23 @@
                 }
             }
             Step::HistoryDropped => self.store.drop_history(),
-            Step::EndpointPath(number, fault) => harm(&self.places[*number].path, *fault),
-            Step::EndpointPathHealed(number) => heal(&self.places[*number].path),
+            Step::EndpointPath(number, fault) => {
+                self.upset(What::EndpointPath(*number));
+                harm(&self.places[*number].path, *fault);
+            }
+            Step::EndpointPathHealed(number) => {
+                self.ends(What::EndpointPath(*number));
+                let place = &self.places[*number];
+                heal(&place.path);
+                // Nobody listens behind it as long as the engine is away.
+                let is_away = place.crashed.is_some();
+                place.path.refuse(is_away).expect("a listener");
+            }
             Step::EndpointActs(number, act) => self.places[*number].present.set_act(act.clone()),
-            Step::EndpointWell(number) => self.places[*number].present.set_act(well(*number)),
+            Step::EndpointWell(number) => {
+                let well = self.nature.well(*number);
+                self.places[*number].present.set_act(well);
+            }
             Step::EndpointLeaves(number) => {
                 self.list(*number, "draining");
                 self.places[*number].is_leaving = true;
@@ -411,6 +449,32 @@
         }
     }
 
+    /// Takes note of engines that a deadly request has ended, and starts others in their places some time later.
+    pub(crate) fn tend_crashed(&mut self) {
+        for number in 0..ENDPOINTS {
+            let place = &mut self.places[number];
+            let Some(crashed) = place.crashed else {
+                if place.present.has_ended() {
+                    place.path.refuse(true).expect("a listener");
+                    place.path.cut();
+                    place.crashed = Some(Instant::now());
+                    self.history.crashes.push(Crash {
+                        id: place.present.id.clone(),
+                        place: number,
+                        at: Instant::now(),
+                    });
+                }
+                continue;
+            };
+            if crashed.elapsed() > AWAY {
+                let id = place.present.id.clone();
+                heal(&place.path);
+                self.store.remove("servers", &id);
+                self.bring_back(number);
+            }
+        }
+    }
+
     fn bring_back(&mut self, number: usize) {
         let next = self.endpoint(number);
         let place = &mut self.places[number];
@@ -419,6 +483,7 @@
         place.past.push(past);
         place.is_leaving = false;
         place.born_ms += 1;
+        place.crashed = None;
         self.list(number, "ready");
     }
 
@@ -429,7 +494,10 @@
             return;
         }
         let present = &place.present;
-        let next = Endpoint::start(&present.id, &present.service, &[well(number)]);
+        let next = Endpoint::start(&present.id, &present.service, &[self.nature.well(number)]);
+        if place.crashed.take().is_some() {
+            heal(&place.path);
+        }
         place.path.cut();
         place.path.set_target(next.address);
         let past = std::mem::replace(&mut place.present, next);
@@ -456,10 +524,12 @@
         self.apply(&Step::StoreMode(Mode::Up));
         for number in 0..ENDPOINTS {
             heal(&self.places[number].path);
-            self.places[number].present.set_act(well(number));
-            match self.places[number].is_leaving {
+            self.apply(&Step::EndpointWell(number));
+            self.ends(What::EndpointPath(number));
+            let place = &self.places[number];
+            match place.is_leaving || place.crashed.is_some() {
                 true => self.bring_back(number),
-                false if self.tells_starts => self.list(number, "ready"),
+                false if self.nature.tells_starts => self.list(number, "ready"),
                 false => {}
             }
             self.lapse(number);
@@ -514,11 +584,14 @@
     format!("127.0.77.{}", number + 1)
 }
 
-/// What an endpoint does when all is well.
-fn well(number: usize) -> Act {
-    match number < PLAIN_ENDPOINTS {
-        true => Act::Work(15),
-        false => Act::Stream(EVENTS),
+impl Nature {
+    /// What an endpoint does when all is well.
+    fn well(self, number: usize) -> Act {
+        match number < PLAIN_ENDPOINTS {
+            true => Act::Work(15),
+            false if self.is_mortal => Act::Crash(EVENTS),
+            false => Act::Stream(EVENTS),
+        }
     }
 }
 
