fix(relay): crashes aren't taken back by an answer, and the end of an endpoint is looked for longer

Found by the soak, where one request still ended up to 12 engines. Three causes. An answer of an endpoint that had ended was taken to prove that it hadn't, but it came from its next life under the same identifier, listed later: crashes are not taken back any more. An end that a second look didn't find was found only when the entry lapsed, seconds later: there are three more looks within a second now. Runs that an endpoint had reset long before it ended were counted as ended with it, at the wrong time: only what broke off last counts, and nothing that the endpoint survived.

--- a/crates/mgs-quarantine/src/record.rs
+++ b/crates/mgs-quarantine/src/record.rs
@@ -103,11 +103,6 @@
         self.settle(Bearing::Cleared, |_| true)
     }
 
-    /// An endpoint lives that was taken to have ended. Answers whether a crash counts no more.
-    pub fn lives(&mut self, incarnation: u64) -> bool {
-        self.settle(Bearing::Cleared, |crash| crash.incarnation == incarnation)
-    }
-
     fn settle(&mut self, bearing: Bearing, concerns: impl Fn(&Crash) -> bool) -> bool {
         let mut is_new = false;
         for crash in &mut self.crashes {
@@ -171,12 +166,9 @@
 
     /// An endpoint has ended.
     pub fn ended(&mut self, incarnation: u64, at_ms: f64) {
-        self.ended_ms.entry(incarnation).or_insert(at_ms);
-    }
-
-    /// An endpoint lives after all.
-    pub fn lives(&mut self, incarnation: u64) {
-        self.ended_ms.remove(&incarnation);
+        let known_ms = self.ended_ms.entry(incarnation).or_insert(at_ms);
+        // Word of it takes time, so the earliest is nearest.
+        *known_ms = known_ms.min(at_ms);
     }
 
     /// Whether it is known to have ended.
@@ -209,7 +201,11 @@
 
     /// How often crashes count: those of one moment as often as they are if no other endpoint ended then, else once.
     fn count<'a>(&self, crashes: impl Iterator<Item = &'a Crash>) -> usize {
-        let mut times_ms: Vec<f64> = crashes.map(|crash| crash.at_ms).collect();
+        let at_ms = |crash: &Crash| {
+            let ended_ms = self.ended_ms.get(&crash.incarnation);
+            ended_ms.copied().unwrap_or(crash.at_ms)
+        };
+        let mut times_ms: Vec<f64> = crashes.map(at_ms).collect();
         times_ms.sort_by(f64::total_cmp);
         let mut count = 0;
         let mut rest = times_ms.as_slice();
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -112,23 +112,6 @@
         self.change(key, now_ms, |record| record.add(crash));
     }
 
-    /// An endpoint has answered that was taken to have ended, as one does that was out of reach: nothing has crashed it.
-    pub fn lives(&mut self, incarnation: u64, now_ms: f64) {
-        if !self.moments.has_ended(incarnation) {
-            return;
-        }
-        let is_concerned = |record: &Record| {
-            let mut crashes = record.crashes.iter();
-            crashes.any(|crash| crash.incarnation == incarnation)
-        };
-        let concerned = self.records.iter().filter(|(_, r)| is_concerned(r));
-        let keys: Vec<WorkKey> = concerned.map(|(key, _)| *key).collect();
-        for key in keys {
-            self.change(key, now_ms, |record| record.lives(incarnation));
-        }
-        self.moments.lives(incarnation);
-    }
-
     /// Whether an endpoint is known to have ended under some work.
     pub fn has_ended(&self, incarnation: u64) -> bool {
         self.moments.has_ended(incarnation)
--- a/crates/mgs-relay/src/crash.rs
+++ b/crates/mgs-relay/src/crash.rs
@@ -22,8 +22,12 @@
 /// Longest wait for a connection that shows whether an endpoint still listens.
 const LOOK: Duration = Duration::from_millis(150);
 
-/// Time between two looks at an endpoint.
-const LOOK_AGAIN: Duration = Duration::from_millis(50);
+/// Times between looks at an endpoint. One that is still there after a second has only cut connections.
+const LOOK_AGAIN: [Duration; 3] = [
+    Duration::from_millis(50),
+    Duration::from_millis(200),
+    Duration::from_millis(750),
+];
 
 /// What became of the endpoint of a lost run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -78,7 +82,7 @@
     );
     if lost == Lost::BrokenOff {
         let at_ms = core.now_ms();
-        if fate == Fate::Lives {
+        if matches!(fate, Fate::Lives | Fate::Unclear) {
             tokio::task::spawn_local(look_again(core.clone(), run.clone(), at_ms));
         }
         core.run_lost(run, fate, at_ms);
@@ -86,12 +90,15 @@
     fate
 }
 
-/// Looks once more at an endpoint that took a connection: a process that ends closes its sockets one after the other, and
-/// whom it served may hear of it before it stops to listen.
+/// Looks a few times more at an endpoint that took a connection: a process that ends closes its sockets one after the
+/// other, and whom it served may hear of it before it stops to listen.
 async fn look_again(core: Rc<Core>, run: LostRun, at_ms: f64) {
-    sleep(LOOK_AGAIN).await;
-    if look_at(&core, &run.endpoint).await == Fate::Ended {
-        core.run_lost(run, Fate::Ended, at_ms);
+    for pause in LOOK_AGAIN {
+        sleep(pause).await;
+        if core.is_doubted(&run) && shared_look(&core, &run.endpoint).await == Fate::Ended {
+            core.run_lost(run, Fate::Ended, at_ms);
+            return;
+        }
     }
 }
 
@@ -102,12 +109,15 @@
     if core.has_crashed(endpoint) {
         return Fate::Ended;
     }
-    let look = core
-        .looks
-        .borrow_mut()
-        .entry(endpoint.key)
-        .or_default()
-        .clone();
+    shared_look(core, endpoint).await
+}
+
+/// One look for all that ask at the same time.
+async fn shared_look(core: &Core, endpoint: &Endpoint) -> Fate {
+    let look = {
+        let mut looks = core.looks.borrow_mut();
+        looks.entry(endpoint.key).or_default().clone()
+    };
     let fate = *look.get_or_init(|| look_at(core, endpoint)).await;
     core.looks.borrow_mut().remove(&endpoint.key);
     fate
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -40,6 +40,9 @@
 /// after a run broke off there, and so long one that refuses connections is passed over.
 const LAPSE_MS: f64 = 6_000.0;
 
+/// No endpoint starts again sooner after its end, in milliseconds.
+const RESTART_MIN_MS: f64 = 500.0;
+
 /// Time between two looks at what is in doubt and at what may be forgotten.
 const LOOK: Duration = Duration::from_millis(250);
 
@@ -52,6 +55,13 @@
     at_ms: f64,
 }
 
+impl Doubt {
+    /// Whether it is about this work at this endpoint.
+    fn is_of(&self, run: &LostRun) -> bool {
+        self.run.work == run.work && self.run.endpoint.key == run.endpoint.key
+    }
+}
+
 /// What a gateway knows of crashes.
 pub(crate) struct Crashes {
     table: RefCell<Quarantine>,
@@ -168,11 +178,14 @@
         let mut refuse_since_ms = self.crashes.refuse_since_ms.borrow_mut();
         refuse_since_ms.remove(&endpoint.key);
         drop(refuse_since_ms);
-        let mut table = self.crashes.table.borrow_mut();
-        if !table.is_empty() {
-            let incarnation = endpoint.facts.incarnation.hash_64();
-            table.lives(incarnation, self.now_ms());
-        }
+        // What broke off just before didn't end it, whenever it ends. After a longer time it may be another life of the
+        // same endpoint that answers.
+        let now_ms = self.now_ms();
+        let mut doubts = self.crashes.doubts.borrow_mut();
+        doubts.retain(|doubt| {
+            let is_other = doubt.run.endpoint.key != endpoint.key;
+            is_other || now_ms - doubt.at_ms > RESTART_MIN_MS
+        });
     }
 
     /// Has the store keep what is known of a work.
@@ -241,17 +254,33 @@
     /// A run was lost, and this became of its endpoint.
     pub(crate) fn run_lost(&self, run: LostRun, fate: Fate, at_ms: f64) {
         match fate {
-            Fate::Ended => self.crashed(&run, at_ms),
-            Fate::Lives | Fate::Unclear => {
+            Fate::Ended => {
                 let mut doubts = self.crashes.doubts.borrow_mut();
-                if doubts.len() < DOUBTS_MAX {
-                    doubts.push(Doubt { run, at_ms });
-                }
+                doubts.retain(|doubt| !doubt.is_of(&run));
+                drop(doubts);
+                self.crashed(&run, at_ms);
             }
+            Fate::Lives | Fate::Unclear => self.doubt(run, at_ms),
             Fate::Left => {}
         }
     }
 
+    /// Whether it isn't known yet if the endpoint of a run has ended.
+    pub(crate) fn is_doubted(&self, run: &LostRun) -> bool {
+        let doubts = self.crashes.doubts.borrow();
+        let mut doubts = doubts.iter();
+        doubts.any(|doubt| doubt.is_of(run))
+    }
+
+    /// Keeps the last run of a work that broke off at an endpoint.
+    fn doubt(&self, run: LostRun, at_ms: f64) {
+        let mut doubts = self.crashes.doubts.borrow_mut();
+        doubts.retain(|doubt| !doubt.is_of(&run));
+        if doubts.len() < DOUBTS_MAX {
+            doubts.push(Doubt { run, at_ms });
+        }
+    }
+
     /// Ends doubts by what the store says of the endpoints: one that is gone without a word, or has started again, had
     /// ended under the run.
     fn resolve_doubts(&self) {
