fix(relay,platform): a store that comes back from an older copy loses nothing that was heard

Causes: the cursor was a bare number, which the store gives out again; a reading of all went before what had been heard; nobody wrote again what gateways had written.

After that, what is only listed doesn't take back a leaving or an end that was heard (120 s, 10,000 lives); what is missing has the same time to come back as after an outage. A gateway lists itself and writes what is held again. One that reads an older configuration than peers know of takes theirs after a second. Without the header all is as before.

--- a/crates/mgs-relay/src/bad_rows.rs
+++ b/crates/mgs-relay/src/bad_rows.rs
@@ -5,6 +5,7 @@
 
 use mgs_observe::metrics::Counters;
 
+use crate::source::Revision;
 use crate::source::RowFault;
 use crate::source::Topic;
 
@@ -21,7 +22,7 @@
     pub(crate) key: &'a str,
     pub(crate) fault: RowFault,
     pub(crate) detail: &'a str,
-    pub(crate) revision: u64,
+    pub(crate) revision: Revision,
 }
 
 impl<'a> BadRow<'a> {
@@ -31,7 +32,7 @@
             key,
             fault,
             detail: "",
-            revision: 0,
+            revision: Revision::default(),
         }
     }
 }
@@ -68,7 +69,8 @@
             fault = row.fault.name(),
             why:% = row.fault,
             detail = row.detail,
-            revision = row.revision;
+            revision = row.revision.number,
+            era = row.revision.era;
             "a row of the store names nothing to use"
         );
     }
--- a/crates/mgs-relay/src/calls.rs
+++ b/crates/mgs-relay/src/calls.rs
@@ -15,6 +15,8 @@
     pub bad_rows: Counters,
     /// Calls to the store by topic and reason.
     pub store_calls: CounterTable,
+    /// Times at which the store was found to have come back from an older copy, by topic.
+    pub store_rollbacks: Counters,
 }
 
 /// Why the store is called.
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -12,11 +12,13 @@
 use std::thread;
 use std::time::Duration;
 
+use mgs_observe::metrics::Counters;
 use mgs_quarantine::table::Told;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
 use tokio::time::sleep;
 use tokio::time::timeout;
+use xxhash_rust::xxh3::xxh3_64;
 
 use crate::bad_rows::BadRow;
 use crate::bad_rows::BadRows;
@@ -26,10 +28,12 @@
 use crate::gather;
 use crate::gather::Pause;
 use crate::help;
-use crate::holds::Word;
+use crate::holds;
 use crate::holds::Write;
 use crate::membership::Endpoints;
+use crate::membership::Word;
 use crate::source::Batch;
+use crate::source::Revision;
 use crate::source::Source;
 use crate::source::SourceError;
 use crate::source::SourceFactory;
@@ -77,6 +81,9 @@
     /// How long the first reading may take before peers are asked, in milliseconds: a slow store takes some
     /// hundred, and without a configuration nobody is served.
     pub start_patience_ms: u64,
+    /// Time over which gateways spread their readings of all that there is, where many would read at once, in
+    /// milliseconds.
+    pub spread_ms: u64,
     /// How long after an outage endpoints that aren't listed any more are still used, in milliseconds:
     /// their entries may have lapsed in the outage, and those that live are back within two seconds.
     pub lapse_grace_ms: u64,
@@ -97,6 +104,7 @@
             retry_ms: 500,
             long_retry_ms: 2_000,
             start_patience_ms: 400,
+            spread_ms: 500,
             lapse_grace_ms: 2_200,
         }
     }
@@ -167,6 +175,7 @@
             None => follower.doubt(),
         };
         follower.pause(pause).await;
+        follower.list_again(source.as_mut()).await;
     }
 }
 
@@ -208,7 +217,12 @@
     topic: Topic,
     options: Options,
     published: Arc<Published>,
-    revision: Option<u64>,
+    /// Up to where all changes are known.
+    revision: Option<Revision>,
+    /// The era of the last reading.
+    era: Option<u64>,
+    /// Whether this gateway isn't listed any more and has to list itself again.
+    is_unlisted: bool,
     /// Since when the store can't be read for it, in milliseconds.
     lost_since_ms: Option<u64>,
     /// Whether a peer knows better than the call that waited.
@@ -216,6 +230,7 @@
     endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
     rows: BadRows,
+    rollbacks: Counters,
     calls: Calls,
 }
 
@@ -232,11 +247,14 @@
             options,
             published,
             revision: None,
+            era: None,
+            is_unlisted: false,
             lost_since_ms: None,
             is_doubtful: false,
             endpoints,
             gateways: HashMap::new(),
             rows: BadRows::new(tallies.bad_rows),
+            rollbacks: tallies.store_rollbacks,
             calls: Calls::new(topic, tallies.store_calls),
         }
     }
@@ -352,6 +370,11 @@
                 self.apply(batch, start_ms);
                 pause
             }
+            Err(SourceError::EraOver { from, to }) => {
+                log::info!(topic = self.topic.name(), from = from, to = to; "the store is in another era");
+                self.revision = None;
+                Pause::Spread
+            }
             Err(SourceError::HistoryGone) => {
                 log::info!(topic = self.topic.name(); "the store has dropped its history");
                 self.found(true);
@@ -412,10 +435,34 @@
         self.revision.map(|_| now_ms.saturating_sub(age_ms))
     }
 
+    /// Lists this gateway again, if the store has lost that.
+    async fn list_again(&mut self, source: &mut dyn Source) {
+        if !self.is_unlisted {
+            return;
+        }
+        self.calls.count(Reason::Register);
+        let own = self.options.peer_address;
+        match source.register(&self.options.name, own).await {
+            Ok(()) => self.is_unlisted = false,
+            Err(error) => log::warn!(error:% = error; "this gateway can't be listed again"),
+        }
+    }
+
+    /// Time by which this gateway reads later than others where many would read all at once.
+    fn spread(&self) -> Duration {
+        let is_crowded = self.published.listed_gateways() >= Some(self.options.gather_all_from);
+        if !is_crowded || self.published.is_reader() {
+            return Duration::ZERO;
+        }
+        let drawn = xxh3_64(self.options.name.as_bytes());
+        Duration::from_millis(drawn % self.options.spread_ms.max(1))
+    }
+
     async fn pause(&self, pause: Pause) {
         let options = &self.options;
         match pause {
             Pause::None => {}
+            Pause::Spread => sleep(self.spread()).await,
             Pause::Gather => sleep(Duration::from_millis(options.gather_ms)).await,
             Pause::GatherAll => sleep(Duration::from_millis(options.gather_all_ms)).await,
             Pause::Retry => {
@@ -441,13 +488,49 @@
         }
         let is_whole = self.revision.is_none();
         self.revision = Some(batch.revision);
+        let has_rolled_back = self.note_era(batch.revision);
         match self.topic {
             Topic::Configuration => self.apply_configuration(batch.updates, start_ms),
-            Topic::Endpoints => self.apply_endpoints(batch.updates, is_whole, start_ms),
+            Topic::Endpoints => {
+                if has_rolled_back {
+                    let now_ms = self.published.now_ms();
+                    self.endpoints.borrow_mut().rolled_back(now_ms);
+                }
+                self.apply_endpoints(batch.updates, is_whole, start_ms);
+            }
+            Topic::Gateways if has_rolled_back => self.recover_gateways(batch.updates),
             Topic::Gateways => self.apply_gateways(batch.updates, is_whole),
         }
     }
 
+    /// Takes note of the era of a reading; answers whether the store has come back from an older copy since the last one.
+    fn note_era(&mut self, revision: Revision) -> bool {
+        let before = self.era.replace(revision.era);
+        let Some(before) = before.filter(|before| *before < revision.era) else {
+            return false;
+        };
+        self.rollbacks.inc(self.topic.name());
+        log::warn!(
+            topic = self.topic.name(), from = before, to = revision.era, revision = revision.number;
+            "the store came back from an older copy; all was read again"
+        );
+        true
+    }
+
+    /// Takes the list of gateways of an older copy: those that it lacks list themselves again, and so does this one.
+    /// What is held is written again too.
+    fn recover_gateways(&mut self, updates: Vec<Update>) {
+        let is_own = |update: &Update| match update {
+            Update::Gateway { name, address } => {
+                *name == self.options.name && *address == self.options.peer_address
+            }
+            _ => false,
+        };
+        self.is_unlisted = !updates.iter().any(is_own);
+        self.apply_gateways(updates, false);
+        self.published.holds().want_rewrite();
+    }
+
     /// Says what rows can't be understood, and which of them can again.
     fn note_row(&mut self, update: &Update) {
         match update {
@@ -493,9 +576,11 @@
     fn apply_endpoints(&mut self, updates: Vec<Update>, is_whole: bool, start_ms: u64) {
         let now_ms = self.published.now_ms();
         let mut endpoints = self.endpoints.borrow_mut();
-        if is_whole {
-            endpoints.miss_all(&updates, now_ms);
-        }
+        let word = match is_whole {
+            true => Word::Listed,
+            false => Word::Written,
+        };
+        let listed = is_whole.then(|| Endpoints::listed(&updates));
         let configuration = self.published.configuration();
         for update in updates {
             match update {
@@ -504,7 +589,7 @@
                     // Without a configuration nobody knows which services there are.
                     let names = |c: &Arc<Configuration>| c.services.contains_key(&facts.service);
                     let is_named = configuration.as_ref().is_none_or(names);
-                    match endpoints.see(facts, is_named) {
+                    match endpoints.hear(facts, is_named, word) {
                         Ok(()) => self.rows.clear(self.topic, &id),
                         Err(fault) => self.rows.note(self.topic, &BadRow::of(&id, fault)),
                     }
@@ -517,6 +602,10 @@
                 _ => {}
             }
         }
+        // After the others: what is missing now may still end an older life at its address.
+        if let Some(listed) = listed {
+            endpoints.miss_all(&listed, now_ms);
+        }
         endpoints.drop_missing(now_ms);
         let belief = self.published.endpoint_belief();
         belief.put(endpoints.content());
@@ -533,8 +622,8 @@
         let mut words = Vec::new();
         for update in updates {
             match update {
-                Update::Held(told) => words.push(Word::Held(told)),
-                Update::LetGo(work) => words.push(Word::LetGo(work)),
+                Update::Held(told) => words.push(holds::Word::Held(told)),
+                Update::LetGo(work) => words.push(holds::Word::LetGo(work)),
                 Update::Gateway { name, address } => {
                     self.gateways.insert(name, address);
                 }
--- a/crates/mgs-relay/src/gather.rs
+++ b/crates/mgs-relay/src/gather.rs
@@ -12,6 +12,8 @@
     Gather,
     /// Let changes gather.
     GatherAll,
+    /// Let not all gateways read everything at once.
+    Spread,
     /// Give the store time, or wait until peers say that it is back.
     Retry,
 }
--- a/crates/mgs-relay/src/help.rs
+++ b/crates/mgs-relay/src/help.rs
@@ -40,9 +40,11 @@
         }
         sleep(START_PAUSE).await;
     }
+    let mut ahead = Ahead::default();
     loop {
         sleep(LOOK).await;
-        if let Some(peer) = better_peer(&published) {
+        let peer = better_peer(&published).or_else(|| ahead.peer(&published));
+        if let Some(peer) = peer {
             if let Some(handover) = handover::ask(&[peer]).await {
                 take(&published, &endpoints, handover);
             }
@@ -50,6 +52,37 @@
     }
 }
 
+/// Looks for which a peer must know a newer configuration before it is asked: usually the store tells sooner.
+const LOOKS_AHEAD: u32 = 2;
+
+/// For how long peers have known a newer configuration than this gateway, although the store answers it. A store that came
+/// back from an older copy has an older one, until the operators write again; a gateway that starts meanwhile reads
+/// that.
+#[derive(Debug, Default)]
+struct Ahead {
+    content: u64,
+    looks: u32,
+}
+
+impl Ahead {
+    /// A peer that has known a newer configuration for some looks.
+    fn peer(&mut self, published: &Published) -> Option<SocketAddr> {
+        let word = published.configuration_belief().better();
+        let Some(word) = word else {
+            *self = Self::default();
+            return None;
+        };
+        if word.content != self.content {
+            *self = Self {
+                content: word.content,
+                looks: 0,
+            };
+        }
+        self.looks += 1;
+        Some(word.from).filter(|_| self.looks > LOOKS_AHEAD)
+    }
+}
+
 /// A peer that knows better of a topic for which this gateway has lost the store.
 fn better_peer(published: &Published) -> Option<SocketAddr> {
     let better = |belief: &Belief| {
@@ -61,9 +94,8 @@
 
 fn take(published: &Published, endpoints: &RefCell<Endpoints>, handover: Handover) {
     let is_lost = |belief: &Belief| belief.lost_since_ms().is_some() || belief.content() == 0;
-    if is_lost(published.configuration_belief()) {
-        published.put_configuration(Configuration::clone(&handover.configuration));
-    }
+    // An older one isn't taken.
+    published.put_configuration(Configuration::clone(&handover.configuration));
     if is_lost(published.endpoint_belief()) {
         let mut endpoints = endpoints.borrow_mut();
         endpoints.replace_by(handover.endpoints, published.now_ms());
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -7,6 +7,7 @@
 //! understood again.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 
 use mgs_fleet::view::EndpointKey;
@@ -22,6 +23,19 @@
 /// writer of ever new identifiers can't fill a host's memory.
 const STARTS_MAX: usize = 10_000;
 
+/// How long an endpoint that has gone is remembered, in milliseconds: a copy of the store may list it again that is some
+/// seconds old, after an outage of any usual length.
+const GONE_KEPT_MS: u64 = 120_000;
+
+/// Where word of an endpoint comes from.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Word {
+    /// It was written just now.
+    Written,
+    /// It was written at any time before: it stands in a reading of all that there is, by the store or by a peer.
+    Listed,
+}
+
 /// An endpoint and since when it isn't listed.
 #[derive(Debug, Clone)]
 struct Entry {
@@ -44,6 +58,10 @@
     entries: HashMap<String, Entry>,
     /// The latest start of each identifier that has ever told one, in Unix milliseconds.
     starts_ms: HashMap<String, u64>,
+    /// Incarnations that have gone, and when, in milliseconds.
+    gone_ms: HashMap<Incarnation, u64>,
+    /// Whether the store has come back from an older copy, so that what it lists may be older than what was heard.
+    has_rolled_back: bool,
     next_key: u32,
     grace_ms: u64,
     outage_ended_ms: Option<u64>,
@@ -56,6 +74,8 @@
         Self {
             entries: HashMap::new(),
             starts_ms: HashMap::new(),
+            gone_ms: HashMap::new(),
+            has_rolled_back: false,
             next_key: 0,
             grace_ms,
             outage_ended_ms: None,
@@ -73,12 +93,56 @@
         }
     }
 
+    /// The store has come back from an older copy. What was written since is written again by those that live, as after
+    /// an outage; what it lists may be older than what was heard, for as long as this process lives: it may do so
+    /// again.
+    pub fn rolled_back(&mut self, now_ms: u64) {
+        self.has_rolled_back = true;
+        self.outage_ended_ms = Some(now_ms);
+    }
+
     /// Whether an entry that isn't there may have lapsed in an outage.
     fn is_in_grace(&self, now_ms: u64) -> bool {
         let ended_ms = self.outage_ended_ms;
         ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + self.grace_ms)
     }
 
+    /// Takes word of an endpoint. What was heard of a leaving or an end goes before what is only listed, once the store has
+    /// come back from an older copy: there the leaving may not have happened yet. Whoever lives writes again, and
+    /// that counts.
+    pub fn hear(
+        &mut self,
+        facts: EndpointFacts,
+        is_named: bool,
+        word: Word,
+    ) -> Result<(), RowFault> {
+        if word == Word::Written || !self.has_rolled_back {
+            self.gone_ms.remove(&facts.incarnation);
+            return self.see(facts, is_named);
+        }
+        if self.gone_ms.contains_key(&facts.incarnation) {
+            return Err(RowFault::Gone);
+        }
+        let known = self.entries.get(&facts.incarnation.id);
+        let known = known.filter(|entry| entry.facts.incarnation == facts.incarnation);
+        let has_left = known.is_some_and(|entry| entry.facts.is_leaving);
+        let facts = EndpointFacts {
+            is_leaving: facts.is_leaving || has_left,
+            ..facts
+        };
+        self.see(facts, is_named)
+    }
+
+    /// Remembers incarnations that have gone.
+    fn note_gone(&mut self, gone: HashSet<Incarnation>, now_ms: u64) {
+        self.gone_ms
+            .retain(|_, at_ms| now_ms.saturating_sub(*at_ms) < GONE_KEPT_MS);
+        if self.gone_ms.len() < STARTS_MAX {
+            self.gone_ms
+                .extend(gone.into_iter().map(|one| (one, now_ms)));
+        }
+    }
+
     /// An endpoint is listed. `is_named`: whether the configuration names its service; one whose service nobody
     /// names ends no other. Answers why the entry isn't taken, if it isn't.
     pub fn see(&mut self, facts: EndpointFacts, is_named: bool) -> Result<(), RowFault> {
@@ -211,21 +275,20 @@
         }
     }
 
-    /// All were read: those that aren't among them aren't listed any more.
-    pub fn miss_all(&mut self, updates: &[Update], now_ms: u64) {
-        let is_listed = |id: &String| {
-            updates.iter().any(|update| match update {
-                Update::Endpoint(facts) => facts.incarnation.id == *id,
-                Update::Unreadable { key, .. } => key == id,
-                _ => false,
-            })
+    /// Identifiers that a reading of all lists.
+    pub fn listed(updates: &[Update]) -> HashSet<String> {
+        let id = |update: &Update| match update {
+            Update::Endpoint(facts) => Some(facts.incarnation.id.clone()),
+            Update::Unreadable { key, .. } => Some(key.clone()),
+            _ => None,
         };
-        let missing: Vec<String> = self
-            .entries
-            .keys()
-            .filter(|id| !is_listed(id))
-            .cloned()
-            .collect();
+        updates.iter().filter_map(id).collect()
+    }
+
+    /// All were read: those that aren't among them aren't listed any more.
+    pub fn miss_all(&mut self, listed: &HashSet<String>, now_ms: u64) {
+        let missing = self.entries.keys().filter(|id| !listed.contains(*id));
+        let missing: Vec<String> = missing.cloned().collect();
         for id in missing {
             self.miss(&id, now_ms);
         }
@@ -234,15 +297,16 @@
     /// These are listed and no others, by somebody who has read the store.
     pub fn replace_by(&mut self, listed: Vec<EndpointFacts>, now_ms: u64) {
         let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
-        self.miss_all(&updates, now_ms);
+        let listed = Self::listed(&updates);
         for update in updates {
             if let Update::Endpoint(facts) = update {
                 let id = facts.incarnation.id.clone();
-                if let Err(fault) = self.see(facts, true) {
+                if let Err(fault) = self.hear(facts, true, Word::Listed) {
                     log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
                 }
             }
         }
+        self.miss_all(&listed, now_ms);
         self.drop_missing(now_ms);
     }
 
@@ -251,16 +315,19 @@
     pub fn drop_missing(&mut self, now_ms: u64) {
         let in_grace = self.is_in_grace(now_ms);
         let before = self.entries.len();
+        let mut gone = HashSet::new();
         self.entries.retain(|id, entry| {
             let is_missing = entry.missing_since_ms.is_some();
             let may_lapse = !entry.facts.is_leaving && !entry.is_unreadable;
             let stays = !is_missing || (in_grace && may_lapse);
             if !stays {
                 log::info!(endpoint = id; "endpoint dropped");
+                gone.insert(entry.facts.incarnation.clone());
             }
             stays
         });
         self.is_changed |= self.entries.len() != before;
+        self.note_gone(gone, now_ms);
     }
 
     /// How long to wait for changes, at most `longest_ms`: what has lapsed is to be dropped in time.
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -82,6 +82,8 @@
     pub bad_rows: Counters,
     /// Calls to the store by topic and why they were made.
     pub store_calls: CounterTable,
+    /// Times at which the store was found to have come back from an older copy, by topic.
+    pub store_rollbacks: Counters,
     /// Messages of peers that couldn't be read or sent.
     pub(crate) peer_faults: Counter,
 }
@@ -138,6 +140,11 @@
                 "Calls to the store, by topic and reason",
                 ["topic", "reason"],
             ),
+            store_rollbacks: registry.counters(
+                "relay_store_rollbacks",
+                "Times at which the store was found to have come back from an older copy",
+                "topic",
+            ),
             peer_faults: registry.counter("relay_peer_faults", "Unusable messages of peers"),
         }
     }
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -365,6 +365,24 @@
     }
 }
 
+/// Writes what is held again whenever the store may have lost it, until the process ends. Whoever saw the crashes does, and the
+/// first for each work, should those have ended since; twice does no harm.
+pub(crate) async fn rewrite(core: Rc<Core>) {
+    loop {
+        core.published.holds().rewrite_wanted().await;
+        let held = core.crashes.table.borrow().held().clone();
+        let mut written = 0;
+        for work in held {
+            let is_seen_here = core.crashes.seen_here.borrow().contains(&work);
+            if is_seen_here || core.is_first_for(work) {
+                core.write_hold(work, true);
+                written += 1;
+            }
+        }
+        log::info!(works = written; "what is held is written again");
+    }
+}
+
 /// All present endpoints but the one on which a work may run, the same at each gateway that knows the same fleet;
 /// `tried` are passed over.
 pub(crate) fn closed_to(
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -210,6 +210,7 @@
     tokio::task::spawn_local(peers::run(core.clone(), peers));
     tokio::task::spawn_local(quarantine::watch(core.clone()));
     tokio::task::spawn_local(quarantine::follow_store(core.clone()));
+    tokio::task::spawn_local(quarantine::rewrite(core.clone()));
     tokio::task::spawn_local(handover::serve(core.clone(), starting));
     stop.await;
     log::info!(open_requests = core.drain.open_requests(); "leaving");
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -35,6 +35,31 @@
     }
 }
 
+/// A place in the history of the store. The store may come back from an older copy: then it begins another era, and gives
+/// out numbers again, so that numbers compare within one era only.
+#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+pub struct Revision {
+    /// How often the store has come back from an older copy, as far as it tells; 0 if it doesn't.
+    pub era: u64,
+    /// Number within the era.
+    pub number: u64,
+}
+
+impl Revision {
+    /// Whether the store has come back from an older copy since this revision, by a later one.
+    ///
+    /// ```
+    /// use mgs_relay::source::Revision;
+    ///
+    /// let before = Revision { era: 1, number: 900 };
+    /// assert!(before.is_outdated_by(Revision { era: 2, number: 850 }));
+    /// assert!(!before.is_outdated_by(Revision { era: 1, number: 950 }));
+    /// ```
+    pub fn is_outdated_by(self, later: Self) -> bool {
+        later.era > self.era
+    }
+}
+
 /// One life of an endpoint, from a start of its process to the next.
 #[derive(Debug, Clone, PartialEq, Eq, Hash, Serialize, Deserialize)]
 pub struct Incarnation {
@@ -110,6 +135,8 @@
     NoStart,
     /// a later start of the same endpoint, or at the same address, is known
     OlderStart,
+    /// it is from an older copy of the store, and the endpoint has gone since
+    Gone,
 }
 
 impl RowFault {
@@ -124,6 +151,7 @@
             Self::Service => "service",
             Self::NoStart => "no_start",
             Self::OlderStart => "older_start",
+            Self::Gone => "gone",
         }
     }
 }
@@ -148,8 +176,8 @@
         fault: RowFault,
         /// The same in words.
         detail: String,
-        /// The store's revision at which it was written, by which its writer can be found; 0 if it has none.
-        revision: u64,
+        /// The store's revision at which it was written, by which its writer can be found; number 0 if it has none.
+        revision: Revision,
     },
     /// A gateway is there.
     Gateway {
@@ -175,7 +203,7 @@
     /// Changes, in order; of a whole reading, all that is there.
     pub updates: Vec<Update>,
     /// The store's revision up to which this is complete.
-    pub revision: u64,
+    pub revision: Revision,
 }
 
 /// Why nothing was read.
@@ -183,6 +211,13 @@
 pub enum SourceError {
     /// the store has dropped the changes since that revision
     HistoryGone,
+    /// the store has come back from an older copy: era {from} is over, this is era {to}
+    EraOver {
+        /// The era that was known.
+        from: u64,
+        /// The era that it is in now.
+        to: u64,
+    },
     /// the store can't be read: {0}
     Unavailable(String),
 }
@@ -198,7 +233,7 @@
     fn read_all(&mut self, topic: Topic) -> Reading<'_, Batch>;
 
     /// Waits for changes after a revision, at most `wait_ms`; none is an empty batch.
-    fn read_changes(&mut self, topic: Topic, after: u64, wait_ms: u64) -> Reading<'_, Batch>;
+    fn read_changes(&mut self, topic: Topic, after: Revision, wait_ms: u64) -> Reading<'_, Batch>;
 
     /// Lists this gateway for its peers.
     fn register(&mut self, name: &str, address: SocketAddr) -> Reading<'_, ()>;
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -188,6 +188,7 @@
     let tallies = follow::Tallies {
         bad_rows: metrics.bad_rows.clone(),
         store_calls: metrics.store_calls.clone(),
+        store_rollbacks: metrics.store_rollbacks.clone(),
     };
     follow::start(plan.follow, Box::new(factory), published.clone(), tallies)
         .map_err(|error| failed(error.to_string()))?;
