test(soak): the store comes back from older copies, in series with all other faults

A few times in a run the store is away for 150 ms and comes back as it was up to 6 s before; what operators and endpoints wrote is written again up to 2 s later.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -35,6 +35,7 @@
 use check::Seen;
 use plan::plan;
 use plan::plan_with_restarts;
+use plan::plan_with_rollbacks;
 use plan::Timed;
 use rstest::rstest;
 use world::Nature;
@@ -83,6 +84,8 @@
     Plain,
     /// Besides, endpoints start again under their identifiers, and others spoil their entries.
     Restarts,
+    /// The same, while the store comes back from older copies.
+    Rollbacks,
     /// The same, while one request ends each engine that runs it and is sent again and again.
     Deadly,
 }
@@ -91,7 +94,8 @@
     fn plan(self, seed: u64) -> Vec<Timed> {
         match self {
             Self::Plain => plan(seed, LENGTH_MS),
-            Self::Restarts | Self::Deadly => plan_with_restarts(seed, LENGTH_MS),
+            Self::Restarts => plan_with_restarts(seed, LENGTH_MS),
+            Self::Rollbacks | Self::Deadly => plan_with_rollbacks(seed, LENGTH_MS),
         }
     }
 
@@ -148,6 +152,7 @@
     const LOOK: Duration = Duration::from_millis(10);
     while Instant::now() < due {
         world.tend_crashed();
+        world.write_again();
         thread::sleep(LOOK.min(due.saturating_duration_since(Instant::now())));
     }
 }
@@ -220,6 +225,11 @@
     hold(1, Faults::Restarts);
 }
 
+#[test]
+fn promises_hold_while_the_store_comes_back_from_older_copies() {
+    hold(1, Faults::Rollbacks);
+}
+
 #[test]
 fn promises_hold_while_a_request_ends_each_engine_that_runs_it() {
     hold(1, Faults::Deadly);
@@ -234,9 +244,10 @@
     let last: u64 = last.parse().expect("a number");
     let mut red = Vec::new();
     for seed in first..=last {
-        let faults = match seed % 2 {
+        let faults = match seed % 3 {
             0 => Faults::Restarts,
-            _ => Faults::Deadly,
+            1 => Faults::Deadly,
+            _ => Faults::Rollbacks,
         };
         let outcome = run(seed, faults);
         say(&report(seed, &outcome));
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -29,6 +29,8 @@
     StorePathHealed(usize),
     StoreMode(Mode),
     HistoryDropped,
+    /// It comes back from a copy of this age, and what it has lost is written again after so long, both in milliseconds.
+    StoreRolledBack(u64, u64),
     EndpointPath(usize, PathFault),
     EndpointPathHealed(usize),
     EndpointActs(usize, Act),
@@ -92,6 +94,23 @@
     planner.steps
 }
 
+/// The same, and the store comes back from older copies.
+pub(crate) fn plan_with_rollbacks(seed: u64, length_ms: u64) -> Vec<Timed> {
+    let mut planner = Planner {
+        numbers: ChaCha8Rng::seed_from_u64(seed.rotate_left(17)),
+        length_ms,
+        steps: plan_with_restarts(seed, length_ms),
+    };
+    for _ in 0..length_ms / 3_000 {
+        let at_ms = planner.below(length_ms);
+        let age_ms = planner.below(6_000);
+        let write_again_ms = planner.below(2_000);
+        planner.add(at_ms, Step::StoreRolledBack(age_ms, write_again_ms));
+    }
+    planner.steps.sort_by_key(|timed| timed.at_ms);
+    planner.steps
+}
+
 struct Planner {
     numbers: ChaCha8Rng,
     length_ms: u64,
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -44,6 +44,9 @@
 /// Time that the platform gives a process to end after SIGTERM, in seconds.
 const GRACE_S: u64 = 8;
 
+/// Time for which the store is away before it comes back from an older copy.
+const AWAY_FOR_A_MOMENT: Duration = Duration::from_millis(150);
+
 /// Time for which an engine is away after a deadly request.
 const AWAY: Duration = Duration::from_millis(1_500);
 
@@ -141,6 +144,8 @@
     is_leaving: bool,
     /// When its process started, in Unix milliseconds.
     born_ms: u64,
+    /// Whether its entry has gone.
+    is_gone: bool,
     /// When a deadly request ended it, if it isn't back yet.
     crashed: Option<Instant>,
 }
@@ -153,6 +158,8 @@
     version: u64,
     incarnations: u64,
     nature: Nature,
+    /// When what the store has lost is written again.
+    write_again_at: Option<Instant>,
     pub(crate) history: History,
 }
 
@@ -160,12 +167,14 @@
     /// Starts everything; files go below `folder`.
     pub(crate) fn start(folder: &std::path::Path, port: u16, nature: Nature) -> Self {
         let store = Store::start();
+        store.tell_era();
         let mut world = Self {
             places: Vec::new(),
             hosts: Vec::new(),
             version: 0,
             incarnations: 0,
             nature,
+            write_again_at: None,
             history: History::default(),
             store,
         };
@@ -179,6 +188,7 @@
                 past: Vec::new(),
                 is_leaving: false,
                 born_ms: BORN_MS,
+                is_gone: false,
                 crashed: None,
             });
             world.list(number, "ready");
@@ -257,11 +267,15 @@
 
     fn configure(&mut self) {
         self.version += 1;
+        self.write_configuration();
+        self.history.versions.push((self.version, Instant::now()));
+    }
+
+    fn write_configuration(&self) {
         let mut all: Value = configuration(self.version);
         // The organisation's name tells which version was in force.
         all["tenants"][0]["name"] = json!(format!("nursery-{}", self.version));
         self.store.put("op", "config", &all);
-        self.history.versions.push((self.version, Instant::now()));
     }
 
     fn launch(&mut self, number: usize) {
@@ -413,7 +427,17 @@
                 let at = Instant::now();
                 self.history.leaves.push(Leave { id, at });
             }
+            Step::StoreRolledBack(age_ms, write_again_ms) => {
+                self.upset(What::Store);
+                self.store.set_mode(Mode::Busy);
+                std::thread::sleep(AWAY_FOR_A_MOMENT);
+                self.store.roll_back_by(Duration::from_millis(*age_ms));
+                self.store.set_mode(Mode::Up);
+                let after = Duration::from_millis(*write_again_ms);
+                self.write_again_at = Some(Instant::now() + after);
+            }
             Step::EndpointGone(number) => {
+                self.places[*number].is_gone = true;
                 self.store
                     .remove("servers", &self.places[*number].present.id);
             }
@@ -449,6 +473,25 @@
         }
     }
 
+    /// The operators and the endpoints write again what the store has lost.
+    pub(crate) fn write_again(&mut self) {
+        if self.write_again_at.is_none_or(|at| Instant::now() < at) {
+            return;
+        }
+        self.write_again_at = None;
+        self.write_configuration();
+        for number in 0..ENDPOINTS {
+            let place = &self.places[number];
+            match (place.is_gone, place.is_leaving) {
+                (true, _) => self.store.remove("servers", &place.present.id),
+                (false, true) => self.list(number, "draining"),
+                (false, false) => self.list(number, "ready"),
+            }
+            self.lapse(number);
+        }
+        self.ends(What::Store);
+    }
+
     /// Takes note of engines that a deadly request has ended, and starts others in their places some time later.
     pub(crate) fn tend_crashed(&mut self) {
         for number in 0..ENDPOINTS {
@@ -482,6 +525,7 @@
         let past = std::mem::replace(&mut place.present, next);
         place.past.push(past);
         place.is_leaving = false;
+        place.is_gone = false;
         place.born_ms += 1;
         place.crashed = None;
         self.list(number, "ready");
@@ -522,6 +566,10 @@
     /// Ends all disturbances.
     pub(crate) fn heal_all(&mut self) {
         self.apply(&Step::StoreMode(Mode::Up));
+        if self.write_again_at.is_some() {
+            self.write_again_at = Some(Instant::now());
+            self.write_again();
+        }
         for number in 0..ENDPOINTS {
             heal(&self.places[number].path);
             self.apply(&Step::EndpointWell(number));
