--- a/crates/mgs-quarantine/src/options.rs
+++ b/crates/mgs-quarantine/src/options.rs
@@ -12,6 +12,9 @@
     /// wanted as soon as there is one: where endpoints end by themselves, some work runs on three of them by
     /// chance. No more than two, since each is an endpoint lost.
     pub many_others_share: f64,
+    /// Time after its last crash from which on other ends make no difference to a work that comes again, in milliseconds. What
+    /// only ran beside them has been sent again by then, and has got further.
+    pub settled_ms: f64,
     /// Crashes after which it is held even if each of its runs got further than an earlier one: a work that crashes
     /// its endpoint now sooner, now later.
     pub hold_crashes_in_all: usize,
@@ -39,6 +42,7 @@
             hold_crashes: 3,
             others_ms: 4_000.0,
             many_others_share: 0.25,
+            settled_ms: 2_000.0,
             hold_crashes_in_all: 6,
             confine_crashes: 2,
             moment_ms: 50.0,
--- a/crates/mgs-quarantine/src/record.rs
+++ b/crates/mgs-quarantine/src/record.rs
@@ -37,8 +37,9 @@
     pub bearing: Bearing,
 }
 
-/// Most crashes that are kept of one work: once it is held, more don't change the verdict.
-pub const CRASHES_MAX: usize = 12;
+/// Most crashes that are kept of one work, those beside its endpoints included: three runs of a prompt that as many engines
+/// read as may. All of them still fit a datagram.
+pub const CRASHES_MAX: usize = 64;
 
 /// Most ends of endpoints that are remembered, whatever they ran.
 pub const MOMENTS_MAX: usize = 4_096;
@@ -50,6 +51,8 @@
     pub crashes: Vec<Crash>,
     /// Whether it was tried once more since it is held.
     pub was_tried: bool,
+    /// Whether it came again some time after crashes that would have held it but for other ends.
+    pub came_again: bool,
 }
 
 impl Record {
@@ -70,7 +73,9 @@
     /// Adds all that another record of the same work knows. Answers whether anything is new.
     pub fn merge(&mut self, other: &Record) -> bool {
         let mut is_new = other.was_tried && !self.was_tried;
+        is_new |= other.came_again && !self.came_again;
         self.was_tried |= other.was_tried;
+        self.came_again |= other.came_again;
         for crash in &other.crashes {
             is_new |= self.add(*crash);
         }
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -49,6 +49,8 @@
     pub crashes: Vec<ToldCrash>,
     /// Whether it was tried once more since it is held.
     pub was_tried: bool,
+    /// Whether it came again some time after its crashes.
+    pub came_again: bool,
 }
 
 /// What a gateway knows.
@@ -112,6 +114,18 @@
         self.change(key, now_ms, |record| record.add(crash));
     }
 
+    /// Another endpoint has ended beside the one that ran a work, which had read a part of its prompt. It counts for nothing,
+    /// but isn't an end that has nothing to do with the work either.
+    pub fn crashed_beside(&mut self, key: WorkKey, incarnation: u64, now_ms: f64) {
+        let crash = Crash {
+            incarnation,
+            at_ms: now_ms,
+            reached: 0,
+            bearing: Bearing::Cleared,
+        };
+        self.change(key, now_ms, |record| record.add(crash));
+    }
+
     /// Whether an endpoint is known to have ended under some work.
     pub fn has_ended(&self, incarnation: u64) -> bool {
         self.moments.has_ended(incarnation)
@@ -136,7 +150,31 @@
         self.ended_whole(key, now_ms);
     }
 
-    /// What may be done with a request of this work.
+    /// A request of this work begins; what may be done with it. Where other endpoints ended at the time of its crashes, more of
+    /// them are wanted, but not of what comes again later.
+    pub fn begin(&mut self, key: WorkKey, now_ms: f64) -> Verdict {
+        let has_come_again = |record: &Record| {
+            let is_later = now_ms - record.last_ms() >= self.options.settled_ms;
+            is_later && self.unexplained(key, record) >= self.options.hold_crashes
+        };
+        if self.records.get(&key).is_some_and(has_come_again) {
+            self.change(key, now_ms, |record| {
+                let is_new = !record.came_again;
+                record.came_again = true;
+                is_new
+            });
+        }
+        self.verdict(key)
+    }
+
+    /// Crashes of a work that count and that no other held work explains.
+    fn unexplained(&self, key: WorkKey, record: &Record) -> usize {
+        let all = record.counting(&self.moments);
+        let is_explained = |crash: &Crash| self.is_explained(key, all, crash);
+        record.counting_but(&self.moments, is_explained)
+    }
+
+    /// What may be done with a work.
     pub fn verdict(&self, key: WorkKey) -> Verdict {
         match self.records.get(&key) {
             None => Verdict::Free,
@@ -149,8 +187,7 @@
         if all < self.options.confine_crashes {
             return Verdict::Free;
         }
-        let is_explained = |crash: &Crash| self.is_explained(key, all, crash);
-        let counting = record.counting_but(&self.moments, is_explained);
+        let counting = self.unexplained(key, record);
         let is_held = counting >= self.wanted(record)
             || record.not_cleared(&self.moments) >= self.options.hold_crashes_in_all;
         match counting >= self.options.confine_crashes {
@@ -169,6 +206,9 @@
 
     /// Crashes after which a work is held, by how many endpoints end without it.
     fn wanted(&self, record: &Record) -> usize {
+        if record.came_again {
+            return self.options.hold_crashes;
+        }
         let last_ms = record.last_ms();
         let from_ms = last_ms - self.options.others_ms;
         let others = self.moments.others(&record.crashes, from_ms, last_ms);
@@ -237,6 +277,7 @@
         let other = Record {
             crashes: told.crashes.iter().map(crash).collect(),
             was_tried: told.was_tried,
+            came_again: told.came_again,
         };
         let was_fresh = self.fresh.contains(&told.key);
         self.change(told.key, now_ms, |record| record.merge(&other));
@@ -258,6 +299,7 @@
             key,
             crashes: record.crashes.iter().map(crash).collect(),
             was_tried: record.was_tried,
+            came_again: record.came_again,
         })
     }
 
--- a/crates/mgs-quarantine/tests/fleet.rs
+++ b/crates/mgs-quarantine/tests/fleet.rs
@@ -21,6 +21,9 @@
 /// Time between a crash and a second try, as in a gateway.
 const SETTLE_MS: f64 = 25.0;
 
+/// Time between two calls of `tidy`, as in a gateway.
+const TIDY_MS: f64 = 250.0;
+
 const RESTART_MS: f64 = 3_000.0;
 
 /// What happens on a day.
@@ -171,6 +174,10 @@
             self.end_endpoints();
             self.run();
             self.tell();
+            if self.now_ms % TIDY_MS < STEP_MS {
+                let now_ms = self.now_ms;
+                self.gateways.iter_mut().for_each(|g| g.tidy(now_ms));
+            }
             self.dispatch();
         }
         self.toll
@@ -315,7 +322,10 @@
             self.due.drain(..).partition(|due| due.at_ms <= self.now_ms);
         self.due = rest;
         for due in due {
-            let verdict = self.gateways[due.gateway].verdict(due.work);
+            let verdict = match due.runs {
+                0 => self.gateways[due.gateway].begin(due.work, self.now_ms),
+                _ => self.gateways[due.gateway].verdict(due.work),
+            };
             if verdict == Verdict::Held {
                 continue;
             }
--- a/crates/mgs-quarantine/tests/table.rs
+++ b/crates/mgs-quarantine/tests/table.rs
@@ -121,6 +121,43 @@
     assert_eq!(quarantine.verdict(OTHER), Verdict::Free);
 }
 
+/// What comes again some time later, and hasn't got any further meanwhile, isn't a neighbour.
+#[test]
+fn other_ends_make_no_difference_to_what_comes_again_later() {
+    let options = Options::default();
+    let mut quarantine = none();
+    quarantine.crashed(OTHER, 100, 0, 1_500.0);
+    for crash in 0..3_u64 {
+        quarantine.crashed(WORK, crash, 0, 1_600.0 + crash as f64 * 100.0);
+    }
+    assert_eq!(quarantine.begin(WORK, 1_900.0), Verdict::Confined);
+    let later_ms = 1_800.0 + options.settled_ms;
+    assert_eq!(quarantine.begin(WORK, later_ms), Verdict::Held);
+    // A peer that hears of it holds it too.
+    let told = quarantine.told(WORK, later_ms).expect("it is known");
+    let mut peer = none();
+    peer.hear(&told, later_ms);
+    assert_eq!(peer.verdict(WORK), Verdict::Held);
+}
+
+/// The engines that read parts of a long prompt end with the one that writes.
+#[test]
+fn what_ended_beside_the_writer_makes_one_crash_and_no_other_end() {
+    let mut quarantine = none();
+    for crash in 0..3_u64 {
+        let at_ms = crash as f64 * 1_000.0;
+        for helper in 0..4_u64 {
+            let incarnation = 10 * (crash + 1) + helper;
+            quarantine.crashed(OTHER, incarnation, 3, at_ms);
+            quarantine.crashed_beside(WORK, incarnation, at_ms);
+        }
+        quarantine.reached(OTHER, 4, at_ms);
+        assert_ne!(quarantine.verdict(WORK), Verdict::Held, "after {crash}");
+        quarantine.crashed(WORK, crash, 0, at_ms);
+    }
+    assert_eq!(quarantine.verdict(WORK), Verdict::Held);
+}
+
 /// What was on each endpoint that another work crashed is its neighbour, if that other one has crashed more.
 #[test]
 fn crashes_that_another_held_work_explains_do_not_count() {
--- a/crates/mgs-relay/src/crash.rs
+++ b/crates/mgs-relay/src/crash.rs
@@ -60,6 +60,8 @@
     pub(crate) request_id: String,
     pub(crate) work: WorkKey,
     pub(crate) endpoint: Arc<Endpoint>,
+    /// Endpoints that had read parts of its prompt.
+    pub(crate) helpers: Vec<Arc<Endpoint>>,
     /// Events that it had made.
     pub(crate) reached: u32,
 }
@@ -85,11 +87,23 @@
         if matches!(fate, Fate::Lives | Fate::Unclear) {
             tokio::task::spawn_local(look_again(core.clone(), run.clone(), at_ms));
         }
-        core.run_lost(run, fate, at_ms);
+        core.run_lost(run.clone(), fate, at_ms);
+        if fate == Fate::Ended {
+            tokio::task::spawn_local(look_beside(core.clone(), run, at_ms));
+        }
     }
     fate
 }
 
+/// Looks which helpers of a run have ended with its endpoint.
+async fn look_beside(core: Rc<Core>, run: LostRun, at_ms: f64) {
+    for helper in &run.helpers {
+        if self::fate(&core, helper).await == Fate::Ended {
+            core.crashed_beside(run.work, helper, at_ms);
+        }
+    }
+}
+
 /// Looks a few times more at an endpoint that took a connection: a process that ends closes its sockets one after the
 /// other, and whom it served may hear of it before it stops to listen.
 async fn look_again(core: Rc<Core>, run: LostRun, at_ms: f64) {
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -479,7 +479,11 @@
 
     /// The run that a dispatch was, once it is lost. `reached`: events that it had made.
     pub(crate) fn lost_run(&self, placed: &Placed, reached: u32) -> LostRun {
+        let fleet = self.core.published.fleet();
+        let helpers = placed.helper_keys.iter();
+        let helpers = helpers.filter_map(|key| fleet.by_key.get(key).cloned());
         LostRun {
+            helpers: helpers.collect(),
             request_id: self.ask.request_id.clone(),
             work: self.work,
             endpoint: placed.endpoint.clone(),
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -122,7 +122,12 @@
 impl Core {
     /// What may be done with a request, or the refusal of one that is held.
     pub(crate) fn leave(&self, work: WorkKey) -> Result<Leave, Refusal> {
-        match self.crashes.table.borrow().verdict(work) {
+        let verdict = self.crashes.table.borrow().verdict(work);
+        Self::leave_by(verdict)
+    }
+
+    fn leave_by(verdict: Verdict) -> Result<Leave, Refusal> {
+        match verdict {
             Verdict::Free => Ok(Leave::Free),
             Verdict::Confined => Ok(Leave::Confined),
             Verdict::Held => Err(Refusal::after(Fault::Quarantined, RETRY_AFTER_HELD_MS)),
@@ -132,7 +137,8 @@
     /// The same for a request that begins, which may be the trial of a held work. One gateway only takes that, the
     /// same by the word of all that hear each other.
     pub(crate) fn leave_anew(&self, work: WorkKey) -> Result<Leave, Refusal> {
-        let refused = match self.leave(work) {
+        let verdict = self.begin(work);
+        let refused = match Self::leave_by(verdict) {
             Ok(leave) => return Ok(leave),
             Err(refused) => refused,
         };
@@ -151,6 +157,19 @@
         Ok(Leave::Trial)
     }
 
+    /// What may be done with a work of which a request begins.
+    fn begin(&self, work: WorkKey) -> Verdict {
+        let now_ms = self.now_ms();
+        let mut table = self.crashes.table.borrow_mut();
+        if table.is_empty() {
+            return Verdict::Free;
+        }
+        let verdict = table.begin(work, now_ms);
+        drop(table);
+        self.tell_turned();
+        verdict
+    }
+
     /// Whether this gateway goes before all that it hears, for one work.
     fn is_first_for(&self, work: WorkKey) -> bool {
         let rank = |gateway: u64| xxh3_64_with_seed(&work.0.to_le_bytes(), gateway);
@@ -215,6 +234,14 @@
         self.crashes.urgent.notify_one();
     }
 
+    /// An endpoint has ended that helped with a run whose own endpoint has.
+    pub(crate) fn crashed_beside(&self, work: WorkKey, helper: &Endpoint, at_ms: f64) {
+        let incarnation = helper.facts.incarnation.hash_64();
+        let mut table = self.crashes.table.borrow_mut();
+        table.crashed_beside(work, incarnation, at_ms);
+        self.crashes.urgent.notify_one();
+    }
+
     /// A run of a work has made so many events.
     pub(crate) fn run_reached(&self, work: WorkKey, events: u32) {
         let now_ms = self.now_ms();
