--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -33,7 +33,7 @@
 use crate::place::Prompt;
 use crate::place::Tried;
 use crate::quarantine;
-use crate::quarantine::Leave;
+use crate::quarantine::Permission;
 use crate::quarantine::SETTLE;
 use crate::view::Organisation;
 use crate::view::Route;
@@ -74,7 +74,7 @@
     pub(crate) deadline: Instant,
     pub(crate) progress: Progress,
     /// What may be done with it, since requests like it may have crashed endpoints.
-    pub(crate) leave: Leave,
+    pub(crate) permission: Permission,
 }
 
 /// What has been tried so far.
@@ -147,21 +147,23 @@
 
     /// Refuses at once what is held.
     fn admit(&mut self) -> Result<(), Refusal> {
-        let leave = match self.progress.dispatches {
-            0 => self.core.leave_anew(self.work),
-            _ => self.core.leave(self.work),
+        let permission = match self.progress.dispatches {
+            0 => self.core.permission_to_begin(self.work),
+            _ => self.core.permission(self.work),
         };
-        self.leave = leave.map_err(|refusal| self.honest(refusal))?;
+        self.permission = permission.map_err(|refusal| self.honest(refusal))?;
         Ok(())
     }
 
     /// Refuses what has come to be held since it was placed.
     fn admit_again(&self) -> Result<(), Refusal> {
-        if self.leave == Leave::Trial {
+        if self.permission == Permission::Trial {
             return Ok(());
         }
-        let leave = self.core.leave(self.work);
-        leave.map(|_| ()).map_err(|refusal| self.honest(refusal))
+        let permission = self.core.permission(self.work);
+        permission
+            .map(|_| ())
+            .map_err(|refusal| self.honest(refusal))
     }
 
     /// A refusal for lack of room after an earlier dispatch may have run isn't one.
@@ -210,7 +212,7 @@
     /// memory of one engine needs several anyway.
     fn closed(&self) -> Option<Tried> {
         let exceeds = |model: &Arc<EngineModel>| self.need().memory_tokens() > model.memory_tokens;
-        if self.leave == Leave::Free || self.model.as_ref().is_some_and(exceeds) {
+        if self.permission == Permission::Free || self.model.as_ref().is_some_and(exceeds) {
             return None;
         }
         let fleet = self.core.published.fleet();
@@ -365,7 +367,7 @@
     }
 
     fn may_try_again(&self, failed: &Failed) -> bool {
-        if self.leave == Leave::Trial || self.core.leave(self.work).is_err() {
+        if self.permission == Permission::Trial || self.core.permission(self.work).is_err() {
             return false;
         }
         if self.left().is_zero() || self.progress.dispatches >= DISPATCHES_MAX {
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -110,7 +110,7 @@
 
 /// What may be done with one request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Leave {
+pub(crate) enum Permission {
     /// As any other.
     Free,
     /// On one endpoint only.
@@ -121,25 +121,25 @@
 
 impl Core {
     /// What may be done with a request, or the refusal of one that is held.
-    pub(crate) fn leave(&self, work: WorkKey) -> Result<Leave, Refusal> {
+    pub(crate) fn permission(&self, work: WorkKey) -> Result<Permission, Refusal> {
         let verdict = self.crashes.table.borrow().verdict(work);
-        Self::leave_by(verdict)
+        Self::permission_by(verdict)
     }
 
-    fn leave_by(verdict: Verdict) -> Result<Leave, Refusal> {
+    fn permission_by(verdict: Verdict) -> Result<Permission, Refusal> {
         match verdict {
-            Verdict::Free => Ok(Leave::Free),
-            Verdict::Confined => Ok(Leave::Confined),
+            Verdict::Free => Ok(Permission::Free),
+            Verdict::Confined => Ok(Permission::Confined),
             Verdict::Held => Err(Refusal::after(Fault::Quarantined, RETRY_AFTER_HELD_MS)),
         }
     }
 
     /// The same for a request that begins, which may be the trial of a held work. One gateway only takes that, the
     /// same by the word of all that hear each other.
-    pub(crate) fn leave_anew(&self, work: WorkKey) -> Result<Leave, Refusal> {
+    pub(crate) fn permission_to_begin(&self, work: WorkKey) -> Result<Permission, Refusal> {
         let verdict = self.begin(work);
-        let refused = match Self::leave_by(verdict) {
-            Ok(leave) => return Ok(leave),
+        let refused = match Self::permission_by(verdict) {
+            Ok(permission) => return Ok(permission),
             Err(refused) => refused,
         };
         let is_taken = self.is_first_for(work)
@@ -154,7 +154,7 @@
         log::info!(work:% = work; "a held request is tried once more");
         self.write_hold(work, true);
         self.crashes.urgent.notify_one();
-        Ok(Leave::Trial)
+        Ok(Permission::Trial)
     }
 
     /// What may be done with a work of which a request begins.
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -34,7 +34,7 @@
 use crate::pursue::Got;
 use crate::pursue::Progress;
 use crate::pursue::Pursuit;
-use crate::quarantine::Leave;
+use crate::quarantine::Permission;
 use crate::stream::Passing;
 use crate::view::Configuration;
 use crate::view::Organisation;
@@ -220,7 +220,7 @@
         arrived,
         deadline,
         progress: Progress::default(),
-        leave: Leave::Free,
+        permission: Permission::Free,
     };
     let got = match timeout_at(deadline, pursuit.run(None)).await {
         Ok(got) => got?,
