fix(relay): an endpoint that lives isn't passed over for two minutes after the store came back from a copy

One that was taken to have gone, and wrote its entry again before a gateway read, looked like an entry of the copy. All endpoints are read once more six seconds later: what is listed then lives, since the entries of others have lapsed.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -32,6 +32,7 @@
 use crate::holds::Write;
 use crate::membership::Endpoints;
 use crate::membership::Word;
+use crate::membership::LAPSE_MS;
 use crate::source::Batch;
 use crate::source::Revision;
 use crate::source::Source;
@@ -221,6 +222,8 @@
     revision: Option<Revision>,
     /// The era of the last reading.
     era: Option<u64>,
+    /// When all is to be read again, in milliseconds: what an older copy listed has lapsed by then, or lives.
+    read_all_at_ms: Option<u64>,
     /// Whether this gateway isn't listed any more and has to list itself again.
     is_unlisted: bool,
     /// Since when the store can't be read for it, in milliseconds.
@@ -248,6 +251,7 @@
             published,
             revision: None,
             era: None,
+            read_all_at_ms: None,
             is_unlisted: false,
             lost_since_ms: None,
             is_doubtful: false,
@@ -284,6 +288,11 @@
 
     /// Reads all, or waits for changes; `None` if the wait was given up, since a peer knows better.
     async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
+        let now_ms = self.published.now_ms();
+        if self.read_all_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
+            self.read_all_at_ms = None;
+            self.revision = None;
+        }
         let Some(after) = self.revision else {
             self.calls.count(Reason::Whole);
             return Some(source.read_all(self.topic).await);
@@ -343,7 +352,11 @@
         };
         let now_ms = self.published.now_ms();
         match self.topic {
-            Topic::Endpoints => self.endpoints.borrow().wait_ms(longest_ms, now_ms),
+            Topic::Endpoints => {
+                let due_ms = self.read_all_at_ms.unwrap_or(u64::MAX);
+                let longest_ms = longest_ms.min(due_ms.saturating_sub(now_ms));
+                self.endpoints.borrow().wait_ms(longest_ms, now_ms)
+            }
             _ => longest_ms,
         }
     }
@@ -495,6 +508,7 @@
                 if has_rolled_back {
                     let now_ms = self.published.now_ms();
                     self.endpoints.borrow_mut().rolled_back(now_ms);
+                    self.read_all_at_ms = Some(now_ms + LAPSE_MS);
                 }
                 self.apply_endpoints(batch.updates, is_whole, start_ms);
             }
@@ -589,7 +603,7 @@
                     // Without a configuration nobody knows which services there are.
                     let names = |c: &Arc<Configuration>| c.services.contains_key(&facts.service);
                     let is_named = configuration.as_ref().is_none_or(names);
-                    match endpoints.hear(facts, is_named, word) {
+                    match endpoints.hear(facts, is_named, word, now_ms) {
                         Ok(()) => self.rows.clear(self.topic, &id),
                         Err(fault) => self.rows.note(self.topic, &BadRow::of(&id, fault)),
                     }
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -27,6 +27,10 @@
 /// seconds old, after an outage of any usual length.
 const GONE_KEPT_MS: u64 = 120_000;
 
+/// Time within which the entry of an endpoint that has gone lapses, in milliseconds. What an older copy of the store has listed for
+/// longer lives.
+pub const LAPSE_MS: u64 = 6_000;
+
 /// Where word of an endpoint comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Word {
@@ -60,8 +64,8 @@
     starts_ms: HashMap<String, u64>,
     /// Incarnations that have gone, and when, in milliseconds.
     gone_ms: HashMap<Incarnation, u64>,
-    /// Whether the store has come back from an older copy, so that what it lists may be older than what was heard.
-    has_rolled_back: bool,
+    /// When the store last came back from an older copy, in milliseconds: what it lists may be older than what was heard.
+    rolled_back_ms: Option<u64>,
     next_key: u32,
     grace_ms: u64,
     outage_ended_ms: Option<u64>,
@@ -75,7 +79,7 @@
             entries: HashMap::new(),
             starts_ms: HashMap::new(),
             gone_ms: HashMap::new(),
-            has_rolled_back: false,
+            rolled_back_ms: None,
             next_key: 0,
             grace_ms,
             outage_ended_ms: None,
@@ -97,7 +101,7 @@
     /// an outage; what it lists may be older than what was heard, for as long as this process lives: it may do so
     /// again.
     pub fn rolled_back(&mut self, now_ms: u64) {
-        self.has_rolled_back = true;
+        self.rolled_back_ms = Some(now_ms);
         self.outage_ended_ms = Some(now_ms);
     }
 
@@ -109,18 +113,21 @@
 
     /// Takes word of an endpoint. What was heard of a leaving or an end goes before what is only listed, once the store has
     /// come back from an older copy: there the leaving may not have happened yet. Whoever lives writes again, and
-    /// that counts.
+    /// that counts; or its entry was written again already, and doesn't lapse.
     pub fn hear(
         &mut self,
         facts: EndpointFacts,
         is_named: bool,
         word: Word,
+        now_ms: u64,
     ) -> Result<(), RowFault> {
-        if word == Word::Written || !self.has_rolled_back {
+        let rolled_back_ms = self.rolled_back_ms.filter(|_| word == Word::Listed);
+        let Some(rolled_back_ms) = rolled_back_ms else {
             self.gone_ms.remove(&facts.incarnation);
             return self.see(facts, is_named);
-        }
-        if self.gone_ms.contains_key(&facts.incarnation) {
+        };
+        let may_lapse = now_ms < rolled_back_ms + LAPSE_MS;
+        if may_lapse && self.gone_ms.contains_key(&facts.incarnation) {
             return Err(RowFault::Gone);
         }
         let known = self.entries.get(&facts.incarnation.id);
@@ -301,7 +308,7 @@
         for update in updates {
             if let Update::Endpoint(facts) = update {
                 let id = facts.incarnation.id.clone();
-                if let Err(fault) = self.hear(facts, true, Word::Listed) {
+                if let Err(fault) = self.hear(facts, true, Word::Listed, now_ms) {
                     log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
                 }
             }
--- a/crates/mgs-relay/tests/rollback.rs
+++ b/crates/mgs-relay/tests/rollback.rs
@@ -63,15 +63,25 @@
     hear: Hear,
 }
 
-type Hear = fn(&mut Endpoints, EndpointFacts, Word) -> Result<(), RowFault>;
+type Hear = fn(&mut Endpoints, EndpointFacts, Word, u64) -> Result<(), RowFault>;
 
-fn hear(endpoints: &mut Endpoints, facts: EndpointFacts, word: Word) -> Result<(), RowFault> {
-    endpoints.hear(facts, true, word)
+fn hear(
+    endpoints: &mut Endpoints,
+    facts: EndpointFacts,
+    word: Word,
+    now_ms: u64,
+) -> Result<(), RowFault> {
+    endpoints.hear(facts, true, word, now_ms)
 }
 
 /// Takes the copy's word over what was heard.
-fn hear_the_copy(endpoints: &mut Endpoints, facts: EndpointFacts, _: Word) -> Result<(), RowFault> {
-    endpoints.hear(facts, true, Word::Written)
+fn hear_the_copy(
+    endpoints: &mut Endpoints,
+    facts: EndpointFacts,
+    _: Word,
+    now_ms: u64,
+) -> Result<(), RowFault> {
+    endpoints.hear(facts, true, Word::Written, now_ms)
 }
 
 impl World {
@@ -180,7 +190,7 @@
 
     /// Takes word of an endpoint; whether it is taken shows in what is used.
     fn take(&mut self, facts: EndpointFacts, word: Word) {
-        let _ = (self.hear)(&mut self.endpoints, facts, word);
+        let _ = (self.hear)(&mut self.endpoints, facts, word, self.now_ms);
     }
 
     fn read_all(&mut self, is_rollback: bool) {
