refactor(relay,quarantine): what the change wrote twice stands once, and nothing is done where nothing is suspected

Found on reading the whole change: the loop that sends a message to peers stood in tell.rs and spread.rs, the time in which an entry lapses in quarantine.rs beside membership.rs, the question whether a gateway is one of many in two places of follow.rs. A verdict counted the crashes of a work twice; each request looked through what had turned and set a gauge; each event of a stream was parsed for its number although nothing was remembered.

Now: send_to, LAPSE_MS, is_one_of_many once each; one count for a verdict; the gauge is set by the look four times a second; the number is asked for only if something is remembered. Behaviour is as before but for the gauge, up to 250 ms later. Ruled out: expressing refused connections as ejected outliers, since those eject a quarter of a service at most.

--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -155,7 +155,8 @@
     pub fn begin(&mut self, key: WorkKey, now_ms: f64) -> Verdict {
         let has_come_again = |record: &Record| {
             let is_later = now_ms - record.last_ms() >= self.options.settled_ms;
-            is_later && self.unexplained(key, record) >= self.options.hold_crashes
+            let all = record.counting(&self.moments);
+            is_later && self.unexplained(key, record, all) >= self.options.hold_crashes
         };
         if self.records.get(&key).is_some_and(has_come_again) {
             self.change(key, now_ms, |record| {
@@ -167,9 +168,8 @@
         self.verdict(key)
     }
 
-    /// Crashes of a work that count and that no other held work explains.
-    fn unexplained(&self, key: WorkKey, record: &Record) -> usize {
-        let all = record.counting(&self.moments);
+    /// Crashes of a work that no other held work explains, of `all` that count.
+    fn unexplained(&self, key: WorkKey, record: &Record, all: usize) -> usize {
         let is_explained = |crash: &Crash| self.is_explained(key, all, crash);
         record.counting_but(&self.moments, is_explained)
     }
@@ -187,7 +187,7 @@
         if all < self.options.confine_crashes {
             return Verdict::Free;
         }
-        let counting = self.unexplained(key, record);
+        let counting = self.unexplained(key, record, all);
         let is_held = counting >= self.wanted(record)
             || record.not_cleared(&self.moments) >= self.options.hold_crashes_in_all;
         match counting >= self.options.confine_crashes {
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -399,13 +399,18 @@
 
     /// Whether to wait for more of what a batch tells.
     fn gathering(&self, batch: &Batch) -> Pause {
-        let is_crowded = self.published.listed_gateways() >= Some(self.options.gather_all_from);
         match self.revision {
             None => Pause::None,
-            Some(_) => gather::after(batch, is_crowded && !self.published.is_reader()),
+            Some(_) => gather::after(batch, self.is_one_of_many()),
         }
     }
 
+    /// Whether so many gateways follow the store that this one, which isn't a reader, must not call it at each change.
+    fn is_one_of_many(&self) -> bool {
+        let are_many = self.published.listed_gateways() >= Some(self.options.gather_all_from);
+        are_many && !self.published.is_reader()
+    }
+
     fn lost(&mut self, error: &SourceError) {
         if self.lost_since_ms.is_some() {
             return;
@@ -459,8 +464,7 @@
 
     /// Time by which this gateway reads later than others where many would read all at once.
     fn spread(&self) -> Duration {
-        let is_crowded = self.published.listed_gateways() >= Some(self.options.gather_all_from);
-        if !is_crowded || self.published.is_reader() {
+        if !self.is_one_of_many() {
             return Duration::ZERO;
         }
         let drawn = xxh3_64(self.options.name.as_bytes());
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -25,6 +25,7 @@
 use crate::fault::Refusal;
 use crate::holds::Word;
 use crate::holds::Write;
+use crate::membership::LAPSE_MS;
 use crate::view::Endpoint;
 use crate::view::Fleet;
 
@@ -36,9 +37,9 @@
 /// at about the same time, and whoever sees that tells within a few milliseconds.
 pub(crate) const SETTLE: Duration = Duration::from_millis(25);
 
-/// Time within which the entry of an endpoint that has ended lapses, in milliseconds. So long its end may be found out
-/// after a run broke off there, and so long one that refuses connections is passed over.
-const LAPSE_MS: f64 = 6_000.0;
+/// How long the end of an endpoint may be found out after a run broke off there, and how long one that refuses connections
+/// is passed over, in milliseconds: its entry has lapsed then.
+const ENTRY_MS: f64 = LAPSE_MS as f64;
 
 /// No endpoint starts again sooner after its end, in milliseconds.
 const RESTART_MIN_MS: f64 = 500.0;
@@ -161,9 +162,6 @@
     fn begin(&self, work: WorkKey) -> Verdict {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
-        if table.is_empty() {
-            return Verdict::Free;
-        }
         let verdict = table.begin(work, now_ms);
         drop(table);
         self.tell_turned();
@@ -242,12 +240,12 @@
         self.crashes.urgent.notify_one();
     }
 
-    /// A run of a work has made so many events.
-    pub(crate) fn run_reached(&self, work: WorkKey, events: u32) {
+    /// A run of a work has made some events; how many is asked only if something is remembered.
+    pub(crate) fn run_reached(&self, work: WorkKey, events: impl FnOnce() -> u32) {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
         if !table.is_empty() {
-            table.reached(work, events, now_ms);
+            table.reached(work, events(), now_ms);
         }
     }
 
@@ -255,9 +253,7 @@
     pub(crate) fn run_ended_whole(&self, work: WorkKey) {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
-        if !table.is_empty() {
-            table.ended_whole(work, now_ms);
-        }
+        table.ended_whole(work, now_ms);
     }
 
     /// A peer tells of crashes.
@@ -322,7 +318,7 @@
                     false
                 }
                 Some(listed) if listed.facts.is_leaving => false,
-                Some(_) => now_ms - doubt.at_ms < LAPSE_MS,
+                Some(_) => now_ms - doubt.at_ms < ENTRY_MS,
             }
         });
         for (run, at_ms) in ended {
@@ -355,8 +351,6 @@
                 }
             }
         }
-        let held = self.crashes.table.borrow().held().len();
-        self.metrics.held_works.set(held as i64);
     }
 }
 
@@ -367,7 +361,7 @@
         core.resolve_doubts();
         let now_ms = core.now_ms();
         let mut refuse_since_ms = core.crashes.refuse_since_ms.borrow_mut();
-        refuse_since_ms.retain(|_, since_ms| now_ms - *since_ms < LAPSE_MS);
+        refuse_since_ms.retain(|_, since_ms| now_ms - *since_ms < ENTRY_MS);
         drop(refuse_since_ms);
         let endpoints = core.published.fleet().by_key.len();
         let mut table = core.crashes.table.borrow_mut();
@@ -375,6 +369,7 @@
         table.tidy(now_ms);
         let mut seen_here = core.crashes.seen_here.borrow_mut();
         seen_here.retain(|work| table.record(*work).is_some());
+        core.metrics.held_works.set(table.held().len() as i64);
         drop((table, seen_here));
         core.tell_turned();
     }
--- a/crates/mgs-relay/src/spread.rs
+++ b/crates/mgs-relay/src/spread.rs
@@ -19,6 +19,7 @@
 use crate::peers::Known;
 use crate::peers::Message;
 use crate::tell::encode;
+use crate::tell::send_to;
 use crate::tell::MESSAGE_BYTES_MAX;
 
 /// Longest wait before what isn't urgent is told, and between what is urgent and its repetition.
@@ -94,12 +95,7 @@
     async fn tell(&self, works: &[WorkKey], peers: &[SocketAddr]) {
         let told = self.core.crashes.told(works, self.core.now_ms());
         for message in messages(self.core.incarnation, told) {
-            for peer in peers {
-                if let Err(error) = self.socket.send_to(&message, peer).await {
-                    self.core.metrics.peer_faults.inc();
-                    log::debug!(peer:% = peer, error:% = error; "a peer can't be told");
-                }
-            }
+            send_to(&self.core, &self.socket, &message, peers).await;
         }
     }
 }
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -221,7 +221,7 @@
         }
         self.events += 1;
         let core = &self.pursuit.core;
-        core.run_reached(self.pursuit.work, self.reached());
+        core.run_reached(self.pursuit.work, || self.reached());
         let now_ms = core.now_ms();
         let engine = self.placed.endpoint.key;
         core.board.borrow_mut().event(engine, now_ms);
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -2,6 +2,7 @@
 //! times a second.
 
 use std::cell::RefCell;
+use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
@@ -131,11 +132,16 @@
     async fn send(&self, message: &[u8], to_all: bool) {
         let core = &self.core;
         let addresses = self.known.borrow().addresses(core, core.now_ms(), to_all);
-        for address in addresses {
-            if let Err(error) = self.socket.send_to(message, address).await {
-                core.metrics.peer_faults.inc();
-                log::debug!(peer:% = address, error:% = error; "a peer can't be told");
-            }
+        send_to(core, &self.socket, message, &addresses).await;
+    }
+}
+
+/// Sends a message to peers. One that can't be told is told the next time.
+pub(crate) async fn send_to(core: &Core, socket: &UdpSocket, message: &[u8], peers: &[SocketAddr]) {
+    for peer in peers {
+        if let Err(error) = socket.send_to(message, peer).await {
+            core.metrics.peer_faults.inc();
+            log::debug!(peer:% = peer, error:% = error; "a peer can't be told");
         }
     }
 }
