--- a/crates/mgs-placing/src/lengths.rs
+++ b/crates/mgs-placing/src/lengths.rs
@@ -2,9 +2,8 @@
 //!
 //! The load that this answers: audits ask for more reading than all engines have, and some must be refused. By
 //! reading for worth these are always the longest, since reading grows with the square of the length and worth with
-//! its first power: 0.48 of the fifth below the largest tenth and 0.18 of the largest tenth were answered, of all
-//! 0.80 (emulator, 8 plays). So all gateways count what is asked of them and what they send, by kind and length, and a
-//! length that is sent less often than others of its kind goes before them.
+//! its first power. So all gateways count what is asked of them and what they send, by kind and length, and a length
+//! that is sent less often than others of its kind goes before them.
 
 use std::collections::BTreeMap;
 
--- a/crates/mgs-placing/src/near.rs
+++ b/crates/mgs-placing/src/near.rs
@@ -2,8 +2,7 @@
 //!
 //! The load that this answers: a hundred gateways share 172 engines in five zones. Whoever chooses among all of them
 //! meets a hundred others that choose at the same moment; whoever chooses in its own zone meets twenty, surveys a
-//! fifth of the engines, and the parts of its prompts lie together. In the emulator 0.97 instead of 0.92 of the short
-//! prompts are on time so, and 0.99 instead of 0.96 of the reviews (100 gateways, 8 plays).
+//! fifth of the engines, and the parts of its prompts lie together.
 //!
 //! It is done only where a zone has engines enough for the widest prompt, and only for a prompt that has time to spare
 //! there. Any other is judged over all engines as well, and goes where it loses least.
--- a/crates/mgs-placing/src/spare.rs
+++ b/crates/mgs-placing/src/spare.rs
@@ -1,10 +1,9 @@
 //! Short prompts that can't be on time, while streams ask for more places than all engines have.
 //!
 //! The load that this answers: for seconds, twice as many streams begin as the engines have places for. If all
-//! are sent, the engines queue them, each waits for those before it, and soon all are late: of 3,505 short
-//! prompts of such a load 1,470 were on time, and 2,281 with the rule below (one play each); in the emulator
-//! 0.14 and 0.50 of them. So one that can still be on time goes ahead, whenever it came. One that can't waits at its gateway for a place that
-//! nobody needs, and is refused as soon as too many wait before it for the places that fall free.
+//! are sent, the engines queue them, each waits for those before it, and soon all are late. So one that can still be on
+//! time goes ahead, whenever it came. One that can't waits at its gateway for a place that nobody needs, and is refused
+//! as soon as too many wait before it for the places that fall free.
 
 /// How long the places that fell free count, in milliseconds.
 const MEMORY_MS: f64 = 2_000.0;
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -21,7 +21,7 @@
 /// about as much from one second to the next.
 const SLACK_BLUR: f64 = 0.08;
 
-/// Time on the way to an engine and back, in milliseconds; measured on calm days.
+/// Time on the way to an engine and back, in milliseconds.
 const HOPS_MS: f64 = 8.0;
 
 /// What is read until a prompt's first token shows, and the passes that it takes, as a multiple of what was there
@@ -165,8 +165,7 @@
     }
 
     /// Share of some streams that end after their deadlines if this much more of the engine's time goes to others.
-    /// Without it, of the answers to short questions that take more than six tenths of their time alone, 0.59 end
-    /// where 0.95 of all do (emulator, 23 engines at 48 ms a pass, 6 plays).
+    /// Without it, answers that take much of their time alone are put where they can't end.
     fn overdue_share(&self, streams: &Streams, more_share: f64) -> f64 {
         let Some(slack_share) = streams.slack_share() else {
             return 0.0;
--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -283,7 +283,7 @@
 /// would take engines from those that can be on time.
 ///
 /// It is refused as soon as it can't end in time on the engines that short streams leave: kept waiting for more, such
-/// prompts were refused 1.7 s later in the mean, and 0.02 fewer of all long ones were answered (12 plays).
+/// prompts are refused later, and no more of them are answered.
 fn late_turn(waiting: &Waiting<'_>, options: &Options) -> Turn {
     if !waiting.ends_in_time(options) {
         return Turn::Refuse;
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -31,8 +31,7 @@
 use crate::relay::Options;
 use crate::view::Published;
 
-/// Peers below which all of them are told of each change at once: four gateways send 0.01 GB on a calm day so, a
-/// hundred 0.9.
+/// Peers below which all of them are told of each change at once: the bytes grow with the square of the gateways.
 const FEW_PEERS: usize = 12;
 
 /// Reading placed here that peers haven't been told of.
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -65,9 +65,7 @@
     /// at a time, and each of them would be a call at each gateway. Who leaves or goes is read at once.
     pub gather_ms: u64,
     /// Wait after any other reading that brought something, in milliseconds, where the gateway isn't a reader and there
-    /// are many: changes that follow each other cost one call for each wait then, not one each. With 103 gateways a
-    /// second instead of none saves half of the calls of a day on which twelve configurations follow each other.
-    /// 0 for none.
+    /// are many: changes that follow each other cost one call for each wait then, not one each. 0 for none.
     pub gather_all_ms: u64,
     /// Gateways from which on that is done: a few cost the store little.
     pub gather_all_from: usize,
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -7,9 +7,9 @@
 
 use super::Follower;
 use crate::bad_rows::BadRow;
-use crate::holds;
+use crate::holds::News;
 use crate::membership::Endpoints;
-use crate::membership::Word;
+use crate::membership::Origin;
 use crate::membership::LAPSE_MS;
 use crate::source::Batch;
 use crate::source::Revision;
@@ -114,9 +114,9 @@
     fn apply_endpoints(&mut self, updates: Vec<Update>, is_whole: bool, start_ms: u64) {
         let now_ms = self.published.now_ms();
         let mut endpoints = self.endpoints.borrow_mut();
-        let word = match is_whole {
-            true => Word::Listed,
-            false => Word::Written,
+        let origin = match is_whole {
+            true => Origin::Listed,
+            false => Origin::Written,
         };
         let listed = is_whole.then(|| Endpoints::listed(&updates));
         let configuration = self.published.configuration();
@@ -127,7 +127,7 @@
                     // Without a configuration nobody knows which services there are.
                     let names = |c: &Arc<Configuration>| c.services.contains_key(&facts.service);
                     let is_named = configuration.as_ref().is_none_or(names);
-                    match endpoints.hear(facts, is_named, word, now_ms) {
+                    match endpoints.hear(facts, is_named, origin, now_ms) {
                         Ok(()) => self.rows.clear(self.topic, &id),
                         Err(fault) => self.rows.note(self.topic, &BadRow::of(&id, fault)),
                     }
@@ -157,11 +157,11 @@
         if is_whole {
             self.gateways.clear();
         }
-        let mut words = Vec::new();
+        let mut news = Vec::new();
         for update in updates {
             match update {
-                Update::Held(told) => words.push(holds::Word::Held(told)),
-                Update::LetGo(work) => words.push(holds::Word::LetGo(work)),
+                Update::Held(told) => news.push(News::Held(told)),
+                Update::LetGo(work) => news.push(News::LetGo(work)),
                 Update::Gateway { name, address } => {
                     self.gateways.insert(name, address);
                 }
@@ -171,7 +171,7 @@
                 _ => {}
             }
         }
-        self.published.holds().say(words);
+        self.published.holds().say(news);
         let own = self.options.peer_address;
         let mut peers: Vec<SocketAddr> = self.gateways.values().copied().collect();
         peers.extend(&self.options.first_peers);
--- a/crates/mgs-relay/src/headcount.rs
+++ b/crates/mgs-relay/src/headcount.rs
@@ -2,8 +2,8 @@
 //!
 //! What all gateways may spend together is shared by this number, so one that is too small lets them spend too
 //! much. A gateway that has just started has heard nobody: until the store or a peer has told it how many there are,
-//! it doesn't know, and takes no part of what is shared. Taken for the only one, each of 100 gateways that started
-//! at once without the store spent the whole of an allowance of 276 second tries.
+//! it doesn't know, and takes no part of what is shared: gateways that started at once without the store would each spend
+//! the whole.
 
 /// How long the largest number of peers heard counts, in milliseconds: those that were cut off or have just ended may
 /// have spent their part.
--- a/crates/mgs-relay/src/holds.rs
+++ b/crates/mgs-relay/src/holds.rs
@@ -13,7 +13,7 @@
 
 /// What the store says of a work.
 #[derive(Debug, Clone, PartialEq)]
-pub enum Word {
+pub enum News {
     /// It is held.
     Held(Told),
     /// It was held, and somebody has let it go.
@@ -32,7 +32,7 @@
 /// What has yet to be taken by either side.
 #[derive(Debug, Default)]
 pub struct Holds {
-    words: Mutex<Vec<Word>>,
+    news: Mutex<Vec<News>>,
     said: Notify,
     writes: Mutex<BTreeMap<WorkKey, Write>>,
     wanted: Notify,
@@ -41,21 +41,21 @@
 
 impl Holds {
     /// The store says something.
-    pub fn say(&self, words: Vec<Word>) {
-        if words.is_empty() {
+    pub fn say(&self, news: Vec<News>) {
+        if news.is_empty() {
             return;
         }
-        let mut all = self.words.lock().unwrap_or_else(PoisonError::into_inner);
-        all.extend(words);
+        let mut all = self.news.lock().unwrap_or_else(PoisonError::into_inner);
+        all.extend(news);
         drop(all);
         self.said.notify_one();
     }
 
     /// Waits for what the store says.
-    pub async fn heard(&self) -> Vec<Word> {
+    pub async fn heard(&self) -> Vec<News> {
         self.said.notified().await;
-        let mut words = self.words.lock().unwrap_or_else(PoisonError::into_inner);
-        std::mem::take(&mut *words)
+        let mut news = self.news.lock().unwrap_or_else(PoisonError::into_inner);
+        std::mem::take(&mut *news)
     }
 
     /// Something is to be written; it replaces what was to be written of the same work.
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -33,7 +33,7 @@
 
 /// Where word of an endpoint comes from.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Word {
+pub enum Origin {
     /// It was written just now.
     Written,
     /// It was written at any time before: it stands in a reading of all that there is, by the store or by a peer.
@@ -118,10 +118,10 @@
         &mut self,
         facts: EndpointFacts,
         is_named: bool,
-        word: Word,
+        origin: Origin,
         now_ms: u64,
     ) -> Result<(), RowFault> {
-        let rolled_back_ms = self.rolled_back_ms.filter(|_| word == Word::Listed);
+        let rolled_back_ms = self.rolled_back_ms.filter(|_| origin == Origin::Listed);
         let Some(rolled_back_ms) = rolled_back_ms else {
             self.gone_ms.remove(&facts.incarnation);
             return self.see(facts, is_named);
@@ -308,7 +308,7 @@
         for update in updates {
             if let Update::Endpoint(facts) = update {
                 let id = facts.incarnation.id.clone();
-                if let Err(fault) = self.hear(facts, true, Word::Listed, now_ms) {
+                if let Err(fault) = self.hear(facts, true, Origin::Listed, now_ms) {
                     log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
                 }
             }
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -23,7 +23,7 @@
 use crate::crash::LostRun;
 use crate::fault::Fault;
 use crate::fault::Refusal;
-use crate::holds::Word;
+use crate::holds::News;
 use crate::holds::Write;
 use crate::membership::LAPSE_MS;
 use crate::view::Endpoint;
@@ -378,10 +378,10 @@
 /// Takes what the store says is held, until the process ends.
 pub(crate) async fn follow_store(core: Rc<Core>) {
     loop {
-        for word in core.published.holds().heard().await {
-            match word {
-                Word::Held(told) => core.hear_crashes(&[told]),
-                Word::LetGo(work) => core.lift(work),
+        for news in core.published.holds().heard().await {
+            match news {
+                News::Held(told) => core.hear_crashes(&[told]),
+                News::LetGo(work) => core.lift(work),
             }
         }
     }
--- a/crates/mgs-relay/tests/rollback.rs
+++ b/crates/mgs-relay/tests/rollback.rs
@@ -6,7 +6,7 @@
 use std::net::SocketAddr;
 
 use mgs_relay::membership::Endpoints;
-use mgs_relay::membership::Word;
+use mgs_relay::membership::Origin;
 use mgs_relay::source::EndpointFacts;
 use mgs_relay::source::Incarnation;
 use mgs_relay::source::RowFault;
@@ -63,25 +63,25 @@
     hear: Hear,
 }
 
-type Hear = fn(&mut Endpoints, EndpointFacts, Word, u64) -> Result<(), RowFault>;
+type Hear = fn(&mut Endpoints, EndpointFacts, Origin, u64) -> Result<(), RowFault>;
 
 fn hear(
     endpoints: &mut Endpoints,
     facts: EndpointFacts,
-    word: Word,
+    origin: Origin,
     now_ms: u64,
 ) -> Result<(), RowFault> {
-    endpoints.hear(facts, true, word, now_ms)
+    endpoints.hear(facts, true, origin, now_ms)
 }
 
 /// Takes the copy's word over what was heard.
 fn hear_the_copy(
     endpoints: &mut Endpoints,
     facts: EndpointFacts,
-    _: Word,
+    _: Origin,
     now_ms: u64,
 ) -> Result<(), RowFault> {
-    endpoints.hear(facts, true, Word::Written, now_ms)
+    endpoints.hear(facts, true, Origin::Written, now_ms)
 }
 
 impl World {
@@ -184,13 +184,13 @@
                 // It lives: whoever was taken to have gone has written again.
                 self.heard_out.remove(&facts.incarnation);
             }
-            self.take(facts, Word::Written);
+            self.take(facts, Origin::Written);
         }
     }
 
     /// Takes word of an endpoint; whether it is taken shows in what is used.
-    fn take(&mut self, facts: EndpointFacts, word: Word) {
-        let _ = (self.hear)(&mut self.endpoints, facts, word, self.now_ms);
+    fn take(&mut self, facts: EndpointFacts, origin: Origin) {
+        let _ = (self.hear)(&mut self.endpoints, facts, origin, self.now_ms);
     }
 
     fn read_all(&mut self, is_rollback: bool) {
@@ -207,7 +207,7 @@
         let updates: Vec<Update> = rows.into_values().map(Update::Endpoint).collect();
         for update in updates.clone() {
             if let Update::Endpoint(facts) = update {
-                self.take(facts, Word::Listed);
+                self.take(facts, Origin::Listed);
             }
         }
         let listed = Endpoints::listed(&updates);
