refactor(soak): what happened, and a gateway's host, stand in files of their own

world.rs had grown to 664 lines with the deadly requests and the copies of the store: the record that the checks read is history.rs, the host with its settings and process host.rs.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -12,6 +12,10 @@
 #[path = "soak/check.rs"]
 mod check;
 mod common;
+#[path = "soak/history.rs"]
+mod history;
+#[path = "soak/host.rs"]
+mod host;
 #[path = "soak/plan.rs"]
 mod plan;
 #[path = "soak/planted.rs"]
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -6,10 +6,10 @@
 
 use crate::callers::Kind;
 use crate::callers::Record;
+use crate::history::Crash;
+use crate::history::History;
+use crate::history::What;
 use crate::standin::endpoint::Run;
-use crate::world::Crash;
-use crate::world::History;
-use crate::world::What;
 use crate::world::EVENTS;
 
 /// Each route's timeout, and what an answer may take beyond it.
--- /dev/null
+++ b/tests/soak/host.rs
@@ -0,0 +1,75 @@
+//! The host of a gateway: its settings, its path to the store and its process.
+
+use std::fs::File;
+use std::path::PathBuf;
+use std::process::Child;
+use std::process::Stdio;
+use std::time::Instant;
+
+use mgs_testing::proxy::Route;
+
+use crate::common::marigoldstage;
+use crate::world::GATEWAYS;
+
+/// Time that the platform gives a process to end after SIGTERM, in seconds.
+pub(crate) const GRACE_S: u64 = 8;
+
+/// One gateway's host.
+pub(crate) struct Host {
+    pub(crate) number: usize,
+    pub(crate) ip: String,
+    pub(crate) ports: [u16; 4],
+    pub(crate) settings: PathBuf,
+    pub(crate) log: PathBuf,
+    pub(crate) store_path: Route,
+    pub(crate) child: Option<Child>,
+    pub(crate) terminated: Option<Instant>,
+}
+
+impl Drop for Host {
+    fn drop(&mut self) {
+        if let Some(mut child) = self.child.take() {
+            // It may have ended by itself.
+            let _ = child.kill();
+            let _ = child.wait();
+        }
+    }
+}
+
+impl Host {
+    pub(crate) fn write_settings(&self) {
+        let seeds: Vec<String> = (0..GATEWAYS)
+            .map(|number| format!("\"{}:1\"", ip(number)))
+            .collect();
+        let [client, ready, peer, metrics] = self.ports;
+        let text = format!(
+            "nodeName = \"front-{}\"\nzone = \"north\"\nip = \"{ip}\"\n\
+             internalPortRange = [{peer}, {metrics}]\nseedNodes = [{}]\n\
+             [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\n\
+             [bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
+             budgetExtraRetries = 100\n[platformSettings]\naddress = \"{}\"\n",
+            self.number,
+            seeds.join(", "),
+            self.store_path.address(),
+            ip = self.ip,
+        );
+        std::fs::write(&self.settings, text).expect("a temporary file");
+    }
+
+    pub(crate) fn spawn(&self) -> Child {
+        let log = File::options().create(true).append(true).open(&self.log);
+        marigoldstage()
+            .arg("relay")
+            .args(["--metrics-port", &self.ports[3].to_string()])
+            .env("MARIGOLDSTAGE_BOOT", &self.settings)
+            .stdout(log.expect("a log file"))
+            .stderr(Stdio::inherit())
+            .spawn()
+            .expect("the program")
+    }
+}
+
+/// Address of a host.
+pub(crate) fn ip(number: usize) -> String {
+    format!("127.0.77.{}", number + 1)
+}
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -8,12 +8,12 @@
 use crate::callers::Kind;
 use crate::callers::Record;
 use crate::check::Seen;
+use crate::history::History;
+use crate::history::Leave;
+use crate::history::Life;
 use crate::standin::client::Answer;
 use crate::standin::endpoint::Run;
 use crate::standin::Message;
-use crate::world::History;
-use crate::world::Leave;
-use crate::world::Life;
 
 fn answer(id: &str, status: u16, text: &str) -> Answer {
     let field = |name: &str, value: &str| (name.to_string(), value.to_string());
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -1,10 +1,6 @@
 //! The gateways as processes, the outside systems as stand-ins, and what goes wrong with them.
 
-use std::fs::File;
 use std::net::SocketAddr;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Stdio;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -17,7 +13,14 @@
 use serde_json::json;
 use serde_json::Value;
 
-use crate::common::marigoldstage;
+use crate::history::Crash;
+use crate::history::History;
+use crate::history::Leave;
+use crate::history::Life;
+use crate::history::What;
+use crate::host::ip;
+use crate::host::Host;
+use crate::host::GRACE_S;
 use crate::plan::PathFault;
 use crate::plan::Step;
 use crate::standin::endpoint::Act;
@@ -41,9 +44,6 @@
 /// When the first incarnations started, in Unix milliseconds.
 const BORN_MS: u64 = 1_790_000_000_000;
 
-/// Time that the platform gives a process to end after SIGTERM, in seconds.
-const GRACE_S: u64 = 8;
-
 /// Time for which the store is away before it comes back from an older copy.
 const AWAY_FOR_A_MOMENT: Duration = Duration::from_millis(150);
 
@@ -53,46 +53,6 @@
 /// Delay of a slow path, in milliseconds: an answer takes twice that.
 const SLOW_MS: u64 = 250;
 
-/// What was disturbed.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum What {
-    Process(usize),
-    EndpointPath(usize),
-    StorePath(usize),
-    Store,
-}
-
-/// A disturbance; `until` is none while it lasts.
-#[derive(Debug, Clone)]
-pub(crate) struct Upset {
-    pub(crate) what: What,
-    pub(crate) from: Instant,
-    pub(crate) until: Option<Instant>,
-}
-
-/// The life of one process.
-#[derive(Debug, Clone)]
-pub(crate) struct Life {
-    pub(crate) gateway: usize,
-    pub(crate) from: Instant,
-    pub(crate) until: Option<Instant>,
-}
-
-/// An endpoint that said that it leaves.
-#[derive(Debug, Clone)]
-pub(crate) struct Leave {
-    pub(crate) id: String,
-    pub(crate) at: Instant,
-}
-
-/// An endpoint that a deadly request ended.
-#[derive(Debug, Clone)]
-pub(crate) struct Crash {
-    pub(crate) id: String,
-    pub(crate) place: usize,
-    pub(crate) at: Instant,
-}
-
 /// What kind of endpoints there are.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Default)]
 pub(crate) struct Nature {
@@ -102,40 +62,6 @@
     pub(crate) is_mortal: bool,
 }
 
-/// What happened, for the checks.
-#[derive(Debug, Default)]
-pub(crate) struct History {
-    pub(crate) upsets: Vec<Upset>,
-    pub(crate) lives: Vec<Life>,
-    pub(crate) leaves: Vec<Leave>,
-    pub(crate) crashes: Vec<Crash>,
-    /// Versions of the configuration and when the store had them.
-    pub(crate) versions: Vec<(u64, Instant)>,
-    /// Promises seen broken while it ran.
-    pub(crate) violations: Vec<String>,
-}
-
-struct Host {
-    number: usize,
-    ip: String,
-    ports: [u16; 4],
-    settings: PathBuf,
-    log: PathBuf,
-    store_path: Route,
-    child: Option<Child>,
-    terminated: Option<Instant>,
-}
-
-impl Drop for Host {
-    fn drop(&mut self) {
-        if let Some(mut child) = self.child.take() {
-            // It may have ended by itself.
-            let _ = child.kill();
-            let _ = child.wait();
-        }
-    }
-}
-
 struct Place {
     path: Route,
     present: Endpoint,
@@ -291,22 +217,7 @@
             from: Instant::now(),
             until: None,
         });
-        self.ends(What::Process(number));
-    }
-
-    fn upset(&mut self, what: What) {
-        self.history.upsets.push(Upset {
-            what,
-            from: Instant::now(),
-            until: None,
-        });
-    }
-
-    fn ends(&mut self, what: What) {
-        let open = self.history.upsets.iter_mut();
-        for upset in open.filter(|upset| upset.what == what && upset.until.is_none()) {
-            upset.until = Some(Instant::now());
-        }
+        self.history.ends(What::Process(number));
     }
 
     fn signal(&self, number: usize, signal: Signal) {
@@ -336,7 +247,7 @@
     }
 
     fn kill(&mut self, number: usize) {
-        self.upset(What::Process(number));
+        self.history.upset(What::Process(number));
         if let Some(mut child) = self.hosts[number].child.take() {
             child.kill().expect("our own process");
             child.wait().expect("our own process");
@@ -348,7 +259,7 @@
         let host = &mut self.hosts[number];
         if host.child.is_some() && host.terminated.is_none() {
             host.terminated = Some(Instant::now());
-            self.upset(What::Process(number));
+            self.history.upset(What::Process(number));
             self.signal(number, Signal::TERM);
         }
     }
@@ -388,27 +299,27 @@
     pub(crate) fn apply(&mut self, step: &Step) {
         match step {
             Step::StorePath(number, fault) => {
-                self.upset(What::StorePath(*number));
+                self.history.upset(What::StorePath(*number));
                 harm(&self.hosts[*number].store_path, *fault);
             }
             Step::StorePathHealed(number) => {
                 heal(&self.hosts[*number].store_path);
-                self.ends(What::StorePath(*number));
+                self.history.ends(What::StorePath(*number));
             }
             Step::StoreMode(mode) => {
                 self.store.set_mode(*mode);
                 match mode {
-                    Mode::Up => self.ends(What::Store),
-                    _ => self.upset(What::Store),
+                    Mode::Up => self.history.ends(What::Store),
+                    _ => self.history.upset(What::Store),
                 }
             }
             Step::HistoryDropped => self.store.drop_history(),
             Step::EndpointPath(number, fault) => {
-                self.upset(What::EndpointPath(*number));
+                self.history.upset(What::EndpointPath(*number));
                 harm(&self.places[*number].path, *fault);
             }
             Step::EndpointPathHealed(number) => {
-                self.ends(What::EndpointPath(*number));
+                self.history.ends(What::EndpointPath(*number));
                 let place = &self.places[*number];
                 heal(&place.path);
                 // Nobody listens behind it as long as the engine is away.
@@ -428,7 +339,7 @@
                 self.history.leaves.push(Leave { id, at });
             }
             Step::StoreRolledBack(age_ms, write_again_ms) => {
-                self.upset(What::Store);
+                self.history.upset(What::Store);
                 self.store.set_mode(Mode::Busy);
                 std::thread::sleep(AWAY_FOR_A_MOMENT);
                 self.store.roll_back_by(Duration::from_millis(*age_ms));
@@ -450,14 +361,14 @@
                 self.store.put_text("servers", id, "{\"state\": 7");
             }
             Step::Paused(number) => {
-                self.upset(What::Process(*number));
+                self.history.upset(What::Process(*number));
                 self.signal(*number, Signal::STOP);
             }
             Step::Continued(number) => {
                 self.signal(*number, Signal::CONT);
                 let host = &self.hosts[*number];
                 if host.child.is_some() && host.terminated.is_none() {
-                    self.ends(What::Process(*number));
+                    self.history.ends(What::Process(*number));
                 }
             }
             Step::Killed(number) => self.kill(*number),
@@ -489,7 +400,7 @@
             }
             self.lapse(number);
         }
-        self.ends(What::Store);
+        self.history.ends(What::Store);
     }
 
     /// Takes note of engines that a deadly request has ended, and starts others in their places some time later.
@@ -573,7 +484,7 @@
         for number in 0..ENDPOINTS {
             heal(&self.places[number].path);
             self.apply(&Step::EndpointWell(number));
-            self.ends(What::EndpointPath(number));
+            self.history.ends(What::EndpointPath(number));
             let place = &self.places[number];
             match place.is_leaving || place.crashed.is_some() {
                 true => self.bring_back(number),
@@ -590,48 +501,11 @@
                 self.kill(number);
             }
             self.launch(number);
-            self.ends(What::Process(number));
+            self.history.ends(What::Process(number));
         }
     }
 }
 
-impl Host {
-    fn write_settings(&self) {
-        let seeds: Vec<String> = (0..GATEWAYS)
-            .map(|number| format!("\"{}:1\"", ip(number)))
-            .collect();
-        let [client, ready, peer, metrics] = self.ports;
-        let text = format!(
-            "nodeName = \"front-{}\"\nzone = \"north\"\nip = \"{ip}\"\n\
-             internalPortRange = [{peer}, {metrics}]\nseedNodes = [{}]\n\
-             [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\n\
-             [bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-             budgetExtraRetries = 100\n[platformSettings]\naddress = \"{}\"\n",
-            self.number,
-            seeds.join(", "),
-            self.store_path.address(),
-            ip = self.ip,
-        );
-        std::fs::write(&self.settings, text).expect("a temporary file");
-    }
-
-    fn spawn(&self) -> Child {
-        let log = File::options().create(true).append(true).open(&self.log);
-        marigoldstage()
-            .arg("relay")
-            .args(["--metrics-port", &self.ports[3].to_string()])
-            .env("MARIGOLDSTAGE_BOOT", &self.settings)
-            .stdout(log.expect("a log file"))
-            .stderr(Stdio::inherit())
-            .spawn()
-            .expect("the program")
-    }
-}
-
-fn ip(number: usize) -> String {
-    format!("127.0.77.{}", number + 1)
-}
-
 impl Nature {
     /// What an endpoint does when all is well.
     fn well(self, number: usize) -> Act {
