test(soak): planted violations for the checks of held requests and ended engines

Each check of the soak is shown to find what it is for; the two that came with deadly requests weren't. A held neighbour, a held request that ran and a seventh ended engine are found, six are not. Nothing else changed.

--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -8,6 +8,7 @@
 use crate::callers::Kind;
 use crate::callers::Record;
 use crate::check::Seen;
+use crate::history::Crash;
 use crate::history::History;
 use crate::history::Leave;
 use crate::history::Life;
@@ -57,6 +58,9 @@
     seen.violations()
 }
 
+/// What the client of a held request is told.
+const HELD: &str = "{\"error\":\"quarantined\"}";
+
 #[test]
 fn nothing_is_found_where_all_is_well() {
     let start = Instant::now();
@@ -79,6 +83,12 @@
     r.answer = Some(answer("r", 200, "id: 1\ndata: piece 1\n\nid: 3\ndata: piece 3\n\n"));
 }, 1, "spoiled")]
 #[case::held(|r: &mut Record| r.ended = r.sent + Duration::from_secs(3), 1, "took 3s")]
+#[case::neighbour_held(|r: &mut Record| r.answer = Some(answer("r", 503, HELD)), 0, "held and isn't deadly")]
+#[case::held_and_ran(|r: &mut Record| {
+    r.kind = Kind::OpenTalk;
+    r.is_deadly = true;
+    r.answer = Some(answer("r", 503, HELD));
+}, 1, "got 503 and ran")]
 #[case::closed(|r: &mut Record| r.answer = None, 1, "its connection was closed")]
 #[case::unread(|r: &mut Record| r.answer = None, 0, "closed on a new connection")]
 fn a_request_gone_wrong_is_found(
@@ -126,3 +136,33 @@
     let found = violations(&history, &[record], &runs);
     assert!(found[0].contains("which had left"), "{found:?}");
 }
+
+/// Engines that a deadly request ended one after the other.
+fn ended(start: Instant, count: u64) -> History {
+    let crash = |number| Crash {
+        id: format!("i-{number}"),
+        place: 3,
+        at: start + Duration::from_secs(number),
+    };
+    History {
+        crashes: (0..count).map(crash).collect(),
+        ..History::default()
+    }
+}
+
+#[rstest]
+#[case::as_many_as_allowed(6, false)]
+#[case::one_more(7, true)]
+fn a_deadly_request_that_ends_too_many_engines_is_found(
+    #[case] count: u64,
+    #[case] is_found: bool,
+) {
+    // Times before a crash are looked at too.
+    let start = Instant::now() + Duration::from_secs(1);
+    let found = violations(&ended(start, count), &[], &[]);
+    assert_eq!(
+        found.iter().any(|text| text.contains("ended 7 engines")),
+        is_found,
+        "{found:?}"
+    );
+}
