fix(relay): what a refusal to help says is kept, told to peers and taken back

Callers saw long prompts refused (not_run) during an outage of the store in which a quarter of the engines left. Cause: an engine that leaves goes on with its own requests and refuses to read parts of others'. That was kept with the request (four dispatches, each naming others of them) and in one gateway's count of failures, which the engine's answers to its own requests set back; so the next prompt, there and at every other gateway, found out anew.

Busy and lacking a reservation are told apart and pass within 0.3 s. The endpoint goes on to serve its own.

--- a/crates/mgs-placing/benches/decision.rs
+++ b/crates/mgs-placing/benches/decision.rs
@@ -72,11 +72,7 @@
         let mut group = criterion.benchmark_group(name);
         for (engines, near) in FLEETS {
             let board = board(engines);
-            let candidate = |key| Candidate {
-                key: EndpointKey(key),
-                slowness: 1.0,
-                trial: false,
-            };
+            let candidate = |key| Candidate::of(EndpointKey(key));
             let all: Vec<Candidate> = (0..engines).map(candidate).collect();
             let field = Field {
                 near: &all[..near],
--- a/crates/mgs-placing/src/choose.rs
+++ b/crates/mgs-placing/src/choose.rs
@@ -43,7 +43,7 @@
 /// use mgs_placing::model::EngineModel;
 /// use mgs_placing::need::Need;
 ///
-/// let engine = |key| Candidate { key: EndpointKey(key), slowness: 1.0, trial: false };
+/// let engine = |key| Candidate::of(EndpointKey(key));
 /// let need = Need {
 ///     prompt_tokens: 154_000,
 ///     output_tokens: 800,
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -206,8 +206,7 @@
         let mut others: Vec<&Survey<'_>> = self
             .surveys
             .iter()
-            .filter(|survey| survey.key != first.key && !survey.trial)
-            .filter(|survey| u32::from(survey.held.parts) + 1 < self.model.slots)
+            .filter(|survey| survey.key != first.key && survey.may_help(self.model))
             .collect();
         if others.len() + 1 < width {
             return None;
--- a/crates/mgs-placing/src/near.rs
+++ b/crates/mgs-placing/src/near.rs
@@ -68,7 +68,7 @@
 ///     left_ms: 10_000.0,
 ///     patience_ms: 2_000.0,
 /// };
-/// let engine = |key| Candidate { key: EndpointKey(key), slowness: 1.0, trial: false };
+/// let engine = |key| Candidate::of(EndpointKey(key));
 /// let all: Vec<Candidate> = (0..100).map(engine).collect();
 /// let field = Field { near: &all[..30], all: &all };
 /// let (board, model, options) = (Board::new(), EngineModel::default(), Options::default());
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -56,6 +56,15 @@
     pub age_ms: u32,
 }
 
+/// A refusal to help that the sender met.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct RefusedAt {
+    /// Hash of the endpoint's incarnation.
+    pub endpoint: u64,
+    /// How long ago, in milliseconds.
+    pub age_ms: u32,
+}
+
 /// One message.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -83,4 +92,6 @@
     pub held: Vec<HeldAt>,
     /// Reading that it placed since its last message.
     pub reads: Vec<ReadAt>,
+    /// Endpoints that have refused to help with its prompts: new ones, or all in a whole message.
+    pub refusals: Vec<RefusedAt>,
 }
--- a/crates/mgs-placing/src/split.rs
+++ b/crates/mgs-placing/src/split.rs
@@ -117,8 +117,7 @@
     placing
         .surveys
         .iter()
-        .filter(|survey| survey.key != first.key && !survey.trial)
-        .filter(|survey| u32::from(survey.held.parts) + 1 < placing.model.slots)
+        .filter(|survey| survey.key != first.key && survey.may_help(placing.model))
         .collect()
 }
 
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -60,6 +60,8 @@
     pub(crate) slowness: f64,
     /// Whether it is on trial after failures.
     pub(crate) trial: bool,
+    /// Whether it reads parts of prompts that others answer.
+    helps: bool,
 }
 
 impl<'a> Survey<'a> {
@@ -88,6 +90,7 @@
             free_tokens: model.memory_tokens.saturating_sub(held_tokens),
             slowness: 1.0,
             trial: candidate.trial,
+            helps: candidate.helps,
         };
         let is_writing = survey.running > 0;
         let passes = board.passes(candidate.key);
@@ -109,6 +112,11 @@
         survey
     }
 
+    /// Whether it may read a part of a prompt that another one answers.
+    pub(crate) fn may_help(&self, model: &EngineModel) -> bool {
+        self.helps && !self.trial && u32::from(self.held.parts) + 1 < model.slots
+    }
+
     /// Takes it for slower or less slow than it was taken for.
     pub(crate) fn slow_down(&mut self, slowness: f64) {
         let factor = slowness / self.slowness;
--- a/crates/mgs-placing/src/way.rs
+++ b/crates/mgs-placing/src/way.rs
@@ -11,6 +11,28 @@
     pub slowness: f64,
     /// Whether it is on trial after failures.
     pub trial: bool,
+    /// Whether it reads parts of prompts that others answer.
+    pub helps: bool,
+}
+
+impl Candidate {
+    /// One of which nothing special is known.
+    ///
+    /// ```
+    /// use mgs_fleet::view::EndpointKey;
+    /// use mgs_placing::way::Candidate;
+    ///
+    /// let slow = Candidate { slowness: 2.0, ..Candidate::of(EndpointKey(7)) };
+    /// assert!(slow.helps && !slow.trial);
+    /// ```
+    pub fn of(key: EndpointKey) -> Self {
+        Self {
+            key,
+            slowness: 1.0,
+            trial: false,
+            helps: true,
+        }
+    }
 }
 
 /// Memory to be reserved at one engine before the prompt is sent.
--- a/crates/mgs-placing/tests/company.rs
+++ b/crates/mgs-placing/tests/company.rs
@@ -29,11 +29,7 @@
 }
 
 fn place_at(need: &Need, board: &Board, model: &EngineModel, now_ms: f64) -> Placement {
-    let candidate = |key| Candidate {
-        key: EndpointKey(key),
-        slowness: 1.0,
-        trial: false,
-    };
+    let candidate = |key| Candidate::of(EndpointKey(key));
     let candidates: Vec<Candidate> = (0..4).map(candidate).collect();
     let options = options::Options::default();
     choose(
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -200,11 +200,7 @@
             let first = (draws.unit() * zone_engines as f64) as usize;
             keys[..zone_engines].rotate_left(first);
         }
-        let candidate = |key: &u32| Candidate {
-            key: EndpointKey(*key),
-            slowness: 1.0,
-            trial: false,
-        };
+        let candidate = |key: &u32| Candidate::of(EndpointKey(*key));
         let all: Vec<Candidate> = keys.iter().map(candidate).collect();
         let field = Field {
             near: &all[..zone_engines],
--- a/crates/mgs-placing/tests/near.rs
+++ b/crates/mgs-placing/tests/near.rs
@@ -37,11 +37,7 @@
 };
 
 fn place_with(need: &Need, near: usize, board: &Board) -> Placed {
-    let candidate = |key| Candidate {
-        key: EndpointKey(key),
-        slowness: 1.0,
-        trial: false,
-    };
+    let candidate = |key| Candidate::of(EndpointKey(key));
     let all: Vec<Candidate> = (0..ENGINES).map(candidate).collect();
     let field = Field {
         near: &all[..near],
--- a/crates/mgs-placing/tests/slow.rs
+++ b/crates/mgs-placing/tests/slow.rs
@@ -27,9 +27,8 @@
 
 fn place(slowness: &[f64], board: &Board) -> Result<Placement, NoPlace> {
     let candidate = |(key, slowness): (usize, &f64)| Candidate {
-        key: EndpointKey(key as u32),
         slowness: *slowness,
-        trial: false,
+        ..Candidate::of(EndpointKey(key as u32))
     };
     let candidates: Vec<Candidate> = slowness.iter().enumerate().map(candidate).collect();
     let options = options::Options::default();
--- a/crates/mgs-placing/tests/turn.rs
+++ b/crates/mgs-placing/tests/turn.rs
@@ -42,11 +42,7 @@
 }
 
 fn place(need: &Need, board: &Board, engines: u32) -> Placement {
-    let candidate = |key| Candidate {
-        key: EndpointKey(key),
-        slowness: 1.0,
-        trial: false,
-    };
+    let candidate = |key| Candidate::of(EndpointKey(key));
     let candidates: Vec<Candidate> = (0..engines).map(candidate).collect();
     let options = options::Options::default();
     choose(
@@ -239,11 +235,7 @@
         memory_tokens: 267_750,
         ..EngineModel::default()
     };
-    let candidate = |key| Candidate {
-        key: EndpointKey(key),
-        slowness: 1.0,
-        trial: false,
-    };
+    let candidate = |key| Candidate::of(EndpointKey(key));
     let candidates: Vec<Candidate> = (0..69).map(candidate).collect();
     let mut board = Board::new();
     let streams = Held {
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -1,6 +1,7 @@
 //! One dispatch to one endpoint, up to a whole answer or the first event of a stream.
 
 use std::rc::Rc;
+use std::sync::Arc;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -21,6 +22,7 @@
 use crate::dialect::NotRun;
 use crate::dialect::Reply;
 use crate::event::Events;
+use crate::view::Endpoint;
 
 /// Longest answer of a plain service that is passed on, in bytes; the whole is read first, so that one
 /// that breaks off can be told from a whole one.
@@ -46,6 +48,12 @@
         is_refused: bool,
         at_fault: Option<std::net::SocketAddr>,
     },
+    /// The endpoint can't have run it, since another one refused to read a part of it.
+    Unhelped {
+        helper: Arc<Endpoint>,
+        /// Whether memory was reserved there for it.
+        is_reserved: bool,
+    },
     /// It may have run; there is no usable answer.
     Unknown { lost: Lost, why: String },
     /// A whole answer.
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -26,9 +26,12 @@
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::headcount::Headcount;
+use crate::helpers::Helpers;
+use crate::helpers::Reason;
 use crate::metrics::Metrics;
 use crate::quarantine::Crashes;
 use crate::relay::Options;
+use crate::view::Endpoint;
 use crate::view::Published;
 
 /// Peers below which all of them are told of each change at once: the bytes grow with the square of the gateways.
@@ -63,6 +66,8 @@
     /// How often long prompts of each length came here and were sent.
     pub(crate) lengths: RefCell<Lengths>,
     pub(crate) outliers: Outliers,
+    /// Endpoints that refuse to read parts of others' prompts.
+    pub(crate) helpers: RefCell<Helpers>,
     pub(crate) budget: RefCell<Budget>,
     /// Looks under way whether an endpoint has ended.
     pub(crate) looks: RefCell<Looks>,
@@ -89,6 +94,30 @@
         self.published.now_ms()
     }
 
+    /// When the store last confirmed which endpoints are listed, in milliseconds, here or at a peer.
+    pub(crate) fn fleet_confirmed_ms(&self) -> Option<u64> {
+        let age_ms = self.published.fleet_age_ms()?;
+        Some(self.now_whole_ms().saturating_sub(age_ms))
+    }
+
+    /// An endpoint refused to help with a prompt; answers why, as far as it shows. `is_reserved`: whether memory was
+    /// reserved there for it.
+    pub(crate) fn help_refused(&self, endpoint: &Endpoint, is_reserved: bool) -> Reason {
+        let parts = u32::from(self.board.borrow().held(endpoint.key).parts);
+        let reason = match (parts >= endpoint.facts.slots, is_reserved) {
+            (true, _) => Reason::Busy,
+            (false, true) => Reason::Reservation,
+            (false, false) => Reason::Leaves,
+        };
+        self.metrics.help_refusals.inc(reason.name());
+        let now_ms = self.now_whole_ms();
+        self.helpers
+            .borrow_mut()
+            .refused(endpoint.key, reason, now_ms);
+        self.board_changed.notify_one();
+        reason
+    }
+
     /// A number that nothing else of this process has.
     pub(crate) fn next_number(&self) -> u64 {
         let number = self.last_number.get() + 1;
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -36,6 +36,7 @@
 mod handover;
 pub mod headcount;
 mod help;
+pub mod helpers;
 pub mod holds;
 pub mod membership;
 mod memory;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -46,6 +46,8 @@
     pub(crate) dispatches: Counters,
     /// Streams that broke off, by reason.
     pub(crate) broken: Counters,
+    /// Refusals of endpoints to help with a prompt, by what they show.
+    pub(crate) help_refusals: Counters,
     /// Runs of which no answer came, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Works that were held as crashing endpoints, or let go.
@@ -102,6 +104,11 @@
             retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
             dispatches: registry.counters("relay_dispatches", "Dispatches, by end", "end"),
             broken: registry.counters("relay_broken_streams", "Streams that broke off", "reason"),
+            help_refusals: registry.counters(
+                "relay_help_refusals",
+                "Refusals of endpoints to read a part of a prompt, by what they show",
+                "reason",
+            ),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -177,6 +177,13 @@
             board.read_elsewhere(key, now_ms, read_ms, read.reads);
         }
     }
+    for refused in &beacon.refusals {
+        if let Some(key) = key_of(refused.endpoint) {
+            let age_ms = u64::from(refused.age_ms) + ON_THE_WAY_MS;
+            let at_ms = core.now_whole_ms().saturating_sub(age_ms);
+            core.helpers.borrow_mut().told(key, at_ms);
+        }
+    }
     if !beacon.is_whole {
         board.hear_more(peer, now_ms, beacon.waiting, held);
         return;
@@ -237,6 +244,7 @@
             (board.expire(now_ms), board.peers())
         };
         look_at_beliefs(&core, &known.borrow());
+        core.helpers.borrow_mut().expire(core.now_whole_ms());
         for peer in gone {
             known.borrow_mut().sequences.remove(&peer);
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -35,12 +35,20 @@
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::quarantine::SETTLE;
+use crate::view::Endpoint;
 use crate::view::Organisation;
 use crate::view::Route;
 
-/// Dispatches of one request in all, those that didn't run included.
+/// Dispatches of one request in all, those that didn't run included, without those that a helper refused.
 const DISPATCHES_MAX: u32 = 4;
 
+/// Dispatches of one request that helpers refused: each shows one endpoint that doesn't help, and a prompt that names
+/// sixteen isn't lost to a few of them.
+const UNHELPED_MAX: u32 = 12;
+
+/// A helper that refuses after this time, in milliseconds, is dead or cut off: the engine had waited for it.
+const STALLED_MS: u64 = 1_000;
+
 /// An endpoint whose first event is this much later than predicted, as a factor, is silent.
 const SILENT_FACTOR: f64 = 3.0;
 
@@ -55,6 +63,9 @@
 /// When a client may come back after endpoints refused, in milliseconds.
 const RETRY_AFTER_REFUSED_MS: u64 = 200;
 
+/// How a dispatch ended that a helper refused.
+const HELPER_REFUSED: &str = "helper_refused";
+
 /// Lowest rank that engines know.
 const RANK_MAX: u8 = 9;
 
@@ -84,11 +95,21 @@
     pub(crate) dispatches: u32,
     /// Dispatches that may have run.
     pub(crate) runs: u32,
+    /// Dispatches that a helper refused.
+    unhelped: u32,
     /// Whether one is under way.
     pub(crate) in_flight: bool,
     tried: Tried,
 }
 
+impl Progress {
+    /// Whether there may be one more dispatch.
+    fn may_go_on(&self) -> bool {
+        let others = self.dispatches - self.unhelped;
+        others < DISPATCHES_MAX && self.unhelped < UNHELPED_MAX
+    }
+}
+
 /// A whole answer.
 pub(crate) struct WholeAnswer {
     pub(crate) head: response::Parts,
@@ -282,6 +303,7 @@
         };
         self.progress.in_flight = false;
         let took_ms = start.elapsed().as_millis() as u64;
+        let ended = self.with_helper_at_fault(&placed, ended);
         self.note(&placed, &ended, took_ms);
         match ended {
             Ended::Whole { head, body } => self.judge_whole(head, body, endpoint.key),
@@ -294,12 +316,16 @@
                     placed,
                 })))
             }
-            Ended::NotRun { why, at_fault, .. } => {
-                // A helper may be at fault; then the engine that answers is as good as before.
-                let at_fault = at_fault.and_then(|address| self.key_at(address));
-                self.progress.tried.push(at_fault.unwrap_or(endpoint.key));
+            Ended::NotRun { why, .. } => {
+                self.progress.tried.push(endpoint.key);
                 Err(Failed::not_run(why))
             }
+            // The engine that answers is as good as before.
+            Ended::Unhelped { helper, .. } => {
+                self.progress.tried.push(helper.key);
+                self.progress.unhelped += 1;
+                Err(Failed::not_run(HELPER_REFUSED))
+            }
             Ended::Unknown { lost, .. } => {
                 self.progress.runs += 1;
                 self.progress.tried.push(endpoint.key);
@@ -370,7 +396,7 @@
         if self.permission == Permission::Trial || self.core.permission(self.work).is_err() {
             return false;
         }
-        if self.left().is_zero() || self.progress.dispatches >= DISPATCHES_MAX {
+        if self.left().is_zero() || !self.progress.may_go_on() {
             return false;
         }
         if failed.may_have_run && !self.may_repeat() {
@@ -427,6 +453,10 @@
             Ended::Started { .. } => {
                 core.endpoint_answered(&placed.endpoint);
                 core.outliers.answered(key);
+                let sent_ms = now_ms.saturating_sub(took_ms);
+                core.helpers
+                    .borrow_mut()
+                    .helped(&placed.helper_keys, sent_ms);
                 let predicted_ms = placed.first_token_ms as u64;
                 core.outliers
                     .first_token(key, now_ms, predicted_ms, took_ms);
@@ -438,18 +468,23 @@
                 why,
                 is_lost,
                 is_refused,
-                at_fault,
+                ..
             } => {
                 if *is_refused {
                     core.refused_connection(key);
                 }
-                let at_fault = at_fault.and_then(|address| self.key_at(address));
-                let helper = at_fault.filter(|at_fault| *at_fault != key);
-                if *is_lost || helper.is_some() {
-                    core.outliers.failed(helper.unwrap_or(key), now_ms);
+                if *is_lost {
+                    core.outliers.failed(key, now_ms);
                 }
                 why
             }
+            Ended::Unhelped {
+                helper,
+                is_reserved,
+            } => {
+                self.note_refusal(helper, *is_reserved, took_ms);
+                HELPER_REFUSED
+            }
             Ended::Unknown { .. } => {
                 core.outliers.failed(key, now_ms);
                 "unknown"
@@ -460,10 +495,9 @@
             _ => end,
         };
         let at_fault = match ended {
-            Ended::NotRun { at_fault, .. } => at_fault.map(|address| address.to_string()),
-            _ => None,
+            Ended::Unhelped { helper, .. } => helper.facts.incarnation.id.as_str(),
+            _ => "",
         };
-        let at_fault = at_fault.unwrap_or_default();
         log::info!(
             request_id = self.ask.request_id,
             work:% = self.work,
@@ -493,11 +527,47 @@
         }
     }
 
-    fn key_at(&self, address: std::net::SocketAddr) -> Option<EndpointKey> {
+    /// The same end, told apart if it names a helper of the dispatch as being at fault.
+    fn with_helper_at_fault(&self, placed: &Placed, ended: Ended) -> Ended {
+        let Ended::NotRun {
+            at_fault: Some(address),
+            ..
+        } = ended
+        else {
+            return ended;
+        };
         let fleet = self.core.published.fleet();
-        let of_service = fleet.of_service(&self.service);
-        let at = of_service.iter().find(|e| e.facts.address == address)?;
-        Some(at.key)
+        let mut helpers = placed
+            .helper_keys
+            .iter()
+            .filter_map(|k| fleet.by_key.get(k));
+        let Some(helper) = helpers.find(|helper| helper.facts.address == address) else {
+            return ended;
+        };
+        let mut asked = placed.helpers.iter();
+        let is_reserved = asked.any(|one| one.address == address && one.reservation.is_some());
+        Ended::Unhelped {
+            helper: helper.clone(),
+            is_reserved,
+        }
+    }
+
+    /// An endpoint refused to help: the next prompts leave it out, here and at the other gateways. What it answers to
+    /// its own requests isn't touched by that, unless it is dead.
+    fn note_refusal(&self, helper: &Endpoint, is_reserved: bool, took_ms: u64) {
+        let core = &self.core;
+        let reason = core.help_refused(helper, is_reserved);
+        if took_ms >= STALLED_MS {
+            core.outliers.failed(helper.key, core.now_whole_ms());
+        }
+        log::info!(
+            request_id = self.ask.request_id,
+            endpoint = helper.facts.incarnation.id,
+            reason = reason.name(),
+            took_ms = took_ms,
+            fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
+            "an endpoint refused to help"
+        );
     }
 }
 
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -37,6 +37,7 @@
 use crate::drain::Drain;
 use crate::handover;
 use crate::headcount::Headcount;
+use crate::helpers::Helpers;
 use crate::metrics::Metrics;
 use crate::peers;
 use crate::quarantine;
@@ -170,6 +171,7 @@
         lengths: RefCell::new(Lengths::default()),
         waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
+        helpers: RefCell::new(Helpers::default()),
         budget: RefCell::new(Budget::default()),
         looks: RefCell::new(Looks::default()),
         crashes: Crashes::new(options.quarantine.clone()),
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -12,6 +12,7 @@
 use mgs_placing::share::HeldAt;
 use mgs_placing::share::Knows;
 use mgs_placing::share::ReadAt;
+use mgs_placing::share::RefusedAt;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
 use tokio::time::timeout_at;
@@ -76,7 +77,7 @@
 impl Teller {
     /// Tells all that this gateway holds and knows.
     async fn tell_all(&mut self) {
-        let next = self.next();
+        let next = self.next(true);
         let core = &self.core;
         core.fresh_held.take();
         core.whole_wanted.set(false);
@@ -98,14 +99,14 @@
 
     /// Tells what this gateway holds more since it was last told.
     async fn tell_more(&mut self) {
-        let mut beacon = self.next();
+        let mut beacon = self.next(false);
         let held = self.core.fresh_held.take();
         add_held(&mut beacon, &self.core.published.fleet(), held);
         self.send(&shortened(beacon), false).await;
     }
 
-    /// A message with what each of them has.
-    fn next(&mut self) -> Beacon {
+    /// A message with what each of them has, whole ones and others.
+    fn next(&mut self, is_whole: bool) -> Beacon {
         let core = &self.core;
         self.sequence += 1;
         let mut beacon = Beacon {
@@ -117,6 +118,7 @@
             ..Beacon::default()
         };
         let fleet = core.published.fleet();
+        beacon.refusals = refusals(core, &fleet, is_whole);
         for read in core.fresh_reads.take() {
             if let Some(endpoint) = hash_of(&fleet, read.endpoint) {
                 beacon.reads.push(ReadAt {
@@ -136,6 +138,22 @@
     }
 }
 
+/// Refusals to help that peers are told of.
+fn refusals(core: &Core, fleet: &Fleet, is_all: bool) -> Vec<RefusedAt> {
+    let (now_ms, confirmed_ms) = (core.now_whole_ms(), core.fleet_confirmed_ms());
+    let told = core
+        .helpers
+        .borrow_mut()
+        .take_told(is_all, now_ms, confirmed_ms);
+    let refused_at = |(key, age_ms): (EndpointKey, u64)| {
+        Some(RefusedAt {
+            endpoint: hash_of(fleet, key)?,
+            age_ms: u32::try_from(age_ms).unwrap_or(u32::MAX),
+        })
+    };
+    told.into_iter().filter_map(refused_at).collect()
+}
+
 /// Sends a message to peers. One that can't be told is told the next time.
 pub(crate) async fn send_to(core: &Core, socket: &UdpSocket, message: &[u8], peers: &[SocketAddr]) {
     for peer in peers {
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -1,10 +1,12 @@
 //! The wait of a prompt until it is its turn, or until it is refused.
 
 use std::cell::Cell;
+use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use mgs_fleet::view::EndpointKey;
 use mgs_placing::lengths::Band;
 use mgs_placing::line::Firsts;
 use mgs_placing::line::Score;
@@ -254,10 +256,12 @@
     let core = prompt.core;
     let mut endpoints = usable(core, fleet, prompt.service, tried);
     let near = own_zone_first(core, &mut endpoints);
+    let refusing = refusing_help(core, &endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
         key: endpoint.key,
         slowness: core.outliers.slowness(endpoint.key),
         trial: on_trial(core, endpoint),
+        helps: !refusing.contains(&endpoint.key),
     };
     let all: Vec<Candidate> = endpoints.iter().map(candidate).collect();
     know_passes(core, &all, prompt.model);
@@ -276,6 +280,16 @@
     })
 }
 
+/// Those of some endpoints that aren't to be asked to help.
+fn refusing_help(core: &Core, endpoints: &[Arc<Endpoint>]) -> HashSet<EndpointKey> {
+    let helpers = core.helpers.borrow();
+    if helpers.is_empty() {
+        return HashSet::new();
+    }
+    let keys: Vec<EndpointKey> = endpoints.iter().map(|endpoint| endpoint.key).collect();
+    helpers.refusing(&keys, core.now_whole_ms(), core.fleet_confirmed_ms())
+}
+
 /// Puts the endpoints of the own availability zone first, and tells how many they are. They are in the order of all
 /// gateways, and begin with another one each time: gateways that choose at the same moment then take others.
 fn own_zone_first(core: &Core, endpoints: &mut [Arc<Endpoint>]) -> usize {
