--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -31,6 +31,7 @@
 use crate::metrics::Metrics;
 use crate::quarantine::Crashes;
 use crate::relay::Options;
+use crate::traffic::Traffic;
 use crate::view::Endpoint;
 use crate::view::Published;
 
@@ -73,6 +74,7 @@
     pub(crate) looks: RefCell<Looks>,
     pub(crate) crashes: Crashes,
     pub(crate) metrics: Metrics,
+    pub(crate) traffic: Traffic,
     pub(crate) drain: Drain,
     pub(crate) headcount: RefCell<Headcount>,
     pub(crate) random: RefCell<ChaCha8Rng>,
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -53,5 +53,6 @@
 mod spread;
 mod stream;
 mod tell;
+mod traffic;
 pub mod view;
 mod wait;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -80,6 +80,8 @@
     pub(crate) pause_ms: HistogramMs,
     /// Times to connect to an endpoint.
     pub(crate) connect_ms: HistogramMs,
+    /// Bytes carried, by what they are for.
+    pub(crate) bytes: Counters,
     /// Rows of the store that name nothing to use, by what is wrong with them.
     pub bad_rows: Counters,
     /// Calls to the store by topic and why they were made.
@@ -137,6 +139,7 @@
             late_by_ms: registry.histogram_ms("relay_late_by_ms", "First token after prediction"),
             pause_ms: registry.histogram_ms("relay_pause_ms", "Pauses between events"),
             connect_ms: registry.histogram_ms("relay_connect_ms", "Connecting to an endpoint"),
+            bytes: registry.counters("relay_bytes", "Bytes carried, by what they are for", "what"),
             bad_rows: registry.counters(
                 "relay_bad_rows",
                 "Rows of the store that name nothing to use",
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -26,6 +26,7 @@
 use crate::spread;
 use crate::tell;
 use crate::tell::INTERVAL_MIN;
+use crate::traffic::Carried;
 
 /// A peer that was not heard of for this long is told about once a second only, in milliseconds.
 const SILENT_MS: f64 = 2_000.0;
@@ -110,6 +111,7 @@
                 continue;
             }
         };
+        core.traffic.add(Carried::Heard, length);
         let decoded = bincode::serde::decode_from_slice(
             &buffer[..length],
             bincode::config::standard().with_limit::<65_536>(),
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -35,6 +35,7 @@
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::quarantine::SETTLE;
+use crate::traffic::Carried;
 use crate::view::Endpoint;
 use crate::view::Organisation;
 use crate::view::Route;
@@ -286,6 +287,7 @@
             let mut budget = self.core.budget.borrow_mut();
             budget.first(&live.budget, &self.service, now_ms);
         }
+        self.core.traffic.add(Carried::Dispatches, self.body.len());
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
         let sending = attempt::send(
@@ -357,6 +359,7 @@
         endpoint: EndpointKey,
     ) -> Result<Got, Failed> {
         self.progress.runs += 1;
+        self.core.traffic.add(Carried::Answers, body.len());
         if head.status.is_success() {
             self.core.run_ended_whole(self.work);
         }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -43,6 +43,8 @@
 use crate::quarantine;
 use crate::quarantine::Crashes;
 use crate::readiness;
+use crate::traffic;
+use crate::traffic::Traffic;
 use crate::view::Published;
 
 pub use crate::budget::Options as BudgetOptions;
@@ -176,6 +178,7 @@
         looks: RefCell::new(Looks::default()),
         crashes: Crashes::new(options.quarantine.clone()),
         metrics,
+        traffic: Traffic::default(),
         drain: Drain::new(),
         headcount: RefCell::new(Headcount::default()),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(
@@ -210,6 +213,7 @@
     tokio::task::spawn_local(client::accept(core.clone(), clients));
     tokio::task::spawn_local(readiness::accept(core.clone(), balancer));
     tokio::task::spawn_local(peers::run(core.clone(), peers));
+    tokio::task::spawn_local(traffic::tell(core.clone()));
     tokio::task::spawn_local(quarantine::watch(core.clone()));
     tokio::task::spawn_local(quarantine::follow_store(core.clone()));
     tokio::task::spawn_local(quarantine::rewrite(core.clone()));
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -36,6 +36,7 @@
 use crate::pursue::Pursuit;
 use crate::quarantine::Permission;
 use crate::stream::Passing;
+use crate::traffic::Carried;
 use crate::view::Configuration;
 use crate::view::Organisation;
 use crate::view::Route;
@@ -85,8 +86,8 @@
     size_tokens: u64,
     /// Names the work among all requests for the same; empty until its body is read.
     work: String,
-    /// Name of its route; empty while none is known.
-    route: String,
+    /// Its route, once it is known.
+    route: Option<Arc<Route>>,
     arrived: Instant,
     is_told: bool,
 }
@@ -96,13 +97,17 @@
         self.is_told = true;
         self.core.metrics.requests.inc(outcome);
         self.count_size(outcome, status);
+        let route = self.route.as_deref();
         log::info!(
             request_id = self.request_id,
             work = self.work,
             outcome = outcome,
             status = status,
             detail = detail,
-            route = self.route,
+            route = route.map_or("", |route| &route.name),
+            kind = route.map_or("", |route| route.kind.name()),
+            aim_ms = route.map_or(0, |route| route.aim_ms),
+            pause_limit_ms = route.map_or(0, |route| route.pause_ms),
             prompt_tokens = self.prompt_tokens,
             size_tokens = self.size_tokens,
             total_ms = self.arrived.elapsed().as_millis() as u64,
@@ -154,7 +159,7 @@
         prompt_tokens: ask.prompt_tokens,
         size_tokens: ask.size_tokens(),
         work: String::new(),
-        route: String::new(),
+        route: None,
         arrived,
         is_told: false,
     };
@@ -194,12 +199,13 @@
         .await
         .ok_or_else(|| Refusal::after(Fault::NoConfiguration, RETRY_AFTER_UNKNOWING_MS))?;
     let admitted = admit(core, &configuration, &ask, &head)?;
-    watch.route = admitted.route.name.clone();
+    watch.route = Some(admitted.route.clone());
     let timeout_ms = ask.deadline_ms.map_or(admitted.route.timeout_ms, |d| {
         d.min(admitted.route.timeout_ms)
     });
     let deadline = arrived + Duration::from_millis(timeout_ms);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
+    core.traffic.add(Carried::Requests, body.len());
     let service = pick_service(core, &admitted.route);
     let model = configuration
         .services
--- a/crates/mgs-relay/src/spread.rs
+++ b/crates/mgs-relay/src/spread.rs
@@ -21,6 +21,7 @@
 use crate::tell::encode;
 use crate::tell::send_to;
 use crate::tell::MESSAGE_BYTES_MAX;
+use crate::traffic::Carried;
 
 /// Longest wait before what isn't urgent is told, and between what is urgent and its repetition.
 const INTERVAL: Duration = Duration::from_millis(250);
@@ -95,7 +96,8 @@
     async fn tell(&self, works: &[WorkKey], peers: &[SocketAddr]) {
         let told = self.core.crashes.told(works, self.core.now_ms());
         for message in messages(self.core.incarnation, told) {
-            send_to(&self.core, &self.socket, &message, peers).await;
+            let carried = Carried::CrashMessages;
+            send_to(&self.core, &self.socket, &message, peers, carried).await;
         }
     }
 }
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -19,6 +19,7 @@
 use crate::place::Placed;
 use crate::pursue::Got;
 use crate::pursue::Pursuit;
+use crate::traffic::Carried;
 
 /// Pieces that wait for a slow client before the endpoint's connection isn't read any more.
 const PIECES_WAITING: usize = 16;
@@ -203,6 +204,8 @@
         }
         self.last_id = self.stream.events.last_id().map(str::to_string);
         self.note_pause();
+        let traffic = &self.pursuit.core.traffic;
+        traffic.add(Carried::Answers, events.len());
         let sending = self.client.send(Ok(events));
         match timeout_at(self.pursuit.deadline, sending).await {
             Ok(Ok(())) => None,
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -23,6 +23,7 @@
 use crate::drain::Phase;
 use crate::peers::Known;
 use crate::peers::Message;
+use crate::traffic::Carried;
 use crate::view::Fleet;
 
 /// Least time between two messages: what is placed meanwhile goes together.
@@ -93,7 +94,8 @@
         add_held(&mut beacon, &core.published.fleet(), held);
         // Silent ones hear from us about once a second.
         let to_all = self.wholes.is_multiple_of(WHOLE_TO_ALL);
-        self.send(&shortened(beacon), to_all).await;
+        self.send(&shortened(beacon), to_all, Carried::WholeMessages)
+            .await;
         self.wholes += 1;
     }
 
@@ -102,7 +104,8 @@
         let mut beacon = self.next(false);
         let held = self.core.fresh_held.take();
         add_held(&mut beacon, &self.core.published.fleet(), held);
-        self.send(&shortened(beacon), false).await;
+        self.send(&shortened(beacon), false, Carried::ShortMessages)
+            .await;
     }
 
     /// A message with what each of them has, whole ones and others.
@@ -131,10 +134,10 @@
         beacon
     }
 
-    async fn send(&self, message: &[u8], to_all: bool) {
+    async fn send(&self, message: &[u8], to_all: bool, carried: Carried) {
         let core = &self.core;
         let addresses = self.known.borrow().addresses(core, core.now_ms(), to_all);
-        send_to(core, &self.socket, message, &addresses).await;
+        send_to(core, &self.socket, message, &addresses, carried).await;
     }
 }
 
@@ -155,7 +158,14 @@
 }
 
 /// Sends a message to peers. One that can't be told is told the next time.
-pub(crate) async fn send_to(core: &Core, socket: &UdpSocket, message: &[u8], peers: &[SocketAddr]) {
+pub(crate) async fn send_to(
+    core: &Core,
+    socket: &UdpSocket,
+    message: &[u8],
+    peers: &[SocketAddr],
+    carried: Carried,
+) {
+    core.traffic.add(carried, message.len() * peers.len());
     for peer in peers {
         if let Err(error) = socket.send_to(message, peer).await {
             core.metrics.peer_faults.inc();
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -50,6 +50,15 @@
         }
     }
 
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Idempotent => "idempotent",
+            Self::NonIdempotent => "non_idempotent",
+            Self::Streaming { .. } => "streaming",
+        }
+    }
+
     /// Whether the answer is a series of events.
     pub fn is_streaming(self) -> bool {
         matches!(self, Self::Streaming { .. })
--- /dev/null
+++ b/src/command/account.rs
@@ -0,0 +1,77 @@
+//! `marigoldstage account`: what a day came to, from the logs of the gateways.
+
+use std::fs;
+use std::io::Write;
+
+use clap::Arg;
+use clap::ArgAction;
+use clap::ArgMatches;
+use clap::Command;
+
+use crate::account::plot;
+use crate::account::sheet;
+use crate::account::Account;
+use crate::command::explain::failed;
+use crate::command::explain::read_all;
+use crate::error::Error;
+use crate::explain::Line;
+
+const LOGS: &str = "logs";
+const CSV: &str = "csv";
+const PLOT: &str = "plot";
+
+const EXAMPLES: &str = "\
+Examples:
+  marigoldstage account /var/log/front-*.log
+  collect-logs | marigoldstage account --csv day.csv --plot day.svg
+
+Reads JSON lines as `explain` does. Prints how much of their worth requests lost, by kind, length of the prompt,
+availability zone, cause and second, which endpoints refused to help with others' prompts, and calls to the store
+and bytes by what they were for. A request's worth is 1 for the mean of its kind; longer ones are worth more,
+late ones a quarter. A client that comes back is counted as another request.";
+
+/// Declares the subcommand.
+pub fn command() -> Command {
+    Command::new("account")
+        .about("Tell what a day came to, from the logs of the gateways")
+        .after_help(EXAMPLES)
+        .arg(
+            Arg::new(CSV)
+                .long(CSV)
+                .value_name("FILE")
+                .help("Write a row for each second, kind, length, zone and cause"),
+        )
+        .arg(
+            Arg::new(PLOT)
+                .long(PLOT)
+                .value_name("FILE")
+                .help("Draw the share lost by each kind, second by second, as SVG"),
+        )
+        .arg(
+            Arg::new(LOGS)
+                .value_name("FILE")
+                .action(ArgAction::Append)
+                .num_args(0..)
+                .help("Logs; standard input without any"),
+        )
+}
+
+/// Reads the logs and prints the account.
+pub fn run(matches: &ArgMatches, out: &mut dyn Write) -> Result<(), Error> {
+    let files: Vec<&String> = matches.get_many(LOGS).into_iter().flatten().collect();
+    let lines = read_all(&files, &|text, file| Line::of_log(text, file))?;
+    let account = Account::of(lines);
+    if let Some(file) = matches.get_one::<String>(CSV) {
+        let text = sheet::text(&account).map_err(|error| Error::Failed(error.to_string()))?;
+        write_file(file, &text)?;
+    }
+    if let Some(file) = matches.get_one::<String>(PLOT) {
+        let drawing = plot::svg(&account).map_err(Error::Failed)?;
+        write_file(file, &drawing)?;
+    }
+    write!(out, "{account}").map_err(|error| failed("standard output", &error))
+}
+
+fn write_file(file: &str, text: &str) -> Result<(), Error> {
+    fs::write(file, text).map_err(|error| failed(file, &error))
+}
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -95,9 +95,9 @@
 }
 
 /// Understands a line of a file, or passes it over.
-type Reader<'a> = &'a dyn Fn(&str, &str) -> Option<Line>;
+pub(super) type Reader<'a> = &'a dyn Fn(&str, &str) -> Option<Line>;
 
-fn read_all(files: &[&String], reader: Reader<'_>) -> Result<Vec<Line>, Error> {
+pub(super) fn read_all(files: &[&String], reader: Reader<'_>) -> Result<Vec<Line>, Error> {
     let mut lines = Vec::new();
     for file in files {
         let opened = File::open(file).map_err(|error| failed(file, &error))?;
@@ -124,6 +124,6 @@
     Ok(())
 }
 
-fn failed(what: &str, error: &std::io::Error) -> Error {
+pub(super) fn failed(what: &str, error: &std::io::Error) -> Error {
     Error::Failed(format!("{what}: {error}"))
 }
--- a/src/command/mod.rs
+++ b/src/command/mod.rs
@@ -11,6 +11,7 @@
 use crate::error::Error;
 use crate::error::EXIT_CODES;
 
+pub mod account;
 pub mod completions;
 #[cfg(feature = "demo")]
 pub mod demo;
@@ -45,6 +46,7 @@
   marigoldstage endpoint stop engine-7    let an endpoint finish its work and take no more
   marigoldstage status                    what each process says of itself
   marigoldstage explain ID LOG...         what happened to one request
+  marigoldstage account LOG...            what a day came to
   marigoldstage quarantine list           requests that are held since they crash endpoints
 
 Every setting is a flag and an environment variable: `--log-level` is MARIGOLDSTAGE_LOG_LEVEL.
@@ -75,6 +77,7 @@
         entry(request::command(), request::run),
         entry(status::command(), status::run),
         entry(explain::command(), explain::run),
+        entry(account::command(), account::run),
         entry(quarantine::command(), quarantine::run),
         #[cfg(feature = "demo")]
         entry(demo::command(), demo::run),
--- a/src/explain/mod.rs
+++ b/src/explain/mod.rs
@@ -63,9 +63,13 @@
 
     /// The same for a line of whichever request.
     pub fn of_any(text: &str, file: &str) -> Option<Self> {
+        Self::of_log(text, file).filter(|line| line.fields.contains_key(REQUEST_ID))
+    }
+
+    /// The same for a line that may tell of no request.
+    pub fn of_log(text: &str, file: &str) -> Option<Self> {
         let start = text.find('{')?;
         let written: Written = serde_json::from_str(&text[start..]).ok()?;
-        written.kv.get(REQUEST_ID)?;
         let before = text[..start].split_whitespace().last();
         Some(Self {
             at_ms: of_day_ms(&written.timestamp)?,
--- a/src/explain/summary.rs
+++ b/src/explain/summary.rs
@@ -25,6 +25,8 @@
     PredictedLate,
     /// Its first event was late by more than predicted: its engines had work that its host didn't know of.
     LaterThanPredicted,
+    /// Its answer, which isn't a stream, came late.
+    AnsweredLate,
     /// Its first event was in time and a pause between two later ones was too long.
     Pause,
     /// Its client left after a silence of the endpoint.
@@ -42,6 +44,7 @@
             Self::DispatchedAgain => "first event late: dispatched again",
             Self::PredictedLate => "first event late, as predicted",
             Self::LaterThanPredicted => "first event late, later than predicted",
+            Self::AnsweredLate => "answered late",
             Self::Pause => "a pause too long",
             Self::LeftInSilence => "its client left while its endpoint wrote nothing",
             Self::Ended(how) => how,
--- a/src/lib.rs
+++ b/src/lib.rs
@@ -8,6 +8,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+pub mod account;
 pub mod command;
 #[cfg(feature = "demo")]
 pub mod demo;
--- /dev/null
+++ b/tests/account.rs
@@ -0,0 +1,96 @@
+//! `marigoldstage account`: what a day came to, from logs alone.
+
+mod common;
+
+use std::fs;
+use std::path::PathBuf;
+
+use common::code;
+use common::marigoldstage;
+use common::stderr;
+use common::stdout;
+use rstest::rstest;
+
+/// Two hosts in two availability zones: short prompts on time and late, audits refused since engines didn't help, a call
+/// that was answered late, one with an unknown key, calls to the store and bytes.
+const DAY: &str = r#"
+front-1 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-1","zone":"north"}}
+front-2 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-2","zone":"south"}}
+front-1 {"timestamp":"2026-05-30 03:20:20.100 +00:00","text":"the store is called","kv":{"topic":"endpoints","reason":"whole"}}
+front-2 {"timestamp":"2026-05-30 03:20:20.100 +00:00","text":"the store is called","kv":{"topic":"endpoints","reason":"whole"}}
+front-1 {"timestamp":"2026-05-30 03:20:25.000 +00:00","text":"request ended","kv":{"request_id":"a","route":"r","kind":"streaming","aim_ms":300,"pause_limit_ms":250,"outcome":"answered","status":200,"prompt_tokens":5000,"size_tokens":10000,"total_ms":120}}
+front-1 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"a","route":"r","outcome":"answered","first_event_ms":120,"aim_ms":300,"longest_pause_ms":90,"pause_limit_ms":250,"size_tokens":10000,"total_ms":1100}}
+front-1 {"timestamp":"2026-05-30 03:20:25.500 +00:00","text":"request ended","kv":{"request_id":"b","route":"r","kind":"streaming","aim_ms":300,"pause_limit_ms":250,"outcome":"answered","status":200,"prompt_tokens":5000,"size_tokens":10000,"total_ms":900}}
+front-1 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"b","route":"r","outcome":"answered","first_event_ms":900,"aim_ms":300,"longest_pause_ms":90,"pause_limit_ms":250,"size_tokens":10000,"total_ms":1500}}
+front-1 {"timestamp":"2026-05-30 03:20:29.010 +00:00","text":"dispatch ended","kv":{"request_id":"c","endpoint":"i-1","dispatch":1,"end":"helper_refused","at_fault":"i-9","took_ms":3}}
+front-1 {"timestamp":"2026-05-30 03:20:29.030 +00:00","text":"dispatch ended","kv":{"request_id":"c","endpoint":"i-2","dispatch":2,"end":"helper_refused","at_fault":"i-8","took_ms":3}}
+front-1 {"timestamp":"2026-05-30 03:20:29.050 +00:00","text":"request ended","kv":{"request_id":"c","route":"s","kind":"streaming","aim_ms":4000,"pause_limit_ms":1000,"outcome":"refused","status":503,"detail":"not_run","prompt_tokens":220000,"size_tokens":229000,"total_ms":50}}
+front-1 {"timestamp":"2026-05-30 03:20:30.010 +00:00","text":"dispatch ended","kv":{"request_id":"d","endpoint":"i-1","dispatch":1,"end":"helper_refused","at_fault":"i-9","took_ms":3}}
+front-2 {"timestamp":"2026-05-30 03:20:30.020 +00:00","text":"dispatch ended","kv":{"request_id":"e","endpoint":"i-1","dispatch":1,"end":"helper_refused","at_fault":"i-9","took_ms":3}}
+front-2 {"timestamp":"2026-05-30 03:20:31.000 +00:00","text":"request ended","kv":{"request_id":"f","route":"t","kind":"idempotent","aim_ms":120,"pause_limit_ms":0,"outcome":"answered","status":200,"total_ms":400}}
+front-2 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"g","outcome":"refused","status":401,"detail":"unknown_key","total_ms":1}}
+front-2 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"bytes carried","kv":{"requests":7000,"whole_messages":2000}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"bytes carried","kv":{"requests":1000,"whole_messages":3000}}
+"#;
+
+/// A file of this test.
+fn file(name: &str) -> PathBuf {
+    std::env::temp_dir().join(format!("account-{}-{name}", std::process::id()))
+}
+
+/// What is printed for a log, with these further arguments.
+fn account(name: &str, arguments: &[&str]) -> String {
+    let log = file(&format!("{name}.log"));
+    fs::write(&log, DAY).expect("a file");
+    let output = marigoldstage()
+        .arg("account")
+        .args(arguments)
+        .arg(&log)
+        .output()
+        .expect("the program");
+    fs::remove_file(&log).expect("the file");
+    assert_eq!(code(&output), 0, "{}", stderr(&output));
+    stdout(&output)
+}
+
+#[rstest]
+#[case::hosts_and_requests("4 requests at 2 hosts, 1 more that were not to be served")]
+#[case::a_kind_with_late_ones(
+    "streaming 300/250 ms                    2    0.500    0.500    0.000    0.000    0.375"
+)]
+#[case::a_kind_that_was_refused(
+    "streaming 4000/1000 ms                  1    0.000    0.000    1.000"
+)]
+#[case::a_call_that_came_late("0.750      1 idempotent 120 ms: answered late")]
+#[case::its_cause("1.000      1 streaming 4000/1000 ms: refused: not_run")]
+#[case::who_refused("4 dispatches of 3 requests were refused since another endpoint didn't help: 3 at try 1, 1 at try 2")]
+#[case::how_often(
+    "3 times by i-9, 2 hosts, 1 times one that it had refused before, 9.0 s to 10.0 s"
+)]
+#[case::a_zone("south                                   1")]
+#[case::calls("2 endpoints: whole")]
+#[case::bytes("8 requests")]
+fn the_first_page_tells(#[case] words: &str) {
+    let name: String = words.chars().filter(char::is_ascii_alphanumeric).collect();
+    let text = account(&name, &[]);
+    assert!(text.contains(words), "{words:?} in {text}");
+}
+
+#[test]
+fn a_spreadsheet_and_a_drawing_are_written() {
+    let (rows, drawing) = (file("rows.csv"), file("drawing.svg"));
+    let path = |file: &PathBuf| file.to_str().expect("a path").to_string();
+    account("files", &["--csv", &path(&rows), "--plot", &path(&drawing)]);
+    let text = fs::read_to_string(&rows).expect("rows");
+    fs::remove_file(&rows).expect("the file");
+    assert!(
+        text.contains("9,streaming 4000/1000 ms,over 100k,north,refused: not_run,1,1.000,1.000"),
+        "{text}"
+    );
+    let svg = fs::read_to_string(&drawing).expect("a drawing");
+    fs::remove_file(&drawing).expect("the file");
+    assert!(
+        svg.contains("<svg") && svg.contains("streaming 300/250 ms"),
+        "{svg}"
+    );
+}
