--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -105,12 +105,46 @@
             };
             let version = configuration.version;
             let routes: usize = configuration.routes.values().map(Vec::len).sum();
+            let before = self.published.configuration();
             let is_newer = self.published.put_configuration(*configuration);
             log::info!(version = version, routes = routes, in_force = is_newer; "configuration read");
+            if is_newer {
+                self.tell_engines(before.as_deref());
+            }
         }
         self.published.configuration_belief().confirm(start_ms);
     }
 
+    /// Tells what operators declare of engines, where that differs from what they declared before.
+    fn tell_engines(&self, before: Option<&Configuration>) {
+        let Some(configuration) = self.published.configuration() else {
+            return;
+        };
+        let declared = |of: &Configuration, service: &str| of.services.get(service)?.engine.clone();
+        for service in configuration.services.keys() {
+            let engine = declared(&configuration, service);
+            let known = before.and_then(|before| declared(before, service));
+            let Some(engine) = engine.filter(|engine| Some(engine) != known.as_ref()) else {
+                continue;
+            };
+            log::info!(
+                service = service,
+                slots = engine.slots,
+                memory_tokens = engine.memory_tokens,
+                stride_steps = engine.stride_steps,
+                step_ms = engine.step_ms,
+                writer_step_ms = engine.writer_step_ms,
+                context_step_ms_per_1k = engine.context_step_ms_per_1k,
+                read_tokens_per_ms = engine.read_tokens_per_ms,
+                chunk_tokens = engine.chunk_tokens,
+                pair_ms_per_million = engine.pair_ms_per_million,
+                usual_prompt_tokens = engine.usual_prompt_tokens,
+                usual_answer_tokens = engine.usual_answer_tokens;
+                "engines declared"
+            );
+        }
+    }
+
     fn apply_endpoints(&mut self, updates: Vec<Update>, is_whole: bool, start_ms: u64) {
         let now_ms = self.published.now_ms();
         let mut endpoints = self.endpoints.borrow_mut();
--- a/crates/mgs-relay/src/place_log.rs
+++ b/crates/mgs-relay/src/place_log.rs
@@ -116,6 +116,9 @@
     log::info!(
         request_id = request_id,
         endpoint = endpoint,
+        kind = "streaming",
+        aim_ms = need.full_aim_ms,
+        pause_limit_ms = need.pause_ms,
         prompt_tokens = need.prompt_tokens,
         output_tokens = need.output_tokens,
         expected_tokens = need.expected_tokens,
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -89,6 +89,8 @@
     /// Its route, once it is known.
     route: Option<Arc<Route>>,
     arrived: Instant,
+    /// Time that it has, in milliseconds; 0 while that isn't known.
+    timeout_ms: u64,
     is_told: bool,
 }
 
@@ -108,6 +110,7 @@
             kind = route.map_or("", |route| route.kind.name()),
             aim_ms = route.map_or(0, |route| route.aim_ms),
             pause_limit_ms = route.map_or(0, |route| route.pause_ms),
+            timeout_ms = self.timeout_ms,
             prompt_tokens = self.prompt_tokens,
             size_tokens = self.size_tokens,
             total_ms = self.arrived.elapsed().as_millis() as u64,
@@ -161,6 +164,7 @@
         work: String::new(),
         route: None,
         arrived,
+        timeout_ms: 0,
         is_told: false,
     };
     let request_id = ask.request_id.clone();
@@ -203,6 +207,7 @@
     let timeout_ms = ask.deadline_ms.map_or(admitted.route.timeout_ms, |d| {
         d.min(admitted.route.timeout_ms)
     });
+    watch.timeout_ms = timeout_ms;
     let deadline = arrived + Duration::from_millis(timeout_ms);
     let body = read_body(body, configuration.limits.body_bytes, deadline).await?;
     core.traffic.add(Carried::Requests, body.len());
--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -3,11 +3,14 @@
 //!
 //! Requests are counted as gateways see them: a client that comes back is another request.
 
+pub mod engines;
+pub mod fluid;
 pub mod outcome;
 pub mod plot;
 pub mod refusals;
 pub mod sheet;
 pub mod spent;
+pub mod split;
 mod table;
 
 use std::collections::HashMap;
@@ -15,9 +18,11 @@
 use crate::explain::Line;
 use crate::explain::Story;
 
+use engines::Engines;
 use outcome::Outcome;
 use refusals::Refusals;
 use spent::Spent;
+use split::Split;
 
 /// The account of a day.
 #[derive(Debug, Clone, Default, PartialEq)]
@@ -28,6 +33,8 @@
     pub not_owed: usize,
     /// Dispatches that were refused for the sake of another endpoint.
     pub refusals: Refusals,
+    /// What of the loss can't be served, can't be known, and is ours.
+    pub split: Split,
     /// Calls to the store and bytes.
     pub spent: Spent,
     /// Hosts that wrote the logs.
@@ -53,6 +60,7 @@
         let kinds = outcome::kinds_by_route(&lines);
         let refusals = Refusals::of(&lines, start_ms);
         let spent = Spent::of(&lines);
+        let engines = Engines::of(&lines, start_ms);
         let of_requests = lines
             .into_iter()
             .filter(|line| !line.request_id().is_empty());
@@ -67,6 +75,7 @@
         outcomes.sort_by(|a, b| a.at_s.total_cmp(&b.at_s));
         Self {
             not_owed: all - outcomes.len(),
+            split: Split::of(&outcomes, &engines),
             outcomes,
             refusals,
             spent,
--- a/src/account/outcome.rs
+++ b/src/account/outcome.rs
@@ -7,7 +7,7 @@
 use crate::explain::Story;
 
 /// Share of a request's worth that is lost when it is late: sheets pay about a quarter for late answers.
-const LATE_SHARE: f64 = 0.75;
+pub(super) const LATE_SHARE: f64 = 0.75;
 
 /// What a prompt is worth whatever its size, in units; the rest goes by its size beside the mean of its kind.
 const UNITS_LEAST: f64 = 0.3;
@@ -20,6 +20,12 @@
     (u64::MAX, "over 100k"),
 ];
 
+/// How a request ended of which the logs tell no end.
+const CUT: &str = "open when its host ended";
+
+/// A written token's share of a request's size, in read tokens.
+const WRITTEN_FACTOR: f64 = 10.0;
+
 /// Ends of requests that were never to be served: the client's key or route was wrong, or what it sent was.
 const NOT_OWED: [&str; 5] = [
     "no_route",
@@ -42,6 +48,14 @@
     pub at_s: f64,
     /// Size in read tokens; 0 without a prompt.
     pub size_tokens: f64,
+    /// Tokens of its prompt; 0 without one.
+    pub prompt_tokens: f64,
+    /// Time to its first event or its answer that is on time, in milliseconds.
+    pub aim_ms: f64,
+    /// Time that it had, in milliseconds; 0 if that isn't known.
+    pub timeout_ms: f64,
+    /// Whether an endpoint failed it: ended, broke off, or answered with a failure of its own.
+    pub met_fault: bool,
     /// Why it ended as it did.
     pub cause: Cause,
     /// What it was worth: 1 for the mean of its kind.
@@ -66,14 +80,15 @@
 }
 
 impl Outcome {
-    /// What some lines of one request tell of it; `None` if they don't tell its end.
+    /// What some lines of one request tell of it; `None` if there are none.
     pub fn of(
         story: &Story,
         kinds: &HashMap<String, String>,
         zones: &HashMap<String, String>,
         start_ms: f64,
     ) -> Option<Self> {
-        let mut cause = Cause::of(story)?;
+        let cut = || Cause::Ended(CUT.to_string());
+        let mut cause = Cause::of(story).unwrap_or_else(cut);
         let ended = story.last("request ended");
         let last = story.lines.last()?;
         let told = |name: &str| {
@@ -84,10 +99,12 @@
                 .fold(0.0, f64::max)
         };
         let prompt_tokens = told("prompt_tokens");
+        let expected_tokens = prompt_tokens + WRITTEN_FACTOR * told("expected_tokens");
         if cause == Cause::Ended("answered".to_string()) {
             cause = plain_cause(ended?);
         }
-        let kind = ended.map(kind_of).filter(|kind| !kind.is_empty());
+        let mut kinds_told = story.lines.iter().map(kind_of);
+        let kind = kinds_told.find(|kind| !kind.is_empty());
         let kind = kind.or_else(|| kinds.get(&story.route()).cloned());
         let arrived_ms = arrival_ms(story, ended.unwrap_or(last));
         Some(Self {
@@ -95,7 +112,11 @@
             length: label(prompt_tokens as u64),
             zone: zones.get(&last.source).cloned().unwrap_or_default(),
             at_s: (arrived_ms - start_ms) / 1e3,
-            size_tokens: told("size_tokens"),
+            size_tokens: told("size_tokens").max(expected_tokens),
+            prompt_tokens,
+            aim_ms: told("aim_ms"),
+            timeout_ms: told("timeout_ms"),
+            met_fault: story.lines.iter().any(is_fault),
             is_owed: is_owed(&cause, ended),
             cause,
             units: 1.0,
@@ -103,6 +124,11 @@
         })
     }
 
+    /// Tokens that its answer was expected to have.
+    pub fn answer_tokens(&self) -> f64 {
+        (self.size_tokens - self.prompt_tokens).max(0.0) / WRITTEN_FACTOR
+    }
+
     /// How it ended, in a word.
     pub fn end(&self) -> End {
         match &self.cause {
@@ -114,6 +140,13 @@
     }
 }
 
+/// Whether an endpoint failed the request of a line.
+fn is_fault(line: &Line) -> bool {
+    let ends = ["unknown", "endpoint_error"];
+    let has_failed = line.text == "dispatch ended" && ends.contains(&line.field("end").as_str());
+    has_failed || line.text == "stream broke off" || line.text == "run lost"
+}
+
 /// Whether a request that was answered by a failure may have run.
 fn may_have_run(how: &str) -> bool {
     ["unknown", "timeout_running"]
--- a/src/account/table.rs
+++ b/src/account/table.rs
@@ -8,6 +8,7 @@
 use super::outcome::Outcome;
 use super::refusals::Refusals;
 use super::spent::Spent;
+use super::split::Split;
 use super::Account;
 
 /// Causes and endpoints that are listed, the most first.
@@ -65,6 +66,7 @@
         write_sums(f, "kind", &by(|one| one.kind.clone()))?;
         write_sums(f, "length of prompt", &by(|one| one.length.to_string()))?;
         write_sums(f, "availability zone", &by(|one| one.zone.clone()))?;
+        write_split(f, &self.split)?;
         write_causes(f, &self.outcomes)?;
         write_refusals(f, &self.refusals)?;
         write_seconds(f, &self.outcomes)?;
@@ -97,6 +99,34 @@
     Ok(())
 }
 
+/// What of the loss is whose.
+fn write_split(f: &mut Formatter<'_>, split: &Split) -> std::fmt::Result {
+    if !split.has_engines {
+        return writeln!(
+            f,
+            "\nthe logs don't tell what engines there were, so no bound is drawn"
+        );
+    }
+    writeln!(
+        f,
+        "\n{:<32} {:>8} {:>8} {:>8} {:>8}",
+        "lost, as a share of the worth", "in all", "can't be", "can't be", "ours"
+    )?;
+    writeln!(f, "{:<32} {:>8} {:>8} {:>8}", "", "", "served", "known")?;
+    for (kind, parts) in &split.kinds {
+        let share = |units: f64| units / parts.units.max(f64::MIN_POSITIVE);
+        writeln!(
+            f,
+            "{kind:<32} {:>8.3} {:>8.3} {:>8.3} {:>8.3}",
+            share(parts.lost),
+            share(parts.unservable),
+            share(parts.unknowable),
+            share(parts.ours()),
+        )?;
+    }
+    Ok(())
+}
+
 /// What was lost by each cause, as a share of what its kind was worth.
 fn write_causes(f: &mut Formatter<'_>, outcomes: &[Outcome]) -> std::fmt::Result {
     let kinds = sums(outcomes, |one| one.kind.clone());
