fix(relay): what waits at a host that stops waits on while it would end there

Way 1, as it stood: refuse at once what would have to wait. Way 2, kept: wait on as long as the answer would be written before the host cuts what is open (7.7 s after the signal), then refuse as not run (turn::gives_back, no I/O). It holds since the order among those that wait doesn't depend on the host.

--- a/crates/mgs-placing/src/turn.rs
+++ b/crates/mgs-placing/src/turn.rs
@@ -222,13 +222,25 @@
         self.own <= self.best_other() && self.placement.backlog_ms <= options.start_backlog_ms
     }
 
+    /// Time until its answer is written if it is sent now, in milliseconds.
+    fn end_ms(&self, options: &Options) -> f64 {
+        let reading_ms = self.placement.first_token_ms * options.margin_factor;
+        reading_ms + self.answer_ms() * options.write_factor
+    }
+
     /// Whether it would still end in time if it were sent now.
     fn ends_in_time(&self, options: &Options) -> bool {
-        let reading_ms = self.placement.first_token_ms * options.margin_factor;
-        reading_ms + self.answer_ms() * options.write_factor <= self.need.left_ms
+        self.end_ms(options) <= self.need.left_ms
     }
 }
 
+/// Whether a prompt that waits at a host that stops is given back to its client: if it were sent now, it wouldn't be
+/// answered before the host cuts what is open. Until then it has the same chance here as anywhere, and its client, which may come
+/// back once or twice only, keeps that.
+pub fn gives_back(waiting: &Waiting<'_>, host_left_ms: f64, options: &Options) -> bool {
+    waiting.end_ms(options) > host_left_ms
+}
+
 /// Whether a prompt is sent now.
 pub fn turn(waiting: &Waiting<'_>, options: &Options) -> Turn {
     let placement = waiting.placement;
--- a/crates/mgs-placing/tests/turn.rs
+++ b/crates/mgs-placing/tests/turn.rs
@@ -264,3 +264,31 @@
     let is_full = matches!(placed, Err(NoPlace::Full { .. }));
     assert!(!is_full, "{placed:?}");
 }
+
+/// The load that this answers: hosts stop one after the other while long prompts wait there for their turn.
+#[rstest]
+#[case::while_it_would_end_long_before_the_host(7_700.0, false)]
+#[case::while_it_would_just_end(6_500.0, false)]
+#[case::when_it_would_be_cut(2_000.0, true)]
+fn what_waits_at_a_host_that_stops_is_given_back_when_it_would_be_cut(
+    #[case] host_left_ms: f64,
+    #[case] expected: bool,
+) {
+    let need = Need {
+        aim_ms: 3_000.0,
+        ..late_audit(14_900.0)
+    };
+    let placement = place(&need, &Board::new(), 69);
+    let options = turn::Options::default();
+    let waiting = turn::Waiting {
+        need: &need,
+        placement: &placement,
+        model: &model(),
+        own: score(&need, &placement, &model(), 1.0, &options),
+        others: Firsts::default().with(ON_TIME),
+        ahead: 0,
+        spare_per_s: 0.0,
+        gateways: 1,
+    };
+    assert_eq!(turn::gives_back(&waiting, host_left_ms, &options), expected);
+}
--- a/crates/mgs-relay/src/drain.rs
+++ b/crates/mgs-relay/src/drain.rs
@@ -43,6 +43,8 @@
 #[derive(Debug)]
 pub(crate) struct Drain {
     phase: watch::Sender<Phase>,
+    /// When what is still open is cut, once that is known.
+    end_at: Cell<Option<Instant>>,
     open: Cell<usize>,
 }
 
@@ -51,6 +53,7 @@
         let (phase, _) = watch::channel(Phase::Serving);
         Self {
             phase,
+            end_at: Cell::new(None),
             open: Cell::new(0),
         }
     }
@@ -59,6 +62,13 @@
         *self.phase.borrow()
     }
 
+    /// Time until what is still open is cut, in milliseconds; `None` while this host stays.
+    pub(crate) fn left_ms(&self) -> Option<f64> {
+        let end_at = self.end_at.get()?;
+        let left = end_at.saturating_duration_since(Instant::now());
+        Some(left.as_secs_f64() * 1e3)
+    }
+
     pub(crate) fn watch(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
@@ -78,14 +88,14 @@
     /// Leaves: comes back when nothing is open any more, or when time is up.
     pub(crate) async fn leave(&self, options: Options) {
         const LOOK: Duration = Duration::from_millis(50);
-        let start = Instant::now();
+        let end_at = Instant::now() + Duration::from_millis(options.end_ms);
+        self.end_at.set(Some(end_at));
         self.phase.send_replace(Phase::Closing);
         tokio::time::sleep(Duration::from_millis(options.accept_ms)).await;
         self.phase.send_replace(Phase::Ending);
-        let end = Duration::from_millis(options.end_ms);
         // A moment for the last answers to leave the sockets.
         tokio::time::sleep(LOOK).await;
-        while self.open.get() > 0 && start.elapsed() < end {
+        while self.open.get() > 0 && Instant::now() < end_at {
             tokio::time::sleep(LOOK).await;
         }
         tokio::time::sleep(LOOK).await;
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -24,7 +24,6 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
-use crate::drain::Phase;
 use crate::drain::RETRY_AFTER_LEAVING_MS;
 use crate::fault::Fault;
 use crate::fault::Refusal;
@@ -116,8 +115,7 @@
                 };
                 return Err(too_late(prompt, &need, &placement, wait_ms));
             }
-            // Another host has all of its time for it.
-            Turn::Wait if core.drain.phase() != Phase::Serving => {
+            Turn::Wait if is_given_back(core, &asked) => {
                 return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
             }
             Turn::Wait => {}
@@ -138,6 +136,12 @@
     }
 }
 
+/// Whether this host stops, and what waits wouldn't end before it.
+fn is_given_back(core: &Core, asked: &turn::Waiting<'_>) -> bool {
+    let left_ms = core.drain.left_ms();
+    left_ms.is_some_and(|left_ms| turn::gives_back(asked, left_ms, &core.options.turns))
+}
+
 /// Lists a prompt among those that wait, until dropped.
 struct Waiting {
     core: Rc<Core>,
