refactor(relay): what has been tried, and what a dispatch shows, stand in modules of their own

pursue.rs had grown to 620 lines with progress, learning and logging in one file. progress.rs holds what was tried and whether there may be more; shown.rs what a dispatch shows of its endpoints, with its line. Tests of the relay and the platform pass as before.

--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -32,24 +32,16 @@
 use crate::place::Placed;
 use crate::place::Prompt;
 use crate::place::Tried;
+use crate::progress::Failed;
+use crate::progress::Progress;
 use crate::quarantine;
 use crate::quarantine::Permission;
 use crate::quarantine::SETTLE;
+use crate::shown::HELPER_REFUSED;
 use crate::traffic::Carried;
-use crate::view::Endpoint;
 use crate::view::Organisation;
 use crate::view::Route;
 
-/// Dispatches of one request in all, those that didn't run included, without those that a helper refused.
-const DISPATCHES_MAX: u32 = 4;
-
-/// Dispatches of one request that helpers refused: each shows one endpoint that doesn't help, and a prompt that names
-/// sixteen isn't lost to a few of them.
-const UNHELPED_MAX: u32 = 12;
-
-/// A helper that refuses after this time, in milliseconds, is dead or cut off: the engine had waited for it.
-const STALLED_MS: u64 = 1_000;
-
 /// An endpoint whose first event is this much later than predicted, as a factor, is silent.
 const SILENT_FACTOR: f64 = 3.0;
 
@@ -61,12 +53,6 @@
 /// another one: a dispatch that hangs leaves time for it.
 const DISPATCH_SHARE: f64 = 0.5;
 
-/// When a client may come back after endpoints refused, in milliseconds.
-const RETRY_AFTER_REFUSED_MS: u64 = 200;
-
-/// How a dispatch ended that a helper refused.
-const HELPER_REFUSED: &str = "helper_refused";
-
 /// Lowest rank that engines know.
 const RANK_MAX: u8 = 9;
 
@@ -89,28 +75,6 @@
     pub(crate) permission: Permission,
 }
 
-/// What has been tried so far.
-#[derive(Debug, Clone, Default)]
-pub(crate) struct Progress {
-    /// Dispatches made.
-    pub(crate) dispatches: u32,
-    /// Dispatches that may have run.
-    pub(crate) runs: u32,
-    /// Dispatches that a helper refused.
-    unhelped: u32,
-    /// Whether one is under way.
-    pub(crate) in_flight: bool,
-    tried: Tried,
-}
-
-impl Progress {
-    /// Whether there may be one more dispatch.
-    fn may_go_on(&self) -> bool {
-        let others = self.dispatches - self.unhelped;
-        others < DISPATCHES_MAX && self.unhelped < UNHELPED_MAX
-    }
-}
-
 /// A whole answer.
 pub(crate) struct WholeAnswer {
     pub(crate) head: response::Parts,
@@ -438,84 +402,6 @@
         own.unwrap_or(self.route.priority).min(RANK_MAX)
     }
 
-    /// Remembers what the dispatch shows of its endpoint, and says so.
-    fn note(&self, placed: &Placed, ended: &Ended, took_ms: u64) {
-        let core = &self.core;
-        let now_ms = core.now_whole_ms();
-        let key = placed.endpoint.key;
-        let end = match ended {
-            Ended::Whole { head, .. } if head.status.is_server_error() => {
-                core.outliers.failed(key, now_ms);
-                "endpoint_error"
-            }
-            Ended::Whole { .. } => {
-                core.endpoint_answered(&placed.endpoint);
-                core.outliers.answered(key);
-                "answered"
-            }
-            Ended::Started { .. } => {
-                core.endpoint_answered(&placed.endpoint);
-                core.outliers.answered(key);
-                let sent_ms = now_ms.saturating_sub(took_ms);
-                core.helpers
-                    .borrow_mut()
-                    .helped(&placed.helper_keys, sent_ms);
-                let predicted_ms = placed.first_token_ms as u64;
-                core.outliers
-                    .first_token(key, now_ms, predicted_ms, took_ms);
-                let late_ms = took_ms.saturating_sub(predicted_ms);
-                core.metrics.late_by_ms.observe(late_ms as f64);
-                "started"
-            }
-            Ended::NotRun {
-                why,
-                is_lost,
-                is_refused,
-                ..
-            } => {
-                if *is_refused {
-                    core.refused_connection(key);
-                }
-                if *is_lost {
-                    core.outliers.failed(key, now_ms);
-                }
-                why
-            }
-            Ended::Unhelped {
-                helper,
-                is_reserved,
-            } => {
-                self.note_refusal(helper, *is_reserved, took_ms);
-                HELPER_REFUSED
-            }
-            Ended::Unknown { .. } => {
-                core.outliers.failed(key, now_ms);
-                "unknown"
-            }
-        };
-        let why = match ended {
-            Ended::Unknown { why, .. } => why.as_str(),
-            _ => end,
-        };
-        let at_fault = match ended {
-            Ended::Unhelped { helper, .. } => helper.facts.incarnation.id.as_str(),
-            _ => "",
-        };
-        log::info!(
-            request_id = self.ask.request_id,
-            work:% = self.work,
-            endpoint = placed.endpoint.facts.incarnation.id,
-            dispatch = self.progress.dispatches,
-            helpers = placed.helper_keys.len(),
-            predicted_ms = placed.first_token_ms as u64,
-            took_ms = took_ms,
-            end = end,
-            why = why,
-            at_fault = at_fault;
-            "dispatch ended"
-        );
-    }
-
     /// The run that a dispatch was, once it is lost. `reached`: events that it had made.
     pub(crate) fn lost_run(&self, placed: &Placed, reached: u32) -> LostRun {
         let fleet = self.core.published.fleet();
@@ -529,49 +415,6 @@
             reached,
         }
     }
-
-    /// The same end, told apart if it names a helper of the dispatch as being at fault.
-    fn with_helper_at_fault(&self, placed: &Placed, ended: Ended) -> Ended {
-        let Ended::NotRun {
-            at_fault: Some(address),
-            ..
-        } = ended
-        else {
-            return ended;
-        };
-        let fleet = self.core.published.fleet();
-        let mut helpers = placed
-            .helper_keys
-            .iter()
-            .filter_map(|k| fleet.by_key.get(k));
-        let Some(helper) = helpers.find(|helper| helper.facts.address == address) else {
-            return ended;
-        };
-        let mut asked = placed.helpers.iter();
-        let is_reserved = asked.any(|one| one.address == address && one.reservation.is_some());
-        Ended::Unhelped {
-            helper: helper.clone(),
-            is_reserved,
-        }
-    }
-
-    /// An endpoint refused to help: the next prompts leave it out, here and at the other gateways. What it answers to
-    /// its own requests isn't touched by that, unless it is dead.
-    fn note_refusal(&self, helper: &Endpoint, is_reserved: bool, took_ms: u64) {
-        let core = &self.core;
-        let reason = core.help_refused(helper, is_reserved);
-        if took_ms >= STALLED_MS {
-            core.outliers.failed(helper.key, core.now_whole_ms());
-        }
-        log::info!(
-            request_id = self.ask.request_id,
-            endpoint = helper.facts.incarnation.id,
-            reason = reason.name(),
-            took_ms = took_ms,
-            fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
-            "an endpoint refused to help"
-        );
-    }
 }
 
 fn silent() -> Ended {
@@ -581,42 +424,6 @@
     }
 }
 
-/// A dispatch that gave nothing to be passed on, unless nothing better comes.
-pub(crate) struct Failed {
-    name: &'static str,
-    may_have_run: bool,
-    answer: Option<Box<WholeAnswer>>,
-}
-
-impl Failed {
-    fn not_run(name: &'static str) -> Self {
-        Self {
-            name,
-            may_have_run: false,
-            answer: None,
-        }
-    }
-
-    fn unknown(name: &'static str) -> Self {
-        Self {
-            name,
-            may_have_run: true,
-            answer: None,
-        }
-    }
-
-    /// How the request ends if this was the last dispatch.
-    fn end(self, runs: u32) -> Result<Got, Refusal> {
-        if let Some(answer) = self.answer {
-            return Ok(Got::Whole(answer));
-        }
-        if runs > 0 {
-            return Err(Refusal::of(Fault::Unknown));
-        }
-        Err(Refusal::after(Fault::NotRun, RETRY_AFTER_REFUSED_MS))
-    }
-}
-
 impl Pursuit {
     /// Whether a stream that broke off may be continued elsewhere; takes a second try if so.
     pub(crate) fn may_resume(&mut self, broken_off: EndpointKey) -> bool {
