fix(placing,relay): what was refused or given up isn't waited for at other gateways

Callers at one gateway were refused as too late while engines had nothing to read: another gateway's prompt had been refused nine times there within 20 ms, and each dispatch had told all peers of 600 ms of reading at sixteen engines. The sender takes that back when a dispatch ends without a first token; its peers never heard of it, and took the engines for busy for up to six seconds.

Cause: messages say what is to be read, not that it was given up. Now they do (Reads::GivenUp), in order behind it in the same message or a later one.

A lost message leaves a plan that is too long until its time, as before.

--- a/crates/mgs-placing/src/board.rs
+++ b/crates/mgs-placing/src/board.rs
@@ -259,7 +259,8 @@
         work.passes.read(now_ms, read_ms, is_writing);
     }
 
-    /// A peer placed reading.
+    /// A peer placed reading, or gave it up: engines that refused a prompt would else seem to read it, and others be
+    /// refused for it.
     pub fn read_elsewhere(
         &mut self,
         endpoint: EndpointKey,
@@ -267,11 +268,14 @@
         read_ms: f64,
         reads: Reads,
     ) {
-        self.read(endpoint, now_ms, read_ms);
+        match reads {
+            Reads::GivenUp => self.correct(endpoint, now_ms, read_ms),
+            _ => self.read(endpoint, now_ms, read_ms),
+        }
         match reads {
             Reads::Whole => self.whole_elsewhere.add(now_ms, read_ms),
             Reads::FirstPart => self.shared_elsewhere.add(now_ms, read_ms),
-            Reads::Part => {}
+            Reads::Part | Reads::GivenUp => {}
         }
     }
 
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -34,6 +34,8 @@
     FirstPart,
     /// A part.
     Part,
+    /// Nothing: what was to be read there was refused, or its client left.
+    GivenUp,
 }
 
 /// Reading placed at one endpoint since the last message.
--- a/crates/mgs-placing/tests/messages.rs
+++ b/crates/mgs-placing/tests/messages.rs
@@ -6,6 +6,7 @@
 use mgs_placing::board::PeerKey;
 use mgs_placing::board::Said;
 use mgs_placing::line::Firsts;
+use mgs_placing::share::Reads;
 use mgs_placing::streams::Streams;
 use proptest::collection::vec;
 use proptest::prelude::any;
@@ -114,3 +115,16 @@
         }
     }
 }
+
+/// A prompt that an engine refuses isn't read there. Peers that had heard of it took the engine for busy: after nine
+/// refusals of a long prompt, another gateway refused the next one as too late.
+#[test]
+fn what_a_peer_gave_up_to_read_is_not_waited_for() {
+    let (engine, now_ms) = (EndpointKey(1), 1_000.0);
+    let mut board = Board::new();
+    for _ in 0..9 {
+        board.read_elsewhere(engine, now_ms, 600.0, Reads::Part);
+        board.read_elsewhere(engine, now_ms, 600.0, Reads::GivenUp);
+    }
+    assert_eq!(board.backlog_ms(engine, now_ms, 0.25), 0.0);
+}
--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -7,6 +7,7 @@
 use mgs_placing::share::Reads;
 
 use crate::core::Core;
+use crate::core::FreshRead;
 
 /// What one dispatch holds.
 pub(crate) struct Grant {
@@ -90,6 +91,12 @@
             board.correct(*endpoint, now_ms, self.read_ms);
         }
         drop(board);
+        let given_up = self.readers.iter().map(|endpoint| FreshRead {
+            endpoint: *endpoint,
+            read_ms: self.read_ms,
+            reads: Reads::GivenUp,
+        });
+        self.core.fresh_reads.borrow_mut().extend(given_up);
         self.tell_freed();
     }
 }
