refactor(command): account and explain read the same argument; a comment without figures

What the change wrote again (the logs that both commands take) stands once. Nothing that a relay does is changed.

--- a/crates/mgs-relay/src/grant.rs
+++ b/crates/mgs-relay/src/grant.rs
@@ -47,9 +47,8 @@
         }
     }
 
-    /// The first token came: all parts have been read. Peers are told at once if there were several: told with the next
-    /// whole message, 0.82 instead of 0.91 of the longest prompts of a calm day were on time, as others waited for
-    /// engines that were free. Ends of short prompts can wait for it where there are many peers.
+    /// The first token came: all parts have been read. Peers are told at once if there were several, since others wait for
+    /// engines that are free; ends of short prompts can wait for the next whole message where there are many peers.
     pub(crate) fn first_token(&mut self) {
         self.readers.clear();
         let mut board = self.core.board.borrow_mut();
--- a/src/command/account.rs
+++ b/src/command/account.rs
@@ -4,7 +4,6 @@
 use std::io::Write;
 
 use clap::Arg;
-use clap::ArgAction;
 use clap::ArgMatches;
 use clap::Command;
 
@@ -12,11 +11,12 @@
 use crate::account::sheet;
 use crate::account::Account;
 use crate::command::explain::failed;
+use crate::command::explain::logs_argument;
 use crate::command::explain::read_all;
+use crate::command::explain::LOGS;
 use crate::error::Error;
 use crate::explain::Line;
 
-const LOGS: &str = "logs";
 const CSV: &str = "csv";
 const PLOT: &str = "plot";
 
@@ -47,13 +47,7 @@
                 .value_name("FILE")
                 .help("Draw the share lost by each kind, second by second, as SVG"),
         )
-        .arg(
-            Arg::new(LOGS)
-                .value_name("FILE")
-                .action(ArgAction::Append)
-                .num_args(0..)
-                .help("Logs; standard input without any"),
-        )
+        .arg(logs_argument())
 }
 
 /// Reads the logs and prints the account.
--- a/src/command/explain.rs
+++ b/src/command/explain.rs
@@ -19,7 +19,7 @@
 use crate::explain::Story;
 
 const REQUEST: &str = "request-id";
-const LOGS: &str = "logs";
+pub(super) const LOGS: &str = "logs";
 const ALL: &str = "all";
 const SIZES: &str = "sizes";
 
@@ -59,13 +59,16 @@
                 .conflicts_with(ALL)
                 .help("Compare the longest prompts of each route with the others instead"),
         )
-        .arg(
-            Arg::new(LOGS)
-                .value_name("FILE")
-                .action(ArgAction::Append)
-                .num_args(0..)
-                .help("Logs; standard input without any"),
-        )
+        .arg(logs_argument())
+}
+
+/// The files that are read.
+pub(super) fn logs_argument() -> Arg {
+    Arg::new(LOGS)
+        .value_name("FILE")
+        .action(ArgAction::Append)
+        .num_args(0..)
+        .help("Logs; standard input without any")
 }
 
 /// Reads the logs and prints the story.
