feat(relay): what an endpoint's answer says of its limit is read, logged and counted

Nothing is decided by it yet. An answer of another incarnation, or to another request, says nothing of the endpoint.

--- /dev/null
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -0,0 +1,13 @@
+//! What endpoints ask of those that send them requests (backpressure), and what may be sent to them for it.
+//!
+//! An endpoint in need says so in its answers, to all gateways that it answers. That is newer than what any store says
+//! of it, and belongs to one life of the endpoint.
+//!
+//! - [`advice`]: what one answer says.
+//! - [`table`]: what one gateway knows of all endpoints.
+
+#![deny(missing_docs)]
+#![forbid(unsafe_code)]
+
+pub mod advice;
+pub mod table;
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -68,14 +68,14 @@
 /// Sends a request and waits for its answer; dropping it closes the connection.
 pub(crate) async fn send(
     core: &Rc<Core>,
-    address: std::net::SocketAddr,
+    endpoint: &Endpoint,
     request: Request<Bytes>,
     ask: &Ask,
     is_streaming: bool,
 ) -> Ended {
     let start = Instant::now();
     let within = Duration::from_millis(core.options.connect_timeout_ms);
-    let mut connection = match Connection::open(address, within).await {
+    let mut connection = match Connection::open(endpoint.facts.address, within).await {
         Ok(connection) => connection,
         Err(error) => return unsent(&error),
     };
@@ -87,6 +87,7 @@
         Err(error) => return unanswered(&error),
     };
     let (head, body) = response.into_parts();
+    core.hear_advice(endpoint, ask, &head);
     match core.dialect.reply(ask, &head) {
         Reply::NotRun { reason, at_fault } => not_run(reason, at_fault),
         Reply::Foreign(foreign) => unusable(&foreign.to_string()),
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -6,6 +6,7 @@
 use std::collections::HashMap;
 use std::sync::Arc;
 
+use mgs_backpressure::table::Table;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
@@ -69,6 +70,8 @@
     pub(crate) outliers: Outliers,
     /// Endpoints that refuse to read parts of others' prompts.
     pub(crate) helpers: RefCell<Helpers>,
+    /// What endpoints ask of those that send them requests.
+    pub(crate) backpressure: RefCell<Table>,
     pub(crate) budget: RefCell<Budget>,
     /// Looks under way whether an endpoint has ended.
     pub(crate) looks: RefCell<Looks>,
--- a/crates/mgs-relay/src/dialect.rs
+++ b/crates/mgs-relay/src/dialect.rs
@@ -8,6 +8,7 @@
 use http::response;
 use http::HeaderMap;
 use http::Request;
+use mgs_backpressure::advice::Advice;
 use mgs_placing::need;
 
 /// A client's request as it is understood.
@@ -140,6 +141,9 @@
     /// How the head of an endpoint's answer to `ask` is to be taken.
     fn reply(&self, ask: &Ask, head: &response::Parts) -> Reply;
 
+    /// What an answer says of the endpoint that gave it; nothing if it may be another's, or an answer to another request.
+    fn advice(&self, ask: &Ask, head: &response::Parts) -> Advice;
+
     /// The fields of an endpoint's answer that a client gets.
     fn answer_fields(&self, endpoint: &HeaderMap) -> HeaderMap;
 
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -16,6 +16,7 @@
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
+mod advice;
 mod answer;
 mod attempt;
 mod bad_rows;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -48,6 +48,8 @@
     pub(crate) broken: Counters,
     /// Refusals of endpoints to help with a prompt, by what they show.
     pub(crate) help_refusals: Counters,
+    /// What endpoints newly asked of those that send them requests, by what it is.
+    pub(crate) advice: Counters,
     /// Runs of which no answer came, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Works that were held as crashing endpoints, or let go.
@@ -111,6 +113,11 @@
                 "Refusals of endpoints to read a part of a prompt, by what they show",
                 "reason",
             ),
+            advice: registry.counters(
+                "relay_endpoint_advice",
+                "What endpoints newly asked of those that send them requests",
+                "news",
+            ),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -254,13 +254,7 @@
         self.core.traffic.add(Carried::Dispatches, self.body.len());
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
-        let sending = attempt::send(
-            &self.core,
-            endpoint.facts.address,
-            request,
-            &self.ask,
-            is_streaming,
-        );
+        let sending = attempt::send(&self.core, &endpoint, request, &self.ask, is_streaming);
         let ended = match self.patience(&placed) {
             None => sending.await,
             Some(patience) => timeout(patience, sending)
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -11,6 +11,7 @@
 use std::sync::Arc;
 
 use displaydoc::Display;
+use mgs_backpressure::table::Table;
 use mgs_placing::board::Board;
 use mgs_placing::board::ZoneKey;
 use mgs_placing::lengths::Lengths;
@@ -174,6 +175,7 @@
         waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
         helpers: RefCell::new(Helpers::default()),
+        backpressure: RefCell::new(Table::default()),
         budget: RefCell::new(Budget::default()),
         looks: RefCell::new(Looks::default()),
         crashes: Crashes::new(options.quarantine.clone()),
