fix(relay): an endpoint that names a limit gets no more than it, from all gateways together

What callers and operators saw: an endpoint that had named 1.9 requests a second got 18 in four seconds from gateways that it had told, where 16 are allowed; callers met nothing.

Cause: the field of the answer was read by nobody. Its class: what an endpoint says of itself in its answers is knowledge with a life, an age and a reach, and it was dropped where it came in.

Mend: mgs-backpressure, without I/O, answers one question: may this endpoint be sent this now, and when next. It is asked when endpoints are chosen and once more right before the dispatch, which all ways to an endpoint pass (first and second tries, what waited, resumed streams, leaders of long prompts). A limit belongs to one life; an answer without it takes it back only if its request was sent after the limit was heard; peers are told of it and of what was sent by it. A few gateways hold a limit at a time, as many as the endpoint bears if all send at the same moment, chosen by rendezvous hashing over a clock that gateways share by the greatest; each counts what the others say that they sent. A gateway that doesn't know how many there are sends nothing by a limit. An engine whose limit is used up still reads parts for others. What no endpoint takes is refused at once, with the time at which the first opens.

Two gateways are played through all patterns of lost messages.

--- a/crates/mgs-backpressure/src/lib.rs
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -4,10 +4,15 @@
 //! of it, and belongs to one life of the endpoint.
 //!
 //! - [`advice`]: what one answer says.
-//! - [`table`]: what one gateway knows of all endpoints.
+//! - [`limit`]: a rate that all gateways together must keep to, at one of them.
+//! - [`share`]: how gateways share it without talking about it.
+//! - [`table`]: what one gateway knows of all endpoints, and whether one may be sent something now.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod advice;
+pub mod limit;
+pub mod options;
+pub mod share;
 pub mod table;
--- /dev/null
+++ b/crates/mgs-backpressure/src/limit.rs
@@ -0,0 +1,179 @@
+//! A limit of one endpoint at one gateway: what is known of it, and what may be sent by it.
+
+use std::collections::HashMap;
+
+use crate::options::Options;
+use crate::share::Gateways;
+use crate::share::Turn;
+use crate::table::Life;
+
+/// Word of a limit: that it is named, or isn't any more.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Word {
+    /// Requests a second; `None` if it isn't named any more.
+    pub per_s: Option<f64>,
+    /// When an answer that names it was heard, or when the request was sent whose answer names none: the endpoint said so
+    /// later than that. In milliseconds.
+    pub at_ms: f64,
+}
+
+impl Word {
+    /// Whether it goes before another one: the newer does, whichever is heard first, and of two at the same moment the one
+    /// that names a limit.
+    fn goes_before(&self, other: &Self) -> bool {
+        let is_named = self.per_s.is_some() && other.per_s.is_none();
+        self.at_ms > other.at_ms || self.at_ms == other.at_ms && is_named
+    }
+}
+
+/// What gateways tell each other of a limit.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Told {
+    /// What the endpoint said to the sender, if it did.
+    pub word: Option<Word>,
+    /// Requests that the sender has sent there by the limit, since it started. All of them, so that a lost message is made
+    /// good by the next.
+    pub sent: u32,
+}
+
+/// A turn as it was found.
+#[derive(Debug, Clone, Copy)]
+struct Found {
+    /// For which gateways.
+    version: u64,
+    until_ms: f64,
+    turn: Turn,
+}
+
+/// A limit of one endpoint.
+#[derive(Debug, Clone, Default)]
+pub(crate) struct Limit {
+    word: Option<Word>,
+    /// Whether this gateway heard the word from the endpoint.
+    is_own: bool,
+    /// When peers were last told, in milliseconds; `None` if there is something new for them.
+    pub(crate) told_ms: Option<f64>,
+    /// Requests that this gateway has sent by it.
+    sent: u32,
+    /// Requests that others say that they have sent by it.
+    sent_by: HashMap<u64, u32>,
+    /// Requests that all gateways together may send at once; below 0 if they have sent too many.
+    saved: f64,
+    /// When that was last brought up to date, in milliseconds; `None` before the limit was ever named.
+    filled_ms: Option<f64>,
+    found: Option<Found>,
+}
+
+impl Limit {
+    /// Requests a second, if it is named.
+    pub(crate) fn per_s(&self) -> Option<f64> {
+        self.word?.per_s
+    }
+
+    /// Takes a word; tells whether it changes what is known.
+    pub(crate) fn hear(&mut self, word: Word, is_own: bool) -> bool {
+        if self.word.is_some_and(|known| !word.goes_before(&known)) {
+            return false;
+        }
+        let is_changed = word.per_s != self.per_s();
+        self.word = Some(word);
+        self.is_own = is_own;
+        if is_changed {
+            self.told_ms = None;
+            self.found = None;
+        }
+        is_changed
+    }
+
+    /// Another gateway has sent so many requests by it.
+    pub(crate) fn hear_sent(&mut self, gateway: u64, sent: u32) {
+        let before = self.sent_by.insert(gateway, sent).unwrap_or(0);
+        // One that is heard late has told more since.
+        if sent < before {
+            self.sent_by.insert(gateway, before);
+        }
+        self.saved -= f64::from(sent.saturating_sub(before));
+    }
+
+    /// Forgets what gateways sent that are gone.
+    pub(crate) fn forget(&mut self, is_there: impl Fn(u64) -> bool) {
+        self.sent_by.retain(|gateway, _| is_there(*gateway));
+    }
+
+    /// What peers are to be told.
+    pub(crate) fn told(&self) -> Told {
+        Told {
+            word: self.word.filter(|_| self.is_own),
+            sent: self.sent,
+        }
+    }
+
+    /// Milliseconds until one request may be sent; 0 for now.
+    pub(crate) fn opens_in_ms(&mut self, life: Life, scene: &Scene<'_>) -> f64 {
+        let Some(limit_per_s) = self.per_s() else {
+            return 0.0;
+        };
+        let turn = self.turn(life, limit_per_s, scene);
+        self.fill(limit_per_s, &turn, scene);
+        let is_open = turn.is_held && self.saved >= 1.0;
+        if is_open {
+            return 0.0;
+        }
+        // A client that comes back may meet any gateway.
+        let per_s = limit_per_s.max(scene.options.least_per_s);
+        (1.0 - self.saved).max(1.0) / per_s * 1e3
+    }
+
+    /// One request is sent.
+    pub(crate) fn take(&mut self) {
+        if self.per_s().is_some() {
+            self.saved -= 1.0;
+            self.sent += 1;
+            self.told_ms = None;
+        }
+    }
+
+    fn turn(&mut self, life: Life, limit_per_s: f64, scene: &Scene<'_>) -> Turn {
+        let now_ms = scene.now_ms;
+        let is_valid = |found: &Found| found.version == scene.version && now_ms < found.until_ms;
+        if let Some(found) = self.found.filter(is_valid) {
+            return found.turn;
+        }
+        let options = scene.options;
+        let turn = scene
+            .gateways
+            .turn(life, limit_per_s, scene.clock_ms, options);
+        self.found = Some(Found {
+            version: scene.version,
+            until_ms: now_ms + turn.left_ms,
+            turn,
+        });
+        turn
+    }
+
+    /// Saves what the limit has come to since the last time, for all gateways together.
+    fn fill(&mut self, limit_per_s: f64, turn: &Turn, scene: &Scene<'_>) {
+        let now_ms = scene.now_ms;
+        let Some(filled_ms) = self.filled_ms.replace(now_ms) else {
+            self.saved = 1.0;
+            return;
+        };
+        let per_s = limit_per_s.max(scene.options.least_per_s) * turn.share;
+        let most = (per_s * scene.options.burst_ms / 1e3).max(1.0);
+        let since_ms = (now_ms - filled_ms).max(0.0);
+        // Whoever starts late hears of all that was ever sent.
+        let least = -(turn.holders as f64);
+        self.saved = (self.saved.max(least) + per_s * since_ms / 1e3).min(most);
+    }
+}
+
+/// What a limit is shared by at a moment.
+#[derive(Debug)]
+pub(crate) struct Scene<'a> {
+    pub(crate) gateways: &'a Gateways,
+    /// Changes with the gateways.
+    pub(crate) version: u64,
+    pub(crate) clock_ms: f64,
+    pub(crate) now_ms: f64,
+    pub(crate) options: &'a Options,
+}
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -1,9 +1,23 @@
-//! What one gateway knows of what endpoints ask.
+//! What one gateway knows of what endpoints ask, and whether one of them may be sent something now.
 
 use std::collections::HashMap;
 
 use crate::advice::Advice;
 use crate::advice::Field;
+use crate::limit::Limit;
+use crate::limit::Scene;
+use crate::limit::Told;
+use crate::limit::Word;
+use crate::options::Options;
+use crate::share::Gateways;
+use crate::share::SharedClock;
+
+/// Most limits that one message to peers carries.
+const TOLD_MAX: usize = 24;
+
+/// How long peers are told that a limit isn't named any more, in milliseconds. Who hears it later finds out when it sends
+/// something there.
+const OVER_TOLD_MS: f64 = 10_000.0;
 
 /// One life of an endpoint: the hash of its incarnation, the same at all gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -31,38 +45,215 @@
     }
 }
 
+/// Why an endpoint may not be sent anything now.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum Reason {
+    /// What it takes from all gateways together is used up, or another gateway's to use.
+    Limit,
+}
+
+impl Reason {
+    /// Name in logs and counters.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Limit => "limit",
+        }
+    }
+}
+
+/// An endpoint may not be sent anything now.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Shut {
+    /// Why.
+    pub reason: Reason,
+    /// Time until it may be sent something, here or at another gateway, in milliseconds.
+    pub opens_in_ms: f64,
+}
+
 /// What is known of one life.
 #[derive(Debug, Clone, Default)]
 struct Known {
-    limit_per_s: Option<f64>,
+    limit: Limit,
     /// Whether a limit that can't be used was met.
     is_unusable: bool,
+    heard_ms: f64,
 }
 
 /// What one gateway knows of what endpoints ask.
+///
+/// ```
+/// use mgs_backpressure::advice::Advice;
+/// use mgs_backpressure::advice::Field;
+/// use mgs_backpressure::options::Options;
+/// use mgs_backpressure::share::Gateways;
+/// use mgs_backpressure::table::Life;
+/// use mgs_backpressure::table::Table;
+///
+/// let mut table = Table::new(Options::default());
+/// table.set_gateways(Gateways { count: Some(1), ..Gateways::default() });
+/// let limit = Advice { limit_per_s: Field::Says(1.0) };
+/// table.hear(Life(7), limit, 0.0, 20.0);
+/// assert!(table.take(Life(7), 30.0).is_ok());
+/// assert!(table.take(Life(7), 40.0).is_err());
+/// assert!(table.take(Life(7), 1_100.0).is_ok());
+/// // An answer without it to a request that was sent later.
+/// table.hear(Life(7), Advice::default(), 1_100.0, 1_120.0);
+/// assert!(table.take(Life(7), 1_130.0).is_ok());
+/// ```
 #[derive(Debug, Default)]
 pub struct Table {
+    options: Options,
     lives: HashMap<Life, Known>,
+    gateways: Gateways,
+    /// Changes with the gateways.
+    version: u64,
+    clock: SharedClock,
 }
 
 impl Table {
-    /// Takes what an answer says; tells what is new in it.
-    pub fn hear(&mut self, life: Life, advice: Advice) -> Option<News> {
+    /// Nothing known yet.
+    pub fn new(options: Options) -> Self {
+        Self {
+            options,
+            ..Self::default()
+        }
+    }
+
+    /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it. An answer without a limit
+    /// takes one back only if its request was sent after the limit was heard: answers may overtake each other.
+    pub fn hear(&mut self, life: Life, advice: Advice, sent_ms: f64, now_ms: f64) -> Option<News> {
         if advice == Advice::default() && !self.lives.contains_key(&life) {
             return None;
         }
         let known = self.lives.entry(life).or_default();
-        match advice.limit_per_s {
-            Field::Says(per_s) if known.limit_per_s != Some(per_s) => {
-                known.limit_per_s = Some(per_s);
-                Some(News::Limited(per_s))
-            }
-            Field::Absent => known.limit_per_s.take().map(|_| News::Unlimited),
-            Field::Unusable if !known.is_unusable => {
+        known.heard_ms = now_ms;
+        let (per_s, at_ms) = match advice.limit_per_s {
+            Field::Says(per_s) => (Some(per_s), now_ms),
+            Field::Absent => (None, sent_ms),
+            Field::Unusable => {
+                let is_first = !known.is_unusable;
                 known.is_unusable = true;
-                Some(News::UnusableLimit)
+                return is_first.then_some(News::UnusableLimit);
             }
-            _ => None,
+        };
+        let is_news = known.limit.hear(Word { per_s, at_ms }, true);
+        is_news.then(|| per_s.map_or(News::Unlimited, News::Limited))
+    }
+
+    /// Takes what a peer tells.
+    pub fn hear_peer(&mut self, peer: u64, life: Life, told: Told, now_ms: f64) {
+        let known = self.lives.entry(life).or_default();
+        known.heard_ms = now_ms;
+        known.limit.hear_sent(peer, told.sent);
+        if let Some(word) = told.word {
+            known.limit.hear(word, false);
+        }
+    }
+
+    /// What peers are to be told: of all limits that this gateway knows something of by itself those that were told longest ago, or
+    /// only those of which something is new. What it was told isn't told further: it would seem newer each time.
+    pub fn take_told(&mut self, is_all: bool, now_ms: f64) -> Vec<(Life, Told)> {
+        let is_due = |limit: &Limit| is_all || limit.told_ms.is_none();
+        let limits = self
+            .lives
+            .iter_mut()
+            .map(|(life, known)| (*life, &mut known.limit));
+        let worth_telling = |limit: &Limit| {
+            let told = limit.told();
+            let is_over = |word: &Word| word.per_s.is_none() && now_ms - word.at_ms > OVER_TOLD_MS;
+            told.sent > 0 || told.word.is_some_and(|word| !is_over(&word))
+        };
+        let mut due: Vec<(Life, &mut Limit)> = limits
+            .filter(|(_, limit)| is_due(limit) && worth_telling(limit))
+            .collect();
+        let told_ms = |limit: &Limit| limit.told_ms.unwrap_or(f64::NEG_INFINITY);
+        due.sort_by(|(a, x), (b, y)| told_ms(x).total_cmp(&told_ms(y)).then(a.cmp(b)));
+        due.truncate(TOLD_MAX);
+        let mut told = Vec::new();
+        for (life, limit) in due {
+            limit.told_ms = Some(now_ms);
+            told.push((life, limit.told()));
+        }
+        told
+    }
+
+    /// Replaces the gateways that share limits.
+    pub fn set_gateways(&mut self, gateways: Gateways) {
+        if gateways == self.gateways {
+            return;
+        }
+        let is_there = |gateway: u64| gateways.others.contains(&gateway);
+        for known in self.lives.values_mut() {
+            known.limit.forget(is_there);
+        }
+        self.gateways = gateways;
+        self.version += 1;
+    }
+
+    /// What the clock that gateways share shows, in milliseconds.
+    pub fn clock_ms(&self, now_ms: f64) -> f64 {
+        self.clock.show_ms(now_ms)
+    }
+
+    /// A peer's clock shows so much.
+    pub fn hear_clock(&mut self, shown_ms: f64, now_ms: f64) {
+        if self.clock.hear(shown_ms, now_ms) {
+            self.version += 1;
         }
     }
+
+    /// Those that may not be sent anything now.
+    pub fn shut(&mut self, now_ms: f64) -> Vec<(Life, Shut)> {
+        let lives: Vec<Life> = self.lives.keys().copied().collect();
+        let shut = |life: Life| Some((life, self.look(life, now_ms).err()?));
+        lives.into_iter().filter_map(shut).collect()
+    }
+
+    /// Takes leave to send a request now, right before it is sent. Tells whether peers are to be told.
+    pub fn take(&mut self, life: Life, now_ms: f64) -> Result<bool, Shut> {
+        self.look(life, now_ms)?;
+        let Some(known) = self.lives.get_mut(&life) else {
+            return Ok(false);
+        };
+        known.limit.take();
+        Ok(known.limit.per_s().is_some())
+    }
+
+    fn look(&mut self, life: Life, now_ms: f64) -> Result<(), Shut> {
+        let Some(known) = self.lives.get_mut(&life) else {
+            return Ok(());
+        };
+        let scene = Scene {
+            gateways: &self.gateways,
+            version: self.version,
+            clock_ms: self.clock.show_ms(now_ms),
+            now_ms,
+            options: &self.options,
+        };
+        let opens_in_ms = known.limit.opens_in_ms(life, &scene);
+        if opens_in_ms > 0.0 {
+            return Err(Shut {
+                reason: Reason::Limit,
+                opens_in_ms,
+            });
+        }
+        Ok(())
+    }
+
+    /// The limit that an endpoint has named and not taken back, in requests a second.
+    pub fn limit_per_s(&self, life: Life) -> Option<f64> {
+        self.lives.get(&life)?.limit.per_s()
+    }
+
+    /// Whether nothing is known of any endpoint.
+    pub fn is_empty(&self) -> bool {
+        self.lives.is_empty()
+    }
+
+    /// Forgets lives that aren't listed and haven't been heard for long.
+    pub fn expire(&mut self, now_ms: f64, is_listed: impl Fn(Life) -> bool) {
+        let kept_ms = self.options.kept_ms;
+        self.lives
+            .retain(|life, known| is_listed(*life) || now_ms - known.heard_ms < kept_ms);
+    }
 }
--- /dev/null
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -0,0 +1,204 @@
+//! What is known of endpoints, in any order in which it is heard, and what may be sent for it.
+
+use mgs_backpressure::advice::Advice;
+use mgs_backpressure::advice::Field;
+use mgs_backpressure::limit::Told;
+use mgs_backpressure::limit::Word;
+use mgs_backpressure::options::Options;
+use mgs_backpressure::share::Gateways;
+use mgs_backpressure::table::Life;
+use mgs_backpressure::table::News;
+use mgs_backpressure::table::Table;
+use proptest::prelude::any;
+use proptest::prelude::Just;
+use proptest::prelude::Strategy;
+use proptest::prop_assert_eq;
+use proptest::proptest;
+
+const LIFE: Life = Life(7);
+
+fn limit(per_s: f64) -> Advice {
+    Advice {
+        limit_per_s: Field::Says(per_s),
+    }
+}
+
+/// The table of the only gateway.
+fn alone() -> Table {
+    let mut table = Table::new(Options::default());
+    table.set_gateways(Gateways {
+        count: Some(1),
+        ..Gateways::default()
+    });
+    table
+}
+
+/// How many requests may be sent at a moment.
+fn takes(table: &mut Table, now_ms: f64) -> usize {
+    let most = 100;
+    (0..most)
+        .take_while(|_| table.take(LIFE, now_ms).is_ok())
+        .count()
+}
+
+#[test]
+fn a_limit_binds_until_it_is_not_named() {
+    let mut table = alone();
+    assert_eq!(
+        table.hear(LIFE, limit(1.0), 0.0, 20.0),
+        Some(News::Limited(1.0))
+    );
+    assert_eq!(table.hear(LIFE, limit(1.0), 0.0, 30.0), None);
+    assert_eq!(takes(&mut table, 40.0), 1);
+    assert_eq!(takes(&mut table, 500.0), 0);
+    let none = Advice::default();
+    assert_eq!(table.hear(LIFE, none, 600.0, 620.0), Some(News::Unlimited));
+    assert_eq!(takes(&mut table, 630.0), 100);
+}
+
+#[test]
+fn a_late_answer_to_an_earlier_request_takes_no_limit_back() {
+    let mut table = alone();
+    table.hear(LIFE, limit(1.0), 0.0, 100.0);
+    assert_eq!(table.hear(LIFE, Advice::default(), 90.0, 150.0), None);
+    assert_eq!(table.limit_per_s(LIFE), Some(1.0));
+}
+
+#[test]
+fn a_field_that_cannot_be_read_changes_nothing_and_is_news_once() {
+    let mut table = alone();
+    table.hear(LIFE, limit(1.0), 0.0, 20.0);
+    let unusable = Advice {
+        limit_per_s: Field::Unusable,
+    };
+    assert_eq!(
+        table.hear(LIFE, unusable, 30.0, 50.0),
+        Some(News::UnusableLimit)
+    );
+    assert_eq!(table.hear(LIFE, unusable, 60.0, 80.0), None);
+    assert_eq!(table.limit_per_s(LIFE), Some(1.0));
+}
+
+#[test]
+fn another_life_is_not_bound() {
+    let mut table = alone();
+    table.hear(LIFE, limit(0.0), 0.0, 20.0);
+    takes(&mut table, 30.0);
+    assert!(table.take(Life(8), 40.0).is_ok());
+}
+
+#[test]
+fn a_limit_of_nothing_lets_one_through_now_and_then() {
+    let mut table = alone();
+    table.hear(LIFE, limit(0.0), 0.0, 20.0);
+    let sent: usize = (0..200)
+        .map(|step| takes(&mut table, 20.0 + f64::from(step) * 100.0))
+        .sum();
+    assert!((4..=6).contains(&sent), "{sent}");
+}
+
+#[test]
+fn a_gateway_that_knows_of_no_others_sends_nothing_by_a_limit() {
+    let mut table = Table::new(Options::default());
+    table.hear(LIFE, limit(1_000.0), 0.0, 20.0);
+    assert_eq!(takes(&mut table, 5_000.0), 0);
+}
+
+/// What peers sent counts once, in whatever order their messages come.
+#[test]
+fn what_peers_have_sent_counts_once() {
+    let mut table = alone();
+    table.hear(LIFE, limit(10.0), 0.0, 0.0);
+    let sent = |sent| Told { word: None, sent };
+    table.hear_peer(5, LIFE, sent(3), 0.0);
+    table.hear_peer(5, LIFE, sent(2), 0.0);
+    table.hear_peer(5, LIFE, sent(3), 0.0);
+    assert_eq!(takes(&mut table, 0.0), 1);
+    table.hear_peer(5, LIFE, sent(5), 1.0);
+    assert_eq!(takes(&mut table, 250.0), 0);
+    assert_eq!(takes(&mut table, 350.0), 1);
+}
+
+#[test]
+fn what_is_gone_is_forgotten_and_what_is_listed_is_not() {
+    let mut table = alone();
+    table.hear(LIFE, limit(1.0), 0.0, 20.0);
+    table.expire(1e9, |life| life == LIFE);
+    assert_eq!(table.limit_per_s(LIFE), Some(1.0));
+    table.expire(1_000.0, |_| false);
+    assert_eq!(table.limit_per_s(LIFE), Some(1.0));
+    table.expire(1e9, |_| false);
+    assert!(table.is_empty());
+}
+
+/// Two gateways that always have something to send, and every pattern of lost messages over four seconds.
+#[test]
+fn two_gateways_keep_to_a_limit_whatever_messages_are_lost() {
+    const STEPS: u32 = 8;
+    const STEP_MS: f64 = 500.0;
+    let limit_per_s = 1.0;
+    let allowed = (limit_per_s * 4.0 * 1.5 + 5.0) as usize;
+    for lost in 0..1_u32 << (2 * STEPS) {
+        let mut tables = [gateway(1, 2), gateway(2, 1)];
+        let mut sent = [0_usize; 2];
+        for step in 0..STEPS {
+            let now_ms = f64::from(step) * STEP_MS;
+            for (which, table) in tables.iter_mut().enumerate() {
+                table.hear(LIFE, limit(limit_per_s), now_ms, now_ms);
+                sent[which] += takes(table, now_ms);
+            }
+            for from in 0..2 {
+                let is_lost = lost >> (2 * step + from) & 1 == 1;
+                let from = from as usize;
+                if !is_lost {
+                    let told = Told {
+                        word: None,
+                        sent: sent[from] as u32,
+                    };
+                    tables[1 - from].hear_peer(from as u64 + 1, LIFE, told, now_ms);
+                }
+            }
+        }
+        let all: usize = sent.iter().sum();
+        assert!(all <= allowed, "{all} with {lost:b} lost");
+    }
+}
+
+/// One of two gateways.
+fn gateway(own: u64, other: u64) -> Table {
+    let mut table = Table::new(Options::default());
+    table.set_gateways(Gateways {
+        own,
+        others: vec![other],
+        count: Some(2),
+    });
+    table
+}
+
+fn word() -> impl Strategy<Value = Word> {
+    let per_s = proptest::prop_oneof![Just(None), (1_u32..5).prop_map(|n| Some(f64::from(n)))];
+    // An endpoint names one limit at a time, so that a moment has one word or none.
+    (per_s, 0_u32..8).prop_map(|(per_s, at)| Word {
+        per_s: per_s.map(|_| f64::from(at + 1)),
+        at_ms: f64::from(at),
+    })
+}
+
+proptest! {
+    #[test]
+    fn words_of_peers_come_to_the_same_in_any_order(
+        words in proptest::collection::vec(word(), 1..6),
+        from in any::<u64>(),
+    ) {
+        let known = |words: &[Word]| {
+            let mut table = alone();
+            for word in words {
+                table.hear_peer(from, LIFE, Told { word: Some(*word), sent: 0 }, 10.0);
+            }
+            table.limit_per_s(LIFE)
+        };
+        let mut turned = words.clone();
+        turned.reverse();
+        prop_assert_eq!(known(&words), known(&turned));
+    }
+}
--- a/crates/mgs-placing/src/board.rs
+++ b/crates/mgs-placing/src/board.rs
@@ -298,6 +298,11 @@
         }
     }
 
+    /// Whether a peer is heard.
+    pub fn is_heard(&self, peer: PeerKey) -> bool {
+        self.peers.contains_key(&peer)
+    }
+
     /// A peer said all that it holds.
     pub fn hear(&mut self, peer: PeerKey, now_ms: f64, said: Said) {
         let before = self.peers.remove(&peer).unwrap_or_default();
--- a/crates/mgs-placing/src/judge.rs
+++ b/crates/mgs-placing/src/judge.rs
@@ -152,7 +152,7 @@
 
     /// Whether an engine may get one more answer to write: it queues no more than it runs.
     pub(crate) fn has_place(&self, survey: &Survey<'_>) -> bool {
-        survey.running < self.model.slots * 2
+        survey.leads && survey.running < self.model.slots * 2
     }
 
     pub(crate) fn full(&self, lack: Lack) -> NoPlace {
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -67,6 +67,26 @@
     pub age_ms: u32,
 }
 
+/// What an endpoint that answered the sender said of how many requests it takes from all gateways together.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitWord {
+    /// Thousandths of a request a second; `None` if it names no limit any more.
+    pub per_s_thousandths: Option<u64>,
+    /// How long ago it said so, in milliseconds.
+    pub age_ms: u32,
+}
+
+/// What the sender knows of the limit of an endpoint by itself.
+#[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
+pub struct LimitAt {
+    /// Hash of the endpoint's incarnation.
+    pub endpoint: u64,
+    /// What the endpoint said, if it answered the sender.
+    pub word: Option<LimitWord>,
+    /// Requests that the sender has sent there by the limit since it started.
+    pub sent: u32,
+}
+
 /// One message.
 #[derive(Debug, Clone, Default, PartialEq, Eq, Serialize, Deserialize)]
 pub struct Beacon {
@@ -96,4 +116,8 @@
     pub reads: Vec<ReadAt>,
     /// Endpoints that have refused to help with its prompts: new ones, or all in a whole message.
     pub refusals: Vec<RefusedAt>,
+    /// What the clock that gateways share shows at the sender, in milliseconds.
+    pub clock_ms: u64,
+    /// Limits that endpoints have named: what is new of them, or more in a whole message.
+    pub limits: Vec<LimitAt>,
 }
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -62,6 +62,8 @@
     pub(crate) trial: bool,
     /// Whether it reads parts of prompts that others answer.
     helps: bool,
+    /// Whether it may get a request of its own.
+    pub(crate) leads: bool,
 }
 
 impl<'a> Survey<'a> {
@@ -91,6 +93,7 @@
             slowness: 1.0,
             trial: candidate.trial,
             helps: candidate.helps,
+            leads: candidate.leads,
         };
         let is_writing = survey.running > 0;
         let passes = board.passes(candidate.key);
--- a/crates/mgs-placing/src/way.rs
+++ b/crates/mgs-placing/src/way.rs
@@ -13,6 +13,8 @@
     pub trial: bool,
     /// Whether it reads parts of prompts that others answer.
     pub helps: bool,
+    /// Whether it may get a request of its own now; it may still read parts for others.
+    pub leads: bool,
 }
 
 impl Candidate {
@@ -31,6 +33,7 @@
             slowness: 1.0,
             trial: false,
             helps: true,
+            leads: true,
         }
     }
 }
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -1,20 +1,84 @@
-//! What endpoints say of themselves in their answers.
+//! What endpoints ask in their answers, and what is sent to them for it.
+//!
+//! What may be sent where is asked twice: when endpoints are chosen, and right before a request is sent, since it may
+//! have waited between.
+
+use std::collections::HashMap;
+use std::time::Instant;
 
 use http::response;
+use mgs_backpressure::limit::Told;
+use mgs_backpressure::limit::Word;
+use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::News;
+use mgs_backpressure::table::Shut;
+use mgs_fleet::view::EndpointKey;
+use mgs_placing::share::Beacon;
+use mgs_placing::share::LimitAt;
+use mgs_placing::share::LimitWord;
 
 use crate::core::Core;
 use crate::dialect::Ask;
+use crate::drain::Phase;
+use crate::fault::Fault;
+use crate::fault::Refusal;
 use crate::view::Endpoint;
+use crate::wait::RETRY_AFTER_MAX_MS;
+use crate::wait::RETRY_AFTER_MIN_MS;
+
+/// Added to the age of a peer's word that a limit isn't named any more, for its way here, in milliseconds: a limit
+/// that was heard meanwhile goes before it.
+const ON_THE_WAY_MS: f64 = 50.0;
+
+/// Endpoints that may not be sent a request now.
+#[derive(Debug, Default)]
+pub(crate) struct Shuts(HashMap<EndpointKey, Shut>);
+
+impl Shuts {
+    pub(crate) fn contains(&self, endpoint: &Endpoint) -> bool {
+        self.0.contains_key(&endpoint.key)
+    }
+
+    /// The refusal of a request for these endpoints, all of which are shut: its client may come back when the first opens.
+    pub(crate) fn refusal<'a>(
+        &self,
+        endpoints: impl IntoIterator<Item = &'a std::sync::Arc<Endpoint>>,
+        request_id: &str,
+    ) -> Refusal {
+        let shuts = endpoints.into_iter().filter_map(|e| self.0.get(&e.key));
+        let (mut endpoints, mut opens_in_ms) = (0, f64::INFINITY);
+        for shut in shuts {
+            endpoints += 1;
+            opens_in_ms = shut.opens_in_ms.min(opens_in_ms);
+        }
+        let retry_after_ms = (opens_in_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        log::info!(
+            request_id = request_id,
+            shut_endpoints = endpoints,
+            retry_after_ms = retry_after_ms;
+            "all endpoints are shut"
+        );
+        Refusal::after(Fault::Shut, retry_after_ms)
+    }
+}
 
 impl Core {
-    /// Takes what an answer says of its endpoint.
-    pub(crate) fn hear_advice(&self, endpoint: &Endpoint, ask: &Ask, head: &response::Parts) {
+    /// Takes what an answer to a request says of the endpoint that gave it. `sent`: when the request was.
+    pub(crate) fn hear_advice(
+        &self,
+        endpoint: &Endpoint,
+        ask: &Ask,
+        head: &response::Parts,
+        sent: Instant,
+    ) {
         let advice = self.dialect.advice(ask, head);
-        let life = Life(endpoint.facts.incarnation.hash_64());
-        let news = self.backpressure.borrow_mut().hear(life, advice);
+        let (sent_ms, now_ms) = (self.at_ms(sent), self.now_ms());
+        let mut table = self.backpressure.borrow_mut();
+        let news = table.hear(life(endpoint), advice, sent_ms, now_ms);
+        drop(table);
         if let Some(news) = news {
+            self.board_changed.notify_one();
             self.note_news(endpoint, ask, news);
         }
     }
@@ -33,4 +97,106 @@
             "an endpoint says of itself"
         );
     }
+
+    /// Endpoints that may not be sent a request now.
+    pub(crate) fn shut(&self) -> Shuts {
+        if self.backpressure.borrow().is_empty() {
+            return Shuts::default();
+        }
+        let by_hash = self.published.endpoint_hashes();
+        let shut = self.backpressure.borrow_mut().shut(self.now_ms());
+        let keyed = |(life, shut): (Life, Shut)| Some((*by_hash.get(&life.0)?, shut));
+        Shuts(shut.into_iter().filter_map(keyed).collect())
+    }
+
+    /// Takes leave to send an endpoint a request now.
+    pub(crate) fn take_leave(&self, endpoint: &Endpoint) -> Result<(), Shut> {
+        let mut table = self.backpressure.borrow_mut();
+        if table.is_empty() {
+            return Ok(());
+        }
+        match table.take(life(endpoint), self.now_ms()) {
+            Ok(true) => self.board_changed.notify_one(),
+            Ok(false) => {}
+            Err(shut) => {
+                self.metrics.shut.inc(shut.reason.name());
+                return Err(shut);
+            }
+        }
+        Ok(())
+    }
+
+    /// What the clock that gateways share shows, in milliseconds.
+    pub(crate) fn shared_clock_ms(&self) -> u64 {
+        let now_ms = self.now_ms();
+        self.backpressure.borrow().clock_ms(now_ms) as u64
+    }
+
+    /// Limits that peers are to be told of.
+    pub(crate) fn limits_to_tell(&self, is_whole: bool) -> Vec<LimitAt> {
+        let now_ms = self.now_ms();
+        let told = self.backpressure.borrow_mut().take_told(is_whole, now_ms);
+        let word_at = |word: Word| LimitWord {
+            per_s_thousandths: word.per_s.map(|per_s| (per_s * 1e3) as u64),
+            age_ms: (now_ms - word.at_ms).max(0.0) as u32,
+        };
+        let limit_at = |(life, told): (Life, Told)| LimitAt {
+            endpoint: life.0,
+            word: told.word.map(word_at),
+            sent: told.sent,
+        };
+        told.into_iter().map(limit_at).collect()
+    }
+
+    /// Takes what a peer was told by endpoints.
+    pub(crate) fn hear_limits(&self, beacon: &Beacon) {
+        let now_ms = self.now_ms();
+        let mut table = self.backpressure.borrow_mut();
+        table.hear_clock(beacon.clock_ms as f64, now_ms);
+        for limit in &beacon.limits {
+            let told = Told {
+                word: limit.word.map(|word| heard_word(&word, now_ms)),
+                sent: limit.sent,
+            };
+            table.hear_peer(beacon.from, Life(limit.endpoint), told, now_ms);
+        }
+    }
+
+    /// Shares limits with these peers from now on, and forgets what isn't listed any more. A gateway that leaves takes no part.
+    pub(crate) fn share_limits(&self, staying: Vec<u64>) {
+        let is_leaving = self.drain.phase() != Phase::Serving;
+        let is_known = self.gateways_sharing().is_some() && !is_leaving;
+        let gateways = self.headcount.borrow().gateways();
+        let by_hash = self.published.endpoint_hashes();
+        let mut table = self.backpressure.borrow_mut();
+        table.set_gateways(Gateways {
+            own: self.incarnation,
+            others: staying,
+            count: is_known.then_some(gateways),
+        });
+        table.expire(self.now_ms(), |life| by_hash.contains_key(&life.0));
+    }
+}
+
+/// A peer's word of a limit, by this process's clock.
+fn heard_word(word: &LimitWord, now_ms: f64) -> Word {
+    let per_s = word.per_s_thousandths.map(|per_s| per_s as f64 / 1e3);
+    let on_the_way_ms = if per_s.is_none() { ON_THE_WAY_MS } else { 0.0 };
+    let at_ms = now_ms - f64::from(word.age_ms) - on_the_way_ms;
+    Word { per_s, at_ms }
+}
+
+/// A request was placed at an endpoint that has come to be shut meanwhile.
+pub(crate) fn note_shut(ask: &Ask, endpoint: &Endpoint, shut: Shut) {
+    log::info!(
+        request_id = ask.request_id,
+        endpoint = endpoint.facts.incarnation.id,
+        reason = shut.reason.name(),
+        opens_in_ms = shut.opens_in_ms as u64;
+        "an endpoint was shut before the dispatch"
+    );
+}
+
+fn life(endpoint: &Endpoint) -> Life {
+    Life(endpoint.facts.incarnation.hash_64())
 }
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -50,6 +50,8 @@
     pub(crate) help_refusals: Counters,
     /// What endpoints newly asked of those that send them requests, by what it is.
     pub(crate) advice: Counters,
+    /// Requests that were placed at an endpoint that may not be sent anything any more, by why.
+    pub(crate) shut: Counters,
     /// Runs of which no answer came, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Works that were held as crashing endpoints, or let go.
@@ -118,6 +120,11 @@
                 "What endpoints newly asked of those that send them requests",
                 "news",
             ),
+            shut: registry.counters(
+                "relay_shut_before_dispatch",
+                "Requests placed at an endpoint that may not be sent anything any more",
+                "reason",
+            ),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -3,11 +3,13 @@
 
 use std::cell::RefCell;
 use std::collections::HashMap;
+use std::collections::HashSet;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
 
 use mgs_fleet::view::EndpointKey;
+use mgs_placing::board::Board;
 use mgs_placing::board::Held;
 use mgs_placing::board::PeerKey;
 use mgs_placing::board::Said;
@@ -63,6 +65,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct Known {
     heard: HashMap<SocketAddr, Heard>,
+    /// Peers that leave.
+    leaving: HashSet<PeerKey>,
     sequences: HashMap<PeerKey, u64>,
 }
 
@@ -80,6 +84,14 @@
         addresses
     }
 
+    /// Incarnations of the peers that are heard and stay.
+    fn staying(&self, board: &Board) -> Vec<u64> {
+        let stay = |peer: &&PeerKey| board.is_heard(**peer) && !self.leaving.contains(peer);
+        let mut staying: Vec<u64> = self.sequences.keys().filter(stay).map(|p| p.0).collect();
+        staying.sort_unstable();
+        staying
+    }
+
     /// Whether the gateway at `own` is among the first that stay, by address; all agree without talking.
     fn is_reader(&self, own: SocketAddr, now_ms: f64) -> bool {
         let goes_before = |(address, heard): &(&SocketAddr, &Heard)| {
@@ -143,6 +155,9 @@
         known.sequences.insert(peer, newest);
         return;
     }
+    if beacon.leaving {
+        known.leaving.insert(peer);
+    }
     let heard = Heard {
         at_ms: now_ms,
         is_leaving: beacon.leaving,
@@ -164,6 +179,7 @@
     if let Some(gateways) = beacon.gateways {
         core.headcount.borrow_mut().told(gateways as usize);
     }
+    core.hear_limits(beacon);
     let fleet = core.published.fleet();
     let by_hash = core.published.endpoint_hashes();
     let key_of = |hash: u64| by_hash.get(&hash).copied();
@@ -246,9 +262,14 @@
             (board.expire(now_ms), board.peers())
         };
         look_at_beliefs(&core, &known.borrow());
+        let staying = known.borrow().staying(&core.board.borrow());
+        core.share_limits(staying);
         core.helpers.borrow_mut().expire(core.now_whole_ms());
         for peer in gone {
-            known.borrow_mut().sequences.remove(&peer);
+            let mut known = known.borrow_mut();
+            known.sequences.remove(&peer);
+            known.leaving.remove(&peer);
+            drop(known);
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -66,20 +66,16 @@
 /// Endpoints that already failed this request.
 pub(crate) type Tried = Vec<EndpointKey>;
 
-/// Endpoints of a service that may take something now. Those that were tried or are passed over count
+/// Endpoints of a service that are listed and don't leave.
+pub(crate) fn present(fleet: &Fleet, service: &str) -> Vec<Arc<Endpoint>> {
+    let listed = fleet.of_service(service).iter();
+    let present = listed.filter(|endpoint| !endpoint.facts.is_leaving);
+    present.cloned().collect()
+}
+
+/// Those of the present endpoints that should take something. Those that were tried or are passed over count
 /// only if there is no other.
-pub(crate) fn usable(
-    core: &Core,
-    fleet: &Fleet,
-    service: &str,
-    tried: &Tried,
-) -> Vec<Arc<Endpoint>> {
-    let present: Vec<Arc<Endpoint>> = fleet
-        .of_service(service)
-        .iter()
-        .filter(|endpoint| !endpoint.facts.is_leaving)
-        .cloned()
-        .collect();
+pub(crate) fn usable(core: &Core, present: &[Arc<Endpoint>], tried: &Tried) -> Vec<Arc<Endpoint>> {
     core.outliers.known(present.len());
     let now_ms = core.now_whole_ms();
     // The entry of an endpoint that has ended lapses seconds later.
@@ -97,7 +93,7 @@
     if !untried.is_empty() {
         return untried;
     }
-    present
+    present.to_vec()
 }
 
 pub(crate) fn on_trial(core: &Core, endpoint: &Endpoint) -> bool {
@@ -113,7 +109,17 @@
     request_id: &str,
 ) -> Result<Placed, Refusal> {
     let fleet = core.published.fleet();
-    let endpoints = usable(core, &fleet, service, tried);
+    let present = present(&fleet, service);
+    let shut = core.shut();
+    let open: Vec<Arc<Endpoint>> = present
+        .iter()
+        .filter(|e| !shut.contains(e))
+        .cloned()
+        .collect();
+    if open.is_empty() && !present.is_empty() {
+        return Err(shut.refusal(&present, request_id));
+    }
+    let endpoints = usable(core, &open, tried);
     let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
         key: endpoint.key,
         slots: endpoint.facts.slots,
@@ -130,6 +136,7 @@
         endpoint = endpoint.facts.incarnation.id,
         running_calls = core.board.borrow().held(endpoint.key).calls,
         usable_endpoints = candidates.len(),
+        shut_endpoints = present.len() - open.len(),
         tried = tried.len(),
         fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
         "placed"
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -16,6 +16,7 @@
 use tokio::time::timeout;
 use tokio::time::Instant;
 
+use crate::advice;
 use crate::attempt;
 use crate::attempt::Ended;
 use crate::attempt::Stream;
@@ -168,13 +169,17 @@
             if placed.hold_ms > 0.0 {
                 sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
             }
-            if placed.is_present(&self.core.published.fleet()) {
-                return Ok(placed);
+            if !placed.is_present(&self.core.published.fleet()) {
+                log::info!(
+                    request_id = self.ask.request_id, endpoint = placed.endpoint.facts.incarnation.id;
+                    "an engine began to leave before the dispatch"
+                );
+                continue;
+            }
+            match self.core.take_leave(&placed.endpoint) {
+                Ok(()) => return Ok(placed),
+                Err(shut) => advice::note_shut(&self.ask, &placed.endpoint, shut),
             }
-            log::info!(
-                request_id = self.ask.request_id, endpoint = placed.endpoint.facts.incarnation.id;
-                "an engine began to leave before the dispatch"
-            );
         }
     }
 
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -72,6 +72,8 @@
     pub outliers: outlier::Options,
     /// Requests that crash endpoints.
     pub quarantine: mgs_quarantine::options::Options,
+    /// Limits that endpoints name.
+    pub backpressure: mgs_backpressure::options::Options,
     /// Where the numbers by which gateways choose differently begin; a new one each time if it isn't set. Two gateways
     /// with the same seed choose the same engines.
     pub random_seed: Option<u64>,
@@ -97,6 +99,7 @@
                 ..outlier::Options::default()
             },
             quarantine: mgs_quarantine::options::Options::default(),
+            backpressure: mgs_backpressure::options::Options::default(),
             random_seed: None,
         }
     }
@@ -175,7 +178,7 @@
         waiting: RefCell::new(HashMap::new()),
         outliers: Outliers::new(options.outliers),
         helpers: RefCell::new(Helpers::default()),
-        backpressure: RefCell::new(Table::default()),
+        backpressure: RefCell::new(Table::new(options.backpressure.clone())),
         budget: RefCell::new(Budget::default()),
         looks: RefCell::new(Looks::default()),
         crashes: Crashes::new(options.quarantine.clone()),
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -118,6 +118,8 @@
             leaving: core.drain.phase() != Phase::Serving,
             zone: core.zone,
             waiting: core.first_waiting(),
+            clock_ms: core.shared_clock_ms(),
+            limits: core.limits_to_tell(is_whole),
             ..Beacon::default()
         };
         let fleet = core.published.fleet();
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -29,6 +29,7 @@
 use crate::fault::Refusal;
 use crate::place::no_endpoint;
 use crate::place::on_trial;
+use crate::place::present;
 use crate::place::usable;
 use crate::place::Prompt;
 use crate::place::Tried;
@@ -41,7 +42,7 @@
 pub(crate) const RETRY_AFTER_MIN_MS: u64 = 150;
 
 /// Most time after which a client is asked to come back, in milliseconds.
-const RETRY_AFTER_MAX_MS: u64 = 3_000;
+pub(crate) const RETRY_AFTER_MAX_MS: u64 = 3_000;
 
 /// Time between two looks whether it is a prompt's turn.
 const TURN_LOOK: Duration = Duration::from_millis(12);
@@ -258,7 +259,12 @@
     tried: &Tried,
 ) -> Result<Placed, Refusal> {
     let core = prompt.core;
-    let mut endpoints = usable(core, fleet, prompt.service, tried);
+    let shut = core.shut();
+    let present = present(fleet, prompt.service);
+    let mut endpoints = usable(core, &present, tried);
+    if !endpoints.is_empty() && endpoints.iter().all(|e| shut.contains(e)) {
+        return Err(shut.refusal(&endpoints, prompt.request_id));
+    }
     let near = own_zone_first(core, &mut endpoints);
     let refusing = refusing_help(core, &endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
@@ -266,6 +272,7 @@
         slowness: core.outliers.slowness(endpoint.key),
         trial: on_trial(core, endpoint),
         helps: !refusing.contains(&endpoint.key),
+        leads: !shut.contains(endpoint),
     };
     let all: Vec<Candidate> = endpoints.iter().map(candidate).collect();
     know_passes(core, &all, prompt.model);
