--- a/crates/mgs-backpressure/src/advice.rs
+++ b/crates/mgs-backpressure/src/advice.rs
@@ -17,4 +17,6 @@
 pub struct Advice {
     /// Requests a second that the endpoint takes from all gateways together, for as long as it says so.
     pub limit_per_s: Field<f64>,
+    /// It leaves: it ends soon, and takes nothing new.
+    pub leaving: Field<()>,
 }
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -30,8 +30,12 @@
     Limited(f64),
     /// It names none any more.
     Unlimited,
+    /// It leaves.
+    Leaves,
     /// It names a limit that can't be used, for the first time.
     UnusableLimit,
+    /// It says of leaving what can't be used, for the first time.
+    UnusableLeaving,
 }
 
 impl News {
@@ -40,7 +44,9 @@
         match self {
             Self::Limited(_) => "limited",
             Self::Unlimited => "unlimited",
+            Self::Leaves => "leaves",
             Self::UnusableLimit => "unusable_limit",
+            Self::UnusableLeaving => "unusable_leaving",
         }
     }
 }
@@ -74,8 +80,10 @@
 #[derive(Debug, Clone, Default)]
 struct Known {
     limit: Limit,
-    /// Whether a limit that can't be used was met.
-    is_unusable: bool,
+    /// Whether it leaves; it doesn't stay after all.
+    leaves: bool,
+    /// Fields that couldn't be used.
+    unusable: Vec<News>,
     heard_ms: f64,
 }
 
@@ -91,7 +99,7 @@
 ///
 /// let mut table = Table::new(Options::default());
 /// table.set_gateways(Gateways { count: Some(1), ..Gateways::default() });
-/// let limit = Advice { limit_per_s: Field::Says(1.0) };
+/// let limit = Advice { limit_per_s: Field::Says(1.0), ..Advice::default() };
 /// table.hear(Life(7), limit, 0.0, 20.0);
 /// assert!(table.take(Life(7), 30.0).is_ok());
 /// assert!(table.take(Life(7), 40.0).is_err());
@@ -119,25 +127,17 @@
         }
     }
 
-    /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it. An answer without a limit
+    /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it, one thing after the other. An answer without a limit
     /// takes one back only if its request was sent after the limit was heard: answers may overtake each other.
-    pub fn hear(&mut self, life: Life, advice: Advice, sent_ms: f64, now_ms: f64) -> Option<News> {
+    pub fn hear(&mut self, life: Life, advice: Advice, sent_ms: f64, now_ms: f64) -> Vec<News> {
         if advice == Advice::default() && !self.lives.contains_key(&life) {
-            return None;
+            return Vec::new();
         }
         let known = self.lives.entry(life).or_default();
         known.heard_ms = now_ms;
-        let (per_s, at_ms) = match advice.limit_per_s {
-            Field::Says(per_s) => (Some(per_s), now_ms),
-            Field::Absent => (None, sent_ms),
-            Field::Unusable => {
-                let is_first = !known.is_unusable;
-                known.is_unusable = true;
-                return is_first.then_some(News::UnusableLimit);
-            }
-        };
-        let is_news = known.limit.hear(Word { per_s, at_ms }, true);
-        is_news.then(|| per_s.map_or(News::Unlimited, News::Limited))
+        let limit = known.hear_limit(advice.limit_per_s, sent_ms, now_ms);
+        let leaving = known.hear_leaving(advice.leaving);
+        limit.into_iter().chain(leaving).collect()
     }
 
     /// Takes what a peer tells.
@@ -257,3 +257,35 @@
             .retain(|life, known| is_listed(*life) || now_ms - known.heard_ms < kept_ms);
     }
 }
+
+impl Known {
+    fn hear_limit(&mut self, said: Field<f64>, sent_ms: f64, now_ms: f64) -> Option<News> {
+        let (per_s, at_ms) = match said {
+            Field::Says(per_s) => (Some(per_s), now_ms),
+            Field::Absent => (None, sent_ms),
+            Field::Unusable => return self.note_unusable(News::UnusableLimit),
+        };
+        let is_news = self.limit.hear(Word { per_s, at_ms }, true);
+        is_news.then(|| per_s.map_or(News::Unlimited, News::Limited))
+    }
+
+    fn hear_leaving(&mut self, said: Field<()>) -> Option<News> {
+        match said {
+            Field::Says(()) if !self.leaves => {
+                self.leaves = true;
+                Some(News::Leaves)
+            }
+            Field::Unusable => self.note_unusable(News::UnusableLeaving),
+            _ => None,
+        }
+    }
+
+    /// Tells it the first time.
+    fn note_unusable(&mut self, news: News) -> Option<News> {
+        if self.unusable.contains(&news) {
+            return None;
+        }
+        self.unusable.push(news);
+        Some(news)
+    }
+}
--- a/crates/mgs-backpressure/tests/emulator/mod.rs
+++ b/crates/mgs-backpressure/tests/emulator/mod.rs
@@ -175,6 +175,7 @@
             all += 1;
             let limit = Advice {
                 limit_per_s: Field::Says(day.limit_per_s),
+                ..Advice::default()
             };
             gateway.table.hear(LIFE, limit, now_ms, now_ms);
             let is_excused = now_ms < gateway.troubled_until_ms;
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -20,6 +20,7 @@
 fn limit(per_s: f64) -> Advice {
     Advice {
         limit_per_s: Field::Says(per_s),
+        ..Advice::default()
     }
 }
 
@@ -46,13 +47,13 @@
     let mut table = alone();
     assert_eq!(
         table.hear(LIFE, limit(1.0), 0.0, 20.0),
-        Some(News::Limited(1.0))
+        [News::Limited(1.0)]
     );
-    assert_eq!(table.hear(LIFE, limit(1.0), 0.0, 30.0), None);
+    assert_eq!(table.hear(LIFE, limit(1.0), 0.0, 30.0), []);
     assert_eq!(takes(&mut table, 40.0), 1);
     assert_eq!(takes(&mut table, 500.0), 0);
     let none = Advice::default();
-    assert_eq!(table.hear(LIFE, none, 600.0, 620.0), Some(News::Unlimited));
+    assert_eq!(table.hear(LIFE, none, 600.0, 620.0), [News::Unlimited]);
     assert_eq!(takes(&mut table, 630.0), 100);
 }
 
@@ -60,7 +61,7 @@
 fn a_late_answer_to_an_earlier_request_takes_no_limit_back() {
     let mut table = alone();
     table.hear(LIFE, limit(1.0), 0.0, 100.0);
-    assert_eq!(table.hear(LIFE, Advice::default(), 90.0, 150.0), None);
+    assert_eq!(table.hear(LIFE, Advice::default(), 90.0, 150.0), []);
     assert_eq!(table.limit_per_s(LIFE), Some(1.0));
 }
 
@@ -70,12 +71,13 @@
     table.hear(LIFE, limit(1.0), 0.0, 20.0);
     let unusable = Advice {
         limit_per_s: Field::Unusable,
+        ..Advice::default()
     };
     assert_eq!(
         table.hear(LIFE, unusable, 30.0, 50.0),
-        Some(News::UnusableLimit)
+        [News::UnusableLimit]
     );
-    assert_eq!(table.hear(LIFE, unusable, 60.0, 80.0), None);
+    assert_eq!(table.hear(LIFE, unusable, 60.0, 80.0), []);
     assert_eq!(table.limit_per_s(LIFE), Some(1.0));
 }
 
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -77,7 +77,7 @@
         let mut table = self.backpressure.borrow_mut();
         let news = table.hear(life(endpoint), advice, sent_ms, now_ms);
         drop(table);
-        if let Some(news) = news {
+        for news in news {
             self.board_changed.notify_one();
             self.note_news(endpoint, ask, news);
         }
