fix(relay): an endpoint that says in its answers that it leaves gets nothing more, from any gateway

Cause: the field was read by nobody, and the store's word came twelve seconds later. The class is that of the limit: what an endpoint says of itself, in band, goes before what others say of it.

Mend: the table of mgs-backpressure keeps it for that life; nothing takes it back, and the store's row that says ready is older. Peers are told with the next short message and by each whole one. Nothing is asked of it from then on: requests of its own, parts of others' prompts, and not as the last resort either, since it is left out before that is looked for; what was placed and waits is placed anew.

--- a/crates/mgs-backpressure/src/lib.rs
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -4,15 +4,16 @@
 //! of it, and belongs to one life of the endpoint.
 //!
 //! - [`advice`]: what one answer says.
-//! - [`limit`]: a rate that all gateways together must keep to, at one of them.
 //! - [`share`]: how gateways share it without talking about it.
+//! - [`told`]: what gateways tell each other.
 //! - [`table`]: what one gateway knows of all endpoints, and whether one may be sent something now.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod advice;
-pub mod limit;
+mod limit;
 pub mod options;
 pub mod share;
 pub mod table;
+pub mod told;
--- a/crates/mgs-backpressure/src/limit.rs
+++ b/crates/mgs-backpressure/src/limit.rs
@@ -6,35 +6,8 @@
 use crate::share::Gateways;
 use crate::share::Turn;
 use crate::table::Life;
-
-/// Word of a limit: that it is named, or isn't any more.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Word {
-    /// Requests a second; `None` if it isn't named any more.
-    pub per_s: Option<f64>,
-    /// When an answer that names it was heard, or when the request was sent whose answer names none: the endpoint said so
-    /// later than that. In milliseconds.
-    pub at_ms: f64,
-}
-
-impl Word {
-    /// Whether it goes before another one: the newer does, whichever is heard first, and of two at the same moment the one
-    /// that names a limit.
-    fn goes_before(&self, other: &Self) -> bool {
-        let is_named = self.per_s.is_some() && other.per_s.is_none();
-        self.at_ms > other.at_ms || self.at_ms == other.at_ms && is_named
-    }
-}
-
-/// What gateways tell each other of a limit.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct Told {
-    /// What the endpoint said to the sender, if it did.
-    pub word: Option<Word>,
-    /// Requests that the sender has sent there by the limit, since it started. All of them, so that a lost message is made
-    /// good by the next.
-    pub sent: u32,
-}
+use crate::told::Told;
+use crate::told::Word;
 
 /// A turn as it was found.
 #[derive(Debug, Clone, Copy)]
@@ -51,8 +24,6 @@
     word: Option<Word>,
     /// Whether this gateway heard the word from the endpoint.
     is_own: bool,
-    /// When peers were last told, in milliseconds; `None` if there is something new for them.
-    pub(crate) told_ms: Option<f64>,
     /// Requests that this gateway has sent by it.
     sent: u32,
     /// Requests that others say that they have sent by it.
@@ -79,7 +50,6 @@
         self.word = Some(word);
         self.is_own = is_own;
         if is_changed {
-            self.told_ms = None;
             self.found = None;
         }
         is_changed
@@ -105,6 +75,7 @@
         Told {
             word: self.word.filter(|_| self.is_own),
             sent: self.sent,
+            leaves: false,
         }
     }
 
@@ -124,13 +95,14 @@
         (1.0 - self.saved).max(1.0) / per_s * 1e3
     }
 
-    /// One request is sent.
-    pub(crate) fn take(&mut self) {
-        if self.per_s().is_some() {
-            self.saved -= 1.0;
-            self.sent += 1;
-            self.told_ms = None;
+    /// One request is sent; tells whether it counts.
+    pub(crate) fn take(&mut self) -> bool {
+        if self.per_s().is_none() {
+            return false;
         }
+        self.saved -= 1.0;
+        self.sent += 1;
+        true
     }
 
     fn turn(&mut self, life: Life, limit_per_s: f64, scene: &Scene<'_>) -> Turn {
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -6,19 +6,15 @@
 use crate::advice::Field;
 use crate::limit::Limit;
 use crate::limit::Scene;
-use crate::limit::Told;
-use crate::limit::Word;
 use crate::options::Options;
 use crate::share::Gateways;
 use crate::share::SharedClock;
+use crate::told::Told;
+use crate::told::Word;
 
 /// Most limits that one message to peers carries.
 const TOLD_MAX: usize = 24;
 
-/// How long peers are told that a limit isn't named any more, in milliseconds. Who hears it later finds out when it sends
-/// something there.
-const OVER_TOLD_MS: f64 = 10_000.0;
-
 /// One life of an endpoint: the hash of its incarnation, the same at all gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
 pub struct Life(pub u64);
@@ -54,6 +50,8 @@
 /// Why an endpoint may not be sent anything now.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub enum Reason {
+    /// It leaves.
+    Leaving,
     /// What it takes from all gateways together is used up, or another gateway's to use.
     Limit,
 }
@@ -62,9 +60,16 @@
     /// Name in logs and counters.
     pub fn name(self) -> &'static str {
         match self {
+            Self::Leaving => "leaving",
             Self::Limit => "limit",
         }
     }
+
+    /// Whether nothing at all is to be asked of the endpoint, not even to read a part of a prompt for another: a limit is one
+    /// of requests of its own.
+    pub fn is_whole(self) -> bool {
+        self != Self::Limit
+    }
 }
 
 /// An endpoint may not be sent anything now.
@@ -72,7 +77,7 @@
 pub struct Shut {
     /// Why.
     pub reason: Reason,
-    /// Time until it may be sent something, here or at another gateway, in milliseconds.
+    /// Time until it may be sent something, here or at another gateway, in milliseconds; infinite if it never may.
     pub opens_in_ms: f64,
 }
 
@@ -82,6 +87,10 @@
     limit: Limit,
     /// Whether it leaves; it doesn't stay after all.
     leaves: bool,
+    /// Whether it said so to this gateway.
+    is_leaving_own: bool,
+    /// When peers were last told, in milliseconds; `None` if there is something new for them.
+    told_ms: Option<f64>,
     /// Fields that couldn't be used.
     unusable: Vec<News>,
     heard_ms: f64,
@@ -145,34 +154,28 @@
         let known = self.lives.entry(life).or_default();
         known.heard_ms = now_ms;
         known.limit.hear_sent(peer, told.sent);
+        known.leaves |= told.leaves;
         if let Some(word) = told.word {
             known.limit.hear(word, false);
         }
     }
 
-    /// What peers are to be told: of all limits that this gateway knows something of by itself those that were told longest ago, or
-    /// only those of which something is new. What it was told isn't told further: it would seem newer each time.
+    /// What peers are to be told: of all endpoints of which this gateway knows something by itself those that were told longest
+    /// ago, or only those of which something is new. What it was told isn't told further: it would seem newer each time.
     pub fn take_told(&mut self, is_all: bool, now_ms: f64) -> Vec<(Life, Told)> {
-        let is_due = |limit: &Limit| is_all || limit.told_ms.is_none();
-        let limits = self
-            .lives
-            .iter_mut()
-            .map(|(life, known)| (*life, &mut known.limit));
-        let worth_telling = |limit: &Limit| {
-            let told = limit.told();
-            let is_over = |word: &Word| word.per_s.is_none() && now_ms - word.at_ms > OVER_TOLD_MS;
-            told.sent > 0 || told.word.is_some_and(|word| !is_over(&word))
-        };
-        let mut due: Vec<(Life, &mut Limit)> = limits
-            .filter(|(_, limit)| is_due(limit) && worth_telling(limit))
+        let is_due = |known: &Known| is_all || known.told_ms.is_none();
+        let lives = self.lives.iter_mut();
+        let mut due: Vec<(Life, &mut Known)> = lives
+            .filter(|(_, known)| is_due(known) && known.told().is_worth(now_ms))
+            .map(|(life, known)| (*life, known))
             .collect();
-        let told_ms = |limit: &Limit| limit.told_ms.unwrap_or(f64::NEG_INFINITY);
+        let told_ms = |known: &Known| known.told_ms.unwrap_or(f64::NEG_INFINITY);
         due.sort_by(|(a, x), (b, y)| told_ms(x).total_cmp(&told_ms(y)).then(a.cmp(b)));
         due.truncate(TOLD_MAX);
         let mut told = Vec::new();
-        for (life, limit) in due {
-            limit.told_ms = Some(now_ms);
-            told.push((life, limit.told()));
+        for (life, known) in due {
+            known.told_ms = Some(now_ms);
+            told.push((life, known.told()));
         }
         told
     }
@@ -215,8 +218,11 @@
         let Some(known) = self.lives.get_mut(&life) else {
             return Ok(false);
         };
-        known.limit.take();
-        Ok(known.limit.per_s().is_some())
+        if !known.limit.take() {
+            return Ok(false);
+        }
+        known.told_ms = None;
+        Ok(true)
     }
 
     fn look(&mut self, life: Life, now_ms: f64) -> Result<(), Shut> {
@@ -230,6 +236,12 @@
             now_ms,
             options: &self.options,
         };
+        if known.leaves {
+            return Err(Shut {
+                reason: Reason::Leaving,
+                opens_in_ms: f64::INFINITY,
+            });
+        }
         let opens_in_ms = known.limit.opens_in_ms(life, &scene);
         if opens_in_ms > 0.0 {
             return Err(Shut {
@@ -259,20 +271,33 @@
 }
 
 impl Known {
+    /// What peers are to be told.
+    fn told(&self) -> Told {
+        Told {
+            leaves: self.is_leaving_own,
+            ..self.limit.told()
+        }
+    }
+
     fn hear_limit(&mut self, said: Field<f64>, sent_ms: f64, now_ms: f64) -> Option<News> {
         let (per_s, at_ms) = match said {
             Field::Says(per_s) => (Some(per_s), now_ms),
             Field::Absent => (None, sent_ms),
             Field::Unusable => return self.note_unusable(News::UnusableLimit),
         };
-        let is_news = self.limit.hear(Word { per_s, at_ms }, true);
-        is_news.then(|| per_s.map_or(News::Unlimited, News::Limited))
+        if !self.limit.hear(Word { per_s, at_ms }, true) {
+            return None;
+        }
+        self.told_ms = None;
+        Some(per_s.map_or(News::Unlimited, News::Limited))
     }
 
     fn hear_leaving(&mut self, said: Field<()>) -> Option<News> {
         match said {
-            Field::Says(()) if !self.leaves => {
+            Field::Says(()) if !self.is_leaving_own => {
                 self.leaves = true;
+                self.is_leaving_own = true;
+                self.told_ms = None;
                 Some(News::Leaves)
             }
             Field::Unusable => self.note_unusable(News::UnusableLeaving),
--- a/crates/mgs-backpressure/tests/emulator/mod.rs
+++ b/crates/mgs-backpressure/tests/emulator/mod.rs
@@ -4,12 +4,12 @@
 
 use mgs_backpressure::advice::Advice;
 use mgs_backpressure::advice::Field;
-use mgs_backpressure::limit::Told;
-use mgs_backpressure::limit::Word;
 use mgs_backpressure::options::Options;
 use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::Table;
+use mgs_backpressure::told::Told;
+use mgs_backpressure::told::Word;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
@@ -267,6 +267,7 @@
         let told = Told {
             word: Some(word),
             sent: news.sent,
+            ..Told::default()
         };
         gateway
             .table
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -2,13 +2,13 @@
 
 use mgs_backpressure::advice::Advice;
 use mgs_backpressure::advice::Field;
-use mgs_backpressure::limit::Told;
-use mgs_backpressure::limit::Word;
 use mgs_backpressure::options::Options;
 use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::News;
 use mgs_backpressure::table::Table;
+use mgs_backpressure::told::Told;
+use mgs_backpressure::told::Word;
 use proptest::prelude::any;
 use proptest::prelude::Just;
 use proptest::prelude::Strategy;
@@ -111,7 +111,10 @@
 fn what_peers_have_sent_counts_once() {
     let mut table = alone();
     table.hear(LIFE, limit(10.0), 0.0, 0.0);
-    let sent = |sent| Told { word: None, sent };
+    let sent = |sent| Told {
+        sent,
+        ..Told::default()
+    };
     table.hear_peer(5, LIFE, sent(3), 0.0);
     table.hear_peer(5, LIFE, sent(2), 0.0);
     table.hear_peer(5, LIFE, sent(3), 0.0);
@@ -154,8 +157,8 @@
                 let from = from as usize;
                 if !is_lost {
                     let told = Told {
-                        word: None,
                         sent: sent[from] as u32,
+                        ..Told::default()
                     };
                     tables[1 - from].hear_peer(from as u64 + 1, LIFE, told, now_ms);
                 }
@@ -195,7 +198,7 @@
         let known = |words: &[Word]| {
             let mut table = alone();
             for word in words {
-                table.hear_peer(from, LIFE, Told { word: Some(*word), sent: 0 }, 10.0);
+                table.hear_peer(from, LIFE, Told { word: Some(*word), ..Told::default() }, 10.0);
             }
             table.limit_per_s(LIFE)
         };
--- a/crates/mgs-placing/src/share.rs
+++ b/crates/mgs-placing/src/share.rs
@@ -76,15 +76,17 @@
     pub age_ms: u32,
 }
 
-/// What the sender knows of the limit of an endpoint by itself.
+/// What an endpoint asks, as the sender knows it by itself.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
-pub struct LimitAt {
+pub struct AdviceAt {
     /// Hash of the endpoint's incarnation.
     pub endpoint: u64,
-    /// What the endpoint said, if it answered the sender.
+    /// What the endpoint said of a limit, if it answered the sender.
     pub word: Option<LimitWord>,
     /// Requests that the sender has sent there by the limit since it started.
     pub sent: u32,
+    /// Whether the endpoint said to the sender that it leaves.
+    pub leaves: bool,
 }
 
 /// One message.
@@ -118,6 +120,6 @@
     pub refusals: Vec<RefusedAt>,
     /// What the clock that gateways share shows at the sender, in milliseconds.
     pub clock_ms: u64,
-    /// Limits that endpoints have named: what is new of them, or more in a whole message.
-    pub limits: Vec<LimitAt>,
+    /// What endpoints ask: what is new of it, or more in a whole message.
+    pub advice: Vec<AdviceAt>,
 }
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -7,15 +7,15 @@
 use std::time::Instant;
 
 use http::response;
-use mgs_backpressure::limit::Told;
-use mgs_backpressure::limit::Word;
 use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::News;
 use mgs_backpressure::table::Shut;
+use mgs_backpressure::told::Told;
+use mgs_backpressure::told::Word;
 use mgs_fleet::view::EndpointKey;
+use mgs_placing::share::AdviceAt;
 use mgs_placing::share::Beacon;
-use mgs_placing::share::LimitAt;
 use mgs_placing::share::LimitWord;
 
 use crate::core::Core;
@@ -23,6 +23,7 @@
 use crate::drain::Phase;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::place::RETRY_AFTER_NO_ENDPOINT_MS;
 use crate::view::Endpoint;
 use crate::wait::RETRY_AFTER_MAX_MS;
 use crate::wait::RETRY_AFTER_MIN_MS;
@@ -36,10 +37,17 @@
 pub(crate) struct Shuts(HashMap<EndpointKey, Shut>);
 
 impl Shuts {
+    /// Whether it may get no request of its own.
     pub(crate) fn contains(&self, endpoint: &Endpoint) -> bool {
         self.0.contains_key(&endpoint.key)
     }
 
+    /// Whether nothing at all may be asked of it.
+    pub(crate) fn is_whole(&self, endpoint: &Endpoint) -> bool {
+        let shut = self.0.get(&endpoint.key);
+        shut.is_some_and(|shut| shut.reason.is_whole())
+    }
+
     /// The refusal of a request for these endpoints, all of which are shut: its client may come back when the first opens.
     pub(crate) fn refusal<'a>(
         &self,
@@ -52,7 +60,10 @@
             endpoints += 1;
             opens_in_ms = shut.opens_in_ms.min(opens_in_ms);
         }
-        let retry_after_ms = (opens_in_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS);
+        let retry_after_ms = match opens_in_ms.is_finite() {
+            true => (opens_in_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
+            false => RETRY_AFTER_NO_ENDPOINT_MS,
+        };
         log::info!(
             request_id = request_id,
             shut_endpoints = endpoints,
@@ -126,39 +137,51 @@
         Ok(())
     }
 
+    /// Whether one of some endpoints has come to be shut for whatever is asked of it.
+    pub(crate) fn is_any_shut(&self, mut keys: impl Iterator<Item = EndpointKey>) -> bool {
+        if self.backpressure.borrow().is_empty() {
+            return false;
+        }
+        let fleet = self.published.fleet();
+        let shut = self.shut();
+        keys.any(|key| fleet.by_key.get(&key).is_some_and(|one| shut.is_whole(one)))
+    }
+
     /// What the clock that gateways share shows, in milliseconds.
     pub(crate) fn shared_clock_ms(&self) -> u64 {
         let now_ms = self.now_ms();
         self.backpressure.borrow().clock_ms(now_ms) as u64
     }
 
-    /// Limits that peers are to be told of.
-    pub(crate) fn limits_to_tell(&self, is_whole: bool) -> Vec<LimitAt> {
+    /// What peers are to be told of endpoints.
+    pub(crate) fn advice_to_tell(&self, is_whole: bool) -> Vec<AdviceAt> {
         let now_ms = self.now_ms();
         let told = self.backpressure.borrow_mut().take_told(is_whole, now_ms);
         let word_at = |word: Word| LimitWord {
             per_s_thousandths: word.per_s.map(|per_s| (per_s * 1e3) as u64),
             age_ms: (now_ms - word.at_ms).max(0.0) as u32,
         };
-        let limit_at = |(life, told): (Life, Told)| LimitAt {
+        let advice_at = |(life, told): (Life, Told)| AdviceAt {
             endpoint: life.0,
             word: told.word.map(word_at),
             sent: told.sent,
+            leaves: told.leaves,
         };
-        told.into_iter().map(limit_at).collect()
+        told.into_iter().map(advice_at).collect()
     }
 
-    /// Takes what a peer was told by endpoints.
-    pub(crate) fn hear_limits(&self, beacon: &Beacon) {
+    /// Takes what a peer says of endpoints.
+    pub(crate) fn hear_peer_advice(&self, beacon: &Beacon) {
         let now_ms = self.now_ms();
         let mut table = self.backpressure.borrow_mut();
         table.hear_clock(beacon.clock_ms as f64, now_ms);
-        for limit in &beacon.limits {
+        for said in &beacon.advice {
             let told = Told {
-                word: limit.word.map(|word| heard_word(&word, now_ms)),
-                sent: limit.sent,
+                word: said.word.map(|word| heard_word(&word, now_ms)),
+                sent: said.sent,
+                leaves: said.leaves,
             };
-            table.hear_peer(beacon.from, Life(limit.endpoint), told, now_ms);
+            table.hear_peer(beacon.from, Life(said.endpoint), told, now_ms);
         }
     }
 
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -179,7 +179,7 @@
     if let Some(gateways) = beacon.gateways {
         core.headcount.borrow_mut().told(gateways as usize);
     }
-    core.hear_limits(beacon);
+    core.hear_peer_advice(beacon);
     let fleet = core.published.fleet();
     let by_hash = core.published.endpoint_hashes();
     let key_of = |hash: u64| by_hash.get(&hash).copied();
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -29,7 +29,7 @@
 
 /// When clients may come back if no endpoint is known, in milliseconds: the fleet is read each second or
 /// two.
-const RETRY_AFTER_NO_ENDPOINT_MS: u64 = 500;
+pub(crate) const RETRY_AFTER_NO_ENDPOINT_MS: u64 = 500;
 
 /// How many times a prompt's memory is asked for anew, at other engines, before its client is asked to
 /// come back.
@@ -57,9 +57,11 @@
     }
 
     /// Whether all its endpoints are still listed and none of them leaves.
-    pub(crate) fn is_present(&self, fleet: &Fleet) -> bool {
+    pub(crate) fn is_present(&self, core: &Core) -> bool {
+        let fleet = core.published.fleet();
         let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.facts.is_leaving);
-        stays(&self.endpoint.key) && self.helper_keys.iter().all(stays)
+        let all = || std::iter::once(&self.endpoint.key).chain(&self.helper_keys);
+        all().all(stays) && !core.is_any_shut(all().copied())
     }
 }
 
--- a/crates/mgs-relay/src/tell.rs
+++ b/crates/mgs-relay/src/tell.rs
@@ -119,7 +119,7 @@
             zone: core.zone,
             waiting: core.first_waiting(),
             clock_ms: core.shared_clock_ms(),
-            limits: core.limits_to_tell(is_whole),
+            advice: core.advice_to_tell(is_whole),
             ..Beacon::default()
         };
         let fleet = core.published.fleet();
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -261,9 +261,11 @@
     let core = prompt.core;
     let shut = core.shut();
     let present = present(fleet, prompt.service);
-    let mut endpoints = usable(core, &present, tried);
-    if !endpoints.is_empty() && endpoints.iter().all(|e| shut.contains(e)) {
-        return Err(shut.refusal(&endpoints, prompt.request_id));
+    let may_help = present.iter().filter(|e| !shut.is_whole(e));
+    let may_help: Vec<Arc<Endpoint>> = may_help.cloned().collect();
+    let mut endpoints = usable(core, &may_help, tried);
+    if !present.is_empty() && endpoints.iter().all(|e| shut.contains(e)) {
+        return Err(shut.refusal(&present, prompt.request_id));
     }
     let near = own_zone_first(core, &mut endpoints);
     let refusing = refusing_help(core, &endpoints);
