--- a/crates/mgs-backpressure/src/advice.rs
+++ b/crates/mgs-backpressure/src/advice.rs
@@ -19,4 +19,6 @@
     pub limit_per_s: Field<f64>,
     /// It leaves: it ends soon, and takes nothing new.
     pub leaving: Field<()>,
+    /// It turned the request away, and wants nothing more from this gateway for so many milliseconds.
+    pub rest_ms: Field<f64>,
 }
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -28,10 +28,14 @@
     Unlimited,
     /// It leaves.
     Leaves,
+    /// It wants rest from this gateway, for so many milliseconds.
+    WantsRest(f64),
     /// It names a limit that can't be used, for the first time.
     UnusableLimit,
     /// It says of leaving what can't be used, for the first time.
     UnusableLeaving,
+    /// It asks for a rest that can't be used, for the first time.
+    UnusableRest,
 }
 
 impl News {
@@ -41,8 +45,10 @@
             Self::Limited(_) => "limited",
             Self::Unlimited => "unlimited",
             Self::Leaves => "leaves",
+            Self::WantsRest(_) => "wants_rest",
             Self::UnusableLimit => "unusable_limit",
             Self::UnusableLeaving => "unusable_leaving",
+            Self::UnusableRest => "unusable_rest",
         }
     }
 }
@@ -146,7 +152,8 @@
         known.heard_ms = now_ms;
         let limit = known.hear_limit(advice.limit_per_s, sent_ms, now_ms);
         let leaving = known.hear_leaving(advice.leaving);
-        limit.into_iter().chain(leaving).collect()
+        let rest = known.hear_rest(advice.rest_ms);
+        limit.into_iter().chain(leaving).chain(rest).collect()
     }
 
     /// Takes what a peer tells.
@@ -305,6 +312,14 @@
         }
     }
 
+    fn hear_rest(&mut self, said: Field<f64>) -> Option<News> {
+        match said {
+            Field::Says(rest_ms) if rest_ms > 0.0 => Some(News::WantsRest(rest_ms)),
+            Field::Unusable => self.note_unusable(News::UnusableRest),
+            _ => None,
+        }
+    }
+
     /// Tells it the first time.
     fn note_unusable(&mut self, news: News) -> Option<News> {
         if self.unusable.contains(&news) {
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -96,15 +96,17 @@
 
     fn note_news(&self, endpoint: &Endpoint, ask: &Ask, news: News) {
         self.metrics.advice.inc(news.name());
-        let limit_per_s = match news {
-            News::Limited(per_s) => per_s,
-            _ => 0.0,
+        let (limit_per_s, rest_ms) = match news {
+            News::Limited(per_s) => (per_s, 0.0),
+            News::WantsRest(rest_ms) => (0.0, rest_ms),
+            _ => (0.0, 0.0),
         };
         log::info!(
             endpoint = endpoint.facts.incarnation.id,
             request_id = ask.request_id,
             news = news.name(),
-            limit_per_s = limit_per_s;
+            limit_per_s = limit_per_s,
+            rest_ms = rest_ms;
             "an endpoint says of itself"
         );
     }
