fix(relay): an endpoint that turns a gateway away and asks for rest gets nothing from it meanwhile

Cause: what a refusal says of its endpoint was kept with the request alone, so each other request of that gateway met the same refusal anew; the field was read by nobody.

Other gateways aren't bound. If all want rest, a request is refused at once and told when the first opens.

--- a/crates/mgs-backpressure/src/options.rs
+++ b/crates/mgs-backpressure/src/options.rs
@@ -15,6 +15,8 @@
     pub turn_ms: f64,
     /// Time of a limit that may be saved and used at once, in milliseconds.
     pub burst_ms: f64,
+    /// Longest rest that an endpoint gets for one answer, in milliseconds: one that asks for days by mistake is asked again.
+    pub rest_max_ms: f64,
     /// How long what isn't listed any more is remembered, in milliseconds: an entry may lapse in an outage of the store
     /// and come back.
     pub kept_ms: f64,
@@ -28,6 +30,7 @@
             holders_more: 3.0,
             turn_ms: 4_000.0,
             burst_ms: 300.0,
+            rest_max_ms: 300_000.0,
             kept_ms: 120_000.0,
         }
     }
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -58,6 +58,8 @@
 pub enum Reason {
     /// It leaves.
     Leaving,
+    /// It has turned this gateway away and wants rest from it.
+    Rest,
     /// What it takes from all gateways together is used up, or another gateway's to use.
     Limit,
 }
@@ -67,12 +69,13 @@
     pub fn name(self) -> &'static str {
         match self {
             Self::Leaving => "leaving",
+            Self::Rest => "rest",
             Self::Limit => "limit",
         }
     }
 
-    /// Whether nothing at all is to be asked of the endpoint, not even to read a part of a prompt for another: a limit is one
-    /// of requests of its own.
+    /// Whether nothing at all is to be asked of the endpoint, not even to read a part of a prompt for another. A limit is
+    /// one of requests of its own.
     pub fn is_whole(self) -> bool {
         self != Self::Limit
     }
@@ -95,6 +98,8 @@
     leaves: bool,
     /// Whether it said so to this gateway.
     is_leaving_own: bool,
+    /// Until when it wants rest from this gateway, in milliseconds.
+    rest_until_ms: f64,
     /// When peers were last told, in milliseconds; `None` if there is something new for them.
     told_ms: Option<f64>,
     /// Fields that couldn't be used.
@@ -152,7 +157,8 @@
         known.heard_ms = now_ms;
         let limit = known.hear_limit(advice.limit_per_s, sent_ms, now_ms);
         let leaving = known.hear_leaving(advice.leaving);
-        let rest = known.hear_rest(advice.rest_ms);
+        let rest_max_ms = self.options.rest_max_ms;
+        let rest = known.hear_rest(advice.rest_ms, rest_max_ms, now_ms);
         limit.into_iter().chain(leaving).chain(rest).collect()
     }
 
@@ -249,6 +255,12 @@
                 opens_in_ms: f64::INFINITY,
             });
         }
+        if now_ms < known.rest_until_ms {
+            return Err(Shut {
+                reason: Reason::Rest,
+                opens_in_ms: known.rest_until_ms - now_ms,
+            });
+        }
         let opens_in_ms = known.limit.opens_in_ms(life, &scene);
         if opens_in_ms > 0.0 {
             return Err(Shut {
@@ -312,9 +324,14 @@
         }
     }
 
-    fn hear_rest(&mut self, said: Field<f64>) -> Option<News> {
+    /// The rest that ends last counts: an answer that was made before may come later.
+    fn hear_rest(&mut self, said: Field<f64>, rest_max_ms: f64, now_ms: f64) -> Option<News> {
         match said {
-            Field::Says(rest_ms) if rest_ms > 0.0 => Some(News::WantsRest(rest_ms)),
+            Field::Says(rest_ms) if rest_ms > 0.0 => {
+                let rest_ms = rest_ms.min(rest_max_ms);
+                self.rest_until_ms = self.rest_until_ms.max(now_ms + rest_ms);
+                Some(News::WantsRest(rest_ms))
+            }
             Field::Unusable => self.note_unusable(News::UnusableRest),
             _ => None,
         }
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -6,6 +6,7 @@
 use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::News;
+use mgs_backpressure::table::Reason;
 use mgs_backpressure::table::Table;
 use mgs_backpressure::told::Told;
 use mgs_backpressure::told::Word;
@@ -81,6 +82,56 @@
     assert_eq!(table.limit_per_s(LIFE), Some(1.0));
 }
 
+#[test]
+fn the_rest_that_ends_last_counts() {
+    let rest = |rest_ms| Advice {
+        rest_ms: Field::Says(rest_ms),
+        ..Advice::default()
+    };
+    let mut table = alone();
+    table.hear(LIFE, rest(3_000.0), 0.0, 100.0);
+    table.hear(LIFE, rest(1_000.0), 0.0, 200.0);
+    table.hear(LIFE, Advice::default(), 300.0, 310.0);
+    let shut = table.take(LIFE, 2_600.0).expect_err("it rests");
+    assert_eq!(shut.reason, Reason::Rest);
+    assert_eq!(shut.opens_in_ms, 500.0);
+    assert!(table.take(LIFE, 3_100.0).is_ok());
+}
+
+#[test]
+fn a_rest_of_days_is_cut() {
+    let mut table = alone();
+    let days = Advice {
+        rest_ms: Field::Says(1e9),
+        ..Advice::default()
+    };
+    table.hear(LIFE, days, 0.0, 0.0);
+    assert!(table.take(LIFE, Options::default().rest_max_ms).is_ok());
+}
+
+#[test]
+fn whoever_leaves_is_told_by_those_that_it_told() {
+    let leaves = Advice {
+        leaving: Field::Says(()),
+        ..Advice::default()
+    };
+    let mut table = alone();
+    table.hear(LIFE, leaves, 0.0, 0.0);
+    table.hear(LIFE, Advice::default(), 10.0, 20.0);
+    assert!(table.take(LIFE, 1e6).is_err());
+    let told = table.take_told(false, 30.0);
+    assert_eq!(told.len(), 1);
+    assert_eq!(table.take_told(false, 40.0).len(), 0);
+    assert_eq!(table.take_told(true, 50.0).len(), 1);
+    let mut peer = alone();
+    peer.hear_peer(1, LIFE, told[0].1, 40.0);
+    assert_eq!(
+        peer.take(LIFE, 50.0).expect_err("it leaves").reason,
+        Reason::Leaving
+    );
+    assert_eq!(peer.take_told(true, 60.0).len(), 0);
+}
+
 #[test]
 fn another_life_is_not_bound() {
     let mut table = alone();
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -48,7 +48,8 @@
         shut.is_some_and(|shut| shut.reason.is_whole())
     }
 
-    /// The refusal of a request for these endpoints, all of which are shut: its client may come back when the first opens.
+    /// The refusal of a request for these endpoints, all of which are shut: its client may come back when the first opens, or
+    /// sooner, since another gateway may have been asked for no rest.
     pub(crate) fn refusal<'a>(
         &self,
         endpoints: impl IntoIterator<Item = &'a std::sync::Arc<Endpoint>>,
