test(soak): endpoints say in their answers what they need, in runs and in planted violations

A fifth kind of run, beside restarts: endpoints name limits, say that they leave seconds before the store hears it, and turn requests away with a rest.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -7,6 +7,8 @@
 //! SOAK_SEEDS=1..50 cargo test --release --test soak -- --ignored --nocapture
 //! ```
 
+#[path = "soak/asked.rs"]
+mod asked;
 #[path = "soak/callers.rs"]
 mod callers;
 #[path = "soak/check.rs"]
@@ -38,6 +40,7 @@
 use callers::Record;
 use check::Seen;
 use plan::plan;
+use plan::plan_with_needs;
 use plan::plan_with_restarts;
 use plan::plan_with_rollbacks;
 use plan::Timed;
@@ -90,7 +93,9 @@
     Restarts,
     /// The same, while the store comes back from older copies.
     Rollbacks,
-    /// The same, while one request ends each engine that runs it and is sent again and again.
+    /// Anything but rollbacks, while endpoints say in their answers what they need.
+    Needs,
+    /// The same as [`Self::Rollbacks`], while one request ends each engine that runs it and is sent again and again.
     Deadly,
 }
 
@@ -99,6 +104,7 @@
         match self {
             Self::Plain => plan(seed, LENGTH_MS),
             Self::Restarts => plan_with_restarts(seed, LENGTH_MS),
+            Self::Needs => plan_with_needs(seed, LENGTH_MS),
             Self::Rollbacks | Self::Deadly => plan_with_rollbacks(seed, LENGTH_MS),
         }
     }
@@ -135,9 +141,11 @@
     let end = Instant::now();
     let records = callers.stop();
     let runs = world.runs();
+    let came = world.came();
     let seen = Seen {
         history: &world.history,
         records: &records,
+        came: &came,
         runs: &runs,
     };
     let mut violations = seen.violations();
@@ -239,21 +247,36 @@
     hold(1, Faults::Deadly);
 }
 
+#[rstest]
+fn promises_hold_while_endpoints_say_what_they_need(#[values(1, 2)] seed: u64) {
+    hold(seed, Faults::Needs);
+}
+
 #[test]
 #[ignore = "by hand, for the seeds of SOAK_SEEDS"]
 fn promises_hold_for_the_seeds_asked_for() {
+    hold_asked_for(|seed| match seed % 3 {
+        0 => Faults::Restarts,
+        1 => Faults::Deadly,
+        _ => Faults::Rollbacks,
+    });
+}
+
+#[test]
+#[ignore = "by hand, for the seeds of SOAK_SEEDS"]
+fn promises_hold_for_the_needs_of_the_seeds_asked_for() {
+    hold_asked_for(|_| Faults::Needs);
+}
+
+/// Plays the seeds of SOAK_SEEDS, and fails at the end if one of them did.
+fn hold_asked_for(faults_of: impl Fn(u64) -> Faults) {
     let asked = std::env::var("SOAK_SEEDS").unwrap_or_else(|_| "1..4".to_string());
     let (first, last) = asked.split_once("..").expect("FIRST..LAST");
     let first: u64 = first.parse().expect("a number");
     let last: u64 = last.parse().expect("a number");
     let mut red = Vec::new();
     for seed in first..=last {
-        let faults = match seed % 3 {
-            0 => Faults::Restarts,
-            1 => Faults::Deadly,
-            _ => Faults::Rollbacks,
-        };
-        let outcome = run(seed, faults);
+        let outcome = run(seed, faults_of(seed));
         say(&report(seed, &outcome));
         if outcome.violations.is_empty() {
             let _ = std::fs::remove_dir_all(outcome.folder);
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -4,6 +4,7 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use crate::asked::Came;
 use crate::callers::Kind;
 use crate::callers::Record;
 use crate::history::Crash;
@@ -45,6 +46,7 @@
     pub(crate) history: &'a History,
     pub(crate) records: &'a [Record],
     pub(crate) runs: &'a [(String, Run)],
+    pub(crate) came: &'a [Came],
 }
 
 impl Seen<'_> {
@@ -67,6 +69,7 @@
         self.check_crashes(&mut found);
         self.check_versions(&mut found);
         self.check_leaves(&mut found);
+        self.check_asked(&mut found);
         found
     }
 
@@ -219,7 +222,7 @@
         }
     }
 
-    fn is_upset(&self, what: &[What], from: Instant, until: Instant) -> bool {
+    pub(crate) fn is_upset(&self, what: &[What], from: Instant, until: Instant) -> bool {
         let mut upsets = self.history.upsets.iter();
         upsets.any(|upset| {
             let ended_before = upset.until.is_some_and(|end| end < from);
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -36,6 +36,8 @@
     EndpointActs(usize, Act),
     EndpointWell(usize),
     EndpointLeaves(usize),
+    /// It says this of itself in all its answers, as whole lines of their heads.
+    EndpointSays(usize, String),
     EndpointGone(usize),
     /// Another incarnation at the same address; the entry of the one before stays.
     EndpointBack(usize),
@@ -111,6 +113,20 @@
     planner.steps
 }
 
+/// The same as [`plan_with_restarts`], and endpoints say in their answers what they need.
+pub(crate) fn plan_with_needs(seed: u64, length_ms: u64) -> Vec<Timed> {
+    let mut planner = Planner {
+        numbers: ChaCha8Rng::seed_from_u64(seed.rotate_left(31)),
+        length_ms,
+        steps: plan_with_restarts(seed, length_ms),
+    };
+    for _ in 0..length_ms / 1_000 {
+        planner.need();
+    }
+    planner.steps.sort_by_key(|timed| timed.at_ms);
+    planner.steps
+}
+
 struct Planner {
     numbers: ChaCha8Rng,
     length_ms: u64,
@@ -212,6 +228,35 @@
         }
     }
 
+    fn need(&mut self) {
+        let at_ms = self.below(self.length_ms / 2);
+        let end_ms = at_ms + 2_000 + self.below(6_000);
+        let endpoint = self.below(ENDPOINTS as u64) as usize;
+        match self.below(4) {
+            0 | 1 => {
+                let tenths = self.below(60);
+                let limit = format!("Server-Limit: {}.{}\r\n", tenths / 10, tenths % 10);
+                self.add(at_ms, Step::EndpointSays(endpoint, limit));
+                self.add(end_ms, Step::EndpointSays(endpoint, String::new()));
+            }
+            2 => {
+                // The store hears it seconds later.
+                let leaves = "Server-Leaving: 1\r\n".to_string();
+                self.add(at_ms, Step::EndpointSays(endpoint, leaves));
+                self.add(end_ms, Step::EndpointLeaves(endpoint));
+                self.add(end_ms + 1_000, Step::EndpointGone(endpoint));
+                self.add(end_ms + 1_500, Step::EndpointBack(endpoint));
+            }
+            _ => {
+                let rest = format!("Retry-After: {}.5\r\n", 1 + self.below(3));
+                self.add(at_ms, Step::EndpointSays(endpoint, rest));
+                self.add(at_ms, Step::EndpointActs(endpoint, Act::Refuse(None)));
+                self.add(end_ms, Step::EndpointSays(endpoint, String::new()));
+                self.add(end_ms, Step::EndpointWell(endpoint));
+            }
+        }
+    }
+
     fn path_fault(&mut self) -> PathFault {
         let all = [
             PathFault::Delayed,
--- a/tests/soak/planted.rs
+++ b/tests/soak/planted.rs
@@ -5,6 +5,7 @@
 
 use rstest::rstest;
 
+use crate::asked::Came;
 use crate::callers::Kind;
 use crate::callers::Record;
 use crate::check::Seen;
@@ -13,6 +14,7 @@
 use crate::history::Leave;
 use crate::history::Life;
 use crate::standin::client::Answer;
+use crate::standin::endpoint::Arrival;
 use crate::standin::endpoint::Run;
 use crate::standin::Message;
 
@@ -54,6 +56,7 @@
         history,
         records,
         runs,
+        came: &[],
     };
     seen.violations()
 }
@@ -166,3 +169,109 @@
         "{found:?}"
     );
 }
+
+/// A request that came to an endpoint which says something, at a gateway; it was answered at once.
+struct Planted {
+    at_ms: u64,
+    gateway: usize,
+    said: &'static str,
+    is_refused: bool,
+}
+
+/// Requests as [`Planted`] says, and what is found.
+fn asked(all: &[Planted]) -> Vec<String> {
+    let start = Instant::now() + Duration::from_secs(10);
+    let mut records = Vec::new();
+    let mut came = Vec::new();
+    for (number, planted) in all.iter().enumerate() {
+        let mut record = good(start, planted.at_ms, 1);
+        record.id = format!("r-{number}");
+        record.gateway = planted.gateway;
+        let status = if planted.is_refused { 503 } else { 200 };
+        let mut answer = answer(&record.id, status, &format!("r-{number} nursery-1"));
+        if planted.said.starts_with("Server-Leaving") {
+            let field = ("server-leaving".to_string(), "1".to_string());
+            answer.head.fields.push(field);
+        }
+        record.answer = Some(answer);
+        came.push(Came {
+            place: 0,
+            id: "i-1".to_string(),
+            life: "127.0.0.1:1".parse().expect("an address"),
+            arrival: Arrival {
+                request_id: record.id.clone(),
+                at: record.sent,
+                said: planted.said.to_string(),
+                is_refused: planted.is_refused,
+            },
+        });
+        records.push(record);
+    }
+    let seen = Seen {
+        history: &History::default(),
+        records: &records,
+        runs: &[],
+        came: &came,
+    };
+    seen.violations()
+}
+
+/// Requests to one gateway, so many milliseconds apart.
+fn each(gap_ms: u64, count: u64, said: &'static str) -> Vec<Planted> {
+    let planted = |number| Planted {
+        at_ms: number * gap_ms,
+        gateway: 0,
+        said,
+        is_refused: false,
+    };
+    (0..count).map(planted).collect()
+}
+
+#[rstest]
+// Five and one and a half times four are allowed in four seconds.
+#[case::as_many_as_allowed(370, false)]
+#[case::one_more(330, true)]
+fn requests_beyond_a_limit_are_found(#[case] gap_ms: u64, #[case] is_found: bool) {
+    let found = asked(&each(gap_ms, 30, "Server-Limit: 1.0\r\n"));
+    let is_it = |text: &String| text.contains("takes 1 a second");
+    assert_eq!(found.iter().any(is_it), is_found, "{found:?}");
+}
+
+#[rstest]
+#[case::in_time(1_900, false)]
+#[case::later(2_100, true)]
+fn requests_to_an_endpoint_that_said_that_it_leaves_are_found(
+    #[case] gap_ms: u64,
+    #[case] is_found: bool,
+) {
+    let found = asked(&each(gap_ms, 2, "Server-Leaving: 1\r\n"));
+    let is_it = |text: &String| text.contains("had said that it leaves");
+    assert_eq!(found.iter().any(is_it), is_found, "{found:?}");
+}
+
+#[rstest]
+#[case::as_many_as_allowed(2, 0, false)]
+#[case::one_more(3, 0, true)]
+#[case::from_another_gateway(3, 1, false)]
+fn requests_in_a_rest_are_found(
+    #[case] count: u64,
+    #[case] gateway: usize,
+    #[case] is_found: bool,
+) {
+    let mut all = vec![Planted {
+        at_ms: 0,
+        gateway: 0,
+        said: "Retry-After: 2.5\r\n",
+        is_refused: true,
+    }];
+    let later = |number| Planted {
+        at_ms: 600 + number * 300,
+        gateway,
+        said: "",
+        is_refused: false,
+    };
+    all.extend((0..count).map(later));
+    let found = asked(&all);
+    let is_it = |text: &String| text.contains("s of rest");
+    assert_eq!(found.iter().any(is_it), is_found, "{found:?}");
+}
--- a/tests/soak/world.rs
+++ b/tests/soak/world.rs
@@ -13,6 +13,7 @@
 use serde_json::json;
 use serde_json::Value;
 
+use crate::asked::Came;
 use crate::history::Crash;
 use crate::history::History;
 use crate::history::Leave;
@@ -166,6 +167,27 @@
         all.flat_map(of).collect()
     }
 
+    /// What came to all incarnations of endpoints.
+    pub(crate) fn came(&self) -> Vec<Came> {
+        let of = |place: usize, endpoint: &Endpoint| {
+            let id = endpoint.id.clone();
+            let life = endpoint.address;
+            endpoint.came().into_iter().map(move |arrival| Came {
+                place,
+                id: id.clone(),
+                life,
+                arrival,
+            })
+        };
+        let mut all = Vec::new();
+        for (number, place) in self.places.iter().enumerate() {
+            for endpoint in place.past.iter().chain([&place.present]) {
+                all.extend(of(number, endpoint));
+            }
+        }
+        all
+    }
+
     /// The newest version of the configuration.
     pub(crate) fn version(&self) -> u64 {
         self.version
@@ -338,6 +360,7 @@
                 let at = Instant::now();
                 self.history.leaves.push(Leave { id, at });
             }
+            Step::EndpointSays(number, says) => self.places[*number].present.set_says(says),
             Step::StoreRolledBack(age_ms, write_again_ms) => {
                 self.history.upset(What::Store);
                 self.store.set_mode(Mode::Busy);
@@ -484,6 +507,7 @@
         for number in 0..ENDPOINTS {
             heal(&self.places[number].path);
             self.apply(&Step::EndpointWell(number));
+            self.apply(&Step::EndpointSays(number, String::new()));
             self.history.ends(What::EndpointPath(number));
             let place = &self.places[number];
             match place.is_leaving || place.crashed.is_some() {
