--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -10,6 +10,7 @@
 use mgs_backpressure::share::Gateways;
 use mgs_backpressure::table::Life;
 use mgs_backpressure::table::News;
+use mgs_backpressure::table::Reason;
 use mgs_backpressure::table::Shut;
 use mgs_backpressure::told::Told;
 use mgs_backpressure::told::Word;
@@ -56,18 +57,19 @@
         request_id: &str,
     ) -> Refusal {
         let shuts = endpoints.into_iter().filter_map(|e| self.0.get(&e.key));
-        let (mut endpoints, mut opens_in_ms) = (0, f64::INFINITY);
-        for shut in shuts {
-            endpoints += 1;
-            opens_in_ms = shut.opens_in_ms.min(opens_in_ms);
-        }
+        let shuts: Vec<&Shut> = shuts.collect();
+        let count = |reason: Reason| shuts.iter().filter(|shut| shut.reason == reason).count();
+        let opens_in_ms = shuts.iter().map(|shut| shut.opens_in_ms);
+        let opens_in_ms = opens_in_ms.fold(f64::INFINITY, f64::min);
         let retry_after_ms = match opens_in_ms.is_finite() {
             true => (opens_in_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
             false => RETRY_AFTER_NO_ENDPOINT_MS,
         };
         log::info!(
             request_id = request_id,
-            shut_endpoints = endpoints,
+            leaving = count(Reason::Leaving),
+            resting = count(Reason::Rest),
+            limited = count(Reason::Limit),
             retry_after_ms = retry_after_ms;
             "all endpoints are shut"
         );
@@ -140,16 +142,6 @@
         Ok(())
     }
 
-    /// Whether one of some endpoints has come to be shut for whatever is asked of it.
-    pub(crate) fn is_any_shut(&self, mut keys: impl Iterator<Item = EndpointKey>) -> bool {
-        if self.backpressure.borrow().is_empty() {
-            return false;
-        }
-        let fleet = self.published.fleet();
-        let shut = self.shut();
-        keys.any(|key| fleet.by_key.get(&key).is_some_and(|one| shut.is_whole(one)))
-    }
-
     /// What the clock that gateways share shows, in milliseconds.
     pub(crate) fn shared_clock_ms(&self) -> u64 {
         let now_ms = self.now_ms();
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -57,11 +57,9 @@
     }
 
     /// Whether all its endpoints are still listed and none of them leaves.
-    pub(crate) fn is_present(&self, core: &Core) -> bool {
-        let fleet = core.published.fleet();
+    pub(crate) fn is_present(&self, fleet: &Fleet) -> bool {
         let stays = |key: &EndpointKey| fleet.by_key.get(key).is_some_and(|e| !e.facts.is_leaving);
-        let all = || std::iter::once(&self.endpoint.key).chain(&self.helper_keys);
-        all().all(stays) && !core.is_any_shut(all().copied())
+        stays(&self.endpoint.key) && self.helper_keys.iter().all(stays)
     }
 }
 
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -169,7 +169,7 @@
             if placed.hold_ms > 0.0 {
                 sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
             }
-            if !placed.is_present(&self.core) {
+            if !placed.is_present(&self.core.published.fleet()) {
                 log::info!(
                     request_id = self.ask.request_id, endpoint = placed.endpoint.facts.incarnation.id;
                     "an engine began to leave before the dispatch"
--- a/src/explain/cause.rs
+++ b/src/explain/cause.rs
@@ -74,6 +74,7 @@
                 line.field("work")
             );
         }
+        "endpoints_shut" => return all_shut(story),
         "full" | "too_late" | "timeout_before_dispatch" => return no_room(story, detail),
         "not_run" => {
             return format!(
@@ -98,6 +99,22 @@
     text.to_string()
 }
 
+/// All endpoints had asked to be sent nothing then.
+fn all_shut(story: &Story) -> String {
+    let Some(line) = story.last("all endpoints are shut") else {
+        return "all endpoints had asked to be sent nothing; it has not run".to_string();
+    };
+    format!(
+        "all endpoints had asked to be sent nothing: {} leave, {} want rest from this host, {} name a limit that was used \
+         up or held by other hosts; it was told to come back after {} ms; it has not run (look for \"an endpoint says of \
+         itself\")",
+        line.number("leaving"),
+        line.number("resting"),
+        line.number("limited"),
+        line.number("retry_after_ms"),
+    )
+}
+
 fn no_room(story: &Story, detail: &str) -> String {
     let mut text = match detail {
         "full" => "the engines had no room for it",
