--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -54,6 +54,9 @@
 /// another one: a dispatch that hangs leaves time for it.
 const DISPATCH_SHARE: f64 = 0.5;
 
+/// Pause before a request is placed again whose endpoint has come to be shut: others are served meanwhile.
+const PLACE_AGAIN: Duration = Duration::from_millis(2);
+
 /// Lowest rank that engines know.
 const RANK_MAX: u8 = 9;
 
@@ -180,6 +183,8 @@
                 Ok(()) => return Ok(placed),
                 Err(shut) => advice::note_shut(&self.ask, &placed.endpoint, shut),
             }
+            drop(placed);
+            sleep(PLACE_AGAIN).await;
         }
     }
 
