refactor(account): one name each for the size of a request and what lateness costs; unread figures are told

WRITTEN_FACTOR and LATE_SHARE stood twice; the account now takes them from mgs-placing. The ends of losses of power were kept and read by nobody. Declared engines that can't be read were passed over without a word.

--- a/crates/mgs-placing/src/need.rs
+++ b/crates/mgs-placing/src/need.rs
@@ -4,7 +4,10 @@
 
 /// A written token's share of a request's size, in read tokens: engines write a token in about the time in
 /// which they read ten.
-pub(crate) const WRITTEN_FACTOR: f64 = 10.0;
+pub const WRITTEN_FACTOR: f64 = 10.0;
+
+/// Share of a request's worth that is lost when it is late: sheets pay about a quarter for late answers.
+pub const LATE_SHARE: f64 = 0.75;
 
 /// One prompt.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/mgs-placing/src/survey.rs
+++ b/crates/mgs-placing/src/survey.rs
@@ -6,13 +6,11 @@
 use crate::board::Held;
 use crate::model::EngineModel;
 use crate::model::WriterCost;
+use crate::need::LATE_SHARE;
 use crate::options::Options;
 use crate::streams::Streams;
 use crate::way::Candidate;
 
-/// Share of a request's worth that is lost when it is late: sheets pay about a quarter for late answers.
-pub(crate) const LATE_SHARE: f64 = 0.75;
-
 /// Width of the step from on time to late for a pause, as a share of the limit: predictions of reading were
 /// within a tenth on calm days.
 const PAUSE_BLUR: f64 = 0.1;
--- a/src/account/engines.rs
+++ b/src/account/engines.rs
@@ -25,8 +25,8 @@
     models: BTreeMap<String, EngineModel>,
     /// Lives of endpoints by service.
     lives: HashMap<String, HashMap<String, Life>>,
-    /// When all hosts were without power.
-    dark: Vec<(f64, f64)>,
+    /// When all hosts lost their power.
+    dark_ms: Vec<f64>,
 }
 
 impl Engines {
@@ -37,7 +37,7 @@
         for line in &sorted {
             engines.note(line, line.at_ms - start_ms);
         }
-        engines.dark = dark(&sorted, start_ms);
+        engines.dark_ms = dark(&sorted, start_ms);
         engines
     }
 
@@ -67,8 +67,11 @@
 
     fn declare(&mut self, line: &Line) {
         let figures = Value::Object(line.fields.clone());
-        if let Ok(model) = serde_json::from_value(figures) {
-            self.models.insert(line.field("service"), model);
+        match serde_json::from_value(figures) {
+            Ok(model) => {
+                self.models.insert(line.field("service"), model);
+            }
+            Err(error) => log::warn!(error:% = error; "declared engines can't be read"),
         }
     }
 
@@ -92,17 +95,15 @@
 
     /// The first time after `at_ms` at which all hosts lost their power, in milliseconds.
     pub fn next_dark_ms(&self, at_ms: f64) -> Option<f64> {
-        let after = self.dark.iter().filter(|(from_ms, _)| *from_ms >= at_ms);
-        after.map(|(from_ms, _)| *from_ms).next()
+        let mut dark_ms = self.dark_ms.iter().copied();
+        dark_ms.find(|from_ms| *from_ms >= at_ms)
     }
 }
 
-/// Spans in which no host said anything, at whose end hosts start again.
-fn dark(sorted: &[&Line], start_ms: f64) -> Vec<(f64, f64)> {
+/// Begins of spans in which no host said anything, at whose end hosts start again.
+fn dark(sorted: &[&Line], start_ms: f64) -> Vec<f64> {
     let pairs = sorted.windows(2);
     let spans = pairs
         .filter(|pair| pair[1].text == "started" && pair[1].at_ms - pair[0].at_ms > DARK_MIN_MS);
-    spans
-        .map(|pair| (pair[0].at_ms - start_ms, pair[1].at_ms - start_ms))
-        .collect()
+    spans.map(|pair| pair[0].at_ms - start_ms).collect()
 }
--- a/src/account/outcome.rs
+++ b/src/account/outcome.rs
@@ -2,13 +2,12 @@
 
 use std::collections::HashMap;
 
+use mgs_placing::need;
+
 use crate::explain::summary::Cause;
 use crate::explain::Line;
 use crate::explain::Story;
 
-/// Share of a request's worth that is lost when it is late: sheets pay about a quarter for late answers.
-pub(super) const LATE_SHARE: f64 = 0.75;
-
 /// What a prompt is worth whatever its size, in units; the rest goes by its size beside the mean of its kind.
 const UNITS_LEAST: f64 = 0.3;
 
@@ -23,9 +22,6 @@
 /// How a request ended of which the logs tell no end.
 const CUT: &str = "open when its host ended";
 
-/// A written token's share of a request's size, in read tokens.
-const WRITTEN_FACTOR: f64 = 10.0;
-
 /// Ends of requests that were never to be served: the client's key or route was wrong, or what it sent was.
 const NOT_OWED: [&str; 5] = [
     "no_route",
@@ -99,7 +95,7 @@
                 .fold(0.0, f64::max)
         };
         let prompt_tokens = told("prompt_tokens");
-        let expected_tokens = prompt_tokens + WRITTEN_FACTOR * told("expected_tokens");
+        let expected_tokens = need::size(prompt_tokens, told("expected_tokens"));
         if cause == Cause::Ended("answered".to_string()) {
             cause = plain_cause(ended?);
         }
@@ -126,7 +122,7 @@
 
     /// Tokens that its answer was expected to have.
     pub fn answer_tokens(&self) -> f64 {
-        (self.size_tokens - self.prompt_tokens).max(0.0) / WRITTEN_FACTOR
+        (self.size_tokens - self.prompt_tokens).max(0.0) / need::WRITTEN_FACTOR
     }
 
     /// How it ended, in a word.
@@ -214,7 +210,7 @@
         }
         let lost_share = match outcome.end() {
             End::OnTime => 0.0,
-            End::Late => LATE_SHARE,
+            End::Late => need::LATE_SHARE,
             End::Refused | End::Failed => 1.0,
         };
         outcome.lost_units = outcome.units * lost_share;
--- a/src/account/split.rs
+++ b/src/account/split.rs
@@ -8,13 +8,13 @@
 use std::collections::BTreeMap;
 
 use mgs_placing::model::EngineModel;
+use mgs_placing::need::LATE_SHARE;
 
 use super::engines::Engines;
 use super::fluid;
 use super::fluid::Piece;
 use super::fluid::Supply;
 use super::outcome::Outcome;
-use super::outcome::LATE_SHARE;
 
 /// Engines that read one prompt at most, the one that writes it included.
 const READERS_MAX: f64 = 17.0;
