fix(relay): only a good answer of its own tells that an endpoint names no limit any more

Nobody has met it; failures and refusals may be made where the limit isn't known (a proxy, a full queue).

Cause: a field that an answer doesn't tell of and one that it tells isn't there were one value.

--- a/crates/mgs-backpressure/src/advice.rs
+++ b/crates/mgs-backpressure/src/advice.rs
@@ -3,8 +3,10 @@
 /// A field of an answer.
 #[derive(Debug, Clone, Copy, Default, PartialEq)]
 pub enum Field<T> {
-    /// It isn't there.
+    /// The answer doesn't tell: it is another's, or a failure. Nothing follows from it.
     #[default]
+    Unsaid,
+    /// It isn't there, in an answer that would have it.
     Absent,
     /// It is there and can't be used: nothing follows from it, not even that it isn't there.
     Unusable,
@@ -22,3 +24,16 @@
     /// It turned the request away, and wants nothing more from this gateway for so many milliseconds.
     pub rest_ms: Field<f64>,
 }
+
+impl Advice {
+    /// Whether a field of it is there.
+    pub(crate) fn says_anything(&self) -> bool {
+        self.limit_per_s.is_there() || self.leaving.is_there() || self.rest_ms.is_there()
+    }
+}
+
+impl<T> Field<T> {
+    fn is_there(&self) -> bool {
+        matches!(self, Self::Unusable | Self::Says(_))
+    }
+}
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -125,7 +125,8 @@
 /// assert!(table.take(Life(7), 40.0).is_err());
 /// assert!(table.take(Life(7), 1_100.0).is_ok());
 /// // An answer without it to a request that was sent later.
-/// table.hear(Life(7), Advice::default(), 1_100.0, 1_120.0);
+/// let none = Advice { limit_per_s: Field::Absent, ..Advice::default() };
+/// table.hear(Life(7), none, 1_100.0, 1_120.0);
 /// assert!(table.take(Life(7), 1_130.0).is_ok());
 /// ```
 #[derive(Debug, Default)]
@@ -150,7 +151,7 @@
     /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it, one thing after the other. An answer without a limit
     /// takes one back only if its request was sent after the limit was heard: answers may overtake each other.
     pub fn hear(&mut self, life: Life, advice: Advice, sent_ms: f64, now_ms: f64) -> Vec<News> {
-        if advice == Advice::default() && !self.lives.contains_key(&life) {
+        if !self.lives.contains_key(&life) && !advice.says_anything() {
             return Vec::new();
         }
         let known = self.lives.entry(life).or_default();
@@ -302,6 +303,7 @@
         let (per_s, at_ms) = match said {
             Field::Says(per_s) => (Some(per_s), now_ms),
             Field::Absent => (None, sent_ms),
+            Field::Unsaid => return None,
             Field::Unusable => return self.note_unusable(News::UnusableLimit),
         };
         if !self.limit.hear(Word { per_s, at_ms }, true) {
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -25,6 +25,14 @@
     }
 }
 
+/// An answer that would name a limit and names none.
+fn no_limit() -> Advice {
+    Advice {
+        limit_per_s: Field::Absent,
+        ..Advice::default()
+    }
+}
+
 /// The table of the only gateway.
 fn alone() -> Table {
     let mut table = Table::new(Options::default());
@@ -53,8 +61,10 @@
     assert_eq!(table.hear(LIFE, limit(1.0), 0.0, 30.0), []);
     assert_eq!(takes(&mut table, 40.0), 1);
     assert_eq!(takes(&mut table, 500.0), 0);
-    let none = Advice::default();
-    assert_eq!(table.hear(LIFE, none, 600.0, 620.0), [News::Unlimited]);
+    assert_eq!(
+        table.hear(LIFE, no_limit(), 600.0, 620.0),
+        [News::Unlimited]
+    );
     assert_eq!(takes(&mut table, 630.0), 100);
 }
 
@@ -62,7 +72,15 @@
 fn a_late_answer_to_an_earlier_request_takes_no_limit_back() {
     let mut table = alone();
     table.hear(LIFE, limit(1.0), 0.0, 100.0);
-    assert_eq!(table.hear(LIFE, Advice::default(), 90.0, 150.0), []);
+    assert_eq!(table.hear(LIFE, no_limit(), 90.0, 150.0), []);
+    assert_eq!(table.limit_per_s(LIFE), Some(1.0));
+}
+
+#[test]
+fn an_answer_that_does_not_tell_takes_no_limit_back() {
+    let mut table = alone();
+    table.hear(LIFE, limit(1.0), 0.0, 20.0);
+    assert_eq!(table.hear(LIFE, Advice::default(), 30.0, 50.0), []);
     assert_eq!(table.limit_per_s(LIFE), Some(1.0));
 }
 
@@ -91,7 +109,7 @@
     let mut table = alone();
     table.hear(LIFE, rest(3_000.0), 0.0, 100.0);
     table.hear(LIFE, rest(1_000.0), 0.0, 200.0);
-    table.hear(LIFE, Advice::default(), 300.0, 310.0);
+    table.hear(LIFE, no_limit(), 300.0, 310.0);
     let shut = table.take(LIFE, 2_600.0).expect_err("it rests");
     assert_eq!(shut.reason, Reason::Rest);
     assert_eq!(shut.opens_in_ms, 500.0);
@@ -117,7 +135,7 @@
     };
     let mut table = alone();
     table.hear(LIFE, leaves, 0.0, 0.0);
-    table.hear(LIFE, Advice::default(), 10.0, 20.0);
+    table.hear(LIFE, no_limit(), 10.0, 20.0);
     assert!(table.take(LIFE, 1e6).is_err());
     let told = table.take_told(false, 30.0);
     assert_eq!(told.len(), 1);
