perf(backpressure): what asks for nothing any more is forgotten; messages leave room for what is placed

A life that had once named a limit stayed in the table as long as it was listed, and each request looked at it. A message tells of 12 endpoints instead of 24: with 172 limited ones, what gateways have placed would have been cut for it.

--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -12,8 +12,9 @@
 use crate::told::Told;
 use crate::told::Word;
 
-/// Most limits that one message to peers carries.
-const TOLD_MAX: usize = 24;
+/// Most endpoints that one message to peers tells of, the others' turn comes with the next: what gateways have placed must fit in
+/// as well.
+const TOLD_MAX: usize = 12;
 
 /// One life of an endpoint: the hash of its incarnation, the same at all gateways.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash)]
@@ -104,7 +105,8 @@
     told_ms: Option<f64>,
     /// Fields that couldn't be used.
     unusable: Vec<News>,
-    heard_ms: f64,
+    /// When it was last said that it asks for something, in milliseconds.
+    said_ms: f64,
 }
 
 /// What one gateway knows of what endpoints ask.
@@ -155,7 +157,9 @@
             return Vec::new();
         }
         let known = self.lives.entry(life).or_default();
-        known.heard_ms = now_ms;
+        if advice.says_anything() {
+            known.said_ms = now_ms;
+        }
         let limit = known.hear_limit(advice.limit_per_s, sent_ms, now_ms);
         let leaving = known.hear_leaving(advice.leaving);
         let rest_max_ms = self.options.rest_max_ms;
@@ -166,7 +170,7 @@
     /// Takes what a peer tells.
     pub fn hear_peer(&mut self, peer: u64, life: Life, told: Told, now_ms: f64) {
         let known = self.lives.entry(life).or_default();
-        known.heard_ms = now_ms;
+        known.said_ms = now_ms;
         known.limit.hear_sent(peer, told.sent);
         known.leaves |= told.leaves;
         if let Some(word) = told.word {
@@ -282,11 +286,13 @@
         self.lives.is_empty()
     }
 
-    /// Forgets lives that aren't listed and haven't been heard for long.
+    /// Forgets, some time after the last word of it, what isn't listed and what asks for nothing any more.
     pub fn expire(&mut self, now_ms: f64, is_listed: impl Fn(Life) -> bool) {
         let kept_ms = self.options.kept_ms;
-        self.lives
-            .retain(|life, known| is_listed(*life) || now_ms - known.heard_ms < kept_ms);
+        self.lives.retain(|life, known| {
+            let is_in_force = known.asks_for_something(now_ms) && is_listed(*life);
+            is_in_force || now_ms - known.said_ms < kept_ms
+        });
     }
 }
 
@@ -299,6 +305,10 @@
         }
     }
 
+    fn asks_for_something(&self, now_ms: f64) -> bool {
+        self.leaves || now_ms < self.rest_until_ms || self.limit.per_s().is_some()
+    }
+
     fn hear_limit(&mut self, said: Field<f64>, sent_ms: f64, now_ms: f64) -> Option<News> {
         let (per_s, at_ms) = match said {
             Field::Says(per_s) => (Some(per_s), now_ms),
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -205,6 +205,18 @@
     assert!(table.is_empty());
 }
 
+#[test]
+fn what_asks_for_nothing_any_more_is_forgotten_though_it_is_listed() {
+    let mut table = alone();
+    table.hear(LIFE, limit(1.0), 0.0, 20.0);
+    table.hear(LIFE, no_limit(), 30.0, 50.0);
+    table.expire(1_000.0, |_| true);
+    assert!(!table.is_empty());
+    table.hear(LIFE, no_limit(), 1e6, 1e6);
+    table.expire(1e6, |_| true);
+    assert!(table.is_empty());
+}
+
 /// Two gateways that always have something to send, and every pattern of lost messages over four seconds.
 #[test]
 fn two_gateways_keep_to_a_limit_whatever_messages_are_lost() {
