--- a/crates/mgs-placing/tests/emulator/deployments.rs
+++ b/crates/mgs-placing/tests/emulator/deployments.rs
@@ -21,6 +21,7 @@
         questions: None,
         places: usize::MAX,
         plays: 6,
+        limited: None,
     }
 }
 
@@ -42,6 +43,7 @@
         questions: None,
         places: usize::MAX,
         plays: 8,
+        limited: None,
     }
 }
 
@@ -115,6 +117,7 @@
         }),
         places: 24,
         plays: 6,
+        limited: None,
     }
 }
 
@@ -165,6 +168,7 @@
         }),
         places: 10,
         plays: 1,
+        limited: None,
     }
 }
 
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -1,7 +1,13 @@
 //! A gateway before emulated engines: it places prompts as the relay does.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
+use mgs_backpressure::advice;
+use mgs_backpressure::advice::Advice;
+use mgs_backpressure::share::Gateways;
+use mgs_backpressure::table::Life;
+use mgs_backpressure::table::Table;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::board::Board;
 use mgs_placing::board::Held;
@@ -62,6 +68,27 @@
     pub(crate) places: usize,
     /// Plays with different numbers, over which the mean is taken.
     pub(crate) plays: u64,
+    /// Engines that name a limit.
+    pub(crate) limited: Option<Limited>,
+}
+
+/// Engines that name a limit of requests a second, the first ones of the fleet.
+#[derive(Debug, Clone, Copy)]
+pub(crate) struct Limited {
+    pub(crate) engines: u32,
+    pub(crate) per_s: f64,
+    pub(crate) way: LimitWay,
+}
+
+/// What is asked of an engine whose limit is used up.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub(crate) enum LimitWay {
+    /// Parts for others, as the gateway does.
+    Parts,
+    /// Nothing.
+    Nothing,
+    /// Parts for others; and it gets a request of its own only if no other engine has it on time.
+    LastToLead,
 }
 
 /// How prompts are placed in a play.
@@ -111,6 +138,8 @@
     pub(super) lengths: Lengths,
     placed: HashMap<usize, Sent>,
     judged: HashMap<usize, Judged>,
+    limited: Option<Limited>,
+    limits: Table,
 }
 
 /// What was last found of a prompt that waits for its turn.
@@ -170,6 +199,8 @@
             lengths: Lengths::default(),
             placed: HashMap::new(),
             judged: HashMap::new(),
+            limited: deployment.limited,
+            limits: limits(deployment.limited),
         }
     }
 
@@ -200,7 +231,38 @@
             let first = (draws.unit() * zone_engines as f64) as usize;
             keys[..zone_engines].rotate_left(first);
         }
-        let candidate = |key: &u32| Candidate::of(EndpointKey(*key));
+        let shut: HashSet<u64> = self.limits.shut(now_ms).iter().map(|(l, _)| l.0).collect();
+        let placed = self.place_among(&keys, &shut, need, model, draw, now_ms);
+        let is_on_time = |placed: &Placed| placed.placement.first_token_ms <= need.aim_ms;
+        let limited = self.limited;
+        let Some(limited) = limited.filter(|limited| limited.way == LimitWay::LastToLead) else {
+            return placed;
+        };
+        let all: HashSet<u64> = (0..u64::from(limited.engines)).collect();
+        let elsewhere = self.place_among(&keys, &all, need, model, draw, now_ms);
+        elsewhere.filter(is_on_time).or(placed)
+    }
+
+    /// `shut`: engines that get no request of their own.
+    fn place_among(
+        &self,
+        keys: &[u32],
+        shut: &HashSet<u64>,
+        need: &Need,
+        model: &EngineModel,
+        draw: f64,
+        now_ms: f64,
+    ) -> Option<Placed> {
+        let zone_engines = keys.len() / self.zones;
+        let is_asked_nothing = self.limited.is_some_and(|l| l.way == LimitWay::Nothing);
+        let candidate = |key: &u32| {
+            let leads = !shut.contains(&u64::from(*key));
+            Candidate {
+                leads,
+                helps: leads || !is_asked_nothing,
+                ..Candidate::of(EndpointKey(*key))
+            }
+        };
         let all: Vec<Candidate> = keys.iter().map(candidate).collect();
         let field = Field {
             near: &all[..zone_engines],
@@ -349,6 +411,11 @@
     }
 
     fn send(&mut self, emulator: &mut Emulator, prompt: usize, need: &Need, placement: Placement) {
+        // Nobody else takes it between choice and dispatch.
+        let taken = self
+            .limits
+            .take(Life(u64::from(placement.first.0)), emulator.now_ms);
+        assert!(taken.is_ok(), "{taken:?}");
         if let Some(band) = turn::band(need, &emulator.model, &self.turns) {
             self.lengths.sent(band, emulator.now_ms);
         }
@@ -458,6 +525,26 @@
     }
 }
 
+/// The limits that engines have named, at the only gateway.
+fn limits(limited: Option<Limited>) -> Table {
+    let mut table = Table::new(Default::default());
+    table.set_gateways(Gateways {
+        count: Some(1),
+        ..Gateways::default()
+    });
+    let Some(limited) = limited else {
+        return table;
+    };
+    let says = Advice {
+        limit_per_s: advice::Field::Says(limited.per_s),
+        ..Advice::default()
+    };
+    for engine in 0..limited.engines {
+        table.hear(Life(u64::from(engine)), says, 0.0, 0.0);
+    }
+    table
+}
+
 /// Plays a load to its end; what became of each prompt is in the emulator.
 pub(crate) fn play(
     policy: Policy,
