--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -77,7 +77,7 @@
 
     /// Whether nothing at all is to be asked of the endpoint, not even to read a part of a prompt for another. A limit is
     /// one of requests of its own.
-    pub fn is_whole(self) -> bool {
+    pub fn bars_help(self) -> bool {
         self != Self::Limit
     }
 }
@@ -123,13 +123,13 @@
 /// table.set_gateways(Gateways { count: Some(1), ..Gateways::default() });
 /// let limit = Advice { limit_per_s: Field::Says(1.0), ..Advice::default() };
 /// table.hear(Life(7), limit, 0.0, 20.0);
-/// assert!(table.take(Life(7), 30.0).is_ok());
-/// assert!(table.take(Life(7), 40.0).is_err());
-/// assert!(table.take(Life(7), 1_100.0).is_ok());
+/// assert!(table.permit(Life(7), 30.0).is_ok());
+/// assert!(table.permit(Life(7), 40.0).is_err());
+/// assert!(table.permit(Life(7), 1_100.0).is_ok());
 /// // An answer without it to a request that was sent later.
 /// let none = Advice { limit_per_s: Field::Absent, ..Advice::default() };
 /// table.hear(Life(7), none, 1_100.0, 1_120.0);
-/// assert!(table.take(Life(7), 1_130.0).is_ok());
+/// assert!(table.permit(Life(7), 1_130.0).is_ok());
 /// ```
 #[derive(Debug, Default)]
 pub struct Table {
@@ -230,8 +230,8 @@
         lives.into_iter().filter_map(shut).collect()
     }
 
-    /// Takes leave to send a request now, right before it is sent. Tells whether peers are to be told.
-    pub fn take(&mut self, life: Life, now_ms: f64) -> Result<bool, Shut> {
+    /// Permits a request right before it is sent, and counts it. Tells whether peers are to be told.
+    pub fn permit(&mut self, life: Life, now_ms: f64) -> Result<bool, Shut> {
         self.look(life, now_ms)?;
         let Some(known) = self.lives.get_mut(&life) else {
             return Ok(false);
--- a/crates/mgs-backpressure/tests/emulator/mod.rs
+++ b/crates/mgs-backpressure/tests/emulator/mod.rs
@@ -298,7 +298,7 @@
     let members = gateway.heard_ms.len() + 1;
     match way {
         Way::FewHolders => {
-            let is_taken = gateway.table.take(LIFE, now_ms).is_ok();
+            let is_taken = gateway.table.permit(LIFE, now_ms).is_ok();
             gateway.told_sent += u32::from(is_taken);
             gateway.has_sent |= is_taken;
             return is_taken;
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -47,7 +47,7 @@
 fn takes(table: &mut Table, now_ms: f64) -> usize {
     let most = 100;
     (0..most)
-        .take_while(|_| table.take(LIFE, now_ms).is_ok())
+        .take_while(|_| table.permit(LIFE, now_ms).is_ok())
         .count()
 }
 
@@ -110,10 +110,10 @@
     table.hear(LIFE, rest(3_000.0), 0.0, 100.0);
     table.hear(LIFE, rest(1_000.0), 0.0, 200.0);
     table.hear(LIFE, no_limit(), 300.0, 310.0);
-    let shut = table.take(LIFE, 2_600.0).expect_err("it rests");
+    let shut = table.permit(LIFE, 2_600.0).expect_err("it rests");
     assert_eq!(shut.reason, Reason::Rest);
     assert_eq!(shut.opens_in_ms, 500.0);
-    assert!(table.take(LIFE, 3_100.0).is_ok());
+    assert!(table.permit(LIFE, 3_100.0).is_ok());
 }
 
 #[test]
@@ -124,7 +124,7 @@
         ..Advice::default()
     };
     table.hear(LIFE, days, 0.0, 0.0);
-    assert!(table.take(LIFE, Options::default().rest_max_ms).is_ok());
+    assert!(table.permit(LIFE, Options::default().rest_max_ms).is_ok());
 }
 
 #[test]
@@ -136,7 +136,7 @@
     let mut table = alone();
     table.hear(LIFE, leaves, 0.0, 0.0);
     table.hear(LIFE, no_limit(), 10.0, 20.0);
-    assert!(table.take(LIFE, 1e6).is_err());
+    assert!(table.permit(LIFE, 1e6).is_err());
     let told = table.take_told(false, 30.0);
     assert_eq!(told.len(), 1);
     assert_eq!(table.take_told(false, 40.0).len(), 0);
@@ -144,7 +144,7 @@
     let mut peer = alone();
     peer.hear_peer(1, LIFE, told[0].1, 40.0);
     assert_eq!(
-        peer.take(LIFE, 50.0).expect_err("it leaves").reason,
+        peer.permit(LIFE, 50.0).expect_err("it leaves").reason,
         Reason::Leaving
     );
     assert_eq!(peer.take_told(true, 60.0).len(), 0);
@@ -155,7 +155,7 @@
     let mut table = alone();
     table.hear(LIFE, limit(0.0), 0.0, 20.0);
     takes(&mut table, 30.0);
-    assert!(table.take(Life(8), 40.0).is_ok());
+    assert!(table.permit(Life(8), 40.0).is_ok());
 }
 
 #[test]
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -414,7 +414,7 @@
         // Nobody else takes it between choice and dispatch.
         let taken = self
             .limits
-            .take(Life(u64::from(placement.first.0)), emulator.now_ms);
+            .permit(Life(u64::from(placement.first.0)), emulator.now_ms);
         assert!(taken.is_ok(), "{taken:?}");
         if let Some(band) = turn::band(need, &emulator.model, &self.turns) {
             self.lengths.sent(band, emulator.now_ms);
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -4,6 +4,7 @@
 //! have waited between.
 
 use std::collections::HashMap;
+use std::sync::Arc;
 use std::time::Instant;
 
 use http::response;
@@ -35,25 +36,25 @@
 
 /// Endpoints that may not be sent a request now.
 #[derive(Debug, Default)]
-pub(crate) struct Shuts(HashMap<EndpointKey, Shut>);
+pub(crate) struct ShutEndpoints(HashMap<EndpointKey, Shut>);
 
-impl Shuts {
+impl ShutEndpoints {
     /// Whether it may get no request of its own.
     pub(crate) fn contains(&self, endpoint: &Endpoint) -> bool {
         self.0.contains_key(&endpoint.key)
     }
 
-    /// Whether nothing at all may be asked of it.
-    pub(crate) fn is_whole(&self, endpoint: &Endpoint) -> bool {
+    /// Whether nothing at all may be asked of it, not even to help.
+    pub(crate) fn bars_help(&self, endpoint: &Endpoint) -> bool {
         let shut = self.0.get(&endpoint.key);
-        shut.is_some_and(|shut| shut.reason.is_whole())
+        shut.is_some_and(|shut| shut.reason.bars_help())
     }
 
     /// The refusal of a request for these endpoints, all of which are shut: its client may come back when the first opens, or
     /// sooner, since another gateway may have been asked for no rest.
     pub(crate) fn refusal<'a>(
         &self,
-        endpoints: impl IntoIterator<Item = &'a std::sync::Arc<Endpoint>>,
+        endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>,
         request_id: &str,
     ) -> Refusal {
         let shuts = endpoints.into_iter().filter_map(|e| self.0.get(&e.key));
@@ -115,23 +116,23 @@
     }
 
     /// Endpoints that may not be sent a request now.
-    pub(crate) fn shut(&self) -> Shuts {
+    pub(crate) fn shut(&self) -> ShutEndpoints {
         if self.backpressure.borrow().is_empty() {
-            return Shuts::default();
+            return ShutEndpoints::default();
         }
         let by_hash = self.published.endpoint_hashes();
         let shut = self.backpressure.borrow_mut().shut(self.now_ms());
         let keyed = |(life, shut): (Life, Shut)| Some((*by_hash.get(&life.0)?, shut));
-        Shuts(shut.into_iter().filter_map(keyed).collect())
+        ShutEndpoints(shut.into_iter().filter_map(keyed).collect())
     }
 
-    /// Takes leave to send an endpoint a request now.
-    pub(crate) fn take_leave(&self, endpoint: &Endpoint) -> Result<(), Shut> {
+    /// Permits a request to an endpoint right before it is sent, and counts it.
+    pub(crate) fn permit_dispatch(&self, endpoint: &Endpoint) -> Result<(), Shut> {
         let mut table = self.backpressure.borrow_mut();
         if table.is_empty() {
             return Ok(());
         }
-        match table.take(life(endpoint), self.now_ms()) {
+        match table.permit(life(endpoint), self.now_ms()) {
             Ok(true) => self.board_changed.notify_one(),
             Ok(false) => {}
             Err(shut) => {
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -179,7 +179,7 @@
                 );
                 continue;
             }
-            match self.core.take_leave(&placed.endpoint) {
+            match self.core.permit_dispatch(&placed.endpoint) {
                 Ok(()) => return Ok(placed),
                 Err(shut) => advice::note_shut(&self.ask, &placed.endpoint, shut),
             }
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -261,7 +261,7 @@
     let core = prompt.core;
     let shut = core.shut();
     let present = present(fleet, prompt.service);
-    let may_help = present.iter().filter(|e| !shut.is_whole(e));
+    let may_help = present.iter().filter(|e| !shut.bars_help(e));
     let may_help: Vec<Arc<Endpoint>> = may_help.cloned().collect();
     let mut endpoints = usable(core, &may_help, tried);
     if !present.is_empty() && endpoints.iter().all(|e| shut.contains(e)) {
