fix(relay): a suspect whose only endpoint is shut runs on no other

Found while the diff was read: a work under which two endpoints have crashed may run on one endpoint only, the same at each gateway. All others were told to the choice as tried before, and these are the last resort; so when that one wanted rest, or its limit was used up, the request ran on another and ended it too. Nobody has met it: it needs both incidents at once.

Mend: what is placed where the work may not run is refused, as all requests are whose endpoints are shut.

Test: platform/tests/crashing.rs, a_suspect_whose_endpoint_is_shut_runs_on_no_other (502 and an ended endpoint before, 503 since).

--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -189,17 +189,32 @@
     }
 
     async fn place(&self) -> Result<Placed, Refusal> {
-        let closed = self.closed();
-        let tried = closed.as_ref().unwrap_or(&self.progress.tried);
+        let Some(closed) = self.closed() else {
+            return self.place_but(&self.progress.tried).await;
+        };
+        let placed = self.place_but(&closed).await?;
+        if !closed.contains(&placed.endpoint.key) {
+            return Ok(placed);
+        }
+        // What is avoided is the last resort of others, not of a request that may have crashed endpoints.
+        let fleet = self.core.published.fleet();
+        let present = place::present(&fleet, &self.service);
+        let open = present.iter().filter(|e| !closed.contains(&e.key));
+        Err(self.core.shut().refusal(open, &self.ask.request_id))
+    }
+
+    /// Places it at an endpoint that isn't to be avoided, if there is one.
+    async fn place_but(&self, avoided: &Tried) -> Result<Placed, Refusal> {
         let Some(model) = &self.model else {
-            return place::plain(&self.core, &self.service, tried, &self.ask.request_id);
+            let request_id = &self.ask.request_id;
+            return place::plain(&self.core, &self.service, avoided, request_id);
         };
         let prompt = Prompt {
             core: &self.core,
             request_id: &self.ask.request_id,
             service: &self.service,
             model,
-            tried,
+            tried: avoided,
         };
         place::prompt(&prompt, || self.need()).await
     }
