fix(relay): how many endpoints may be passed over counts those that are shut too

Found while the diff was read: the share of endpoints that may be passed over after failures was taken of the open ones only, so where some wanted rest fewer failing ones were passed over.

--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -67,16 +67,18 @@
 pub(crate) type Tried = Vec<EndpointKey>;
 
 /// Endpoints of a service that are listed and don't leave.
-pub(crate) fn present(fleet: &Fleet, service: &str) -> Vec<Arc<Endpoint>> {
+pub(crate) fn present(core: &Core, fleet: &Fleet, service: &str) -> Vec<Arc<Endpoint>> {
     let listed = fleet.of_service(service).iter();
     let present = listed.filter(|endpoint| !endpoint.facts.is_leaving);
-    present.cloned().collect()
+    let present: Vec<Arc<Endpoint>> = present.cloned().collect();
+    // Also those that are shut for now: of all of them, only so many may be passed over.
+    core.outliers.known(present.len());
+    present
 }
 
 /// Those of the present endpoints that should take something. Those that were tried or are passed over count
 /// only if there is no other.
 pub(crate) fn usable(core: &Core, present: &[Arc<Endpoint>], tried: &Tried) -> Vec<Arc<Endpoint>> {
-    core.outliers.known(present.len());
     let now_ms = core.now_whole_ms();
     // The entry of an endpoint that has ended lapses seconds later.
     let stands = |endpoint: &Arc<Endpoint>| {
@@ -109,7 +111,7 @@
     request_id: &str,
 ) -> Result<Placed, Refusal> {
     let fleet = core.published.fleet();
-    let present = present(&fleet, service);
+    let present = present(core, &fleet, service);
     let shut = core.shut();
     let open: Vec<Arc<Endpoint>> = present
         .iter()
--- a/crates/mgs-relay/src/pursue.rs
+++ b/crates/mgs-relay/src/pursue.rs
@@ -198,7 +198,7 @@
         }
         // What is avoided is the last resort of others, not of a request that may have crashed endpoints.
         let fleet = self.core.published.fleet();
-        let present = place::present(&fleet, &self.service);
+        let present = place::present(&self.core, &fleet, &self.service);
         let open = present.iter().filter(|e| !closed.contains(&e.key));
         Err(self.core.shut().refusal(open, &self.ask.request_id))
     }
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -260,7 +260,7 @@
 ) -> Result<Placed, Refusal> {
     let core = prompt.core;
     let shut = core.shut();
-    let present = present(fleet, prompt.service);
+    let present = present(core, fleet, prompt.service);
     let may_help = present.iter().filter(|e| !shut.bars_help(e));
     let may_help: Vec<Arc<Endpoint>> = may_help.cloned().collect();
     let mut endpoints = usable(core, &may_help, tried);
