fix(relay): an endpoint in a crash loop holds nothing that it ran

Cause: each life of an endpoint counted as one more endpoint that ended under the work. One that starts again every fifth of a second under its identifier, where the others take nothing, gives three crashes in half a second to whatever is sent most.

Mend: ends under one identifier within 2 s count once. A deadly request at a service of one endpoint is still held, after three ends that are 2 s apart; across endpoints nothing changes, as they have identifiers of their own. What remains: gateways that count different lives of one loop add up.

Test: an_endpoint_in_a_crash_loop_holds_nothing_that_it_ran (503 before, three of three; 200 since); the other nine of crashing.rs hold.

--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -63,6 +63,17 @@
     }
 }
 
+/// Ends under one identifier within this time count once, in milliseconds. What a request crashes is away for seconds
+/// before the request comes again.
+const CRASH_LOOP_MS: f64 = 2_000.0;
+
+/// The end of one life of an endpoint.
+#[derive(Debug, Clone, Copy)]
+struct CountedEnd {
+    life: u64,
+    at_ms: f64,
+}
+
 /// What a gateway knows of crashes.
 pub(crate) struct Crashes {
     table: RefCell<Quarantine>,
@@ -70,6 +81,8 @@
     seen_here: RefCell<BTreeSet<WorkKey>>,
     /// Since when endpoints refuse connections from here, in milliseconds.
     refuse_since_ms: RefCell<HashMap<EndpointKey, f64>>,
+    /// The last life of each identifier whose end counts, and when it was, in milliseconds.
+    counted: RefCell<HashMap<String, CountedEnd>>,
     doubts: RefCell<Vec<Doubt>>,
     /// Something is to be told to peers at once.
     pub(crate) urgent: Notify,
@@ -83,12 +96,30 @@
             table: RefCell::new(Quarantine::new(options)),
             seen_here: RefCell::new(BTreeSet::new()),
             refuse_since_ms: RefCell::new(HashMap::new()),
+            counted: RefCell::new(HashMap::new()),
             doubts: RefCell::new(Vec::new()),
             urgent: Notify::new(),
             newcomers: RefCell::new(Vec::new()),
         }
     }
 
+    /// Whether the end of an endpoint is soon after the end of an earlier life under the same identifier: it starts and ends by
+    /// itself then, whatever it runs. One end in a while counts all the same, since a request may do that to a service with
+    /// one endpoint.
+    fn is_crash_loop(&self, endpoint: &Endpoint, at_ms: f64) -> bool {
+        let incarnation = &endpoint.facts.incarnation;
+        let life = incarnation.hash_64();
+        let mut counted = self.counted.borrow_mut();
+        counted.retain(|_, end| at_ms - end.at_ms < CRASH_LOOP_MS);
+        let known = counted.get(&incarnation.id);
+        if known.is_some_and(|known| known.life != life) {
+            return true;
+        }
+        let end = CountedEnd { life, at_ms };
+        counted.entry(incarnation.id.clone()).or_insert(end);
+        false
+    }
+
     /// Works of which something is new here.
     pub(crate) fn take_fresh(&self) -> Vec<WorkKey> {
         self.table.borrow_mut().take_fresh()
@@ -223,6 +254,14 @@
 
     /// An endpoint has ended under a run.
     fn crashed(&self, run: &LostRun, at_ms: f64) {
+        if self.crashes.is_crash_loop(&run.endpoint, at_ms) {
+            log::info!(
+                request_id = run.request_id, work:% = run.work,
+                endpoint = run.endpoint.facts.incarnation.id;
+                "an endpoint ends again and again"
+            );
+            return;
+        }
         let incarnation = run.endpoint.facts.incarnation.hash_64();
         let mut table = self.crashes.table.borrow_mut();
         table.crashed(run.work, incarnation, run.reached, at_ms);
