--- a/crates/mgs-backpressure/src/lib.rs
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -4,7 +4,7 @@
 //! of it, and belongs to one life of the endpoint.
 //!
 //! - [`advice`]: what one answer says.
-//! - [`share`]: how gateways share it without talking about it.
+//! - [`share`]: which gateways may use a limit that all of them share.
 //! - [`told`]: what gateways tell each other.
 //! - [`table`]: what one gateway knows of all endpoints, and whether one may be sent something now.
 
--- a/crates/mgs-backpressure/src/limit.rs
+++ b/crates/mgs-backpressure/src/limit.rs
@@ -26,12 +26,13 @@
     is_own: bool,
     /// Requests that this gateway has sent by it.
     sent: u32,
-    /// Requests that others say that they have sent by it.
+    /// Requests that others say that they have sent by it, by their incarnations.
     sent_by: HashMap<u64, u32>,
     /// Requests that all gateways together may send at once; below 0 if they have sent too many.
     saved: f64,
     /// When that was last brought up to date, in milliseconds; `None` before the limit was ever named.
     filled_ms: Option<f64>,
+    /// The turn as it was last found.
     found: Option<Found>,
 }
 
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -95,9 +95,9 @@
 #[derive(Debug, Clone, Default)]
 struct Known {
     limit: Limit,
-    /// Whether it leaves; it doesn't stay after all.
+    /// Whether it has said that it leaves, to this gateway or to a peer; nothing takes that back.
     leaves: bool,
-    /// Whether it said so to this gateway.
+    /// Whether it said so to this gateway, which tells peers.
     is_leaving_own: bool,
     /// Until when it wants rest from this gateway, in milliseconds.
     rest_until_ms: f64,
@@ -150,7 +150,7 @@
         }
     }
 
-    /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it, one thing after the other. An answer without a limit
+    /// Takes what an answer to a request that was sent at `sent_ms` says; tells what is new in it. An answer without a limit
     /// takes one back only if its request was sent after the limit was heard: answers may overtake each other.
     pub fn hear(&mut self, life: Life, advice: Advice, sent_ms: f64, now_ms: f64) -> Vec<News> {
         if !self.lives.contains_key(&life) && !advice.says_anything() {
