refactor(soak): the four kinds of plan are drawn by one function

Cause: each kind wrote the same planner, loop and sort again, and the kind with needs was the third copy. Change: Planner::more draws steps beside those given; each kind names its seed, count and step. Conclusion: no run of the soak changes; kept seeds stay what they were.

--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -69,62 +69,30 @@
 
 /// The steps of a seed within `length_ms`; whatever began has ended by then.
 pub(crate) fn plan(seed: u64, length_ms: u64) -> Vec<Timed> {
-    let mut planner = Planner {
-        numbers: ChaCha8Rng::seed_from_u64(seed),
-        length_ms,
-        steps: Vec::new(),
-    };
     // About two faults a second, so that several overlap.
-    for _ in 0..length_ms / 500 {
-        planner.fault();
-    }
-    planner.steps.sort_by_key(|timed| timed.at_ms);
-    planner.steps
+    let count = length_ms / 500;
+    Planner::more(seed, length_ms, Vec::new(), count, Planner::fault)
 }
 
 /// The same with endpoints that start again under their identifiers, and entries that others spoil meanwhile.
 pub(crate) fn plan_with_restarts(seed: u64, length_ms: u64) -> Vec<Timed> {
-    let mut planner = Planner {
-        numbers: ChaCha8Rng::seed_from_u64(!seed),
-        length_ms,
-        steps: plan(seed, length_ms),
-    };
-    for _ in 0..length_ms / 700 {
-        planner.restart();
-    }
-    planner.steps.sort_by_key(|timed| timed.at_ms);
-    planner.steps
+    let steps = plan(seed, length_ms);
+    let count = length_ms / 700;
+    Planner::more(!seed, length_ms, steps, count, Planner::restart)
 }
 
 /// The same, and the store comes back from older copies.
 pub(crate) fn plan_with_rollbacks(seed: u64, length_ms: u64) -> Vec<Timed> {
-    let mut planner = Planner {
-        numbers: ChaCha8Rng::seed_from_u64(seed.rotate_left(17)),
-        length_ms,
-        steps: plan_with_restarts(seed, length_ms),
-    };
-    for _ in 0..length_ms / 3_000 {
-        let at_ms = planner.below(length_ms);
-        let age_ms = planner.below(6_000);
-        let write_again_ms = planner.below(2_000);
-        planner.add(at_ms, Step::StoreRolledBack(age_ms, write_again_ms));
-    }
-    planner.steps.sort_by_key(|timed| timed.at_ms);
-    planner.steps
+    let steps = plan_with_restarts(seed, length_ms);
+    let (numbers, count) = (seed.rotate_left(17), length_ms / 3_000);
+    Planner::more(numbers, length_ms, steps, count, Planner::rollback)
 }
 
 /// The same as [`plan_with_restarts`], and endpoints say in their answers what they need.
 pub(crate) fn plan_with_needs(seed: u64, length_ms: u64) -> Vec<Timed> {
-    let mut planner = Planner {
-        numbers: ChaCha8Rng::seed_from_u64(seed.rotate_left(31)),
-        length_ms,
-        steps: plan_with_restarts(seed, length_ms),
-    };
-    for _ in 0..length_ms / 1_000 {
-        planner.need();
-    }
-    planner.steps.sort_by_key(|timed| timed.at_ms);
-    planner.steps
+    let steps = plan_with_restarts(seed, length_ms);
+    let (numbers, count) = (seed.rotate_left(31), length_ms / 1_000);
+    Planner::more(numbers, length_ms, steps, count, Planner::need)
 }
 
 struct Planner {
@@ -134,6 +102,33 @@
 }
 
 impl Planner {
+    /// These steps and more, which `add` draws so many times.
+    fn more(
+        numbers: u64,
+        length_ms: u64,
+        steps: Vec<Timed>,
+        count: u64,
+        add: fn(&mut Self),
+    ) -> Vec<Timed> {
+        let mut planner = Self {
+            numbers: ChaCha8Rng::seed_from_u64(numbers),
+            length_ms,
+            steps,
+        };
+        for _ in 0..count {
+            add(&mut planner);
+        }
+        planner.steps.sort_by_key(|timed| timed.at_ms);
+        planner.steps
+    }
+
+    fn rollback(&mut self) {
+        let at_ms = self.below(self.length_ms);
+        let age_ms = self.below(6_000);
+        let write_again_ms = self.below(2_000);
+        self.add(at_ms, Step::StoreRolledBack(age_ms, write_again_ms));
+    }
+
     fn below(&mut self, most: u64) -> u64 {
         u64::from(self.numbers.next_u32()) % most.max(1)
     }
