refactor(relay,backpressure): one time on the way, one pass over gateways, no clock turned twice

Cause, found when the whole change was read: the time that a message takes stood twice (advice, peers); the moment of sending was taken as an Instant and turned into milliseconds after the answer, though the core's clock says it at once; what a peer has sent was looked up twice; and at each change of the gateways every remembered sender was searched in a list, which at 172 limited endpoints and 300 gateways is fifteen million comparisons on a host with a tenth of a core. Change: peers::ON_THE_WAY_MS serves both; attempt takes core.now_ms() and Core::at_ms is gone; one entry of the map; a set is built once for each change of the gateways. Behaviour as it was. Figures: none measured; the comparisons are counted, not timed.

--- a/crates/mgs-backpressure/src/limit.rs
+++ b/crates/mgs-backpressure/src/limit.rs
@@ -58,12 +58,11 @@
 
     /// Another gateway has sent so many requests by it.
     pub(crate) fn hear_sent(&mut self, gateway: u64, sent: u32) {
-        let before = self.sent_by.insert(gateway, sent).unwrap_or(0);
-        // One that is heard late has told more since.
-        if sent < before {
-            self.sent_by.insert(gateway, before);
-        }
-        self.saved -= f64::from(sent.saturating_sub(before));
+        let known = self.sent_by.entry(gateway).or_default();
+        // A message that comes late tells less than is known.
+        let more = sent.saturating_sub(*known);
+        *known += more;
+        self.saved -= f64::from(more);
     }
 
     /// Forgets what gateways sent that are gone.
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -1,6 +1,7 @@
 //! What one gateway knows of what endpoints ask, and whether one of them may be sent something now.
 
 use std::collections::HashMap;
+use std::collections::HashSet;
 
 use crate::advice::Advice;
 use crate::advice::Field;
@@ -203,9 +204,9 @@
         if gateways == self.gateways {
             return;
         }
-        let is_there = |gateway: u64| gateways.others.contains(&gateway);
+        let there: HashSet<u64> = gateways.others.iter().copied().collect();
         for known in self.lives.values_mut() {
-            known.limit.forget(is_there);
+            known.limit.forget(|gateway| there.contains(&gateway));
         }
         self.gateways = gateways;
         self.version += 1;
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -5,7 +5,6 @@
 
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use http::response;
 use mgs_backpressure::share::Gateways;
@@ -25,15 +24,12 @@
 use crate::drain::Phase;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::peers::ON_THE_WAY_MS;
 use crate::place::RETRY_AFTER_NO_ENDPOINT_MS;
 use crate::view::Endpoint;
 use crate::wait::RETRY_AFTER_MAX_MS;
 use crate::wait::RETRY_AFTER_MIN_MS;
 
-/// Added to the age of a peer's word that a limit isn't named any more, for its way here, in milliseconds: a limit
-/// that was heard meanwhile goes before it.
-const ON_THE_WAY_MS: f64 = 50.0;
-
 /// Endpoints that may not be sent a request now.
 #[derive(Debug, Default)]
 pub(crate) struct ShutEndpoints(HashMap<EndpointKey, Shut>);
@@ -79,16 +75,16 @@
 }
 
 impl Core {
-    /// Takes what an answer to a request says of the endpoint that gave it. `sent`: when the request was.
+    /// Takes what an answer to a request that was sent at `sent_ms` says of the endpoint that gave it.
     pub(crate) fn hear_advice(
         &self,
         endpoint: &Endpoint,
         ask: &Ask,
         head: &response::Parts,
-        sent: Instant,
+        sent_ms: f64,
     ) {
         let advice = self.dialect.advice(ask, head);
-        let (sent_ms, now_ms) = (self.at_ms(sent), self.now_ms());
+        let now_ms = self.now_ms();
         let mut table = self.backpressure.borrow_mut();
         let news = table.hear(life(endpoint), advice, sent_ms, now_ms);
         drop(table);
@@ -200,8 +196,9 @@
 /// A peer's word of a limit, by this process's clock.
 fn heard_word(word: &LimitWord, now_ms: f64) -> Word {
     let per_s = word.per_s_thousandths.map(|per_s| per_s as f64 / 1e3);
-    let on_the_way_ms = if per_s.is_none() { ON_THE_WAY_MS } else { 0.0 };
-    let at_ms = now_ms - f64::from(word.age_ms) - on_the_way_ms;
+    // A limit that was heard while its end was on the way goes before that.
+    let on_the_way_ms = if per_s.is_none() { ON_THE_WAY_MS } else { 0 };
+    let at_ms = now_ms - f64::from(word.age_ms) - on_the_way_ms as f64;
     Word { per_s, at_ms }
 }
 
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -81,14 +81,14 @@
     };
     let took_ms = start.elapsed().as_secs_f64() * 1e3;
     core.metrics.connect_ms.observe(took_ms);
-    let sent = Instant::now();
+    let sent_ms = core.now_ms();
     let response = match connection.send(request).await {
         Ok(response) => response,
         Err(error) if error.is_unsent() => return unsent(&error),
         Err(error) => return unanswered(&error),
     };
     let (head, body) = response.into_parts();
-    core.hear_advice(endpoint, ask, &head, sent);
+    core.hear_advice(endpoint, ask, &head, sent_ms);
     match core.dialect.reply(ask, &head) {
         Reply::NotRun { reason, at_fault } => not_run(reason, at_fault),
         Reply::Foreign(foreign) => unusable(&foreign.to_string()),
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -5,7 +5,6 @@
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::sync::Arc;
-use std::time::Instant;
 
 use mgs_backpressure::table::Table;
 use mgs_fleet::view::EndpointKey;
@@ -100,11 +99,6 @@
         self.published.now_ms()
     }
 
-    /// Time since the start of the process at an instant, in milliseconds.
-    pub(crate) fn at_ms(&self, at: Instant) -> f64 {
-        self.now_ms() - at.elapsed().as_secs_f64() * 1e3
-    }
-
     /// When the store last confirmed which endpoints are listed, in milliseconds, here or at a peer.
     pub(crate) fn fleet_confirmed_ms(&self) -> Option<u64> {
         let age_ms = self.published.fleet_age_ms()?;
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -38,7 +38,7 @@
 
 /// Added to the age of what a peer knows for its way here, in milliseconds: an interval between two messages
 /// and a busy host's delay.
-const ON_THE_WAY_MS: u64 = 50;
+pub(crate) const ON_THE_WAY_MS: u64 = 50;
 
 /// What a gateway tells its peers.
 #[derive(Debug, Clone, Serialize, Deserialize)]
