--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -73,17 +73,27 @@
         now_ms: f64,
         gateways: Option<usize>,
     ) -> bool {
+        if self.available_retries(options, service, now_ms, gateways) < 1.0 {
+            return false;
+        }
+        self.counts(service).retries_ms.push_back(now_ms);
+        true
+    }
+
+    /// Returns how many retries of a service are left now, with the fraction of the next one.
+    pub fn available_retries(
+        &mut self,
+        options: &Options,
+        service: &str,
+        now_ms: f64,
+        gateways: Option<usize>,
+    ) -> f64 {
         let counts = self.counts(service);
         drop_before(&mut counts.requests_ms, now_ms - options.window_ms);
         drop_before(&mut counts.retries_ms, now_ms - options.window_ms);
         let own = options.ratio * counts.requests_ms.len() as f64;
         let shared = gateways.map_or(0.0, |gateways| options.extra / gateways.max(1) as f64);
-        let retries_max = (own + shared) * options.used_share;
-        if counts.retries_ms.len() as f64 + 1.0 > retries_max {
-            return false;
-        }
-        counts.retries_ms.push_back(now_ms);
-        true
+        (own + shared) * options.used_share - counts.retries_ms.len() as f64
     }
 
     fn counts(&mut self, service: &str) -> &mut RetryCounts {
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -213,11 +213,28 @@
     }
 
     /// Takes one retry from the retry budget of a service; returns whether there was one left.
-    pub(crate) fn take_retry(&self, service: &str) -> bool {
+    /// `reason` says why the request needs it.
+    pub(crate) fn take_retry(&self, service: &str, request_id: &str, reason: &str) -> bool {
         let now_ms = self.now_ms();
         let gateways = self.gateways_sharing();
         let live_settings = self.published.live_settings();
+        let options = &live_settings.budget;
         let mut budget = self.budget.borrow_mut();
-        budget.try_take_retry(&live_settings.budget, service, now_ms, gateways)
+        let available = budget.available_retries(options, service, now_ms, gateways);
+        let is_allowed = budget.try_take_retry(options, service, now_ms, gateways);
+        if !is_allowed {
+            self.metrics.denied_retries.inc(reason);
+        }
+        log::info!(
+            request_id = request_id,
+            service = service,
+            reason = reason,
+            allowed = is_allowed,
+            available = available,
+            gateways = gateways.unwrap_or(0),
+            up_ms = now_ms as u64;
+            "retry asked for"
+        );
+        is_allowed
     }
 }
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -420,7 +420,8 @@
         if self.progress.runs >= self.route.attempts_max {
             return false;
         }
-        self.core.take_retry(&self.service)
+        let request_id = &self.client_request.request_id;
+        self.core.take_retry(&self.service, request_id, failed.name)
     }
 
     fn build_request(&self, placed: &PlacedRequest, last_event_id: Option<&str>) -> Request<Bytes> {
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -44,6 +44,8 @@
     pub(crate) refusals: Counters,
     /// Retries, by reason.
     pub(crate) retries: Counters,
+    /// Retries that the retry budget denied, by reason.
+    pub(crate) denied_retries: Counters,
     /// Dispatches, by outcome.
     pub(crate) dispatches: Counters,
     /// Streams that broke off, by reason.
@@ -110,6 +112,11 @@
             ),
             refusals: registry.counters("relay_refusals", "Requests without an answer", "reason"),
             retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
+            denied_retries: registry.counters(
+                "relay_denied_retries",
+                "Retries for which the budget had nothing left, by reason",
+                "reason",
+            ),
             dispatches: registry.counters("relay_dispatches", "Dispatches, by end", "end"),
             broken_streams: registry.counters(
                 "relay_broken_streams",
