--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -32,7 +32,7 @@
     }
 }
 
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 struct RetryCounts {
     requests_ms: VecDeque<f64>,
     retries_ms: VecDeque<f64>,
@@ -51,7 +51,7 @@
 /// assert!(budget.try_take_retry(&options, "model", 1.0, Some(2)));
 /// assert!(!budget.try_take_retry(&options, "model", 2.0, Some(2)));
 /// ```
-#[derive(Debug, Default)]
+#[derive(Debug, Clone, Default)]
 pub struct RetryBudget {
     by_service: HashMap<String, RetryCounts>,
 }
