fix(relay): a restarted process no longer renews the retry allowance

Cause: the record of retries lives in memory, and each start took its part of the fixed allowance as if its predecessor had spent nothing in the same sliding window.

Now a process younger than a window has only a reserve, in proportion to its age; what requests earn may be saved up to a part of what the last window earned. So a host's retries in any window are bounded over any series of restarts, with no store, peer or disk.

--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -212,6 +212,14 @@
         gateway_count.gateways_sharing()
     }
 
+    /// Counts a client's request of a service for the retry budget.
+    pub(crate) fn earn_retries(&self, service: &str) {
+        let now_ms = self.now_ms();
+        let live_settings = self.published.live_settings();
+        let mut budget = self.budget.borrow_mut();
+        budget.record_request(&live_settings.budget, service, now_ms);
+    }
+
     /// Takes one retry from the retry budget of a service; returns whether there was one left.
     /// `reason` says why the request needs it.
     pub(crate) fn take_retry(&self, service: &str, request_id: &str, reason: &str) -> bool {
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -290,12 +290,6 @@
         let endpoint = placed.endpoint.clone();
         self.progress.dispatches += 1;
         self.progress.in_flight = true;
-        if self.progress.dispatches == 1 {
-            let now_ms = self.core.now_ms();
-            let live = self.core.published.live_settings();
-            let mut budget = self.core.budget.borrow_mut();
-            budget.record_request(&live.budget, &self.service, now_ms);
-        }
         self.core
             .traffic
             .add(TrafficKind::Dispatches, self.body.len());
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -167,6 +167,7 @@
 ) -> Result<Rc<Core>, Error> {
     let system = |error: rand::rngs::SysError| Error::System(error.to_string());
     let incarnation = SysRng.try_next_u64().map_err(system)?;
+    let started_ms = published.now_exact_ms();
     Ok(Rc::new(Core {
         dialect,
         published,
@@ -182,7 +183,7 @@
         outliers: OutlierDetector::new(options.outliers),
         helpers: RefCell::new(HelperRefusals::default()),
         backpressure: RefCell::new(Backpressure::new(options.backpressure.clone())),
-        budget: RefCell::new(RetryBudget::default()),
+        budget: RefCell::new(RetryBudget::started_at(started_ms)),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
         metrics,
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -234,6 +234,7 @@
         .and_then(|service| service.engine.clone());
     let fingerprint = fingerprint(&client_request, &head, &body, &admitted, &service);
     outcome_log.fingerprint = fingerprint.to_string();
+    core.earn_retries(&service);
     let mut dispatcher = Dispatcher {
         core: core.clone(),
         fingerprint,
