--- a/crates/mgs-relay/src/dialect.rs
+++ b/crates/mgs-relay/src/dialect.rs
@@ -30,6 +30,8 @@
     pub expected_tokens: Option<u64>,
     /// The last event that the client already has, if it resumes a stream.
     pub last_event_id: Option<String>,
+    /// Identifiers of the parts of the prompt that other requests may share, in their order.
+    pub shared_parts: Vec<String>,
 }
 
 impl ClientRequest {
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -454,6 +454,12 @@
         LostRun {
             helpers: helpers.collect(),
             request_id: self.client_request.request_id.clone(),
+            route: self.route.name.clone(),
+            organisation: self
+                .organisation
+                .as_ref()
+                .map_or_else(String::new, |o| o.name.clone()),
+            shared_parts: self.client_request.shared_parts.clone(),
             fingerprint: self.fingerprint,
             endpoint: placed.endpoint.clone(),
             reached,
--- a/crates/mgs-relay/src/lost_run.rs
+++ b/crates/mgs-relay/src/lost_run.rs
@@ -59,6 +59,12 @@
 #[derive(Debug, Clone)]
 pub(crate) struct LostRun {
     pub(crate) request_id: String,
+    /// Name of the request's route.
+    pub(crate) route: String,
+    /// Name of the caller's organisation, if callers are identified.
+    pub(crate) organisation: String,
+    /// Identifiers of the parts of its prompt that other requests may share.
+    pub(crate) shared_parts: Vec<String>,
     pub(crate) fingerprint: Fingerprint,
     pub(crate) endpoint: Arc<Endpoint>,
     /// Endpoints that prefill parts of its prompt.
@@ -80,7 +86,8 @@
     log::info!(
         request_id = run.request_id, work:% = run.fingerprint,
         endpoint = run.endpoint.facts.incarnation.id, fate = fate.name(), lost:? = lost,
-        reached = run.reached;
+        reached = run.reached, route = run.route, organisation = run.organisation,
+        parts = run.shared_parts.join(",");
         "run lost"
     );
     if lost == LossCause::BrokenOff {
