fix(quarantine,relay): a part of prompts that crashes endpoints is held

Cause: evidence was kept by the whole request, body included, and requests that are never alike share only a part of their prompts. So no count ever grew.

Now the crash of an endpoint counts under the parts of a prompt as well, in the same table, messages and rows: only for runs that were about to begin to write, and until some run with the part has begun. Of parts under the same crashes the one is blamed on which no run ever began, then the later one. A request that a held part refuses says so in its log line, `explain` and `quarantine list`.

The message between gateways has one field more: two releases side by side don't understand each other's.

--- a/crates/mgs-quarantine/src/fingerprint.rs
+++ b/crates/mgs-quarantine/src/fingerprint.rs
@@ -60,6 +60,37 @@
     }
 }
 
+/// A part of prompts that several requests of a service may share.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct PromptPart {
+    /// Service that the prompts are for.
+    pub service: String,
+    /// Identifier of the part.
+    pub id: String,
+}
+
+impl PromptPart {
+    /// The key of the part, which no request has.
+    ///
+    /// ```
+    /// use mgs_quarantine::fingerprint::PromptPart;
+    ///
+    /// let part = |service: &str, id: &str| PromptPart {
+    ///     service: service.to_string(),
+    ///     id: id.to_string(),
+    /// };
+    /// assert_eq!(part("model", "a").fingerprint(), part("model", "a").fingerprint());
+    /// assert_ne!(part("model", "a").fingerprint(), part("other", "a").fingerprint());
+    /// ```
+    pub fn fingerprint(&self) -> Fingerprint {
+        let mut hasher = Xxh3::new();
+        for part in ["part of a prompt", &self.service, &self.id] {
+            hash_part(&mut hasher, part.as_bytes());
+        }
+        Fingerprint(hasher.digest128())
+    }
+}
+
 /// Hashes the length before the content, so that moving bytes between parts changes the digest.
 fn hash_part(hasher: &mut Xxh3, part: &[u8]) {
     hasher.update(&(part.len() as u64).to_le_bytes());
--- a/crates/mgs-quarantine/src/options.rs
+++ b/crates/mgs-quarantine/src/options.rs
@@ -21,6 +21,16 @@
     /// Crashes after which a fingerprint is held even if each of its runs made more progress than
     /// an earlier one: a request that crashes its endpoint sooner one time and later another.
     pub hold_crashes_total: usize,
+    /// Crashes after which a part of prompts is held on which some run has begun to write before:
+    /// the crash may be due to another part of the same prompts.
+    pub begun_hold_crashes: usize,
+    /// Time from the first counted crash under such a part until it is held, in milliseconds.
+    /// Requests that share the part and don't crash begin to write in this time, and so clear it.
+    pub begun_settle_ms: f64,
+    /// How long a run that began to write on a part is remembered, in milliseconds.
+    pub begun_memory_ms: f64,
+    /// Most parts remembered on which runs have begun to write; the oldest are forgotten first.
+    pub begun_max: usize,
     /// Crashes from which a request runs on one endpoint only, the same for all gateways, so that
     /// copies that run at the same time crash a single endpoint.
     pub confine_crashes: usize,
@@ -48,6 +58,10 @@
             many_unrelated_share: 0.25,
             recurrence_ms: 2_000.0,
             hold_crashes_total: 6,
+            begun_hold_crashes: 5,
+            begun_settle_ms: 2_000.0,
+            begun_memory_ms: 600_000.0,
+            begun_max: 16_384,
             confine_crashes: 2,
             simultaneous_ms: 50.0,
             trial_after_ms: 20_000.0,
--- a/crates/mgs-quarantine/src/record.rs
+++ b/crates/mgs-quarantine/src/record.rs
@@ -15,6 +15,8 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::fingerprint::PromptPart;
+
 /// Whether a crash counts against its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
 pub enum CrashStatus {
@@ -48,6 +50,28 @@
 /// Most ends of endpoints that are kept, whatever the endpoints were running.
 pub const RECENT_ENDS_MAX: usize = 4_096;
 
+/// What is known of a part of prompts besides the crashes under it.
+#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
+pub struct PartFacts {
+    /// Which part it is.
+    pub name: PromptPart,
+    /// Largest number of parts that come before it in a prompt. Parts that come first are shared by
+    /// the most requests.
+    pub depth: u16,
+    /// Whether a run is known that began to write on it.
+    pub has_begun: bool,
+}
+
+impl PartFacts {
+    /// Merges what another gateway knows of the part. Returns whether anything changes.
+    fn merge(&mut self, other: &Self) -> bool {
+        let is_new = other.depth > self.depth || (other.has_begun && !self.has_begun);
+        self.depth = self.depth.max(other.depth);
+        self.has_begun |= other.has_begun;
+        is_new
+    }
+}
+
 /// The crashes under one fingerprint.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Record {
@@ -58,9 +82,36 @@
     /// Whether the request was repeated some time after crashes that would have held it but for
     /// unrelated ends.
     pub has_recurred: bool,
+    /// The part of prompts that this record is about; `None` if it is about a request.
+    pub part: Option<PartFacts>,
 }
 
 impl Record {
+    /// Adds what is known of the part that the record is about. Returns whether anything changes.
+    pub fn add_part(&mut self, part: &PartFacts) -> bool {
+        match &mut self.part {
+            Some(known) => known.merge(part),
+            None => {
+                self.part = Some(part.clone());
+                true
+            }
+        }
+    }
+
+    /// Whether this is about a part of prompts on which some run began to write.
+    pub fn has_begun(&self) -> bool {
+        self.part.as_ref().is_some_and(|part| part.has_begun)
+    }
+
+    /// When the first crash that counts occurred, in milliseconds.
+    pub fn first_counted_ms(&self) -> f64 {
+        let counted = self.crashes.iter();
+        let counted = counted.filter(|crash| crash.status == CrashStatus::Counts);
+        counted
+            .map(|crash| crash.at_ms)
+            .fold(f64::INFINITY, f64::min)
+    }
+
     /// Adds a crash or updates a known one. Returns whether anything changes.
     pub fn add(&mut self, crash: Crash) -> bool {
         let mut known = self.crashes.iter_mut();
@@ -81,6 +132,9 @@
         is_new |= other.has_recurred && !self.has_recurred;
         self.trial_taken |= other.trial_taken;
         self.has_recurred |= other.has_recurred;
+        if let Some(part) = &other.part {
+            is_new |= self.add_part(part);
+        }
         for crash in &other.crashes {
             is_new |= self.add(*crash);
         }
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -6,10 +6,14 @@
 use serde::Deserialize;
 use serde::Serialize;
 
+use crate::begun::BegunParts;
+use crate::blame::Blame;
 use crate::fingerprint::Fingerprint;
+use crate::fingerprint::PromptPart;
 use crate::options::Options;
 use crate::record::Crash;
 use crate::record::CrashStatus;
+use crate::record::PartFacts;
 use crate::record::RecentEnds;
 use crate::record::Record;
 
@@ -56,6 +60,19 @@
     /// Whether the request was repeated some time after its crashes.
     #[serde(rename = "came_again")]
     pub has_recurred: bool,
+    /// The part of prompts that the record is about; `None` if it is about a request.
+    pub part: Option<PartFacts>,
+}
+
+/// A part of a prompt with its key and its place in the prompt.
+#[derive(Debug, Clone, PartialEq)]
+pub struct PlacedPart {
+    /// Key of the part.
+    pub fingerprint: Fingerprint,
+    /// Which part it is.
+    pub name: PromptPart,
+    /// Number of parts before it.
+    pub depth: u16,
 }
 
 /// The records of one gateway, and its verdict on a request.
@@ -81,6 +98,14 @@
     recent_ends: RecentEnds,
     /// Number of endpoints in the fleet.
     endpoint_count: usize,
+    /// Latest time passed to this table, in milliseconds.
+    now_ms: f64,
+    /// Parts of prompts on which runs of this gateway have begun to write.
+    begun_parts: BegunParts,
+    /// Parts that other gateways don't know to have been written on.
+    newly_begun: Vec<Fingerprint>,
+    /// Fingerprints with enough crashes to be confined or held.
+    suspects: BTreeSet<Fingerprint>,
     /// Fingerprints that were held when their record last changed.
     held: BTreeSet<Fingerprint>,
     /// Fingerprints whose records have to be sent to peers.
@@ -97,6 +122,10 @@
             options,
             endpoint_count: ASSUMED_ENDPOINTS,
             records: HashMap::new(),
+            now_ms: 0.0,
+            begun_parts: BegunParts::default(),
+            newly_begun: Vec::new(),
+            suspects: BTreeSet::new(),
             held: BTreeSet::new(),
             changed: BTreeSet::new(),
             hold_changes: Vec::new(),
@@ -126,6 +155,65 @@
         self.update(fingerprint, now_ms, |record| record.add(crash));
     }
 
+    /// Records that an endpoint ended when a run on a prompt with these parts was about to write its
+    /// first events, or had written no more.
+    pub fn record_part_crashes(&mut self, parts: &[PlacedPart], incarnation: u64, now_ms: f64) {
+        let crash = Crash {
+            incarnation,
+            at_ms: now_ms,
+            events: 0,
+            status: CrashStatus::Counts,
+        };
+        for part in parts {
+            let facts = PartFacts {
+                name: part.name.clone(),
+                depth: part.depth,
+                has_begun: self.begun_parts.contains(part.fingerprint),
+            };
+            self.apply(part.fingerprint, now_ms, |record| {
+                let is_new_part = record.add_part(&facts);
+                record.add(crash) || is_new_part
+            });
+        }
+        let changed: Vec<Fingerprint> = parts.iter().map(|part| part.fingerprint).collect();
+        self.update_holds(changed);
+    }
+
+    /// Records that a run has begun to write on a part: the crashes under the part so far have
+    /// another cause.
+    pub fn record_part_begun(&mut self, fingerprint: Fingerprint, now_ms: f64) {
+        self.begun_parts.record(fingerprint, now_ms);
+        let Some(record) = self.records.get(&fingerprint) else {
+            return;
+        };
+        // A single crash has no effect at peers, so they needn't be told.
+        let is_shared = record.counted_crashes(&self.recent_ends) >= self.options.confine_crashes
+            || !record.has_begun();
+        let was_changed = self.changed.contains(&fingerprint);
+        self.update(fingerprint, now_ms, |record| {
+            let was_cleared = record.mark_cleared();
+            let is_first = !record.has_begun();
+            if let Some(part) = &mut record.part {
+                part.has_begun = true;
+            }
+            was_cleared || is_first
+        });
+        if !is_shared && !was_changed {
+            self.changed.remove(&fingerprint);
+        }
+    }
+
+    /// Takes the parts that runs of this gateway have begun to write on, as a peer's record doesn't
+    /// say.
+    pub fn take_newly_begun(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.newly_begun)
+    }
+
+    /// Has a record sent to peers.
+    pub fn mark_changed(&mut self, fingerprint: Fingerprint) {
+        self.changed.insert(fingerprint);
+    }
+
     /// Records that a helper, which had prefilled a part of the request's prompt, ended together
     /// with the endpoint that ran the request. It doesn't count against the request, but isn't an
     /// unrelated end either.
@@ -210,28 +298,57 @@
             return Verdict::Allowed;
         }
         let unexplained = self.unexplained_crashes(fingerprint, record, counted);
-        let is_held = unexplained >= self.hold_threshold(record)
-            || record.uncleared_crashes(&self.recent_ends) >= self.options.hold_crashes_total;
-        match unexplained >= self.options.confine_crashes {
-            _ if is_held => Verdict::Held,
+        let is_repeated_request = record.part.is_none()
+            && record.uncleared_crashes(&self.recent_ends) >= self.options.hold_crashes_total;
+        let is_held = unexplained >= self.hold_threshold(record) && self.is_settled(record);
+        match unexplained >= self.options.confine_crashes && !record.has_begun() {
+            _ if is_held || is_repeated_request => Verdict::Held,
             true => Verdict::Confined,
             false => Verdict::Allowed,
         }
     }
 
-    /// Whether another held request is the more likely cause of a crash: it ran on that endpoint
-    /// too, and has more crashes.
+    /// Whether other requests with the same part had the time to begin to write.
+    fn is_settled(&self, record: &Record) -> bool {
+        !record.has_begun()
+            || self.now_ms - record.first_counted_ms() >= self.options.begun_settle_ms
+    }
+
+    /// Whether another held key is the more likely cause of a crash: a run with it was on that
+    /// endpoint too, and it has more crashes. Between a part of a prompt and another key, of as many
+    /// crashes, [`Blame`] decides.
     fn is_explained(&self, fingerprint: Fingerprint, crashes: usize, crash: &Crash) -> bool {
         let others = self.held.iter().filter(|other| **other != fingerprint);
-        let mut others = others.filter_map(|other| self.records.get(other));
-        others.any(|other| {
-            other.has_counted_crash(crash.incarnation)
-                && other.counted_crashes(&self.recent_ends) > crashes
+        let mut others = others.filter_map(|other| Some((other, self.records.get(other)?)));
+        others.any(|(other, record)| {
+            record.has_counted_crash(crash.incarnation)
+                && self.explains(*other, record, fingerprint, crashes)
         })
     }
 
+    fn explains(
+        &self,
+        other: Fingerprint,
+        other_record: &Record,
+        fingerprint: Fingerprint,
+        crashes: usize,
+    ) -> bool {
+        let other_crashes = other_record.counted_crashes(&self.recent_ends);
+        let Some(record) = self.records.get(&fingerprint).filter(|r| r.part.is_some()) else {
+            return other_crashes > crashes;
+        };
+        let blame = |fingerprint: Fingerprint, record: &Record, crashes: usize| match &record.part {
+            Some(part) => Blame::of_part(fingerprint, crashes, part.has_begun, part.depth),
+            None => Blame::of_request(fingerprint, crashes),
+        };
+        blame(other, other_record, other_crashes) > blame(fingerprint, record, crashes)
+    }
+
     /// Crashes required for a hold, depending on how many unrelated endpoints ended.
     fn hold_threshold(&self, record: &Record) -> usize {
+        if record.has_begun() {
+            return self.options.begun_hold_crashes;
+        }
         if record.has_recurred {
             return self.options.hold_crashes;
         }
@@ -294,9 +411,22 @@
         fingerprints
     }
 
-    /// Merges a record from a peer or from the store. It isn't forwarded to peers: the gateway that
-    /// saw the crash sends it to all.
+    /// Merges records from a peer or from the store. They aren't forwarded to peers: the gateway that
+    /// saw the crash sends them to all.
+    pub fn merge_all(&mut self, records: &[SharedRecord], now_ms: f64) {
+        for shared in records {
+            self.merge_one(shared, now_ms);
+        }
+        let merged = records.iter().map(|shared| shared.fingerprint);
+        self.update_holds(merged.collect());
+    }
+
+    /// As [`Self::merge_all`], for one record.
     pub fn merge_shared(&mut self, shared: &SharedRecord, now_ms: f64) {
+        self.merge_all(std::slice::from_ref(shared), now_ms);
+    }
+
+    fn merge_one(&mut self, shared: &SharedRecord, now_ms: f64) {
         let crash = |shared: &SharedCrash| Crash {
             incarnation: shared.incarnation,
             at_ms: now_ms - f64::from(shared.age_ms),
@@ -307,14 +437,31 @@
             crashes: shared.crashes.iter().map(crash).collect(),
             trial_taken: shared.trial_taken,
             has_recurred: shared.has_recurred,
+            part: shared.part.clone(),
         };
         let was_changed = self.changed.contains(&shared.fingerprint);
-        self.update(shared.fingerprint, now_ms, |record| record.merge(&other));
+        self.apply(shared.fingerprint, now_ms, |record| record.merge(&other));
+        self.add_own_knowledge(shared.fingerprint);
         if !was_changed {
             self.changed.remove(&shared.fingerprint);
         }
     }
 
+    /// Adds to a peer's record that a run of this gateway has begun to write on the part.
+    fn add_own_knowledge(&mut self, fingerprint: Fingerprint) {
+        if !self.begun_parts.contains(fingerprint) {
+            return;
+        }
+        let record = self.records.get_mut(&fingerprint);
+        let Some(part) = record.and_then(|record| record.part.as_mut()) else {
+            return;
+        };
+        if !part.has_begun {
+            part.has_begun = true;
+            self.newly_begun.push(fingerprint);
+        }
+    }
+
     /// The record to send to peers and to store.
     pub fn shared_record(&self, fingerprint: Fingerprint, now_ms: f64) -> Option<SharedRecord> {
         let record = self.records.get(&fingerprint)?;
@@ -329,6 +476,7 @@
             crashes: record.crashes.iter().map(crash).collect(),
             trial_taken: record.trial_taken,
             has_recurred: record.has_recurred,
+            part: record.part.clone(),
         })
     }
 
@@ -346,10 +494,22 @@
         &mut self,
         fingerprint: Fingerprint,
         now_ms: f64,
-        apply: impl FnOnce(&mut Record) -> bool,
+        change: impl FnOnce(&mut Record) -> bool,
+    ) {
+        self.apply(fingerprint, now_ms, change);
+        self.update_holds(vec![fingerprint]);
+    }
+
+    /// Changes a record; [`Self::update_holds`] must follow.
+    fn apply(
+        &mut self,
+        fingerprint: Fingerprint,
+        now_ms: f64,
+        change: impl FnOnce(&mut Record) -> bool,
     ) {
+        self.now_ms = self.now_ms.max(now_ms);
         let record = self.records.entry(fingerprint).or_default();
-        if !apply(record) {
+        if !change(record) {
             return;
         }
         for crash in &record.crashes {
@@ -358,14 +518,39 @@
             }
         }
         self.changed.insert(fingerprint);
-        self.update_hold(fingerprint);
         if self.records.len() > 2 * (self.options.suspects_max + self.options.held_max) {
             self.prune(now_ms);
         }
     }
 
-    /// Records whether a fingerprint became held or was released.
-    fn update_hold(&mut self, fingerprint: Fingerprint) {
+    /// Records which of these fingerprints became held or were released, and what follows for others
+    /// under which the same endpoints crashed.
+    fn update_holds(&mut self, mut changed: Vec<Fingerprint>) {
+        // The deepest first, so that a part is not held for a moment instead of the cause.
+        changed.sort_by_key(|fingerprint| {
+            let record = self.records.get(fingerprint);
+            let part = record.and_then(|record| record.part.as_ref());
+            std::cmp::Reverse(part.map_or(u16::MAX, |part| part.depth))
+        });
+        let mut has_changed = false;
+        for fingerprint in changed {
+            has_changed |= self.update_hold(fingerprint);
+        }
+        if has_changed {
+            for fingerprint in self.suspects.clone() {
+                self.update_hold(fingerprint);
+            }
+        }
+    }
+
+    /// Records whether a fingerprint became held or was released; returns whether it did.
+    fn update_hold(&mut self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        let crashes = record.map_or(0, |record| record.counted_crashes(&self.recent_ends));
+        match crashes >= self.options.confine_crashes {
+            true => self.suspects.insert(fingerprint),
+            false => self.suspects.remove(&fingerprint),
+        };
         let is_held = self.verdict(fingerprint) == Verdict::Held;
         let has_changed = match is_held {
             true => self.held.insert(fingerprint),
@@ -374,13 +559,19 @@
         if has_changed {
             self.hold_changes.push((fingerprint, is_held));
         }
+        has_changed
     }
 
     /// Removes old crashes, and the least relevant records where there are too many; a held record
     /// is never evicted in favour of one that isn't held. To be called a few times a second, since
     /// further ends at the moment of a crash may only be learned later.
     pub fn prune(&mut self, now_ms: f64) {
-        for fingerprint in self.held.clone() {
+        self.now_ms = self.now_ms.max(now_ms);
+        let begun_from_ms = now_ms - self.options.begun_memory_ms;
+        self.begun_parts
+            .forget(begun_from_ms, self.options.begun_max);
+        let evaluated: BTreeSet<Fingerprint> = self.held.union(&self.suspects).copied().collect();
+        for fingerprint in evaluated {
             self.update_hold(fingerprint);
         }
         let known_from_ms = self.recent_ends.prune(now_ms - self.options.retention_ms);
@@ -424,6 +615,7 @@
             self.records.remove(&fingerprint);
             self.changed.remove(&fingerprint);
             self.held.remove(&fingerprint);
+            self.suspects.remove(&fingerprint);
         }
     }
 }
--- a/crates/mgs-relay/src/dispatch_outcome.rs
+++ b/crates/mgs-relay/src/dispatch_outcome.rs
@@ -83,7 +83,7 @@
         };
         log::info!(
             request_id = self.client_request.request_id,
-            work:% = self.fingerprint,
+            work:% = self.keys.request,
             endpoint = placed.endpoint.facts.incarnation.id,
             dispatch = self.progress.dispatches,
             helpers = placed.helper_keys.len(),
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -11,7 +11,6 @@
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::model::EngineModel;
 use mgs_placing::need::Need;
-use mgs_quarantine::fingerprint::Fingerprint;
 use tokio::time::sleep;
 use tokio::time::timeout;
 use tokio::time::Instant;
@@ -37,6 +36,7 @@
 use crate::progress::DispatchProgress;
 use crate::progress::FailedDispatch;
 use crate::quarantine;
+use crate::quarantine::CrashKeys;
 use crate::quarantine::Permission;
 use crate::quarantine::CRASH_REPORT_DELAY;
 use crate::traffic::TrafficKind;
@@ -56,6 +56,9 @@
 /// allowed, so that a dispatch that hangs leaves time for the next.
 const DISPATCH_SHARE: f64 = 0.5;
 
+/// Share of the predicted time to the first token from which a run may have begun to write.
+const DUE_SHARE: f64 = 0.6;
+
 /// Delay before a request is placed again after its endpoint was blocked, so that other requests
 /// are served meanwhile.
 const PLACEMENT_RETRY_DELAY: Duration = Duration::from_millis(2);
@@ -69,8 +72,8 @@
     pub(crate) client_request: ClientRequest,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
-    /// Identifies repetitions of the request.
-    pub(crate) fingerprint: Fingerprint,
+    /// Under which crashes of its endpoints count.
+    pub(crate) keys: CrashKeys,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
     pub(crate) service: String,
@@ -146,9 +149,10 @@
 
     /// Refuses a request that is held, and records what is allowed otherwise.
     fn check_quarantine(&mut self) -> Result<(), Refusal> {
+        let request_id = &self.client_request.request_id;
         let permission = match self.progress.dispatches {
-            0 => self.core.permission_to_begin(self.fingerprint),
-            _ => self.core.permission(self.fingerprint),
+            0 => self.core.permission_to_begin(request_id, &self.keys),
+            _ => self.core.permission_to_go_on(request_id, &self.keys),
         };
         self.permission = permission.map_err(|refusal| self.unknown_if_run(refusal))?;
         Ok(())
@@ -156,10 +160,11 @@
 
     /// Refuses a request that was held after it was placed.
     fn recheck_quarantine(&self) -> Result<(), Refusal> {
-        if self.permission == Permission::Trial {
+        if self.is_trial() {
             return Ok(());
         }
-        let permission = self.core.permission(self.fingerprint);
+        let request_id = &self.client_request.request_id;
+        let permission = self.core.permission_to_go_on(request_id, &self.keys);
         permission
             .map(|_| ())
             .map_err(|refusal| self.unknown_if_run(refusal))
@@ -242,7 +247,8 @@
     /// exceeds the memory of one engine needs several and isn't confined.
     fn barred_endpoints(&self) -> Option<TriedEndpoints> {
         let exceeds = |model: &Arc<EngineModel>| self.need().memory_tokens() > model.memory_tokens;
-        if self.permission == Permission::Free || self.model.as_ref().is_some_and(exceeds) {
+        let key = self.permission.confined_by()?;
+        if self.model.as_ref().is_some_and(exceeds) {
             return None;
         }
         let fleet = self.core.published.fleet();
@@ -250,7 +256,7 @@
         Some(quarantine::barred_endpoints(
             &fleet,
             &self.service,
-            self.fingerprint,
+            key,
             tried,
         ))
     }
@@ -336,7 +342,8 @@
             DispatchResult::Unknown { lost, .. } => {
                 self.progress.runs += 1;
                 self.progress.tried.push(endpoint.key);
-                let run = self.lost_run(&placed, 0);
+                let was_due = took_ms as f64 >= placed.first_token_ms * DUE_SHARE;
+                let run = self.lost_run(&placed, 0, was_due);
                 drop(placed);
                 self.investigate_loss(run, lost).await;
                 Err(FailedDispatch::unknown("unknown"))
@@ -367,7 +374,7 @@
         self.progress.runs += 1;
         self.core.traffic.add(TrafficKind::Answers, body.len());
         if head.status.is_success() {
-            self.core.record_completion(self.fingerprint);
+            self.core.record_completion(&self.keys);
         }
         if !head.status.is_server_error() {
             return Ok(UsableResponse::Full(Box::new(FullResponse { head, body })));
@@ -397,12 +404,16 @@
         Some(time_left.mul_f64(DISPATCH_SHARE))
     }
 
+    fn is_trial(&self) -> bool {
+        matches!(self.permission, Permission::Trial(_))
+    }
+
     fn is_repeatable_route(&self) -> bool {
         self.route.kind.is_repeatable()
     }
 
     fn may_try_again(&self, failed: &FailedDispatch) -> bool {
-        if self.permission == Permission::Trial || self.core.permission(self.fingerprint).is_err() {
+        if self.is_trial() || self.core.permission(&self.keys).is_err() {
             return false;
         }
         if self.time_left().is_zero() || !self.progress.allows_another_dispatch() {
@@ -446,8 +457,8 @@
     }
 
     /// Describes the run of a lost dispatch. `reached` is the number of events that it had
-    /// produced.
-    pub(crate) fn lost_run(&self, placed: &PlacedRequest, reached: u32) -> LostRun {
+    /// produced, `was_due` whether its first one was due.
+    pub(crate) fn lost_run(&self, placed: &PlacedRequest, reached: u32, was_due: bool) -> LostRun {
         let fleet = self.core.published.fleet();
         let helpers = placed.helper_keys.iter();
         let helpers = helpers.filter_map(|key| fleet.by_key.get(key).cloned());
@@ -459,10 +470,10 @@
                 .organisation
                 .as_ref()
                 .map_or_else(String::new, |o| o.name.clone()),
-            shared_parts: self.client_request.shared_parts.clone(),
-            fingerprint: self.fingerprint,
+            keys: self.keys.clone(),
             endpoint: placed.endpoint.clone(),
             reached,
+            was_due,
         }
     }
 }
--- a/crates/mgs-relay/src/lost_run.rs
+++ b/crates/mgs-relay/src/lost_run.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use mgs_fleet::view::EndpointKey;
-use mgs_quarantine::fingerprint::Fingerprint;
+use mgs_quarantine::table::PlacedPart;
 use tokio::sync::OnceCell;
 use tokio::time::sleep;
 
@@ -17,6 +17,7 @@
 use crate::connection::Connection;
 use crate::connection::LossCause;
 use crate::core::Core;
+use crate::quarantine::CrashKeys;
 use crate::view::Endpoint;
 
 /// Timeout of a connection attempt that probes whether an endpoint still listens.
@@ -30,6 +31,10 @@
     Duration::from_millis(750),
 ];
 
+/// Events of a run that is only beginning to write. An endpoint that ends as it begins may have sent
+/// one.
+pub(crate) const BEGINNING_EVENTS: u32 = 1;
+
 /// What became of the endpoint of a lost run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum EndpointFate {
@@ -63,14 +68,26 @@
     pub(crate) route: String,
     /// Name of the caller's organisation, if callers are identified.
     pub(crate) organisation: String,
-    /// Identifiers of the parts of its prompt that other requests may share.
-    pub(crate) shared_parts: Vec<String>,
-    pub(crate) fingerprint: Fingerprint,
+    /// Under which its crash counts.
+    pub(crate) keys: CrashKeys,
     pub(crate) endpoint: Arc<Endpoint>,
     /// Endpoints that prefill parts of its prompt.
     pub(crate) helpers: Vec<Arc<Endpoint>>,
     /// Number of events that it had produced.
     pub(crate) reached: u32,
+    /// Whether it had begun to write, or was predicted to have by then. One that still waited or read
+    /// its prompt can't have crashed its endpoint by what it wrote on.
+    pub(crate) was_due: bool,
+}
+
+impl LostRun {
+    /// The parts of its prompt that may have crashed the endpoint when the run began to write.
+    pub(crate) fn suspected_parts(&self) -> &[PlacedPart] {
+        match self.was_due && self.reached <= BEGINNING_EVENTS {
+            true => &self.keys.parts,
+            false => &[],
+        }
+    }
 }
 
 /// Probes in flight, by endpoint: all runs that an endpoint loses at once share one.
@@ -84,10 +101,10 @@
     };
     core.metrics.lost_runs.inc(fate.name());
     log::info!(
-        request_id = run.request_id, work:% = run.fingerprint,
+        request_id = run.request_id, work:% = run.keys.request,
         endpoint = run.endpoint.facts.incarnation.id, fate = fate.name(), lost:? = lost,
         reached = run.reached, route = run.route, organisation = run.organisation,
-        parts = run.shared_parts.join(",");
+        parts = run.keys.part_names(), was_due = run.was_due;
         "run lost"
     );
     if lost == LossCause::BrokenOff {
@@ -107,7 +124,7 @@
 async fn probe_helpers(core: Rc<Core>, run: LostRun, at_ms: f64) {
     for helper in &run.helpers {
         if self::endpoint_fate(&core, helper).await == EndpointFate::Ended {
-            core.record_helper_crash(run.fingerprint, helper, at_ms);
+            core.record_helper_crash(run.keys.request, helper, at_ms);
         }
     }
 }
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -13,7 +13,9 @@
 
 use mgs_fleet::view::EndpointKey;
 use mgs_quarantine::fingerprint::Fingerprint;
+use mgs_quarantine::fingerprint::PromptPart;
 use mgs_quarantine::options::Options;
+use mgs_quarantine::table::PlacedPart;
 use mgs_quarantine::table::Quarantine;
 use mgs_quarantine::table::SharedRecord;
 use mgs_quarantine::table::Verdict;
@@ -46,6 +48,10 @@
 /// lapsed by then.
 const ENTRY_LAPSE_MS: f64 = ENTRY_EXPIRY_MS as f64;
 
+/// Gateways that tell all others that runs have begun to write on a part of prompts, of those that
+/// know.
+const TELLERS: f64 = 8.0;
+
 /// Shortest time in which an endpoint restarts, in milliseconds.
 const RESTART_MIN_MS: f64 = 500.0;
 
@@ -64,7 +70,7 @@
 impl UnresolvedLoss {
     /// Whether this is the loss of the same request at the same endpoint.
     fn is_same_loss(&self, run: &LostRun) -> bool {
-        self.run.fingerprint == run.fingerprint && self.run.endpoint.key == run.endpoint.key
+        self.run.keys.request == run.keys.request && self.run.endpoint.key == run.endpoint.key
     }
 }
 
@@ -164,61 +170,162 @@
 pub(crate) enum Permission {
     /// May run on any endpoint.
     Free,
-    /// May run on a single endpoint, the same at all gateways.
-    Confined,
-    /// May run once, on a single endpoint, to test whether the held request still crashes it.
-    Trial,
+    /// May run on a single endpoint, the same at all gateways for this key.
+    Confined(Fingerprint),
+    /// May run once, on a single endpoint, to test whether what is held still crashes it.
+    Trial(Fingerprint),
+}
+
+impl Permission {
+    /// The key by which all gateways choose the same endpoint; `None` if any endpoint will do.
+    pub(crate) fn confined_by(self) -> Option<Fingerprint> {
+        match self {
+            Self::Free => None,
+            Self::Confined(key) | Self::Trial(key) => Some(key),
+        }
+    }
+}
+
+/// The keys under which crashes of one request count.
+#[derive(Debug, Clone)]
+pub(crate) struct CrashKeys {
+    /// The request, repetitions included.
+    pub(crate) request: Fingerprint,
+    /// The parts of its prompt that other requests may share, in their order.
+    pub(crate) parts: Rc<[PlacedPart]>,
+}
+
+impl CrashKeys {
+    /// The keys of a request for a service whose prompt has these shared parts.
+    pub(crate) fn new(request: Fingerprint, service: &str, shared_parts: &[String]) -> Self {
+        let placed = |(depth, id): (usize, &String)| {
+            let name = PromptPart {
+                service: service.to_string(),
+                id: id.clone(),
+            };
+            PlacedPart {
+                fingerprint: name.fingerprint(),
+                name,
+                depth: u16::try_from(depth).unwrap_or(u16::MAX),
+            }
+        };
+        Self {
+            request,
+            parts: shared_parts.iter().enumerate().map(placed).collect(),
+        }
+    }
+
+    /// Identifiers of the parts, separated by commas.
+    pub(crate) fn part_names(&self) -> String {
+        let names: Vec<&str> = self.parts.iter().map(|p| p.name.id.as_str()).collect();
+        names.join(",")
+    }
+
+    /// All keys: the request and its parts.
+    fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
+        let parts = self.parts.iter().map(|part| part.fingerprint);
+        std::iter::once(self.request).chain(parts)
+    }
+}
+
+fn held_refusal() -> Refusal {
+    Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)
 }
 
 impl Core {
-    /// What is allowed for a request, or the refusal if it is held.
-    pub(crate) fn permission(&self, fingerprint: Fingerprint) -> Result<Permission, Refusal> {
-        let verdict = self.crashes.table.borrow().verdict(fingerprint);
-        Self::permission_by(verdict)
+    /// What is allowed for a request, or the refusal if it or a part of its prompt is held.
+    pub(crate) fn permission(&self, keys: &CrashKeys) -> Result<Permission, Refusal> {
+        let table = self.crashes.table.borrow();
+        if table.is_empty() {
+            return Ok(Permission::Free);
+        }
+        let mut permission = Permission::Free;
+        for key in keys.all() {
+            match table.verdict(key) {
+                Verdict::Allowed => {}
+                Verdict::Confined => permission = Permission::Confined(key),
+                Verdict::Held => return Err(held_refusal()),
+            }
+        }
+        Ok(permission)
     }
 
-    fn permission_by(verdict: Verdict) -> Result<Permission, Refusal> {
-        match verdict {
-            Verdict::Allowed => Ok(Permission::Free),
-            Verdict::Confined => Ok(Permission::Confined),
-            Verdict::Held => Err(Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)),
+    /// Like [`Core::permission`], for a request that is refused if a key is held; logs which.
+    pub(crate) fn permission_to_go_on(
+        &self,
+        request_id: &str,
+        keys: &CrashKeys,
+    ) -> Result<Permission, Refusal> {
+        let permission = self.permission(keys);
+        if permission.is_err() {
+            self.log_held_request(request_id, keys, &self.held_keys(keys));
         }
+        permission
     }
 
-    /// Like [`Core::permission`], for a request that begins. If it is held, it may become the trial.
-    /// Only one gateway runs the trial: the first by rank among those that hear each other.
+    /// Like [`Core::permission`], for a request that begins. If one of its keys is held, it may become
+    /// the trial of that key. Only one gateway runs the trial: the first by rank among those that hear
+    /// each other.
     pub(crate) fn permission_to_begin(
         &self,
-        fingerprint: Fingerprint,
+        request_id: &str,
+        keys: &CrashKeys,
     ) -> Result<Permission, Refusal> {
-        let verdict = self.begin(fingerprint);
-        let refused = match Self::permission_by(verdict) {
+        self.begin(keys.request);
+        let refused = match self.permission(keys) {
             Ok(permission) => return Ok(permission),
             Err(refused) => refused,
         };
-        let is_taken = self.is_first_for(fingerprint)
+        let held = self.held_keys(keys);
+        if let [key] = held.as_slice() {
+            if self.take_trial(*key) {
+                return Ok(Permission::Trial(*key));
+            }
+        }
+        self.log_held_request(request_id, keys, &held);
+        Err(refused)
+    }
+
+    /// Those keys of a request that are held.
+    fn held_keys(&self, keys: &CrashKeys) -> Vec<Fingerprint> {
+        let table = self.crashes.table.borrow();
+        let is_held = |key: &Fingerprint| table.verdict(*key) == Verdict::Held;
+        keys.all().filter(is_held).collect()
+    }
+
+    fn take_trial(&self, key: Fingerprint) -> bool {
+        let is_taken = self.is_first_for(key)
             && self
                 .crashes
                 .table
                 .borrow_mut()
-                .take_trial(fingerprint, self.now_ms());
-        if !is_taken {
-            return Err(refused);
+                .take_trial(key, self.now_ms());
+        if is_taken {
+            log::info!(work:% = key; "a held request is tried once more");
+            self.write_hold(key, true);
+            self.crashes.urgent.notify_one();
         }
-        log::info!(work:% = fingerprint; "a held request is tried once more");
-        self.write_hold(fingerprint, true);
-        self.crashes.urgent.notify_one();
-        Ok(Permission::Trial)
+        is_taken
     }
 
-    /// Records that a request begins; returns the verdict.
-    fn begin(&self, fingerprint: Fingerprint) -> Verdict {
+    fn log_held_request(&self, request_id: &str, keys: &CrashKeys, held: &[Fingerprint]) {
+        let mut parts = keys.parts.iter();
+        let part = parts.find(|part| held.contains(&part.fingerprint));
+        log::info!(
+            request_id = request_id,
+            work:% = held.first().copied().unwrap_or(keys.request),
+            part = part.map_or("", |part| part.name.id.as_str());
+            "refused since it is held"
+        );
+    }
+
+    /// Records that a request begins.
+    fn begin(&self, fingerprint: Fingerprint) {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
-        let verdict = table.begin_request(fingerprint, now_ms);
+        table.begin_request(fingerprint, now_ms);
         drop(table);
         self.apply_verdict_changes();
-        verdict
     }
 
     /// Whether this gateway ranks before all peers that it hears, for one request.
@@ -283,7 +390,7 @@
     fn record_crash(&self, run: &LostRun, at_ms: f64) {
         if self.crashes.is_crash_loop(&run.endpoint, at_ms) {
             log::info!(
-                request_id = run.request_id, work:% = run.fingerprint,
+                request_id = run.request_id, work:% = run.keys.request,
                 endpoint = run.endpoint.facts.incarnation.id;
                 "an endpoint ends again and again"
             );
@@ -291,9 +398,14 @@
         }
         let incarnation = run.endpoint.facts.incarnation.hash_64();
         let mut table = self.crashes.table.borrow_mut();
-        table.record_crash(run.fingerprint, incarnation, run.reached, at_ms);
+        table.record_crash(run.keys.request, incarnation, run.reached, at_ms);
+        let parts = run.suspected_parts();
+        table.record_part_crashes(parts, incarnation, at_ms);
         drop(table);
-        self.crashes.witnessed.borrow_mut().insert(run.fingerprint);
+        let mut witnessed = self.crashes.witnessed.borrow_mut();
+        witnessed.insert(run.keys.request);
+        witnessed.extend(parts.iter().map(|part| part.fingerprint));
+        drop(witnessed);
         self.apply_verdict_changes();
         self.crashes.urgent.notify_one();
     }
@@ -320,19 +432,39 @@
         }
     }
 
+    /// Records that a run has got further than [`BEGINNING_EVENTS`], and its endpoint has not crashed.
+    pub(crate) fn record_begun(&self, keys: &CrashKeys) {
+        let now_ms = self.now_ms();
+        let mut table = self.crashes.table.borrow_mut();
+        for part in keys.parts.iter() {
+            table.record_part_begun(part.fingerprint, now_ms);
+        }
+        drop(table);
+        self.apply_verdict_changes();
+    }
+
     /// Records that a run of a request has completed.
-    pub(crate) fn record_completion(&self, fingerprint: Fingerprint) {
+    pub(crate) fn record_completion(&self, keys: &CrashKeys) {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
-        table.record_completion(fingerprint, now_ms);
+        table.record_completion(keys.request, now_ms);
+        drop(table);
+        self.record_begun(keys);
     }
 
     /// Takes the crashes that a peer reports.
     pub(crate) fn record_peer_crashes(&self, records: &[SharedRecord]) {
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
-        for record in records {
-            table.merge_shared(record, now_ms);
+        table.merge_all(records, now_ms);
+        let newly_begun = table.take_newly_begun();
+        // Many gateways may know the same, and a few of them are enough to tell all.
+        let tellers = TELLERS / self.gateway_count.borrow().heard_gateways() as f64;
+        for part in newly_begun {
+            if self.random_unit() < tellers {
+                table.mark_changed(part);
+                self.crashes.urgent.notify_one();
+            }
         }
         drop(table);
         self.apply_verdict_changes();
@@ -395,7 +527,7 @@
         });
         for (run, at_ms) in ended {
             log::info!(
-                request_id = run.request_id, work:% = run.fingerprint,
+                request_id = run.request_id, work:% = run.keys.request,
                 endpoint = run.endpoint.facts.incarnation.id;
                 "the endpoint of a lost run has ended"
             );
@@ -412,17 +544,24 @@
                 self.write_hold(fingerprint, is_held);
             }
             let table = self.crashes.table.borrow();
-            let crashes = table
-                .record(fingerprint)
-                .map_or(0, |record| record.crashes.len());
+            let record = table.record(fingerprint);
+            let crashes = record.map_or(0, |record| record.crashes.len());
+            let part = record.and_then(|record| record.part.as_ref());
+            let part = part.map_or("", |part| part.name.id.as_str());
             match is_held {
                 true => {
                     self.metrics.quarantine.inc("held");
-                    log::warn!(work:% = fingerprint, crashes = crashes; "a request that crashes endpoints is held");
+                    log::warn!(
+                        work:% = fingerprint, part = part, crashes = crashes;
+                        "a request that crashes endpoints is held"
+                    );
                 }
                 false => {
                     self.metrics.quarantine.inc("let_go");
-                    log::info!(work:% = fingerprint, crashes = crashes; "a held request is let go");
+                    log::info!(
+                        work:% = fingerprint, part = part, crashes = crashes;
+                        "a held request is let go"
+                    );
                 }
             }
         }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -34,6 +34,7 @@
 use crate::fault::Refusal;
 use crate::metrics;
 use crate::progress::DispatchProgress;
+use crate::quarantine::CrashKeys;
 use crate::quarantine::Permission;
 use crate::stream::StreamForwarder;
 use crate::traffic::TrafficKind;
@@ -235,9 +236,10 @@
     let fingerprint = fingerprint(&client_request, &head, &body, &admitted, &service);
     outcome_log.fingerprint = fingerprint.to_string();
     core.earn_retries(&service);
+    let keys = CrashKeys::new(fingerprint, &service, &client_request.shared_parts);
     let mut dispatcher = Dispatcher {
         core: core.clone(),
-        fingerprint,
+        keys,
         client_request,
         head,
         body,
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -17,6 +17,7 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::UsableResponse;
 use crate::lost_run;
+use crate::lost_run::BEGINNING_EVENTS;
 use crate::metrics;
 use crate::place::PlacedRequest;
 use crate::traffic::TrafficKind;
@@ -110,9 +111,8 @@
     pub(crate) async fn run(mut self) -> StreamEnd {
         let end = self.forward_all().await;
         if end == StreamEnd::Whole {
-            self.dispatcher
-                .core
-                .record_completion(self.dispatcher.fingerprint);
+            let dispatcher = &self.dispatcher;
+            dispatcher.core.record_completion(&dispatcher.keys);
         }
         if end != StreamEnd::Whole {
             self.dispatcher.core.metrics.broken_streams.inc(end.name());
@@ -151,13 +151,13 @@
             };
             log::info!(
                 request_id = self.dispatcher.client_request.request_id,
-                work:% = self.dispatcher.fingerprint,
+                work:% = self.dispatcher.keys.request,
                 endpoint = self.placed.endpoint.facts.incarnation.id,
                 last_event_id = self.last_id.as_deref().unwrap_or(""),
                 why = broke_off;
                 "stream broke off"
             );
-            let run = self.dispatcher.lost_run(&self.placed, self.reached());
+            let run = self.dispatcher.lost_run(&self.placed, self.reached(), true);
             let core = &self.dispatcher.core;
             tokio::task::spawn_local(lost_run::record_lost_run(core.clone(), run, lost));
             core.outliers
@@ -232,7 +232,11 @@
         }
         self.events += 1;
         let core = &self.dispatcher.core;
-        core.record_progress(self.dispatcher.fingerprint, || self.reached());
+        let keys = &self.dispatcher.keys;
+        core.record_progress(keys.request, || self.reached());
+        if self.events == BEGINNING_EVENTS + 1 {
+            core.record_begun(keys);
+        }
         let now_ms = core.now_ms();
         let engine = self.placed.endpoint.key;
         core.load_table
--- a/src/command/quarantine.rs
+++ b/src/command/quarantine.rs
@@ -29,8 +29,9 @@
   marigoldstage quarantine list --store 10.200.1.7:8223
   marigoldstage quarantine lift 0e1c5b0f7a3d4c2e9b8a7f6e5d4c3b2a --store 10.200.1.7:8223
 
-A relay holds requests for the same work (path, caller, service and body) after they have crashed a few endpoints. Its log
-lines name the work of each request. Lift a hold once the endpoints are fixed; if the work still crashes them, it is
+A relay holds requests for the same work (path, caller, service and body) after they have crashed a few endpoints, and
+requests with a part of a prompt under which endpoints crash, whatever else is in them. Its log lines name the work, and the
+part where it is one. Lift a hold once the endpoints are fixed; if the work still crashes them, it is
 held again after the same number of crashes as the first time.";
 
 /// Declares the subcommand.
@@ -93,15 +94,20 @@
 fn list(store: SocketAddr, out: &mut dyn Write) -> Result<(), Error> {
     let holds = LocalSet::new().block_on(&runtime()?, list_held_requests(store));
     let holds = holds.map_err(hold_error)?;
-    writeln!(out, "{:<32}  crashes  last, s ago  tried again", "work")?;
+    writeln!(
+        out,
+        "{:<32}  crashes  last, s ago  tried again  part of prompts",
+        "work"
+    )?;
     for hold in &holds {
         let was_tried = if hold.trial_taken { "yes" } else { "no" };
         writeln!(
             out,
-            "{}  {:>7}  {:>11}  {was_tried}",
+            "{}  {:>7}  {:>11}  {was_tried:<11}  {}",
             hold.fingerprint,
             hold.crashes.len(),
-            seconds_since_last_crash(hold)
+            seconds_since_last_crash(hold),
+            part_name(hold)
         )?;
     }
     Ok(())
@@ -113,6 +119,14 @@
     ages_ms.min().unwrap_or(0) / 1_000
 }
 
+/// The part of prompts that is held, as `SERVICE/PART`; `-` if a request is held.
+fn part_name(hold: &SharedRecord) -> String {
+    let name = hold.part.as_ref().map(|part| &part.name);
+    name.map_or("-".to_string(), |name| {
+        format!("{}/{}", name.service, name.id)
+    })
+}
+
 fn lift(store: SocketAddr, fingerprint: Fingerprint, out: &mut dyn Write) -> Result<(), Error> {
     let lifted = LocalSet::new().block_on(&runtime()?, release_held_request(store, fingerprint));
     lifted.map_err(hold_error)?;
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -67,13 +67,7 @@
         "body_too_slow" => "its body didn't arrive in time; it has not run",
         "no_endpoint" => "no endpoint of its service was known; it has not run",
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
-        "quarantined" => {
-            return format!(
-                "requests for the same work ({}) have crashed the endpoints that ran them, so it was sent to none; it has not \
-                 run (look for \"is held\" with that work, and for its lines \"run lost\")",
-                line.field("work")
-            );
-        }
+        "quarantined" => return describe_hold(trace, line),
         "endpoints_shut" => return describe_shut_endpoints(trace),
         "full" | "too_late" | "timeout_before_dispatch" => {
             return describe_no_capacity(trace, detail)
@@ -101,6 +95,23 @@
     text.to_string()
 }
 
+/// Describes why a request was refused that is held itself, or with a part of its prompt.
+fn describe_hold(trace: &RequestTrace, line: &LogLine) -> String {
+    let refused = trace.all_with_text("refused since it is held");
+    let part = refused.last().map(|refused| refused.field("part"));
+    if let Some(part) = part.filter(|part| !part.is_empty()) {
+        return format!(
+            "endpoints crashed as they began to write on part {part} of its prompt, whatever else was in the requests, so it \
+             was sent to none; it has not run (look for \"is held\" with that part, and for lines \"run lost\" that name it)"
+        );
+    }
+    format!(
+        "requests for the same work ({}) have crashed the endpoints that ran them, so it was sent to none; it has not \
+         run (look for \"is held\" with that work, and for its lines \"run lost\")",
+        line.field("work")
+    )
+}
+
 /// Describes a refusal because all endpoints had asked to receive no requests.
 fn describe_shut_endpoints(trace: &RequestTrace) -> String {
     let Some(line) = trace.last_with_text("all endpoints are shut") else {
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -30,6 +30,8 @@
 front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"all endpoints are shut","kv":{"request_id":"shut","leaving":1,"resting":0,"limited":2,"retry_after_ms":526}}
 front-1 {"timestamp":"2026-05-30 03:20:33.001 +00:00","text":"request ended","kv":{"request_id":"shut","outcome":"refused","status":503,"detail":"endpoints_shut","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"held","work":"00ff","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"refused since it is held","kv":{"request_id":"part","work":"00aa","part":"5c1e07a2"}}
+front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"request ended","kv":{"request_id":"part","work":"00fe","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:31
 "#;
 
@@ -55,6 +57,7 @@
 #[case::may_have_run("lost", &["502", "may have run", "i-7 (connection reset, 2 ms)"])]
 #[case::process_ended("open", &["process ended while it was open"])]
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
+#[case::part_quarantined("part", &["503", "part 5c1e07a2 of its prompt", "has not run"])]
 #[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "526 ms", "has not run"])]
 #[case::stale_configuration("old", &["5120 ms", "the store is lost"])]
 fn the_cause_of_a_request_is_explained(#[case] request_id: &str, #[case] phrases: &[&str]) {
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -17,6 +17,7 @@
 use standin::endpoint::Behaviour;
 use standin::endpoint::Endpoint;
 use standin::endpoint::CRASH_MARKER;
+use standin::endpoint::CRASH_PART;
 use standin::gateway::store_with;
 use standin::gateway::Gateway;
 use standin::store::Store;
@@ -72,6 +73,40 @@
     assert_eq!(code(&again), 1, "{}", stderr(&again));
 }
 
+#[test]
+fn a_quarantined_part_of_prompts_is_listed_by_its_name_and_lifted() {
+    let endpoints: Vec<Endpoint> = (0..8)
+        .map(|number| Endpoint::start(&format!("i-{number}"), "model", &[Behaviour::Crash(2)]))
+        .collect();
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let store = store_with(&all);
+    let gateway = Gateway::start(&store);
+    let send = |number: usize| {
+        let parts = format!("{CRASH_PART}:40,{number:08x}:250");
+        let deadly = ClientRequest {
+            body: number.to_string(),
+            ..ClientRequest::to("/talk/1")
+                .with_header("Token-Count", "900,200")
+                .with_header("Prompt-Prefix", &parts)
+        };
+        request(gateway.client_address(), &deadly).status
+    };
+    for number in 0..4 {
+        send(number);
+        thread::sleep(Duration::from_millis(150));
+    }
+    assert_eq!(send(4), 503);
+    let listed = stdout(&quarantine(&store, &["list"]));
+    let line = listed
+        .lines()
+        .find(|line| line.ends_with(&format!("model/{CRASH_PART}")));
+    let key = line.and_then(|line| line.split(' ').next());
+    let lifted = quarantine(&store, &["lift", key.expect("the part")]);
+    assert_eq!(code(&lifted), 0, "{}", stderr(&lifted));
+    thread::sleep(Duration::from_millis(300));
+    assert_eq!(send(5), 502, "it runs again");
+}
+
 #[test]
 fn an_unreachable_store_is_reported() {
     let closed_address = "127.0.0.1:1";
