test(soak): retries stay within the budget, also while gateways are killed in series

The soak checks the operators' rule over what endpoints received, by service, in every run, and has a scenario with kills of all gateways every second or two while all engines refuse.

--- a/tests/soak.rs
+++ b/tests/soak.rs
@@ -24,6 +24,8 @@
 mod host;
 #[path = "soak/plan.rs"]
 mod plan;
+#[path = "soak/retries.rs"]
+mod retries;
 #[path = "../platform/tests/standin/mod.rs"]
 mod standin;
 
@@ -43,6 +45,7 @@
 use environment::Environment;
 use plan::plan;
 use plan::plan_with_backpressure;
+use plan::plan_with_kills_under_refusals;
 use plan::plan_with_restarts;
 use plan::plan_with_rollbacks;
 use plan::TimedStep;
@@ -54,6 +57,9 @@
 /// Number of clients of a run.
 const CLIENTS: u64 = 24;
 
+/// Number of clients of a run with few requests.
+const FEW_CLIENTS: u64 = 5;
+
 /// Time in which faults are injected, in milliseconds.
 const FAULT_PERIOD_MS: u64 = 8_000;
 
@@ -97,6 +103,8 @@
     Backpressure,
     /// The same as [`Self::Rollbacks`], while a request that crashes each engine that runs it is sent again and again.
     CrashingRequest,
+    /// All gateways are killed in series while most endpoints refuse requests.
+    KillsUnderRefusals,
 }
 
 impl Scenario {
@@ -106,6 +114,7 @@
             Self::Restarts => plan_with_restarts(seed, FAULT_PERIOD_MS),
             Self::Backpressure => plan_with_backpressure(seed, FAULT_PERIOD_MS),
             Self::Rollbacks | Self::CrashingRequest => plan_with_rollbacks(seed, FAULT_PERIOD_MS),
+            Self::KillsUnderRefusals => plan_with_kills_under_refusals(seed, FAULT_PERIOD_MS),
         }
     }
 
@@ -115,6 +124,14 @@
             can_crash: self == Self::CrashingRequest,
         }
     }
+
+    /// Number of clients that send sound requests. Where retries are scarce, few requests earn few of them.
+    fn clients(self) -> u64 {
+        match self {
+            Self::KillsUnderRefusals => FEW_CLIENTS,
+            _ => CLIENTS,
+        }
+    }
 }
 
 /// Runs the plan of a seed, lets the environment recover, and checks the promises.
@@ -127,7 +144,7 @@
     std::fs::create_dir_all(&folder).expect("a temporary folder");
     let mut environment = Environment::start(&folder, first_port(), scenario.endpoint_traits());
     environment.wait_for_gateways();
-    let mut clients = Clients::start(seed, CLIENTS, &environment.client_addresses());
+    let mut clients = Clients::start(seed, scenario.clients(), &environment.client_addresses());
     if scenario == Scenario::CrashingRequest {
         clients.add_crashing_client(seed, &environment.client_addresses());
     }
@@ -260,6 +277,11 @@
     check_seed(1, Scenario::CrashingRequest);
 }
 
+#[test]
+fn promises_hold_while_gateways_are_killed_in_series_and_retries_are_scarce() {
+    check_seed(1, Scenario::KillsUnderRefusals);
+}
+
 #[rstest]
 fn promises_hold_while_endpoints_announce_limits_and_draining(#[values(1, 2)] seed: u64) {
     check_seed(seed, Scenario::Backpressure);
--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -70,6 +70,7 @@
         self.check_versions(&mut found);
         self.check_drains(&mut found);
         self.check_backpressure(&mut found);
+        self.check_retries(&mut found);
         found
     }
 
--- a/tests/soak/check_tests.rs
+++ b/tests/soak/check_tests.rs
@@ -1,5 +1,6 @@
 //! Tests of the checks: each finds the violation that it is meant for.
 
+use std::net::SocketAddr;
 use std::time::Duration;
 use std::time::Instant;
 
@@ -173,6 +174,35 @@
     );
 }
 
+#[rstest]
+#[case::as_many_as_allowed(100, false)]
+#[case::one_more(101, true)]
+fn more_retries_than_the_budget_are_found(#[case] retries: u64, #[case] is_found: bool) {
+    let start = Instant::now() + Duration::from_secs(20);
+    let record = successful_record(start, 0, 1);
+    let arrival = |number: u64| EndpointArrival {
+        slot: 0,
+        id: "i-1".to_string(),
+        incarnation_address: SocketAddr::from(([127, 0, 0, 1], 1)),
+        request: Arrival {
+            request_id: record.id.clone(),
+            at: record.sent_at + Duration::from_millis(number),
+            extra_headers: String::new(),
+            is_refused: true,
+        },
+    };
+    let arrivals: Vec<EndpointArrival> = (0..=retries).map(arrival).collect();
+    let observations = Observations {
+        history: &History::default(),
+        records: std::slice::from_ref(&record),
+        runs: &[],
+        arrivals: &arrivals,
+    };
+    let mut found = Vec::new();
+    observations.check_retries(&mut found);
+    assert_eq!(!found.is_empty(), is_found, "{found:?}");
+}
+
 /// A request that a gateway sends to an endpoint, and the extra headers of the response, which follows at once.
 struct ArrivalCase {
     at_ms: u64,
--- a/tests/soak/host.rs
+++ b/tests/soak/host.rs
@@ -10,6 +10,9 @@
 
 use crate::common::marigoldstage;
 use crate::environment::GATEWAYS;
+use crate::retries::BUDGET_WINDOW;
+use crate::retries::EXTRA_RETRIES;
+use crate::retries::RETRY_RATIO;
 
 /// Grace period of a gateway process after SIGTERM, in seconds.
 pub(crate) const GRACE_S: u64 = 8;
@@ -46,12 +49,13 @@
             "nodeName = \"front-{}\"\nzone = \"north\"\nip = \"{ip}\"\n\
              internalPortRange = [{peer}, {metrics}]\nseedNodes = [{}]\n\
              [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\n\
-             [bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-             budgetExtraRetries = 100\n[platformSettings]\naddress = \"{}\"\n",
+             [bounds]\ngraceS = {GRACE_S}\nretryBudgetRatio = {RETRY_RATIO}\n\
+             budgetWindowS = {window_s}\nbudgetExtraRetries = {EXTRA_RETRIES}\n[platformSettings]\naddress = \"{}\"\n",
             self.number,
             seeds.join(", "),
             self.store_path.address(),
             ip = self.ip,
+            window_s = BUDGET_WINDOW.as_secs(),
         );
         std::fs::write(&self.settings, text).expect("a temporary file");
     }
--- a/tests/soak/plan.rs
+++ b/tests/soak/plan.rs
@@ -110,6 +110,18 @@
     Planner::extend_plan(rng_seed, length_ms, steps, count, Planner::add_backpressure)
 }
 
+/// Kills of all gateways in series, while all engines and most other endpoints refuse what they get, so that requests ask
+/// for many retries.
+pub(crate) fn plan_with_kills_under_refusals(seed: u64, length_ms: u64) -> Vec<TimedStep> {
+    Planner::extend_plan(
+        seed,
+        length_ms,
+        Vec::new(),
+        1,
+        Planner::add_kills_under_refusals,
+    )
+}
+
 /// Draws the steps of a plan from a random number generator.
 struct Planner {
     rng: ChaCha8Rng,
@@ -242,6 +254,28 @@
         }
     }
 
+    fn add_kills_under_refusals(&mut self) {
+        for endpoint in [0, 1, 3, 4, 5, 6] {
+            self.add(
+                0,
+                Step::SetEndpointBehaviour(endpoint, Behaviour::Refuse(None)),
+            );
+        }
+        let mut at_ms = 2_000;
+        while at_ms < self.length_ms {
+            for gateway in 0..GATEWAYS {
+                self.add(at_ms, Step::KillGateway(gateway));
+                let down_ms = 100 + self.random_below(200);
+                self.add(at_ms + down_ms, Step::StartGateway(gateway));
+            }
+            if self.random_below(3) == 0 {
+                self.add(at_ms, Step::SetStoreMode(Mode::Silent));
+                self.add(at_ms + 800, Step::SetStoreMode(Mode::Up));
+            }
+            at_ms += 1_000 + self.random_below(1_000);
+        }
+    }
+
     fn add_backpressure(&mut self) {
         let at_ms = self.random_below(self.length_ms / 2);
         let end_ms = at_ms + 2_000 + self.random_below(6_000);
