refactor(quarantine,relay): verdicts, shared records, keys and permissions in files of their own

Moved as they were: the verdict by the crashes under a key, what is sent and stored, the keys of a request, and what a request may do. No behaviour changes.

--- a/crates/mgs-quarantine/src/lib.rs
+++ b/crates/mgs-quarantine/src/lib.rs
@@ -14,7 +14,9 @@
 //! - [`record`]: the crashes under one fingerprint, as a set that gateways can merge in any order.
 //! - [`blame`]: orders the keys under which the same endpoints crashed.
 //! - [`begun`]: parts of prompts on which runs have begun to write.
-//! - [`table`]: the records of one gateway, and its verdict on a request.
+//! - [`table`]: the records of one gateway.
+//! - [`verdict`]: whether requests with a key may be dispatched.
+//! - [`shared`]: records as they are sent to peers and stored.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
@@ -24,4 +26,6 @@
 pub mod fingerprint;
 pub mod options;
 pub mod record;
+pub mod shared;
 pub mod table;
+pub mod verdict;
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -1,87 +1,31 @@
-//! The records of one gateway, and its verdict on a request.
+//! The records of one gateway.
 
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
-use serde::Deserialize;
-use serde::Serialize;
-
 use crate::begun::BegunParts;
-use crate::blame::Blame;
 use crate::fingerprint::Fingerprint;
-use crate::fingerprint::PromptPart;
 use crate::options::Options;
 use crate::record::Crash;
 use crate::record::CrashStatus;
 use crate::record::PartFacts;
 use crate::record::RecentEnds;
 use crate::record::Record;
+use crate::shared::PlacedPart;
+use crate::shared::SharedCrash;
+use crate::shared::SharedRecord;
+use crate::verdict::Verdict;
 
 /// Size that a fleet is assumed to have until it is known.
 const ASSUMED_ENDPOINTS: usize = 20;
 
-/// How a request may be dispatched.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub enum Verdict {
-    /// To any endpoint.
-    Allowed,
-    /// To one endpoint only, the same for all gateways: the request may be crashing endpoints.
-    Confined,
-    /// To no endpoint.
-    Held,
-}
-
-/// A crash as it is sent to peers and stored. It carries an age, since clocks of gateways differ.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct SharedCrash {
-    /// Hash of the incarnation that ended.
-    pub incarnation: u64,
-    /// Time since then, in milliseconds.
-    pub age_ms: u32,
-    /// Stream events that the run had produced.
-    #[serde(rename = "reached")]
-    pub events: u32,
-    /// Whether it counts against the request.
-    #[serde(rename = "bearing")]
-    pub status: CrashStatus,
-}
-
-/// A record as it is sent to peers and stored.
-#[derive(Debug, Clone, PartialEq, Serialize, Deserialize)]
-pub struct SharedRecord {
-    /// Fingerprint of the request.
-    #[serde(rename = "key")]
-    pub fingerprint: Fingerprint,
-    /// Its crashes.
-    pub crashes: Vec<SharedCrash>,
-    /// Whether the request has used the trial run that it gets while it is held.
-    #[serde(rename = "was_tried")]
-    pub trial_taken: bool,
-    /// Whether the request was repeated some time after its crashes.
-    #[serde(rename = "came_again")]
-    pub has_recurred: bool,
-    /// The part of prompts that the record is about; `None` if it is about a request.
-    pub part: Option<PartFacts>,
-}
-
-/// A part of a prompt with its key and its place in the prompt.
-#[derive(Debug, Clone, PartialEq)]
-pub struct PlacedPart {
-    /// Key of the part.
-    pub fingerprint: Fingerprint,
-    /// Which part it is.
-    pub name: PromptPart,
-    /// Number of parts before it.
-    pub depth: u16,
-}
-
 /// The records of one gateway, and its verdict on a request.
 ///
 /// ```
 /// use mgs_quarantine::fingerprint::Fingerprint;
 /// use mgs_quarantine::options::Options;
 /// use mgs_quarantine::table::Quarantine;
-/// use mgs_quarantine::table::Verdict;
+/// use mgs_quarantine::verdict::Verdict;
 ///
 /// let mut quarantine = Quarantine::new(Options::default());
 /// let fingerprint = Fingerprint(1);
@@ -93,13 +37,13 @@
 /// ```
 #[derive(Debug)]
 pub struct Quarantine {
-    options: Options,
-    records: HashMap<Fingerprint, Record>,
-    recent_ends: RecentEnds,
+    pub(crate) options: Options,
+    pub(crate) records: HashMap<Fingerprint, Record>,
+    pub(crate) recent_ends: RecentEnds,
     /// Number of endpoints in the fleet.
-    endpoint_count: usize,
+    pub(crate) endpoint_count: usize,
     /// Latest time passed to this table, in milliseconds.
-    now_ms: f64,
+    pub(crate) now_ms: f64,
     /// Parts of prompts on which runs of this gateway have begun to write.
     begun_parts: BegunParts,
     /// Parts that other gateways don't know to have been written on.
@@ -107,7 +51,7 @@
     /// Fingerprints with enough crashes to be confined or held.
     suspects: BTreeSet<Fingerprint>,
     /// Fingerprints that were held when their record last changed.
-    held: BTreeSet<Fingerprint>,
+    pub(crate) held: BTreeSet<Fingerprint>,
     /// Fingerprints whose records have to be sent to peers.
     changed: BTreeSet<Fingerprint>,
     /// Fingerprints that were held or released since this was last taken.
@@ -272,100 +216,6 @@
         self.verdict(fingerprint)
     }
 
-    /// Crashes that no other held request explains, where `counted` is the number of all that
-    /// count.
-    fn unexplained_crashes(
-        &self,
-        fingerprint: Fingerprint,
-        record: &Record,
-        counted: usize,
-    ) -> usize {
-        let is_explained = |crash: &Crash| self.is_explained(fingerprint, counted, crash);
-        record.counted_crashes_except(&self.recent_ends, is_explained)
-    }
-
-    /// The verdict on a request.
-    pub fn verdict(&self, fingerprint: Fingerprint) -> Verdict {
-        match self.records.get(&fingerprint) {
-            None => Verdict::Allowed,
-            Some(record) => self.evaluate(fingerprint, record),
-        }
-    }
-
-    fn evaluate(&self, fingerprint: Fingerprint, record: &Record) -> Verdict {
-        let counted = record.counted_crashes(&self.recent_ends);
-        if counted < self.options.confine_crashes {
-            return Verdict::Allowed;
-        }
-        let unexplained = self.unexplained_crashes(fingerprint, record, counted);
-        let is_repeated_request = record.part.is_none()
-            && record.uncleared_crashes(&self.recent_ends) >= self.options.hold_crashes_total;
-        let is_held = unexplained >= self.hold_threshold(record) && self.is_settled(record);
-        match unexplained >= self.options.confine_crashes && !record.has_begun() {
-            _ if is_held || is_repeated_request => Verdict::Held,
-            true => Verdict::Confined,
-            false => Verdict::Allowed,
-        }
-    }
-
-    /// Whether other requests with the same part had the time to begin to write.
-    fn is_settled(&self, record: &Record) -> bool {
-        !record.has_begun()
-            || self.now_ms - record.first_counted_ms() >= self.options.begun_settle_ms
-    }
-
-    /// Whether another held key is the more likely cause of a crash: a run with it was on that
-    /// endpoint too, and it has more crashes. Between a part of a prompt and another key, of as many
-    /// crashes, [`Blame`] decides.
-    fn is_explained(&self, fingerprint: Fingerprint, crashes: usize, crash: &Crash) -> bool {
-        let others = self.held.iter().filter(|other| **other != fingerprint);
-        let mut others = others.filter_map(|other| Some((other, self.records.get(other)?)));
-        others.any(|(other, record)| {
-            record.has_counted_crash(crash.incarnation)
-                && self.explains(*other, record, fingerprint, crashes)
-        })
-    }
-
-    fn explains(
-        &self,
-        other: Fingerprint,
-        other_record: &Record,
-        fingerprint: Fingerprint,
-        crashes: usize,
-    ) -> bool {
-        let other_crashes = other_record.counted_crashes(&self.recent_ends);
-        let Some(record) = self.records.get(&fingerprint).filter(|r| r.part.is_some()) else {
-            return other_crashes > crashes;
-        };
-        let blame = |fingerprint: Fingerprint, record: &Record, crashes: usize| match &record.part {
-            Some(part) => Blame::of_part(fingerprint, crashes, part.has_begun, part.depth),
-            None => Blame::of_request(fingerprint, crashes),
-        };
-        blame(other, other_record, other_crashes) > blame(fingerprint, record, crashes)
-    }
-
-    /// Crashes required for a hold, depending on how many unrelated endpoints ended.
-    fn hold_threshold(&self, record: &Record) -> usize {
-        if record.has_begun() {
-            return self.options.begun_hold_crashes;
-        }
-        if record.has_recurred {
-            return self.options.hold_crashes;
-        }
-        let last_crash_ms = record.last_crash_ms();
-        let from_ms = last_crash_ms - self.options.unrelated_window_ms;
-        let unrelated = self
-            .recent_ends
-            .unrelated_ends(&record.crashes, from_ms, last_crash_ms);
-        let share = unrelated as f64 / self.endpoint_count.max(1) as f64;
-        let additional = match unrelated {
-            0 => 0,
-            _ if share < self.options.many_unrelated_share => 1,
-            _ => 2,
-        };
-        self.options.hold_crashes + additional
-    }
-
     /// Takes the one trial run that a held request gets some time after its last crash. Returns
     /// whether it gets one now. Peers are told that it is taken.
     pub fn take_trial(&mut self, fingerprint: Fingerprint, now_ms: f64) -> bool {
--- a/crates/mgs-quarantine/tests/parts_fleet/mod.rs
+++ b/crates/mgs-quarantine/tests/parts_fleet/mod.rs
@@ -4,10 +4,10 @@
 use mgs_quarantine::fingerprint::Fingerprint;
 use mgs_quarantine::fingerprint::PromptPart;
 use mgs_quarantine::options::Options;
-use mgs_quarantine::table::PlacedPart;
+use mgs_quarantine::shared::PlacedPart;
+use mgs_quarantine::shared::SharedRecord;
 use mgs_quarantine::table::Quarantine;
-use mgs_quarantine::table::SharedRecord;
-use mgs_quarantine::table::Verdict;
+use mgs_quarantine::verdict::Verdict;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
--- a/crates/mgs-quarantine/tests/table.rs
+++ b/crates/mgs-quarantine/tests/table.rs
@@ -5,9 +5,9 @@
 
 use mgs_quarantine::fingerprint::Fingerprint;
 use mgs_quarantine::options::Options;
+use mgs_quarantine::shared::SharedRecord;
 use mgs_quarantine::table::Quarantine;
-use mgs_quarantine::table::SharedRecord;
-use mgs_quarantine::table::Verdict;
+use mgs_quarantine::verdict::Verdict;
 use proptest::prelude::any;
 use proptest::prelude::prop;
 use proptest::prelude::Strategy;
--- a/crates/mgs-relay/src/crash_gossip.rs
+++ b/crates/mgs-relay/src/crash_gossip.rs
@@ -11,7 +11,7 @@
 use std::time::Duration;
 
 use mgs_quarantine::fingerprint::Fingerprint;
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 use tokio::net::UdpSocket;
 use tokio::time::timeout;
 use tokio::time::Instant;
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -21,6 +21,7 @@
 use crate::attempt::EventStream;
 use crate::connection::LossCause;
 use crate::core::Core;
+use crate::crash_keys::CrashKeys;
 use crate::dialect::ClientRequest;
 use crate::dialect::Dispatch;
 use crate::dispatch_outcome::HELPER_REFUSED;
@@ -29,15 +30,14 @@
 use crate::lost_run;
 use crate::lost_run::EndpointFate;
 use crate::lost_run::LostRun;
+use crate::permission::barred_endpoints;
+use crate::permission::Permission;
 use crate::place;
 use crate::place::PlacedRequest;
 use crate::place::Prompt;
 use crate::place::TriedEndpoints;
 use crate::progress::DispatchProgress;
 use crate::progress::FailedDispatch;
-use crate::quarantine;
-use crate::quarantine::CrashKeys;
-use crate::quarantine::Permission;
 use crate::quarantine::CRASH_REPORT_DELAY;
 use crate::traffic::TrafficKind;
 use crate::view::Organisation;
@@ -253,12 +253,7 @@
         }
         let fleet = self.core.published.fleet();
         let tried = &self.progress.tried;
-        Some(quarantine::barred_endpoints(
-            &fleet,
-            &self.service,
-            key,
-            tried,
-        ))
+        Some(barred_endpoints(&fleet, &self.service, key, tried))
     }
 
     fn need(&self) -> Need {
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -3,7 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 
 use super::Follower;
 use crate::bad_rows::BadRow;
--- a/crates/mgs-relay/src/holds.rs
+++ b/crates/mgs-relay/src/holds.rs
@@ -10,7 +10,7 @@
 use std::sync::PoisonError;
 
 use mgs_quarantine::fingerprint::Fingerprint;
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 use tokio::sync::Notify;
 
 /// A change of a held request in the store.
--- a/crates/mgs-relay/src/lost_run.rs
+++ b/crates/mgs-relay/src/lost_run.rs
@@ -9,7 +9,7 @@
 use std::time::Duration;
 
 use mgs_fleet::view::EndpointKey;
-use mgs_quarantine::table::PlacedPart;
+use mgs_quarantine::shared::PlacedPart;
 use tokio::sync::OnceCell;
 use tokio::time::sleep;
 
@@ -17,7 +17,7 @@
 use crate::connection::Connection;
 use crate::connection::LossCause;
 use crate::core::Core;
-use crate::quarantine::CrashKeys;
+use crate::crash_keys::CrashKeys;
 use crate::view::Endpoint;
 
 /// Timeout of a connection attempt that probes whether an endpoint still listens.
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -16,7 +16,7 @@
 use mgs_placing::load_table::PEER_SILENCE_MS;
 use mgs_placing::peer_message::PeerMessage;
 use mgs_placing::peer_message::TopicVersion;
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::net::UdpSocket;
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tracks endpoint crashes and holds the requests that cause them.
 //!
-//! `mgs-quarantine` decides which request is held, that is, refused at all gateways;
-//! [`crate::crash_gossip`] tells peers. Identical requests share a [`Fingerprint`] and count as one
+//! `mgs-quarantine` decides which request or part of prompts is held, that is, refused at all
+//! gateways; [`crate::permission`] refuses it, and [`crate::crash_gossip`] tells peers. Identical requests share a [`Fingerprint`] and count as one
 //! request here.
 
 use std::cell::RefCell;
@@ -13,30 +13,21 @@
 
 use mgs_fleet::view::EndpointKey;
 use mgs_quarantine::fingerprint::Fingerprint;
-use mgs_quarantine::fingerprint::PromptPart;
 use mgs_quarantine::options::Options;
-use mgs_quarantine::table::PlacedPart;
+use mgs_quarantine::shared::SharedRecord;
 use mgs_quarantine::table::Quarantine;
-use mgs_quarantine::table::SharedRecord;
-use mgs_quarantine::table::Verdict;
+use mgs_quarantine::verdict::Verdict;
 use tokio::sync::Notify;
 use tokio::time::sleep;
-use xxhash_rust::xxh3::xxh3_64_with_seed;
 
 use crate::core::Core;
-use crate::fault::Fault;
-use crate::fault::Refusal;
+use crate::crash_keys::CrashKeys;
 use crate::holds::HoldUpdate;
 use crate::holds::HoldWrite;
 use crate::lost_run::EndpointFate;
 use crate::lost_run::LostRun;
 use crate::membership::ENTRY_EXPIRY_MS;
 use crate::view::Endpoint;
-use crate::view::Fleet;
-
-/// `Retry-After` for a held request, in milliseconds; longer than a client waits, since
-/// nothing will have changed by then.
-const RETRY_AFTER_HELD_MS: u64 = 30_000;
 
 /// Delay between a crash and a retry that might crash the next endpoint. Copies of the same request
 /// crash other endpoints at about the same time, and gateways report that within a few
@@ -87,7 +78,7 @@
 
 /// A gateway's record of crashes.
 pub(crate) struct CrashTracker {
-    table: RefCell<Quarantine>,
+    pub(crate) table: RefCell<Quarantine>,
     /// Requests under which this gateway itself saw an endpoint crash.
     witnessed: RefCell<BTreeSet<Fingerprint>>,
     /// Since when endpoints refuse connections from here, in milliseconds.
@@ -165,178 +156,7 @@
     }
 }
 
-/// What is allowed for one request.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Permission {
-    /// May run on any endpoint.
-    Free,
-    /// May run on a single endpoint, the same at all gateways for this key.
-    Confined(Fingerprint),
-    /// May run once, on a single endpoint, to test whether what is held still crashes it.
-    Trial(Fingerprint),
-}
-
-impl Permission {
-    /// The key by which all gateways choose the same endpoint; `None` if any endpoint will do.
-    pub(crate) fn confined_by(self) -> Option<Fingerprint> {
-        match self {
-            Self::Free => None,
-            Self::Confined(key) | Self::Trial(key) => Some(key),
-        }
-    }
-}
-
-/// The keys under which crashes of one request count.
-#[derive(Debug, Clone)]
-pub(crate) struct CrashKeys {
-    /// The request, repetitions included.
-    pub(crate) request: Fingerprint,
-    /// The parts of its prompt that other requests may share, in their order.
-    pub(crate) parts: Rc<[PlacedPart]>,
-}
-
-impl CrashKeys {
-    /// The keys of a request for a service whose prompt has these shared parts.
-    pub(crate) fn new(request: Fingerprint, service: &str, shared_parts: &[String]) -> Self {
-        let placed = |(depth, id): (usize, &String)| {
-            let name = PromptPart {
-                service: service.to_string(),
-                id: id.clone(),
-            };
-            PlacedPart {
-                fingerprint: name.fingerprint(),
-                name,
-                depth: u16::try_from(depth).unwrap_or(u16::MAX),
-            }
-        };
-        Self {
-            request,
-            parts: shared_parts.iter().enumerate().map(placed).collect(),
-        }
-    }
-
-    /// Identifiers of the parts, separated by commas.
-    pub(crate) fn part_names(&self) -> String {
-        let names: Vec<&str> = self.parts.iter().map(|p| p.name.id.as_str()).collect();
-        names.join(",")
-    }
-
-    /// All keys: the request and its parts.
-    fn all(&self) -> impl Iterator<Item = Fingerprint> + '_ {
-        let parts = self.parts.iter().map(|part| part.fingerprint);
-        std::iter::once(self.request).chain(parts)
-    }
-}
-
-fn held_refusal() -> Refusal {
-    Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)
-}
-
 impl Core {
-    /// What is allowed for a request, or the refusal if it or a part of its prompt is held.
-    pub(crate) fn permission(&self, keys: &CrashKeys) -> Result<Permission, Refusal> {
-        let table = self.crashes.table.borrow();
-        if table.is_empty() {
-            return Ok(Permission::Free);
-        }
-        let mut permission = Permission::Free;
-        for key in keys.all() {
-            match table.verdict(key) {
-                Verdict::Allowed => {}
-                Verdict::Confined => permission = Permission::Confined(key),
-                Verdict::Held => return Err(held_refusal()),
-            }
-        }
-        Ok(permission)
-    }
-
-    /// Like [`Core::permission`], for a request that is refused if a key is held; logs which.
-    pub(crate) fn permission_to_go_on(
-        &self,
-        request_id: &str,
-        keys: &CrashKeys,
-    ) -> Result<Permission, Refusal> {
-        let permission = self.permission(keys);
-        if permission.is_err() {
-            self.log_held_request(request_id, keys, &self.held_keys(keys));
-        }
-        permission
-    }
-
-    /// Like [`Core::permission`], for a request that begins. If one of its keys is held, it may become
-    /// the trial of that key. Only one gateway runs the trial: the first by rank among those that hear
-    /// each other.
-    pub(crate) fn permission_to_begin(
-        &self,
-        request_id: &str,
-        keys: &CrashKeys,
-    ) -> Result<Permission, Refusal> {
-        self.begin(keys.request);
-        let refused = match self.permission(keys) {
-            Ok(permission) => return Ok(permission),
-            Err(refused) => refused,
-        };
-        let held = self.held_keys(keys);
-        if let [key] = held.as_slice() {
-            if self.take_trial(*key) {
-                return Ok(Permission::Trial(*key));
-            }
-        }
-        self.log_held_request(request_id, keys, &held);
-        Err(refused)
-    }
-
-    /// Those keys of a request that are held.
-    fn held_keys(&self, keys: &CrashKeys) -> Vec<Fingerprint> {
-        let table = self.crashes.table.borrow();
-        let is_held = |key: &Fingerprint| table.verdict(*key) == Verdict::Held;
-        keys.all().filter(is_held).collect()
-    }
-
-    fn take_trial(&self, key: Fingerprint) -> bool {
-        let is_taken = self.is_first_for(key)
-            && self
-                .crashes
-                .table
-                .borrow_mut()
-                .take_trial(key, self.now_ms());
-        if is_taken {
-            log::info!(work:% = key; "a held request is tried once more");
-            self.write_hold(key, true);
-            self.crashes.urgent.notify_one();
-        }
-        is_taken
-    }
-
-    fn log_held_request(&self, request_id: &str, keys: &CrashKeys, held: &[Fingerprint]) {
-        let mut parts = keys.parts.iter();
-        let part = parts.find(|part| held.contains(&part.fingerprint));
-        log::info!(
-            request_id = request_id,
-            work:% = held.first().copied().unwrap_or(keys.request),
-            part = part.map_or("", |part| part.name.id.as_str());
-            "refused since it is held"
-        );
-    }
-
-    /// Records that a request begins.
-    fn begin(&self, fingerprint: Fingerprint) {
-        let now_ms = self.now_ms();
-        let mut table = self.crashes.table.borrow_mut();
-        table.begin_request(fingerprint, now_ms);
-        drop(table);
-        self.apply_verdict_changes();
-    }
-
-    /// Whether this gateway ranks before all peers that it hears, for one request.
-    fn is_first_for(&self, fingerprint: Fingerprint) -> bool {
-        let rank = |gateway: u64| xxh3_64_with_seed(&fingerprint.0.to_le_bytes(), gateway);
-        let own = rank(self.incarnation);
-        let load_table = self.load_table.borrow();
-        let mut peers = load_table.peer_keys();
-        peers.all(|peer| rank(peer.0) < own)
-    }
-
     /// Records that an endpoint refuses connections: its process has ended, or a network cut makes
     /// it unreachable.
     pub(crate) fn record_connection_refused(&self, endpoint: EndpointKey) {
@@ -367,7 +187,7 @@
     }
 
     /// Writes to the store whether a request is held, with its record.
-    fn write_hold(&self, fingerprint: Fingerprint, is_held: bool) {
+    pub(crate) fn write_hold(&self, fingerprint: Fingerprint, is_held: bool) {
         let record = self
             .crashes
             .table
@@ -537,7 +357,7 @@
 
     /// Logs which requests are held or released now, and writes to the store those whose crashes
     /// this gateway witnessed.
-    fn apply_verdict_changes(&self) {
+    pub(crate) fn apply_verdict_changes(&self) {
         let changed = self.crashes.table.borrow_mut().take_hold_changes();
         for (fingerprint, is_held) in changed {
             if self.crashes.witnessed.borrow().contains(&fingerprint) {
@@ -619,26 +439,3 @@
         log::info!(works = written; "what is held is written again");
     }
 }
-
-/// All active endpoints but the one on which a request may run. The choice is the same at each
-/// gateway that knows the same fleet; `tried` endpoints are skipped.
-pub(crate) fn barred_endpoints(
-    fleet: &Fleet,
-    service: &str,
-    fingerprint: Fingerprint,
-    tried: &[EndpointKey],
-) -> Vec<EndpointKey> {
-    let present = fleet.of_service(service).iter();
-    let present = present.filter(|endpoint| !endpoint.facts.is_leaving);
-    let rank = |endpoint: &Endpoint| {
-        let seed = endpoint.facts.incarnation.hash_64();
-        xxh3_64_with_seed(&fingerprint.0.to_le_bytes(), seed)
-    };
-    let open = present
-        .clone()
-        .filter(|endpoint| !tried.contains(&endpoint.key))
-        .max_by_key(|endpoint| rank(endpoint));
-    let open = open.map(|endpoint| endpoint.key);
-    let closed = present.map(|endpoint| endpoint.key);
-    closed.filter(|key| Some(*key) != open).collect()
-}
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -6,7 +6,7 @@
 
 use displaydoc::Display;
 use mgs_quarantine::fingerprint::Fingerprint;
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 use serde::Deserialize;
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
--- a/src/command/quarantine.rs
+++ b/src/command/quarantine.rs
@@ -11,7 +11,7 @@
 use marigoldstage_platform::release_held_request;
 use marigoldstage_platform::QuarantineError;
 use mgs_quarantine::fingerprint::Fingerprint;
-use mgs_quarantine::table::SharedRecord;
+use mgs_quarantine::shared::SharedRecord;
 use tokio::runtime::Builder;
 use tokio::runtime::Runtime;
 use tokio::task::LocalSet;
