--- a/crates/mgs-relay/src/budget.rs
+++ b/crates/mgs-relay/src/budget.rs
@@ -10,7 +10,7 @@
 //!   have predecessors that spent that part in the same window. It takes from a reserve that is
 //!   kept for this, in proportion to its age.
 //!
-//! So nothing that a process has to forget at its end is ever spent twice.
+//! So the limit holds although a process forgets at its end what it has spent.
 
 use std::collections::HashMap;
 use std::collections::VecDeque;
--- a/tests/quarantine.rs
+++ b/tests/quarantine.rs
@@ -30,6 +30,17 @@
     command.output().expect("the program")
 }
 
+/// A gateway before eight engines that crash under deadly requests, and its store.
+fn start_crashing_fleet() -> (Store, Gateway) {
+    let endpoints: Vec<Endpoint> = (0..8)
+        .map(|number| Endpoint::start(&format!("i-{number}"), "model", &[Behaviour::Crash(2)]))
+        .collect();
+    let all: Vec<&Endpoint> = endpoints.iter().collect();
+    let store = store_with(&all);
+    let gateway = Gateway::start(&store);
+    (store, gateway)
+}
+
 /// A request that crashes each engine that runs it.
 fn crashing_request() -> ClientRequest {
     ClientRequest {
@@ -40,12 +51,7 @@
 
 #[test]
 fn quarantined_work_is_listed_and_lifted() {
-    let endpoints: Vec<Endpoint> = (0..8)
-        .map(|number| Endpoint::start(&format!("i-{number}"), "model", &[Behaviour::Crash(2)]))
-        .collect();
-    let all: Vec<&Endpoint> = endpoints.iter().collect();
-    let store = store_with(&all);
-    let gateway = Gateway::start(&store);
+    let (store, gateway) = start_crashing_fleet();
     assert_eq!(stdout(&quarantine(&store, &["list"])).lines().count(), 1);
     for _ in 0..4 {
         request(gateway.client_address(), &crashing_request());
@@ -75,12 +81,7 @@
 
 #[test]
 fn a_quarantined_part_of_prompts_is_listed_by_its_name_and_lifted() {
-    let endpoints: Vec<Endpoint> = (0..8)
-        .map(|number| Endpoint::start(&format!("i-{number}"), "model", &[Behaviour::Crash(2)]))
-        .collect();
-    let all: Vec<&Endpoint> = endpoints.iter().collect();
-    let store = store_with(&all);
-    let gateway = Gateway::start(&store);
+    let (store, gateway) = start_crashing_fleet();
     let send = |number: usize| {
         let parts = format!("{CRASH_PART}:40,{number:08x}:250");
         let deadly = ClientRequest {
