--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -69,7 +69,7 @@
     pub(crate) client_request: ClientRequest,
     pub(crate) head: request::Parts,
     pub(crate) body: Bytes,
-    /// Under which crashes of its endpoints count.
+    /// Keys under which crashes of its endpoints count.
     pub(crate) keys: CrashKeys,
     pub(crate) route: Arc<Route>,
     pub(crate) organisation: Option<Arc<Organisation>>,
--- a/crates/mgs-relay/src/lost_run.rs
+++ b/crates/mgs-relay/src/lost_run.rs
@@ -68,7 +68,7 @@
     pub(crate) route: String,
     /// Name of the caller's organisation, if callers are identified.
     pub(crate) organisation: String,
-    /// Under which its crash counts.
+    /// Keys under which the crash of its endpoint counts.
     pub(crate) keys: CrashKeys,
     pub(crate) endpoint: Arc<Endpoint>,
     /// Endpoints that prefill parts of its prompt.
