refactor(quarantine): verdicts only where a record changed; one eviction of the oldest; blame from the record

Written twice: BegunParts::forget and RecentEnds::prune, the same eviction line by line, are one function (times.rs). The depth of a request stood in blame.rs and in the order of update_holds: Record::depth serves both, and Blame has one constructor in place of two that its caller had to choose between.

Evidence: 66 tests of mgs-quarantine, its emulators at 3, 20 and 100 gateways and all planted faults among them, and the 16 tests of processes in quarantine.rs and quarantined_parts.rs pass as before; no assertion changed.

--- a/crates/mgs-quarantine/src/begun.rs
+++ b/crates/mgs-quarantine/src/begun.rs
@@ -3,6 +3,7 @@
 use std::collections::HashMap;
 
 use crate::fingerprint::Fingerprint;
+use crate::times::forget_oldest;
 
 /// When a run last began to write on each part.
 ///
@@ -35,14 +36,6 @@
 
     /// Forgets runs before `before_ms`, and the oldest if there are more than `most` parts.
     pub fn forget(&mut self, before_ms: f64, most: usize) {
-        self.begun_ms.retain(|_, at_ms| *at_ms >= before_ms);
-        let excess = self.begun_ms.len().saturating_sub(most);
-        if excess == 0 {
-            return;
-        }
-        let mut times_ms: Vec<f64> = self.begun_ms.values().copied().collect();
-        times_ms.sort_by(f64::total_cmp);
-        let kept_from_ms = times_ms[excess];
-        self.begun_ms.retain(|_, at_ms| *at_ms >= kept_from_ms);
+        forget_oldest(&mut self.begun_ms, before_ms, most);
     }
 }
--- a/crates/mgs-quarantine/src/blame.rs
+++ b/crates/mgs-quarantine/src/blame.rs
@@ -5,9 +5,7 @@
 //! which clears their parts, but only some time later; until then this order decides.
 
 use crate::fingerprint::Fingerprint;
-
-/// Depth of a request, which has more in it than any part of its prompt.
-const REQUEST_DEPTH: u16 = u16::MAX;
+use crate::record::Record;
 
 /// How likely a key is the cause of crashes; the key with the greater blame explains crashes that it
 /// shares with another.
@@ -15,10 +13,21 @@
 /// ```
 /// use mgs_quarantine::blame::Blame;
 /// use mgs_quarantine::fingerprint::Fingerprint;
+/// use mgs_quarantine::fingerprint::PromptPart;
+/// use mgs_quarantine::record::PartFacts;
+/// use mgs_quarantine::record::Record;
 ///
-/// let first_part = Blame::of_part(Fingerprint(1), 3, true, 0);
-/// let rare_part = Blame::of_part(Fingerprint(2), 3, false, 1);
-/// let request = Blame::of_request(Fingerprint(3), 2);
+/// let part = |depth: u16, has_begun: bool| Record {
+///     part: Some(PartFacts {
+///         name: PromptPart { service: "model".to_string(), id: depth.to_string() },
+///         depth,
+///         has_begun,
+///     }),
+///     ..Record::default()
+/// };
+/// let first_part = Blame::new(Fingerprint(1), &part(0, true), 3);
+/// let rare_part = Blame::new(Fingerprint(2), &part(1, false), 3);
+/// let request = Blame::new(Fingerprint(3), &Record::default(), 2);
 /// assert!(rare_part > first_part);
 /// assert!(first_part > request);
 /// ```
@@ -32,22 +41,12 @@
 }
 
 impl Blame {
-    /// The blame of a request under which this number of crashes count.
-    pub fn of_request(fingerprint: Fingerprint, crashes: usize) -> Self {
-        Self {
-            crashes,
-            has_never_begun: true,
-            depth: REQUEST_DEPTH,
-            fingerprint,
-        }
-    }
-
-    /// The blame of a part of prompts that comes after `depth` others.
-    pub fn of_part(fingerprint: Fingerprint, crashes: usize, has_begun: bool, depth: u16) -> Self {
+    /// The blame of a key under which this number of crashes count.
+    pub fn new(fingerprint: Fingerprint, record: &Record, crashes: usize) -> Self {
         Self {
             crashes,
-            has_never_begun: !has_begun,
-            depth: depth.min(REQUEST_DEPTH - 1),
+            has_never_begun: !record.has_begun(),
+            depth: record.depth(),
             fingerprint,
         }
     }
--- a/crates/mgs-quarantine/src/lib.rs
+++ b/crates/mgs-quarantine/src/lib.rs
@@ -28,4 +28,5 @@
 pub mod record;
 pub mod shared;
 pub mod table;
+mod times;
 pub mod verdict;
--- a/crates/mgs-quarantine/src/record.rs
+++ b/crates/mgs-quarantine/src/record.rs
@@ -16,6 +16,7 @@
 use serde::Serialize;
 
 use crate::fingerprint::PromptPart;
+use crate::times::forget_oldest;
 
 /// Whether a crash counts against its request.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Serialize, Deserialize)]
@@ -98,6 +99,13 @@
         }
     }
 
+    /// Number of parts that come before the part in a prompt; more than any part has for a request,
+    /// which has more in it than each part of its prompt.
+    pub fn depth(&self) -> u16 {
+        let part = self.part.as_ref();
+        part.map_or(u16::MAX, |part| part.depth.min(u16::MAX - 1))
+    }
+
     /// Whether this is about a part of prompts on which some run began to write.
     pub fn has_begun(&self) -> bool {
         self.part.as_ref().is_some_and(|part| part.has_begun)
@@ -249,16 +257,7 @@
     /// Removes ends before `before_ms`, and the oldest beyond [`RECENT_ENDS_MAX`]. Returns the time
     /// from which on all ends are kept.
     pub fn prune(&mut self, before_ms: f64) -> f64 {
-        self.ended_ms.retain(|_, at_ms| *at_ms >= before_ms);
-        let excess = self.ended_ms.len().saturating_sub(RECENT_ENDS_MAX);
-        if excess == 0 {
-            return before_ms;
-        }
-        let mut times_ms: Vec<f64> = self.ended_ms.values().copied().collect();
-        times_ms.sort_by(f64::total_cmp);
-        let known_from_ms = times_ms[excess];
-        self.ended_ms.retain(|_, at_ms| *at_ms >= known_from_ms);
-        known_from_ms
+        forget_oldest(&mut self.ended_ms, before_ms, RECENT_ENDS_MAX)
     }
 
     /// Number of endpoints that ended in a period, other than by these crashes.
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -1,5 +1,6 @@
 //! The records of one gateway.
 
+use std::cmp::Reverse;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 
@@ -108,18 +109,21 @@
             events: 0,
             status: CrashStatus::Counts,
         };
+        let mut changed = Vec::new();
         for part in parts {
             let facts = PartFacts {
                 name: part.name.clone(),
                 depth: part.depth,
                 has_begun: self.begun_parts.contains(part.fingerprint),
             };
-            self.apply(part.fingerprint, now_ms, |record| {
+            let has_changed = self.apply(part.fingerprint, now_ms, |record| {
                 let is_new_part = record.add_part(&facts);
                 record.add(crash) || is_new_part
             });
+            if has_changed {
+                changed.push(part.fingerprint);
+            }
         }
-        let changed: Vec<Fingerprint> = parts.iter().map(|part| part.fingerprint).collect();
         self.update_holds(changed);
     }
 
@@ -264,11 +268,13 @@
     /// Merges records from a peer or from the store. They aren't forwarded to peers: the gateway that
     /// saw the crash sends them to all.
     pub fn merge_all(&mut self, records: &[SharedRecord], now_ms: f64) {
+        let mut changed = Vec::new();
         for shared in records {
-            self.merge_one(shared, now_ms);
+            if self.merge_one(shared, now_ms) {
+                changed.push(shared.fingerprint);
+            }
         }
-        let merged = records.iter().map(|shared| shared.fingerprint);
-        self.update_holds(merged.collect());
+        self.update_holds(changed);
     }
 
     /// As [`Self::merge_all`], for one record.
@@ -276,7 +282,7 @@
         self.merge_all(std::slice::from_ref(shared), now_ms);
     }
 
-    fn merge_one(&mut self, shared: &SharedRecord, now_ms: f64) {
+    fn merge_one(&mut self, shared: &SharedRecord, now_ms: f64) -> bool {
         let crash = |shared: &SharedCrash| Crash {
             incarnation: shared.incarnation,
             at_ms: now_ms - f64::from(shared.age_ms),
@@ -290,26 +296,30 @@
             part: shared.part.clone(),
         };
         let was_changed = self.changed.contains(&shared.fingerprint);
-        self.apply(shared.fingerprint, now_ms, |record| record.merge(&other));
-        self.add_own_knowledge(shared.fingerprint);
+        let is_new = self.apply(shared.fingerprint, now_ms, |record| record.merge(&other));
+        let is_own = self.add_own_knowledge(shared.fingerprint);
         if !was_changed {
             self.changed.remove(&shared.fingerprint);
         }
+        is_new || is_own
     }
 
-    /// Adds to a peer's record that a run of this gateway has begun to write on the part.
-    fn add_own_knowledge(&mut self, fingerprint: Fingerprint) {
+    /// Adds to a peer's record that a run of this gateway has begun to write on the part. Returns
+    /// whether that changes the record.
+    fn add_own_knowledge(&mut self, fingerprint: Fingerprint) -> bool {
         if !self.begun_parts.contains(fingerprint) {
-            return;
+            return false;
         }
         let record = self.records.get_mut(&fingerprint);
         let Some(part) = record.and_then(|record| record.part.as_mut()) else {
-            return;
+            return false;
         };
-        if !part.has_begun {
-            part.has_begun = true;
-            self.newly_begun.push(fingerprint);
+        if part.has_begun {
+            return false;
         }
+        part.has_begun = true;
+        self.newly_begun.push(fingerprint);
+        true
     }
 
     /// The record to send to peers and to store.
@@ -346,21 +356,22 @@
         now_ms: f64,
         change: impl FnOnce(&mut Record) -> bool,
     ) {
-        self.apply(fingerprint, now_ms, change);
-        self.update_holds(vec![fingerprint]);
+        if self.apply(fingerprint, now_ms, change) {
+            self.update_holds(vec![fingerprint]);
+        }
     }
 
-    /// Changes a record; [`Self::update_holds`] must follow.
+    /// Changes a record; returns whether it did. Then [`Self::update_holds`] must follow.
     fn apply(
         &mut self,
         fingerprint: Fingerprint,
         now_ms: f64,
         change: impl FnOnce(&mut Record) -> bool,
-    ) {
+    ) -> bool {
         self.now_ms = self.now_ms.max(now_ms);
         let record = self.records.entry(fingerprint).or_default();
         if !change(record) {
-            return;
+            return false;
         }
         for crash in &record.crashes {
             if crash.status != CrashStatus::Cleared {
@@ -371,6 +382,7 @@
         if self.records.len() > 2 * (self.options.suspects_max + self.options.held_max) {
             self.prune(now_ms);
         }
+        true
     }
 
     /// Records which of these fingerprints became held or were released, and what follows for others
@@ -379,8 +391,7 @@
         // The deepest first, so that a part is not held for a moment instead of the cause.
         changed.sort_by_key(|fingerprint| {
             let record = self.records.get(fingerprint);
-            let part = record.and_then(|record| record.part.as_ref());
-            std::cmp::Reverse(part.map_or(u16::MAX, |part| part.depth))
+            Reverse(record.map(Record::depth))
         });
         let mut has_changed = false;
         for fingerprint in changed {
--- a/crates/mgs-quarantine/src/verdict.rs
+++ b/crates/mgs-quarantine/src/verdict.rs
@@ -83,11 +83,7 @@
         let Some(record) = self.records.get(&fingerprint).filter(|r| r.part.is_some()) else {
             return other_crashes > crashes;
         };
-        let blame = |fingerprint: Fingerprint, record: &Record, crashes: usize| match &record.part {
-            Some(part) => Blame::of_part(fingerprint, crashes, part.has_begun, part.depth),
-            None => Blame::of_request(fingerprint, crashes),
-        };
-        blame(other, other_record, other_crashes) > blame(fingerprint, record, crashes)
+        Blame::new(other, other_record, other_crashes) > Blame::new(fingerprint, record, crashes)
     }
 
     /// Crashes required for a hold, depending on how many unrelated endpoints ended.
