--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -206,13 +206,13 @@
 }
 
 /// Whether a response has neither a length nor chunks, so that its body ends with its connection.
-pub(crate) fn ends_with_connection(headers: &HeaderMap) -> bool {
+fn ends_with_connection(headers: &HeaderMap) -> bool {
     !headers.contains_key(CONTENT_LENGTH) && !headers.contains_key(TRANSFER_ENCODING)
 }
 
 /// Why a stream is incomplete that ended without an error: if its body ends with its connection, the
 /// endpoint may have crashed.
-pub(crate) fn incomplete_cause(headers: &HeaderMap) -> LossCause {
+fn incomplete_cause(headers: &HeaderMap) -> LossCause {
     match ends_with_connection(headers) {
         true => LossCause::BrokenOff,
         false => LossCause::Unusable,
--- a/crates/mgs-relay/src/permission.rs
+++ b/crates/mgs-relay/src/permission.rs
@@ -37,10 +37,6 @@
     }
 }
 
-fn held_refusal() -> Refusal {
-    Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)
-}
-
 impl Core {
     /// What is allowed for a request, or the refusal if it or a part of its prompt is held.
     pub(crate) fn permission(&self, keys: &CrashKeys) -> Result<Permission, Refusal> {
@@ -53,7 +49,7 @@
             match table.verdict(key) {
                 Verdict::Allowed => {}
                 Verdict::Confined => permission = Permission::Confined(key),
-                Verdict::Held => return Err(held_refusal()),
+                Verdict::Held => return Err(Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)),
             }
         }
         Ok(permission)
