--- a/tests/soak/check.rs
+++ b/tests/soak/check.rs
@@ -11,6 +11,7 @@
 use crate::history::Component;
 use crate::history::Crash;
 use crate::history::History;
+use crate::standin::client::stream_text;
 use crate::standin::endpoint::Run;
 
 /// Timeout of each route, and the time that a response may take beyond it.
@@ -113,7 +114,7 @@
             return;
         }
         let is_good = match record.kind.is_stream() {
-            true => response.body == whole_stream() || is_whole_text(record, &response.body),
+            true => response.body == stream_text(EVENTS) || is_whole_text(record, &response.body),
             false => is_whole_text(record, &response.body),
         };
         if !is_good {
@@ -286,8 +287,3 @@
 fn is_whole_text(record: &Record, text: &str) -> bool {
     text == "stock: 7" || text.starts_with(&format!("{} nursery-", record.id))
 }
-
-fn whole_stream() -> String {
-    let event = |number| format!("id: {number}\ndata: piece {number}\n\n");
-    (1..=EVENTS).map(event).collect()
-}
