feat(placing): short prompts prefer zones of twelve engines and more

Cause: with 48 gateways before 60 engines in three zones, each gateway chose among all engines for every prompt, since a zone was preferred only if it had engines for the widest prompt. Reports of peers take 17 ms and more at a host with a sixteenth of a core, so several short prompts met on one engine. Change: a prompt that one engine prefills needs a zone of twelve engines; one that several share needs 28 as before.

--- a/crates/mgs-placing/src/evaluation.rs
+++ b/crates/mgs-placing/src/evaluation.rs
@@ -210,7 +210,7 @@
         let engines_max = self.engines_max.min(self.engines.len());
         let part_ms = prefill_ms / width as f64;
         width <= engines_max
-            && prefill_ms >= self.options.share_from_passes * self.model.min_pass_ms()
+            && may_share_prefill(self.need, self.model, self.options)
             && part_ms >= self.options.part_min_passes * self.model.min_pass_ms()
     }
 
@@ -467,6 +467,16 @@
     }
 }
 
+/// Whether a prompt takes so much prefill that several engines may share it.
+pub(crate) fn may_share_prefill(
+    need: &Need,
+    model: &EngineModel,
+    options: &PlacementOptions,
+) -> bool {
+    let prefill_ms = model.prefill_ms(need.prompt_tokens);
+    prefill_ms >= options.share_from_passes * model.min_pass_ms()
+}
+
 /// The longest backlog among the engines that the prompt must wait for, in milliseconds. Engines
 /// with parts of late prompts don't count: those prompts only need to end in time, and engines
 /// prefill the newest part first.
--- a/crates/mgs-placing/src/options.rs
+++ b/crates/mgs-placing/src/options.rs
@@ -75,10 +75,13 @@
     /// Added to `unseen_ms` for each peer, in milliseconds: a host with a tenth of a core needs
     /// about 25 ms to send to a hundred peers.
     pub unseen_ms_per_peer: f64,
-    /// Least number of engines in an availability zone for its gateways to prefer it, as a multiple
-    /// of the engines that the widest prompt takes: while one is prefilled, the next must find
-    /// nearly as many.
+    /// Least number of engines in an availability zone for its gateways to prefer it for a prompt
+    /// that several engines may prefill, as a multiple of the engines that the widest prompt takes:
+    /// while one is prefilled, the next must find nearly as many.
     pub near_engines_factor: f64,
+    /// The same number for a prompt that one engine prefills: with fewer engines, one wide prompt
+    /// or a few endpoints that leave take most of the zone from its short streams.
+    pub near_engines_min: usize,
     /// Largest share of its first-token target that a prompt may be expected to take in its own
     /// availability zone for other zones not to be considered.
     pub near_aim_share: f64,
@@ -121,6 +124,7 @@
             unseen_ms: 5.0,
             unseen_ms_per_peer: 0.25,
             near_engines_factor: 1.75,
+            near_engines_min: 12,
             near_aim_share: 0.6,
             near_backlog_ms: 60.0,
             crowd_factor: 8.0,
@@ -173,6 +177,7 @@
             "unseen_ms" => self.unseen_ms = value,
             "unseen_ms_per_peer" => self.unseen_ms_per_peer = value,
             "near_engines_factor" => self.near_engines_factor = value,
+            "near_engines_min" => self.near_engines_min = value as usize,
             "near_backlog_ms" => self.near_backlog_ms = value,
             "near_aim_share" => self.near_aim_share = value,
             "crowd_factor" => self.crowd_factor = value,
--- a/crates/mgs-placing/src/zone.rs
+++ b/crates/mgs-placing/src/zone.rs
@@ -5,12 +5,14 @@
 //! in its own zone competes with twenty, evaluates a fifth of the engines, and keeps the parts of
 //! its prompts close together.
 //!
-//! The preference applies only where a zone has enough engines for the widest prompt, and only to
-//! prompts with time to spare there. Any other prompt is also evaluated over all engines and goes
+//! The preference applies only where a zone has enough engines: for the widest prompt if several
+//! engines may prefill the prompt, else for short streams. It applies only to prompts with time to
+//! spare in the zone. Any other prompt is also evaluated over all engines and goes
 //! where it loses least.
 
 use crate::choose::choose_engines;
 use crate::choose::RandomDraw;
+use crate::evaluation::may_share_prefill;
 use crate::load_table::LoadTable;
 use crate::model::EngineModel;
 use crate::need::Need;
@@ -104,7 +106,7 @@
             now_ms,
         )
     };
-    let own_zone = match is_zone_large_enough(zones, options) {
+    let own_zone = match is_zone_large_enough(need, zones, model, options) {
         true => among(zones.own_zone).ok(),
         false => None,
     };
@@ -131,9 +133,17 @@
     }
 }
 
-/// Whether the own zone has enough engines for the widest prompt and isn't the only zone.
-fn is_zone_large_enough(zones: &ZoneCandidates<'_>, options: &PlacementOptions) -> bool {
-    let least = options.engines_max as f64 * options.near_engines_factor;
+/// Whether the own zone has enough engines for the prompt and isn't the only zone.
+fn is_zone_large_enough(
+    need: &Need,
+    zones: &ZoneCandidates<'_>,
+    model: &EngineModel,
+    options: &PlacementOptions,
+) -> bool {
+    let least = match may_share_prefill(need, model, options) {
+        true => options.engines_max as f64 * options.near_engines_factor,
+        false => options.near_engines_min as f64,
+    };
     zones.own_zone.len() as f64 >= least && zones.own_zone.len() < zones.all.len()
 }
 
--- a/crates/mgs-placing/tests/zone_preference.rs
+++ b/crates/mgs-placing/tests/zone_preference.rs
@@ -94,6 +94,20 @@
     assert_eq!(placed.scope, Scope::Fleet);
 }
 
+/// Guards against short prompts of fifty gateways that all compete for the same engines of the
+/// whole fleet: reports of peers take longer than choices follow each other, so several prompts
+/// meet on one engine. A prompt that one engine prefills doesn't need a zone for the widest ones.
+#[rstest]
+#[case(20, Scope::Zone)]
+#[case(7, Scope::Fleet)]
+fn a_question_stays_in_a_zone_of_twenty_engines_but_not_of_seven(
+    #[case] zone_engines: usize,
+    #[case] scope: Scope,
+) {
+    let placed = place_with(&QUESTION, zone_engines, &LoadTable::new());
+    assert_eq!(placed.scope, scope);
+}
+
 #[test]
 fn a_zone_without_free_slots_leaves_its_prompts_to_other_zones() {
     let mut load_table = LoadTable::new();
