feat(relay): an account of the bytes held for clients that read slowly

Nothing counted what a gateway holds: request bodies, complete answers, and events that clients have yet to read. Many of them end a gateway of 112 MB.

Not wired yet.

--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -37,6 +37,7 @@
 pub mod follow;
 pub mod freshness;
 pub mod gateway_count;
+pub mod held_bytes;
 pub mod helper_refusals;
 pub mod holds;
 mod load_guard;
