feat(explain): clients that read too slowly and bodies without room

The log lines of held bytes had no sentence of their own: an answer that its client never read counted as answered on time.

explain tells which bound was met, with the bytes unread and held; account counts client_too_slow as failed and no_memory as refused.

--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -37,7 +37,11 @@
 fn describe_response(trace: &RequestTrace, line: &LogLine) -> String {
     let total_ms = line.number("total_ms");
     match line.field("outcome").as_str() {
-        "answered" => format!("answered after {total_ms} ms{}", describe_dispatches(trace)),
+        "answered" => format!(
+            "answered after {total_ms} ms{}{}",
+            describe_slow_client(trace),
+            describe_dispatches(trace)
+        ),
         "client_left" => format!(
             "the client closed its connection after {total_ms} ms{}; the request was cancelled",
             describe_dispatches(trace)
@@ -67,6 +71,7 @@
         "body_too_slow" => "its body didn't arrive in time; it has not run",
         "no_endpoint" => "no endpoint of its service was known; it has not run",
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
+        "no_memory" => return describe_no_memory(trace),
         "quarantined" => return describe_hold(trace, line),
         "endpoints_shut" => return describe_shut_endpoints(trace),
         "full" | "too_late" | "timeout_before_dispatch" => {
@@ -95,6 +100,37 @@
     text.to_string()
 }
 
+/// Describes a refusal because this host had no memory for a request body.
+fn describe_no_memory(trace: &RequestTrace) -> String {
+    let Some(line) = trace.last_with_text("a request body isn't taken") else {
+        return "its host had no memory for its body; it has not run".to_string();
+    };
+    format!(
+        "its host had no memory for its body of {} bytes, as it held {} bytes for other clients; the client was told to \
+         retry after {} ms; it has not run",
+        line.number("announced_bytes"),
+        line.number("held_total_bytes"),
+        line.number("retry_after_ms"),
+    )
+}
+
+/// Says that a response was cut off because its client read too slowly; empty if it wasn't.
+fn describe_slow_client(trace: &RequestTrace) -> String {
+    let Some(line) = trace.last_with_text("a client reads too slowly") else {
+        return String::new();
+    };
+    let bound = match line.field("bound").as_str() {
+        "connection" => "the bound of one connection",
+        "total" => "its share of the memory that was left",
+        _ => "the time for which a client may read nothing",
+    };
+    format!(
+        "; its client read too slowly and was cut off at {bound}, with {} bytes unread and {} bytes held for all clients",
+        line.number("held_bytes"),
+        line.number("held_total_bytes"),
+    )
+}
+
 /// Describes why a request was refused that is held itself, or with a part of its prompt.
 fn describe_hold(trace: &RequestTrace, line: &LogLine) -> String {
     let refused = trace.all_with_text("refused since it is held");
@@ -201,6 +237,7 @@
     let mut text = match line.field("outcome").as_str() {
         "answered" => "its whole stream was delivered".to_string(),
         "client_left" => "the client left in the middle of its stream".to_string(),
+        "client_too_slow" => "its stream was broken off by its host".to_string(),
         "stream_timed_out" => "its timeout expired in the middle of its stream".to_string(),
         "stream_broken" => "its stream broke off, and no endpoint could resume it".to_string(),
         other => other.to_string(),
@@ -210,6 +247,7 @@
         line.number("events"),
         line.number("total_ms")
     );
+    text += &describe_slow_client(trace);
     for broken in trace.all_with_text("stream broke off") {
         text += &format!(
             "; {} broke off ({})",
--- a/src/explain/summary.rs
+++ b/src/explain/summary.rs
@@ -10,6 +10,9 @@
 /// Ratio of actual to predicted time to first token above which it counts as later than predicted.
 const LATER_THAN_PREDICTED_FACTOR: f64 = 1.2;
 
+/// Outcome of a response that was cut off because its client read too slowly.
+const CLIENT_TOO_SLOW: &str = "client_too_slow";
+
 /// Why a request ended as it did, as far as its log lines show. Its text is a cell of the exported CSV file.
 #[derive(Debug, Clone, PartialEq, Eq, PartialOrd, Ord)]
 pub enum Cause {
@@ -60,6 +63,9 @@
             return Some(Self::of_ended_stream(trace, ended));
         }
         let ended = trace.last_with_text("request ended")?;
+        if trace.last_with_text("a client reads too slowly").is_some() {
+            return Some(Self::Other(CLIENT_TOO_SLOW.to_string()));
+        }
         let detail = ended.field("detail");
         let end = match detail.is_empty() {
             true => ended.field("outcome"),
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -12,7 +12,8 @@
 use rstest::rstest;
 
 /// Log of two hosts in two availability zones: short prompts on time and late, audits refused since helper engines
-/// refused, a late answer to an idempotent request, one with an unknown key, calls to the store, and bytes carried.
+/// refused, a late answer to an idempotent request, one with an unknown key, a client that reads too slowly, a body without
+/// room, calls to the store, and bytes carried.
 const LOG: &str = r#"
 front-1 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-1","zone":"north"}}
 front-2 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-2","zone":"south"}}
@@ -29,6 +30,8 @@
 front-2 {"timestamp":"2026-05-30 03:20:30.020 +00:00","text":"dispatch ended","kv":{"request_id":"e","endpoint":"i-1","dispatch":1,"end":"helper_refused","at_fault":"i-9","took_ms":3}}
 front-2 {"timestamp":"2026-05-30 03:20:31.000 +00:00","text":"request ended","kv":{"request_id":"f","route":"t","kind":"idempotent","aim_ms":120,"pause_limit_ms":0,"outcome":"answered","status":200,"total_ms":400}}
 front-2 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"g","outcome":"refused","status":401,"detail":"unknown_key","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"stream ended","kv":{"request_id":"h","route":"u","kind":"streaming","outcome":"client_too_slow","aim_ms":700,"pause_limit_ms":400,"total_ms":900}}
+front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"request ended","kv":{"request_id":"i","route":"v","kind":"idempotent","aim_ms":50,"pause_limit_ms":0,"outcome":"refused","status":503,"detail":"no_memory","total_ms":1}}
 front-2 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"bytes carried","kv":{"requests":7000,"whole_messages":2000}}
 front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"bytes carried","kv":{"requests":1000,"whole_messages":3000}}
 "#;
@@ -54,7 +57,7 @@
 }
 
 #[rstest]
-#[case::hosts_and_requests("6 requests at 2 hosts, 1 more that were not to be served")]
+#[case::hosts_and_requests("8 requests at 2 hosts, 1 more that were not to be served")]
 #[case::a_kind_with_late_requests(
     "streaming 300/250 ms                    2    0.500    0.500    0.000    0.000    0.375"
 )]
@@ -63,6 +66,8 @@
 )]
 #[case::a_late_answer("0.750      1 idempotent 120 ms: answered late")]
 #[case::the_cause_of_a_refusal("1.000      1 streaming 4000/1000 ms: refused: not_run")]
+#[case::a_client_that_read_too_slowly("1.000      1 streaming 700/400 ms: client_too_slow")]
+#[case::no_memory_for_a_body("1.000      1 idempotent 50 ms: refused: no_memory")]
 #[case::dispatches_refused_for_a_helper("4 dispatches of 3 requests were refused since another endpoint didn't help: 3 at try 1, 1 at try 2")]
 #[case::refusals_by_helper(
     "3 times by i-9, 2 hosts, 1 times one that it had refused before, 9.0 s to 10.0 s"
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -32,6 +32,12 @@
 front-1 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"held","work":"00ff","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"refused since it is held","kv":{"request_id":"part","work":"00aa","part":"5c1e07a2"}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"request ended","kv":{"request_id":"part","work":"00fe","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"a request body isn't taken","kv":{"request_id":"body","reason":"no_memory","announced_bytes":1000000,"held_total_bytes":16500000,"retry_after_ms":500}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"request ended","kv":{"request_id":"body","outcome":"refused","status":503,"detail":"no_memory","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:36.000 +00:00","text":"a client reads too slowly","kv":{"request_id":"slow","bound":"connection","held_bytes":2790000,"held_total_bytes":3000000}}
+front-1 {"timestamp":"2026-05-30 03:20:36.001 +00:00","text":"stream ended","kv":{"request_id":"slow","outcome":"client_too_slow","events":170,"total_ms":900}}
+front-1 {"timestamp":"2026-05-30 03:20:37.000 +00:00","text":"request ended","kv":{"request_id":"unread","outcome":"answered","status":200,"total_ms":31}}
+front-1 {"timestamp":"2026-05-30 03:20:47.000 +00:00","text":"a client reads too slowly","kv":{"request_id":"unread","bound":"time","held_bytes":150000,"held_total_bytes":150000}}
 front-1 {"timestamp":"2026-05-30 03:20:31
 "#;
 
@@ -56,6 +62,9 @@
 #[case::cut_by_an_endpoint("cut", &["whole", "21 events", "i-1 broke off (end of file)", "840 ms"])]
 #[case::may_have_run("lost", &["502", "may have run", "i-7 (connection reset, 2 ms)"])]
 #[case::process_ended("open", &["process ended while it was open"])]
+#[case::no_memory("body", &["503", "body of 1000000 bytes", "16500000 bytes", "500 ms", "has not run"])]
+#[case::stream_not_read("slow", &["broken off by its host", "170 events", "bound of one connection", "2790000 bytes unread"])]
+#[case::answer_not_read("unread", &["answered after 31 ms", "cut off at the time", "150000 bytes unread"])]
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
 #[case::part_quarantined("part", &["503", "part 5c1e07a2 of its prompt", "has not run"])]
 #[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "526 ms", "has not run"])]
@@ -101,6 +110,9 @@
 front-1 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"b","route":"short","outcome":"answered","first_event_ms":900,"aim_ms":300,"longest_pause_ms":90,"pause_limit_ms":250}}
 front-2 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"c","route":"audit","outcome":"answered","first_event_ms":900,"aim_ms":3000,"longest_pause_ms":1090,"pause_limit_ms":1000}}
 front-2 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"request ended","kv":{"request_id":"d","outcome":"refused","detail":"too_late"}}
+front-2 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"e","route":"review","outcome":"client_too_slow"}}
+front-2 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"request ended","kv":{"request_id":"f","route":"lookup","outcome":"answered"}}
+front-2 {"timestamp":"2026-05-30 03:20:36.000 +00:00","text":"a client reads too slowly","kv":{"request_id":"f","bound":"time"}}
 "#;
 
 /// Output of the command for a whole log, with this flag.
@@ -167,6 +179,9 @@
         "1  50.0%  first event late: waited for a place",
         "1 100.0%  a pause too long",
         "1 100.0%  refused: too_late",
+        "review: 1 requests",
+        "lookup: 1 requests",
+        "1 100.0%  client_too_slow",
     ] {
         assert!(text.contains(phrase), "{phrase:?} in {text}");
     }
