feat(relay): how often to send to peers, and whether to accept requests, by the use of the link

A gateway on a narrow link sends as much to its peers as any other: at 48 gateways up to an eighth of 14 Mbit/s, and all of it once the link is reduced to a fraction.

link_use.rs averages what the link carries and for how long the socket for peers takes nothing. From 0.6 of the link (0.05 of the time) on the intervals of messages grow, up to 400 ms and 1 s at 0.8 (0.25); from 0.9 (0.6) on requests are to be refused. Below, the intervals are those of today.

Not wired yet.

--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -41,6 +41,7 @@
 pub mod held_bytes;
 pub mod helper_refusals;
 pub mod holds;
+pub mod link_use;
 mod load_guard;
 mod lost_run;
 pub mod membership;
--- /dev/null
+++ b/crates/mgs-relay/src/link_use.rs
@@ -0,0 +1,181 @@
+//! Decides how often a gateway sends messages to its peers, and whether it accepts requests, by how
+//! much of its link is used.
+//!
+//! A narrow link is noticed in two ways: by the bytes carried, if the width of the link is known;
+//! and by the time for which the socket for peers takes nothing more, if the link was reduced to
+//! less. As the use grows, messages to peers become rarer. Only when they are as rare as they may
+//! be are requests refused.
+
+/// Time constant of the averages, in milliseconds: a body of a megabyte takes half of a second of a
+/// link of 14 Mbit/s, and must not count as a full link by itself.
+const AVERAGE_MS: f64 = 1_000.0;
+
+/// Use of the link from which on messages become rarer. Header fields and acknowledgements aren't
+/// counted and take up to a tenth.
+const NARROW_USE: f64 = 0.6;
+
+/// Use of the link at which messages are as rare as they may be.
+const SLOWEST_USE: f64 = 0.8;
+
+/// Use of the link from which on requests are refused.
+const FULL_USE: f64 = 0.9;
+
+/// The same bounds for the share of time for which the socket for peers takes nothing.
+const NARROW_BLOCKED: f64 = 0.05;
+const SLOWEST_BLOCKED: f64 = 0.25;
+const FULL_BLOCKED: f64 = 0.6;
+
+/// Least time between two messages on a free link, in milliseconds.
+const SEND_INTERVAL_MS: f64 = 15.0;
+
+/// Least time between two messages at most, in milliseconds.
+const SEND_INTERVAL_MAX_MS: f64 = 400.0;
+
+/// Time between two full messages on a free link, in milliseconds.
+const FULL_INTERVAL_MS: f64 = 300.0;
+
+/// Time between two full messages at most, in milliseconds. Peers learn of ended requests from full
+/// messages, so that they see this gateway's load as larger than it is for as long.
+const FULL_INTERVAL_MAX_MS: f64 = 1_000.0;
+
+/// Longest time without any message, in milliseconds. Peers take a gateway for silent after 1,200
+/// ms, so that one of two messages may be lost.
+pub const QUIET_MAX_MS: u64 = 400;
+
+/// The link of this host.
+#[derive(Debug, Clone, PartialEq, Default)]
+pub struct Options {
+    /// Bytes per second that it carries in each direction; `None` if that isn't known.
+    pub bytes_per_s: Option<f64>,
+}
+
+/// What the link has carried since the start of the process.
+#[derive(Debug, Clone, Copy, PartialEq, Default)]
+pub struct LinkTotals {
+    /// Bytes received.
+    pub received_bytes: u64,
+    /// Bytes sent.
+    pub sent_bytes: u64,
+    /// Time for which the socket for peers took nothing, in milliseconds.
+    pub blocked_ms: f64,
+}
+
+/// How often messages are sent to peers.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub struct MessagePace {
+    /// Least time between two messages, in milliseconds.
+    pub send_interval_ms: u64,
+    /// Time between two full messages, in milliseconds.
+    pub full_interval_ms: u64,
+}
+
+/// How much room the link has.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum LinkState {
+    /// Enough.
+    Free,
+    /// So little that messages to peers are rarer.
+    Narrow,
+    /// None for further requests.
+    Full,
+}
+
+impl LinkState {
+    /// Name in logs.
+    pub fn name(self) -> &'static str {
+        match self {
+            Self::Free => "free",
+            Self::Narrow => "narrow",
+            Self::Full => "full",
+        }
+    }
+}
+
+/// Averages of what the link carries.
+#[derive(Debug, Clone, Default)]
+pub struct LinkUse {
+    observed: Option<(f64, LinkTotals)>,
+    received_per_s: f64,
+    sent_per_s: f64,
+    blocked_share: f64,
+}
+
+impl LinkUse {
+    /// Takes the totals at a moment.
+    ///
+    /// ```
+    /// use mgs_relay::link_use::{LinkState, LinkTotals, LinkUse, Options};
+    ///
+    /// let options = Options { bytes_per_s: Some(1_750_000.0) };
+    /// let mut link = LinkUse::default();
+    /// link.observe(0.0, LinkTotals::default());
+    /// assert_eq!(link.state(&options), LinkState::Free);
+    /// link.observe(5_000.0, LinkTotals { sent_bytes: 8_500_000, ..LinkTotals::default() });
+    /// assert_eq!(link.state(&options), LinkState::Full);
+    /// ```
+    pub fn observe(&mut self, now_ms: f64, totals: LinkTotals) {
+        let Some((before_ms, before)) = self.observed else {
+            self.observed = Some((now_ms, totals));
+            return;
+        };
+        let passed_ms = now_ms - before_ms;
+        if passed_ms < 1.0 {
+            return;
+        }
+        let weight = 1.0 - (-passed_ms / AVERAGE_MS).exp();
+        let average = |average: &mut f64, now: f64| *average += (now - *average) * weight;
+        let per_s = |after: u64, before: u64| (after - before) as f64 / passed_ms * 1e3;
+        average(
+            &mut self.received_per_s,
+            per_s(totals.received_bytes, before.received_bytes),
+        );
+        average(
+            &mut self.sent_per_s,
+            per_s(totals.sent_bytes, before.sent_bytes),
+        );
+        let blocked_share = ((totals.blocked_ms - before.blocked_ms) / passed_ms).min(1.0);
+        average(&mut self.blocked_share, blocked_share);
+        self.observed = Some((now_ms, totals));
+    }
+
+    /// Used share of the link in the direction that is used more; 0 if its width isn't known.
+    pub fn used_share(&self, options: &Options) -> f64 {
+        let used_per_s = self.received_per_s.max(self.sent_per_s);
+        options.bytes_per_s.map_or(0.0, |width| used_per_s / width)
+    }
+
+    /// Share of time for which the socket for peers took nothing.
+    pub fn blocked_share(&self) -> f64 {
+        self.blocked_share
+    }
+
+    /// How often to send messages to peers.
+    pub fn pace(&self, options: &Options) -> MessagePace {
+        let stretch = self.stretch(options);
+        let between = |least: f64, most: f64| (least + (most - least) * stretch) as u64;
+        MessagePace {
+            send_interval_ms: between(SEND_INTERVAL_MS, SEND_INTERVAL_MAX_MS),
+            full_interval_ms: between(FULL_INTERVAL_MS, FULL_INTERVAL_MAX_MS),
+        }
+    }
+
+    /// How much room the link has.
+    pub fn state(&self, options: &Options) -> LinkState {
+        if self.used_share(options) >= FULL_USE || self.blocked_share >= FULL_BLOCKED {
+            return LinkState::Full;
+        }
+        match self.stretch(options) > 0.0 {
+            true => LinkState::Narrow,
+            false => LinkState::Free,
+        }
+    }
+
+    /// How far the intervals are from their least values (0) to their greatest (1).
+    fn stretch(&self, options: &Options) -> f64 {
+        let position =
+            |value: f64, from: f64, to: f64| ((value - from) / (to - from)).clamp(0.0, 1.0);
+        let by_use = position(self.used_share(options), NARROW_USE, SLOWEST_USE);
+        let by_blocked = position(self.blocked_share, NARROW_BLOCKED, SLOWEST_BLOCKED);
+        by_use.max(by_blocked)
+    }
+}
