feat(relay): a gateway on a narrow link sends less to its peers, then accepts less

Messages to peers went out at fixed intervals whatever the link carried.

broadcast.rs takes its intervals from link_use.rs, by limits.linkMbps and by the time for which the socket for peers takes nothing. A message goes out at least each 500 ms, so that peers, which wait 1,200 ms, hear it even if one is lost. While the link is full, requests are refused before their body is read: 503, link_full, Retry-After 0.5 s. A line tells each change, a gauge the use. On a link with room, intervals and messages are as before.

--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -2,6 +2,7 @@
 //! few milliseconds, and a full message with all its load a few times a second.
 
 use std::cell::RefCell;
+use std::io;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::time::Duration;
@@ -21,16 +22,17 @@
 use crate::core::Core;
 use crate::drain::Phase;
 use crate::freshness::Freshness;
+use crate::link_use::QUIET_MAX_MS;
 use crate::peers::Datagram;
 use crate::peers::PeerTable;
 use crate::traffic::TrafficKind;
 use crate::view::Fleet;
 
-/// Minimum time between two messages; what is placed meanwhile is sent together.
+/// Minimum time between two messages on a link with room; what is placed meanwhile is sent together.
 pub(crate) const SEND_INTERVAL_MIN: Duration = Duration::from_millis(15);
 
-/// Time between two full messages.
-const FULL_INTERVAL: Duration = Duration::from_millis(300);
+/// Longest time without a message.
+const QUIET_MAX: Duration = Duration::from_millis(QUIET_MAX_MS);
 
 /// Maximum size of a message, in bytes. Larger datagrams would be fragmented, and the loss of one
 /// fragment loses them all.
@@ -51,17 +53,23 @@
     };
     loop {
         broadcaster.send_full().await;
-        let full_at = Instant::now() + FULL_INTERVAL;
-        sleep(SEND_INTERVAL_MIN).await;
-        while timeout_at(full_at, broadcaster.core.broadcast_wanted.notified())
-            .await
-            .is_ok()
-        {
-            if broadcaster.core.full_message_wanted.get() {
+        let pace = broadcaster.core.observe_link();
+        let full_at = Instant::now() + Duration::from_millis(pace.full_interval_ms);
+        let mut sent_at = Instant::now();
+        sleep(Duration::from_millis(pace.send_interval_ms)).await;
+        loop {
+            // Peers would take a gateway that sends nothing for silent.
+            let next_at = full_at.min(sent_at + QUIET_MAX);
+            let wanted = broadcaster.core.broadcast_wanted.notified();
+            let is_wanted = timeout_at(next_at, wanted).await.is_ok();
+            let is_full_due = !is_wanted && next_at == full_at;
+            if is_full_due || broadcaster.core.full_message_wanted.get() {
                 break;
             }
             broadcaster.send_short().await;
-            sleep(SEND_INTERVAL_MIN).await;
+            sent_at = Instant::now();
+            let pace = broadcaster.core.observe_link();
+            sleep(Duration::from_millis(pace.send_interval_ms)).await;
         }
     }
 }
@@ -175,13 +183,31 @@
 ) {
     core.traffic.add(kind, message.len() * peers.len());
     for peer in peers {
-        if let Err(error) = socket.send_to(message, peer).await {
+        if let Err(error) = send_datagram(core, socket, message, *peer).await {
             core.metrics.peer_faults.inc();
             log::debug!(peer:% = peer, error:% = error; "a message can't be sent to a peer");
         }
     }
 }
 
+/// Sends a datagram, and records for how long the socket took nothing.
+async fn send_datagram(
+    core: &Core,
+    socket: &UdpSocket,
+    message: &[u8],
+    peer: SocketAddr,
+) -> io::Result<usize> {
+    match socket.try_send_to(message, peer) {
+        Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
+            let blocked_at = Instant::now();
+            let sent = socket.send_to(message, peer).await;
+            core.traffic.add_blocked(blocked_at.elapsed());
+            sent
+        }
+        sent => sent,
+    }
+}
+
 fn add_loads(message: &mut PeerMessage, fleet: &Fleet, loads: Vec<(EndpointKey, EndpointLoad)>) {
     for (key, load) in loads {
         if let Some(endpoint) = endpoint_hash(fleet, key) {
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -37,6 +37,9 @@
 use crate::held_bytes::CONNECTION_BYTES;
 use crate::helper_refusals::HelperRefusals;
 use crate::helper_refusals::RefusalReason;
+use crate::link_use::LinkState;
+use crate::link_use::LinkUse;
+use crate::link_use::MessagePace;
 use crate::lost_run::EndpointProbes;
 use crate::metrics::Metrics;
 use crate::quarantine::CrashTracker;
@@ -99,6 +102,10 @@
     pub(crate) traffic: Traffic,
     /// Bytes held for clients and endpoints.
     pub(crate) held: HeldBytes,
+    /// How much of this host's link is used.
+    pub(crate) link: RefCell<LinkUse>,
+    /// How much room the link had when it was last looked at.
+    pub(crate) link_state: Cell<LinkState>,
     /// Cloned for each connection that is being refused.
     pub(crate) connections_refused: Rc<()>,
     pub(crate) drain: Drain,
@@ -149,6 +156,28 @@
         reason
     }
 
+    /// Looks at the use of this host's link; returns how often to send messages to peers.
+    pub(crate) fn observe_link(&self) -> MessagePace {
+        let options = &self.published.live_settings().link;
+        let mut link = self.link.borrow_mut();
+        link.observe(self.now_ms(), self.traffic.link_totals());
+        let (pace, state) = (link.pace(options), link.state(options));
+        let permille = |share: f64| (share * 1e3) as i64;
+        let used_permille = permille(link.used_share(options));
+        self.metrics.link_use_permille.set(used_permille);
+        if self.link_state.replace(state) != state {
+            log::info!(
+                state = state.name(),
+                used_permille = used_permille,
+                blocked_permille = permille(link.blocked_share()),
+                send_interval_ms = pace.send_interval_ms,
+                full_interval_ms = pace.full_interval_ms;
+                "the room on the link has changed"
+            );
+        }
+        pace
+    }
+
     /// Takes room for bytes of a connection.
     pub(crate) fn hold(
         &self,
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -25,6 +25,8 @@
     BodyTooSlow,
     /// this host has no memory for the body now
     NoMemory,
+    /// this host's link carries no more now
+    LinkFull,
     /// no endpoint of the service is known
     NoEndpoint,
     /// the endpoints have asked to be sent nothing now
@@ -74,6 +76,7 @@
             Self::BodyTooLong => "body_too_long",
             Self::BodyTooSlow => "body_too_slow",
             Self::NoMemory => "no_memory",
+            Self::LinkFull => "link_full",
             Self::NoEndpoint => "no_endpoint",
             Self::Blocked => "endpoints_shut",
             Self::Full => "full",
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -40,7 +40,7 @@
 
 /// Longest time without any message, in milliseconds. Peers take a gateway for silent after 1,200
 /// ms, so that one of two messages may be lost.
-pub const QUIET_MAX_MS: u64 = 400;
+pub const QUIET_MAX_MS: u64 = 500;
 
 /// The link of this host.
 #[derive(Debug, Clone, PartialEq, Default)]
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -55,6 +55,8 @@
     pub(crate) help_refusals: Counters,
     /// Clients whose connection was closed since they read too slowly, by the bound.
     pub(crate) slow_clients: Counters,
+    /// Used share of the link, in thousandths; 0 if its width isn't known.
+    pub(crate) link_use_permille: Gauge,
     /// Connections that weren't taken for lack of memory.
     pub(crate) refused_connections: Counter,
     /// Bytes held for clients and endpoints, by what they are.
@@ -140,6 +142,10 @@
                 "Clients cut off since they read too slowly, by the bound",
                 "bound",
             ),
+            link_use_permille: registry.gauge(
+                "relay_link_use_permille",
+                "Used share of the link, in thousandths",
+            ),
             refused_connections: registry.counter(
                 "relay_refused_connections",
                 "Connections that weren't taken for lack of memory",
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -38,6 +38,8 @@
 use crate::drain::Drain;
 use crate::gateway_count::GatewayCount;
 use crate::held_bytes::HeldBytes;
+use crate::link_use::LinkState;
+use crate::link_use::LinkUse;
 use crate::metrics::Metrics;
 use crate::peer_snapshot;
 use crate::peers;
@@ -190,6 +192,8 @@
         metrics,
         traffic: Traffic::default(),
         held: HeldBytes::default(),
+        link: RefCell::new(LinkUse::default()),
+        link_state: Cell::new(LinkState::Free),
         connections_refused: Rc::new(()),
         drain: Drain::new(),
         gateway_count: RefCell::new(GatewayCount::default()),
--- a/crates/mgs-relay/src/request_body.rs
+++ b/crates/mgs-relay/src/request_body.rs
@@ -18,11 +18,15 @@
 use crate::fault::Refusal;
 use crate::held_bytes::HeldBuffer;
 use crate::held_bytes::HoldKind;
+use crate::link_use::LinkState;
 
 /// `Retry-After` if there is no memory for a body, in milliseconds. Most requests end within a
 /// second and release theirs, and the client's next try probably reaches another host.
 const RETRY_AFTER_NO_MEMORY_MS: u64 = 500;
 
+/// `Retry-After` if the link is full, in milliseconds: half of the time constant of its averages.
+const RETRY_AFTER_LINK_FULL_MS: u64 = 500;
+
 /// How long the body of a refused request is still received and discarded. A client that is in the
 /// middle of sending it would otherwise see a reset connection instead of the refusal.
 const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
@@ -54,7 +58,10 @@
             retry_after_ms = refusal.retry_after_ms.unwrap_or(0);
             "a request body isn't taken"
         );
-        let is_sending = matches!(refusal.fault, Fault::NoMemory | Fault::BodyTooLong);
+        let is_sending = matches!(
+            refusal.fault,
+            Fault::NoMemory | Fault::LinkFull | Fault::BodyTooLong
+        );
         // A client that waits for permission to send its body is not given it.
         if is_sending && !head.headers.contains_key(EXPECT) {
             tokio::task::spawn_local(timeout_at(
@@ -75,6 +82,10 @@
     if announced_bytes.is_some_and(|announced_bytes| announced_bytes > most) {
         return Err(Refusal::of(Fault::BodyTooLong));
     }
+    core.observe_link();
+    if core.link_state.get() == LinkState::Full {
+        return Err(Refusal::after(Fault::LinkFull, RETRY_AFTER_LINK_FULL_MS));
+    }
     core.hold_body(HoldKind::RequestBody, &client.held, announced_bytes)
         .map_err(|_| no_memory())
 }
--- a/crates/mgs-relay/src/traffic.rs
+++ b/crates/mgs-relay/src/traffic.rs
@@ -11,6 +11,7 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
+use crate::link_use::LinkTotals;
 
 /// Time between two log lines.
 const REPORT_INTERVAL: Duration = Duration::from_secs(5);
@@ -45,6 +46,16 @@
         Self::HeardMessages,
     ];
 
+    /// Whether the bytes arrive at this host.
+    fn is_received(self) -> bool {
+        matches!(self, Self::Requests | Self::Answers | Self::HeardMessages)
+    }
+
+    /// Whether the bytes leave this host. Answers arrive and leave.
+    fn is_sent(self) -> bool {
+        !matches!(self, Self::Requests | Self::HeardMessages)
+    }
+
     /// Label in counters.
     fn name(self) -> &'static str {
         match self {
@@ -63,12 +74,34 @@
 #[derive(Debug, Default)]
 pub(crate) struct Traffic {
     unreported: [Cell<u64>; TrafficKind::ALL.len()],
+    /// What the link has carried since the start.
+    link: Cell<LinkTotals>,
 }
 
 impl Traffic {
     pub(crate) fn add(&self, kind: TrafficKind, bytes: usize) {
         let cell = &self.unreported[kind as usize];
         cell.set(cell.get() + bytes as u64);
+        let mut link = self.link.get();
+        if kind.is_received() {
+            link.received_bytes += bytes as u64;
+        }
+        if kind.is_sent() {
+            link.sent_bytes += bytes as u64;
+        }
+        self.link.set(link);
+    }
+
+    /// Adds time for which the socket for peers took nothing.
+    pub(crate) fn add_blocked(&self, blocked: Duration) {
+        let mut link = self.link.get();
+        link.blocked_ms += blocked.as_secs_f64() * 1e3;
+        self.link.set(link);
+    }
+
+    /// What the link has carried since the start.
+    pub(crate) fn link_totals(&self) -> LinkTotals {
+        self.link.get()
     }
 
     /// Adds the bytes to the counters, and returns and resets them.
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -23,6 +23,7 @@
 use crate::freshness::Freshness;
 use crate::held_bytes;
 use crate::holds::Holds;
+use crate::link_use;
 use crate::source::EndpointFacts;
 use crate::source::Incarnation;
 
@@ -227,6 +228,8 @@
     pub drain: drain::Options,
     /// Bounds of the bytes held for clients and endpoints.
     pub held: held_bytes::Options,
+    /// The link of this host.
+    pub link: link_use::Options,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -71,6 +71,7 @@
         "body_too_slow" => "its body didn't arrive in time; it has not run",
         "no_endpoint" => "no endpoint of its service was known; it has not run",
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
+        "link_full" => "the link of its host carried no more (look for \"the room on the link\" there); it has not run",
         "no_memory" => return describe_no_memory(trace),
         "quarantined" => return describe_hold(trace, line),
         "endpoints_shut" => return describe_shut_endpoints(trace),
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -34,6 +34,7 @@
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"request ended","kv":{"request_id":"part","work":"00fe","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"a request body isn't taken","kv":{"request_id":"body","reason":"no_memory","announced_bytes":1000000,"held_total_bytes":16500000,"retry_after_ms":500}}
 front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"request ended","kv":{"request_id":"body","outcome":"refused","status":503,"detail":"no_memory","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:35.500 +00:00","text":"request ended","kv":{"request_id":"link","outcome":"refused","status":503,"detail":"link_full","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:36.000 +00:00","text":"a client reads too slowly","kv":{"request_id":"slow","bound":"connection","held_bytes":2790000,"held_total_bytes":3000000}}
 front-1 {"timestamp":"2026-05-30 03:20:36.001 +00:00","text":"stream ended","kv":{"request_id":"slow","outcome":"client_too_slow","events":170,"total_ms":900}}
 front-1 {"timestamp":"2026-05-30 03:20:37.000 +00:00","text":"request ended","kv":{"request_id":"unread","outcome":"answered","status":200,"total_ms":31}}
@@ -63,6 +64,7 @@
 #[case::may_have_run("lost", &["502", "may have run", "i-7 (connection reset, 2 ms)"])]
 #[case::process_ended("open", &["process ended while it was open"])]
 #[case::no_memory("body", &["503", "body of 1000000 bytes", "16500000 bytes", "500 ms", "has not run"])]
+#[case::link_full("link", &["503", "link of its host", "has not run"])]
 #[case::stream_not_read("slow", &["broken off by its host", "170 events", "bound of one connection", "2790000 bytes unread"])]
 #[case::answer_not_read("unread", &["answered after 31 ms", "cut off at the time", "150000 bytes unread"])]
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
