feat(relay): count events that have begun, and when the endpoint fell silent

An event of up to 1 MB was buffered uncounted until its end; it now takes room beyond 8 kB, and a stream without room for it is broken off like any other. silent_ms of 'stream ended' was taken after the client had read the rest, so that explain blamed the endpoint for the client's pause; it is taken when the endpoint's part ends.

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -108,7 +108,7 @@
         ResponseKind::NotRun { reason, at_fault } => not_run(reason, at_fault),
         ResponseKind::Foreign(foreign) => unusable(&foreign.to_string()),
         ResponseKind::Answer if is_streaming && head.status.is_success() => {
-            read_first_events(connection, head, body).await
+            read_first_events(core, client, connection, head, body).await
         }
         ResponseKind::Answer => read_full_body(core, client, connection, head, body).await,
     }
@@ -177,11 +177,14 @@
 }
 
 async fn read_first_events(
+    core: &Core,
+    client: &ClientConnection,
     connection: Connection,
     head: response::Parts,
     mut body: Incoming,
 ) -> DispatchResult {
     let mut events = EventSplitter::default();
+    let mut partial_event = None;
     loop {
         let frame = match body.frame().await {
             Some(Ok(frame)) => frame,
@@ -215,6 +218,11 @@
         if events.is_excessive() {
             return unusable("an event exceeds the size limit");
         }
+        drop(partial_event.take());
+        partial_event = match core.hold_partial_event(&client.held, events.partial_bytes()) {
+            Ok(held) => held,
+            Err(_) => return DispatchResult::NotHeld,
+        };
     }
 }
 
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -52,6 +52,10 @@
 /// grow with the square of the number of gateways.
 const FEW_PEERS: usize = 12;
 
+/// Length up to which an event that has begun isn't counted as held, in bytes: what an open
+/// connection counts for covers it.
+const EVENT_BYTES_USUAL: usize = 8 * 1024;
+
 /// Prefill that this gateway has placed on an endpoint and not yet reported to its peers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnreportedPrefill {
@@ -189,6 +193,18 @@
         self.held.try_hold(options, kind, connection, bytes)
     }
 
+    /// Takes room for an event that has begun, if it is longer than events usually are.
+    pub(crate) fn hold_partial_event(
+        &self,
+        connection: &ConnectionBytes,
+        bytes: usize,
+    ) -> Result<Option<HeldGuard>, NoRoom> {
+        match bytes > EVENT_BYTES_USUAL {
+            true => self.hold(HoldKind::Stream, connection, bytes).map(Some),
+            false => Ok(None),
+        }
+    }
+
     /// Takes room for an open connection.
     pub(crate) fn hold_connection(&self) -> Result<HeldGuard, NoRoom> {
         let unread = ConnectionBytes::default();
--- a/crates/mgs-relay/src/event_splitter.rs
+++ b/crates/mgs-relay/src/event_splitter.rs
@@ -40,6 +40,11 @@
         !self.partial.is_empty()
     }
 
+    /// Number of bytes of the event that has begun.
+    pub(crate) fn partial_bytes(&self) -> usize {
+        self.partial.len()
+    }
+
     /// Whether an incomplete event exceeds [`EVENT_BYTES_MAX`].
     pub(crate) fn is_excessive(&self) -> bool {
         self.partial.len() > EVENT_BYTES_MAX
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -17,7 +17,9 @@
 use crate::connection::LossCause;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::UsableResponse;
+use crate::held_bytes::HeldGuard;
 use crate::held_bytes::HoldKind;
+use crate::held_bytes::NoRoom;
 use crate::lost_run;
 use crate::lost_run::BEGINNING_EVENTS;
 use crate::metrics;
@@ -65,6 +67,8 @@
     longest_pause_ms: u64,
     resumes: u32,
     unread_max_bytes: u64,
+    /// Room for an event that has begun.
+    partial_event: Option<HeldGuard>,
 }
 
 /// Result of an attempt to resume at another endpoint.
@@ -116,6 +120,7 @@
             longest_pause_ms: 0,
             resumes: 0,
             unread_max_bytes: 0,
+            partial_event: None,
         };
         (forwarder, body)
     }
@@ -130,10 +135,12 @@
             // This fails only if the client has disconnected, and then needs no error.
             self.client.send(Err(io::Error::other(end.name())));
         }
+        let silent_ms = self.last_event_at.elapsed().as_millis() as u64;
         let endpoint = self.placed.endpoint.clone();
         // The client may take its time; the endpoint, its memory and the request body are free.
         drop(self.placed);
         drop(self.stream);
+        drop(self.partial_event);
         self.dispatcher.body = Bytes::new();
         let is_delivered = self.client.finish().await;
         let end = match end {
@@ -157,7 +164,7 @@
             aim_ms = self.dispatcher.route.aim_ms,
             longest_pause_ms = self.longest_pause_ms,
             pause_limit_ms = self.dispatcher.route.pause_ms,
-            silent_ms = self.last_event_at.elapsed().as_millis() as u64,
+            silent_ms = silent_ms,
             resumes = self.resumes,
             unread_max_bytes = self.unread_max_bytes,
             total_ms = self.dispatcher.arrived.elapsed().as_millis() as u64;
@@ -219,12 +226,26 @@
             if self.stream.events.is_excessive() {
                 return unusable("an event exceeds the size limit");
             }
+            self.partial_event = None;
             if let Some(end) = self.forward(events) {
                 return PartEnd::Ended(end);
             }
+            let (core, client) = (&self.dispatcher.core, &self.dispatcher.client);
+            let partial_bytes = self.stream.events.partial_bytes();
+            self.partial_event = match core.hold_partial_event(&client.held, partial_bytes) {
+                Ok(held) => held,
+                Err(no_room) => return PartEnd::Ended(self.break_off(no_room)),
+            };
         }
     }
 
+    /// Closes the client's connection, since there is no room for what it has yet to read.
+    fn break_off(&self, no_room: NoRoom) -> StreamEnd {
+        let core = &self.dispatcher.core;
+        self.dispatcher.client.close_for_lack_of_room(core, no_room);
+        StreamEnd::ClientTooSlow
+    }
+
     /// Forwards whole events; returns how the stream ended if it can't go on.
     fn forward(&mut self, events: Bytes) -> Option<StreamEnd> {
         if events.is_empty() {
@@ -237,10 +258,7 @@
         let (core, client) = (&self.dispatcher.core, &self.dispatcher.client);
         let held = match core.hold(HoldKind::Stream, &client.held, events.len()) {
             Ok(held) => held,
-            Err(no_room) => {
-                client.close_for_lack_of_room(core, no_room);
-                return Some(StreamEnd::ClientTooSlow);
-            }
+            Err(no_room) => return Some(self.break_off(no_room)),
         };
         self.unread_max_bytes = self.unread_max_bytes.max(client.held.held_bytes());
         match self.client.send(Ok(held.attach(events))) {
