test(relay): the memory of a small host has a test file of its own

Its 960 connections ran beside tests of relay.rs with time limits. The process that both start is in tests/relay_process; its code and the tests are unchanged.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,22 +4,19 @@
 mod standin;
 
 mod common;
+mod relay_process;
 
-use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use common::marigoldstage;
 use common::wait_until;
-use rustix::process::kill_process;
-use rustix::process::Pid;
+use relay_process::free_ports;
+use relay_process::settings;
+use relay_process::Relay;
 use rustix::process::Signal;
 use serde_json::json;
 use standin::client::read_response;
@@ -32,107 +29,6 @@
 use standin::gateway::store_with;
 use standin::store::Store;
 
-/// A running relay process, with its client and readiness addresses and its settings file.
-struct Relay {
-    child: Child,
-    client_address: SocketAddr,
-    readiness_address: SocketAddr,
-    settings: PathBuf,
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        // Fails if the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-/// Ports that were free when this was called; another process may take them.
-fn free_ports<const N: usize>() -> [u16; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address").port())
-}
-
-/// Settings with these ports for clients, readiness, peers and metrics.
-fn settings(ports: [u16; 4], store: SocketAddr) -> String {
-    let [client, ready, peer, metrics] = ports;
-    format!(
-        "nodeName = \"front-1\"\nzone = \"north\"\nip = \"127.0.0.1\"\n\
-         internalPortRange = [{peer}, {metrics}]\nseedNodes = []\n\
-         [listen]\nfront = \"127.0.0.1:{client}\"\nready = \"127.0.0.1:{ready}\"\n\
-         [bounds]\ngraceS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-         budgetExtraRetries = 100\n[platformSettings]\naddress = \"{store}\"\n"
-    )
-}
-
-impl Relay {
-    /// Starts a relay. Retries with other ports if a free port was taken before the relay bound it.
-    fn start(store: &Store) -> Self {
-        Self::start_with(store, "")
-    }
-
-    /// Starts a relay with further lines in its settings.
-    fn start_with(store: &Store, further_settings: &str) -> Self {
-        const ATTEMPTS: usize = 5;
-        for _ in 0..ATTEMPTS {
-            if let Some(relay) = Self::try_start(store, further_settings) {
-                return relay;
-            }
-        }
-        panic!("no free ports");
-    }
-
-    fn try_start(store: &Store, further_settings: &str) -> Option<Self> {
-        let ports = free_ports::<4>();
-        let file = format!(
-            "marigoldstage-relay-{}-{}.toml",
-            std::process::id(),
-            ports[0]
-        );
-        let path = std::env::temp_dir().join(file);
-        let text = settings(ports, store.address) + further_settings;
-        std::fs::write(&path, text).expect("a temporary file");
-        let child = marigoldstage()
-            .arg("relay")
-            .args(["--metrics-port", &ports[3].to_string()])
-            .env("MARIGOLDSTAGE_BOOT", &path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program");
-        let mut relay = Self {
-            child,
-            client_address: SocketAddr::from(([127, 0, 0, 1], ports[0])),
-            readiness_address: SocketAddr::from(([127, 0, 0, 1], ports[1])),
-            settings: path,
-        };
-        let mut has_ended = false;
-        wait_until("readiness", || {
-            has_ended = relay.child.try_wait().expect("a state").is_some();
-            has_ended || relay.readiness() == 200
-        });
-        (!has_ended).then_some(relay)
-    }
-
-    /// Status that the load balancer gets from the readiness check; 0 without a response.
-    fn readiness(&self) -> u16 {
-        let Ok(mut stream) = TcpStream::connect(self.readiness_address) else {
-            return 0;
-        };
-        let text = "GET /readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
-        match stream.write_all(text.as_bytes()) {
-            Ok(()) => read_response(&mut stream).status,
-            Err(_) => 0,
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).expect("a running process");
-    }
-}
-
 /// Guards against the default action of SIGHUP, which ended the relays of three hosts and lost their requests.
 #[test]
 fn a_hangup_signal_reloads_the_settings_and_ends_nothing() {
@@ -322,68 +218,3 @@
     assert_eq!(answer.status, 200, "{answer:?}");
     assert!(answer.is_complete);
 }
-
-/// Peak of the resident memory of a process, in MB.
-fn peak_memory_mb(process_id: u32) -> f64 {
-    let status = std::fs::read_to_string(format!("/proc/{process_id}/status")).expect("a process");
-    let line = status.lines().find_map(|line| line.strip_prefix("VmHWM:"));
-    let kb = line.and_then(|line| line.split_whitespace().next());
-    kb.expect("a size").parse::<f64>().expect("a number") * 1.024e-3
-}
-
-/// Guards against a host of 112 MB that ends since it holds what its clients don't read or don't finish sending.
-#[test]
-fn a_small_host_stays_within_60_mb_whatever_its_clients_do() {
-    const MEMORY_BOUND_MB: f64 = 60.0;
-    const ROUNDS: usize = 4;
-    const CLIENTS_OF_A_KIND: usize = 60;
-    let large_stream = Behaviour::LargeStream(400, 16 * 1024);
-    let large_answer = Behaviour::LargeAnswer(2_500_000);
-    let engines = [1, 2].map(|number| {
-        Endpoint::start(
-            &format!("i-{number}"),
-            "model",
-            std::slice::from_ref(&large_stream),
-        )
-    });
-    let desk = Endpoint::start("i-3", "desk", &[large_answer]);
-    let store = store_with(&[&engines[0], &engines[1], &desk]);
-    let mut patient = configuration(2);
-    for route in patient["routes"].as_array_mut().expect("routes") {
-        route["timeoutMs"] = json!(15_000);
-    }
-    patient["limits"]["maxBodyBytes"] = json!(4_000_000);
-    store.put("op", "config", &patient);
-    let relay = Relay::start_with(&store, "[limits]\nmemoryMb = 112\n");
-    let process_id = relay.child.id();
-    let idle_mb = peak_memory_mb(process_id);
-    let stream_request = ClientRequest::to("/talk/1").with_header("Token-Count", "900,200");
-    let unfinished_body =
-        "POST /once/1 HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: r-2\r\nCredential: key-1\r\n\
-                           Content-Length: 3000000\r\n\r\n"
-            .to_string()
-            + &"b".repeat(2_900_000);
-    let mut connections = Vec::new();
-    for _ in 0..ROUNDS {
-        for _ in 0..CLIENTS_OF_A_KIND {
-            connections.push(send(relay.client_address, &stream_request));
-            connections.push(send(relay.client_address, &ClientRequest::to("/once/1")));
-            let mut idle = TcpStream::connect(relay.client_address).expect("a gateway");
-            idle.write_all(b"POST /once/1 HTTP/1.1\r\n")
-                .expect("a gateway");
-            connections.push(idle);
-            let mut sending = TcpStream::connect(relay.client_address).expect("a gateway");
-            sending.set_nonblocking(true).expect("an option");
-            // Only what the gateway takes at once is sent.
-            let _ = sending.write(unfinished_body.as_bytes());
-            connections.push(sending);
-        }
-        thread::sleep(Duration::from_secs(1));
-    }
-    let peak_mb = peak_memory_mb(process_id);
-    assert!(peak_mb < MEMORY_BOUND_MB, "{peak_mb} MB, idle {idle_mb} MB");
-    drop(connections);
-    wait_until("room", || {
-        request(relay.client_address, &stream_request).is_complete
-    });
-}
