--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -5,6 +5,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::rc::Rc;
 use std::sync::Arc;
 
 use mgs_backpressure::table::Backpressure;
@@ -27,8 +28,18 @@
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::gateway_count::GatewayCount;
+use crate::held_bytes::ConnectionBytes;
+use crate::held_bytes::HeldBuffer;
+use crate::held_bytes::HeldBytes;
+use crate::held_bytes::HeldGuard;
+use crate::held_bytes::HoldKind;
+use crate::held_bytes::NoRoom;
+use crate::held_bytes::CONNECTION_BYTES;
 use crate::helper_refusals::HelperRefusals;
 use crate::helper_refusals::RefusalReason;
+use crate::link_use::LinkState;
+use crate::link_use::LinkUse;
+use crate::link_use::MessagePace;
 use crate::lost_run::EndpointProbes;
 use crate::metrics::Metrics;
 use crate::quarantine::CrashTracker;
@@ -41,6 +52,10 @@
 /// grow with the square of the number of gateways.
 const FEW_PEERS: usize = 12;
 
+/// Length up to which an event that has begun isn't counted as held, in bytes: what an open
+/// connection counts for covers it.
+const EVENT_BYTES_USUAL: usize = 8 * 1024;
+
 /// Prefill that this gateway has placed on an endpoint and not yet reported to its peers.
 #[derive(Debug, Clone, Copy)]
 pub(crate) struct UnreportedPrefill {
@@ -89,6 +104,14 @@
     pub(crate) crashes: CrashTracker,
     pub(crate) metrics: Metrics,
     pub(crate) traffic: Traffic,
+    /// Bytes held for clients and endpoints.
+    pub(crate) held: HeldBytes,
+    /// How much of this host's link is used.
+    pub(crate) link: RefCell<LinkUse>,
+    /// How much room the link had when it was last looked at.
+    pub(crate) link_state: Cell<LinkState>,
+    /// Cloned for each connection that is being refused.
+    pub(crate) connections_refused: Rc<()>,
     pub(crate) drain: Drain,
     /// Number of gateways, for dividing fleet-wide budgets.
     pub(crate) gateway_count: RefCell<GatewayCount>,
@@ -137,6 +160,68 @@
         reason
     }
 
+    /// Looks at the use of this host's link; returns how often to send messages to peers.
+    pub(crate) fn observe_link(&self) -> MessagePace {
+        let options = &self.published.live_settings().link;
+        let mut link = self.link.borrow_mut();
+        link.observe(self.now_ms(), self.traffic.link_totals());
+        let (pace, state) = (link.pace(options), link.state(options));
+        let permille = |share: f64| (share * 1e3) as i64;
+        let used_permille = permille(link.used_share(options));
+        self.metrics.link_use_permille.set(used_permille);
+        if self.link_state.replace(state) != state {
+            log::info!(
+                state = state.name(),
+                used_permille = used_permille,
+                blocked_permille = permille(link.blocked_share()),
+                send_interval_ms = pace.send_interval_ms,
+                full_interval_ms = pace.full_interval_ms;
+                "the room on the link has changed"
+            );
+        }
+        pace
+    }
+
+    /// Takes room for bytes of a connection.
+    pub(crate) fn hold(
+        &self,
+        kind: HoldKind,
+        connection: &ConnectionBytes,
+        bytes: usize,
+    ) -> Result<HeldGuard, NoRoom> {
+        let options = &self.published.live_settings().held;
+        self.held.try_hold(options, kind, connection, bytes)
+    }
+
+    /// Takes room for an event that has begun, if it is longer than events usually are.
+    pub(crate) fn hold_partial_event(
+        &self,
+        connection: &ConnectionBytes,
+        bytes: usize,
+    ) -> Result<Option<HeldGuard>, NoRoom> {
+        match bytes > EVENT_BYTES_USUAL {
+            true => self.hold(HoldKind::Stream, connection, bytes).map(Some),
+            false => Ok(None),
+        }
+    }
+
+    /// Takes room for an open connection.
+    pub(crate) fn hold_connection(&self) -> Result<HeldGuard, NoRoom> {
+        let unread = ConnectionBytes::default();
+        self.hold(HoldKind::OpenConnection, &unread, CONNECTION_BYTES)
+    }
+
+    /// Begins a buffer for a body of a connection.
+    pub(crate) fn hold_body(
+        &self,
+        kind: HoldKind,
+        connection: &ConnectionBytes,
+        announced_bytes: Option<usize>,
+    ) -> Result<HeldBuffer, NoRoom> {
+        let options = &self.published.live_settings().held;
+        HeldBuffer::begin(&self.held, options, kind, connection, announced_bytes)
+    }
+
     /// Returns a serial number that is unique within this process.
     pub(crate) fn next_serial(&self) -> u64 {
         let serial = self.last_serial.get() + 1;
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -23,6 +23,10 @@
     BodyTooLong,
     /// the body didn't arrive in time
     BodyTooSlow,
+    /// this host has no memory for the body now
+    NoMemory,
+    /// this host's link carries no more now
+    LinkFull,
     /// no endpoint of the service is known
     NoEndpoint,
     /// the endpoints have asked to be sent nothing now
@@ -71,6 +75,8 @@
             Self::Malformed => "malformed",
             Self::BodyTooLong => "body_too_long",
             Self::BodyTooSlow => "body_too_slow",
+            Self::NoMemory => "no_memory",
+            Self::LinkFull => "link_full",
             Self::NoEndpoint => "no_endpoint",
             Self::Blocked => "endpoints_shut",
             Self::Full => "full",
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -37,6 +37,9 @@
 use crate::dialect::Dialect;
 use crate::drain::Drain;
 use crate::gateway_count::GatewayCount;
+use crate::held_bytes::HeldBytes;
+use crate::link_use::LinkState;
+use crate::link_use::LinkUse;
 use crate::metrics::Metrics;
 use crate::peer_snapshot;
 use crate::peers;
@@ -188,6 +191,10 @@
         crashes: CrashTracker::new(options.quarantine.clone()),
         metrics,
         traffic: Traffic::default(),
+        held: HeldBytes::default(),
+        link: RefCell::new(LinkUse::default()),
+        link_state: Cell::new(LinkState::Free),
+        connections_refused: Rc::new(()),
         drain: Drain::new(),
         gateway_count: RefCell::new(GatewayCount::default()),
         random: RefCell::new(ChaCha8Rng::seed_from_u64(
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -4,22 +4,19 @@
 mod standin;
 
 mod common;
+mod relay_process;
 
-use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
-use std::path::PathBuf;
-use std::process::Child;
-use std::process::Stdio;
 use std::thread;
 use std::time::Duration;
 use std::time::Instant;
 
 use common::marigoldstage;
 use common::wait_until;
-use rustix::process::kill_process;
-use rustix::process::Pid;
+use relay_process::free_ports;
+use relay_process::settings;
+use relay_process::Relay;
 use rustix::process::Signal;
 use serde_json::json;
 use standin::client::read_response;
@@ -32,101 +29,6 @@
 use standin::gateway::store_with;
 use standin::store::Store;
 
-/// A running relay process, with its client and readiness addresses and its settings file.
-struct Relay {
-    child: Child,
-    client_address: SocketAddr,
-    readiness_address: SocketAddr,
-    settings: PathBuf,
-}
-
-impl Drop for Relay {
-    fn drop(&mut self) {
-        // Fails if the process has already ended.
-        let _ = self.child.kill();
-        let _ = self.child.wait();
-        let _ = std::fs::remove_file(&self.settings);
-    }
-}
-
-/// Ports that were free when this was called; another process may take them.
-fn free_ports<const N: usize>() -> [u16; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address").port())
-}
-
-/// Settings with these ports for clients, readiness, peers and metrics.
-fn settings(ports: [u16; 4], store: SocketAddr) -> String {
-    let [client, ready, peer, metrics] = ports;
-    format!(
-        "nodeName = \"front-1\"\nzone = \"north\"\nip = \"127.0.0.1\"\n\
-         internalPortRange = [{peer}, {metrics}]\nseedNodes = []\n\
-         [listen]\nfront = \"127.0.0.1:{client}\"\nready = \"127.0.0.1:{ready}\"\n\
-         [bounds]\ngraceS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
-         budgetExtraRetries = 100\n[platformSettings]\naddress = \"{store}\"\n"
-    )
-}
-
-impl Relay {
-    /// Starts a relay. Retries with other ports if a free port was taken before the relay bound it.
-    fn start(store: &Store) -> Self {
-        const ATTEMPTS: usize = 5;
-        for _ in 0..ATTEMPTS {
-            if let Some(relay) = Self::try_start(store) {
-                return relay;
-            }
-        }
-        panic!("no free ports");
-    }
-
-    fn try_start(store: &Store) -> Option<Self> {
-        let ports = free_ports::<4>();
-        let file = format!(
-            "marigoldstage-relay-{}-{}.toml",
-            std::process::id(),
-            ports[0]
-        );
-        let path = std::env::temp_dir().join(file);
-        std::fs::write(&path, settings(ports, store.address)).expect("a temporary file");
-        let child = marigoldstage()
-            .arg("relay")
-            .args(["--metrics-port", &ports[3].to_string()])
-            .env("MARIGOLDSTAGE_BOOT", &path)
-            .stdout(Stdio::piped())
-            .spawn()
-            .expect("the program");
-        let mut relay = Self {
-            child,
-            client_address: SocketAddr::from(([127, 0, 0, 1], ports[0])),
-            readiness_address: SocketAddr::from(([127, 0, 0, 1], ports[1])),
-            settings: path,
-        };
-        let mut has_ended = false;
-        wait_until("readiness", || {
-            has_ended = relay.child.try_wait().expect("a state").is_some();
-            has_ended || relay.readiness() == 200
-        });
-        (!has_ended).then_some(relay)
-    }
-
-    /// Status that the load balancer gets from the readiness check; 0 without a response.
-    fn readiness(&self) -> u16 {
-        let Ok(mut stream) = TcpStream::connect(self.readiness_address) else {
-            return 0;
-        };
-        let text = "GET /readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n";
-        match stream.write_all(text.as_bytes()) {
-            Ok(()) => read_response(&mut stream).status,
-            Err(_) => 0,
-        }
-    }
-
-    fn signal(&self, signal: Signal) {
-        let pid = Pid::from_child(&self.child);
-        kill_process(pid, signal).expect("a running process");
-    }
-}
-
 /// Guards against the default action of SIGHUP, which ended the relays of three hosts and lost their requests.
 #[test]
 fn a_hangup_signal_reloads_the_settings_and_ends_nothing() {
@@ -189,6 +91,24 @@
     assert!(status.success(), "{status}");
 }
 
+/// The engine has long finished, and only the host holds the rest of the stream.
+#[test]
+fn a_stop_delivers_what_a_slow_client_has_yet_to_read() {
+    let engine = Endpoint::start("i-1", "model", &[Behaviour::LargeStream(600, 16 * 1024)]);
+    let store = store_with(&[&engine]);
+    let mut relay = Relay::start(&store);
+    let stream_request = ClientRequest::to("/review/1").with_header("Token-Count", "900,200");
+    let mut open_stream = send(relay.client_address, &stream_request);
+    thread::sleep(Duration::from_millis(1_500));
+    relay.signal(Signal::TERM);
+    wait_until("not ready", || relay.readiness() == 503);
+    thread::sleep(Duration::from_millis(500));
+    let response = read_response(&mut open_stream);
+    assert!(response.is_complete, "{} bytes", response.body.len());
+    let status = relay.child.wait().expect("an end");
+    assert!(status.success(), "{status}");
+}
+
 #[test]
 fn all_invalid_settings_are_reported_before_anything_starts() {
     let path =
