feat(relay): orders to evacuate availability zones, as one gateway knows them

Cause: operators must be able to evacuate a zone, and every gateway must keep to the order while the store is unavailable, restored from an older copy, or reachable for its peers only.

Change: `Evacuations` keeps a last-writer-wins register for each zone, ordered by the store's revision. A full read shows removals up to its revision; an order of an earlier era that a restored copy lacks stays in force until a read that begins 6 s later lacks it too. A peer's order that the gateway's own read covers is refuted by a newer register, so a peer that is cut off from the store learns of removals that all others have forgotten by restarting.

--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod dispatch_outcome;
 mod dispatcher;
 pub mod drain;
+pub mod evacuation;
 mod event_splitter;
 mod fault;
 pub mod follow;
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -36,8 +36,11 @@
 }
 
 /// A position in the history of the store. The store may be restored from an older copy. It then
-/// begins another era and reuses revision numbers, so numbers compare within one era only.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+/// begins another era and reuses revision numbers, so numbers compare within one era only; a
+/// revision of a later era is the greater one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision {
     /// How often the store has been restored from an older copy; 0 if it doesn't report it.
     pub era: u64,
