feat(relay): gateways follow orders to evacuate zones and tell their peers

Cause: the pure state needs orders. The operators' table is followed already, but other rows than the configuration were dropped.

Change: the platform decodes `evacuate/ZONE` by its key alone, also where the content or the row's own fields are malformed. A read with orders is followed by the next one at once, also where many gateways gather changes. `Datagram::Evacuations` carries all known orders: to all peers when a zone is evacuated or restored, to a peer that is heard for the first time, and with each full message.

Rows for empty, too long or unused zone names are logged once.

--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -20,6 +20,7 @@
 
 use crate::core::Core;
 use crate::drain::Phase;
+use crate::evacuation_gossip;
 use crate::freshness::Freshness;
 use crate::peers::Datagram;
 use crate::peers::PeerTable;
@@ -98,9 +99,19 @@
         let to_all = self.full_messages_sent.is_multiple_of(FULL_TO_ALL_EVERY);
         self.send(&encode_to_fit(message), to_all, TrafficKind::FullMessages)
             .await;
+        self.send_evacuations(to_all).await;
         self.full_messages_sent += 1;
     }
 
+    /// Sends the known orders to evacuate zones.
+    async fn send_evacuations(&self, to_all: bool) {
+        let core = &self.core;
+        let now_ms = core.now_ms();
+        let peers = self.peer_table.borrow().recipients(core, now_ms, to_all);
+        let sent = self.full_messages_sent;
+        evacuation_gossip::send_with_full_message(core, &self.socket, &peers, sent).await;
+    }
+
     /// Sends the load that this gateway has placed since the last message.
     async fn send_short(&mut self) {
         let mut message = self.next_message(false);
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -5,6 +5,7 @@
 use std::cell::RefCell;
 use std::collections::BTreeSet;
 use std::collections::HashMap;
+use std::net::SocketAddr;
 use std::sync::Arc;
 
 use mgs_backpressure::table::Backpressure;
@@ -87,6 +88,8 @@
     pub(crate) endpoint_probes: RefCell<EndpointProbes>,
     /// What is known of requests that crash endpoints.
     pub(crate) crashes: CrashTracker,
+    /// Peers heard for the first time, which have yet to be sent the orders to evacuate zones.
+    pub(crate) evacuation_newcomers: RefCell<Vec<SocketAddr>>,
     pub(crate) metrics: Metrics,
     pub(crate) traffic: Traffic,
     pub(crate) drain: Drain,
--- a/crates/mgs-relay/src/evacuation.rs
+++ b/crates/mgs-relay/src/evacuation.rs
@@ -144,6 +144,10 @@
             })
             .collect();
         taken.extend(self.apply_newer(&removed, now_ms));
+        let registers = self.registers.values_mut();
+        for register in registers.filter(|r| !r.revision.is_outdated_by(read.revision)) {
+            register.missing_since_ms = None;
+        }
         self.read_until = Some(read.revision);
         taken
     }
--- /dev/null
+++ b/crates/mgs-relay/src/evacuation_state.rs
@@ -0,0 +1,125 @@
+//! Shares the orders to evacuate zones between the thread that follows the store and the one that
+//! serves requests and hears peers.
+
+use std::collections::BTreeSet;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::sync::MutexGuard;
+use std::sync::PoisonError;
+
+use arc_swap::ArcSwap;
+use tokio::sync::Notify;
+
+use crate::evacuation::Evacuations;
+use crate::evacuation::ZoneOrder;
+
+/// How an order was learnt.
+#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+pub enum OrderOrigin {
+    /// From the store.
+    Store,
+    /// From a peer's datagram.
+    Peer,
+    /// From the snapshot of a peer.
+    Snapshot,
+}
+
+impl OrderOrigin {
+    /// Name in logs.
+    fn name(self) -> &'static str {
+        match self {
+            Self::Store => "store",
+            Self::Peer => "peer",
+            Self::Snapshot => "snapshot",
+        }
+    }
+}
+
+/// The known orders, with the evacuated zones as a snapshot for request handling.
+#[derive(Debug, Default)]
+pub struct EvacuationState {
+    evacuations: Mutex<Evacuations>,
+    zones: ArcSwap<BTreeSet<String>>,
+    changed: Notify,
+}
+
+impl EvacuationState {
+    /// Changes the orders by `apply`, which returns those that are new, and logs them.
+    /// `store_age_ms` is the time since the store last confirmed the operators' rows.
+    pub fn update(
+        &self,
+        origin: OrderOrigin,
+        store_age_ms: Option<u64>,
+        apply: impl FnOnce(&mut Evacuations) -> Vec<ZoneOrder>,
+    ) {
+        let mut evacuations = self.lock();
+        let taken = apply(&mut evacuations);
+        if taken.is_empty() {
+            return;
+        }
+        let zones = Arc::new(evacuations.evacuated_zones());
+        let before = self.zones.swap(zones.clone());
+        drop(evacuations);
+        for order in &taken {
+            let is_changed = before.contains(&order.zone) != order.is_evacuated;
+            log_order(order, origin, store_age_ms, is_changed);
+        }
+        if before != zones {
+            self.changed.notify_one();
+        }
+    }
+
+    /// The evacuated zones.
+    pub fn zones(&self) -> Arc<BTreeSet<String>> {
+        self.zones.load_full()
+    }
+
+    /// All known orders.
+    pub fn orders(&self) -> Vec<ZoneOrder> {
+        self.lock().orders()
+    }
+
+    /// When this gateway last learnt that a zone was restored, see [`Evacuations::restored_ms`].
+    pub fn restored_ms(&self, zone: &str) -> Option<u64> {
+        self.lock().restored_ms(zone)
+    }
+
+    /// When the store must be read in full again, see [`Evacuations::full_read_due_ms`].
+    pub fn full_read_due_ms(&self) -> Option<u64> {
+        self.lock().full_read_due_ms()
+    }
+
+    /// Wakes the task that waits in [`Self::changed`].
+    pub fn wake(&self) {
+        self.changed.notify_one();
+    }
+
+    /// Completes when the evacuated zones change, or after [`Self::wake`].
+    pub async fn changed(&self) {
+        self.changed.notified().await;
+    }
+
+    fn lock(&self) -> MutexGuard<'_, Evacuations> {
+        let evacuations = self.evacuations.lock();
+        evacuations.unwrap_or_else(PoisonError::into_inner)
+    }
+}
+
+/// Logs a new order. `is_changed` says whether it evacuates or restores its zone; otherwise only its
+/// revision is new.
+fn log_order(order: &ZoneOrder, origin: OrderOrigin, store_age_ms: Option<u64>, is_changed: bool) {
+    let text = match (is_changed, order.is_evacuated) {
+        (true, true) => "a zone is evacuated",
+        (true, false) => "a zone is restored",
+        (false, _) => "an order for a zone has a later revision",
+    };
+    log::info!(
+        zone = order.zone,
+        evacuated = order.is_evacuated,
+        era = order.revision.era,
+        revision = order.revision.number,
+        origin = origin.name(),
+        store_age_ms = store_age_ms.unwrap_or(u64::MAX);
+        "{text}"
+    );
+}
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -5,6 +5,7 @@
 //! is read in full again. The version of the configuration never decreases, whatever is read.
 
 mod apply;
+mod zones;
 
 use std::cell::RefCell;
 use std::collections::HashMap;
@@ -229,7 +230,8 @@
     /// Era of the last read.
     era: Option<u64>,
     /// When the topic must be read in full again, in milliseconds. By then, the entries of a
-    /// restored older copy have expired unless their endpoints are alive.
+    /// restored older copy have expired unless their endpoints are alive, and operators have written
+    /// again the orders that it lacks.
     full_read_at_ms: Option<u64>,
     /// Whether the store has lost this gateway's entry, so that it must be written again.
     needs_registration: bool,
@@ -240,6 +242,8 @@
     endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
     bad_rows: BadRows,
+    /// The rows of orders to evacuate zones that can't be used.
+    zone_rows: BadRows,
     rollbacks: Counters,
     calls: StoreCalls,
 }
@@ -264,6 +268,7 @@
             wait_was_aborted: false,
             endpoints,
             gateways: HashMap::new(),
+            zone_rows: BadRows::new(tallies.bad_rows.clone()),
             bad_rows: BadRows::new(tallies.bad_rows),
             rollbacks: tallies.store_rollbacks,
             calls: StoreCalls::new(topic, tallies.store_calls),
@@ -363,12 +368,10 @@
             false => self.options.long_wait_ms,
         };
         let now_ms = self.published.now_ms();
+        let due_ms = self.full_read_at_ms.unwrap_or(u64::MAX);
+        let longest_ms = longest_ms.min(due_ms.saturating_sub(now_ms));
         match self.topic {
-            Topic::Endpoints => {
-                let due_ms = self.full_read_at_ms.unwrap_or(u64::MAX);
-                let longest_ms = longest_ms.min(due_ms.saturating_sub(now_ms));
-                self.endpoints.borrow().bounded_wait_ms(longest_ms, now_ms)
-            }
+            Topic::Endpoints => self.endpoints.borrow().bounded_wait_ms(longest_ms, now_ms),
             _ => longest_ms,
         }
     }
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -13,6 +13,7 @@
 use crate::membership::ENTRY_EXPIRY_MS;
 use crate::source::Batch;
 use crate::source::Revision;
+use crate::source::RowFault;
 use crate::source::Topic;
 use crate::source::Update;
 use crate::view::Configuration;
@@ -27,7 +28,11 @@
         self.revision = Some(batch.revision);
         let has_rolled_back = self.update_era(batch.revision);
         match self.topic {
-            Topic::Configuration => self.apply_configuration(batch.updates, start_ms),
+            Topic::Configuration => {
+                // Before the configuration, without which no request is served.
+                self.apply_zone_orders(&batch.updates, batch.revision, is_full_read, start_ms);
+                self.apply_configuration(batch.updates, start_ms);
+            }
             Topic::Endpoints => {
                 if has_rolled_back {
                     let now_ms = self.published.now_ms();
@@ -85,7 +90,10 @@
                     detail,
                     revision: *revision,
                 };
-                self.bad_rows.report(self.topic, &row);
+                match fault {
+                    RowFault::Zone => self.zone_rows.report(self.topic, &row),
+                    _ => self.bad_rows.report(self.topic, &row),
+                }
             }
             Update::Gateway { name, .. } | Update::GatewayRemoved { name } => {
                 self.bad_rows.clear(self.topic, name);
@@ -99,6 +107,8 @@
             Update::Configuration(_) => self.bad_rows.clear_all(self.topic),
             // Handled in `apply_endpoints`, which knows whether the entry is accepted.
             Update::Endpoint(_) | Update::EndpointRemoved { .. } => {}
+            // Handled in `apply_zone_orders`, which knows the endpoints.
+            Update::ZoneOrder(_) => {}
         }
     }
 
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -33,6 +33,8 @@
 mod dispatcher;
 pub mod drain;
 pub mod evacuation;
+mod evacuation_gossip;
+pub mod evacuation_state;
 mod event_splitter;
 mod fault;
 pub mod follow;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -56,6 +56,10 @@
     pub(crate) advice: Counters,
     /// Requests placed at an endpoint that must not be sent anything any more, by reason.
     pub(crate) blocked_before_dispatch: Counters,
+    /// Zones that were evacuated or restored.
+    pub(crate) zone_changes: Counters,
+    /// Evacuated zones.
+    pub(crate) evacuated_zones: Gauge,
     /// Runs that returned no answer, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Requests that were held or released.
@@ -138,6 +142,12 @@
                 "Requests placed at an endpoint that may not be sent anything any more",
                 "reason",
             ),
+            zone_changes: registry.counters(
+                "relay_zone_changes",
+                "Availability zones that were evacuated or restored",
+                "change",
+            ),
+            evacuated_zones: registry.gauge("relay_evacuated_zones", "Zones that are evacuated"),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/peer_fallback.rs
+++ b/crates/mgs-relay/src/peer_fallback.rs
@@ -13,6 +13,7 @@
 
 use tokio::time::sleep;
 
+use crate::evacuation_state::OrderOrigin;
 use crate::follow::Options;
 use crate::freshness::Freshness;
 use crate::membership::Endpoints;
@@ -96,6 +97,11 @@
 fn apply_handover(published: &Published, endpoints: &RefCell<Endpoints>, handover: PeerSnapshot) {
     let is_lost =
         |belief: &Freshness| belief.store_lost_since_ms().is_some() || belief.content_id() == 0;
+    let now_ms = published.now_ms();
+    // Before the configuration, without which no request is served.
+    published.update_evacuations(OrderOrigin::Snapshot, |evacuations| {
+        evacuations.merge(&handover.orders, now_ms)
+    });
     // `put_configuration` ignores an older configuration.
     published.put_configuration(Configuration::clone(&handover.configuration));
     if is_lost(published.endpoint_freshness()) {
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -15,6 +15,7 @@
 use tokio::time::timeout;
 
 use crate::core::Core;
+use crate::evacuation::ZoneOrder;
 use crate::source::EndpointFacts;
 use crate::view::Configuration;
 use crate::view::Published;
@@ -32,6 +33,9 @@
     NothingYet,
     /// All that it knows.
     All(PeerSnapshot),
+    /// All that it knows, with orders to evacuate zones. Not used without any, since gateways of
+    /// earlier builds can't decode it.
+    AllWithOrders(PeerSnapshot, Vec<ZoneOrder>),
 }
 
 /// All that a gateway needs to serve.
@@ -39,6 +43,9 @@
 pub(crate) struct PeerSnapshot {
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) endpoints: Vec<EndpointFacts>,
+    /// Orders to evacuate zones; they travel in a reply of their own.
+    #[serde(skip)]
+    pub(crate) orders: Vec<ZoneOrder>,
 }
 
 impl PeerSnapshot {
@@ -49,8 +56,18 @@
         Some(Self {
             configuration,
             endpoints: endpoints.collect(),
+            orders: published.evacuations().orders(),
         })
     }
+
+    /// The reply that carries this snapshot.
+    fn into_reply(mut self) -> Reply {
+        let orders = std::mem::take(&mut self.orders);
+        match orders.is_empty() {
+            true => Reply::All(self),
+            false => Reply::AllWithOrders(self, orders),
+        }
+    }
 }
 
 /// Sends a snapshot on each connection until the process ends.
@@ -66,7 +83,8 @@
 }
 
 async fn send(core: Rc<Core>, mut stream: TcpStream, peer: SocketAddr) {
-    let reply = PeerSnapshot::of(&core.published).map_or(Reply::NothingYet, Reply::All);
+    let reply = PeerSnapshot::of(&core.published);
+    let reply = reply.map_or(Reply::NothingYet, PeerSnapshot::into_reply);
     let message = bincode::serde::encode_to_vec(&reply, bincode::config::standard())
         .expect("BUG: a snapshot is plain data");
     let sending = async {
@@ -77,7 +95,7 @@
     let whole = matches!(sent, Ok(Ok(())));
     match reply {
         Reply::NothingYet => log::info!(peer:% = peer, whole = whole; "a peer was told nothing"),
-        Reply::All(snapshot) => log::info!(
+        Reply::All(snapshot) | Reply::AllWithOrders(snapshot, _) => log::info!(
             peer:% = peer, configuration = snapshot.configuration.version,
             endpoints = snapshot.endpoints.len(), whole = whole;
             "a peer was told"
@@ -90,13 +108,9 @@
     for peer in peers {
         match timeout(EXCHANGE_TIMEOUT, fetch(*peer)).await {
             Ok(Ok(Reply::NothingYet)) => log::info!(peer:% = peer; "a peer knows nothing yet"),
-            Ok(Ok(Reply::All(snapshot))) => {
-                log::info!(
-                    peer:% = peer, configuration = snapshot.configuration.version,
-                    endpoints = snapshot.endpoints.len();
-                    "a peer told what the store can't"
-                );
-                return Some(snapshot);
+            Ok(Ok(Reply::All(snapshot))) => return Some(received(*peer, snapshot, Vec::new())),
+            Ok(Ok(Reply::AllWithOrders(snapshot, orders))) => {
+                return Some(received(*peer, snapshot, orders));
             }
             Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
             Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
@@ -105,6 +119,16 @@
     None
 }
 
+/// Logs a received snapshot, and adds the orders of its reply.
+fn received(peer: SocketAddr, snapshot: PeerSnapshot, orders: Vec<ZoneOrder>) -> PeerSnapshot {
+    log::info!(
+        peer:% = peer, configuration = snapshot.configuration.version,
+        endpoints = snapshot.endpoints.len(), zone_orders = orders.len();
+        "a peer told what the store can't"
+    );
+    PeerSnapshot { orders, ..snapshot }
+}
+
 async fn fetch(peer: SocketAddr) -> Result<Reply, String> {
     let stream = TcpStream::connect(peer).await;
     let stream = stream.map_err(|error| error.to_string())?;
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -26,6 +26,9 @@
 use crate::broadcast::SEND_INTERVAL_MIN;
 use crate::core::Core;
 use crate::crash_gossip;
+use crate::evacuation::ZoneOrder;
+use crate::evacuation_gossip;
+use crate::evacuation_state::OrderOrigin;
 use crate::freshness::Freshness;
 use crate::freshness::TopicReport;
 use crate::traffic::TrafficKind;
@@ -54,6 +57,13 @@
         /// What the sender knows of them, or a part of it.
         works: Vec<SharedRecord>,
     },
+    /// Orders of operators to evacuate zones.
+    Evacuations {
+        /// Incarnation of the sender.
+        from: u64,
+        /// What the sender knows, or a part of it.
+        orders: Vec<ZoneOrder>,
+    },
 }
 
 /// The last message from one address.
@@ -123,6 +133,11 @@
         socket.clone(),
         peer_table.clone(),
     ));
+    tokio::task::spawn_local(evacuation_gossip::run(
+        core.clone(),
+        socket.clone(),
+        peer_table.clone(),
+    ));
     broadcast::run(core, socket, peer_table).await;
 }
 
@@ -152,6 +167,11 @@
                     core.record_peer_crashes(&works);
                 }
             }
+            Ok((Datagram::Evacuations { from, orders }, _)) => {
+                if from != core.incarnation {
+                    record_peer_orders(&core, &orders);
+                }
+            }
             Err(error) => {
                 core.metrics.peer_faults.inc();
                 log::warn!(peer:% = from, error:% = error; "a peer's message can't be decoded");
@@ -191,6 +211,8 @@
     if was_silent || before.is_none() {
         core.crashes.newcomers.borrow_mut().push(from);
         core.crashes.urgent.notify_one();
+        core.evacuation_newcomers.borrow_mut().push(from);
+        core.published.evacuations().wake();
     }
     if was_silent {
         log::info!(peer:% = from; "a peer is heard");
@@ -239,6 +261,15 @@
     load_table.replace_peer(peer, now_ms, report);
 }
 
+/// Takes the orders to evacuate zones that a peer knows.
+fn record_peer_orders(core: &Core, orders: &[ZoneOrder]) {
+    let now_ms = core.now_whole_ms();
+    core.published
+        .update_evacuations(OrderOrigin::Peer, |evacuations| {
+            evacuations.merge(orders, now_ms)
+        });
+}
+
 /// Takes what a peer knows of the store.
 fn record_peer_reports(core: &Core, from: SocketAddr, message: &PeerMessage) {
     let published = &core.published;
@@ -324,4 +355,6 @@
         .set(age(published.configuration_age_ms()));
     metrics.fleet_age_ms.set(age(published.fleet_age_ms()));
     metrics.endpoints.set(published.fleet().by_key.len() as i64);
+    let evacuated = published.evacuations().zones().len();
+    metrics.evacuated_zones.set(evacuated as i64);
 }
--- a/crates/mgs-relay/src/read_pause.rs
+++ b/crates/mgs-relay/src/read_pause.rs
@@ -23,12 +23,19 @@
 pub(crate) fn pause_after(batch: &Batch, gathers_all: bool) -> ReadPause {
     match batch.updates.is_empty() {
         true => ReadPause::None,
+        // Further zones may be evacuated at the same time, and their orders are urgent.
+        false if has_zone_orders(batch) => ReadPause::None,
         false if gathers_all => ReadPause::GatherAll,
         false if has_newcomers_only(batch) => ReadPause::Gather,
         false => ReadPause::None,
     }
 }
 
+fn has_zone_orders(batch: &Batch) -> bool {
+    let is_order = |update: &Update| matches!(update, Update::ZoneOrder(_));
+    batch.updates.iter().any(is_order)
+}
+
 /// Whether a batch contains only newcomers, which more may follow.
 fn has_newcomers_only(batch: &Batch) -> bool {
     let is_newcomer = |update: &Update| match update {
@@ -39,6 +46,7 @@
         | Update::GatewayRemoved { .. }
         | Update::Held(_)
         | Update::Released(_)
+        | Update::ZoneOrder(_)
         | Update::Unreadable { .. } => false,
     };
     batch.updates.iter().all(is_newcomer)
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -186,6 +186,7 @@
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
+        evacuation_newcomers: RefCell::default(),
         metrics,
         traffic: Traffic::default(),
         drain: Drain::new(),
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::evacuation::ZoneOrder;
 use crate::view::Configuration;
 
 /// A part of the store that is followed by itself, with its own revisions.
@@ -143,6 +144,10 @@
     OlderStart,
     /// it is from an older copy of the store, and the endpoint has gone since
     Gone,
+    /// its key can't name an availability zone
+    Zone,
+    /// no endpoint is listed in the availability zone that it names
+    EmptyZone,
 }
 
 impl RowFault {
@@ -158,6 +163,8 @@
             Self::NoStart => "no_start",
             Self::OlderStart => "older_start",
             Self::Gone => "gone",
+            Self::Zone => "zone",
+            Self::EmptyZone => "empty_zone",
         }
     }
 }
@@ -202,6 +209,8 @@
     Held(SharedRecord),
     /// A request is released.
     Released(Fingerprint),
+    /// A zone is to be evacuated, or no longer.
+    ZoneOrder(ZoneOrder),
 }
 
 /// The result of one read.
--- a/crates/mgs-relay/src/traffic.rs
+++ b/crates/mgs-relay/src/traffic.rs
@@ -30,18 +30,21 @@
     FullMessages,
     /// Messages to peers about requests that crash endpoints, counted for each peer.
     CrashMessages,
+    /// Messages to peers about evacuated zones, counted for each peer.
+    EvacuationMessages,
     /// Messages from peers.
     HeardMessages,
 }
 
 impl TrafficKind {
-    const ALL: [Self; 7] = [
+    const ALL: [Self; 8] = [
         Self::Requests,
         Self::Dispatches,
         Self::Answers,
         Self::ShortMessages,
         Self::FullMessages,
         Self::CrashMessages,
+        Self::EvacuationMessages,
         Self::HeardMessages,
     ];
 
@@ -54,6 +57,7 @@
             Self::ShortMessages => "short_messages",
             Self::FullMessages => "whole_messages",
             Self::CrashMessages => "crash_messages",
+            Self::EvacuationMessages => "evacuation_messages",
             Self::HeardMessages => "messages_heard",
         }
     }
@@ -86,7 +90,7 @@
     loop {
         sleep(REPORT_INTERVAL).await;
         let totals = core.traffic.drain_into(&core.metrics.bytes);
-        let [requests, dispatches, answers, short_messages, full_messages, crash_messages, received_messages] =
+        let [requests, dispatches, answers, short_messages, full_messages, crash_messages, evacuation_messages, received_messages] =
             totals;
         log::info!(
             requests = requests,
@@ -95,6 +99,7 @@
             short_messages = short_messages,
             whole_messages = full_messages,
             crash_messages = crash_messages,
+            evacuation_messages = evacuation_messages,
             messages_heard = received_messages;
             "bytes carried"
         );
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -19,6 +19,10 @@
 
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
+use crate::evacuation::Evacuations;
+use crate::evacuation::ZoneOrder;
+use crate::evacuation_state::EvacuationState;
+use crate::evacuation_state::OrderOrigin;
 use crate::freshness::ContentKind;
 use crate::freshness::Freshness;
 use crate::holds::Holds;
@@ -240,6 +244,7 @@
     configuration_freshness: Freshness,
     endpoint_freshness: Freshness,
     holds: Holds,
+    evacuations: EvacuationState,
     is_reader: AtomicBool,
     completion: Notify,
 }
@@ -258,6 +263,7 @@
             configuration_freshness: Freshness::new(ContentKind::Versions),
             endpoint_freshness: Freshness::new(ContentKind::Hashes),
             holds: Holds::default(),
+            evacuations: EvacuationState::default(),
             is_reader: AtomicBool::new(true),
             completion: Notify::new(),
         }
@@ -356,6 +362,21 @@
         &self.holds
     }
 
+    /// The operators' orders to evacuate zones.
+    pub fn evacuations(&self) -> &EvacuationState {
+        &self.evacuations
+    }
+
+    /// Changes the orders to evacuate zones, see [`EvacuationState::update`].
+    pub fn update_evacuations(
+        &self,
+        origin: OrderOrigin,
+        apply: impl FnOnce(&mut Evacuations) -> Vec<ZoneOrder>,
+    ) {
+        let store_age_ms = self.configuration_age_ms();
+        self.evacuations.update(origin, store_age_ms, apply);
+    }
+
     /// Freshness of the list of endpoints.
     pub fn endpoint_freshness(&self) -> &Freshness {
         &self.endpoint_freshness
