feat(relay): nothing new is sent to endpoints of evacuated zones

If all endpoints of a service are in evacuated zones, the request is refused with `zones_evacuated` and a Retry-After of 1 s. A request that is confined to one endpoint, since it may crash endpoints, gets one outside of these zones.

--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -65,6 +65,8 @@
     Backoff,
     /// The limit shared by all gateways is used up, or other gateways are its holders now.
     Limit,
+    /// The operators have ordered the endpoint's availability zone to be evacuated.
+    Evacuated,
 }
 
 impl BlockReason {
@@ -74,6 +76,7 @@
             Self::Leaving => "leaving",
             Self::Backoff => "rest",
             Self::Limit => "limit",
+            Self::Evacuated => "evacuated",
         }
     }
 
@@ -90,7 +93,7 @@
     /// Why.
     pub reason: BlockReason,
     /// Time until a request may be sent, by this or another gateway, in milliseconds; infinite if
-    /// the endpoint is shutting down.
+    /// the endpoint is shutting down or its zone is evacuated.
     pub blocked_for_ms: f64,
 }
 
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -25,13 +25,24 @@
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::peers::TRANSIT_MS;
+use crate::place::PlacedRequest;
 use crate::place::RETRY_AFTER_NO_ENDPOINT_MS;
 use crate::view::Endpoint;
 use crate::wait::RETRY_AFTER_MAX_MS;
 use crate::wait::RETRY_AFTER_MIN_MS;
 
-/// Endpoints that may not be sent a request now, because they leave, asked for a backoff or reached
-/// a limit.
+/// `Retry-After` if all endpoints are in evacuated zones, in milliseconds: no gateway knows when the
+/// operators will withdraw an order.
+const RETRY_AFTER_EVACUATED_MS: u64 = 1_000;
+
+/// An endpoint in an evacuated zone.
+const EVACUATED: Blocked = Blocked {
+    reason: BlockReason::Evacuated,
+    blocked_for_ms: f64::INFINITY,
+};
+
+/// Endpoints that may not be sent a request now, because they leave, asked for a backoff, reached a
+/// limit or are in an evacuated zone.
 #[derive(Debug, Default)]
 pub(crate) struct BlockedEndpoints(HashMap<EndpointKey, Blocked>);
 
@@ -55,8 +66,9 @@
         endpoints: impl IntoIterator<Item = &'a Arc<Endpoint>>,
         request_id: &str,
     ) -> Refusal {
-        let blocked = endpoints.into_iter().filter_map(|e| self.0.get(&e.key));
-        let blocked: Vec<&Blocked> = blocked.collect();
+        let checked = endpoints.into_iter().map(|e| self.0.get(&e.key));
+        let checked: Vec<Option<&Blocked>> = checked.collect();
+        let blocked: Vec<&Blocked> = checked.iter().copied().flatten().collect();
         let count = |reason: BlockReason| {
             blocked
                 .iter()
@@ -65,19 +77,26 @@
         };
         let blocked_for_ms = blocked.iter().map(|blocked| blocked.blocked_for_ms);
         let blocked_for_ms = blocked_for_ms.fold(f64::INFINITY, f64::min);
-        let retry_after_ms = match blocked_for_ms.is_finite() {
-            true => (blocked_for_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
-            false => RETRY_AFTER_NO_ENDPOINT_MS,
+        let evacuated = count(BlockReason::Evacuated);
+        let fault = match evacuated == checked.len() && evacuated > 0 {
+            true => Fault::ZonesEvacuated,
+            false => Fault::Blocked,
+        };
+        let retry_after_ms = match (fault, blocked_for_ms.is_finite()) {
+            (Fault::ZonesEvacuated, _) => RETRY_AFTER_EVACUATED_MS,
+            (_, true) => (blocked_for_ms as u64).clamp(RETRY_AFTER_MIN_MS, RETRY_AFTER_MAX_MS),
+            (_, false) => RETRY_AFTER_NO_ENDPOINT_MS,
         };
         log::info!(
             request_id = request_id,
             leaving = count(BlockReason::Leaving),
             resting = count(BlockReason::Backoff),
             limited = count(BlockReason::Limit),
+            evacuated = evacuated,
             retry_after_ms = retry_after_ms;
             "all endpoints are shut"
         );
-        Refusal::after(Fault::Blocked, retry_after_ms)
+        Refusal::after(fault, retry_after_ms)
     }
 }
 
@@ -125,6 +144,24 @@
 
     /// Endpoints that may not be sent a request now.
     pub(crate) fn blocked_endpoints(&self) -> BlockedEndpoints {
+        let mut blocked = self.endpoints_blocked_by_advice();
+        blocked.0.extend(self.evacuated_endpoints());
+        blocked
+    }
+
+    /// Endpoints in evacuated zones.
+    fn evacuated_endpoints(&self) -> Vec<(EndpointKey, Blocked)> {
+        let zones = self.published.evacuations().zones();
+        if zones.is_empty() {
+            return Vec::new();
+        }
+        let fleet = self.published.fleet();
+        let endpoints = fleet.by_key.values();
+        let evacuated = endpoints.filter(|endpoint| zones.contains(&endpoint.facts.zone));
+        evacuated.map(|e| (e.key, EVACUATED)).collect()
+    }
+
+    fn endpoints_blocked_by_advice(&self) -> BlockedEndpoints {
         if self.backpressure.borrow().is_empty() {
             return BlockedEndpoints::default();
         }
@@ -136,21 +173,49 @@
         BlockedEndpoints(blocked.into_iter().filter_map(keyed).collect())
     }
 
-    /// Checks right before a dispatch whether the endpoint may get it, and counts it.
-    pub(crate) fn permit_dispatch(&self, endpoint: &Endpoint) -> Result<(), Blocked> {
+    /// Checks right before a dispatch whether its endpoint may get it and its helpers may be asked,
+    /// and counts it.
+    pub(crate) fn permit_dispatch(&self, placed: &PlacedRequest) -> Result<(), BlockedDispatch> {
+        let permitted = self.check_evacuated(placed).and_then(|()| {
+            let advice = self.permit_by_advice(&placed.endpoint);
+            advice.map_err(|blocked| BlockedDispatch {
+                endpoint: placed.endpoint.clone(),
+                blocked,
+            })
+        });
+        if let Err(BlockedDispatch { blocked, .. }) = &permitted {
+            let reason = blocked.reason.name();
+            self.metrics.blocked_before_dispatch.inc(reason);
+        }
+        permitted
+    }
+
+    /// Fails if the endpoint or a helper of a placed request is in an evacuated zone.
+    fn check_evacuated(&self, placed: &PlacedRequest) -> Result<(), BlockedDispatch> {
+        let zones = self.published.evacuations().zones();
+        if zones.is_empty() {
+            return Ok(());
+        }
+        let fleet = self.published.fleet();
+        let helpers = placed.helper_keys.iter();
+        let helpers = helpers.filter_map(|key| fleet.by_key.get(key));
+        let mut all = std::iter::once(&placed.endpoint).chain(helpers);
+        match all.find(|endpoint| zones.contains(&endpoint.facts.zone)) {
+            None => Ok(()),
+            Some(endpoint) => Err(BlockedDispatch {
+                endpoint: endpoint.clone(),
+                blocked: EVACUATED,
+            }),
+        }
+    }
+
+    fn permit_by_advice(&self, endpoint: &Endpoint) -> Result<(), Blocked> {
         let mut table = self.backpressure.borrow_mut();
         if table.is_empty() {
             return Ok(());
         }
-        match table.permit(incarnation(endpoint), self.now_ms()) {
-            Ok(true) => self.broadcast_wanted.notify_one(),
-            Ok(false) => {}
-            Err(blocked) => {
-                self.metrics
-                    .blocked_before_dispatch
-                    .inc(blocked.reason.name());
-                return Err(blocked);
-            }
+        if table.permit(incarnation(endpoint), self.now_ms())? {
+            self.broadcast_wanted.notify_one();
         }
         Ok(())
     }
@@ -230,15 +295,25 @@
     LimitUpdate { per_s, at_ms }
 }
 
-/// Logs that an endpoint was blocked after a request had been placed there.
-pub(crate) fn log_blocked(client_request: &ClientRequest, endpoint: &Endpoint, blocked: Blocked) {
-    log::info!(
-        request_id = client_request.request_id,
-        endpoint = endpoint.facts.incarnation.id,
-        reason = blocked.reason.name(),
-        opens_in_ms = blocked.blocked_for_ms as u64;
-        "an endpoint was shut before the dispatch"
-    );
+/// An endpoint of a placed request that was blocked before the dispatch.
+pub(crate) struct BlockedDispatch {
+    /// The endpoint or one of the helpers.
+    endpoint: Arc<Endpoint>,
+    blocked: Blocked,
+}
+
+impl BlockedDispatch {
+    /// Logs that an endpoint was blocked after a request had been placed there.
+    pub(crate) fn log(&self, client_request: &ClientRequest) {
+        log::info!(
+            request_id = client_request.request_id,
+            endpoint = self.endpoint.facts.incarnation.id,
+            zone = self.endpoint.facts.zone,
+            reason = self.blocked.reason.name(),
+            opens_in_ms = self.blocked.blocked_for_ms as u64;
+            "an endpoint was shut before the dispatch"
+        );
+    }
 }
 
 fn incarnation(endpoint: &Endpoint) -> IncarnationHash {
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -15,7 +15,6 @@
 use tokio::time::timeout;
 use tokio::time::Instant;
 
-use crate::advice;
 use crate::attempt;
 use crate::attempt::DispatchResult;
 use crate::attempt::EventStream;
@@ -192,11 +191,9 @@
                 );
                 continue;
             }
-            match self.core.permit_dispatch(&placed.endpoint) {
+            match self.core.permit_dispatch(&placed) {
                 Ok(()) => return Ok(placed),
-                Err(blocked) => {
-                    advice::log_blocked(&self.client_request, &placed.endpoint, blocked)
-                }
+                Err(blocked) => blocked.log(&self.client_request),
             }
             drop(placed);
             sleep(PLACEMENT_RETRY_DELAY).await;
@@ -250,7 +247,15 @@
         }
         let fleet = self.core.published.fleet();
         let tried = &self.progress.tried;
-        Some(barred_endpoints(&fleet, &self.service, key, tried))
+        let evacuated_zones = self.core.published.evacuations().zones();
+        let service = &self.service;
+        Some(barred_endpoints(
+            &fleet,
+            service,
+            key,
+            tried,
+            &evacuated_zones,
+        ))
     }
 
     fn need(&self) -> Need {
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -27,6 +27,8 @@
     NoEndpoint,
     /// the endpoints have asked to be sent nothing now
     Blocked,
+    /// all endpoints are in availability zones that are being evacuated
+    ZonesEvacuated,
     /// the endpoints have no room
     Full,
     /// the prompt exceeds the memory of all engines together
@@ -73,6 +75,7 @@
             Self::BodyTooSlow => "body_too_slow",
             Self::NoEndpoint => "no_endpoint",
             Self::Blocked => "endpoints_shut",
+            Self::ZonesEvacuated => "zones_evacuated",
             Self::Full => "full",
             Self::TooLarge => "too_large",
             Self::TooLate => "too_late",
--- a/crates/mgs-relay/src/permission.rs
+++ b/crates/mgs-relay/src/permission.rs
@@ -1,5 +1,7 @@
 //! Whether a request may be dispatched, or is held as one that crashes endpoints.
 
+use std::collections::BTreeSet;
+
 use mgs_fleet::view::EndpointKey;
 use mgs_quarantine::fingerprint::Fingerprint;
 use mgs_quarantine::verdict::Verdict;
@@ -144,12 +146,14 @@
 }
 
 /// All active endpoints but the one on which a request may run. The choice is the same at each
-/// gateway that knows the same fleet; `tried` endpoints are skipped.
+/// gateway that knows the same fleet and the same evacuated zones; endpoints there and `tried` ones
+/// are skipped.
 pub(crate) fn barred_endpoints(
     fleet: &Fleet,
     service: &str,
     fingerprint: Fingerprint,
     tried: &[EndpointKey],
+    evacuated_zones: &BTreeSet<String>,
 ) -> Vec<EndpointKey> {
     let present = fleet.of_service(service).iter();
     let present = present.filter(|endpoint| !endpoint.facts.is_leaving);
@@ -160,6 +164,7 @@
     let open = present
         .clone()
         .filter(|endpoint| !tried.contains(&endpoint.key))
+        .filter(|endpoint| !evacuated_zones.contains(&endpoint.facts.zone))
         .max_by_key(|endpoint| rank(endpoint));
     let open = open.map(|endpoint| endpoint.key);
     let closed = present.map(|endpoint| endpoint.key);
