--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -129,6 +129,7 @@
     let settings = Settings::read(&path).map_err(|error| command_error(error.to_string()))?;
     let _logs = logs::start_stdout(&logs::Options { level })
         .map_err(|error| command_error(error.to_string()))?;
+    log_ignored_values(&settings);
     serve(
         path,
         settings,
@@ -271,6 +272,13 @@
     store: StoreAddress,
 }
 
+/// Logs the values of the settings file that are ignored because they are invalid.
+fn log_ignored_values(settings: &Settings) {
+    for value in &settings.ignored_values {
+        log::warn!(value = value; "a setting is ignored");
+    }
+}
+
 impl SettingsReloader {
     fn reload(&mut self, cause: &str) {
         let settings = match Settings::read(&self.path) {
@@ -287,6 +295,7 @@
         if !is_changed {
             return;
         }
+        log_ignored_values(&settings);
         if settings.needs_restart(&self.settings) {
             log::warn!("changed listen addresses take effect only after a restart; all other settings are applied");
         }
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -68,6 +68,7 @@
         "no_endpoint" => "no endpoint of its service was known; it has not run",
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
         "quarantined" => return describe_hold(trace, line),
+        "zones_evacuated" => return describe_evacuated_zones(trace),
         "endpoints_shut" => return describe_shut_endpoints(trace),
         "full" | "too_late" | "timeout_before_dispatch" => {
             return describe_no_capacity(trace, detail)
@@ -119,15 +120,31 @@
     };
     format!(
         "all endpoints had asked to receive no requests: {} leave, {} want a pause from this host, {} name a limit that was \
-         used up or reserved by other hosts; the client was told to retry after {} ms; it has not run (look for \"an endpoint says of \
+         used up or reserved by other hosts{}; the client was told to retry after {} ms; it has not run (look for \"an endpoint says of \
          itself\")",
         line.number("leaving"),
         line.number("resting"),
         line.number("limited"),
+        match line.number("evacuated") {
+            0.0 => String::new(),
+            evacuated => format!(", {evacuated} are in evacuated zones"),
+        },
         line.number("retry_after_ms"),
     )
 }
 
+/// Describes a refusal because all endpoints of the service were in evacuated zones.
+fn describe_evacuated_zones(trace: &RequestTrace) -> String {
+    let evacuated = trace.last_with_text("all endpoints are shut");
+    let count = evacuated.map_or(String::new(), |line| {
+        format!(" {} ", line.number("evacuated"))
+    });
+    format!(
+        "all{count}endpoints of its service were in availability zones that the operators evacuated; it has not run (look \
+         for \"a zone is evacuated\")"
+    )
+}
+
 fn describe_no_capacity(trace: &RequestTrace, detail: &str) -> String {
     let mut text = match detail {
         "full" => "the engines had no capacity for it",
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -40,8 +40,13 @@
 
 /// Runs the command on [`LOG`] with these further arguments, and returns its standard output.
 fn run_account(name: &str, arguments: &[&str]) -> String {
+    run_account_on(name, LOG, arguments)
+}
+
+/// Runs the command on a log.
+fn run_account_on(name: &str, text: &str, arguments: &[&str]) -> String {
     let log = temporary_file(&format!("{name}.log"));
-    fs::write(&log, LOG).expect("a file");
+    fs::write(&log, text).expect("a file");
     let output = marigoldstage()
         .arg("account")
         .args(arguments)
@@ -76,6 +81,14 @@
     assert!(text.contains(phrase), "{phrase:?} in {text}");
 }
 
+#[test]
+fn requests_refused_because_all_zones_are_evacuated_have_a_cause_of_their_own() {
+    let log = LOG.replace("not_run", "zones_evacuated");
+    let text = run_account_on("evacuated", &log, &[]);
+    let cause = "1.000      1 streaming 4000/1000 ms: refused: zones_evacuated";
+    assert!(text.contains(cause), "{text}");
+}
+
 #[test]
 fn a_csv_file_and_a_plot_are_written() {
     let (rows, plot) = (temporary_file("rows.csv"), temporary_file("drawing.svg"));
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -29,6 +29,10 @@
 front-1 {"timestamp":"2026-05-30 03:20:31.100 +00:00","text":"request ended","kv":{"request_id":"full","outcome":"refused","status":503,"detail":"too_late","total_ms":100}}
 front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"all endpoints are shut","kv":{"request_id":"shut","leaving":1,"resting":0,"limited":2,"retry_after_ms":526}}
 front-1 {"timestamp":"2026-05-30 03:20:33.001 +00:00","text":"request ended","kv":{"request_id":"shut","outcome":"refused","status":503,"detail":"endpoints_shut","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:33.100 +00:00","text":"all endpoints are shut","kv":{"request_id":"evacuated","leaving":0,"resting":0,"limited":0,"evacuated":9,"retry_after_ms":1000}}
+front-1 {"timestamp":"2026-05-30 03:20:33.101 +00:00","text":"request ended","kv":{"request_id":"evacuated","outcome":"refused","status":503,"detail":"zones_evacuated","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:33.200 +00:00","text":"all endpoints are shut","kv":{"request_id":"partly","leaving":0,"resting":1,"limited":0,"evacuated":3,"retry_after_ms":200}}
+front-1 {"timestamp":"2026-05-30 03:20:33.201 +00:00","text":"request ended","kv":{"request_id":"partly","outcome":"refused","status":503,"detail":"endpoints_shut","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"held","work":"00ff","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"refused since it is held","kv":{"request_id":"part","work":"00aa","part":"5c1e07a2"}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"request ended","kv":{"request_id":"part","work":"00fe","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
@@ -59,6 +63,8 @@
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
 #[case::part_quarantined("part", &["503", "part 5c1e07a2 of its prompt", "has not run"])]
 #[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "526 ms", "has not run"])]
+#[case::zones_evacuated("evacuated", &["503", "all 9 endpoints", "operators evacuated", "a zone is evacuated", "has not run"])]
+#[case::shut_and_evacuated("partly", &["503", "1 want a pause", "3 are in evacuated zones", "200 ms", "has not run"])]
 #[case::stale_configuration("old", &["5120 ms", "the store is lost"])]
 fn the_cause_of_a_request_is_explained(#[case] request_id: &str, #[case] phrases: &[&str]) {
     let output = explain(request_id);
