--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -11,6 +11,7 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::evacuation::ZoneOrder;
 use crate::view::Configuration;
 
 /// A part of the store that is followed by itself, with its own revisions.
@@ -36,8 +37,11 @@
 }
 
 /// A position in the history of the store. The store may be restored from an older copy. It then
-/// begins another era and reuses revision numbers, so numbers compare within one era only.
-#[derive(Debug, Clone, Copy, Default, PartialEq, Eq, Hash)]
+/// begins another era and reuses revision numbers, so numbers compare within one era only; a
+/// revision of a later era is the greater one.
+#[derive(
+    Debug, Clone, Copy, Default, PartialEq, Eq, PartialOrd, Ord, Hash, Serialize, Deserialize,
+)]
 pub struct Revision {
     /// How often the store has been restored from an older copy; 0 if it doesn't report it.
     pub era: u64,
@@ -140,6 +144,10 @@
     OlderStart,
     /// it is from an older copy of the store, and the endpoint has gone since
     Gone,
+    /// its key can't name an availability zone
+    Zone,
+    /// no endpoint is listed in the availability zone that it names
+    EmptyZone,
 }
 
 impl RowFault {
@@ -155,6 +163,8 @@
             Self::NoStart => "no_start",
             Self::OlderStart => "older_start",
             Self::Gone => "gone",
+            Self::Zone => "zone",
+            Self::EmptyZone => "empty_zone",
         }
     }
 }
@@ -199,6 +209,8 @@
     Held(SharedRecord),
     /// A request is released.
     Released(Fingerprint),
+    /// A zone is to be evacuated, or no longer.
+    ZoneOrder(ZoneOrder),
 }
 
 /// The result of one read.
