feat(backpressure): limits of cold endpoints, decided without communication

An endpoint that has just started tolerates few requests per second from all gateways together, including those that are cut off. Counting can't bound that sum: with equal shares each of 48 gateways gets less than one request, and a gateway that joins is counted late.

`warm_up` holds the right to send (a lease on the list of gateways in the store), the rank by rendezvous hash, quotas and windows.

- An entry entitles when it is 2 s older than the lease.
With the age of the lease alone, a gateway that was cut off just before others registered sends until they begin, and both fall in one window.
- The right is lost when the store no longer lists the gateway as it registered itself, as after a restoration from an older copy.
Gateways that start then read a list without it.
- Ranks and windows use the endpoint's identifier without its start.
Gateways learn of a new start at different times and would use the ranks of two incarnations at once.

The quota of a rank includes the remainder of the division, so that 14 gateways use 26 instead of 18.7 requests per second; the sum over any set of senders still is at most the limit.

--- a/crates/mgs-backpressure/src/lib.rs
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -8,6 +8,7 @@
 //! - [`advice`]: the backpressure fields of one response.
 //! - [`share`]: how gateways divide a limit that applies to all of them together.
 //! - [`peer_update`]: what gateways exchange about limits.
+//! - [`warm_up`]: how many requests may be sent to an endpoint that has just started.
 //! - [`table`]: the state of all endpoints at one gateway, and whether a request may be sent now.
 
 #![deny(missing_docs)]
@@ -19,3 +20,4 @@
 pub mod peer_update;
 pub mod share;
 pub mod table;
+pub mod warm_up;
