feat(backpressure): the table asks for the limits of cold endpoints

`Backpressure::blocked` and `permit` answer with the reason `WarmUp`, also for endpoints without other state. Both take the time of two clocks, since leases and windows must continue while a host is suspended; a plain number stands for both. A cold endpoint may still help with other prompts.

--- a/crates/mgs-backpressure/src/advice.rs
+++ b/crates/mgs-backpressure/src/advice.rs
@@ -27,12 +27,17 @@
     /// The endpoint refused the request and asks this gateway to send nothing for this time, in
     /// milliseconds.
     pub backoff_ms: Field<f64>,
+    /// Time for which the endpoint stays cold, in milliseconds.
+    pub cold_ms: Field<f64>,
 }
 
 impl Advice {
     /// Whether any field is present, valid or malformed.
     pub(crate) fn has_any_field(&self) -> bool {
-        self.limit_per_s.is_present() || self.leaving.is_present() || self.backoff_ms.is_present()
+        self.limit_per_s.is_present()
+            || self.leaving.is_present()
+            || self.backoff_ms.is_present()
+            || self.cold_ms == Field::Invalid
     }
 }
 
--- a/crates/mgs-backpressure/src/options.rs
+++ b/crates/mgs-backpressure/src/options.rs
@@ -1,5 +1,7 @@
 //! Settings for sharing limits among gateways.
 
+use crate::warm_up;
+
 /// Settings for sharing limits among gateways.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -22,6 +24,8 @@
     /// How long the state of an endpoint that is no longer listed is kept, in milliseconds: its
     /// entry may expire during an outage of the store and come back.
     pub retention_ms: f64,
+    /// Limits of cold endpoints.
+    pub warm_up: warm_up::Options,
 }
 
 impl Default for Options {
@@ -34,6 +38,7 @@
             burst_ms: 300.0,
             backoff_max_ms: 300_000.0,
             retention_ms: 120_000.0,
+            warm_up: warm_up::Options::default(),
         }
     }
 }
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -13,6 +13,8 @@
 use crate::peer_update::PeerUpdate;
 use crate::share::Gateways;
 use crate::share::SharedClock;
+use crate::warm_up::Permit;
+use crate::warm_up::WarmUp;
 
 /// Most endpoints in one message to peers; the others follow in the next message. The message must
 /// also have room for the placements of the gateway.
@@ -39,6 +41,10 @@
     InvalidLeaving,
     /// The first malformed backoff from the endpoint.
     InvalidBackoff,
+    /// The endpoint is cold for this time, in milliseconds, and wasn't known to be.
+    Cold(f64),
+    /// The first malformed time for which the endpoint is cold.
+    InvalidCold,
 }
 
 impl AdviceChange {
@@ -52,6 +58,8 @@
             Self::InvalidLimit => "unusable_limit",
             Self::InvalidLeaving => "unusable_leaving",
             Self::InvalidBackoff => "unusable_rest",
+            Self::Cold(_) => "cold",
+            Self::InvalidCold => "unusable_cold",
         }
     }
 }
@@ -65,6 +73,8 @@
     Backoff,
     /// The limit shared by all gateways is used up, or other gateways are its holders now.
     Limit,
+    /// The endpoint is cold, and this gateway has used up its part of the limit or has none.
+    WarmUp,
 }
 
 impl BlockReason {
@@ -74,13 +84,15 @@
             Self::Leaving => "leaving",
             Self::Backoff => "rest",
             Self::Limit => "limit",
+            Self::WarmUp => "warm_up",
         }
     }
 
     /// Whether this also excludes the endpoint as a helper that prefills a part of another
-    /// endpoint's prompt. A limit only restricts the endpoint's own requests.
+    /// endpoint's prompt. Limits, also those of cold endpoints, only restrict the endpoint's own
+    /// requests.
     pub fn blocks_helpers(self) -> bool {
-        self != Self::Limit
+        !matches!(self, Self::Limit | Self::WarmUp)
     }
 }
 
@@ -94,6 +106,34 @@
     pub blocked_for_ms: f64,
 }
 
+/// The time of a check, on two clocks.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct CheckTime {
+    /// The process's monotonic clock, in milliseconds.
+    pub now_ms: f64,
+    /// A clock that continues while the host is suspended, in milliseconds.
+    pub boot_ms: f64,
+}
+
+impl From<f64> for CheckTime {
+    /// The same reading on both clocks.
+    fn from(now_ms: f64) -> Self {
+        Self {
+            now_ms,
+            boot_ms: now_ms,
+        }
+    }
+}
+
+/// A request may be sent.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Permission {
+    /// Whether peers should be told.
+    pub is_news: bool,
+    /// The permission as to a cold endpoint, to be confirmed right before the request is sent.
+    pub warm_up: Permit,
+}
+
 /// The state of one incarnation.
 #[derive(Debug, Clone, Default)]
 struct IncarnationState {
@@ -144,17 +184,24 @@
     /// shared clock.
     allocation_version: u64,
     clock: SharedClock,
+    warm_up: WarmUp,
 }
 
 impl Backpressure {
     /// Creates an empty state.
     pub fn new(options: Options) -> Self {
         Self {
+            warm_up: WarmUp::new(options.warm_up.clone()),
             options,
             ..Self::default()
         }
     }
 
+    /// The limits of cold endpoints.
+    pub fn warm_up(&mut self) -> &mut WarmUp {
+        &mut self.warm_up
+    }
+
     /// Applies the fields of a response whose request was sent at `sent_ms`. Returns what changes.
     /// A response without a limit removes a known limit only if its request was sent after the
     /// limit arrived, since responses may overtake each other.
@@ -176,7 +223,12 @@
         let leaving = state.apply_leaving(advice.leaving);
         let backoff_max_ms = self.options.backoff_max_ms;
         let backoff = state.apply_backoff(advice.backoff_ms, backoff_max_ms, now_ms);
-        limit.into_iter().chain(leaving).chain(backoff).collect()
+        let cold = match advice.cold_ms {
+            Field::Invalid => state.report_invalid(AdviceChange::InvalidCold),
+            _ => None,
+        };
+        let changes = limit.into_iter().chain(leaving).chain(backoff);
+        changes.chain(cold).collect()
     }
 
     /// Applies an update from a peer.
@@ -254,29 +306,48 @@
     }
 
     /// Endpoints to which no request may be sent now.
-    pub fn blocked(&mut self, now_ms: f64) -> Vec<(IncarnationHash, Blocked)> {
-        let incarnations: Vec<IncarnationHash> = self.states.keys().copied().collect();
+    pub fn blocked(&mut self, time: impl Into<CheckTime>) -> Vec<(IncarnationHash, Blocked)> {
+        let time = time.into();
+        let mut incarnations: Vec<IncarnationHash> = self.states.keys().copied().collect();
+        let cold = self.warm_up.cold_endpoints(time.boot_ms).into_iter();
+        incarnations.extend(cold.filter(|cold| !self.states.contains_key(cold)));
         let blocked = |incarnation: IncarnationHash| {
-            Some((incarnation, self.check(incarnation, now_ms).err()?))
+            Some((incarnation, self.check(incarnation, time).err()?))
         };
         incarnations.into_iter().filter_map(blocked).collect()
     }
 
-    /// Checks whether a request may be sent right now, and counts it. Returns whether peers should
-    /// be told.
-    pub fn permit(&mut self, incarnation: IncarnationHash, now_ms: f64) -> Result<bool, Blocked> {
-        self.check(incarnation, now_ms)?;
-        let Some(state) = self.states.get_mut(&incarnation) else {
-            return Ok(false);
-        };
-        if !state.limit.record_sent() {
-            return Ok(false);
+    /// Checks whether a request may be sent right now, and counts it.
+    pub fn permit(
+        &mut self,
+        incarnation: IncarnationHash,
+        time: impl Into<CheckTime>,
+    ) -> Result<Permission, Blocked> {
+        let time = time.into();
+        self.check(incarnation, time)?;
+        let warm_up = self.warm_up.permit(incarnation, time.boot_ms);
+        let warm_up = warm_up.map_err(blocked_by_warm_up)?;
+        let state = self.states.get_mut(&incarnation);
+        let is_news = state.is_some_and(|state| {
+            let is_limited = state.limit.record_sent();
+            if is_limited {
+                state.sent_to_peers_ms = None;
+            }
+            is_limited
+        });
+        Ok(Permission { is_news, warm_up })
+    }
+
+    fn check(&mut self, incarnation: IncarnationHash, time: CheckTime) -> Result<(), Blocked> {
+        self.check_advice(incarnation, time.now_ms)?;
+        match self.warm_up.blocked_for_ms(incarnation, time.boot_ms) {
+            blocked_for_ms if blocked_for_ms > 0.0 => Err(blocked_by_warm_up(blocked_for_ms)),
+            _ => Ok(()),
         }
-        state.sent_to_peers_ms = None;
-        Ok(true)
     }
 
-    fn check(&mut self, incarnation: IncarnationHash, now_ms: f64) -> Result<(), Blocked> {
+    /// Checks what the endpoint and peers have said.
+    fn check_advice(&mut self, incarnation: IncarnationHash, now_ms: f64) -> Result<(), Blocked> {
         let Some(state) = self.states.get_mut(&incarnation) else {
             return Ok(());
         };
@@ -316,7 +387,7 @@
 
     /// Whether there is no state for any endpoint.
     pub fn is_empty(&self) -> bool {
-        self.states.is_empty()
+        self.states.is_empty() && self.warm_up.is_empty()
     }
 
     /// Removes endpoints that are no longer listed or have no active backpressure, once
@@ -330,6 +401,13 @@
     }
 }
 
+fn blocked_by_warm_up(blocked_for_ms: f64) -> Blocked {
+    Blocked {
+        reason: BlockReason::WarmUp,
+        blocked_for_ms,
+    }
+}
+
 impl IncarnationState {
     /// The update to send to peers.
     fn peer_update(&self) -> PeerUpdate {
--- a/crates/mgs-backpressure/src/warm_up.rs
+++ b/crates/mgs-backpressure/src/warm_up.rs
@@ -29,6 +29,10 @@
 /// unreadable or lapse in an outage of the store and come back.
 const SIGNS_KEPT_MS: f64 = 120_000.0;
 
+/// Upper bound on the time for which an endpoint says that it stays cold, in milliseconds, so that
+/// one that names days by mistake is used fully again.
+pub const COLD_MAX_MS: f64 = 300_000.0;
+
 /// Settings of the limits of cold endpoints. They must be the same at all gateways.
 #[derive(Debug, Clone, PartialEq)]
 pub struct Options {
@@ -108,10 +112,14 @@
 }
 
 impl Signs {
-    fn is_cold(&self, now_ms: f64) -> bool {
-        let may_have_restarted =
-            self.ended_ms.is_some() && self.warm_from_ms.is_none_or(|ms| now_ms < ms);
-        now_ms < self.cold_until_ms || may_have_restarted
+    /// When the endpoint is no longer cold, in milliseconds; infinite if it may not have restarted
+    /// yet.
+    fn cold_end_ms(&self) -> f64 {
+        let restarted_ms = match self.ended_ms {
+            Some(_) => self.warm_from_ms.unwrap_or(f64::INFINITY),
+            None => f64::NEG_INFINITY,
+        };
+        self.cold_until_ms.max(restarted_ms)
     }
 }
 
@@ -176,6 +184,29 @@
     sent_ms: HashMap<u64, VecDeque<f64>>,
     /// Cached ranks, by identifier.
     ranks: HashMap<u64, usize>,
+    /// When no endpoint is cold any more, in milliseconds.
+    all_warm_from_ms: f64,
+}
+
+/// What a decision about a request to a cold endpoint is based on.
+#[derive(Debug, Clone, Copy, PartialEq)]
+pub struct Basis {
+    /// How long the endpoint stays cold, in milliseconds; infinite if it may not have restarted
+    /// yet.
+    pub cold_for_ms: f64,
+    /// Requests that this gateway may send within a window.
+    pub quota: usize,
+    /// Permits of the last window.
+    pub sent: usize,
+    /// Number of listed gateways.
+    pub gateways: usize,
+    /// Rank of this gateway among them at the endpoint.
+    pub rank: usize,
+    /// Time since the list was confirmed, in milliseconds; `None` if it never was.
+    pub list_age_ms: Option<f64>,
+    /// Time since this gateway's own entry was known to be in the store, in milliseconds; `None` if
+    /// it may be missing.
+    pub entry_age_ms: Option<f64>,
 }
 
 impl WarmUp {
@@ -200,6 +231,7 @@
             let last_ms = sent_ms.back().copied();
             last_ms.is_some_and(|last_ms| now_ms - last_ms < window_ms)
         });
+        self.update_all_warm_from();
     }
 
     /// Replaces the list of gateways.
@@ -218,10 +250,22 @@
         self.endpoints.is_empty()
     }
 
-    /// Records that an endpoint says it stays cold until this time.
-    pub fn extend_cold(&mut self, incarnation: IncarnationHash, until_ms: f64) {
+    /// Records that an endpoint says it stays cold for this time. Returns whether it wasn't cold.
+    pub fn extend_cold(
+        &mut self,
+        incarnation: IncarnationHash,
+        cold_for_ms: f64,
+        now_ms: f64,
+    ) -> bool {
+        if !self.endpoints.contains_key(&incarnation) {
+            return false;
+        }
+        let was_cold = self.is_cold(incarnation, now_ms);
+        let until_ms = now_ms + cold_for_ms.min(COLD_MAX_MS);
         let signs = self.signs.entry(incarnation).or_default();
         signs.cold_until_ms = signs.cold_until_ms.max(until_ms);
+        self.update_all_warm_from();
+        !was_cold && cold_for_ms > 0.0
     }
 
     /// Records that the process of an endpoint has ended or refuses connections. It may start again
@@ -234,9 +278,19 @@
         let is_new = signs.ended_ms.is_none() || signs.warm_from_ms.is_some();
         signs.ended_ms = Some(now_ms);
         signs.warm_from_ms = None;
+        self.update_all_warm_from();
         is_new
     }
 
+    /// Endpoints that were seen to have ended and not yet to listen again.
+    pub fn ended_endpoints(&self) -> Vec<IncarnationHash> {
+        let is_ended = |incarnation: &&IncarnationHash| {
+            let signs = self.signs.get(incarnation);
+            signs.is_some_and(|signs| signs.ended_ms.is_some() && signs.warm_from_ms.is_none())
+        };
+        self.endpoints.keys().filter(is_ended).copied().collect()
+    }
+
     /// Records that an endpoint that had ended accepts connections: it has started by now.
     pub fn record_listening(&mut self, incarnation: IncarnationHash, now_ms: f64) {
         let Some(endpoint) = self.endpoints.get(&incarnation) else {
@@ -245,19 +299,34 @@
         if let Some(signs) = self.signs.get_mut(&incarnation) {
             signs.warm_from_ms = Some(now_ms + endpoint.limit.start_ms);
         }
+        self.update_all_warm_from();
     }
 
     /// Whether an endpoint is cold and has a limit.
     pub fn is_cold(&self, incarnation: IncarnationHash, now_ms: f64) -> bool {
+        now_ms < self.cold_end_ms(incarnation)
+    }
+
+    /// When an endpoint is no longer cold, in milliseconds.
+    fn cold_end_ms(&self, incarnation: IncarnationHash) -> f64 {
         let Some(endpoint) = self.endpoints.get(&incarnation) else {
-            return false;
+            return f64::NEG_INFINITY;
         };
         let signs = self.signs.get(&incarnation);
-        now_ms < endpoint.cold_until_ms || signs.is_some_and(|signs| signs.is_cold(now_ms))
+        let signs_ms = signs.map_or(f64::NEG_INFINITY, Signs::cold_end_ms);
+        endpoint.cold_until_ms.max(signs_ms)
+    }
+
+    fn update_all_warm_from(&mut self) {
+        let ends_ms = self.endpoints.keys().map(|i| self.cold_end_ms(*i));
+        self.all_warm_from_ms = ends_ms.fold(f64::NEG_INFINITY, f64::max);
     }
 
     /// The cold endpoints.
     pub fn cold_endpoints(&self, now_ms: f64) -> Vec<IncarnationHash> {
+        if now_ms >= self.all_warm_from_ms {
+            return Vec::new();
+        }
         let incarnations = self.endpoints.keys().copied();
         incarnations.filter(|i| self.is_cold(*i, now_ms)).collect()
     }
@@ -329,12 +398,33 @@
         let Some(signs) = self.signs.get_mut(&incarnation) else {
             return;
         };
-        let was_cold = signs.is_cold(now_ms);
+        let was_cold = now_ms < signs.cold_end_ms();
         if signs.ended_ms.take().is_some() && was_cold {
             let until_ms = now_ms + endpoint.limit.start_ms;
             signs.cold_until_ms = signs.cold_until_ms.max(until_ms);
         }
         signs.warm_from_ms = None;
+        self.update_all_warm_from();
+    }
+
+    /// What a decision about a cold endpoint is based on; `None` if it isn't cold.
+    pub fn basis(&mut self, incarnation: IncarnationHash, now_ms: f64) -> Option<Basis> {
+        let endpoint = self.endpoints.get(&incarnation).copied();
+        let is_cold = self.is_cold(incarnation, now_ms);
+        let endpoint = endpoint.filter(|_| is_cold)?;
+        let quota = self.quota(&endpoint, now_ms);
+        let sent_ms = self.sent_ms.get(&endpoint.identifier);
+        let gateways = &self.gateways;
+        let age_ms = |at_ms: f64| now_ms - at_ms;
+        Some(Basis {
+            cold_for_ms: self.cold_end_ms(incarnation) - now_ms,
+            quota,
+            sent: sent_ms.map_or(0, VecDeque::len),
+            gateways: gateways.gateways(),
+            rank: gateways.rank(endpoint.identifier),
+            list_age_ms: gateways.confirmed_ms().map(age_ms),
+            entry_age_ms: gateways.entry_since_ms().map(age_ms),
+        })
     }
 
     /// Requests that this gateway may send to an endpoint within a window.
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -9,7 +9,10 @@
 use mgs_backpressure::table::AdviceChange;
 use mgs_backpressure::table::Backpressure;
 use mgs_backpressure::table::BlockReason;
+use mgs_backpressure::table::CheckTime;
 use mgs_backpressure::table::IncarnationHash;
+use mgs_backpressure::warm_up::ColdEndpoint;
+use mgs_backpressure::warm_up::ColdLimit;
 use proptest::prelude::any;
 use proptest::prelude::Just;
 use proptest::prelude::Strategy;
@@ -306,3 +309,52 @@
         prop_assert_eq!(limit_after(&updates), limit_after(&reversed));
     }
 }
+
+/// Guards against an answer for cold endpoints only where other backpressure is known, and against
+/// helpers that are left out although a part of a prompt isn't a request of theirs.
+#[test]
+fn a_cold_endpoint_without_other_state_is_blocked_for_requests_only() {
+    let mut table = Backpressure::new(Options::default());
+    assert!(table.is_empty());
+    let endpoint = ColdEndpoint {
+        incarnation: INCARNATION,
+        identifier: 7,
+        limit: ColdLimit {
+            requests_per_s: 44.0,
+            start_ms: 3_000.0,
+        },
+        cold_until_ms: 3_000.0,
+    };
+    table.warm_up().set_endpoints(vec![endpoint], 0.0);
+    assert!(!table.is_empty());
+    let time = CheckTime {
+        now_ms: 100.0,
+        boot_ms: 2_999.0,
+    };
+    let blocked = table.blocked(time);
+    assert_eq!(blocked.len(), 1);
+    assert_eq!(blocked[0].1.reason, BlockReason::WarmUp);
+    assert!(!blocked[0].1.reason.blocks_helpers());
+    let refused = table.permit(INCARNATION, time).expect_err("it is cold");
+    assert_eq!(refused.reason, BlockReason::WarmUp);
+    let later = CheckTime {
+        boot_ms: 3_000.0,
+        ..time
+    };
+    assert!(table.permit(INCARNATION, later).is_ok());
+    assert!(table.blocked(later).is_empty());
+}
+
+#[test]
+fn a_malformed_cold_time_is_reported_once() {
+    let mut table = Backpressure::new(Options::default());
+    let advice = Advice {
+        cold_ms: Field::Invalid,
+        ..Advice::default()
+    };
+    let changes = table.apply_advice(INCARNATION, advice, 0.0, 10.0);
+    assert_eq!(changes, [AdviceChange::InvalidCold]);
+    assert!(table
+        .apply_advice(INCARNATION, advice, 20.0, 30.0)
+        .is_empty());
+}
--- a/crates/mgs-backpressure/tests/warm_up_signs.rs
+++ b/crates/mgs-backpressure/tests/warm_up_signs.rs
@@ -103,7 +103,7 @@
     let mut warm_up = entitled();
     warm_up.set_endpoints(vec![endpoint(FIRST, 0.0)], 20_000.0);
     let permit = warm_up.permit(FIRST, 20_000.0).expect("a permit");
-    warm_up.extend_cold(FIRST, 25_000.0);
+    assert!(warm_up.extend_cold(FIRST, 5_000.0, 20_000.0));
     assert!(!warm_up.confirm_send(FIRST, permit, 20_100.0));
     assert!(warm_up.confirm_send(FIRST, permit, 25_000.0));
 }
@@ -111,7 +111,7 @@
 #[test]
 fn an_endpoint_without_a_limit_is_never_cold() {
     let mut warm_up = WarmUp::new(Options::default());
-    warm_up.extend_cold(FIRST, 25_000.0);
+    assert!(!warm_up.extend_cold(FIRST, 5_000.0, 20_000.0));
     assert!(!warm_up.record_end(FIRST, 20_000.0));
     assert!(!warm_up.is_cold(FIRST, 20_000.0));
     assert_eq!(permits(&mut warm_up, FIRST, 20_000.0), 50);
