feat(relay): limits of cold endpoints are kept on every path to an endpoint

Endpoints that had just started got as many requests as any other, from all gateways at once.

- The list of endpoints carries until when each is cold; the hash that gateways compare stays the same.
- The follower keeps the gateways ever listed, when the list was confirmed and since when its own entry is in the store, in boot time.
It polls the list every 6 s while a limit is configured.
An answer that doesn't contain all changes confirms nothing, and an entry that the store has lost is written again.
- `check_time` passes all this to the table before each check, so first dispatches, retries, resumed streams, leads and plain calls are covered.
The permit is checked once more when the connection is open; if it has expired, or the endpoint has become cold meanwhile, nothing is sent and the request is placed again without a retry.
- An endpoint that ended or refused connections is cold until 3 s after the next request.
A gateway without a quota can't send one, so it finds out by connecting when the endpoint listens again.
- `Published::mark_zone_cold` marks the endpoints of a zone that was restored.

Without a positive limit there are no further store calls, bytes between gateways or decisions.

--- a/crates/mgs-backpressure/src/warm_up.rs
+++ b/crates/mgs-backpressure/src/warm_up.rs
@@ -16,6 +16,7 @@
 //!
 //! All times are milliseconds of a clock that continues while the host is suspended.
 
+use std::cell::RefCell;
 use std::collections::HashMap;
 use std::collections::VecDeque;
 use std::sync::Arc;
@@ -106,18 +107,19 @@
     cold_until_ms: f64,
     /// When it was last seen to have ended, if no request was sent to it since, in milliseconds.
     ended_ms: Option<f64>,
-    /// Time after which an endpoint that has ended isn't cold any more, since it was listening
-    /// again long enough before, in milliseconds.
+    /// When an endpoint that has ended isn't cold any more for a gateway that may not send to it
+    /// while it is cold, in milliseconds: it was seen to listen long enough before.
     warm_from_ms: Option<f64>,
 }
 
 impl Signs {
     /// When the endpoint is no longer cold, in milliseconds; infinite if it may not have restarted
-    /// yet.
-    fn cold_end_ms(&self) -> f64 {
-        let restarted_ms = match self.ended_ms {
-            Some(_) => self.warm_from_ms.unwrap_or(f64::INFINITY),
-            None => f64::NEG_INFINITY,
+    /// yet. A gateway with a quota finds out when with its next request.
+    fn cold_end_ms(&self, has_quota: bool) -> f64 {
+        let restarted_ms = match (self.ended_ms, self.warm_from_ms) {
+            (Some(_), Some(warm_from_ms)) if !has_quota => warm_from_ms,
+            (Some(_), _) => f64::INFINITY,
+            (None, _) => f64::NEG_INFINITY,
         };
         self.cold_until_ms.max(restarted_ms)
     }
@@ -183,7 +185,7 @@
     /// Times of the permits of the last window, by identifier.
     sent_ms: HashMap<u64, VecDeque<f64>>,
     /// Cached ranks, by identifier.
-    ranks: HashMap<u64, usize>,
+    ranks: RefCell<HashMap<u64, usize>>,
     /// When no endpoint is cold any more, in milliseconds.
     all_warm_from_ms: f64,
 }
@@ -240,7 +242,7 @@
             return;
         }
         if gateways.gateways() != self.gateways.gateways() {
-            self.ranks.clear();
+            self.ranks.get_mut().clear();
         }
         self.gateways = gateways;
     }
@@ -304,21 +306,25 @@
 
     /// Whether an endpoint is cold and has a limit.
     pub fn is_cold(&self, incarnation: IncarnationHash, now_ms: f64) -> bool {
-        now_ms < self.cold_end_ms(incarnation)
+        now_ms < self.cold_end_ms(incarnation, now_ms)
     }
 
     /// When an endpoint is no longer cold, in milliseconds.
-    fn cold_end_ms(&self, incarnation: IncarnationHash) -> f64 {
+    fn cold_end_ms(&self, incarnation: IncarnationHash, now_ms: f64) -> f64 {
         let Some(endpoint) = self.endpoints.get(&incarnation) else {
             return f64::NEG_INFINITY;
         };
-        let signs = self.signs.get(&incarnation);
-        let signs_ms = signs.map_or(f64::NEG_INFINITY, Signs::cold_end_ms);
-        endpoint.cold_until_ms.max(signs_ms)
+        let Some(signs) = self.signs.get(&incarnation) else {
+            return endpoint.cold_until_ms;
+        };
+        let has_quota = signs.warm_from_ms.is_some() && self.quota(endpoint, now_ms) > 0;
+        endpoint.cold_until_ms.max(signs.cold_end_ms(has_quota))
     }
 
     fn update_all_warm_from(&mut self) {
-        let ends_ms = self.endpoints.keys().map(|i| self.cold_end_ms(*i));
+        let entries_ms = self.endpoints.values().map(|e| e.cold_until_ms);
+        let signs_ms = self.signs.values().map(|signs| signs.cold_end_ms(true));
+        let ends_ms = entries_ms.chain(signs_ms);
         self.all_warm_from_ms = ends_ms.fold(f64::NEG_INFINITY, f64::max);
     }
 
@@ -395,10 +401,10 @@
         let Some(endpoint) = self.endpoints.get(&incarnation) else {
             return;
         };
+        let was_cold = self.is_cold(incarnation, now_ms);
         let Some(signs) = self.signs.get_mut(&incarnation) else {
             return;
         };
-        let was_cold = now_ms < signs.cold_end_ms();
         if signs.ended_ms.take().is_some() && was_cold {
             let until_ms = now_ms + endpoint.limit.start_ms;
             signs.cold_until_ms = signs.cold_until_ms.max(until_ms);
@@ -408,7 +414,7 @@
     }
 
     /// What a decision about a cold endpoint is based on; `None` if it isn't cold.
-    pub fn basis(&mut self, incarnation: IncarnationHash, now_ms: f64) -> Option<Basis> {
+    pub fn basis(&self, incarnation: IncarnationHash, now_ms: f64) -> Option<Basis> {
         let endpoint = self.endpoints.get(&incarnation).copied();
         let is_cold = self.is_cold(incarnation, now_ms);
         let endpoint = endpoint.filter(|_| is_cold)?;
@@ -417,29 +423,33 @@
         let gateways = &self.gateways;
         let age_ms = |at_ms: f64| now_ms - at_ms;
         Some(Basis {
-            cold_for_ms: self.cold_end_ms(incarnation) - now_ms,
+            cold_for_ms: self.cold_end_ms(incarnation, now_ms) - now_ms,
             quota,
             sent: sent_ms.map_or(0, VecDeque::len),
             gateways: gateways.gateways(),
-            rank: gateways.rank(endpoint.identifier),
+            rank: self.rank(endpoint.identifier),
             list_age_ms: gateways.confirmed_ms().map(age_ms),
             entry_age_ms: gateways.entry_since_ms().map(age_ms),
         })
     }
 
     /// Requests that this gateway may send to an endpoint within a window.
-    fn quota(&mut self, endpoint: &ColdEndpoint, now_ms: f64) -> usize {
+    fn quota(&self, endpoint: &ColdEndpoint, now_ms: f64) -> usize {
         if !self.gateways.may_send(now_ms, &self.options) {
             return 0;
         }
-        let gateways = &self.gateways;
-        let rank = self.ranks.entry(endpoint.identifier);
-        let rank = *rank.or_insert_with(|| gateways.rank(endpoint.identifier));
         quota(
             endpoint.limit.requests_per_s,
-            gateways.gateways(),
-            rank,
+            self.gateways.gateways(),
+            self.rank(endpoint.identifier),
             &self.options,
         )
     }
+
+    /// The rank of this gateway at an endpoint.
+    fn rank(&self, identifier: u64) -> usize {
+        let mut ranks = self.ranks.borrow_mut();
+        let rank = ranks.entry(identifier);
+        *rank.or_insert_with(|| self.gateways.rank(identifier))
+    }
 }
--- a/crates/mgs-backpressure/tests/warm_up_signs.rs
+++ b/crates/mgs-backpressure/tests/warm_up_signs.rs
@@ -88,6 +88,21 @@
     assert!(warm_up.is_cold(FIRST, 40_000.0));
 }
 
+/// A gateway that may send to it learns from its own request when it started.
+#[test]
+fn an_endpoint_that_listens_again_stays_cold_for_a_gateway_with_a_quota() {
+    let mut warm_up = entitled();
+    warm_up.set_endpoints(vec![endpoint(FIRST, 0.0)], 20_000.0);
+    warm_up.record_end(FIRST, 20_000.0);
+    warm_up.record_listening(FIRST, 21_000.0);
+    assert!(warm_up.is_cold(FIRST, 30_000.0));
+    assert_eq!(warm_up.cold_endpoints(30_000.0), [FIRST]);
+    let permit = warm_up.permit(FIRST, 30_000.0).expect("a permit");
+    assert!(warm_up.confirm_send(FIRST, permit, 30_000.0));
+    assert!(warm_up.is_cold(FIRST, 32_900.0));
+    assert!(!warm_up.is_cold(FIRST, 33_000.0));
+}
+
 #[test]
 fn a_permit_expires() {
     let mut warm_up = entitled();
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -7,6 +7,7 @@
 use std::sync::Arc;
 
 use http::response;
+use mgs_backpressure::advice::Field;
 use mgs_backpressure::peer_update::LimitUpdate;
 use mgs_backpressure::peer_update::PeerUpdate;
 use mgs_backpressure::share::Gateways;
@@ -14,6 +15,7 @@
 use mgs_backpressure::table::BlockReason;
 use mgs_backpressure::table::Blocked;
 use mgs_backpressure::table::IncarnationHash;
+use mgs_backpressure::warm_up::Permit;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::peer_message::AdviceAt;
 use mgs_placing::peer_message::LimitStatement;
@@ -74,6 +76,7 @@
             leaving = count(BlockReason::Leaving),
             resting = count(BlockReason::Backoff),
             limited = count(BlockReason::Limit),
+            warming = count(BlockReason::WarmUp),
             retry_after_ms = retry_after_ms;
             "all endpoints are shut"
         );
@@ -91,9 +94,15 @@
         sent_ms: f64,
     ) {
         let advice = self.dialect.advice(client_request, head);
-        let now_ms = self.now_ms();
+        let time = self.check_time();
         let mut table = self.backpressure.borrow_mut();
-        let changes = table.apply_advice(incarnation(endpoint), advice, sent_ms, now_ms);
+        let mut changes = table.apply_advice(incarnation(endpoint), advice, sent_ms, time.now_ms);
+        if let Field::Value(cold_ms) = advice.cold_ms {
+            let warm_up = table.warm_up();
+            if warm_up.extend_cold(incarnation(endpoint), cold_ms, time.boot_ms) {
+                changes.push(AdviceChange::Cold(cold_ms));
+            }
+        }
         drop(table);
         for change in changes {
             self.broadcast_wanted.notify_one();
@@ -108,28 +117,31 @@
         change: AdviceChange,
     ) {
         self.metrics.advice.inc(change.name());
-        let (limit_per_s, backoff_ms) = match change {
-            AdviceChange::Limited(per_s) => (per_s, 0.0),
-            AdviceChange::BackoffRequested(backoff_ms) => (0.0, backoff_ms),
-            _ => (0.0, 0.0),
+        let (limit_per_s, backoff_ms, cold_ms) = match change {
+            AdviceChange::Limited(per_s) => (per_s, 0.0, 0.0),
+            AdviceChange::BackoffRequested(backoff_ms) => (0.0, backoff_ms, 0.0),
+            AdviceChange::Cold(cold_ms) => (0.0, 0.0, cold_ms),
+            _ => (0.0, 0.0, 0.0),
         };
         log::info!(
             endpoint = endpoint.facts.incarnation.id,
             request_id = client_request.request_id,
             news = change.name(),
             limit_per_s = limit_per_s,
-            rest_ms = backoff_ms;
+            rest_ms = backoff_ms,
+            cold_ms = cold_ms;
             "an endpoint says of itself"
         );
     }
 
     /// Endpoints that may not be sent a request now.
     pub(crate) fn blocked_endpoints(&self) -> BlockedEndpoints {
+        let time = self.check_time();
         if self.backpressure.borrow().is_empty() {
             return BlockedEndpoints::default();
         }
         let by_hash = self.published.endpoint_keys_by_hash();
-        let blocked = self.backpressure.borrow_mut().blocked(self.now_ms());
+        let blocked = self.backpressure.borrow_mut().blocked(time);
         let keyed = |(incarnation, blocked): (IncarnationHash, Blocked)| {
             Some((*by_hash.get(&incarnation.0)?, blocked))
         };
@@ -137,22 +149,35 @@
     }
 
     /// Checks right before a dispatch whether the endpoint may get it, and counts it.
-    pub(crate) fn permit_dispatch(&self, endpoint: &Endpoint) -> Result<(), Blocked> {
+    pub(crate) fn permit_dispatch(
+        &self,
+        endpoint: &Endpoint,
+        client_request: &ClientRequest,
+    ) -> Result<Permit, Blocked> {
+        let time = self.check_time();
         let mut table = self.backpressure.borrow_mut();
         if table.is_empty() {
-            return Ok(());
+            return Ok(Permit::default());
         }
-        match table.permit(incarnation(endpoint), self.now_ms()) {
-            Ok(true) => self.broadcast_wanted.notify_one(),
-            Ok(false) => {}
+        let permitted = table.permit(incarnation(endpoint), time);
+        drop(table);
+        match permitted {
+            Ok(permission) => {
+                if permission.is_news {
+                    self.broadcast_wanted.notify_one();
+                }
+                Ok(permission.warm_up)
+            }
             Err(blocked) => {
                 self.metrics
                     .blocked_before_dispatch
                     .inc(blocked.reason.name());
-                return Err(blocked);
+                if blocked.reason == BlockReason::WarmUp {
+                    self.log_cold(endpoint, client_request, "blocked", time);
+                }
+                Err(blocked)
             }
         }
-        Ok(())
     }
 
     /// Time on the clock that the gateways share, in milliseconds.
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -14,6 +14,7 @@
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::body::Incoming;
+use mgs_backpressure::warm_up::Permit;
 
 use crate::connection::describe;
 use crate::connection::loss_cause;
@@ -61,6 +62,8 @@
         /// Whether the helper held a memory reservation for the request.
         is_reserved: bool,
     },
+    /// The request wasn't sent, since its permit had expired when the connection opened.
+    PermitExpired,
     /// The request may have run; there is no usable response.
     Unknown { lost: LossCause, why: String },
     /// A complete response.
@@ -79,6 +82,7 @@
     request: Request<Bytes>,
     client_request: &ClientRequest,
     is_streaming: bool,
+    permit: Permit,
 ) -> DispatchResult {
     let start = Instant::now();
     let within = Duration::from_millis(core.options.connect_timeout_ms);
@@ -88,6 +92,9 @@
     };
     let took_ms = start.elapsed().as_secs_f64() * 1e3;
     core.metrics.connect_ms.observe(took_ms);
+    if !core.confirm_send(endpoint, permit, client_request) {
+        return DispatchResult::PermitExpired;
+    }
     let sent_ms = core.now_ms();
     let response = match connection.send(request).await {
         Ok(response) => response,
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -36,6 +36,7 @@
 use crate::traffic::Traffic;
 use crate::view::Endpoint;
 use crate::view::Published;
+use crate::warm_up::WarmUpState;
 
 /// Number of peers below which every change is broadcast to all of them at once: the bytes sent
 /// grow with the square of the number of gateways.
@@ -81,6 +82,7 @@
     pub(crate) helpers: RefCell<HelperRefusals>,
     /// Rate limits, pauses and shutdown notices that endpoints ask their senders to observe.
     pub(crate) backpressure: RefCell<Backpressure>,
+    pub(crate) warm_up: WarmUpState,
     /// Budget of retries.
     pub(crate) budget: RefCell<RetryBudget>,
     /// Probes in flight that check whether an endpoint's process has ended.
--- a/crates/mgs-relay/src/dispatch_outcome.rs
+++ b/crates/mgs-relay/src/dispatch_outcome.rs
@@ -8,6 +8,9 @@
 /// Outcome of a dispatch that failed because a helper refused.
 pub(crate) const HELPER_REFUSED: &str = "helper_refused";
 
+/// Outcome of a dispatch that wasn't sent, since its permit had expired when its connection opened.
+pub(crate) const PERMIT_EXPIRED: &str = "permit_expired";
+
 /// Time in milliseconds after which a helper's refusal means that it is dead or cut off: the engine
 /// had waited for it.
 const STALLED_MS: u64 = 1_000;
@@ -61,6 +64,7 @@
                 }
                 why
             }
+            DispatchResult::PermitExpired => PERMIT_EXPIRED,
             DispatchResult::HelperRefused {
                 helper,
                 is_reserved,
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -25,6 +25,7 @@
 use crate::dialect::ClientRequest;
 use crate::dialect::Dispatch;
 use crate::dispatch_outcome::HELPER_REFUSED;
+use crate::dispatch_outcome::PERMIT_EXPIRED;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::lost_run;
@@ -136,6 +137,9 @@
                 Err(failed) => failed,
             };
             self.core.metrics.dispatches.inc(failed.name);
+            if failed.name == PERMIT_EXPIRED {
+                continue;
+            }
             if self.may_try_again(&failed) {
                 self.core.metrics.retries.inc(failed.name);
                 continue;
@@ -181,7 +185,7 @@
     /// is placed again.
     async fn place_and_wait(&self) -> Result<PlacedRequest, Refusal> {
         loop {
-            let placed = self.place().await?;
+            let mut placed = self.place().await?;
             if placed.hold_ms > 0.0 {
                 sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
             }
@@ -192,8 +196,14 @@
                 );
                 continue;
             }
-            match self.core.permit_dispatch(&placed.endpoint) {
-                Ok(()) => return Ok(placed),
+            match self
+                .core
+                .permit_dispatch(&placed.endpoint, &self.client_request)
+            {
+                Ok(permit) => {
+                    placed.permit = permit;
+                    return Ok(placed);
+                }
                 Err(blocked) => {
                     advice::log_blocked(&self.client_request, &placed.endpoint, blocked)
                 }
@@ -299,6 +309,7 @@
             request,
             &self.client_request,
             is_streaming,
+            placed.permit,
         );
         let result = match self.first_response_timeout(&placed) {
             None => sending.await,
@@ -325,6 +336,11 @@
                 self.progress.tried.push(endpoint.key);
                 Err(FailedDispatch::not_run(why))
             }
+            // Nothing was sent, so placing the request again is no retry.
+            DispatchResult::PermitExpired => {
+                self.progress.dispatches -= 1;
+                Err(FailedDispatch::not_run(PERMIT_EXPIRED))
+            }
             // The answering engine isn't at fault and may be chosen again.
             DispatchResult::HelperRefused { helper, .. } => {
                 self.progress.tried.push(helper.key);
--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -14,6 +14,7 @@
 use std::thread;
 use std::time::Duration;
 
+use mgs_backpressure::warm_up::lease::GatewayList;
 use mgs_observe::metrics::Counters;
 use tokio::runtime::Builder;
 use tokio::task::LocalSet;
@@ -65,6 +66,9 @@
     /// Duration of a long poll for changes of the list of gateways, in milliseconds. It may be
     /// long, since new gateways send messages to their peers.
     pub gateways_wait_ms: u64,
+    /// The same while the configuration limits requests to cold endpoints, since the right to send
+    /// to them depends on it. Two polls are within the lease of that right.
+    pub gateways_warm_up_wait_ms: u64,
     /// Delay after a read that returned additions only, in milliseconds: endpoints and gateways
     /// start many at a time, and each start would otherwise cost every gateway a call. Shutdowns
     /// and removals cause no delay.
@@ -103,6 +107,7 @@
             wait_ms: 1_500,
             long_wait_ms: 15_000,
             gateways_wait_ms: 20_000,
+            gateways_warm_up_wait_ms: 6_000,
             gather_ms: 300,
             gather_all_ms: 0,
             gather_all_from: 25,
@@ -239,6 +244,13 @@
     wait_was_aborted: bool,
     endpoints: Rc<RefCell<Endpoints>>,
     gateways: HashMap<String, SocketAddr>,
+    /// The gateways ever listed, and the times on which the right to send to cold endpoints
+    /// depends.
+    gateway_list: GatewayList,
+    /// When the last call to the store began, in milliseconds since the host was started.
+    call_boot_ms: f64,
+    /// Malformed times for which endpoints are cold that were logged, by identifier.
+    logged_cold: HashMap<String, String>,
     bad_rows: BadRows,
     rollbacks: Counters,
     calls: StoreCalls,
@@ -254,6 +266,9 @@
     ) -> Self {
         Self {
             topic,
+            gateway_list: GatewayList::new(&options.name),
+            call_boot_ms: 0.0,
+            logged_cold: HashMap::new(),
             options,
             published,
             revision: None,
@@ -284,6 +299,7 @@
     /// address.
     async fn register_if_unlisted(&mut self, source: &mut dyn Source) -> Result<(), SourceError> {
         let start_ms = self.published.now_ms();
+        self.call_boot_ms = self.published.boot_ms();
         self.calls.count(CallReason::Whole);
         let batch = source.read_all(self.topic).await?;
         self.apply(batch, start_ms);
@@ -292,13 +308,24 @@
             return Ok(());
         }
         self.calls.count(CallReason::Register);
-        source.register(&self.options.name, own).await
+        source.register(&self.options.name, own).await?;
+        self.note_registered();
+        Ok(())
+    }
+
+    /// Records that the store has acknowledged this gateway's entry.
+    fn note_registered(&mut self) {
+        self.needs_registration = false;
+        self.gateway_list
+            .acknowledge_entry(self.published.boot_ms());
+        self.published.put_gateway_list(self.gateway_list.clone());
     }
 
     /// Reads the topic in full, or waits for changes. Returns `None` if the wait was given up
     /// because a peer has newer content, or because nothing has confirmed the known content
     /// recently.
     async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
+        self.call_boot_ms = self.published.boot_ms();
         let now_ms = self.published.now_ms();
         if self.full_read_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
             self.full_read_at_ms = None;
@@ -352,7 +379,11 @@
             return 0;
         }
         let Some(freshness) = self.freshness() else {
-            return self.options.gateways_wait_ms;
+            let wait_ms = self.options.gateways_wait_ms;
+            return match self.published.has_warm_up_limits() {
+                true => wait_ms.min(self.options.gateways_warm_up_wait_ms),
+                false => wait_ms,
+            };
         };
         if wait_was_aborted || self.is_stale(freshness) {
             // Tell past changes apart from future ones, see `note_store_answered`.
@@ -483,7 +514,7 @@
         self.calls.count(CallReason::Register);
         let own = self.options.peer_address;
         match source.register(&self.options.name, own).await {
-            Ok(()) => self.needs_registration = false,
+            Ok(()) => self.note_registered(),
             Err(error) => {
                 log::warn!(error:% = error; "this gateway's entry can't be written again")
             }
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -3,6 +3,7 @@
 use std::net::SocketAddr;
 use std::sync::Arc;
 
+use mgs_backpressure::warm_up::COLD_MAX_MS;
 use mgs_quarantine::shared::SharedRecord;
 
 use super::Follower;
@@ -17,6 +18,10 @@
 use crate::source::Update;
 use crate::view::Configuration;
 
+/// Maximum number of endpoints whose malformed cold times are remembered as logged; beyond it all of
+/// them may be logged again.
+const LOGGED_COLD_MAX: usize = 10_000;
+
 impl Follower {
     /// Applies the result of a read that began at `start_ms`.
     pub(super) fn apply(&mut self, batch: Batch, start_ms: u64) {
@@ -24,6 +29,8 @@
             self.track_bad_row(update);
         }
         let is_full_read = self.revision.is_none();
+        let is_first_read = self.era.is_none();
+        let has_more = batch.has_more;
         self.revision = Some(batch.revision);
         let has_rolled_back = self.update_era(batch.revision);
         match self.topic {
@@ -34,10 +41,21 @@
                     self.endpoints.borrow_mut().note_rollback(now_ms);
                     self.full_read_at_ms = Some(now_ms + ENTRY_EXPIRY_MS);
                 }
-                self.apply_endpoints(batch.updates, is_full_read, start_ms);
+                let listed_ms = (!is_first_read).then(|| self.published.now_ms());
+                self.apply_endpoints(batch.updates, is_full_read, start_ms, listed_ms);
+            }
+            Topic::Gateways if has_rolled_back => {
+                self.extend_gateway_list(&batch.updates);
+                self.apply_rolled_back_gateways(batch.updates);
+                self.confirm_gateway_list(!self.needs_registration, has_more);
+            }
+            Topic::Gateways => {
+                self.extend_gateway_list(&batch.updates);
+                self.apply_gateways(batch.updates, is_full_read);
+                let own = self.gateways.get(&self.options.name);
+                let has_own_entry = own == Some(&self.options.peer_address);
+                self.confirm_gateway_list(has_own_entry, has_more);
             }
-            Topic::Gateways if has_rolled_back => self.apply_rolled_back_gateways(batch.updates),
-            Topic::Gateways => self.apply_gateways(batch.updates, is_full_read),
         }
     }
 
@@ -98,7 +116,7 @@
             }
             Update::Configuration(_) => self.bad_rows.clear_all(self.topic),
             // Handled in `apply_endpoints`, which knows whether the entry is accepted.
-            Update::Endpoint(_) | Update::EndpointRemoved { .. } => {}
+            Update::Endpoint(_) | Update::EndpointRemoved { .. } | Update::EndpointCold { .. } => {}
         }
     }
 
@@ -150,9 +168,17 @@
         }
     }
 
-    fn apply_endpoints(&mut self, updates: Vec<Update>, is_full_read: bool, start_ms: u64) {
+    /// `listed_ms` is the time at which new endpoints were first listed, if it is known.
+    fn apply_endpoints(
+        &mut self,
+        updates: Vec<Update>,
+        is_full_read: bool,
+        start_ms: u64,
+        listed_ms: Option<u64>,
+    ) {
         let now_ms = self.published.now_ms();
-        let mut endpoints = self.endpoints.borrow_mut();
+        let endpoints = self.endpoints.clone();
+        let mut endpoints = endpoints.borrow_mut();
         let origin = match is_full_read {
             true => Origin::Snapshot,
             false => Origin::Change,
@@ -174,7 +200,22 @@
                             .report(self.topic, &BadRow::without_detail(&id, fault)),
                     }
                 }
+                Update::EndpointCold {
+                    id,
+                    remaining_ms: Ok(remaining_ms),
+                } => {
+                    self.logged_cold.remove(&id);
+                    let remaining_ms = remaining_ms.min(COLD_MAX_MS as u64);
+                    if remaining_ms > 0 {
+                        endpoints.extend_cold(&id, now_ms + remaining_ms);
+                    }
+                }
+                Update::EndpointCold {
+                    id,
+                    remaining_ms: Err(value),
+                } => self.log_malformed_cold(id, value),
                 Update::EndpointRemoved { id } => {
+                    self.logged_cold.remove(&id);
                     self.bad_rows.clear(self.topic, &id);
                     endpoints.mark_missing(&id, now_ms);
                 }
@@ -182,6 +223,7 @@
                 _ => {}
             }
         }
+        endpoints.date_new(listed_ms);
         // After the updates: an endpoint that is missing now may still be replaced by a later
         // incarnation at its address.
         if let Some(listed) = listed {
@@ -196,6 +238,45 @@
         freshness.confirm(start_ms);
     }
 
+    /// Logs a malformed time for which an endpoint is cold, unless it was logged before. The rest of
+    /// the entry is used.
+    fn log_malformed_cold(&mut self, id: String, value: String) {
+        if self.logged_cold.len() >= LOGGED_COLD_MAX {
+            self.logged_cold.clear();
+        }
+        if self.logged_cold.get(&id) != Some(&value) {
+            log::warn!(
+                endpoint = id, value = value;
+                "the time for which an endpoint is cold can't be read; its entry is used without it"
+            );
+            self.logged_cold.insert(id, value);
+        }
+    }
+
+    /// Adds the gateways that a read lists to those that were ever listed. One whose row can't be
+    /// parsed may still send.
+    fn extend_gateway_list(&mut self, updates: &[Update]) {
+        for update in updates {
+            if let Update::Gateway { name, .. } | Update::Unreadable { key: name, .. } = update {
+                self.gateway_list.add(name);
+            }
+        }
+    }
+
+    /// Records that a read, which was applied, covers the list of gateways. A read without all
+    /// changes confirms nothing.
+    fn confirm_gateway_list(&mut self, has_own_entry: bool, has_more: bool) {
+        if has_more {
+            return;
+        }
+        let now_ms = self.published.boot_ms();
+        self.gateway_list
+            .confirm(self.call_boot_ms, now_ms, has_own_entry);
+        self.published.put_gateway_list(self.gateway_list.clone());
+        // Without a limit, peers find this gateway by its messages.
+        self.needs_registration |= !has_own_entry && self.published.has_warm_up_limits();
+    }
+
     fn apply_gateways(&mut self, updates: Vec<Update>, is_full_read: bool) {
         if is_full_read {
             self.gateways.clear();
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -62,3 +62,4 @@
 mod traffic;
 pub mod view;
 mod wait;
+pub mod warm_up;
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -20,6 +20,7 @@
 use crate::source::Update;
 use crate::view::Endpoint;
 use crate::view::Fleet;
+use crate::warm_up::ColdSigns;
 
 /// Maximum number of identifiers and of removed incarnations that are remembered although they
 /// aren't listed any more, so that a writer of ever new identifiers can't fill a host's memory.
@@ -51,6 +52,9 @@
     missing_since_ms: Option<u64>,
     /// Whether its row can't be parsed any more.
     is_unreadable: bool,
+    cold: ColdSigns,
+    /// Whether it was inserted since the last call of [`Endpoints::date_new`].
+    is_new: bool,
 }
 
 impl Entry {
@@ -265,10 +269,31 @@
             facts,
             missing_since_ms: None,
             is_unreadable: false,
+            cold: ColdSigns::default(),
+            is_new: true,
         };
         self.entries.insert(id, entry);
     }
 
+    /// Records that an endpoint's entry says it is cold until this time, in milliseconds. The hash
+    /// that gateways compare doesn't depend on it, since each reads the entry at another time.
+    pub fn extend_cold(&mut self, id: &str, until_ms: u64) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            self.is_changed |= until_ms > entry.cold.entry_until_ms;
+            entry.cold.entry_until_ms = entry.cold.entry_until_ms.max(until_ms);
+        }
+    }
+
+    /// Records when the incarnations that are new since the last call were first listed, in
+    /// milliseconds; `None` if they may have been listed at any time before.
+    pub fn date_new(&mut self, listed_ms: Option<u64>) {
+        for entry in self.entries.values_mut() {
+            if std::mem::take(&mut entry.is_new) {
+                entry.cold.listed_ms = listed_ms;
+            }
+        }
+    }
+
     /// Records that the row of an endpoint can't be parsed: it isn't used until it can. Its key is
     /// kept, since the same incarnation may be listed again.
     pub fn mark_unreadable(&mut self, id: &str) {
@@ -388,6 +413,7 @@
         let endpoint = |entry: &Entry| Endpoint {
             key: entry.key,
             facts: entry.facts.clone(),
+            cold: entry.cold,
         };
         let used = self.entries.values().filter(|entry| !entry.is_unreadable);
         let mut endpoints: Vec<Endpoint> = used.map(endpoint).collect();
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -56,6 +56,8 @@
     pub(crate) advice: Counters,
     /// Requests placed at an endpoint that must not be sent anything any more, by reason.
     pub(crate) blocked_before_dispatch: Counters,
+    /// Requests to cold endpoints whose connections opened, by whether they were sent.
+    pub(crate) cold_dispatches: Counters,
     /// Runs that returned no answer, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Requests that were held or released.
@@ -138,6 +140,11 @@
                 "Requests placed at an endpoint that may not be sent anything any more",
                 "reason",
             ),
+            cold_dispatches: registry.counters(
+                "relay_cold_dispatches",
+                "Requests to cold endpoints whose connections opened",
+                "outcome",
+            ),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/peer_fallback.rs
+++ b/crates/mgs-relay/src/peer_fallback.rs
@@ -20,6 +20,7 @@
 use crate::peer_snapshot::PeerSnapshot;
 use crate::view::Configuration;
 use crate::view::Published;
+use crate::warm_up::WarmUpSnapshot;
 
 /// Interval between checks whether a peer has newer data while the store is unreachable.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
@@ -96,11 +97,22 @@
 fn apply_handover(published: &Published, endpoints: &RefCell<Endpoints>, handover: PeerSnapshot) {
     let is_lost =
         |belief: &Freshness| belief.store_lost_since_ms().is_some() || belief.content_id() == 0;
+    let mut configuration = Configuration::clone(&handover.configuration);
+    if let Some(warm_up) = &handover.warm_up {
+        warm_up.add_limits(&mut configuration);
+    }
     // `put_configuration` ignores an older configuration.
-    published.put_configuration(Configuration::clone(&handover.configuration));
+    published.put_configuration(configuration);
     if is_lost(published.endpoint_freshness()) {
         let mut endpoints = endpoints.borrow_mut();
-        endpoints.replace_all(handover.endpoints, published.now_ms());
+        let now_ms = published.now_ms();
+        // Any endpoint of the first list may have run for long; the peer tells which are cold.
+        let listed_ms = (!endpoints.is_empty()).then_some(now_ms);
+        endpoints.replace_all(handover.endpoints, now_ms);
+        endpoints.date_new(listed_ms);
+        for (id, remaining_ms) in handover.warm_up.iter().flat_map(WarmUpSnapshot::cold) {
+            endpoints.extend_cold(id, now_ms + remaining_ms);
+        }
         published
             .endpoint_freshness()
             .set_content_id(endpoints.content_hash());
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -18,6 +18,7 @@
 use crate::source::EndpointFacts;
 use crate::view::Configuration;
 use crate::view::Published;
+use crate::warm_up::WarmUpSnapshot;
 
 /// Timeout of a whole exchange with a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -34,11 +35,20 @@
     All(PeerSnapshot),
 }
 
+/// A reply with what follows it where the configuration limits requests to cold endpoints. Earlier
+/// releases ignore bytes after the reply.
+struct Received {
+    reply: Reply,
+    warm_up: Option<WarmUpSnapshot>,
+}
+
 /// All that a gateway needs to serve.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PeerSnapshot {
     pub(crate) configuration: Arc<Configuration>,
     pub(crate) endpoints: Vec<EndpointFacts>,
+    #[serde(skip)]
+    pub(crate) warm_up: Option<WarmUpSnapshot>,
 }
 
 impl PeerSnapshot {
@@ -49,6 +59,7 @@
         Some(Self {
             configuration,
             endpoints: endpoints.collect(),
+            warm_up: WarmUpSnapshot::of(published),
         })
     }
 }
@@ -67,8 +78,14 @@
 
 async fn send(core: Rc<Core>, mut stream: TcpStream, peer: SocketAddr) {
     let reply = PeerSnapshot::of(&core.published).map_or(Reply::NothingYet, Reply::All);
-    let message = bincode::serde::encode_to_vec(&reply, bincode::config::standard())
-        .expect("BUG: a snapshot is plain data");
+    let mut message = encode(&reply);
+    if let Reply::All(PeerSnapshot {
+        warm_up: Some(warm_up),
+        ..
+    }) = &reply
+    {
+        message.extend(encode(warm_up));
+    }
     let sending = async {
         stream.write_all(&message).await?;
         stream.shutdown().await
@@ -85,18 +102,32 @@
     }
 }
 
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .expect("BUG: a snapshot is plain data")
+}
+
 /// Asks peers one after the other, and returns the first snapshot received.
 pub(crate) async fn fetch_first(peers: &[SocketAddr]) -> Option<PeerSnapshot> {
     for peer in peers {
         match timeout(EXCHANGE_TIMEOUT, fetch(*peer)).await {
-            Ok(Ok(Reply::NothingYet)) => log::info!(peer:% = peer; "a peer knows nothing yet"),
-            Ok(Ok(Reply::All(snapshot))) => {
+            Ok(Ok(Received {
+                reply: Reply::NothingYet,
+                ..
+            })) => log::info!(peer:% = peer; "a peer knows nothing yet"),
+            Ok(Ok(Received {
+                reply: Reply::All(snapshot),
+                warm_up,
+            })) => {
                 log::info!(
                     peer:% = peer, configuration = snapshot.configuration.version,
                     endpoints = snapshot.endpoints.len();
                     "a peer told what the store can't"
                 );
-                return Some(snapshot);
+                return Some(PeerSnapshot {
+                    warm_up,
+                    ..snapshot
+                });
             }
             Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
             Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
@@ -105,7 +136,7 @@
     None
 }
 
-async fn fetch(peer: SocketAddr) -> Result<Reply, String> {
+async fn fetch(peer: SocketAddr) -> Result<Received, String> {
     let stream = TcpStream::connect(peer).await;
     let stream = stream.map_err(|error| error.to_string())?;
     let mut message = Vec::new();
@@ -113,6 +144,10 @@
     let reading = bounded.read_to_end(&mut message).await;
     reading.map_err(|error| error.to_string())?;
     let decoded = bincode::serde::decode_from_slice(&message, bincode::config::standard());
-    let (reply, _) = decoded.map_err(|error| error.to_string())?;
-    Ok(reply)
+    let (reply, length) = decoded.map_err(|error| error.to_string())?;
+    let rest = &message[length..];
+    // A reply of an earlier release ends here.
+    let warm_up = bincode::serde::decode_from_slice(rest, bincode::config::standard());
+    let warm_up = warm_up.ok().map(|(warm_up, _)| warm_up);
+    Ok(Received { reply, warm_up })
 }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -29,6 +29,7 @@
 use crate::freshness::Freshness;
 use crate::freshness::TopicReport;
 use crate::traffic::TrafficKind;
+use crate::warm_up;
 
 /// Time without a message from a peer after which it is sent messages about once a second only, in
 /// milliseconds.
@@ -290,6 +291,7 @@
         let staying = peer_table.borrow().staying(&core.load_table.borrow());
         core.share_limits(staying);
         core.helpers.borrow_mut().expire(core.now_whole_ms());
+        warm_up::probe_ended_endpoints(&core);
         for peer in silent {
             let mut peer_table = peer_table.borrow_mut();
             peer_table.last_sequences.remove(&peer);
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -4,6 +4,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use mgs_backpressure::warm_up::Permit;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::choose::is_long;
 use mgs_placing::dispatch;
@@ -45,6 +46,8 @@
     pub(crate) first_token_ms: f64,
     /// How long to wait before the dispatch, in milliseconds.
     pub(crate) hold_ms: f64,
+    /// The permission to send it, if the endpoint is cold.
+    pub(crate) permit: Permit,
 }
 
 impl PlacedRequest {
@@ -123,7 +126,8 @@
     if allowed.is_empty() && !present.is_empty() {
         return Err(blocked.refusal(&present, request_id));
     }
-    let endpoints = eligible_endpoints(core, &allowed, tried);
+    let mut endpoints = eligible_endpoints(core, &allowed, tried);
+    core.put_cold_last(&mut endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
         key: endpoint.key,
         slots: endpoint.facts.slots,
@@ -158,6 +162,7 @@
         reservations: Reservations::none(core),
         first_token_ms: 0.0,
         hold_ms: 0.0,
+        permit: Permit::default(),
     })
 }
 
@@ -282,5 +287,6 @@
         reservations,
         first_token_ms: placement.first_token_ms,
         hold_ms: placement.hold_ms,
+        permit: Permit::default(),
     })
 }
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -163,6 +163,10 @@
         let now_ms = self.now_ms();
         let mut refuse_since_ms = self.crashes.refuse_since_ms.borrow_mut();
         refuse_since_ms.entry(endpoint).or_insert(now_ms);
+        drop(refuse_since_ms);
+        if let Some(endpoint) = self.published.fleet().by_key.get(&endpoint) {
+            self.record_end(endpoint);
+        }
     }
 
     /// Whether an endpoint refuses connections and its entry in the store may not have lapsed yet.
@@ -301,6 +305,7 @@
     pub(crate) fn record_loss(&self, run: LostRun, fate: EndpointFate, at_ms: f64) {
         match fate {
             EndpointFate::Ended => {
+                self.record_end(&run.endpoint);
                 let mut unresolved = self.crashes.unresolved.borrow_mut();
                 unresolved.retain(|loss| !loss.is_same_loss(&run));
                 drop(unresolved);
--- a/crates/mgs-relay/src/read_pause.rs
+++ b/crates/mgs-relay/src/read_pause.rs
@@ -33,7 +33,8 @@
 fn has_newcomers_only(batch: &Batch) -> bool {
     let is_newcomer = |update: &Update| match update {
         Update::Endpoint(facts) => !facts.is_leaving,
-        Update::Gateway { .. } => true,
+        // It follows the update for its endpoint.
+        Update::Gateway { .. } | Update::EndpointCold { .. } => true,
         Update::Configuration(_)
         | Update::EndpointRemoved { .. }
         | Update::GatewayRemoved { .. }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -46,6 +46,7 @@
 use crate::traffic;
 use crate::traffic::Traffic;
 use crate::view::Published;
+use crate::warm_up::WarmUpState;
 
 pub use crate::budget::Options as BudgetOptions;
 use crate::helper_refusals::HelperRefusals;
@@ -183,6 +184,7 @@
         outliers: OutlierDetector::new(options.outliers),
         helpers: RefCell::new(HelperRefusals::default()),
         backpressure: RefCell::new(Backpressure::new(options.backpressure.clone())),
+        warm_up: WarmUpState::default(),
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -166,6 +166,13 @@
     Configuration(Box<Configuration>),
     /// An endpoint was added, or its entry changed.
     Endpoint(EndpointFacts),
+    /// How long an endpoint stays cold after its entry was read; follows [`Self::Endpoint`].
+    EndpointCold {
+        /// Its identifier.
+        id: String,
+        /// The time in milliseconds, or the value that can't be parsed as one.
+        remaining_ms: Result<u64, String>,
+    },
     /// An endpoint's entry was removed.
     EndpointRemoved {
         /// Its identifier.
@@ -208,6 +215,8 @@
     pub updates: Vec<Update>,
     /// Revision of the store up to which this is complete.
     pub revision: Revision,
+    /// Whether the store has later changes that this doesn't contain.
+    pub has_more: bool,
 }
 
 /// Errors of a call to the store.
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -11,8 +11,11 @@
 
 use arc_swap::ArcSwap;
 use arc_swap::ArcSwapOption;
+use mgs_backpressure::warm_up::lease::GatewayList;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::model::EngineModel;
+use rustix::time::clock_gettime;
+use rustix::time::ClockId;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::sync::Notify;
@@ -24,6 +27,9 @@
 use crate::holds::Holds;
 use crate::source::EndpointFacts;
 use crate::source::Incarnation;
+use crate::warm_up;
+use crate::warm_up::ColdSigns;
+use crate::warm_up::ServiceWarmUp;
 
 /// How a route's requests are answered, and whether they may run more than once.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Serialize, Deserialize)]
@@ -116,6 +122,10 @@
 pub struct Service {
     /// Performance model of its engines; `None` for a plain service.
     pub engine: Option<Arc<EngineModel>>,
+    /// How many requests its endpoints tolerate while they are cold; `None` without a limit. Peers
+    /// are told separately, so that they get the same bytes where there is none.
+    #[serde(skip)]
+    pub warm_up: Option<ServiceWarmUp>,
 }
 
 /// Limits on what a client may send.
@@ -161,6 +171,12 @@
 }
 
 impl Configuration {
+    /// Whether any service limits requests to cold endpoints.
+    pub fn has_warm_up_limits(&self) -> bool {
+        let mut services = self.services.values();
+        services.any(|service| service.warm_up.is_some())
+    }
+
     /// Finds the route of a request: the one of the host with the longest matching path prefix.
     pub fn route(&self, host: &str, path: &str) -> Option<&Arc<Route>> {
         let routes = self.routes.get(host)?;
@@ -177,6 +193,8 @@
     pub key: EndpointKey,
     /// What the endpoint reports about itself.
     pub facts: EndpointFacts,
+    /// When it was or will be cold.
+    pub cold: ColdSigns,
 }
 
 /// All known endpoints.
@@ -224,6 +242,8 @@
     pub budget: BudgetOptions,
     /// Graceful shutdown.
     pub drain: drain::Options,
+    /// By how much the limit of cold endpoints may be exceeded.
+    pub warm_up: warm_up::Bounds,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
@@ -235,6 +255,9 @@
     peers: ArcSwap<Vec<SocketAddr>>,
     /// Number of gateways that the store lists, including this one; 0 before the list was read.
     listed_gateways: AtomicUsize,
+    gateway_list: ArcSwap<GatewayList>,
+    /// When zones were restored, in milliseconds.
+    restored_zones: ArcSwap<HashMap<String, u64>>,
     live_settings: ArcSwap<LiveSettings>,
     started: Instant,
     configuration_freshness: Freshness,
@@ -253,6 +276,8 @@
             endpoint_keys_by_hash: ArcSwap::default(),
             peers: ArcSwap::default(),
             listed_gateways: AtomicUsize::new(0),
+            gateway_list: ArcSwap::default(),
+            restored_zones: ArcSwap::default(),
             live_settings: ArcSwap::default(),
             started: Instant::now(),
             configuration_freshness: Freshness::new(ContentKind::Versions),
@@ -273,6 +298,13 @@
         self.started.elapsed().as_secs_f64() * 1e3
     }
 
+    /// Time since the host was started, in milliseconds. It continues while the host is suspended,
+    /// unlike the other clock.
+    pub fn boot_ms(&self) -> f64 {
+        let time = clock_gettime(ClockId::Boottime);
+        time.tv_sec as f64 * 1e3 + time.tv_nsec as f64 / 1e6
+    }
+
     /// The configuration in force, if one is known.
     pub fn configuration(&self) -> Option<Arc<Configuration>> {
         self.configuration.load_full()
@@ -287,9 +319,14 @@
     /// did.
     pub fn put_configuration(&self, configuration: Configuration) -> bool {
         let known = self.configuration.load();
+        // A peer of an earlier release passes on a configuration without limits of cold endpoints.
+        let adds_limits = |known: &Configuration| {
+            let is_same = configuration.version == known.version;
+            is_same && configuration.has_warm_up_limits() && !known.has_warm_up_limits()
+        };
         let is_newer = known
             .as_ref()
-            .is_none_or(|known| configuration.version > known.version);
+            .is_none_or(|known| configuration.version > known.version || adds_limits(known));
         if is_newer {
             self.configuration_freshness
                 .set_content_id(configuration.version);
@@ -337,6 +374,48 @@
         self.listed_gateways.store(gateways, Ordering::Relaxed);
     }
 
+    /// The gateways that the store lists, as the right to send to cold endpoints needs them.
+    pub fn gateway_list(&self) -> Arc<GatewayList> {
+        self.gateway_list.load_full()
+    }
+
+    /// Replaces the list of gateways.
+    pub fn put_gateway_list(&self, list: GatewayList) {
+        self.gateway_list.store(Arc::new(list));
+    }
+
+    /// Whether the configuration in force limits requests to cold endpoints.
+    pub fn has_warm_up_limits(&self) -> bool {
+        let configuration = self.configuration.load();
+        configuration
+            .as_ref()
+            .is_some_and(|configuration| configuration.has_warm_up_limits())
+    }
+
+    /// Marks all endpoints of an availability zone as cold from now on, since the zone was
+    /// restored. May be called from any thread.
+    ///
+    /// ```
+    /// use mgs_relay::view::Published;
+    ///
+    /// let published = Published::new();
+    /// published.mark_zone_cold("north");
+    /// assert!(published.restored_zones().contains_key("north"));
+    /// ```
+    pub fn mark_zone_cold(&self, zone: &str) {
+        let now_ms = self.now_ms();
+        self.restored_zones.rcu(|zones| {
+            let mut zones = HashMap::clone(zones);
+            zones.insert(zone.to_string(), now_ms);
+            zones
+        });
+    }
+
+    /// When zones were last restored, in milliseconds of the process's clock.
+    pub fn restored_zones(&self) -> Arc<HashMap<String, u64>> {
+        self.restored_zones.load_full()
+    }
+
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
         let hash = |endpoint: &Arc<Endpoint>| endpoint.facts.incarnation.hash_64();
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -278,6 +278,8 @@
         return Err(blocked.refusal(&present, prompt.request_id));
     }
     let near = own_zone_first(core, &mut endpoints);
+    core.put_cold_last(&mut endpoints[..near]);
+    core.put_cold_last(&mut endpoints[near..]);
     let refusing = refusing_help(core, &endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
         key: endpoint.key,
--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -1,8 +1,13 @@
 //! The list of endpoints, as several gateways see it.
 
+use std::sync::Arc;
+
 use mgs_relay::membership::Endpoints;
+use mgs_relay::membership::Origin;
 use mgs_relay::source::EndpointFacts;
 use mgs_relay::source::Incarnation;
+use mgs_relay::view::Endpoint;
+use mgs_relay::warm_up::ColdSigns;
 
 const EXPIRY_GRACE_MS: u64 = 2_200;
 
@@ -118,3 +123,39 @@
         "no entry could be written again in between"
     );
 }
+
+/// Each gateway reads an entry at another time, so a hash that depended on coldness would make
+/// gateways doubt lists that are the same.
+#[test]
+fn the_hash_of_the_list_does_not_depend_on_cold_times() {
+    let mut endpoints = Endpoints::new(1_000);
+    endpoints
+        .apply(facts(1), true, Origin::Snapshot, 0)
+        .unwrap();
+    endpoints.date_new(None);
+    endpoints
+        .apply(facts(2), true, Origin::Change, 100)
+        .unwrap();
+    endpoints.date_new(Some(100));
+    assert!(endpoints.take_changed());
+    let hash = endpoints.content_hash();
+    endpoints.extend_cold(&facts(1).incarnation.id, 3_000);
+    assert!(endpoints.take_changed());
+    assert_eq!(endpoints.content_hash(), hash);
+    let fleet = endpoints.fleet();
+    let cold = |number| {
+        let mut listed = fleet.by_key.values();
+        let of_number = |e: &&Arc<Endpoint>| e.facts.incarnation == facts(number).incarnation;
+        listed.find(of_number).expect("it is listed").cold
+    };
+    assert_eq!(
+        cold(1),
+        ColdSigns {
+            entry_until_ms: 3_000,
+            listed_ms: None,
+        }
+    );
+    assert_eq!(cold(2).listed_ms, Some(100));
+    endpoints.extend_cold(&facts(1).incarnation.id, 2_000);
+    assert!(!endpoints.take_changed(), "an earlier end changes nothing");
+}
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -169,6 +169,7 @@
     startup_options.relay.placing = overrides.placing;
     startup_options.relay.dispatch = overrides.dispatch;
     let published = Arc::new(Published::new());
+    log_ignored_values(&settings);
     log::info!(host = settings.host_name, zone = settings.zone, store:% = settings.store; "started");
     let registry = Registry::new();
     let metrics = Metrics::new(&registry);
@@ -271,6 +272,13 @@
     store: StoreAddress,
 }
 
+/// Logs settings that can't be used and were replaced by their defaults.
+fn log_ignored_values(settings: &Settings) {
+    for ignored in &settings.ignored_values {
+        log::warn!(setting = ignored; "a setting can't be used; its default applies");
+    }
+}
+
 impl SettingsReloader {
     fn reload(&mut self, cause: &str) {
         let settings = match Settings::read(&self.path) {
@@ -290,6 +298,7 @@
         if settings.needs_restart(&self.settings) {
             log::warn!("changed listen addresses take effect only after a restart; all other settings are applied");
         }
+        log_ignored_values(&settings);
         let reloaded_options = gateway_options(&settings);
         self.published.put_live_settings(reloaded_options.live);
         self.store.set(reloaded_options.store);
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -119,11 +119,12 @@
     };
     format!(
         "all endpoints had asked to receive no requests: {} leave, {} want a pause from this host, {} name a limit that was \
-         used up or reserved by other hosts; the client was told to retry after {} ms; it has not run (look for \"an endpoint says of \
+         used up or reserved by other hosts, {} are cold and get no more from this host now; the client was told to retry after {} ms; it has not run (look for \"an endpoint says of \
          itself\")",
         line.number("leaving"),
         line.number("resting"),
         line.number("limited"),
+        line.number("warming"),
         line.number("retry_after_ms"),
     )
 }
