--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -27,7 +27,7 @@
 front-1 {"timestamp":"2026-05-30 03:20:30.000 +00:00","text":"request ended","kv":{"request_id":"old","outcome":"refused","status":503,"detail":"stale_configuration","total_ms":0,"configuration_age_ms":5120}}
 front-1 {"timestamp":"2026-05-30 03:20:31.000 +00:00","text":"waits for a place","kv":{"request_id":"full","ahead":31,"spare_per_s":2.5,"places_taken_permille":940}}
 front-1 {"timestamp":"2026-05-30 03:20:31.100 +00:00","text":"request ended","kv":{"request_id":"full","outcome":"refused","status":503,"detail":"too_late","total_ms":100}}
-front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"all endpoints are shut","kv":{"request_id":"shut","leaving":1,"resting":0,"limited":2,"retry_after_ms":526}}
+front-1 {"timestamp":"2026-05-30 03:20:33.000 +00:00","text":"all endpoints are shut","kv":{"request_id":"shut","leaving":1,"resting":0,"limited":2,"warming":3,"retry_after_ms":526}}
 front-1 {"timestamp":"2026-05-30 03:20:33.001 +00:00","text":"request ended","kv":{"request_id":"shut","outcome":"refused","status":503,"detail":"endpoints_shut","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"held","work":"00ff","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"refused since it is held","kv":{"request_id":"part","work":"00aa","part":"5c1e07a2"}}
@@ -58,7 +58,7 @@
 #[case::process_ended("open", &["process ended while it was open"])]
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
 #[case::part_quarantined("part", &["503", "part 5c1e07a2 of its prompt", "has not run"])]
-#[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "526 ms", "has not run"])]
+#[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "3 are cold", "526 ms", "has not run"])]
 #[case::stale_configuration("old", &["5120 ms", "the store is lost"])]
 fn the_cause_of_a_request_is_explained(#[case] request_id: &str, #[case] phrases: &[&str]) {
     let output = explain(request_id);
