feat(placing): a warm engine leads if it is about as good as a cold one

Warm endpoints were only put first in the list, which decides exact ties: calls went to the warm endpoint, but 3 to 5 of 10 prompts to the cold engine, since passes of engines make exact ties rare. A cold engine now has a small loss as the lead, a fifth of the first-token target. Without cold engines the losses are the same as before.

--- a/crates/mgs-placing/src/engine_state.rs
+++ b/crates/mgs-placing/src/engine_state.rs
@@ -65,6 +65,8 @@
     can_help: bool,
     /// Whether it may get a request as the lead.
     pub(crate) can_lead: bool,
+    /// Whether it has just started.
+    pub(crate) is_cold: bool,
 }
 
 impl<'a> EngineState<'a> {
@@ -96,6 +98,7 @@
             on_probation: candidate.on_probation,
             can_help: candidate.can_help,
             can_lead: candidate.can_lead,
+            is_cold: candidate.is_cold,
         };
         let is_decoding = engine.running > 0;
         let passes = load_table.pass_timeline(candidate.key);
--- a/crates/mgs-placing/src/evaluation.rs
+++ b/crates/mgs-placing/src/evaluation.rs
@@ -23,6 +23,10 @@
 /// first-token target.
 const PART_RANK_STEP_SHARE: f64 = 0.02;
 
+/// A warm engine is preferred to a cold one as the lead if it finishes later by less than this share
+/// of the first-token target: 50 ms for short prompts, the pass that it may have to wait for.
+const COLD_SHARE: f64 = 0.2;
+
 /// Numbers of engines that are tried for a prompt.
 const WIDTHS: [usize; 9] = [1, 2, 3, 4, 6, 8, 10, 13, 16];
 
@@ -302,7 +306,10 @@
         let wait_ms = self.slot_wait_with_spare_ms(engine);
         let wait_loss =
             self.lateness_loss(engine, ready_ms + wait_ms) - self.lateness_loss(engine, ready_ms);
-        self.part_loss(engine, part_ms) + wait_loss + self.co_location_loss(engine)
+        self.part_loss(engine, part_ms)
+            + wait_loss
+            + self.co_location_loss(engine)
+            + self.cold_loss(engine)
     }
 
     /// Loss from prefilling the whole prompt on an engine, in units.
@@ -315,6 +322,7 @@
             + engine.prefill_harm(prefill_ms)
             + self.co_location_loss(engine)
             + self.probation_loss(engine)
+            + self.cold_loss(engine)
     }
 
     /// Rank of an engine for a part: its loss in coarse steps, so that nearly equal engines tie and
@@ -343,6 +351,15 @@
         self.worth_units * f64::from(1 + engine.running.min(4))
     }
 
+    /// Penalty for a cold engine as the lead, in units: it tolerates few requests, which are kept for
+    /// those that gain by it.
+    fn cold_loss(&self, engine: &EngineState<'_>) -> f64 {
+        match engine.is_cold {
+            true => self.worth_units * self.options.wait_units * COLD_SHARE,
+            false => 0.0,
+        }
+    }
+
     /// Cost to others of decoding the answer on this engine, in units. Short streams are grouped
     /// together, the more the better, so that engines with few become free again; other streams are
     /// grouped apart from them. Long answers to short prompts, which take long and start seldom,
--- a/crates/mgs-placing/src/placement.rs
+++ b/crates/mgs-placing/src/placement.rs
@@ -15,6 +15,9 @@
     pub can_help: bool,
     /// Whether it may get a request as the lead now; if not, it may still act as a helper.
     pub can_lead: bool,
+    /// Whether it has just started and tolerates few requests; others are then preferred that are
+    /// about as good.
+    pub is_cold: bool,
 }
 
 impl Candidate {
@@ -34,6 +37,7 @@
             on_probation: false,
             can_help: true,
             can_lead: true,
+            is_cold: false,
         }
     }
 }
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -278,8 +278,7 @@
         return Err(blocked.refusal(&present, prompt.request_id));
     }
     let near = own_zone_first(core, &mut endpoints);
-    core.put_cold_last(&mut endpoints[..near]);
-    core.put_cold_last(&mut endpoints[near..]);
+    let cold = core.cold_endpoints();
     let refusing = refusing_help(core, &endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| Candidate {
         key: endpoint.key,
@@ -287,6 +286,7 @@
         on_probation: is_on_probation(core, endpoint),
         can_help: !refusing.contains(&endpoint.key),
         can_lead: !blocked.contains(endpoint),
+        is_cold: cold.contains(&endpoint.key),
     };
     let all: Vec<Candidate> = endpoints.iter().map(candidate).collect();
     register_pass_times(core, &all, prompt.model);
