--- a/crates/mgs-relay/src/dispatch_outcome.rs
+++ b/crates/mgs-relay/src/dispatch_outcome.rs
@@ -11,6 +11,9 @@
 /// Outcome of a dispatch whose complete answer this host has no memory for.
 pub(crate) const NOT_HELD: &str = "answer_not_held";
 
+/// Outcome of a dispatch that wasn't sent, since its permit had expired when its connection opened.
+pub(crate) const PERMIT_EXPIRED: &str = "permit_expired";
+
 /// Time in milliseconds after which a helper's refusal means that it is dead or cut off: the engine
 /// had waited for it.
 const STALLED_MS: u64 = 1_000;
@@ -64,6 +67,7 @@
                 }
                 why
             }
+            DispatchResult::PermitExpired => PERMIT_EXPIRED,
             DispatchResult::HelperRefused {
                 helper,
                 is_reserved,
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -26,6 +26,7 @@
 use crate::dialect::Dispatch;
 use crate::dispatch_outcome::HELPER_REFUSED;
 use crate::dispatch_outcome::NOT_HELD;
+use crate::dispatch_outcome::PERMIT_EXPIRED;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::lost_run;
@@ -138,6 +139,9 @@
                 Err(failed) => failed,
             };
             self.core.metrics.dispatches.inc(failed.name);
+            if failed.name == PERMIT_EXPIRED {
+                continue;
+            }
             if self.may_try_again(&failed) {
                 self.core.metrics.retries.inc(failed.name);
                 continue;
@@ -183,7 +187,7 @@
     /// is placed again.
     async fn place_and_wait(&self) -> Result<PlacedRequest, Refusal> {
         loop {
-            let placed = self.place().await?;
+            let mut placed = self.place().await?;
             if placed.hold_ms > 0.0 {
                 sleep(Duration::from_secs_f64(placed.hold_ms / 1e3)).await;
             }
@@ -194,8 +198,11 @@
                 );
                 continue;
             }
-            match self.core.permit_dispatch(&placed) {
-                Ok(()) => return Ok(placed),
+            match self.core.permit_dispatch(&placed, &self.client_request) {
+                Ok(permit) => {
+                    placed.permit = permit;
+                    return Ok(placed);
+                }
                 Err(blocked) => blocked.log(&self.client_request),
             }
             drop(placed);
@@ -308,6 +315,7 @@
             &self.client,
             &self.client_request,
             is_streaming,
+            placed.permit,
         );
         let result = match self.first_response_timeout(&placed) {
             None => sending.await,
@@ -334,6 +342,11 @@
                 self.progress.tried.push(endpoint.key);
                 Err(FailedDispatch::not_run(why))
             }
+            // Nothing was sent, so placing the request again is no retry.
+            DispatchResult::PermitExpired => {
+                self.progress.dispatches -= 1;
+                Err(FailedDispatch::not_run(PERMIT_EXPIRED))
+            }
             // The answering engine isn't at fault and may be chosen again.
             DispatchResult::HelperRefused { helper, .. } => {
                 self.progress.tried.push(helper.key);
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -69,6 +69,8 @@
     pub(crate) zone_changes: Counters,
     /// Evacuated zones.
     pub(crate) evacuated_zones: Gauge,
+    /// Requests to cold endpoints whose connections opened, by whether they were sent.
+    pub(crate) cold_dispatches: Counters,
     /// Runs that returned no answer, by what became of their endpoint.
     pub(crate) lost_runs: Counters,
     /// Requests that were held or released.
@@ -175,6 +177,11 @@
                 "change",
             ),
             evacuated_zones: registry.gauge("relay_evacuated_zones", "Zones that are evacuated"),
+            cold_dispatches: registry.counters(
+                "relay_cold_dispatches",
+                "Requests to cold endpoints whose connections opened",
+                "outcome",
+            ),
             lost_runs: registry.counters(
                 "relay_lost_runs",
                 "Runs of which no answer came, by what became of their endpoint",
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -19,6 +19,7 @@
 use crate::source::EndpointFacts;
 use crate::view::Configuration;
 use crate::view::Published;
+use crate::warm_up::WarmUpSnapshot;
 
 /// Timeout of a whole exchange with a peer.
 const EXCHANGE_TIMEOUT: Duration = Duration::from_millis(1_000);
@@ -38,6 +39,13 @@
     AllWithOrders(PeerSnapshot, Vec<ZoneOrder>),
 }
 
+/// A reply with what follows it where the configuration limits requests to cold endpoints. Earlier
+/// releases ignore bytes after the reply.
+struct Received {
+    reply: Reply,
+    warm_up: Option<WarmUpSnapshot>,
+}
+
 /// All that a gateway needs to serve.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PeerSnapshot {
@@ -46,6 +54,9 @@
     /// Orders to evacuate zones; they travel in a reply of their own.
     #[serde(skip)]
     pub(crate) orders: Vec<ZoneOrder>,
+    /// Limits and cold endpoints; they follow the reply.
+    #[serde(skip)]
+    pub(crate) warm_up: Option<WarmUpSnapshot>,
 }
 
 impl PeerSnapshot {
@@ -57,6 +68,7 @@
             configuration,
             endpoints: endpoints.collect(),
             orders: published.evacuations().orders(),
+            warm_up: WarmUpSnapshot::of(published),
         })
     }
 
@@ -83,10 +95,13 @@
 }
 
 async fn send(core: Rc<Core>, mut stream: TcpStream, peer: SocketAddr) {
-    let reply = PeerSnapshot::of(&core.published);
-    let reply = reply.map_or(Reply::NothingYet, PeerSnapshot::into_reply);
-    let message = bincode::serde::encode_to_vec(&reply, bincode::config::standard())
-        .expect("BUG: a snapshot is plain data");
+    let snapshot = PeerSnapshot::of(&core.published);
+    let warm_up = snapshot.as_ref().and_then(|s| s.warm_up.clone());
+    let reply = snapshot.map_or(Reply::NothingYet, PeerSnapshot::into_reply);
+    let mut message = encode(&reply);
+    if let Some(warm_up) = &warm_up {
+        message.extend(encode(warm_up));
+    }
     let sending = async {
         stream.write_all(&message).await?;
         stream.shutdown().await
@@ -103,15 +118,24 @@
     }
 }
 
+fn encode(message: &impl Serialize) -> Vec<u8> {
+    bincode::serde::encode_to_vec(message, bincode::config::standard())
+        .expect("BUG: a snapshot is plain data")
+}
+
 /// Asks peers one after the other, and returns the first snapshot received.
 pub(crate) async fn fetch_first(peers: &[SocketAddr]) -> Option<PeerSnapshot> {
     for peer in peers {
         match timeout(EXCHANGE_TIMEOUT, fetch(*peer)).await {
-            Ok(Ok(Reply::NothingYet)) => log::info!(peer:% = peer; "a peer knows nothing yet"),
-            Ok(Ok(Reply::All(snapshot))) => return Some(received(*peer, snapshot, Vec::new())),
-            Ok(Ok(Reply::AllWithOrders(snapshot, orders))) => {
-                return Some(received(*peer, snapshot, orders));
-            }
+            Ok(Ok(Received { reply, warm_up })) => match reply {
+                Reply::NothingYet => log::info!(peer:% = peer; "a peer knows nothing yet"),
+                Reply::All(snapshot) => {
+                    return Some(received(*peer, snapshot, Vec::new(), warm_up));
+                }
+                Reply::AllWithOrders(snapshot, orders) => {
+                    return Some(received(*peer, snapshot, orders, warm_up));
+                }
+            },
             Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
             Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
         }
@@ -119,17 +143,26 @@
     None
 }
 
-/// Logs a received snapshot, and adds the orders of its reply.
-fn received(peer: SocketAddr, snapshot: PeerSnapshot, orders: Vec<ZoneOrder>) -> PeerSnapshot {
+/// Logs a received snapshot, and adds what came beside it.
+fn received(
+    peer: SocketAddr,
+    snapshot: PeerSnapshot,
+    orders: Vec<ZoneOrder>,
+    warm_up: Option<WarmUpSnapshot>,
+) -> PeerSnapshot {
     log::info!(
         peer:% = peer, configuration = snapshot.configuration.version,
         endpoints = snapshot.endpoints.len(), zone_orders = orders.len();
         "a peer told what the store can't"
     );
-    PeerSnapshot { orders, ..snapshot }
+    PeerSnapshot {
+        orders,
+        warm_up,
+        ..snapshot
+    }
 }
 
-async fn fetch(peer: SocketAddr) -> Result<Reply, String> {
+async fn fetch(peer: SocketAddr) -> Result<Received, String> {
     let stream = TcpStream::connect(peer).await;
     let stream = stream.map_err(|error| error.to_string())?;
     let mut message = Vec::new();
@@ -137,6 +170,10 @@
     let reading = bounded.read_to_end(&mut message).await;
     reading.map_err(|error| error.to_string())?;
     let decoded = bincode::serde::decode_from_slice(&message, bincode::config::standard());
-    let (reply, _) = decoded.map_err(|error| error.to_string())?;
-    Ok(reply)
+    let (reply, length) = decoded.map_err(|error| error.to_string())?;
+    let rest = &message[length..];
+    // A reply of an earlier release ends here.
+    let warm_up = bincode::serde::decode_from_slice(rest, bincode::config::standard());
+    let warm_up = warm_up.ok().map(|(warm_up, _)| warm_up);
+    Ok(Received { reply, warm_up })
 }
--- a/crates/mgs-relay/src/read_pause.rs
+++ b/crates/mgs-relay/src/read_pause.rs
@@ -40,7 +40,8 @@
 fn has_newcomers_only(batch: &Batch) -> bool {
     let is_newcomer = |update: &Update| match update {
         Update::Endpoint(facts) => !facts.is_leaving,
-        Update::Gateway { .. } => true,
+        // It follows the update for its endpoint.
+        Update::Gateway { .. } | Update::EndpointCold { .. } => true,
         Update::Configuration(_)
         | Update::EndpointRemoved { .. }
         | Update::GatewayRemoved { .. }
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -162,14 +162,24 @@
         line.number("leaving"),
         line.number("resting"),
         line.number("limited"),
-        match line.number("evacuated") {
-            0.0 => String::new(),
-            evacuated => format!(", {evacuated} are in evacuated zones"),
-        },
+        describe_cold_and_evacuated(line),
         line.number("retry_after_ms"),
     )
 }
 
+/// How many endpoints were cold or in evacuated zones, where there were any.
+fn describe_cold_and_evacuated(line: &LogLine) -> String {
+    let mut text = String::new();
+    let (cold, evacuated) = (line.number("warming"), line.number("evacuated"));
+    if cold > 0.0 {
+        text += &format!(", {cold} are cold and get no more from this host now");
+    }
+    if evacuated > 0.0 {
+        text += &format!(", {evacuated} are in evacuated zones");
+    }
+    text
+}
+
 /// Describes a refusal because all endpoints of the service were in evacuated zones.
 fn describe_evacuated_zones(trace: &RequestTrace) -> String {
     let evacuated = trace.last_with_text("all endpoints are shut");
