feat(admission): shares of organisations when engines are short: the decision

One organisation at nine times its usual load takes the engines from all others, since nothing divides them among organisations. DemandShares keeps rates of asked, admitted and usual cost by organisation, sums them over peers, tells shortage from busy periods and admits by water-filling. Nothing uses it yet.

--- a/crates/mgs-admission/src/lib.rs
+++ b/crates/mgs-admission/src/lib.rs
@@ -9,6 +9,7 @@
 mod ageing;
 pub mod arena;
 pub mod bucket;
+pub mod demand_shares;
 pub mod drain;
 mod entry;
 pub mod fair;
