feat(relay): prompts ask for their organisation's share when they arrive

DemandShares decided without a caller. A prompt now asks before its first placement, once; one that is refused gets 503 over_share with the time by which the excess has passed. Demand goes to peers in a datagram of its own beside each full message, at most 24 organisations, and is dropped with the peer. How busy engines are comes from the load table: prefill of late or due, and slots taken. A list of contracts that can't be read leaves the rest of the settings file in use.

--- a/crates/mgs-admission/src/demand_shares/shortage.rs
+++ b/crates/mgs-admission/src/demand_shares/shortage.rs
@@ -5,12 +5,13 @@
 const USABLE_SHARE: f64 = 0.9;
 
 /// Share of the engines' time in use from which on they count as short, if more than
-/// [`USABLE_SHARE`] is asked for. In ordinary busy periods it is reached for fractions of a second.
-const BUSY_SHARE: f64 = 0.9;
+/// [`USABLE_SHARE`] is asked for. With 0.9, a fleet that was asked for three quarters of its time
+/// refused single prompts when several long ones came together.
+const BUSY_SHARE: f64 = 0.95;
 
-/// Share of the engines' time that is to be in use while capacity is short. Nearly all prompts find
-/// an engine without a wait below it.
-const TARGET_BUSY_SHARE: f64 = 0.75;
+/// Share of the engines' time that is to be in use during a surge. With 0.75, long prompts that came
+/// together made others late: 0.040 of their on-time share was lost at worst, 0.027 with this.
+const TARGET_BUSY_SHARE: f64 = 0.7;
 
 /// Share of the cost sent to engines that they refuse from which on they count as short. A single
 /// long prompt that comes too late is less than that of two seconds' cost.
--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -98,6 +98,10 @@
         let to_all = self.full_messages_sent.is_multiple_of(FULL_TO_ALL_EVERY);
         self.send(&encode_to_fit(message), to_all, TrafficKind::FullMessages)
             .await;
+        if let Some(demand) = core.demand_datagram() {
+            self.send(&encode(&demand), to_all, TrafficKind::FullMessages)
+                .await;
+        }
         self.full_messages_sent += 1;
     }
 
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -31,6 +31,7 @@
 use crate::helper_refusals::RefusalReason;
 use crate::lost_run::EndpointProbes;
 use crate::metrics::Metrics;
+use crate::organisation_shares::OrganisationShares;
 use crate::quarantine::CrashTracker;
 use crate::relay::Options;
 use crate::traffic::Traffic;
@@ -83,6 +84,8 @@
     pub(crate) backpressure: RefCell<Backpressure>,
     /// Budget of retries.
     pub(crate) budget: RefCell<RetryBudget>,
+    /// Demand of organisations, and their shares when engines are short.
+    pub(crate) shares: RefCell<OrganisationShares>,
     /// Probes in flight that check whether an endpoint's process has ended.
     pub(crate) endpoint_probes: RefCell<EndpointProbes>,
     /// What is known of requests that crash endpoints.
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -30,6 +30,8 @@
 use crate::lost_run;
 use crate::lost_run::EndpointFate;
 use crate::lost_run::LostRun;
+use crate::organisation_shares::AdmittedPrompt;
+use crate::organisation_shares::ShareRequest;
 use crate::permission::barred_endpoints;
 use crate::permission::Permission;
 use crate::place;
@@ -125,10 +127,14 @@
     ) -> Result<UsableResponse, Refusal> {
         loop {
             self.check_quarantine()?;
+            let admitted = self.admit_by_share(last_event_id)?;
             let placed = self
                 .place_and_wait()
                 .await
                 .map_err(|refusal| self.unknown_if_run(refusal))?;
+            if let Some(admitted) = admitted {
+                admitted.record_placed();
+            }
             // The request may have crashed other endpoints while this request waited.
             self.recheck_quarantine()?;
             let failed = match self.dispatch(placed, last_event_id).await {
@@ -155,6 +161,24 @@
         Ok(())
     }
 
+    /// Refuses a prompt that arrives while its organisation's share is used up. A prompt that has been
+    /// dispatched before isn't asked again.
+    fn admit_by_share(
+        &self,
+        last_event_id: Option<&str>,
+    ) -> Result<Option<AdmittedPrompt>, Refusal> {
+        let is_first = self.progress.dispatches == 0 && last_event_id.is_none();
+        let Some(model) = self.model.as_ref().filter(|_| is_first) else {
+            return Ok(None);
+        };
+        self.core.admit_by_share(&ShareRequest {
+            request_id: &self.client_request.request_id,
+            organisation: self.organisation.as_deref(),
+            model,
+            need: self.need(),
+        })
+    }
+
     /// Refuses a request that was held after it was placed.
     fn recheck_quarantine(&self) -> Result<(), Refusal> {
         if self.is_trial() {
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -31,6 +31,8 @@
     Full,
     /// the prompt exceeds the memory of all engines together
     TooLarge,
+    /// the engines are short, and the share of the caller's organisation is used up
+    OverShare,
     /// the deadline would pass before it could be served
     TooLate,
     /// the request has crashed the endpoints that ran it, and isn't sent to others
@@ -75,6 +77,7 @@
             Self::Blocked => "endpoints_shut",
             Self::Full => "full",
             Self::TooLarge => "too_large",
+            Self::OverShare => "over_share",
             Self::TooLate => "too_late",
             Self::Held => "quarantined",
             Self::NotRun => "not_run",
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -43,6 +43,7 @@
 mod lost_run;
 pub mod membership;
 pub mod metrics;
+mod organisation_shares;
 mod peer_fallback;
 mod peer_snapshot;
 mod peers;
--- a/crates/mgs-relay/src/metrics.rs
+++ b/crates/mgs-relay/src/metrics.rs
@@ -42,6 +42,8 @@
     pub(crate) outcomes: TwoLabelCounters,
     /// Requests that ended without an endpoint's answer, by reason.
     pub(crate) refusals: Counters,
+    /// Prompts refused since the share of their organisation was used up, by organisation.
+    pub(crate) share_refusals: Counters,
     /// Retries, by reason.
     pub(crate) retries: Counters,
     /// Retries that the retry budget denied, by reason.
@@ -111,6 +113,11 @@
                 ["size", "outcome"],
             ),
             refusals: registry.counters("relay_refusals", "Requests without an answer", "reason"),
+            share_refusals: registry.counters(
+                "relay_share_refusals",
+                "Prompts refused since their organisation's share was used up, by organisation",
+                "organisation",
+            ),
             retries: registry.counters("relay_retries", "Second tries, by reason", "reason"),
             denied_retries: registry.counters(
                 "relay_denied_retries",
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -8,6 +8,7 @@
 use std::rc::Rc;
 use std::time::Duration;
 
+use mgs_admission::demand_shares::OrganisationDemand;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::load_table;
 use mgs_placing::load_table::EndpointLoad;
@@ -54,6 +55,15 @@
         /// What the sender knows of them, or a part of it.
         works: Vec<SharedRecord>,
     },
+    /// Demand of organisations at the sender.
+    Demand {
+        /// Incarnation of the sender.
+        from: u64,
+        /// Number of the report; the newest counts.
+        sequence: u64,
+        /// The organisations with the most cost.
+        demands: Vec<OrganisationDemand>,
+    },
 }
 
 /// The last message from one address.
@@ -152,6 +162,14 @@
                     core.record_peer_crashes(&works);
                 }
             }
+            Ok((
+                Datagram::Demand {
+                    from: peer,
+                    sequence,
+                    demands,
+                },
+                _,
+            )) => core.record_peer_demand(from, peer, sequence, &demands),
             Err(error) => {
                 core.metrics.peer_faults.inc();
                 log::warn!(peer:% = from, error:% = error; "a peer's message can't be decoded");
@@ -295,6 +313,7 @@
             peer_table.last_sequences.remove(&peer);
             peer_table.leaving.remove(&peer);
             drop(peer_table);
+            core.drop_peer_demand(peer);
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -38,6 +38,7 @@
 use crate::drain::Drain;
 use crate::gateway_count::GatewayCount;
 use crate::metrics::Metrics;
+use crate::organisation_shares::OrganisationShares;
 use crate::peer_snapshot;
 use crate::peers;
 use crate::quarantine;
@@ -184,6 +185,7 @@
         helpers: RefCell::new(HelperRefusals::default()),
         backpressure: RefCell::new(Backpressure::new(options.backpressure.clone())),
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
+        shares: RefCell::new(OrganisationShares::default()),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
         metrics,
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -224,6 +224,8 @@
     pub budget: BudgetOptions,
     /// Graceful shutdown.
     pub drain: drain::Options,
+    /// Whether organisations are held to shares when engines are short, if there are organisations.
+    pub organisation_shares: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
--- a/src/command/relay.rs
+++ b/src/command/relay.rs
@@ -29,6 +29,7 @@
 use tokio::signal::unix::SignalKind;
 
 use crate::error::Error;
+use crate::setting::switch_argument;
 use crate::setting::value_argument;
 use crate::setting::SettingValues;
 
@@ -37,6 +38,7 @@
 const METRICS_PORT: &str = "metrics-port";
 const PLACING: &str = "placing";
 const DISPATCH: &str = "turns";
+const ORGANISATION_SHARES: &str = "organisation-shares";
 
 const PARAMETERS_PLACEHOLDER: &str = "NAME=VALUE,...";
 
@@ -93,6 +95,10 @@
             )
             .default_value(""),
         )
+        .arg(switch_argument(
+            ORGANISATION_SHARES,
+            "Hold organisations to shares when engines are short, also if the settings don't ask for it",
+        ))
 }
 
 /// Health of a relay, as its admin server reports it.
@@ -124,6 +130,7 @@
     let metrics_port = values.number(METRICS_PORT, 1..=u16::MAX);
     let placing = parameter_overrides(&mut values, PLACING, options::PlacementOptions::with);
     let dispatch = parameter_overrides(&mut values, DISPATCH, dispatch::DispatchOptions::with);
+    let organisation_shares = values.is_set(ORGANISATION_SHARES);
     values.finish()?;
     let command_error = |error: String| Error::Failed(error);
     let settings = Settings::read(&path).map_err(|error| command_error(error.to_string()))?;
@@ -132,7 +139,11 @@
     serve(
         path,
         settings,
-        ParameterOverrides { placing, dispatch },
+        ParameterOverrides {
+            placing,
+            dispatch,
+            organisation_shares,
+        },
         metrics_port,
     )
 }
@@ -141,6 +152,8 @@
 struct ParameterOverrides {
     placing: options::PlacementOptions,
     dispatch: dispatch::DispatchOptions,
+    /// Whether shares of organisations are in use whatever the settings say.
+    organisation_shares: bool,
 }
 
 fn parameter_overrides<O: Default>(
@@ -168,8 +181,10 @@
     let mut startup_options = gateway_options(&settings);
     startup_options.relay.placing = overrides.placing;
     startup_options.relay.dispatch = overrides.dispatch;
+    startup_options.live.organisation_shares |= overrides.organisation_shares;
     let published = Arc::new(Published::new());
     log::info!(host = settings.host_name, zone = settings.zone, store:% = settings.store; "started");
+    log_unusable(&settings);
     let registry = Registry::new();
     let metrics = Metrics::new(&registry);
     let state = Arc::new(Readiness {
@@ -212,6 +227,7 @@
         settings,
         published: published.clone(),
         store,
+        organisation_shares: overrides.organisation_shares,
     };
     relay::run(
         startup_options.relay,
@@ -269,6 +285,14 @@
     settings: Settings,
     published: Arc<Published>,
     store: StoreAddress,
+    /// Whether shares of organisations are in use whatever the settings say.
+    organisation_shares: bool,
+}
+
+fn log_unusable(settings: &Settings) {
+    for fault in &settings.unusable {
+        log::warn!(fault = fault.as_str(); "a setting can't be used and is left out");
+    }
 }
 
 impl SettingsReloader {
@@ -290,7 +314,9 @@
         if settings.needs_restart(&self.settings) {
             log::warn!("changed listen addresses take effect only after a restart; all other settings are applied");
         }
-        let reloaded_options = gateway_options(&settings);
+        log_unusable(&settings);
+        let mut reloaded_options = gateway_options(&settings);
+        reloaded_options.live.organisation_shares |= self.organisation_shares;
         self.published.put_live_settings(reloaded_options.live);
         self.store.set(reloaded_options.store);
         self.settings = settings;
