--- a/src/account/display.rs
+++ b/src/account/display.rs
@@ -8,6 +8,7 @@
 use super::outcome::EndClass;
 use super::outcome::Outcome;
 use super::refusals::HelpRefusals;
+use super::share_refusals::ShareRefusals;
 use super::usage::ResourceUsage;
 use super::Account;
 
@@ -77,6 +78,7 @@
         write_breakdown(f, &self.breakdown)?;
         write_causes(f, &self.outcomes)?;
         write_refusals(f, &self.refusals)?;
+        write_share_refusals(f, &self.share_refusals)?;
         write_seconds(f, &self.outcomes)?;
         write_usage(f, &self.usage)
     }
@@ -186,6 +188,20 @@
     Ok(())
 }
 
+fn write_share_refusals(f: &mut Formatter<'_>, refusals: &ShareRefusals) -> std::fmt::Result {
+    if refusals.by_organisation.is_empty() {
+        return Ok(());
+    }
+    writeln!(
+        f,
+        "\nprompts refused since their organisation's share was used up"
+    )?;
+    for (organisation, count) in refusals.by_count().into_iter().take(MAX_ROWS) {
+        writeln!(f, "{count:>8} of {organisation}")?;
+    }
+    Ok(())
+}
+
 fn write_seconds(f: &mut Formatter<'_>, outcomes: &[Outcome]) -> std::fmt::Result {
     let second = |outcome: &Outcome| format!("{:05}", outcome.arrived_s.max(0.0) as u64);
     let seconds = totals_by(outcomes, second);
--- a/src/account/mod.rs
+++ b/src/account/mod.rs
@@ -11,6 +11,7 @@
 pub mod outcome;
 pub mod plot;
 pub mod refusals;
+pub mod share_refusals;
 pub mod usage;
 
 use std::collections::HashMap;
@@ -22,6 +23,7 @@
 use engines::EngineHistory;
 use outcome::Outcome;
 use refusals::HelpRefusals;
+use share_refusals::ShareRefusals;
 use usage::ResourceUsage;
 
 /// Loss and resource usage of the requests in a set of logs.
@@ -33,6 +35,8 @@
     pub ineligible: usize,
     /// Dispatches that were refused since another endpoint didn't help.
     pub refusals: HelpRefusals,
+    /// Prompts that were refused since the share of their organisation was used up.
+    pub share_refusals: ShareRefusals,
     /// Loss that was unservable, unforeseeable or avoidable.
     pub breakdown: LossBreakdown,
     /// Store calls and message bytes.
@@ -59,6 +63,7 @@
         let hosts = Hosts::from_lines(&lines);
         let kinds = outcome::kinds_by_route(&lines);
         let refusals = HelpRefusals::from_lines(&lines, start_ms);
+        let share_refusals = ShareRefusals::from_lines(&lines);
         let usage = ResourceUsage::from_lines(&lines);
         let engines = EngineHistory::from_lines(&lines, start_ms);
         let request_lines = lines
@@ -81,6 +86,7 @@
             breakdown: LossBreakdown::new(&outcomes, &engines),
             outcomes,
             refusals,
+            share_refusals,
             usage,
             hosts: hosts.count,
         }
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -69,6 +69,7 @@
         "too_large" => "its prompt exceeds the memory of all engines; it has not run",
         "quarantined" => return describe_hold(trace, line),
         "endpoints_shut" => return describe_shut_endpoints(trace),
+        "over_share" => return describe_used_up_share(trace),
         "full" | "too_late" | "timeout_before_dispatch" => {
             return describe_no_capacity(trace, detail)
         }
@@ -128,6 +129,26 @@
     )
 }
 
+/// Describes a refusal because the share of the request's organisation was used up.
+fn describe_used_up_share(trace: &RequestTrace) -> String {
+    let Some(line) = trace.last_with_text("refused since its organisation's share is used up")
+    else {
+        return "engines were short, and the share of its organisation was used up; it has not run"
+            .to_string();
+    };
+    format!(
+        "engines were short, and organisation {} asked for {} ms of engine time per second, of which it could have {} (usual are \
+         {}); all organisations asked for {} of {} ms per second; the client was told to retry after {} ms; it has not run",
+        line.field("organisation"),
+        line.number("asked_ms_per_s"),
+        line.number("allowed_ms_per_s"),
+        line.number("usual_ms_per_s"),
+        line.number("asked_by_all_ms_per_s"),
+        line.number("capacity_ms_per_s"),
+        line.number("retry_after_ms"),
+    )
+}
+
 fn describe_no_capacity(trace: &RequestTrace, detail: &str) -> String {
     let mut text = match detail {
         "full" => "the engines had no capacity for it",
--- a/tests/account.rs
+++ b/tests/account.rs
@@ -12,7 +12,7 @@
 use rstest::rstest;
 
 /// Log of two hosts in two availability zones: short prompts on time and late, audits refused since helper engines
-/// refused, a late answer to an idempotent request, one with an unknown key, calls to the store, and bytes carried.
+/// refused, a late answer to an idempotent request, one with an unknown key, a prompt beyond its organisation's share, calls to the store, and bytes carried.
 const LOG: &str = r#"
 front-1 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-1","zone":"north"}}
 front-2 {"timestamp":"2026-05-30 03:20:20.000 +00:00","text":"started","kv":{"host":"front-2","zone":"south"}}
@@ -22,6 +22,7 @@
 front-1 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"a","route":"r","outcome":"answered","first_event_ms":120,"aim_ms":300,"longest_pause_ms":90,"pause_limit_ms":250,"size_tokens":10000,"total_ms":1100}}
 front-1 {"timestamp":"2026-05-30 03:20:25.500 +00:00","text":"request ended","kv":{"request_id":"b","route":"r","kind":"streaming","aim_ms":300,"pause_limit_ms":250,"outcome":"answered","status":200,"prompt_tokens":5000,"size_tokens":10000,"total_ms":900}}
 front-1 {"timestamp":"2026-05-30 03:20:26.000 +00:00","text":"stream ended","kv":{"request_id":"b","route":"r","outcome":"answered","first_event_ms":900,"aim_ms":300,"longest_pause_ms":90,"pause_limit_ms":250,"size_tokens":10000,"total_ms":1500}}
+front-1 {"timestamp":"2026-05-30 03:20:29.005 +00:00","text":"refused since its organisation's share is used up","kv":{"request_id":"c","organisation":"hule930","retry_after_ms":1640}}
 front-1 {"timestamp":"2026-05-30 03:20:29.010 +00:00","text":"dispatch ended","kv":{"request_id":"c","endpoint":"i-1","dispatch":1,"end":"helper_refused","at_fault":"i-9","took_ms":3}}
 front-1 {"timestamp":"2026-05-30 03:20:29.030 +00:00","text":"dispatch ended","kv":{"request_id":"c","endpoint":"i-2","dispatch":2,"end":"helper_refused","at_fault":"i-8","took_ms":3}}
 front-1 {"timestamp":"2026-05-30 03:20:29.050 +00:00","text":"request ended","kv":{"request_id":"c","route":"s","kind":"streaming","aim_ms":4000,"pause_limit_ms":1000,"outcome":"refused","status":503,"detail":"not_run","prompt_tokens":220000,"size_tokens":229000,"total_ms":50}}
@@ -69,6 +70,7 @@
 )]
 #[case::requests_by_zone("south                                   2")]
 #[case::store_calls("2 endpoints: whole")]
+#[case::refusals_by_organisation("1 of hule930")]
 #[case::bytes_carried("8 requests")]
 fn the_summary_contains(#[case] phrase: &str) {
     let name: String = phrase.chars().filter(char::is_ascii_alphanumeric).collect();
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -32,6 +32,8 @@
 front-1 {"timestamp":"2026-05-30 03:20:32.000 +00:00","text":"request ended","kv":{"request_id":"held","work":"00ff","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"refused since it is held","kv":{"request_id":"part","work":"00aa","part":"5c1e07a2"}}
 front-1 {"timestamp":"2026-05-30 03:20:34.000 +00:00","text":"request ended","kv":{"request_id":"part","work":"00fe","outcome":"refused","status":503,"detail":"quarantined","total_ms":1}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"refused since its organisation's share is used up","kv":{"request_id":"share","organisation":"hule930","cost_ms":160,"asked_ms_per_s":81000,"allowed_ms_per_s":24000,"usual_ms_per_s":9000,"asked_by_all_ms_per_s":107000,"capacity_ms_per_s":50000,"peers":29,"oldest_report_ms":310,"retry_after_ms":1640}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"request ended","kv":{"request_id":"share","outcome":"refused","status":503,"detail":"over_share","total_ms":0}}
 front-1 {"timestamp":"2026-05-30 03:20:31
 "#;
 
@@ -59,6 +61,7 @@
 #[case::quarantined("held", &["503", "00ff", "crashed the endpoints", "has not run"])]
 #[case::part_quarantined("part", &["503", "part 5c1e07a2 of its prompt", "has not run"])]
 #[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "526 ms", "has not run"])]
+#[case::share_used_up("share", &["503", "hule930", "81000 ms", "24000", "107000 of 50000", "1640 ms", "has not run"])]
 #[case::stale_configuration("old", &["5120 ms", "the store is lost"])]
 fn the_cause_of_a_request_is_explained(#[case] request_id: &str, #[case] phrases: &[&str]) {
     let output = explain(request_id);
