admission: one update changes the capacity by a second's error at most

A gateway without prompts for some seconds applied the last seen error for all that time, so that its capacity jumped to a bound.

--- a/crates/mgs-admission/src/demand_shares/shortage.rs
+++ b/crates/mgs-admission/src/demand_shares/shortage.rs
@@ -44,6 +44,10 @@
 /// milliseconds: that of the rates, which show the effect.
 const RAISE_MS: f64 = 1_000.0;
 
+/// Longest time for which one update changes the capacity, in milliseconds: what was seen says nothing
+/// about a longer one.
+const CORRECTED_MAX_MS: f64 = 1_000.0;
+
 /// Time constant with which the correction is forgotten after a shortage, in milliseconds.
 const FORGET_MS: f64 = 30_000.0;
 
@@ -97,7 +101,7 @@
         self.refused_share += (strain.refused_share - self.refused_share) * step;
         let declared = strain.engine_time * USABLE_SHARE;
         if self.is_short && strain.has_surge {
-            self.correct(elapsed_ms);
+            self.correct(elapsed_ms.min(CORRECTED_MAX_MS));
         } else {
             self.correction += (1.0 - self.correction) * (elapsed_ms / FORGET_MS).min(1.0);
         }
