--- a/crates/mgs-placing/src/zone.rs
+++ b/crates/mgs-placing/src/zone.rs
@@ -5,9 +5,9 @@
 //! in its own zone competes with twenty, evaluates a fifth of the engines, and keeps the parts of
 //! its prompts close together.
 //!
-//! The preference applies only where a zone has enough engines: for the widest prompt if several
-//! engines may prefill the prompt, else for short streams. It applies only to prompts with time to
-//! spare in the zone. Any other prompt is also evaluated over all engines and goes
+//! The preference applies only where a zone has enough engines: for the widest prompt or, where
+//! many gateways choose at the same time, for short streams if one engine prefills the prompt. It
+//! applies only to prompts with time to spare in the zone. Any other prompt is also evaluated over all engines and goes
 //! where it loses least.
 
 use crate::choose::choose_engines;
@@ -106,7 +106,8 @@
             now_ms,
         )
     };
-    let own_zone = match is_zone_large_enough(need, zones, model, options) {
+    let gateways = load_table.peer_count() + 1;
+    let own_zone = match is_zone_large_enough(need, zones, gateways, model, options) {
         true => among(zones.own_zone).ok(),
         false => None,
     };
@@ -137,12 +138,14 @@
 fn is_zone_large_enough(
     need: &Need,
     zones: &ZoneCandidates<'_>,
+    gateways: usize,
     model: &EngineModel,
     options: &PlacementOptions,
 ) -> bool {
-    let least = match may_share_prefill(need, model, options) {
-        true => options.engines_max as f64 * options.near_engines_factor,
-        false => options.near_engines_min as f64,
+    let are_many = gateways >= options.near_gateways_min;
+    let least = match are_many && !may_share_prefill(need, model, options) {
+        true => options.near_engines_min as f64,
+        false => options.engines_max as f64 * options.near_engines_factor,
     };
     zones.own_zone.len() as f64 >= least && zones.own_zone.len() < zones.all.len()
 }
--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -108,6 +108,10 @@
         self.send(&encode_to_fit(message), to_all, TrafficKind::FullMessages)
             .await;
         self.send_evacuations(to_all).await;
+        if let Some(demand) = core.demand_datagram() {
+            self.send(&encode(&demand), to_all, TrafficKind::FullMessages)
+                .await;
+        }
         self.full_messages_sent += 1;
     }
 
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -43,6 +43,7 @@
 use crate::link_use::MessagePace;
 use crate::lost_run::EndpointProbes;
 use crate::metrics::Metrics;
+use crate::organisation_shares::OrganisationShares;
 use crate::quarantine::CrashTracker;
 use crate::relay::Options;
 use crate::traffic::Traffic;
@@ -101,6 +102,8 @@
     pub(crate) warm_up: WarmUpState,
     /// Budget of retries.
     pub(crate) budget: RefCell<RetryBudget>,
+    /// Demand of organisations, and their shares when engines are short.
+    pub(crate) shares: RefCell<OrganisationShares>,
     /// Probes in flight that check whether an endpoint's process has ended.
     pub(crate) endpoint_probes: RefCell<EndpointProbes>,
     /// What is known of requests that crash endpoints.
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -41,6 +41,7 @@
 use crate::link_use::LinkState;
 use crate::link_use::LinkUse;
 use crate::metrics::Metrics;
+use crate::organisation_shares::OrganisationShares;
 use crate::peer_snapshot;
 use crate::peers;
 use crate::quarantine;
@@ -189,6 +190,7 @@
         backpressure: RefCell::new(Backpressure::new(options.backpressure.clone())),
         warm_up: WarmUpState::default(),
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
+        shares: RefCell::new(OrganisationShares::default()),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
         evacuation_newcomers: RefCell::default(),
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -254,6 +254,8 @@
     pub link: link_use::Options,
     /// By how much the limit of cold endpoints may be exceeded.
     pub warm_up: warm_up::Bounds,
+    /// Whether organisations are held to shares when engines are short, if there are organisations.
+    pub organisation_shares: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
--- a/tests/explain.rs
+++ b/tests/explain.rs
@@ -43,6 +43,8 @@
 front-1 {"timestamp":"2026-05-30 03:20:36.001 +00:00","text":"stream ended","kv":{"request_id":"slow","outcome":"client_too_slow","events":170,"total_ms":900}}
 front-1 {"timestamp":"2026-05-30 03:20:37.000 +00:00","text":"request ended","kv":{"request_id":"unread","outcome":"answered","status":200,"total_ms":31}}
 front-1 {"timestamp":"2026-05-30 03:20:47.000 +00:00","text":"a client reads too slowly","kv":{"request_id":"unread","bound":"time","held_bytes":150000,"held_total_bytes":150000}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"refused since its organisation's share is used up","kv":{"request_id":"share","organisation":"hule930","cost_ms":160,"asked_ms_per_s":81000,"allowed_ms_per_s":24000,"usual_ms_per_s":9000,"asked_by_all_ms_per_s":107000,"capacity_ms_per_s":50000,"peers":29,"oldest_report_ms":310,"retry_after_ms":1640}}
+front-1 {"timestamp":"2026-05-30 03:20:35.000 +00:00","text":"request ended","kv":{"request_id":"share","outcome":"refused","status":503,"detail":"over_share","total_ms":0}}
 front-1 {"timestamp":"2026-05-30 03:20:31
 "#;
 
@@ -76,6 +78,7 @@
 #[case::all_endpoints_shut("shut", &["503", "1 leave", "2 name a limit", "3 are cold", "526 ms", "has not run"])]
 #[case::zones_evacuated("evacuated", &["503", "all 9 endpoints", "operators evacuated", "a zone is evacuated", "has not run"])]
 #[case::shut_and_evacuated("partly", &["503", "1 want a pause", "3 are in evacuated zones", "200 ms", "has not run"])]
+#[case::share_used_up("share", &["503", "hule930", "81000 ms", "24000", "107000 of 50000", "1640 ms", "has not run"])]
 #[case::stale_configuration("old", &["5120 ms", "the store is lost"])]
 fn the_cause_of_a_request_is_explained(#[case] request_id: &str, #[case] phrases: &[&str]) {
     let output = explain(request_id);
