fix(relay): full messages to peers are sent in time under steady news

Cause: the wait for news polls the notification first, so that a stored one won although the time of the full message had passed. With news in each interval, 400 ms on a narrow link, no full message was sent. And each fourth full message went to all gateways, every 4 s on a narrow link instead of about once a second.

Change: the clock decides after the wait (message_schedule.rs). The least time between messages, 15 ms, is defined once.

--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -16,33 +16,28 @@
 use mgs_placing::peer_message::TopicVersion;
 use tokio::net::UdpSocket;
 use tokio::time::sleep;
-use tokio::time::timeout_at;
 use tokio::time::Instant;
 
 use crate::core::Core;
 use crate::drain::Phase;
 use crate::evacuation_gossip;
 use crate::freshness::Freshness;
-use crate::link_use::QUIET_MAX_MS;
+use crate::link_use::SEND_INTERVAL_MIN_MS;
+use crate::message_schedule::is_for_all;
+use crate::message_schedule::until_due;
+use crate::message_schedule::DueMessage;
 use crate::peers::Datagram;
 use crate::peers::PeerTable;
 use crate::traffic::TrafficKind;
 use crate::view::Fleet;
 
 /// Minimum time between two messages on a link with room; what is placed meanwhile is sent together.
-pub(crate) const SEND_INTERVAL_MIN: Duration = Duration::from_millis(15);
-
-/// Longest time without a message.
-const QUIET_MAX: Duration = Duration::from_millis(QUIET_MAX_MS);
+pub(crate) const SEND_INTERVAL_MIN: Duration = Duration::from_millis(SEND_INTERVAL_MIN_MS);
 
 /// Maximum size of a message, in bytes. Larger datagrams would be fragmented, and the loss of one
 /// fragment loses them all.
 pub(crate) const MESSAGE_BYTES_MAX: usize = 1_400;
 
-/// Every so many full messages, one is sent to all listed gateways, the others only to those heard
-/// recently.
-const FULL_TO_ALL_EVERY: u64 = 4;
-
 /// Sends messages to peers until the process ends.
 pub(crate) async fn run(core: Rc<Core>, socket: Rc<UdpSocket>, peer_table: Rc<RefCell<PeerTable>>) {
     let mut broadcaster = Broadcaster {
@@ -51,20 +46,19 @@
         peer_table,
         sequence: 0,
         full_messages_sent: 0,
+        last_to_all: None,
     };
     loop {
-        broadcaster.send_full().await;
+        let pace = broadcaster.core.observe_link();
+        let full_interval = Duration::from_millis(pace.full_interval_ms);
+        broadcaster.send_full(full_interval).await;
         let pace = broadcaster.core.observe_link();
         let full_at = Instant::now() + Duration::from_millis(pace.full_interval_ms);
         let mut sent_at = Instant::now();
         sleep(Duration::from_millis(pace.send_interval_ms)).await;
         loop {
-            // Peers would take a gateway that sends nothing for silent.
-            let next_at = full_at.min(sent_at + QUIET_MAX);
-            let wanted = broadcaster.core.broadcast_wanted.notified();
-            let is_wanted = timeout_at(next_at, wanted).await.is_ok();
-            let is_full_due = !is_wanted && next_at == full_at;
-            if is_full_due || broadcaster.core.full_message_wanted.get() {
+            let due = until_due(&broadcaster.core.broadcast_wanted, full_at, sent_at).await;
+            if due == DueMessage::Full || broadcaster.core.full_message_wanted.get() {
                 break;
             }
             broadcaster.send_short().await;
@@ -84,11 +78,13 @@
     sequence: u64,
     /// Number of full messages sent.
     full_messages_sent: u64,
+    /// When a full message was last sent to all listed gateways, and its number.
+    last_to_all: Option<(Instant, u64)>,
 }
 
 impl Broadcaster {
     /// Sends all load that this gateway has placed and what it knows of the store.
-    async fn send_full(&mut self) {
+    async fn send_full(&mut self, full_interval: Duration) {
         let message = self.next_message(true);
         let core = &self.core;
         core.unreported_loads.take();
@@ -104,7 +100,13 @@
         let loads = core.load_table.borrow().own_loads();
         add_loads(&mut message, &core.published.fleet(), loads);
         // Silent peers are sent a message about once a second.
-        let to_all = self.full_messages_sent.is_multiple_of(FULL_TO_ALL_EVERY);
+        let sent = self.full_messages_sent;
+        let to_all = self.last_to_all.is_none_or(|(sent_at, number)| {
+            is_for_all(sent - number, sent_at.elapsed(), full_interval)
+        });
+        if to_all {
+            self.last_to_all = Some((Instant::now(), sent));
+        }
         self.send(&encode_to_fit(message), to_all, TrafficKind::FullMessages)
             .await;
         self.send_evacuations(to_all).await;
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -48,6 +48,7 @@
 mod load_guard;
 mod lost_run;
 pub mod membership;
+pub mod message_schedule;
 pub mod metrics;
 mod peer_fallback;
 mod peer_snapshot;
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -26,7 +26,7 @@
 const FULL_BLOCKED: f64 = 0.6;
 
 /// Least time between two messages on a free link, in milliseconds.
-const SEND_INTERVAL_MS: f64 = 15.0;
+pub const SEND_INTERVAL_MIN_MS: u64 = 15;
 
 /// Least time between two messages at most, in milliseconds.
 const SEND_INTERVAL_MAX_MS: f64 = 400.0;
@@ -154,7 +154,7 @@
         let stretch = self.stretch(options);
         let between = |least: f64, most: f64| (least + (most - least) * stretch) as u64;
         MessagePace {
-            send_interval_ms: between(SEND_INTERVAL_MS, SEND_INTERVAL_MAX_MS),
+            send_interval_ms: between(SEND_INTERVAL_MIN_MS as f64, SEND_INTERVAL_MAX_MS),
             full_interval_ms: between(FULL_INTERVAL_MS, FULL_INTERVAL_MAX_MS),
         }
     }
