fix(relay): unread answers and open connections leave room to streams

Cause: answers and open connections were accepted up to the whole account. An event of a stream may take a share of what is free, which was then nothing, so that the streams of all reading clients were cut off.

Change: open connections are accepted up to the share for bodies, and complete answers up to 90 % of the account.

--- a/crates/mgs-relay/src/held_bytes.rs
+++ b/crates/mgs-relay/src/held_bytes.rs
@@ -1,8 +1,9 @@
 //! Counts the bytes that a gateway holds for clients and endpoints that read or write slowly, and
 //! decides what it may still take.
 //!
-//! Request bodies leave a part of the account to answers, since the request of an answer has run
-//! already. A stream may hold only a share of what is free. So clients that never read, however
+//! Request bodies and open connections leave a part of the account to answers, since the request of
+//! an answer has run already. Complete answers leave a part to streams, and a stream may hold only a
+//! share of what is free. So clients that never read, however
 //! many, reach their bound before those that read lose anything.
 
 use std::sync::atomic::AtomicU64;
@@ -16,6 +17,10 @@
 /// the answers of what was accepted.
 const BODY_SHARE_PERCENT: u64 = 75;
 
+/// Share of the account up to which complete answers are accepted, in percent. The rest is left to
+/// streams, whose events would find no room in a full account although their clients read.
+const ANSWER_SHARE_PERCENT: u64 = 90;
+
 /// Share of the account that open connections may take on a host with a memory limit, in percent.
 const LIMITED_CONNECTION_SHARE_PERCENT: u64 = 40;
 
@@ -103,9 +108,15 @@
         }
     }
 
+    /// Bytes held up to which request bodies and open connections are accepted.
     fn body_bytes(&self) -> u64 {
         self.total_bytes / 100 * BODY_SHARE_PERCENT
     }
+
+    /// Bytes held up to which complete answers are accepted.
+    fn answer_bytes(&self) -> u64 {
+        self.total_bytes / 100 * ANSWER_SHARE_PERCENT
+    }
 }
 
 /// What bytes are held for.
@@ -241,10 +252,10 @@
         let is_connection_full = connection_bytes > options.connection_bytes;
         let is_total_full = match kind {
             HoldKind::RequestBody => total_bytes > options.body_bytes(),
-            HoldKind::Answer => total_bytes > options.total_bytes,
+            HoldKind::Answer => total_bytes > options.answer_bytes(),
             HoldKind::Stream => connection_bytes > free_bytes / STREAM_SHARE_DIVISOR,
             HoldKind::OpenConnection => {
-                total_bytes > options.total_bytes
+                total_bytes > options.body_bytes()
                     || self.held_bytes(kind).saturating_add(more) > options.open_connections_bytes
             }
         };
--- a/crates/mgs-relay/tests/held_bytes.rs
+++ b/crates/mgs-relay/tests/held_bytes.rs
@@ -149,6 +149,43 @@
     assert!(hold(HoldKind::OpenConnection, CONNECTION_BYTES).is_ok());
 }
 
+/// Guards against reading clients whose streams are cut off since clients that read nothing have filled the account.
+#[test]
+fn unread_answers_and_open_connections_leave_room_to_a_stream_that_is_read() {
+    let account = HeldBytes::default();
+    let mut unread = Vec::new();
+    // Small holds fill the account to the last byte that it accepts.
+    for (kind, bytes) in [
+        (HoldKind::RequestBody, 100_000),
+        (HoldKind::Answer, 100_000),
+        (HoldKind::Answer, 100),
+        (HoldKind::OpenConnection, CONNECTION_BYTES),
+    ] {
+        while let Ok(held) = account.try_hold(&small(), kind, &ConnectionBytes::default(), bytes) {
+            unread.push(held);
+        }
+    }
+    let reading = ConnectionBytes::default();
+    let event = account.try_hold(&small(), HoldKind::Stream, &reading, 20_000);
+    assert!(event.is_ok(), "{} bytes are held", account.total_bytes());
+}
+
+/// Guards against answers that find no room since connections without a request have taken it.
+#[test]
+fn open_connections_beside_long_bodies_leave_room_to_answers() {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let hold = |kind, bytes| account.try_hold(&small(), kind, &connection, bytes);
+    let mut held = Vec::new();
+    while let Ok(body) = hold(HoldKind::RequestBody, 1_000_000) {
+        held.push(body);
+    }
+    while let Ok(open) = hold(HoldKind::OpenConnection, CONNECTION_BYTES) {
+        held.push(open);
+    }
+    assert!(hold(HoldKind::Answer, 2_000_000).is_ok());
+}
+
 /// One step of a random history.
 #[derive(Debug, Clone)]
 enum Step {
