fix(relay): bodies of unknown length have room up to the bound

Cause: room for a body without an announced length grows by doubling, and the doubled room was checked. Such an answer or request body was dropped from half of the bound on, also without a memory limit. The default bound of a connection didn't include the overhead of a hold, so that the longest complete answer had no room even if announced.

Change: if the doubled room doesn't fit, exactly what is needed is tried. The buffer allocates what is accounted for. The default bound of a connection is the longest complete answer with its overhead.

--- a/crates/mgs-relay/src/held_bytes.rs
+++ b/crates/mgs-relay/src/held_bytes.rs
@@ -11,7 +11,8 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
+
+use crate::attempt::ANSWER_BYTES_MAX;
 
 /// Share of the account up to which request bodies are accepted, in percent. The rest is left to
 /// the answers of what was accepted.
@@ -78,7 +79,7 @@
     fn default() -> Self {
         Self {
             total_bytes: 256 * 1024 * 1024,
-            connection_bytes: 16 * 1024 * 1024,
+            connection_bytes: ANSWER_BYTES_MAX as u64 + HOLD_OVERHEAD_BYTES,
             open_connections_bytes: u64::MAX,
             send_buffer_bytes: None,
             stall_ms: 120_000,
@@ -338,7 +339,7 @@
 /// A body that is being read, with the room that it takes.
 #[derive(Debug)]
 pub struct HeldBuffer {
-    bytes: BytesMut,
+    bytes: Vec<u8>,
     guard: HeldGuard,
     /// Bytes for which room was taken.
     room_bytes: usize,
@@ -368,7 +369,7 @@
         let room_bytes = announced_bytes.unwrap_or(0);
         let guard = account.try_hold(options, kind, connection, room_bytes)?;
         Ok(Self {
-            bytes: BytesMut::with_capacity(room_bytes),
+            bytes: Vec::with_capacity(room_bytes),
             guard,
             room_bytes,
         })
@@ -378,12 +379,17 @@
     pub fn push(&mut self, options: &Options, data: &[u8]) -> Result<(), NoRoom> {
         let needed_bytes = self.bytes.len() + data.len();
         if needed_bytes > self.room_bytes {
-            // Allocations grow by doubling, and the room with them.
-            let room_bytes = needed_bytes.max(self.room_bytes * 2);
-            let more = room_bytes - self.room_bytes;
-            self.guard.try_grow(options, more as u64)?;
-            self.bytes.reserve(room_bytes - self.bytes.len());
-            self.room_bytes = room_bytes;
+            // Room grows by doubling. Near a bound it grows by what is needed, so that a body is
+            // refused only if itself has no room.
+            let doubled_bytes = needed_bytes.max(self.room_bytes * 2);
+            let mut grow_to = |room_bytes: usize| {
+                let more = room_bytes - self.room_bytes;
+                self.guard.try_grow(options, more as u64)?;
+                self.room_bytes = room_bytes;
+                Ok(())
+            };
+            grow_to(doubled_bytes).or_else(|_: NoRoom| grow_to(needed_bytes))?;
+            self.bytes.reserve_exact(self.room_bytes - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
         Ok(())
@@ -401,6 +407,6 @@
 
     /// The received bytes, which keep the room.
     pub fn finish(self) -> Bytes {
-        self.guard.attach(self.bytes.freeze())
+        self.guard.attach(Bytes::from(self.bytes))
     }
 }
--- a/crates/mgs-relay/tests/held_bytes.rs
+++ b/crates/mgs-relay/tests/held_bytes.rs
@@ -4,6 +4,7 @@
 //! Guards against a small gateway that ends for lack of memory since its clients don't read.
 
 use mgs_relay::held_bytes::ConnectionBytes;
+use mgs_relay::held_bytes::HeldBuffer;
 use mgs_relay::held_bytes::HeldBytes;
 use mgs_relay::held_bytes::HeldGuard;
 use mgs_relay::held_bytes::HoldKind;
@@ -186,6 +187,41 @@
     assert!(hold(HoldKind::Answer, 2_000_000).is_ok());
 }
 
+/// Guards against bodies without an announced length that are dropped at half of the bound.
+#[rstest]
+#[case::answer_on_a_small_host(small(), HoldKind::Answer, 2_790_000)]
+#[case::request_body_on_a_small_host(small(), HoldKind::RequestBody, 16_790_000)]
+#[case::longest_answer(Options::default(), HoldKind::Answer, 16 * 1024 * 1024)]
+fn a_body_of_unknown_length_has_room_up_to_the_bound(
+    #[case] options: Options,
+    #[case] kind: HoldKind,
+    #[case] bytes: usize,
+) {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let mut body =
+        HeldBuffer::begin(&account, &options, kind, &connection, None).expect("room to begin");
+    // A frame that doesn't divide the bound.
+    let frame = vec![7; 13_000];
+    while body.len() < bytes {
+        let next = frame.len().min(bytes - body.len());
+        let pushed = body.push(&options, &frame[..next]);
+        assert!(pushed.is_ok(), "{pushed:?} after {} bytes", body.len());
+    }
+    assert_eq!(body.finish().len(), bytes);
+    assert_eq!(account.total_bytes(), 0);
+}
+
+#[test]
+fn the_longest_complete_answer_has_room_if_its_length_is_announced() {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let longest = Some(16 * 1024 * 1024);
+    let options = Options::default();
+    let begun = HeldBuffer::begin(&account, &options, HoldKind::Answer, &connection, longest);
+    assert!(begun.is_ok());
+}
+
 /// One step of a random history.
 #[derive(Debug, Clone)]
 enum Step {
