fix(relay): a wait for the socket for peers counts by its length

Cause: the time for which the socket took nothing was recorded when the wait ended, and clipped to the time since the last observation. Each request observes the link, so that a wait of 890 ms counted as 1 ms.

Change: blocked time enters the average by its own length. A wait in progress is part of the totals, and waits at the same time count once.

--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -212,10 +212,8 @@
 ) -> io::Result<usize> {
     match socket.try_send_to(message, peer) {
         Err(error) if error.kind() == io::ErrorKind::WouldBlock => {
-            let blocked_at = Instant::now();
-            let sent = socket.send_to(message, peer).await;
-            core.traffic.add_blocked(blocked_at.elapsed());
-            sent
+            let _blocked = core.traffic.begin_blocked();
+            socket.send_to(message, peer).await
         }
         sent => sent,
     }
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -133,8 +133,11 @@
             &mut self.sent_per_s,
             per_s(totals.sent_bytes, before.sent_bytes),
         );
-        let blocked_share = ((totals.blocked_ms - before.blocked_ms) / passed_ms).min(1.0);
-        average(&mut self.blocked_share, blocked_share);
+        // A wait is recorded when it ends, and may be longer than the time since the last
+        // observation. It counts by its own length, as if it had been observed throughout.
+        let blocked_ms = totals.blocked_ms - before.blocked_ms;
+        let blocked_weight = 1.0 - (-blocked_ms / AVERAGE_MS).exp();
+        self.blocked_share = (self.blocked_share * (1.0 - weight) + blocked_weight).min(1.0);
         self.observed = Some((now_ms, totals));
     }
 
--- a/crates/mgs-relay/src/traffic.rs
+++ b/crates/mgs-relay/src/traffic.rs
@@ -9,6 +9,7 @@
 
 use mgs_observe::metrics::Counters;
 use tokio::time::sleep;
+use tokio::time::Instant;
 
 use crate::core::Core;
 use crate::link_use::LinkTotals;
@@ -80,6 +81,28 @@
     unreported: [Cell<u64>; TrafficKind::ALL.len()],
     /// What the link has carried since the start.
     link: Cell<LinkTotals>,
+    /// Messages that wait until the socket for peers takes them, and since when there are any.
+    blocked: Cell<Option<(usize, Instant)>>,
+}
+
+/// A message that waits until the socket for peers takes it, until dropped.
+#[derive(Debug)]
+pub(crate) struct BlockedSend<'a> {
+    traffic: &'a Traffic,
+}
+
+impl Drop for BlockedSend<'_> {
+    fn drop(&mut self) {
+        let traffic = self.traffic;
+        let totals = traffic.link_totals();
+        match traffic.blocked.get() {
+            Some((waits, since)) if waits > 1 => traffic.blocked.set(Some((waits - 1, since))),
+            _ => {
+                traffic.link.set(totals);
+                traffic.blocked.set(None);
+            }
+        }
+    }
 }
 
 impl Traffic {
@@ -96,16 +119,21 @@
         self.link.set(link);
     }
 
-    /// Adds time for which the socket for peers took nothing.
-    pub(crate) fn add_blocked(&self, blocked: Duration) {
-        let mut link = self.link.get();
-        link.blocked_ms += blocked.as_secs_f64() * 1e3;
-        self.link.set(link);
+    /// Records that a message waits for the socket for peers. Messages that wait at the same time
+    /// count once.
+    pub(crate) fn begin_blocked(&self) -> BlockedSend<'_> {
+        let (waits, since) = self.blocked.get().unwrap_or((0, Instant::now()));
+        self.blocked.set(Some((waits + 1, since)));
+        BlockedSend { traffic: self }
     }
 
-    /// What the link has carried since the start.
+    /// What the link has carried since the start, with the wait that is in progress.
     pub(crate) fn link_totals(&self) -> LinkTotals {
-        self.link.get()
+        let mut link = self.link.get();
+        if let Some((_, since)) = self.blocked.get() {
+            link.blocked_ms += since.elapsed().as_secs_f64() * 1e3;
+        }
+        link
     }
 
     /// Adds the bytes to the counters, and returns and resets them.
--- a/crates/mgs-relay/tests/link_use.rs
+++ b/crates/mgs-relay/tests/link_use.rs
@@ -76,6 +76,25 @@
     assert_eq!(link.in_use.pace(&narrowest()), pace);
 }
 
+/// Guards against a link that is reduced to nearly nothing and counts as free, since each wait is recorded as a whole when
+/// it ends, long after the last observation but one.
+#[test]
+fn a_long_wait_counts_in_full_after_many_short_observations() {
+    let mut link = Link::default();
+    for _ in 0..5 {
+        for _ in 0..900 {
+            link.now_ms += 1.0;
+            link.in_use.observe(link.now_ms, link.totals);
+        }
+        link.totals.blocked_ms += 890.0;
+        link.now_ms += 1.0;
+        link.in_use.observe(link.now_ms, link.totals);
+    }
+    let blocked_share = link.in_use.blocked_share();
+    assert!((0.9..=1.0).contains(&blocked_share), "{blocked_share}");
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Full);
+}
+
 #[test]
 fn a_link_of_unknown_width_is_free_until_its_socket_blocks() {
     let mut link = Link::default();
