fix(relay): a burst of long bodies isn't a full link

Cause: a body entered the average as an impulse when it was complete, and a dispatch before it was sent, also if it never was. Bodies of 30 to 800 kB made a host with 14 Mbit/s refuse everything.

Change: received bytes count frame by frame, also those of refused bodies, and a dispatch counts once it was sent. No more is counted in a period than the link carries in it; the rest is a backlog that counts later. Requests are refused at an average of 90 %, as before, or at a backlog of 1.5 s.

Result: two bodies of 760 kB at once, on a link of 14 Mbit/s that is otherwise used to 0.4, give link_full before and don't now. The test of an otherwise idle link passed before too. The narrow_link tests pass unchanged. The tests of link_use pass the width to observe().

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -36,6 +36,9 @@
 /// Why a longer response isn't used.
 const TOO_LONG: &str = "the response body is too long";
 
+/// Why an endpoint has not run a request that wasn't sent.
+const NOT_CONNECTED: &str = "not_connected";
+
 /// A stream that has delivered its first events.
 pub(crate) struct EventStream {
     /// Kept open as long as the stream is read.
@@ -79,6 +82,13 @@
     },
 }
 
+impl DispatchResult {
+    /// Whether the request was sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        !matches!(self, Self::NotRun { why, .. } if *why == NOT_CONNECTED)
+    }
+}
+
 /// Sends a request and waits for its response. Dropping the future closes the connection.
 pub(crate) async fn send(
     core: &Rc<Core>,
@@ -117,7 +127,7 @@
 fn not_sent(error: &CallError) -> DispatchResult {
     log::debug!(error:% = error; "not sent");
     DispatchResult::NotRun {
-        why: "not_connected",
+        why: NOT_CONNECTED,
         is_lost: true,
         is_refused: matches!(error, CallError::Refused(_)),
         at_fault: None,
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -167,7 +167,7 @@
     pub(crate) fn observe_link(&self) -> MessagePace {
         let options = &self.published.live_settings().link;
         let mut link = self.link.borrow_mut();
-        link.observe(self.now_ms(), self.traffic.link_totals());
+        link.observe(options, self.now_ms(), self.traffic.link_totals());
         let (pace, state) = (link.pace(options), link.state(options));
         let permille = |share: f64| (share * 1e3) as i64;
         let used_permille = permille(link.used_share(options));
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -296,9 +296,6 @@
         let endpoint = placed.endpoint.clone();
         self.progress.dispatches += 1;
         self.progress.in_flight = true;
-        self.core
-            .traffic
-            .add(TrafficKind::Dispatches, self.body.len());
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
         let sending = attempt::send(
@@ -316,6 +313,10 @@
                 .unwrap_or_else(|_| silent_result()),
         };
         self.progress.in_flight = false;
+        if result.is_sent() {
+            let traffic = &self.core.traffic;
+            traffic.add(TrafficKind::Dispatches, self.body.len());
+        }
         let took_ms = start.elapsed().as_millis() as u64;
         let result = self.with_helper_at_fault(&placed, result);
         self.record_outcome(&placed, &result, took_ms);
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -6,8 +6,8 @@
 //! less. As the use grows, messages to peers become rarer. Only when they are as rare as they may
 //! be are requests refused.
 
-/// Time constant of the averages, in milliseconds: a body of a megabyte takes half of a second of a
-/// link of 14 Mbit/s, and must not count as a full link by itself.
+/// Time constant of the averages, in milliseconds. A link that was half used counts as full after
+/// 1.6 s without a pause.
 const AVERAGE_MS: f64 = 1_000.0;
 
 /// Use of the link from which on messages become rarer. Header fields and acknowledgements aren't
@@ -20,6 +20,16 @@
 /// Use of the link from which on requests are refused.
 const FULL_USE: f64 = 0.9;
 
+/// The same bounds for the time that the link needs for what was counted at once, in milliseconds.
+/// Two bodies of 760 kB take 870 ms of a link of 14 Mbit/s; they are ordinary traffic.
+const NARROW_BACKLOG_MS: f64 = 900.0;
+const SLOWEST_BACKLOG_MS: f64 = 1_200.0;
+const FULL_BACKLOG_MS: f64 = 1_500.0;
+
+/// Longest such time that is remembered, in milliseconds: a link that is wider than its setting says
+/// is free again as soon after a burst.
+const BACKLOG_MAX_MS: f64 = 3_000.0;
+
 /// The same bounds for the share of time for which the socket for peers takes nothing.
 const NARROW_BLOCKED: f64 = 0.05;
 const SLOWEST_BLOCKED: f64 = 0.25;
@@ -91,12 +101,39 @@
     }
 }
 
+/// One direction of the link.
+#[derive(Debug, Clone, Default)]
+struct Direction {
+    /// Bytes that were counted, and for which the link needs further time.
+    backlog_bytes: f64,
+    /// Average of what is carried, in bytes per second.
+    per_s: f64,
+}
+
+impl Direction {
+    /// Takes the bytes that were counted in `passed_ms`. No more is carried than the link can.
+    fn observe(&mut self, options: &Options, passed_ms: f64, bytes: u64) {
+        let counted_bytes = self.backlog_bytes + bytes as f64;
+        let carried_bytes = match options.bytes_per_s {
+            None => counted_bytes,
+            Some(per_s) => {
+                let carried_bytes = counted_bytes.min(per_s * passed_ms / 1e3);
+                let backlog_max_bytes = per_s * BACKLOG_MAX_MS / 1e3;
+                self.backlog_bytes = (counted_bytes - carried_bytes).min(backlog_max_bytes);
+                carried_bytes
+            }
+        };
+        let weight = 1.0 - (-passed_ms / AVERAGE_MS).exp();
+        self.per_s += (carried_bytes / passed_ms * 1e3 - self.per_s) * weight;
+    }
+}
+
 /// Averages of what the link carries.
 #[derive(Debug, Clone, Default)]
 pub struct LinkUse {
     observed: Option<(f64, LinkTotals)>,
-    received_per_s: f64,
-    sent_per_s: f64,
+    received: Direction,
+    sent: Direction,
     blocked_share: f64,
 }
 
@@ -108,12 +145,13 @@
     ///
     /// let options = Options { bytes_per_s: Some(1_750_000.0) };
     /// let mut link = LinkUse::default();
-    /// link.observe(0.0, LinkTotals::default());
+    /// link.observe(&options, 0.0, LinkTotals::default());
     /// assert_eq!(link.state(&options), LinkState::Free);
-    /// link.observe(5_000.0, LinkTotals { sent_bytes: 8_500_000, ..LinkTotals::default() });
+    /// let totals = LinkTotals { sent_bytes: 8_500_000, ..LinkTotals::default() };
+    /// link.observe(&options, 5_000.0, totals);
     /// assert_eq!(link.state(&options), LinkState::Full);
     /// ```
-    pub fn observe(&mut self, now_ms: f64, totals: LinkTotals) {
+    pub fn observe(&mut self, options: &Options, now_ms: f64, totals: LinkTotals) {
         let Some((before_ms, before)) = self.observed else {
             self.observed = Some((now_ms, totals));
             return;
@@ -122,31 +160,34 @@
         if passed_ms < 1.0 {
             return;
         }
-        let weight = 1.0 - (-passed_ms / AVERAGE_MS).exp();
-        let average = |average: &mut f64, now: f64| *average += (now - *average) * weight;
-        let per_s = |after: u64, before: u64| (after - before) as f64 / passed_ms * 1e3;
-        average(
-            &mut self.received_per_s,
-            per_s(totals.received_bytes, before.received_bytes),
-        );
-        average(
-            &mut self.sent_per_s,
-            per_s(totals.sent_bytes, before.sent_bytes),
-        );
+        let received_bytes = totals.received_bytes - before.received_bytes;
+        self.received.observe(options, passed_ms, received_bytes);
+        let sent_bytes = totals.sent_bytes - before.sent_bytes;
+        self.sent.observe(options, passed_ms, sent_bytes);
         // A wait is recorded when it ends, and may be longer than the time since the last
         // observation. It counts by its own length, as if it had been observed throughout.
         let blocked_ms = totals.blocked_ms - before.blocked_ms;
+        let kept = (-passed_ms / AVERAGE_MS).exp();
         let blocked_weight = 1.0 - (-blocked_ms / AVERAGE_MS).exp();
-        self.blocked_share = (self.blocked_share * (1.0 - weight) + blocked_weight).min(1.0);
+        self.blocked_share = (self.blocked_share * kept + blocked_weight).min(1.0);
         self.observed = Some((now_ms, totals));
     }
 
     /// Used share of the link in the direction that is used more; 0 if its width isn't known.
     pub fn used_share(&self, options: &Options) -> f64 {
-        let used_per_s = self.received_per_s.max(self.sent_per_s);
+        let used_per_s = self.received.per_s.max(self.sent.per_s);
         options.bytes_per_s.map_or(0.0, |width| used_per_s / width)
     }
 
+    /// Time that the link needs for what was counted but can't have been carried yet, in
+    /// milliseconds; 0 if its width isn't known.
+    pub fn backlog_ms(&self, options: &Options) -> f64 {
+        let backlog_bytes = self.received.backlog_bytes.max(self.sent.backlog_bytes);
+        options
+            .bytes_per_s
+            .map_or(0.0, |width| backlog_bytes / width * 1e3)
+    }
+
     /// Share of time for which the socket for peers took nothing.
     pub fn blocked_share(&self) -> f64 {
         self.blocked_share
@@ -164,7 +205,10 @@
 
     /// How much room the link has.
     pub fn state(&self, options: &Options) -> LinkState {
-        if self.used_share(options) >= FULL_USE || self.blocked_share >= FULL_BLOCKED {
+        let is_full = self.used_share(options) >= FULL_USE
+            || self.backlog_ms(options) >= FULL_BACKLOG_MS
+            || self.blocked_share >= FULL_BLOCKED;
+        if is_full {
             return LinkState::Full;
         }
         match self.stretch(options) > 0.0 {
@@ -178,7 +222,9 @@
         let position =
             |value: f64, from: f64, to: f64| ((value - from) / (to - from)).clamp(0.0, 1.0);
         let by_use = position(self.used_share(options), NARROW_USE, SLOWEST_USE);
+        let backlog_ms = self.backlog_ms(options);
+        let by_backlog = position(backlog_ms, NARROW_BACKLOG_MS, SLOWEST_BACKLOG_MS);
         let by_blocked = position(self.blocked_share, NARROW_BLOCKED, SLOWEST_BLOCKED);
-        by_use.max(by_blocked)
+        by_use.max(by_backlog).max(by_blocked)
     }
 }
--- a/crates/mgs-relay/src/request_body.rs
+++ b/crates/mgs-relay/src/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads request bodies, and refuses those that there is no memory for before they are read.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use crate::held_bytes::HeldBuffer;
 use crate::held_bytes::HoldKind;
 use crate::link_use::LinkState;
+use crate::traffic::TrafficKind;
 
 /// `Retry-After` if there is no memory for a body, in milliseconds. Most requests end within a
 /// second and release theirs, and the client's next try probably reaches another host.
@@ -34,7 +36,7 @@
 /// Reads a body of at most `most` bytes by the deadline. Its room in the account of held bytes is
 /// taken before it is read.
 pub(crate) async fn read(
-    core: &Core,
+    core: &Rc<Core>,
     client: &ClientConnection,
     client_request: &ClientRequest,
     head: &request::Parts,
@@ -66,7 +68,7 @@
         if is_sending && !head.headers.contains_key(EXPECT) {
             tokio::task::spawn_local(timeout_at(
                 Instant::now() + DISCARD_TIMEOUT,
-                discard(body, most),
+                discard(core.clone(), body, most),
             ));
         }
     }
@@ -108,6 +110,7 @@
             Refusal::of(Fault::Malformed)
         })?;
         let data = frame.into_data().unwrap_or_default();
+        core.traffic.add(TrafficKind::Requests, data.len());
         if buffer.len() + data.len() > most {
             return Err(Refusal::of(Fault::BodyTooLong));
         }
@@ -117,10 +120,12 @@
 }
 
 /// Receives and drops the rest of a body of at most `most` bytes.
-async fn discard(mut body: Incoming, most: usize) {
+async fn discard(core: Rc<Core>, mut body: Incoming, most: usize) {
     let mut received_bytes = 0;
     while let Some(Ok(frame)) = body.frame().await {
-        received_bytes += frame.data_ref().map_or(0, Bytes::len);
+        let frame_bytes = frame.data_ref().map_or(0, Bytes::len);
+        core.traffic.add(TrafficKind::Requests, frame_bytes);
+        received_bytes += frame_bytes;
         if received_bytes > most {
             return;
         }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -36,7 +36,6 @@
 use crate::progress::DispatchProgress;
 use crate::request_body;
 use crate::stream::StreamForwarder;
-use crate::traffic::TrafficKind;
 use crate::view::Configuration;
 use crate::view::Organisation;
 use crate::view::Route;
@@ -257,7 +256,6 @@
     let most = configuration.limits.body_bytes;
     let body =
         request_body::read(core, client, &client_request, &head, body, most, deadline).await?;
-    core.traffic.add(TrafficKind::Requests, body.len());
     let service = pick_service(core, &admitted.route);
     let model = configuration
         .services
--- a/crates/mgs-relay/src/traffic.rs
+++ b/crates/mgs-relay/src/traffic.rs
@@ -20,7 +20,7 @@
 /// What bytes are transferred for. Header fields and transport overhead aren't counted.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub(crate) enum TrafficKind {
-    /// Request bodies from clients.
+    /// Request bodies from clients, as they arrive.
     Requests,
     /// Request bodies to endpoints, counted each time they are sent.
     Dispatches,
--- a/crates/mgs-relay/tests/link_use.rs
+++ b/crates/mgs-relay/tests/link_use.rs
@@ -51,7 +51,7 @@
             self.now_ms += STEP_MS;
             self.totals.sent_bytes += (NARROWEST_PER_S * used_share * STEP_MS / 1e3) as u64;
             self.totals.blocked_ms += blocked_share * STEP_MS;
-            self.in_use.observe(self.now_ms, self.totals);
+            self.in_use.observe(&narrowest(), self.now_ms, self.totals);
         }
     }
 }
@@ -84,11 +84,11 @@
     for _ in 0..5 {
         for _ in 0..900 {
             link.now_ms += 1.0;
-            link.in_use.observe(link.now_ms, link.totals);
+            link.in_use.observe(&narrowest(), link.now_ms, link.totals);
         }
         link.totals.blocked_ms += 890.0;
         link.now_ms += 1.0;
-        link.in_use.observe(link.now_ms, link.totals);
+        link.in_use.observe(&narrowest(), link.now_ms, link.totals);
     }
     let blocked_share = link.in_use.blocked_share();
     assert!((0.9..=1.0).contains(&blocked_share), "{blocked_share}");
@@ -124,6 +124,36 @@
     assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
 }
 
+/// Guards against hosts with a narrow link that refuse everything after two ordinary long prompts.
+#[rstest]
+#[case::idle(0.05)]
+#[case::ordinary(0.4)]
+fn a_burst_of_two_long_bodies_is_not_a_full_link(#[case] used_share: f64) {
+    let mut link = Link::default();
+    link.carry(3_000.0, used_share, 0.0);
+    link.totals.received_bytes += 1_520_000;
+    for _ in 0..60 {
+        link.carry(50.0, used_share, 0.0);
+        assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
+    }
+    link.totals.sent_bytes += 1_520_000;
+    for _ in 0..60 {
+        link.carry(50.0, used_share, 0.0);
+        assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
+    }
+}
+
+#[test]
+fn a_burst_that_fills_the_link_for_seconds_is_noticed_at_once_and_forgotten_afterwards() {
+    let mut link = Link::default();
+    link.carry(3_000.0, 0.05, 0.0);
+    link.totals.received_bytes += 7_600_000;
+    link.carry(50.0, 0.05, 0.0);
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Full);
+    link.carry(5_000.0, 0.05, 0.0);
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Free);
+}
+
 proptest! {
     #[test]
     fn requests_are_refused_only_while_messages_are_rarest(
