fix(relay): without settings, neither memory nor link limits anything

Cause: without limits.linkMbps, a socket for peers that blocked made messages rarer and requests refused. Without limits.memoryMb, the account had a bound of 256 MiB, a client's unread bytes one of 16 MiB, and a client that took nothing for 120 s was cut off. A part takes effect only where settings call for it.

Change: blocked time counts only if the width of the link is known. The bounds without a memory limit are unbounded.

The new test of the account fails before and passes now.

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -31,7 +31,7 @@
 
 /// Longest complete response that is forwarded, in bytes. It is read to its end first, so that a
 /// truncated one is told from a complete one.
-pub(crate) const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
+const ANSWER_BYTES_MAX: usize = 16 * 1024 * 1024;
 
 /// Why a longer response isn't used.
 const TOO_LONG: &str = "the response body is too long";
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -176,7 +176,7 @@
             log::info!(
                 state = state.name(),
                 used_permille = used_permille,
-                blocked_permille = permille(link.blocked_share()),
+                blocked_permille = permille(link.blocked_share(options)),
                 send_interval_ms = pace.send_interval_ms,
                 full_interval_ms = pace.full_interval_ms;
                 "the room on the link has changed"
--- a/crates/mgs-relay/src/held_bytes.rs
+++ b/crates/mgs-relay/src/held_bytes.rs
@@ -12,8 +12,6 @@
 
 use bytes::Bytes;
 
-use crate::attempt::ANSWER_BYTES_MAX;
-
 /// Share of the account up to which request bodies are accepted, in percent. The rest is left to
 /// the answers of what was accepted.
 const BODY_SHARE_PERCENT: u64 = 75;
@@ -74,15 +72,14 @@
 }
 
 impl Default for Options {
-    /// Bounds of a host without a memory limit: more than ordinary traffic holds. One client may
-    /// have yet to read as much as the longest complete answer.
+    /// No bounds, for a host without a memory limit. Held bytes are counted all the same.
     fn default() -> Self {
         Self {
-            total_bytes: 256 * 1024 * 1024,
-            connection_bytes: ANSWER_BYTES_MAX as u64 + HOLD_OVERHEAD_BYTES,
+            total_bytes: u64::MAX,
+            connection_bytes: u64::MAX,
             open_connections_bytes: u64::MAX,
             send_buffer_bytes: None,
-            stall_ms: 120_000,
+            stall_ms: u64::MAX,
         }
     }
 }
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -1,9 +1,9 @@
 //! Decides how often a gateway sends messages to its peers, and whether it accepts requests, by how
 //! much of its link is used.
 //!
-//! A narrow link is noticed in two ways: by the bytes carried, if the width of the link is known;
-//! and by the time for which the socket for peers takes nothing more, if the link was reduced to
-//! less. As the use grows, messages to peers become rarer. Only when they are as rare as they may
+//! This takes effect only if the width of the link is known. A narrow link is noticed in two ways:
+//! by the bytes carried; and by the time for which the socket for peers takes nothing more, if the
+//! link was reduced to less. As the use grows, messages to peers become rarer. Only when they are as rare as they may
 //! be are requests refused.
 
 /// Time constant of the averages, in milliseconds. A link that was half used counts as full after
@@ -55,7 +55,8 @@
 /// The link of this host.
 #[derive(Debug, Clone, PartialEq, Default)]
 pub struct Options {
-    /// Bytes per second that it carries in each direction; `None` if that isn't known.
+    /// Bytes per second that it carries in each direction; `None` if that isn't known. Then nothing
+    /// depends on its use.
     pub bytes_per_s: Option<f64>,
 }
 
@@ -188,9 +189,10 @@
             .map_or(0.0, |width| backlog_bytes / width * 1e3)
     }
 
-    /// Share of time for which the socket for peers took nothing.
-    pub fn blocked_share(&self) -> f64 {
-        self.blocked_share
+    /// Share of time for which the socket for peers took nothing; 0 if the width of the link isn't
+    /// known, since the limit is off then.
+    pub fn blocked_share(&self, options: &Options) -> f64 {
+        options.bytes_per_s.map_or(0.0, |_| self.blocked_share)
     }
 
     /// How often to send messages to peers.
@@ -207,7 +209,7 @@
     pub fn state(&self, options: &Options) -> LinkState {
         let is_full = self.used_share(options) >= FULL_USE
             || self.backlog_ms(options) >= FULL_BACKLOG_MS
-            || self.blocked_share >= FULL_BLOCKED;
+            || self.blocked_share(options) >= FULL_BLOCKED;
         if is_full {
             return LinkState::Full;
         }
@@ -224,7 +226,7 @@
         let by_use = position(self.used_share(options), NARROW_USE, SLOWEST_USE);
         let backlog_ms = self.backlog_ms(options);
         let by_backlog = position(backlog_ms, NARROW_BACKLOG_MS, SLOWEST_BACKLOG_MS);
-        let by_blocked = position(self.blocked_share, NARROW_BLOCKED, SLOWEST_BLOCKED);
+        let by_blocked = position(self.blocked_share(options), NARROW_BLOCKED, SLOWEST_BLOCKED);
         by_use.max(by_backlog).max(by_blocked)
     }
 }
--- a/crates/mgs-relay/tests/held_bytes.rs
+++ b/crates/mgs-relay/tests/held_bytes.rs
@@ -134,6 +134,20 @@
     assert!(hold(HoldKind::Answer, 15 * 1024 * 1024).is_ok());
 }
 
+/// Guards against a bound that takes effect where no setting asks for it.
+#[test]
+fn without_a_memory_limit_nothing_is_bounded() {
+    const GIB: usize = 1 << 30;
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let held: Vec<_> = (0..100)
+        .flat_map(|_| HoldKind::ALL)
+        .map(|kind| account.try_hold(&Options::default(), kind, &connection, GIB))
+        .collect();
+    assert!(held.iter().all(Result::is_ok));
+    assert_eq!(Options::default().send_buffer_bytes, None);
+}
+
 #[test]
 fn open_connections_leave_room_to_requests() {
     let account = HeldBytes::default();
