fix(relay): long requests on refused connections get the refusal

Cause: a connection without room was served with hyper's own buffer for the head, its body was dropped unread, and it was closed 500 ms after it was accepted. The client of a long request saw a reset instead of 503. The count of refusals in progress included the core's own reference, so that 31 were answered at once instead of 32 (by reading; no test).

Change: the head has the same buffer as on other connections, the body is received and discarded for at most 2 s, and only the head must arrive within 500 ms.

--- a/crates/mgs-relay/src/client.rs
+++ b/crates/mgs-relay/src/client.rs
@@ -24,8 +24,10 @@
 use crate::core::Core;
 use crate::drain::Phase;
 use crate::held_bytes::HeldGuard;
+use crate::request_body::DISCARD_TIMEOUT;
 use crate::serve::refuse;
 use crate::serve::serve;
+use crate::view::Limits;
 
 /// Connections that the system queues until they are accepted; covers a burst after a stall of some
 /// hundred milliseconds.
@@ -41,8 +43,12 @@
 /// Connections without room whose requests are answered at the same time.
 const REFUSED_AT_ONCE_MAX: usize = 32;
 
-/// Time for the request of a connection without room to arrive.
-const REFUSAL_TIMEOUT: Duration = Duration::from_millis(500);
+/// Time for the request head of a connection without room to arrive.
+const REFUSAL_HEAD_TIMEOUT: Duration = Duration::from_millis(500);
+
+/// Time for a connection without room altogether: after its request head, its body is received and
+/// discarded.
+const REFUSAL_TIMEOUT: Duration = REFUSAL_HEAD_TIMEOUT.saturating_add(DISCARD_TIMEOUT);
 
 /// Delay after a failure to accept, for example when descriptors run out.
 const ACCEPT_RETRY_DELAY: Duration = Duration::from_millis(20);
@@ -83,8 +89,9 @@
 /// Answers the request of a connection that there is no memory for, if few others are being
 /// refused. The rest is closed at once: refusals take memory too.
 fn refuse_connection(core: &Rc<Core>, stream: TcpStream) {
-    let few = core.connections_refused.clone();
-    let is_answered = Rc::strong_count(&few) <= REFUSED_AT_ONCE_MAX;
+    // One reference is the core's own.
+    let refused_now = Rc::strong_count(&core.connections_refused) - 1;
+    let is_answered = refused_now < REFUSED_AT_ONCE_MAX;
     log::info!(
         held_total_bytes = core.held.total_bytes(),
         is_answered = is_answered;
@@ -94,25 +101,35 @@
     if !is_answered {
         return;
     }
+    let refusal_slot = core.connections_refused.clone();
+    let limits = client_limits(core);
     let refusing = core.clone();
     tokio::task::spawn_local(async move {
         let service = service_fn(move |request| refuse(refusing.clone(), request));
-        let connection = http1::Builder::new().serve_connection(TokioIo::new(stream), service);
+        let connection = http1::Builder::new()
+            .timer(TokioTimer::new())
+            .header_read_timeout(REFUSAL_HEAD_TIMEOUT)
+            .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
+            .serve_connection(TokioIo::new(stream), service);
         // A client that sends nothing sees its connection closed.
         let _ = timeout(REFUSAL_TIMEOUT, connection).await;
-        drop(few);
+        drop(refusal_slot);
     });
 }
 
+/// Limits of clients' requests.
+fn client_limits(core: &Core) -> Limits {
+    let configuration = core.published.configuration();
+    configuration
+        .map(|configuration| configuration.limits)
+        .unwrap_or_default()
+}
+
 async fn serve_connection(core: Rc<Core>, stream: TcpStream, _room: HeldGuard) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "failed to set socket options");
     }
-    let limits = core
-        .published
-        .configuration()
-        .map(|configuration| configuration.limits)
-        .unwrap_or_default();
+    let limits = client_limits(&core);
     // hyper's single timeout covers both the idle time between requests and the time to read a
     // head.
     let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms) + IDLE_GRACE_MS;
--- a/crates/mgs-relay/src/request_body.rs
+++ b/crates/mgs-relay/src/request_body.rs
@@ -31,7 +31,7 @@
 
 /// How long the body of a refused request is still received and discarded. A client that is in the
 /// middle of sending it would otherwise see a reset connection instead of the refusal.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Reads a body of at most `most` bytes by the deadline. Its room in the account of held bytes is
 /// taken before it is read.
@@ -64,12 +64,8 @@
             refusal.fault,
             Fault::NoMemory | Fault::LinkFull | Fault::BodyTooLong
         );
-        // A client that waits for permission to send its body is not given it.
-        if is_sending && !head.headers.contains_key(EXPECT) {
-            tokio::task::spawn_local(timeout_at(
-                Instant::now() + DISCARD_TIMEOUT,
-                discard(core.clone(), body, most),
-            ));
+        if is_sending {
+            discard_in_background(core, head, body, most);
         }
     }
     read
@@ -119,6 +115,21 @@
     Ok(buffer.finish())
 }
 
+/// Starts to receive and drop the rest of the body of a refused request, so that its client, which
+/// may still be sending, sees the refusal.
+pub(crate) fn discard_in_background(
+    core: &Rc<Core>,
+    head: &request::Parts,
+    body: Incoming,
+    most: usize,
+) {
+    // A client that waits for permission to send its body is not given it.
+    if !head.headers.contains_key(EXPECT) {
+        let until = Instant::now() + DISCARD_TIMEOUT;
+        tokio::task::spawn_local(timeout_at(until, discard(core.clone(), body, most)));
+    }
+}
+
 /// Receives and drops the rest of a body of at most `most` bytes.
 async fn discard(core: Rc<Core>, mut body: Incoming, most: usize) {
     let mut received_bytes = 0;
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -208,7 +208,10 @@
     core: Rc<Core>,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
-    let (head, _) = request.into_parts();
+    let (head, body) = request.into_parts();
+    let limits = core.published.configuration().map(|c| c.limits);
+    let most = limits.unwrap_or_default().body_bytes;
+    request_body::discard_in_background(&core, &head, body, most);
     let parsed = core.dialect.parse_request(&head).ok();
     let request_id = parsed.as_ref().map(|parsed| parsed.request_id.as_str());
     let refusal = request_body::no_memory();
