fix(relay): no retry for an answer that a connection can't hold

Cause: an answer above the bound of its connection was asked for again on routes that may repeat. No try can hold it, and each is a run of an endpoint and takes a retry from the budget.

Change: the outcome carries which bound left no room; the connection's ends the request.

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -27,6 +27,7 @@
 use crate::dialect::ResponseKind;
 use crate::event_splitter::EventSplitter;
 use crate::held_bytes::HoldKind;
+use crate::held_bytes::NoRoom;
 use crate::view::Endpoint;
 
 /// Longest complete response that is forwarded, in bytes. It is read to its end first, so that a
@@ -72,7 +73,7 @@
     /// The request may have run; there is no usable response.
     Unknown { lost: LossCause, why: String },
     /// The endpoint answered, and this host has no memory for the answer.
-    NotHeld,
+    NotHeld(NoRoom),
     /// A complete response.
     Full { head: response::Parts, body: Bytes },
     /// A stream has started.
@@ -162,8 +163,9 @@
     }
     let held_options = core.published.live_settings().held.clone();
     let buffer = core.hold_body(HoldKind::Answer, &client.held, announced_bytes);
-    let Ok(mut buffer) = buffer else {
-        return DispatchResult::NotHeld;
+    let mut buffer = match buffer {
+        Ok(buffer) => buffer,
+        Err(no_room) => return DispatchResult::NotHeld(no_room),
     };
     while let Some(frame) = body.frame().await {
         let frame = match frame {
@@ -171,8 +173,8 @@
             Err(error) => return connection_broken(&error),
         };
         if let Some(data) = frame.data_ref() {
-            if buffer.push(&held_options, data).is_err() {
-                return DispatchResult::NotHeld;
+            if let Err(no_room) = buffer.push(&held_options, data) {
+                return DispatchResult::NotHeld(no_room);
             }
         }
         if buffer.len() > ANSWER_BYTES_MAX {
@@ -231,7 +233,7 @@
         drop(partial_event.take());
         partial_event = match core.hold_partial_event(&client.held, events.partial_bytes()) {
             Ok(held) => held,
-            Err(_) => return DispatchResult::NotHeld,
+            Err(no_room) => return DispatchResult::NotHeld(no_room),
         };
     }
 }
--- a/crates/mgs-relay/src/dispatch_outcome.rs
+++ b/crates/mgs-relay/src/dispatch_outcome.rs
@@ -71,7 +71,7 @@
                 self.record_help_refusal(helper, *is_reserved, took_ms);
                 HELPER_REFUSED
             }
-            DispatchResult::NotHeld => {
+            DispatchResult::NotHeld(_) => {
                 core.record_response(&placed.endpoint);
                 core.outliers.record_answer(key);
                 NOT_HELD
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -28,6 +28,7 @@
 use crate::dispatch_outcome::NOT_HELD;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::held_bytes::NoRoom;
 use crate::lost_run;
 use crate::lost_run::EndpointFate;
 use crate::lost_run::LostRun;
@@ -342,9 +343,13 @@
                 Err(FailedDispatch::not_run(HELPER_REFUSED))
             }
             // The endpoint isn't at fault either, and has run the request.
-            DispatchResult::NotHeld => {
+            DispatchResult::NotHeld(no_room) => {
                 self.progress.runs += 1;
-                Err(FailedDispatch::unknown(NOT_HELD))
+                // What exceeds the bound of the connection has no room at the next try either.
+                Err(FailedDispatch {
+                    is_final: no_room == NoRoom::Connection,
+                    ..FailedDispatch::unknown(NOT_HELD)
+                })
             }
             DispatchResult::Unknown { lost, .. } => {
                 self.progress.runs += 1;
@@ -389,6 +394,7 @@
         Err(FailedDispatch {
             name: "endpoint_error",
             may_have_run: true,
+            is_final: false,
             answer: Some(Box::new(FullResponse { head, body })),
         })
     }
@@ -422,6 +428,9 @@
         if self.is_trial() || self.core.permission(&self.keys).is_err() {
             return false;
         }
+        if failed.is_final {
+            return false;
+        }
         if self.time_left().is_zero() || !self.progress.allows_another_dispatch() {
             return false;
         }
--- a/crates/mgs-relay/src/progress.rs
+++ b/crates/mgs-relay/src/progress.rs
@@ -44,6 +44,8 @@
 pub(crate) struct FailedDispatch {
     pub(crate) name: &'static str,
     pub(crate) may_have_run: bool,
+    /// Whether each further dispatch would fail in the same way.
+    pub(crate) is_final: bool,
     pub(crate) answer: Option<Box<FullResponse>>,
 }
 
@@ -52,6 +54,7 @@
         Self {
             name,
             may_have_run: false,
+            is_final: false,
             answer: None,
         }
     }
@@ -60,6 +63,7 @@
         Self {
             name,
             may_have_run: true,
+            is_final: false,
             answer: None,
         }
     }
