fix(relay): complete answers count as open requests until they are read

Cause: a request with a complete answer ended once the head was returned. A graceful shutdown waits for open requests, and cut off answers that clients were still reading.

Change: the request ends when the bytes of the body are dropped, which is when the system has taken them or the client has disconnected.

Result: the new test, an answer of 2.5 MB whose client pauses, sees no open request before and one until it is read now.

--- a/crates/mgs-relay/src/client_response.rs
+++ b/crates/mgs-relay/src/client_response.rs
@@ -95,6 +95,29 @@
     body.boxed_unsync()
 }
 
+/// A body of known length, and a receiver that fails once the body and its bytes are dropped: the
+/// system has taken them, or the client has disconnected.
+pub(crate) fn watched(bytes: Bytes) -> (ResponseBody, oneshot::Receiver<()>) {
+    let (held_until_taken, taken) = oneshot::channel();
+    let bytes = Bytes::from_owner(WatchedBytes {
+        bytes,
+        _held_until_taken: held_until_taken,
+    });
+    (whole(bytes), taken)
+}
+
+/// Bytes whose drop closes a channel.
+struct WatchedBytes {
+    bytes: Bytes,
+    _held_until_taken: oneshot::Sender<()>,
+}
+
+impl AsRef<[u8]> for WatchedBytes {
+    fn as_ref(&self) -> &[u8] {
+        &self.bytes
+    }
+}
+
 /// A body whose chunks come from another task, and the sender for that task.
 pub(crate) fn streamed() -> (BodySender, ResponseBody) {
     let (chunks, receiver) = mpsc::unbounded_channel();
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -338,7 +338,14 @@
 ) -> ClientResponse {
     match response {
         UsableResponse::Full(whole) => {
-            forwarded_response(core, &whole.head, client_response::whole(whole.body))
+            let (body, taken) = client_response::watched(whole.body);
+            // A shutdown waits for answers that are still being read.
+            tokio::task::spawn_local(async move {
+                // The sender is dropped, never used.
+                let _ = taken.await;
+                drop(open_request);
+            });
+            forwarded_response(core, &whole.head, body)
         }
         UsableResponse::Stream(started) => {
             let head = started.head;
