fix(relay): the state of the link is logged once while it alternates

Cause: each change of the state was logged, and a link near a bound changes it with each observation, which each request makes.

Change: a fuller state is logged at once, one with more room once the fuller one is 2 s ago. The line has the backlog too. What is decided by the state is as before.

Result: the new test of LoggedState, a type that didn't exist before, gets one line for 1,000 alternations in 10 s.

--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -40,6 +40,7 @@
 use crate::helper_refusals::RefusalReason;
 use crate::link_use::LinkState;
 use crate::link_use::LinkUse;
+use crate::link_use::LoggedState;
 use crate::link_use::MessagePace;
 use crate::lost_run::EndpointProbes;
 use crate::metrics::Metrics;
@@ -113,6 +114,8 @@
     pub(crate) link: RefCell<LinkUse>,
     /// How much room the link had when it was last looked at.
     pub(crate) link_state: Cell<LinkState>,
+    /// The same as it was last logged.
+    pub(crate) logged_link_state: RefCell<LoggedState>,
     /// Cloned for each connection that is being refused.
     pub(crate) connections_refused: Rc<()>,
     pub(crate) drain: Drain,
@@ -172,10 +175,13 @@
         let permille = |share: f64| (share * 1e3) as i64;
         let used_permille = permille(link.used_share(options));
         self.metrics.link_use_permille.set(used_permille);
-        if self.link_state.replace(state) != state {
+        self.link_state.set(state);
+        let mut logged_state = self.logged_link_state.borrow_mut();
+        if logged_state.update(self.now_ms(), state) {
             log::info!(
                 state = state.name(),
                 used_permille = used_permille,
+                backlog_ms = link.backlog_ms(options) as u64,
                 blocked_permille = permille(link.blocked_share(options)),
                 send_interval_ms = pace.send_interval_ms,
                 full_interval_ms = pace.full_interval_ms;
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -48,6 +48,10 @@
 /// messages, so that they see this gateway's load as larger than it is for as long.
 const FULL_INTERVAL_MAX_MS: f64 = 1_000.0;
 
+/// Time for which the link must have had more room before that is logged, in milliseconds: two time
+/// constants of the averages.
+const LOGGED_STATE_MIN_MS: f64 = 2_000.0;
+
 /// Longest time without any message, in milliseconds. Peers take a gateway for silent after 1,200
 /// ms, so that one of two messages may be lost.
 pub const QUIET_MAX_MS: u64 = 500;
@@ -81,9 +85,10 @@
 }
 
 /// How much room the link has.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
+#[derive(Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Default)]
 pub enum LinkState {
     /// Enough.
+    #[default]
     Free,
     /// So little that messages to peers are rarer.
     Narrow,
@@ -102,6 +107,34 @@
     }
 }
 
+/// The state of the link as it was last logged. A fuller state is logged at once, one with more room
+/// only once the fuller one is some time ago. A link near a bound would otherwise log many lines per
+/// second.
+#[derive(Debug, Clone, Default)]
+pub struct LoggedState {
+    state: LinkState,
+    /// When the link last had no more room than that, in milliseconds.
+    seen_ms: f64,
+}
+
+impl LoggedState {
+    /// Takes the state at a moment; returns whether it must be logged.
+    pub fn update(&mut self, now_ms: f64, state: LinkState) -> bool {
+        if state >= self.state {
+            self.seen_ms = now_ms;
+        }
+        let is_due = state > self.state
+            || state < self.state && now_ms - self.seen_ms >= LOGGED_STATE_MIN_MS;
+        if is_due {
+            *self = Self {
+                state,
+                seen_ms: now_ms,
+            };
+        }
+        is_due
+    }
+}
+
 /// One direction of the link.
 #[derive(Debug, Clone, Default)]
 struct Direction {
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -195,6 +195,7 @@
         held: HeldBytes::default(),
         link: RefCell::new(LinkUse::default()),
         link_state: Cell::new(LinkState::Free),
+        logged_link_state: RefCell::default(),
         connections_refused: Rc::new(()),
         drain: Drain::new(),
         gateway_count: RefCell::new(GatewayCount::default()),
--- a/crates/mgs-relay/tests/link_use.rs
+++ b/crates/mgs-relay/tests/link_use.rs
@@ -8,6 +8,7 @@
 use mgs_relay::link_use::LinkState;
 use mgs_relay::link_use::LinkTotals;
 use mgs_relay::link_use::LinkUse;
+use mgs_relay::link_use::LoggedState;
 use mgs_relay::link_use::MessagePace;
 use mgs_relay::link_use::Options;
 use mgs_relay::link_use::QUIET_MAX_MS;
@@ -158,6 +159,23 @@
     assert_eq!(link.in_use.state(&narrowest()), LinkState::Free);
 }
 
+/// Guards against a log line for each request while the use of the link is near a bound.
+#[test]
+fn a_state_that_alternates_is_logged_once() {
+    let mut logged = LoggedState::default();
+    let lines = (0..1_000).filter(|step| {
+        let state = match step % 2 {
+            0 => LinkState::Full,
+            _ => LinkState::Narrow,
+        };
+        logged.update(f64::from(*step) * 10.0, state)
+    });
+    assert_eq!(lines.count(), 1);
+    assert!(!logged.update(11_000.0, LinkState::Free));
+    assert!(logged.update(12_000.0, LinkState::Free));
+    assert!(logged.update(12_001.0, LinkState::Narrow));
+}
+
 proptest! {
     #[test]
     fn requests_are_refused_only_while_messages_are_rarest(
