--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -28,6 +28,7 @@
 use crate::dialect::ResponseKind;
 use crate::event_splitter::EventSplitter;
 use crate::held_bytes::HoldKind;
+use crate::held_bytes::NoRoom;
 use crate::view::Endpoint;
 
 /// Longest complete response that is forwarded, in bytes. It is read to its end first, so that a
@@ -37,6 +38,9 @@
 /// Why a longer response isn't used.
 const TOO_LONG: &str = "the response body is too long";
 
+/// Why an endpoint has not run a request that wasn't sent.
+const NOT_CONNECTED: &str = "not_connected";
+
 /// A stream that has delivered its first events.
 pub(crate) struct EventStream {
     /// Kept open as long as the stream is read.
@@ -72,7 +76,7 @@
     /// The request may have run; there is no usable response.
     Unknown { lost: LossCause, why: String },
     /// The endpoint answered, and this host has no memory for the answer.
-    NotHeld,
+    NotHeld(NoRoom),
     /// A complete response.
     Full { head: response::Parts, body: Bytes },
     /// A stream has started.
@@ -82,6 +86,13 @@
     },
 }
 
+impl DispatchResult {
+    /// Whether the request was sent.
+    pub(crate) fn is_sent(&self) -> bool {
+        !matches!(self, Self::NotRun { why, .. } if *why == NOT_CONNECTED)
+    }
+}
+
 /// Sends a request and waits for its response. Dropping the future closes the connection.
 pub(crate) async fn send(
     core: &Rc<Core>,
@@ -124,7 +135,7 @@
 fn not_sent(error: &CallError) -> DispatchResult {
     log::debug!(error:% = error; "not sent");
     DispatchResult::NotRun {
-        why: "not_connected",
+        why: NOT_CONNECTED,
         is_lost: true,
         is_refused: matches!(error, CallError::Refused(_)),
         at_fault: None,
@@ -159,8 +170,9 @@
     }
     let held_options = core.published.live_settings().held.clone();
     let buffer = core.hold_body(HoldKind::Answer, &client.held, announced_bytes);
-    let Ok(mut buffer) = buffer else {
-        return DispatchResult::NotHeld;
+    let mut buffer = match buffer {
+        Ok(buffer) => buffer,
+        Err(no_room) => return DispatchResult::NotHeld(no_room),
     };
     while let Some(frame) = body.frame().await {
         let frame = match frame {
@@ -168,8 +180,8 @@
             Err(error) => return connection_broken(&error),
         };
         if let Some(data) = frame.data_ref() {
-            if buffer.push(&held_options, data).is_err() {
-                return DispatchResult::NotHeld;
+            if let Err(no_room) = buffer.push(&held_options, data) {
+                return DispatchResult::NotHeld(no_room);
             }
         }
         if buffer.len() > ANSWER_BYTES_MAX {
@@ -228,7 +240,7 @@
         drop(partial_event.take());
         partial_event = match core.hold_partial_event(&client.held, events.partial_bytes()) {
             Ok(held) => held,
-            Err(_) => return DispatchResult::NotHeld,
+            Err(no_room) => return DispatchResult::NotHeld(no_room),
         };
     }
 }
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -29,6 +29,7 @@
 use crate::dispatch_outcome::PERMIT_EXPIRED;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::held_bytes::NoRoom;
 use crate::lost_run;
 use crate::lost_run::EndpointFate;
 use crate::lost_run::LostRun;
@@ -327,9 +328,6 @@
         let endpoint = placed.endpoint.clone();
         self.progress.dispatches += 1;
         self.progress.in_flight = true;
-        self.core
-            .traffic
-            .add(TrafficKind::Dispatches, self.body.len());
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
         let sending = attempt::send(
@@ -348,6 +346,10 @@
                 .unwrap_or_else(|_| silent_result()),
         };
         self.progress.in_flight = false;
+        if result.is_sent() {
+            let traffic = &self.core.traffic;
+            traffic.add(TrafficKind::Dispatches, self.body.len());
+        }
         let took_ms = start.elapsed().as_millis() as u64;
         let result = self.with_helper_at_fault(&placed, result);
         self.record_outcome(&placed, &result, took_ms);
@@ -378,9 +380,13 @@
                 Err(FailedDispatch::not_run(HELPER_REFUSED))
             }
             // The endpoint isn't at fault either, and has run the request.
-            DispatchResult::NotHeld => {
+            DispatchResult::NotHeld(no_room) => {
                 self.progress.runs += 1;
-                Err(FailedDispatch::unknown(NOT_HELD))
+                // What exceeds the bound of the connection has no room at the next try either.
+                Err(FailedDispatch {
+                    is_final: no_room == NoRoom::Connection,
+                    ..FailedDispatch::unknown(NOT_HELD)
+                })
             }
             DispatchResult::Unknown { lost, .. } => {
                 self.progress.runs += 1;
@@ -425,6 +431,7 @@
         Err(FailedDispatch {
             name: "endpoint_error",
             may_have_run: true,
+            is_final: false,
             answer: Some(Box::new(FullResponse { head, body })),
         })
     }
@@ -458,6 +465,9 @@
         if self.is_trial() || self.core.permission(&self.keys).is_err() {
             return false;
         }
+        if failed.is_final {
+            return false;
+        }
         if self.time_left().is_zero() || !self.progress.allows_another_dispatch() {
             return false;
         }
--- a/crates/mgs-relay/src/held_bytes.rs
+++ b/crates/mgs-relay/src/held_bytes.rs
@@ -1,8 +1,9 @@
 //! Counts the bytes that a gateway holds for clients and endpoints that read or write slowly, and
 //! decides what it may still take.
 //!
-//! Request bodies leave a part of the account to answers, since the request of an answer has run
-//! already. A stream may hold only a share of what is free. So clients that never read, however
+//! Request bodies and open connections leave a part of the account to answers, since the request of
+//! an answer has run already. Complete answers leave a part to streams, and a stream may hold only a
+//! share of what is free. So clients that never read, however
 //! many, reach their bound before those that read lose anything.
 
 use std::sync::atomic::AtomicU64;
@@ -10,12 +11,15 @@
 use std::sync::Arc;
 
 use bytes::Bytes;
-use bytes::BytesMut;
 
 /// Share of the account up to which request bodies are accepted, in percent. The rest is left to
 /// the answers of what was accepted.
 const BODY_SHARE_PERCENT: u64 = 75;
 
+/// Share of the account up to which complete answers are accepted, in percent. The rest is left to
+/// streams, whose events would find no room in a full account although their clients read.
+const ANSWER_SHARE_PERCENT: u64 = 90;
+
 /// Share of the account that open connections may take on a host with a memory limit, in percent.
 const LIMITED_CONNECTION_SHARE_PERCENT: u64 = 40;
 
@@ -68,15 +72,14 @@
 }
 
 impl Default for Options {
-    /// Bounds of a host without a memory limit: more than ordinary traffic holds. One client may
-    /// have yet to read as much as the longest complete answer.
+    /// No bounds, for a host without a memory limit. Held bytes are counted all the same.
     fn default() -> Self {
         Self {
-            total_bytes: 256 * 1024 * 1024,
-            connection_bytes: 16 * 1024 * 1024,
+            total_bytes: u64::MAX,
+            connection_bytes: u64::MAX,
             open_connections_bytes: u64::MAX,
             send_buffer_bytes: None,
-            stall_ms: 120_000,
+            stall_ms: u64::MAX,
         }
     }
 }
@@ -103,9 +106,15 @@
         }
     }
 
+    /// Bytes held up to which request bodies and open connections are accepted.
     fn body_bytes(&self) -> u64 {
         self.total_bytes / 100 * BODY_SHARE_PERCENT
     }
+
+    /// Bytes held up to which complete answers are accepted.
+    fn answer_bytes(&self) -> u64 {
+        self.total_bytes / 100 * ANSWER_SHARE_PERCENT
+    }
 }
 
 /// What bytes are held for.
@@ -241,10 +250,10 @@
         let is_connection_full = connection_bytes > options.connection_bytes;
         let is_total_full = match kind {
             HoldKind::RequestBody => total_bytes > options.body_bytes(),
-            HoldKind::Answer => total_bytes > options.total_bytes,
+            HoldKind::Answer => total_bytes > options.answer_bytes(),
             HoldKind::Stream => connection_bytes > free_bytes / STREAM_SHARE_DIVISOR,
             HoldKind::OpenConnection => {
-                total_bytes > options.total_bytes
+                total_bytes > options.body_bytes()
                     || self.held_bytes(kind).saturating_add(more) > options.open_connections_bytes
             }
         };
@@ -327,7 +336,7 @@
 /// A body that is being read, with the room that it takes.
 #[derive(Debug)]
 pub struct HeldBuffer {
-    bytes: BytesMut,
+    bytes: Vec<u8>,
     guard: HeldGuard,
     /// Bytes for which room was taken.
     room_bytes: usize,
@@ -357,7 +366,7 @@
         let room_bytes = announced_bytes.unwrap_or(0);
         let guard = account.try_hold(options, kind, connection, room_bytes)?;
         Ok(Self {
-            bytes: BytesMut::with_capacity(room_bytes),
+            bytes: Vec::with_capacity(room_bytes),
             guard,
             room_bytes,
         })
@@ -367,12 +376,17 @@
     pub fn push(&mut self, options: &Options, data: &[u8]) -> Result<(), NoRoom> {
         let needed_bytes = self.bytes.len() + data.len();
         if needed_bytes > self.room_bytes {
-            // Allocations grow by doubling, and the room with them.
-            let room_bytes = needed_bytes.max(self.room_bytes * 2);
-            let more = room_bytes - self.room_bytes;
-            self.guard.try_grow(options, more as u64)?;
-            self.bytes.reserve(room_bytes - self.bytes.len());
-            self.room_bytes = room_bytes;
+            // Room grows by doubling. Near a bound it grows by what is needed, so that a body is
+            // refused only if itself has no room.
+            let doubled_bytes = needed_bytes.max(self.room_bytes * 2);
+            let mut grow_to = |room_bytes: usize| {
+                let more = room_bytes - self.room_bytes;
+                self.guard.try_grow(options, more as u64)?;
+                self.room_bytes = room_bytes;
+                Ok(())
+            };
+            grow_to(doubled_bytes).or_else(|_: NoRoom| grow_to(needed_bytes))?;
+            self.bytes.reserve_exact(self.room_bytes - self.bytes.len());
         }
         self.bytes.extend_from_slice(data);
         Ok(())
@@ -390,6 +404,6 @@
 
     /// The received bytes, which keep the room.
     pub fn finish(self) -> Bytes {
-        self.guard.attach(self.bytes.freeze())
+        self.guard.attach(Bytes::from(self.bytes))
     }
 }
--- a/crates/mgs-relay/src/request_body.rs
+++ b/crates/mgs-relay/src/request_body.rs
@@ -1,5 +1,6 @@
 //! Reads request bodies, and refuses those that there is no memory for before they are read.
 
+use std::rc::Rc;
 use std::time::Duration;
 
 use bytes::Bytes;
@@ -19,6 +20,7 @@
 use crate::held_bytes::HeldBuffer;
 use crate::held_bytes::HoldKind;
 use crate::link_use::LinkState;
+use crate::traffic::TrafficKind;
 
 /// `Retry-After` if there is no memory for a body, in milliseconds. Most requests end within a
 /// second and release theirs, and the client's next try probably reaches another host.
@@ -29,12 +31,12 @@
 
 /// How long the body of a refused request is still received and discarded. A client that is in the
 /// middle of sending it would otherwise see a reset connection instead of the refusal.
-const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
+pub(crate) const DISCARD_TIMEOUT: Duration = Duration::from_secs(2);
 
 /// Reads a body of at most `most` bytes by the deadline. Its room in the account of held bytes is
 /// taken before it is read.
 pub(crate) async fn read(
-    core: &Core,
+    core: &Rc<Core>,
     client: &ClientConnection,
     client_request: &ClientRequest,
     head: &request::Parts,
@@ -62,12 +64,8 @@
             refusal.fault,
             Fault::NoMemory | Fault::LinkFull | Fault::BodyTooLong
         );
-        // A client that waits for permission to send its body is not given it.
-        if is_sending && !head.headers.contains_key(EXPECT) {
-            tokio::task::spawn_local(timeout_at(
-                Instant::now() + DISCARD_TIMEOUT,
-                discard(body, most),
-            ));
+        if is_sending {
+            discard_in_background(core, head, body, most);
         }
     }
     read
@@ -108,6 +106,7 @@
             Refusal::of(Fault::Malformed)
         })?;
         let data = frame.into_data().unwrap_or_default();
+        core.traffic.add(TrafficKind::Requests, data.len());
         if buffer.len() + data.len() > most {
             return Err(Refusal::of(Fault::BodyTooLong));
         }
@@ -116,11 +115,28 @@
     Ok(buffer.finish())
 }
 
+/// Starts to receive and drop the rest of the body of a refused request, so that its client, which
+/// may still be sending, sees the refusal.
+pub(crate) fn discard_in_background(
+    core: &Rc<Core>,
+    head: &request::Parts,
+    body: Incoming,
+    most: usize,
+) {
+    // A client that waits for permission to send its body is not given it.
+    if !head.headers.contains_key(EXPECT) {
+        let until = Instant::now() + DISCARD_TIMEOUT;
+        tokio::task::spawn_local(timeout_at(until, discard(core.clone(), body, most)));
+    }
+}
+
 /// Receives and drops the rest of a body of at most `most` bytes.
-async fn discard(mut body: Incoming, most: usize) {
+async fn discard(core: Rc<Core>, mut body: Incoming, most: usize) {
     let mut received_bytes = 0;
     while let Some(Ok(frame)) = body.frame().await {
-        received_bytes += frame.data_ref().map_or(0, Bytes::len);
+        let frame_bytes = frame.data_ref().map_or(0, Bytes::len);
+        core.traffic.add(TrafficKind::Requests, frame_bytes);
+        received_bytes += frame_bytes;
         if received_bytes > most {
             return;
         }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -36,7 +36,6 @@
 use crate::progress::DispatchProgress;
 use crate::request_body;
 use crate::stream::StreamForwarder;
-use crate::traffic::TrafficKind;
 use crate::view::Configuration;
 use crate::view::Organisation;
 use crate::view::Route;
@@ -209,7 +208,10 @@
     core: Rc<Core>,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
-    let (head, _) = request.into_parts();
+    let (head, body) = request.into_parts();
+    let limits = core.published.configuration().map(|c| c.limits);
+    let most = limits.unwrap_or_default().body_bytes;
+    request_body::discard_in_background(&core, &head, body, most);
     let parsed = core.dialect.parse_request(&head).ok();
     let request_id = parsed.as_ref().map(|parsed| parsed.request_id.as_str());
     let refusal = request_body::no_memory();
@@ -257,7 +259,6 @@
     let most = configuration.limits.body_bytes;
     let body =
         request_body::read(core, client, &client_request, &head, body, most, deadline).await?;
-    core.traffic.add(TrafficKind::Requests, body.len());
     let service = pick_service(core, &admitted.route);
     let model = configuration
         .services
@@ -337,7 +338,14 @@
 ) -> ClientResponse {
     match response {
         UsableResponse::Full(whole) => {
-            forwarded_response(core, &whole.head, client_response::whole(whole.body))
+            let (body, taken) = client_response::watched(whole.body);
+            // A shutdown waits for answers that are still being read.
+            tokio::task::spawn_local(async move {
+                // The sender is dropped, never used.
+                let _ = taken.await;
+                drop(open_request);
+            });
+            forwarded_response(core, &whole.head, body)
         }
         UsableResponse::Stream(started) => {
             let head = started.head;
--- a/crates/mgs-relay/tests/held_bytes.rs
+++ b/crates/mgs-relay/tests/held_bytes.rs
@@ -4,6 +4,7 @@
 //! Guards against a small gateway that ends for lack of memory since its clients don't read.
 
 use mgs_relay::held_bytes::ConnectionBytes;
+use mgs_relay::held_bytes::HeldBuffer;
 use mgs_relay::held_bytes::HeldBytes;
 use mgs_relay::held_bytes::HeldGuard;
 use mgs_relay::held_bytes::HoldKind;
@@ -133,6 +134,20 @@
     assert!(hold(HoldKind::Answer, 15 * 1024 * 1024).is_ok());
 }
 
+/// Guards against a bound that takes effect where no setting asks for it.
+#[test]
+fn without_a_memory_limit_nothing_is_bounded() {
+    const GIB: usize = 1 << 30;
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let held: Vec<_> = (0..100)
+        .flat_map(|_| HoldKind::ALL)
+        .map(|kind| account.try_hold(&Options::default(), kind, &connection, GIB))
+        .collect();
+    assert!(held.iter().all(Result::is_ok));
+    assert_eq!(Options::default().send_buffer_bytes, None);
+}
+
 #[test]
 fn open_connections_leave_room_to_requests() {
     let account = HeldBytes::default();
@@ -149,6 +164,78 @@
     assert!(hold(HoldKind::OpenConnection, CONNECTION_BYTES).is_ok());
 }
 
+/// Guards against reading clients whose streams are cut off since clients that read nothing have filled the account.
+#[test]
+fn unread_answers_and_open_connections_leave_room_to_a_stream_that_is_read() {
+    let account = HeldBytes::default();
+    let mut unread = Vec::new();
+    // Small holds fill the account to the last byte that it accepts.
+    for (kind, bytes) in [
+        (HoldKind::RequestBody, 100_000),
+        (HoldKind::Answer, 100_000),
+        (HoldKind::Answer, 100),
+        (HoldKind::OpenConnection, CONNECTION_BYTES),
+    ] {
+        while let Ok(held) = account.try_hold(&small(), kind, &ConnectionBytes::default(), bytes) {
+            unread.push(held);
+        }
+    }
+    let reading = ConnectionBytes::default();
+    let event = account.try_hold(&small(), HoldKind::Stream, &reading, 20_000);
+    assert!(event.is_ok(), "{} bytes are held", account.total_bytes());
+}
+
+/// Guards against answers that find no room since connections without a request have taken it.
+#[test]
+fn open_connections_beside_long_bodies_leave_room_to_answers() {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let hold = |kind, bytes| account.try_hold(&small(), kind, &connection, bytes);
+    let mut held = Vec::new();
+    while let Ok(body) = hold(HoldKind::RequestBody, 1_000_000) {
+        held.push(body);
+    }
+    while let Ok(open) = hold(HoldKind::OpenConnection, CONNECTION_BYTES) {
+        held.push(open);
+    }
+    assert!(hold(HoldKind::Answer, 2_000_000).is_ok());
+}
+
+/// Guards against bodies without an announced length that are dropped at half of the bound.
+#[rstest]
+#[case::answer_on_a_small_host(small(), HoldKind::Answer, 2_790_000)]
+#[case::request_body_on_a_small_host(small(), HoldKind::RequestBody, 16_790_000)]
+#[case::longest_answer(Options::default(), HoldKind::Answer, 16 * 1024 * 1024)]
+fn a_body_of_unknown_length_has_room_up_to_the_bound(
+    #[case] options: Options,
+    #[case] kind: HoldKind,
+    #[case] bytes: usize,
+) {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let mut body =
+        HeldBuffer::begin(&account, &options, kind, &connection, None).expect("room to begin");
+    // A frame that doesn't divide the bound.
+    let frame = vec![7; 13_000];
+    while body.len() < bytes {
+        let next = frame.len().min(bytes - body.len());
+        let pushed = body.push(&options, &frame[..next]);
+        assert!(pushed.is_ok(), "{pushed:?} after {} bytes", body.len());
+    }
+    assert_eq!(body.finish().len(), bytes);
+    assert_eq!(account.total_bytes(), 0);
+}
+
+#[test]
+fn the_longest_complete_answer_has_room_if_its_length_is_announced() {
+    let account = HeldBytes::default();
+    let connection = ConnectionBytes::default();
+    let longest = Some(16 * 1024 * 1024);
+    let options = Options::default();
+    let begun = HeldBuffer::begin(&account, &options, HoldKind::Answer, &connection, longest);
+    assert!(begun.is_ok());
+}
+
 /// One step of a random history.
 #[derive(Debug, Clone)]
 enum Step {
--- a/crates/mgs-relay/tests/link_use.rs
+++ b/crates/mgs-relay/tests/link_use.rs
@@ -8,6 +8,7 @@
 use mgs_relay::link_use::LinkState;
 use mgs_relay::link_use::LinkTotals;
 use mgs_relay::link_use::LinkUse;
+use mgs_relay::link_use::LoggedState;
 use mgs_relay::link_use::MessagePace;
 use mgs_relay::link_use::Options;
 use mgs_relay::link_use::QUIET_MAX_MS;
@@ -51,7 +52,7 @@
             self.now_ms += STEP_MS;
             self.totals.sent_bytes += (NARROWEST_PER_S * used_share * STEP_MS / 1e3) as u64;
             self.totals.blocked_ms += blocked_share * STEP_MS;
-            self.in_use.observe(self.now_ms, self.totals);
+            self.in_use.observe(&narrowest(), self.now_ms, self.totals);
         }
     }
 }
@@ -76,14 +77,37 @@
     assert_eq!(link.in_use.pace(&narrowest()), pace);
 }
 
+/// Guards against a link that is reduced to nearly nothing and counts as free, since each wait is recorded as a whole when
+/// it ends, long after the last observation but one.
 #[test]
-fn a_link_of_unknown_width_is_free_until_its_socket_blocks() {
+fn a_long_wait_counts_in_full_after_many_short_observations() {
     let mut link = Link::default();
-    link.carry(6_000.0, 50.0, 0.0);
-    assert_eq!(link.in_use.state(&Options::default()), LinkState::Free);
-    assert_eq!(link.in_use.pace(&Options::default()), FREE_PACE);
-    link.carry(6_000.0, 0.1, 0.9);
-    assert_eq!(link.in_use.state(&Options::default()), LinkState::Full);
+    for _ in 0..5 {
+        for _ in 0..900 {
+            link.now_ms += 1.0;
+            link.in_use.observe(&narrowest(), link.now_ms, link.totals);
+        }
+        link.totals.blocked_ms += 890.0;
+        link.now_ms += 1.0;
+        link.in_use.observe(&narrowest(), link.now_ms, link.totals);
+    }
+    let blocked_share = link.in_use.blocked_share(&narrowest());
+    assert!((0.9..=1.0).contains(&blocked_share), "{blocked_share}");
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Full);
+}
+
+/// Guards against a limit that takes effect where no setting asks for it.
+#[rstest]
+#[case::used(50.0, 0.0)]
+#[case::blocked(0.1, 0.9)]
+#[case::blocked_throughout(50.0, 1.0)]
+fn a_link_of_unknown_width_changes_nothing(#[case] used_share: f64, #[case] blocked_share: f64) {
+    let mut link = Link::default();
+    for _ in 0..120 {
+        link.carry(50.0, used_share, blocked_share);
+        assert_eq!(link.in_use.state(&Options::default()), LinkState::Free);
+        assert_eq!(link.in_use.pace(&Options::default()), FREE_PACE);
+    }
 }
 
 #[test]
@@ -105,6 +129,53 @@
     assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
 }
 
+/// Guards against hosts with a narrow link that refuse everything after two ordinary long prompts.
+#[rstest]
+#[case::idle(0.05)]
+#[case::ordinary(0.4)]
+fn a_burst_of_two_long_bodies_is_not_a_full_link(#[case] used_share: f64) {
+    let mut link = Link::default();
+    link.carry(3_000.0, used_share, 0.0);
+    link.totals.received_bytes += 1_520_000;
+    for _ in 0..60 {
+        link.carry(50.0, used_share, 0.0);
+        assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
+    }
+    link.totals.sent_bytes += 1_520_000;
+    for _ in 0..60 {
+        link.carry(50.0, used_share, 0.0);
+        assert_ne!(link.in_use.state(&narrowest()), LinkState::Full);
+    }
+}
+
+#[test]
+fn a_burst_that_fills_the_link_for_seconds_is_noticed_at_once_and_forgotten_afterwards() {
+    let mut link = Link::default();
+    link.carry(3_000.0, 0.05, 0.0);
+    link.totals.received_bytes += 7_600_000;
+    link.carry(50.0, 0.05, 0.0);
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Full);
+    link.carry(5_000.0, 0.05, 0.0);
+    assert_eq!(link.in_use.state(&narrowest()), LinkState::Free);
+}
+
+/// Guards against a log line for each request while the use of the link is near a bound.
+#[test]
+fn a_state_that_alternates_is_logged_once() {
+    let mut logged = LoggedState::default();
+    let lines = (0..1_000).filter(|step| {
+        let state = match step % 2 {
+            0 => LinkState::Full,
+            _ => LinkState::Narrow,
+        };
+        logged.update(f64::from(*step) * 10.0, state)
+    });
+    assert_eq!(lines.count(), 1);
+    assert!(!logged.update(11_000.0, LinkState::Free));
+    assert!(logged.update(12_000.0, LinkState::Free));
+    assert!(logged.update(12_001.0, LinkState::Narrow));
+}
+
 proptest! {
     #[test]
     fn requests_are_refused_only_while_messages_are_rarest(
