fix(relay): a gateway that has lost the store isn't woken up to call it

Cause: each gateway called the store more than once a second for each topic as long as an outage lasted, since its follower was woken every 250 ms because its data was stale.

--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -309,7 +309,8 @@
 }
 
 /// Updates whether this gateway is a reader, and wakes the followers of topics whose content has
-/// become stale.
+/// become stale. A follower that has lost the store calls it again by itself; woken up each time,
+/// every gateway called it twice a second for as long as an outage lasted.
 fn refresh_reader_role(core: &Core, peer_table: &PeerTable) {
     let published = &core.published;
     let is_reader = peer_table.is_reader(core.options.peer_listen, core.now_ms());
@@ -321,7 +322,8 @@
         published.configuration_freshness(),
         published.endpoint_freshness(),
     ] {
-        if freshness.is_stale(now_ms) {
+        let is_lost = freshness.store_lost_since_ms().is_some();
+        if freshness.is_stale(now_ms) && !is_lost {
             freshness.wake();
         }
     }
