fix(relay): seams between evacuation, limits of cold endpoints, shares and quarantine

Admission now comes once; only placing and dispatching repeat, after a pause and while time is left. - A zone that is evacuated and restored within one update wasn't counted as cold. One rule decides now, under the lock. - A zone evacuated while a connection opened still got the request; it is placed again. - An expired permit counted as bytes sent. - While all zones are evacuated, refusals no longer lower the capacity that shares are computed from.

--- a/crates/mgs-admission/src/demand_shares.rs
+++ b/crates/mgs-admission/src/demand_shares.rs
@@ -346,8 +346,12 @@
             refused_share: self.refused_share(was_short),
             has_surge: is_known && self.has_surge(engine_time),
         };
-        let capacity = self.shortage.update(now_ms, &strain);
-        self.capacity = capacity.filter(|_| is_known && engine_time > 0.0);
+        // Without engines, as while all zones are evacuated, refusals say nothing about the capacity.
+        let capacity = match engine_time > 0.0 {
+            true => self.shortage.update(now_ms, &strain),
+            false => None,
+        };
+        self.capacity = capacity.filter(|_| is_known);
         self.set_allowed(strain.has_surge);
         let is_short = self.capacity.is_some();
         (is_short != was_short).then_some(ShortageChange {
--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -89,7 +89,11 @@
 impl DispatchResult {
     /// Whether the request was sent.
     pub(crate) fn is_sent(&self) -> bool {
-        !matches!(self, Self::NotRun { why, .. } if *why == NOT_CONNECTED)
+        match self {
+            Self::PermitExpired => false,
+            Self::NotRun { why, .. } => *why != NOT_CONNECTED,
+            _ => true,
+        }
     }
 }
 
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -130,8 +130,12 @@
         last_event_id: Option<&str>,
     ) -> Result<UsableResponse, Refusal> {
         loop {
-            self.check_quarantine()?;
-            let admitted = self.admit_by_share(last_event_id)?;
+            let is_first = !std::mem::replace(&mut self.progress.is_admitted, true);
+            self.check_quarantine(is_first)?;
+            let admitted = match is_first {
+                true => self.admit_by_share()?,
+                false => None,
+            };
             let placed = self
                 .place_and_wait()
                 .await
@@ -146,7 +150,8 @@
                 Err(failed) => failed,
             };
             self.core.metrics.dispatches.inc(failed.name);
-            if failed.name == PERMIT_EXPIRED {
+            if failed.name == PERMIT_EXPIRED && !self.time_left().is_zero() {
+                sleep(PLACEMENT_RETRY_DELAY).await;
                 continue;
             }
             if self.may_try_again(&failed) {
@@ -158,24 +163,22 @@
     }
 
     /// Refuses a request that is held, and records what is allowed otherwise.
-    fn check_quarantine(&mut self) -> Result<(), Refusal> {
+    fn check_quarantine(&mut self, is_first: bool) -> Result<(), Refusal> {
+        if self.is_trial() {
+            return Ok(());
+        }
         let request_id = &self.client_request.request_id;
-        let permission = match self.progress.dispatches {
-            0 => self.core.permission_to_begin(request_id, &self.keys),
-            _ => self.core.permission_to_go_on(request_id, &self.keys),
+        let permission = match is_first {
+            true => self.core.permission_to_begin(request_id, &self.keys),
+            false => self.core.permission_to_go_on(request_id, &self.keys),
         };
         self.permission = permission.map_err(|refusal| self.unknown_if_run(refusal))?;
         Ok(())
     }
 
-    /// Refuses a prompt that arrives while its organisation's share is used up. A prompt that has been
-    /// dispatched before isn't asked again.
-    fn admit_by_share(
-        &self,
-        last_event_id: Option<&str>,
-    ) -> Result<Option<AdmittedPrompt>, Refusal> {
-        let is_first = self.progress.dispatches == 0 && last_event_id.is_none();
-        let Some(model) = self.model.as_ref().filter(|_| is_first) else {
+    /// Refuses a prompt that arrives while its organisation's share is used up.
+    fn admit_by_share(&self) -> Result<Option<AdmittedPrompt>, Refusal> {
+        let Some(model) = &self.model else {
             return Ok(None);
         };
         self.core.admit_by_share(&ShareRequest {
--- a/crates/mgs-relay/src/evacuation.rs
+++ b/crates/mgs-relay/src/evacuation.rs
@@ -206,6 +206,17 @@
         self.registers.get(zone)?.restored_ms
     }
 
+    /// Whether the store has been read in full.
+    ///
+    /// ```
+    /// use mgs_relay::evacuation::Evacuations;
+    ///
+    /// assert!(!Evacuations::default().has_read_store());
+    /// ```
+    pub fn has_read_store(&self) -> bool {
+        self.read_until.is_some()
+    }
+
     /// The evacuated zones.
     pub fn evacuated_zones(&self) -> BTreeSet<String> {
         let registers = self.registers.iter();
--- a/crates/mgs-relay/src/evacuation_state.rs
+++ b/crates/mgs-relay/src/evacuation_state.rs
@@ -79,11 +79,6 @@
         self.lock().orders()
     }
 
-    /// When this gateway last learnt that a zone was restored, see [`Evacuations::restored_ms`].
-    pub fn restored_ms(&self, zone: &str) -> Option<u64> {
-        self.lock().restored_ms(zone)
-    }
-
     /// When the store must be read in full again, see [`Evacuations::full_read_due_ms`].
     pub fn full_read_due_ms(&self) -> Option<u64> {
         self.lock().full_read_due_ms()
--- a/crates/mgs-relay/src/progress.rs
+++ b/crates/mgs-relay/src/progress.rs
@@ -20,6 +20,8 @@
 /// Dispatches made so far.
 #[derive(Debug, Clone, Default)]
 pub(crate) struct DispatchProgress {
+    /// Whether the request has been admitted; a dispatch whose permit expired doesn't count as one.
+    pub(crate) is_admitted: bool,
     /// All dispatches.
     pub(crate) dispatches: u32,
     /// Dispatches that may have run.
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -462,13 +462,20 @@
         origin: OrderOrigin,
         apply: impl FnOnce(&mut Evacuations) -> Vec<ZoneOrder>,
     ) {
+        /// Longest time from the reading of the clock for an update to its end, in milliseconds.
+        const UPDATE_MS: u64 = 1_000;
         let store_age_ms = self.configuration_age_ms();
-        let evacuated = self.evacuations.zones();
         let apply_and_mark_cold = |evacuations: &mut Evacuations| {
             let taken = apply(evacuations);
-            let restored = taken.iter().filter(|order| !order.is_evacuated);
-            for order in restored.filter(|order| evacuated.contains(&order.zone)) {
-                self.mark_zone_cold(&order.zone);
+            // A process that has just started hears of zones that were restored long ago.
+            if evacuations.has_read_store() {
+                let now_ms = self.now_ms();
+                let is_new = |restored_ms: u64| now_ms < restored_ms + UPDATE_MS;
+                for order in taken.iter().filter(|order| !order.is_evacuated) {
+                    if evacuations.restored_ms(&order.zone).is_some_and(is_new) {
+                        self.mark_zone_cold(&order.zone);
+                    }
+                }
             }
             taken
         };
--- a/crates/mgs-relay/src/warm_up.rs
+++ b/crates/mgs-relay/src/warm_up.rs
@@ -252,13 +252,17 @@
     }
 
     /// Checks right before a request is sent, when its connection is open, whether its permit is
-    /// still valid.
+    /// still valid and its endpoint's zone isn't evacuated.
     pub(crate) fn confirm_send(
         &self,
         endpoint: &Endpoint,
         permit: Permit,
         client_request: &ClientRequest,
     ) -> bool {
+        let evacuated = self.published.evacuations().zones();
+        if evacuated.contains(&endpoint.facts.zone) {
+            return false;
+        }
         let time = self.check_time();
         let mut table = self.backpressure.borrow_mut();
         if table.warm_up().is_empty() {
