fix(quarantine): requests that completed are not blamed with the one that crashes endpoints

On four engines an often used path has runs on each engine that the crashing request ends, so both have as many crashes, and both were held; with more crashes than the crashing request, the path even explained those of the other, which was let go. Besides, a crash that a gateway learns of late counted although other runs of the request had completed since the loss.

A completion after the loss clears a crash that is recorded or merged later, and peers are told. Crashes of a request that has completed are explained by any suspect on the same endpoint that never has; six crashes without a completion hold it all the same.

Measured: seven of the new table tests fail on the code before.

--- a/crates/mgs-quarantine/src/lib.rs
+++ b/crates/mgs-quarantine/src/lib.rs
@@ -23,6 +23,7 @@
 
 pub mod begun;
 pub mod blame;
+pub mod completed;
 pub mod fingerprint;
 pub mod options;
 pub mod record;
--- a/crates/mgs-quarantine/src/record.rs
+++ b/crates/mgs-quarantine/src/record.rs
@@ -175,6 +175,11 @@
         self.raise_status(CrashStatus::Cleared, |_| true)
     }
 
+    /// A run completed at this time: crashes before it stop counting. Returns whether one does.
+    pub fn mark_cleared_before(&mut self, completed_ms: f64) -> bool {
+        self.raise_status(CrashStatus::Cleared, |crash| crash.at_ms < completed_ms)
+    }
+
     fn raise_status(&mut self, status: CrashStatus, is_affected: impl Fn(&Crash) -> bool) -> bool {
         let mut is_new = false;
         for crash in &mut self.crashes {
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -5,6 +5,7 @@
 use std::collections::HashMap;
 
 use crate::begun::BegunParts;
+use crate::completed::CompletedRequests;
 use crate::fingerprint::Fingerprint;
 use crate::options::Options;
 use crate::record::Crash;
@@ -47,10 +48,12 @@
     pub(crate) now_ms: f64,
     /// Parts of prompts on which runs of this gateway have begun to write.
     begun_parts: BegunParts,
-    /// Parts that other gateways don't know to have been written on.
-    newly_begun: Vec<Fingerprint>,
+    /// When runs of requests last completed at this gateway.
+    pub(crate) completed: CompletedRequests,
+    /// Records to which this gateway has added what other gateways don't know.
+    unknown_to_peers: Vec<Fingerprint>,
     /// Fingerprints with enough crashes to be confined or held.
-    suspects: BTreeSet<Fingerprint>,
+    pub(crate) suspects: BTreeSet<Fingerprint>,
     /// Fingerprints that were held when their record last changed.
     pub(crate) held: BTreeSet<Fingerprint>,
     /// Fingerprints whose records have to be sent to peers.
@@ -69,7 +72,8 @@
             records: HashMap::new(),
             now_ms: 0.0,
             begun_parts: BegunParts::default(),
-            newly_begun: Vec::new(),
+            completed: CompletedRequests::default(),
+            unknown_to_peers: Vec::new(),
             suspects: BTreeSet::new(),
             held: BTreeSet::new(),
             changed: BTreeSet::new(),
@@ -83,7 +87,8 @@
     }
 
     /// Records that an endpoint ended while it ran a request that had produced this number of
-    /// events.
+    /// events. `now_ms` is when the run was lost; its endpoint may be found to have ended only later,
+    /// and a run that has completed in between clears the crash.
     pub fn record_crash(
         &mut self,
         fingerprint: Fingerprint,
@@ -91,11 +96,16 @@
         events: u32,
         now_ms: f64,
     ) {
+        let completed_ms = self.completed.last_ms(fingerprint);
+        let status = match completed_ms.is_some_and(|completed_ms| completed_ms > now_ms) {
+            true => CrashStatus::Cleared,
+            false => CrashStatus::Counts,
+        };
         let crash = Crash {
             incarnation,
             at_ms: now_ms,
             events,
-            status: CrashStatus::Counts,
+            status,
         };
         self.update(fingerprint, now_ms, |record| record.add(crash));
     }
@@ -151,10 +161,10 @@
         }
     }
 
-    /// Takes the parts that runs of this gateway have begun to write on, as a peer's record doesn't
-    /// say.
-    pub fn take_newly_begun(&mut self) -> Vec<Fingerprint> {
-        std::mem::take(&mut self.newly_begun)
+    /// Takes the fingerprints of peers' records to which this gateway has added something: runs that
+    /// have begun to write on a part, or have completed a request.
+    pub fn take_unknown_to_peers(&mut self) -> Vec<Fingerprint> {
+        std::mem::take(&mut self.unknown_to_peers)
     }
 
     /// Has a record sent to peers.
@@ -189,14 +199,15 @@
 
     /// Records that a run has completed.
     pub fn record_completion(&mut self, fingerprint: Fingerprint, now_ms: f64) {
-        if self.records.contains_key(&fingerprint) {
-            self.update(fingerprint, now_ms, Record::mark_cleared);
-        }
+        self.completed.record(fingerprint, now_ms);
+        self.release(fingerprint, now_ms);
     }
 
     /// Releases a request for an operator: its crashes no longer count.
     pub fn release(&mut self, fingerprint: Fingerprint, now_ms: f64) {
-        self.record_completion(fingerprint, now_ms);
+        if self.records.contains_key(&fingerprint) {
+            self.update(fingerprint, now_ms, Record::mark_cleared);
+        }
     }
 
     /// Returns the verdict on a request that arrives. Where unrelated endpoints ended around its
@@ -304,22 +315,27 @@
         is_new || is_own
     }
 
-    /// Adds to a peer's record that a run of this gateway has begun to write on the part. Returns
-    /// whether that changes the record.
+    /// Adds to a peer's record what this gateway knows: that one of its runs has begun to write on the
+    /// part, or has completed the request after a crash. Returns whether that changes the record.
     fn add_own_knowledge(&mut self, fingerprint: Fingerprint) -> bool {
-        if !self.begun_parts.contains(fingerprint) {
-            return false;
-        }
-        let record = self.records.get_mut(&fingerprint);
-        let Some(part) = record.and_then(|record| record.part.as_mut()) else {
+        let Some(record) = self.records.get_mut(&fingerprint) else {
             return false;
         };
-        if part.has_begun {
-            return false;
+        let has_changed = match &mut record.part {
+            Some(part) => {
+                let has_begun = self.begun_parts.contains(fingerprint) && !part.has_begun;
+                part.has_begun |= has_begun;
+                has_begun
+            }
+            None => {
+                let completed_ms = self.completed.last_ms(fingerprint);
+                completed_ms.is_some_and(|at_ms| record.mark_cleared_before(at_ms))
+            }
+        };
+        if has_changed {
+            self.unknown_to_peers.push(fingerprint);
         }
-        part.has_begun = true;
-        self.newly_begun.push(fingerprint);
-        true
+        has_changed
     }
 
     /// The record to send to peers and to store.
--- a/crates/mgs-quarantine/src/verdict.rs
+++ b/crates/mgs-quarantine/src/verdict.rs
@@ -60,16 +60,33 @@
             || self.now_ms - record.first_counted_ms() >= self.options.begun_settle_ms
     }
 
-    /// Whether another held key is the more likely cause of a crash: a run with it was on that
-    /// endpoint too, and it has more crashes. Between a part of a prompt and another key, of as many
+    /// Whether another key is the more likely cause of a crash: a run with it was on that endpoint
+    /// too, and it is held and has more crashes. Between a part of a prompt and another key, of as many
     /// crashes, [`Blame`] decides.
+    ///
+    /// A request that has completed before is less likely the cause than one that never has, however
+    /// many crashes each has: calls of an often used path run on every endpoint of a small fleet.
     fn is_explained(&self, fingerprint: Fingerprint, crashes: usize, crash: &Crash) -> bool {
-        let others = self.held.iter().filter(|other| **other != fingerprint);
-        let mut others = others.filter_map(|other| Some((other, self.records.get(other)?)));
-        others.any(|(other, record)| {
-            record.has_counted_crash(crash.incarnation)
-                && self.explains(*other, record, fingerprint, crashes)
-        })
+        let shares_crash = |other: &&Fingerprint| {
+            let record = self.records.get(other);
+            **other != fingerprint && record.is_some_and(|r| r.has_counted_crash(crash.incarnation))
+        };
+        if self.completed.last_ms(fingerprint).is_some() {
+            // Whichever of them is recorded first must not be held for a moment.
+            let mut suspects = self.suspects.iter().filter(shares_crash);
+            if suspects.any(|other| self.has_never_succeeded(*other)) {
+                return true;
+            }
+        }
+        let mut held = self.held.iter().filter(shares_crash);
+        held.any(|other| self.explains(*other, &self.records[other], fingerprint, crashes))
+    }
+
+    /// Whether no run with a key is known here that completed or, for a part of prompts, began to write.
+    fn has_never_succeeded(&self, fingerprint: Fingerprint) -> bool {
+        let record = self.records.get(&fingerprint);
+        let has_begun = record.is_some_and(Record::has_begun);
+        !has_begun && self.completed.last_ms(fingerprint).is_none()
     }
 
     fn explains(
--- a/crates/mgs-quarantine/tests/parts_fleet/mod.rs
+++ b/crates/mgs-quarantine/tests/parts_fleet/mod.rs
@@ -453,7 +453,7 @@
     fn send_changes(&mut self) {
         for from in 0..self.gateways.len() {
             let gateway = &mut self.gateways[from];
-            for part in gateway.take_newly_begun() {
+            for part in gateway.take_unknown_to_peers() {
                 gateway.mark_changed(part);
             }
             let changed = gateway.take_changed();
--- a/crates/mgs-quarantine/tests/table.rs
+++ b/crates/mgs-quarantine/tests/table.rs
@@ -185,6 +185,78 @@
     assert_eq!(quarantine.verdict(OTHER_REQUEST), Verdict::Allowed);
 }
 
+/// Guards against holding an often used path that ran on each endpoint that another request crashed:
+/// it has as many crashes, and whichever of them is recorded first.
+#[rstest]
+#[case::path_first(true, 3)]
+#[case::path_last(false, 3)]
+#[case::path_first_and_more_crashes(true, 5)]
+#[case::path_last_and_more_crashes(false, 5)]
+fn a_request_that_completed_before_is_not_held_with_one_that_never_did(
+    #[case] is_path_first: bool,
+    #[case] path_crashes: u64,
+) {
+    let mut quarantine = empty();
+    quarantine.record_completion(OTHER_REQUEST, 0.0);
+    let order = match is_path_first {
+        true => [OTHER_REQUEST, REQUEST],
+        false => [REQUEST, OTHER_REQUEST],
+    };
+    for crash in 0..3_u64 {
+        for fingerprint in order {
+            quarantine.record_crash(fingerprint, crash, 0, 100.0 + crash as f64 * 200.0);
+        }
+    }
+    for crash in 3..path_crashes {
+        quarantine.record_crash(OTHER_REQUEST, crash, 0, 700.0);
+    }
+    assert_eq!(quarantine.verdict(REQUEST), Verdict::Held);
+    assert_ne!(quarantine.verdict(OTHER_REQUEST), Verdict::Held);
+    let changes = quarantine.take_hold_changes();
+    assert_eq!(changes, [(REQUEST, true)]);
+}
+
+/// A request that begins to crash endpoints is held even if others that were lost with it have never
+/// completed.
+#[test]
+fn a_request_that_completed_before_is_held_after_enough_crashes() {
+    let mut quarantine = empty();
+    quarantine.record_completion(REQUEST, 0.0);
+    for crash in 0..6_u64 {
+        let at_ms = 100.0 + crash as f64 * 200.0;
+        quarantine.record_crash(REQUEST, crash, 0, at_ms);
+        quarantine.record_crash(Fingerprint(100 + u128::from(crash / 2)), crash, 0, at_ms);
+    }
+    assert_eq!(quarantine.verdict(REQUEST), Verdict::Held);
+}
+
+/// A gateway may find out only later that the endpoint of a lost run has ended; other runs of the
+/// request that have completed since count all the same.
+#[test]
+fn a_run_that_completed_after_the_loss_clears_a_crash_that_is_reported_later() {
+    let mut quarantine = empty();
+    quarantine.record_completion(REQUEST, 900.0);
+    for crash in 0..3_u64 {
+        quarantine.record_crash(REQUEST, crash, 0, 100.0 + crash as f64 * 200.0);
+    }
+    assert_eq!(quarantine.verdict(REQUEST), Verdict::Allowed);
+}
+
+/// As above, where a peer reports the crashes; the gateway that knows better tells the others.
+#[test]
+fn a_run_that_completed_here_clears_crashes_that_a_peer_reports_later() {
+    let mut peer = crashed_times(3);
+    let mut quarantine = empty();
+    quarantine.record_completion(REQUEST, 2_500.0);
+    let reported = peer.shared_record(REQUEST, 3_000.0).expect("a record");
+    quarantine.merge_shared(&reported, 3_000.0);
+    assert_eq!(quarantine.verdict(REQUEST), Verdict::Allowed);
+    assert_eq!(quarantine.take_unknown_to_peers(), [REQUEST]);
+    let known_better = quarantine.shared_record(REQUEST, 3_010.0);
+    peer.merge_shared(&known_better.expect("a record"), 3_020.0);
+    assert_eq!(peer.verdict(REQUEST), Verdict::Allowed);
+}
+
 /// Where endpoints end for other reasons, some request runs on three of them by chance.
 #[rstest]
 #[case::no_unrelated_end(0, 3)]
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -39,8 +39,8 @@
 /// lapsed by then.
 const ENTRY_LAPSE_MS: f64 = ENTRY_EXPIRY_MS as f64;
 
-/// Gateways that tell all others that runs have begun to write on a part of prompts, of those that
-/// know.
+/// Gateways that tell all others that runs have begun to write on a part of prompts or have completed
+/// a request, of those that know.
 const TELLERS: f64 = 8.0;
 
 /// Shortest time in which an endpoint restarts, in milliseconds.
@@ -281,12 +281,12 @@
         let now_ms = self.now_ms();
         let mut table = self.crashes.table.borrow_mut();
         table.merge_all(records, now_ms);
-        let newly_begun = table.take_newly_begun();
+        let unknown_to_peers = table.take_unknown_to_peers();
         // Many gateways may know the same, and a few of them are enough to tell all.
         let tellers = TELLERS / self.gateway_count.borrow().heard_gateways() as f64;
-        for part in newly_begun {
+        for fingerprint in unknown_to_peers {
             if self.random_unit() < tellers {
-                table.mark_changed(part);
+                table.mark_changed(fingerprint);
                 self.crashes.urgent.notify_one();
             }
         }
