Stop with an open stream: the engine holds the stream back, not the clock

Cause: 120 events at 5 ms each take 600 ms of the route's timeout of 800 ms; beside busy processes they take longer and the route's timeout ends the stream. Not a fault of the stop. Change: the engine sends half of the stream and holds back the rest until the host has closed an idle connection, which it does when it accepts no further requests, and for 0.5 s more. The stream thus outlasts the time in which new requests are accepted, which it didn't before; its text must be the whole one, and the late request must be answered with 200.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -6,6 +6,7 @@
 mod common;
 mod relay_process;
 
+use std::io::Read;
 use std::net::SocketAddr;
 use std::net::TcpStream;
 use std::thread;
@@ -22,10 +23,12 @@
 use standin::client::read_response;
 use standin::client::request;
 use standin::client::send;
+use standin::client::stream_text;
 use standin::client::ClientRequest;
 use standin::endpoint::Behaviour;
 use standin::endpoint::Endpoint;
 use standin::gateway::configuration;
+use standin::gateway::configuration_with_timeout;
 use standin::gateway::store_with;
 use standin::store::Store;
 
@@ -65,28 +68,44 @@
     );
 }
 
+/// Guards against a stop that cuts an open stream, or refuses requests while the load balancer still sends some. The
+/// engine holds back the rest of the stream until the host has closed an idle connection, which it does when it accepts
+/// no further requests.
 #[test]
 fn a_stop_finishes_what_is_open_and_tells_the_balancer_first() {
-    let engine = Endpoint::start("i-1", "model", &[Behaviour::Stream(120)]);
+    const EVENTS: u32 = 120;
+    let script = [Behaviour::HeldStream(EVENTS), Behaviour::Stream(2)];
+    let engine = Endpoint::start("i-1", "model", &script);
     let store = store_with(&[&engine]);
+    store.put("op", "config", &configuration_with_timeout("talk", 60_000));
     let mut relay = Relay::start(&store);
-    let stream_request = ClientRequest::to("/talk/1").with_header("Token-Count", "900,200");
-    let mut open_stream = send(relay.client_address, &stream_request);
+    let prompt = |path: &str| ClientRequest {
+        deadline_ms: 60_000,
+        ..ClientRequest::to(path).with_header("Token-Count", "900,200")
+    };
+    let mut open_stream = send(relay.client_address, &prompt("/talk/1"));
     wait_until("the stream at the engine", || {
         !engine.received_requests().is_empty()
     });
+    let mut idle = TcpStream::connect(relay.client_address).expect("a relay");
+    idle.set_read_timeout(Some(Duration::from_secs(10)))
+        .expect("a timeout");
     relay.signal(Signal::TERM);
     wait_until("not ready", || relay.readiness() == 503);
-    let late = request(
-        relay.client_address,
-        &ClientRequest::to("/talk/2").with_header("Token-Count", "900,200"),
-    );
+    let late = request(relay.client_address, &prompt("/talk/2"));
     assert!(
-        late.is_complete,
+        late.is_complete && late.status == 200,
         "the load balancer may not have noticed yet: {late:?}"
     );
     assert_eq!(late.head.header("connection"), Some("close"));
-    assert!(read_response(&mut open_stream).is_complete);
+    let closed = idle.read(&mut [0]).expect("the end of the connection");
+    assert_eq!(closed, 0);
+    // A host that doesn't wait for the stream ends within 0.1 s.
+    thread::sleep(Duration::from_millis(500));
+    engine.release_streams();
+    let response = read_response(&mut open_stream);
+    assert!(response.is_complete, "{response:?}");
+    assert_eq!(response.body, stream_text(EVENTS));
     let status = relay.child.wait().expect("an end");
     assert!(status.success(), "{status}");
 }
