--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -112,7 +112,10 @@
         head: &response::Parts,
         sent_ms: f64,
     ) {
-        let advice = self.dialect.advice(client_request, head);
+        let mut advice = self.dialect.advice(client_request, head);
+        if !self.has_warm_up_limit(endpoint) {
+            advice.cold_ms = Field::Unknown;
+        }
         let time = self.check_time();
         let mut table = self.backpressure.borrow_mut();
         let mut changes = table.apply_advice(incarnation(endpoint), advice, sent_ms, time.now_ms);
@@ -129,6 +132,15 @@
         }
     }
 
+    /// Whether requests to the endpoint are limited while it is cold.
+    fn has_warm_up_limit(&self, endpoint: &Endpoint) -> bool {
+        let configuration = self.published.configuration();
+        let limit = configuration
+            .as_ref()
+            .and_then(|c| c.services.get(&endpoint.facts.service)?.warm_up);
+        limit.is_some()
+    }
+
     fn record_advice(
         &self,
         endpoint: &Endpoint,
@@ -163,12 +175,12 @@
     /// Endpoints in evacuated zones.
     fn evacuated_endpoints(&self) -> Vec<(EndpointKey, Blocked)> {
         let zones = self.published.evacuations().zones();
-        if zones.is_empty() {
+        if zones.evacuated.is_empty() {
             return Vec::new();
         }
         let fleet = self.published.fleet();
         let endpoints = fleet.by_key.values();
-        let evacuated = endpoints.filter(|endpoint| zones.contains(&endpoint.facts.zone));
+        let evacuated = endpoints.filter(|endpoint| zones.evacuated.contains(&endpoint.facts.zone));
         evacuated.map(|e| (e.key, EVACUATED)).collect()
     }
 
@@ -209,14 +221,14 @@
     /// Fails if the endpoint or a helper of a placed request is in an evacuated zone.
     fn check_evacuated(&self, placed: &PlacedRequest) -> Result<(), BlockedDispatch> {
         let zones = self.published.evacuations().zones();
-        if zones.is_empty() {
+        if zones.evacuated.is_empty() {
             return Ok(());
         }
         let fleet = self.published.fleet();
         let helpers = placed.helper_keys.iter();
         let helpers = helpers.filter_map(|key| fleet.by_key.get(key));
         let mut all = std::iter::once(&placed.endpoint).chain(helpers);
-        match all.find(|endpoint| zones.contains(&endpoint.facts.zone)) {
+        match all.find(|endpoint| zones.evacuated.contains(&endpoint.facts.zone)) {
             None => Ok(()),
             Some(endpoint) => Err(BlockedDispatch {
                 endpoint: endpoint.clone(),
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -28,6 +28,7 @@
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
+use crate::evacuation_gossip::EncodedOrders;
 use crate::gateway_count::GatewayCount;
 use crate::held_bytes::ConnectionBytes;
 use crate::held_bytes::HeldBuffer;
@@ -111,6 +112,8 @@
     pub(crate) crashes: CrashTracker,
     /// Peers heard for the first time, which have yet to be sent the orders to evacuate zones.
     pub(crate) evacuation_newcomers: RefCell<Vec<SocketAddr>>,
+    /// The orders to evacuate zones, encoded for peers.
+    pub(crate) encoded_orders: RefCell<EncodedOrders>,
     pub(crate) metrics: Metrics,
     pub(crate) traffic: Traffic,
     /// Bytes held for clients and endpoints.
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -285,14 +285,14 @@
         }
         let fleet = self.core.published.fleet();
         let tried = &self.progress.tried;
-        let evacuated_zones = self.core.published.evacuations().zones();
+        let zones = self.core.published.evacuations().zones();
         let service = &self.service;
         Some(barred_endpoints(
             &fleet,
             service,
             key,
             tried,
-            &evacuated_zones,
+            &zones.evacuated,
         ))
     }
 
--- a/crates/mgs-relay/src/evacuation.rs
+++ b/crates/mgs-relay/src/evacuation.rs
@@ -93,6 +93,8 @@
     registers: BTreeMap<String, Register>,
     /// Revision up to which this gateway has read all of the store's orders.
     read_until: Option<Revision>,
+    /// Number of changes of the registers so far.
+    changes: u64,
 }
 
 impl Evacuations {
@@ -184,7 +186,9 @@
     }
 
     /// When this gateway last learnt that a zone was restored, in milliseconds on its clock; `None`
-    /// if it never did. The zone may be evacuated again since.
+    /// if it never did. The zone may be evacuated again since. A process that hasn't read the store
+    /// also hears of zones that were restored long ago, so that only the end of an evacuation that
+    /// it knew of counts.
     ///
     /// ```
     /// use mgs_relay::evacuation::Evacuations;
@@ -206,15 +210,34 @@
         self.registers.get(zone)?.restored_ms
     }
 
-    /// Whether the store has been read in full.
+    /// When this gateway last learnt of the restoration of zones, by zone, see
+    /// [`Self::restored_ms`].
+    pub fn restored_zones(&self) -> BTreeMap<String, u64> {
+        let registers = self.registers.iter();
+        let restored = registers.filter_map(|(zone, r)| Some((zone.clone(), r.restored_ms?)));
+        restored.collect()
+    }
+
+    /// Number of changes of the orders so far, for whoever keeps what is derived from them.
     ///
     /// ```
     /// use mgs_relay::evacuation::Evacuations;
+    /// use mgs_relay::evacuation::ZoneOrder;
+    /// use mgs_relay::source::Revision;
     ///
-    /// assert!(!Evacuations::default().has_read_store());
+    /// let order = ZoneOrder {
+    ///     zone: "north".to_string(),
+    ///     revision: Revision { era: 1, number: 7 },
+    ///     is_evacuated: true,
+    /// };
+    /// let mut evacuations = Evacuations::default();
+    /// evacuations.merge(&[order.clone()], 0);
+    /// let changes = evacuations.changes();
+    /// evacuations.merge(&[order], 10);
+    /// assert_eq!(evacuations.changes(), changes);
     /// ```
-    pub fn has_read_store(&self) -> bool {
-        self.read_until.is_some()
+    pub fn changes(&self) -> u64 {
+        self.changes
     }
 
     /// The evacuated zones.
@@ -260,7 +283,12 @@
             restored_ms: known.and_then(|known| known.restored_ms),
             missing_since_ms: None,
         };
-        self.registers.insert(order.zone.clone(), register);
+        self.put(&order.zone, register);
+    }
+
+    fn put(&mut self, zone: &str, register: Register) {
+        self.registers.insert(zone.to_string(), register);
+        self.changes += 1;
     }
 
     /// Takes the orders that are newer than the registers of their zones, and returns them.
@@ -282,10 +310,13 @@
             return false;
         }
         // A zone that was restored before this process started was in use here all the time.
-        let was_in_use = known.is_none() && self.read_after(order.revision).is_some();
-        let restored_ms = match order.is_evacuated || was_in_use {
-            true => known.and_then(|known| known.restored_ms),
-            false => Some(now_ms),
+        let may_have_been_evacuated = match known {
+            Some(known) => known.is_evacuated || self.read_until.is_some(),
+            None => self.read_until.is_some() && self.read_after(order.revision).is_none(),
+        };
+        let restored_ms = match !order.is_evacuated && may_have_been_evacuated {
+            true => Some(now_ms),
+            false => known.and_then(|known| known.restored_ms),
         };
         // The store was read in a later era and didn't list the order.
         let is_missing = self
@@ -297,7 +328,7 @@
             restored_ms,
             missing_since_ms: is_missing.then_some(now_ms),
         };
-        self.registers.insert(order.zone.clone(), register);
+        self.put(&order.zone, register);
         true
     }
 
--- a/crates/mgs-relay/src/evacuation_state.rs
+++ b/crates/mgs-relay/src/evacuation_state.rs
@@ -1,6 +1,7 @@
 //! Shares the orders to evacuate zones between the thread that follows the store and the one that
 //! serves requests and hears peers.
 
+use std::collections::BTreeMap;
 use std::collections::BTreeSet;
 use std::sync::Arc;
 use std::sync::Mutex;
@@ -35,11 +36,33 @@
     }
 }
 
-/// The known orders, with the evacuated zones as a snapshot for request handling.
+/// The zones as the known orders have them.
+#[derive(Debug, Clone, Default, PartialEq, Eq)]
+pub struct Zones {
+    /// The evacuated zones.
+    pub evacuated: BTreeSet<String>,
+    /// When zones were restored, in milliseconds of the process's clock. Their endpoints may have
+    /// started meanwhile, so they count as cold from then on.
+    pub restored_ms: BTreeMap<String, u64>,
+    /// All known orders: evacuated zones first.
+    pub orders: Vec<ZoneOrder>,
+}
+
+impl Zones {
+    fn of(evacuations: &Evacuations) -> Self {
+        Self {
+            evacuated: evacuations.evacuated_zones(),
+            restored_ms: evacuations.restored_zones(),
+            orders: evacuations.orders(),
+        }
+    }
+}
+
+/// The known orders, with a snapshot of the zones for everything that depends on them.
 #[derive(Debug, Default)]
 pub struct EvacuationState {
     evacuations: Mutex<Evacuations>,
-    zones: ArcSwap<BTreeSet<String>>,
+    zones: ArcSwap<Zones>,
     changed: Notify,
 }
 
@@ -53,32 +76,47 @@
         apply: impl FnOnce(&mut Evacuations) -> Vec<ZoneOrder>,
     ) {
         let mut evacuations = self.lock();
+        let changes = evacuations.changes();
         let taken = apply(&mut evacuations);
-        if taken.is_empty() {
+        if evacuations.changes() == changes {
             return;
         }
-        let zones = Arc::new(evacuations.evacuated_zones());
+        let zones = Arc::new(Zones::of(&evacuations));
         let before = self.zones.swap(zones.clone());
         drop(evacuations);
         for order in &taken {
-            let is_changed = before.contains(&order.zone) != order.is_evacuated;
+            let is_changed = before.evacuated.contains(&order.zone) != order.is_evacuated;
             log_order(order, origin, store_age_ms, is_changed);
         }
-        if before != zones {
+        if before.evacuated != zones.evacuated {
             self.changed.notify_one();
         }
     }
 
-    /// The evacuated zones.
-    pub fn zones(&self) -> Arc<BTreeSet<String>> {
+    /// The zones; another snapshot is published whenever an order changes.
+    ///
+    /// ```
+    /// use mgs_relay::evacuation::ZoneOrder;
+    /// use mgs_relay::evacuation_state::EvacuationState;
+    /// use mgs_relay::evacuation_state::OrderOrigin;
+    /// use mgs_relay::source::Revision;
+    ///
+    /// let order = |number, is_evacuated| ZoneOrder {
+    ///     zone: "north".to_string(),
+    ///     revision: Revision { era: 1, number },
+    ///     is_evacuated,
+    /// };
+    /// let state = EvacuationState::default();
+    /// state.update(OrderOrigin::Peer, None, |e| e.merge(&[order(7, true)], 100));
+    /// assert!(state.zones().evacuated.contains("north"));
+    /// state.update(OrderOrigin::Peer, None, |e| e.merge(&[order(8, false)], 200));
+    /// assert!(state.zones().evacuated.is_empty());
+    /// assert_eq!(state.zones().restored_ms["north"], 200);
+    /// ```
+    pub fn zones(&self) -> Arc<Zones> {
         self.zones.load_full()
     }
 
-    /// All known orders.
-    pub fn orders(&self) -> Vec<ZoneOrder> {
-        self.lock().orders()
-    }
-
     /// When the store must be read in full again, see [`Evacuations::full_read_due_ms`].
     pub fn full_read_due_ms(&self) -> Option<u64> {
         self.lock().full_read_due_ms()
--- a/crates/mgs-relay/src/follow/zones.rs
+++ b/crates/mgs-relay/src/follow/zones.rs
@@ -43,14 +43,15 @@
     /// Logs orders for zones without endpoints, which are most likely misspelt. They stay in force,
     /// since an endpoint of the zone may start.
     fn report_empty_zones(&mut self) {
-        let orders = self.published.evacuations().orders();
+        let zones = self.published.evacuations().zones();
+        let orders = &zones.orders;
         let fleet = self.published.fleet();
         if orders.is_empty() || fleet.by_key.is_empty() {
             return;
         }
         let endpoints = fleet.by_key.values();
         let used: HashSet<&str> = endpoints.map(|e| e.facts.zone.as_str()).collect();
-        for order in &orders {
+        for order in orders {
             if !order.is_evacuated || used.contains(order.zone.as_str()) {
                 self.zone_rows.clear(self.topic, &order.zone);
                 continue;
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -67,7 +67,7 @@
         Some(Self {
             configuration,
             endpoints: endpoints.collect(),
-            orders: published.evacuations().orders(),
+            orders: published.evacuations().zones().orders.clone(),
             warm_up: WarmUpSnapshot::of(published),
         })
     }
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -387,6 +387,6 @@
         .set(age(published.configuration_age_ms()));
     metrics.fleet_age_ms.set(age(published.fleet_age_ms()));
     metrics.endpoints.set(published.fleet().by_key.len() as i64);
-    let evacuated = published.evacuations().zones().len();
+    let evacuated = published.evacuations().zones().evacuated.len();
     metrics.evacuated_zones.set(evacuated as i64);
 }
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -194,6 +194,7 @@
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
         evacuation_newcomers: RefCell::default(),
+        encoded_orders: RefCell::default(),
         metrics,
         traffic: Traffic::default(),
         held: HeldBytes::default(),
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -268,8 +268,6 @@
     /// Number of gateways that the store lists, including this one; 0 before the list was read.
     listed_gateways: AtomicUsize,
     gateway_list: ArcSwap<GatewayList>,
-    /// When zones were restored, in milliseconds.
-    restored_zones: ArcSwap<HashMap<String, u64>>,
     live_settings: ArcSwap<LiveSettings>,
     started: Instant,
     configuration_freshness: Freshness,
@@ -290,7 +288,6 @@
             peers: ArcSwap::default(),
             listed_gateways: AtomicUsize::new(0),
             gateway_list: ArcSwap::default(),
-            restored_zones: ArcSwap::default(),
             live_settings: ArcSwap::default(),
             started: Instant::now(),
             configuration_freshness: Freshness::new(ContentKind::Versions),
@@ -406,30 +403,6 @@
             .is_some_and(|configuration| configuration.has_warm_up_limits())
     }
 
-    /// Marks all endpoints of an availability zone as cold from now on, since the zone was
-    /// restored. May be called from any thread.
-    ///
-    /// ```
-    /// use mgs_relay::view::Published;
-    ///
-    /// let published = Published::new();
-    /// published.mark_zone_cold("north");
-    /// assert!(published.restored_zones().contains_key("north"));
-    /// ```
-    pub fn mark_zone_cold(&self, zone: &str) {
-        let now_ms = self.now_ms();
-        self.restored_zones.rcu(|zones| {
-            let mut zones = HashMap::clone(zones);
-            zones.insert(zone.to_string(), now_ms);
-            zones
-        });
-    }
-
-    /// When zones were last restored, in milliseconds of the process's clock.
-    pub fn restored_zones(&self) -> Arc<HashMap<String, u64>> {
-        self.restored_zones.load_full()
-    }
-
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
         let hash = |endpoint: &Arc<Endpoint>| endpoint.facts.incarnation.hash_64();
@@ -454,33 +427,14 @@
         &self.evacuations
     }
 
-    /// Changes the orders to evacuate zones, see [`EvacuationState::update`]. The endpoints of a
-    /// zone that is restored may have started meanwhile, so they count as cold before the first
-    /// request can be sent to them.
+    /// Changes the orders to evacuate zones, see [`EvacuationState::update`].
     pub fn update_evacuations(
         &self,
         origin: OrderOrigin,
         apply: impl FnOnce(&mut Evacuations) -> Vec<ZoneOrder>,
     ) {
-        /// Longest time from the reading of the clock for an update to its end, in milliseconds.
-        const UPDATE_MS: u64 = 1_000;
         let store_age_ms = self.configuration_age_ms();
-        let apply_and_mark_cold = |evacuations: &mut Evacuations| {
-            let taken = apply(evacuations);
-            // A process that has just started hears of zones that were restored long ago.
-            if evacuations.has_read_store() {
-                let now_ms = self.now_ms();
-                let is_new = |restored_ms: u64| now_ms < restored_ms + UPDATE_MS;
-                for order in taken.iter().filter(|order| !order.is_evacuated) {
-                    if evacuations.restored_ms(&order.zone).is_some_and(is_new) {
-                        self.mark_zone_cold(&order.zone);
-                    }
-                }
-            }
-            taken
-        };
-        self.evacuations
-            .update(origin, store_age_ms, apply_and_mark_cold);
+        self.evacuations.update(origin, store_age_ms, apply);
     }
 
     /// Freshness of the list of endpoints.
--- a/crates/mgs-relay/src/warm_up.rs
+++ b/crates/mgs-relay/src/warm_up.rs
@@ -3,7 +3,6 @@
 
 use std::cell::Cell;
 use std::cell::RefCell;
-use std::collections::HashMap;
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
@@ -22,6 +21,7 @@
 use crate::connection::Connection;
 use crate::core::Core;
 use crate::dialect::ClientRequest;
+use crate::evacuation_state::Zones;
 use crate::view::Configuration;
 use crate::view::Endpoint;
 use crate::view::Fleet;
@@ -97,11 +97,11 @@
             return None;
         }
         let now_ms = published.now_ms();
-        let restored = published.restored_zones();
+        let zones = published.evacuations().zones();
         let mut cold = Vec::new();
         for (name, warm_up) in &services {
             for endpoint in published.fleet().of_service(name) {
-                let restored_ms = restored.get(&endpoint.facts.zone).copied();
+                let restored_ms = zones.restored_ms.get(&endpoint.facts.zone).copied();
                 let until_ms = endpoint.cold.cold_until_ms(restored_ms, warm_up.start_ms);
                 if until_ms > now_ms {
                     let id = endpoint.facts.incarnation.id.clone();
@@ -142,7 +142,7 @@
     fleet: Arc<Fleet>,
     configuration: Arc<Configuration>,
     live_settings: Arc<LiveSettings>,
-    restored_zones: Arc<HashMap<String, u64>>,
+    zones: Arc<Zones>,
 }
 
 impl Inputs {
@@ -150,7 +150,7 @@
         Arc::ptr_eq(&self.fleet, &other.fleet)
             && Arc::ptr_eq(&self.configuration, &other.configuration)
             && Arc::ptr_eq(&self.live_settings, &other.live_settings)
-            && Arc::ptr_eq(&self.restored_zones, &other.restored_zones)
+            && Arc::ptr_eq(&self.zones, &other.zones)
     }
 
     /// All endpoints with a limit.
@@ -166,7 +166,7 @@
                 start_ms: warm_up.start_ms as f64,
             };
             for endpoint in self.fleet.of_service(name) {
-                let restored_ms = self.restored_zones.get(&endpoint.facts.zone).copied();
+                let restored_ms = self.zones.restored_ms.get(&endpoint.facts.zone).copied();
                 let until_ms = endpoint.cold.cold_until_ms(restored_ms, warm_up.start_ms);
                 endpoints.push(ColdEndpoint {
                     incarnation: incarnation(endpoint),
@@ -207,7 +207,7 @@
             fleet: self.published.fleet(),
             configuration,
             live_settings: self.published.live_settings(),
-            restored_zones: self.published.restored_zones(),
+            zones: self.published.evacuations().zones(),
         };
         let mut table = self.backpressure.borrow_mut();
         let warm_up = table.warm_up();
@@ -259,8 +259,8 @@
         permit: Permit,
         client_request: &ClientRequest,
     ) -> bool {
-        let evacuated = self.published.evacuations().zones();
-        if evacuated.contains(&endpoint.facts.zone) {
+        let zones = self.published.evacuations().zones();
+        if zones.evacuated.contains(&endpoint.facts.zone) {
             return false;
         }
         let time = self.check_time();
--- a/crates/mgs-relay/tests/evacuation.rs
+++ b/crates/mgs-relay/tests/evacuation.rs
@@ -76,6 +76,21 @@
     assert_eq!(evacuations.restored_ms("north"), Some(500));
 }
 
+/// Guards against a gateway that starts in an outage of the store and takes all endpoints of zones
+/// that were restored long ago for cold.
+#[test]
+fn a_restoration_heard_before_the_store_was_read_counts_only_for_a_known_evacuation() {
+    let mut evacuations = Evacuations::default();
+    evacuations.merge(&[order(1, 7, false)], 0);
+    assert_eq!(evacuations.restored_ms("north"), None);
+    evacuations.merge(&[order(1, 9, false)], 100);
+    assert_eq!(evacuations.restored_ms("north"), None);
+    evacuations.merge(&[order(1, 11, true)], 200);
+    evacuations.merge(&[order(1, 12, false)], 300);
+    assert_eq!(evacuations.restored_ms("north"), Some(300));
+    assert_eq!(evacuations.restored_zones()["north"], 300);
+}
+
 /// A peer has read more of the store than a read that began earlier.
 #[test]
 fn a_full_read_does_not_drop_a_newer_order_of_a_peer() {
