--- a/crates/mgs-placing/tests/emulator/mod.rs
+++ b/crates/mgs-placing/tests/emulator/mod.rs
@@ -14,6 +14,7 @@
 pub(crate) mod gateway;
 pub(crate) mod many_gateways;
 pub(crate) mod sizes;
+pub(crate) mod vehicles;
 
 use std::cmp::Reverse;
 use std::collections::BinaryHeap;
@@ -61,6 +62,8 @@
     pub(crate) longest_pause_ms: f64,
     /// Whether the whole answer arrived before the deadline.
     pub(crate) is_complete: bool,
+    /// Time from the arrival until the gateway refused the prompt, if it did.
+    pub(crate) refused_after_ms: Option<f64>,
 }
 
 impl Outcome {
@@ -257,6 +260,13 @@
         }
     }
 
+    /// Records that a gateway refuses a prompt now.
+    pub(crate) fn refuse(&mut self, prompt: usize) {
+        // The clock counts whole microseconds, so an arrival may lie a fraction after it.
+        let waited_ms = (self.now_ms - self.prompts[prompt].arrival_ms).max(0.0);
+        self.outcomes[prompt].refused_after_ms = Some(waited_ms);
+    }
+
     /// Time to prefill a prompt without the duration of its steps, which is added by each pass.
     fn prefill_without_steps_ms(&self, tokens: u64) -> f64 {
         let steps = tokens as f64 / self.model.chunk_tokens as f64;
--- a/crates/mgs-placing/tests/many_gateways.rs
+++ b/crates/mgs-placing/tests/many_gateways.rs
@@ -56,6 +56,7 @@
 fn mean(gateways: usize, rule: ChoiceRule, delay_ms: f64) -> Shares {
     let setup = GatewaySetup {
         gateways,
+        zones: 5,
         rule,
         delay_ms,
         lost_share: 0.01,
