mgs-admission, mgs-relay: no shares without a shortage at the engines

Cause: prompts that waited for engines counted as refused by them, several long prompts of a small organisation within a second passed as a surge, its usual cost was always underestimated since growth was slow after each long prompt, and refusals by shares kept a shortage going that had just ended.

Change: a prompt counts as admitted from its arrival until engines refuse it. A surge must be beyond chance in a cumulative sum test, in units of the largest prompt. Without a surge nobody is refused while less than 0.9 of the engines' time is in use over a second. If what the others ask for fits, only what surges is throttled. The emulator of the tests gains engines that go, bursts and groups of long prompts; the existing tests are unchanged but for an attribute on the shared module.

--- a/crates/mgs-admission/src/demand_shares.rs
+++ b/crates/mgs-admission/src/demand_shares.rs
@@ -10,6 +10,7 @@
 
 mod rates;
 mod shortage;
+mod surge;
 mod water_filling;
 
 use std::collections::HashMap;
@@ -23,6 +24,7 @@
 use rates::RATE_MS;
 use shortage::Shortage;
 use shortage::Strain;
+use surge::SurgeEvidence;
 
 pub use water_filling::water_level;
 pub use water_filling::WeightedDemand;
@@ -71,14 +73,14 @@
 /// fleet was idle, and the usual costs say nothing.
 const KNOWN_SHARE: f64 = 0.02;
 
-/// Ratio to its usual cost, compared with all others, from which on an organisation surges. Chance
-/// alone takes an organisation of relevant size to twice its usual cost at times.
-const SURGE_RATIO: f64 = 3.0;
-
 /// Share of the engines' time that an organisation asks for beyond its usual cost if it can be the
 /// cause of a shortage: the distance between a busy fleet and a full one.
 const SURGE_MIN_SHARE: f64 = 0.1;
 
+/// Time after a shortage for which its refusals by shares are part of the rates, in milliseconds:
+/// three time constants, after which a twentieth is left of them.
+const SHARE_REFUSALS_MS: f64 = 3.0 * RATE_MS;
+
 /// Bounds of `Retry-After`, in milliseconds: those of other refusals for lack of capacity.
 const RETRY_AFTER_MIN_MS: f64 = 150.0;
 const RETRY_AFTER_MAX_MS: f64 = 3_000.0;
@@ -107,7 +109,8 @@
     pub organisation: OrganisationHash,
     /// Cost asked for, over about a second.
     pub asked: f32,
-    /// Cost sent to engines, over about a second.
+    /// Cost admitted and not refused by engines since, over about a second. What waits for engines is
+    /// included.
     pub admitted: f32,
     /// Usual cost; 0 for all organisations of a gateway that doesn't know it yet.
     pub usual: f32,
@@ -190,6 +193,8 @@
     weight: f64,
     /// Excess over the usual cost that may be chance.
     noise: f64,
+    /// Evidence that the excess isn't chance.
+    evidence: f64,
     /// What is asked for without the part of a deviation that is likely to be chance.
     demand: f64,
     /// The part of the demand that may be admitted, as cost.
@@ -209,13 +214,6 @@
             false => self.allowed / self.demand,
         }
     }
-
-    /// Whether the organisation asks for much more than usual compared with all together.
-    fn is_surge(&self, all: &FleetDemand) -> bool {
-        let (others_asked, others_weight) = (all.demand - self.demand, all.weight - self.weight);
-        let others_ratio = others_asked / others_weight.max(f64::MIN_POSITIVE);
-        self.demand > SURGE_RATIO * self.weight * others_ratio.max(1.0)
-    }
 }
 
 /// Demand of all organisations, and the decision which prompts are admitted.
@@ -240,6 +238,9 @@
     /// Priorities that differ from the highest, 0.
     priorities: HashMap<OrganisationHash, u8>,
     shortage: Shortage,
+    surge_evidence: SurgeEvidence,
+    /// When capacity was last short.
+    last_short_ms: Option<f64>,
     fleet: HashMap<OrganisationHash, FleetDemand>,
     all: FleetDemand,
     /// The capacity while it is short.
@@ -257,6 +258,8 @@
             peers: HashMap::new(),
             priorities: HashMap::new(),
             shortage: Shortage::started_at(now_ms),
+            surge_evidence: SurgeEvidence::started_at(now_ms),
+            last_short_ms: None,
             fleet: HashMap::new(),
             all: FleetDemand::default(),
             capacity: None,
@@ -337,13 +340,19 @@
         self.engine_time = engine_time;
         let knows_usual = self.sum_demands();
         let is_known = knows_usual && self.all.usual > engine_time * KNOWN_SHARE;
+        let largest_cost_ms = self.own.largest_cost_ms();
+        self.surge_evidence
+            .update(now_ms, &mut self.fleet, &self.all, largest_cost_ms);
         self.set_growth(is_known, was_short);
+        if was_short {
+            self.last_short_ms = Some(now_ms);
+        }
         let strain = Strain {
             engine_time,
             asked: self.all.demand,
             admitted: self.all.admitted,
             busy_share: engines.busy_share,
-            refused_share: self.refused_share(was_short),
+            refused_share: self.refused_share(now_ms),
             has_surge: is_known && self.has_surge(engine_time),
         };
         // Without engines, as while all zones are evacuated, refusals say nothing about the capacity.
@@ -386,22 +395,32 @@
         Err(self.refusal(now_ms, fleet, capacity, draw))
     }
 
-    /// Counts a prompt that was admitted and that no engine takes.
-    pub fn record_refused(&mut self, now_ms: f64, cost_ms: f64) {
+    /// Counts a prompt that is admitted. To be called at once, not when engines take it: what waits for
+    /// engines would seem to be refused by them.
+    pub fn record_admitted(&mut self, now_ms: f64, organisation: OrganisationHash, cost_ms: f64) {
         self.own.advance(now_ms);
-        self.own.add_refused(cost_ms);
+        self.own.add_admitted(organisation, cost_ms);
     }
 
-    /// Counts a prompt that is sent to engines.
-    pub fn record_admitted(&mut self, now_ms: f64, organisation: OrganisationHash, cost_ms: f64) {
+    /// Counts a prompt that was admitted `waited_ms` milliseconds ago and that no engine takes.
+    pub fn record_refused(
+        &mut self,
+        now_ms: f64,
+        organisation: OrganisationHash,
+        cost_ms: f64,
+        waited_ms: f64,
+    ) {
         self.own.advance(now_ms);
-        self.own.add_admitted(organisation, cost_ms);
+        self.own.add_refused(organisation, cost_ms, waited_ms);
     }
 
-    /// The share of what gateways would send to engines that is refused. While nobody is throttled,
-    /// that is all that isn't admitted anywhere; afterwards only this gateway's part is known.
-    fn refused_share(&self, is_short: bool) -> f64 {
-        if is_short || self.all.asked <= 0.0 {
+    /// The share of what gateways would send to engines that these refuse. While nobody is throttled,
+    /// that is all that isn't admitted anywhere. During a shortage and as long as the rates contain its
+    /// refusals by shares, only this gateway's part is known.
+    fn refused_share(&self, now_ms: f64) -> f64 {
+        let since_short_ms = self.last_short_ms.map(|at_ms| now_ms - at_ms);
+        let is_mixed = since_short_ms.is_some_and(|since_ms| since_ms < SHARE_REFUSALS_MS);
+        if is_mixed || self.all.asked <= 0.0 {
             return self.own.refused_share();
         }
         (1.0 - self.all.admitted / self.all.asked).clamp(0.0, 1.0)
@@ -447,7 +466,7 @@
         self.own.set_growth(|organisation| {
             let sum = fleet.get(&organisation).filter(|_| is_known);
             sum.map_or(Growth::STEADY, |sum| {
-                Growth::of(sum.demand, sum.weight, is_short)
+                Growth::of(sum.demand, sum.weight, sum.is_doubtful(), is_short)
             })
         });
     }
@@ -460,7 +479,8 @@
     }
 
     /// Divides the capacity: first the part that everyone keeps, then by weight. During a surge, usual
-    /// costs go before the excess, and those of the others aren't bounded by the reduced capacity.
+    /// costs go before the excess, and those of the others aren't bounded by the reduced capacity. If all that the others ask for
+    /// fits, none of them is throttled.
     fn set_allowed(&mut self, has_surge: bool) {
         let Some(capacity) = self.capacity else {
             return;
@@ -473,8 +493,11 @@
             let all = self.all;
             let for_usual = capacity.max(self.engine_time * USUAL_CAPACITY_SHARE);
             self.fill(capacity, FleetDemand::usual_max);
+            let others = self.fleet.values().filter(|sum| !sum.is_surge(&all));
+            let others_fit = others.map(|sum| sum.demand).sum::<f64>() <= for_usual;
             self.fill(for_usual, |sum| match sum.is_surge(&all) {
                 true => 0.0,
+                false if others_fit => f64::INFINITY,
                 false => sum.usual_max(),
             });
         }
--- a/crates/mgs-admission/src/demand_shares/rates.rs
+++ b/crates/mgs-admission/src/demand_shares/rates.rs
@@ -30,6 +30,10 @@
 /// one long prompt in ten seconds.
 const MEAN_COST_MS: f64 = 60_000.0;
 
+/// Time constant with which the cost of the largest prompt is forgotten, in milliseconds: long enough
+/// for a gateway that gets one long prompt in a minute.
+const LARGEST_COST_MS: f64 = 300_000.0;
+
 /// Time constant of the share of its cost that engines refuse a gateway, in milliseconds: about as
 /// long as a gateway of thirty takes to send thirty prompts.
 const REFUSED_MS: f64 = 10_000.0;
@@ -53,9 +57,9 @@
     /// Follows from the figures of all gateways, so that moving an organisation's requests from one
     /// gateway to another changes the sum of its usual costs by nothing. While capacity is short, a
     /// part of what is asked for are repetitions of what was refused, so all growth is slow.
-    pub(super) fn of(asked: f64, usual: f64, is_short: bool) -> Self {
+    pub(super) fn of(asked: f64, usual: f64, is_doubtful: bool, is_short: bool) -> Self {
         let most = usual * SURGE_FACTOR;
-        let is_slow = asked > most || (is_short && asked > usual);
+        let is_slow = (is_doubtful && asked > most) || (is_short && asked > usual);
         match is_slow {
             true => Self {
                 rate_share: (most / asked).min(1.0),
@@ -101,7 +105,9 @@
     costs: f64,
     /// Decayed sum of their squares.
     squared_costs: f64,
-    /// Decayed sums of the costs that were sent on to engines and that engines refused, in
+    /// Cost of the largest prompt, which decays, in milliseconds.
+    largest_cost_ms: f64,
+    /// Decayed sums of the costs that were admitted and of those that engines then refused, in
     /// milliseconds.
     passed_ms: f64,
     refused_ms: f64,
@@ -115,6 +121,7 @@
             by_organisation: HashMap::new(),
             costs: 0.0,
             squared_costs: 0.0,
+            largest_cost_ms: 0.0,
             passed_ms: 0.0,
             refused_ms: 0.0,
             started_ms: now_ms,
@@ -139,6 +146,7 @@
         let kept_cost = (-elapsed_ms / MEAN_COST_MS).exp();
         self.costs *= kept_cost;
         self.squared_costs *= kept_cost;
+        self.largest_cost_ms *= (-elapsed_ms / LARGEST_COST_MS).exp();
         let kept_refused = (-elapsed_ms / REFUSED_MS).exp();
         self.passed_ms *= kept_refused;
         self.refused_ms *= kept_refused;
@@ -163,6 +171,7 @@
     pub(super) fn add_asked(&mut self, organisation: OrganisationHash, cost_ms: f64) {
         self.costs += cost_ms;
         self.squared_costs += cost_ms * cost_ms;
+        self.largest_cost_ms = self.largest_cost_ms.max(cost_ms);
         let rates = self.rates_mut(organisation);
         rates.asked += cost_ms * MS_PER_S / RATE_MS;
         rates.total_ms += cost_ms;
@@ -175,18 +184,31 @@
         (usual * mean_cost_ms * MS_PER_S / (2.0 * RATE_MS)).sqrt()
     }
 
-    /// Adds cost that engines refused.
-    pub(super) fn add_refused(&mut self, cost_ms: f64) {
-        self.passed_ms += cost_ms;
+    /// Cost of the largest prompts, in milliseconds of engine time.
+    pub(super) fn largest_cost_ms(&self) -> f64 {
+        self.largest_cost_ms
+    }
+
+    /// Takes back what is left in the rates of cost that was admitted `waited_ms` ago and that engines
+    /// refused.
+    pub(super) fn add_refused(
+        &mut self,
+        organisation: OrganisationHash,
+        cost_ms: f64,
+        waited_ms: f64,
+    ) {
         self.refused_ms += cost_ms;
+        let left = cost_ms * MS_PER_S / RATE_MS * (-waited_ms.max(0.0) / RATE_MS).exp();
+        let rates = self.rates_mut(organisation);
+        rates.admitted = (rates.admitted - left).max(0.0);
     }
 
     /// The share of what this gateway would have sent to engines that they refused.
     pub(super) fn refused_share(&self) -> f64 {
-        self.refused_ms / self.passed_ms.max(f64::MIN_POSITIVE)
+        (self.refused_ms / self.passed_ms.max(f64::MIN_POSITIVE)).min(1.0)
     }
 
-    /// Adds cost that was sent to engines.
+    /// Adds cost that is admitted.
     pub(super) fn add_admitted(&mut self, organisation: OrganisationHash, cost_ms: f64) {
         self.passed_ms += cost_ms;
         self.rates_mut(organisation).admitted += cost_ms * MS_PER_S / RATE_MS;
--- a/crates/mgs-admission/src/demand_shares/shortage.rs
+++ b/crates/mgs-admission/src/demand_shares/shortage.rs
@@ -9,6 +9,11 @@
 /// refused single prompts when several long ones came together.
 const BUSY_SHARE: f64 = 0.95;
 
+/// Share of the engines' time in use below which nothing is short without a surge. Prompts were
+/// refused that the engines would have served: what is asked for varies by a third within seconds
+/// when long prompts come together.
+const ROOM_SHARE: f64 = 0.9;
+
 /// Share of the engines' time that is to be in use during a surge. With 0.75, long prompts that came
 /// together made others late: 0.040 of their on-time share was lost at worst, 0.027 with this.
 const TARGET_BUSY_SHARE: f64 = 0.7;
@@ -35,6 +40,15 @@
 /// overload within half a second.
 const SMOOTHING_MS: f64 = 400.0;
 
+/// Time constant of the share of the engines' time in use that tells a shortage without a surge, in
+/// milliseconds. A shortage of all organisations lasts, and refusing a second later costs nothing of
+/// what others are owed; long prompts that come together keep the engines busy for half a second.
+const SUSTAINED_MS: f64 = 1_000.0;
+
+/// Longest time for which one update raises that share, in milliseconds. A gateway that gets a prompt
+/// in a second would take one moment in which all engines are busy for most of a second.
+const SUSTAINED_STEP_MAX_MS: f64 = 200.0;
+
 /// Time in which the capacity is reduced by the share that is refused or too busy, in milliseconds.
 /// What came before the shortage was noticed must be served first, and all others are late until
 /// then.
@@ -58,7 +72,7 @@
     pub(super) engine_time: f64,
     /// Cost asked for.
     pub(super) asked: f64,
-    /// Cost sent to engines.
+    /// Cost admitted and not refused by engines.
     pub(super) admitted: f64,
     /// Share of the engines' time in use.
     pub(super) busy_share: f64,
@@ -77,6 +91,8 @@
     /// Ratio of the capacity to what the engines' figures say.
     correction: f64,
     busy_share: f64,
+    /// The same over [`SUSTAINED_MS`]; `None` before the first update.
+    sustained_busy_share: Option<f64>,
     refused_share: f64,
     updated_ms: f64,
 }
@@ -87,6 +103,7 @@
             is_short: false,
             correction: 1.0,
             busy_share: 0.0,
+            sustained_busy_share: None,
             refused_share: 0.0,
             updated_ms: now_ms,
         }
@@ -98,6 +115,7 @@
         self.updated_ms = now_ms;
         let step = 1.0 - (-elapsed_ms / SMOOTHING_MS).exp();
         self.busy_share += (strain.busy_share - self.busy_share) * step;
+        self.sustain(elapsed_ms, strain.busy_share);
         self.refused_share += (strain.refused_share - self.refused_share) * step;
         let declared = strain.engine_time * USABLE_SHARE;
         if self.is_short && strain.has_surge {
@@ -115,6 +133,21 @@
         })
     }
 
+    /// Follows the share of the engines' time in use. The first update takes it as it is.
+    fn sustain(&mut self, elapsed_ms: f64, busy_share: f64) {
+        let before = self.sustained_busy_share.unwrap_or(busy_share);
+        let counted_ms = match busy_share > before {
+            true => elapsed_ms.min(SUSTAINED_STEP_MAX_MS),
+            false => elapsed_ms,
+        };
+        let step = 1.0 - (-counted_ms / SUSTAINED_MS).exp();
+        self.sustained_busy_share = Some(before + (busy_share - before) * step);
+    }
+
+    fn sustained(&self) -> f64 {
+        self.sustained_busy_share.unwrap_or(0.0)
+    }
+
     fn begins(&mut self, declared: f64, strain: &Strain) -> bool {
         let is_overestimated = strain.has_surge
             && self.refused_share >= OVERESTIMATED_SHARE
@@ -123,7 +156,15 @@
             let taken = (strain.admitted / declared).max(CORRECTION_MIN);
             self.correction = self.correction.min(taken);
         }
-        let is_seen = self.busy_share >= BUSY_SHARE || self.refused_share >= REFUSED_SHARE;
+        let is_refusing = self.refused_share >= REFUSED_SHARE;
+        let is_seen = match strain.has_surge {
+            true => self.busy_share >= BUSY_SHARE || is_refusing,
+            false => {
+                let sustained = self.sustained();
+                let is_busy = sustained >= BUSY_SHARE;
+                is_busy || (is_refusing && sustained >= ROOM_SHARE)
+            }
+        };
         is_overestimated || (is_seen && strain.asked > bound(declared, strain))
     }
 
@@ -132,7 +173,8 @@
             true => declared * self.correction,
             false => bound(declared, strain),
         };
-        strain.asked > bound * END_SHARE
+        let has_room = !strain.has_surge && self.sustained() < ROOM_SHARE;
+        strain.asked > bound * END_SHARE && !has_room
     }
 
     /// Admits less while engines refuse what was admitted or are too busy, and more while they have
--- a/crates/mgs-admission/tests/demand_shares.rs
+++ b/crates/mgs-admission/tests/demand_shares.rs
@@ -6,6 +6,7 @@
     reason = "the tests report shares by organisation"
 )]
 
+#[allow(dead_code, reason = "shared with the tests of ordinary traffic")]
 mod share_fleet;
 
 use std::collections::HashMap;
--- a/crates/mgs-admission/tests/share_fleet/mod.rs
+++ b/crates/mgs-admission/tests/share_fleet/mod.rs
@@ -3,6 +3,8 @@
 //! Engines are emulated by the time for which they are busy: a prompt goes to the engines that are
 //! free first, and is on time if its wait and its prefill fit its first-token target.
 
+mod kinds;
+
 use std::collections::BTreeMap;
 use std::collections::HashMap;
 
@@ -10,11 +12,13 @@
 use mgs_admission::demand_shares::EnginePressure;
 use mgs_admission::demand_shares::OrganisationDemand;
 use mgs_admission::demand_shares::OrganisationHash;
-use mgs_placing::model::EngineModel;
 use rand::RngExt;
 use rand::SeedableRng;
 use rand_chacha::ChaCha8Rng;
 
+use kinds::Kind;
+use kinds::KINDS;
+
 pub(crate) const ORGANISATIONS: usize = 24;
 pub(crate) const GATEWAYS: usize = 30;
 const ENGINES: usize = 69;
@@ -25,72 +29,17 @@
 const REPORT_LOSS_SHARE: f64 = 0.02;
 /// Silence after which a peer is dropped, as in `mgs-placing`.
 const PEER_SILENCE_MS: f64 = 1_200.0;
+/// Time over which the engines' time in use is averaged for [`Fleet::refusals_with_room`].
+const USE_MS: f64 = 1_000.0;
+/// Share of the engines' time in use up to which nothing is short.
+const ROOM_SHARE: f64 = 0.9;
+/// First of the small organisations: one long prompt in ten seconds, or fewer.
+const FIRST_SMALL: usize = 8;
+/// Most long prompts that a small organisation sends at once, if it sends them in groups.
+const GROUP_MAX: usize = 3;
 /// Times that a client comes back after a refusal.
 const RETRIES_MAX: u32 = 2;
 
-/// The engines of the first deployment.
-pub(crate) fn model() -> EngineModel {
-    EngineModel {
-        slots: 12,
-        memory_tokens: 197_200,
-        stride_steps: 48,
-        step_ms: 1.02,
-        read_tokens_per_ms: 206.0,
-        ..EngineModel::default()
-    }
-}
-
-/// A kind of prompt.
-#[derive(Debug, Clone, Copy)]
-struct Kind {
-    per_s: f64,
-    prompt_tokens: u64,
-    events: f64,
-    ttft_target_ms: f64,
-    /// Wait from which on engines refuse it as too late.
-    patience_ms: f64,
-    /// Engines that prefill it.
-    engines: usize,
-}
-
-const KINDS: [Kind; 3] = [
-    Kind {
-        per_s: 86.0,
-        prompt_tokens: 5_000,
-        events: 31.0,
-        ttft_target_ms: 250.0,
-        patience_ms: 2_000.0,
-        engines: 1,
-    },
-    Kind {
-        per_s: 10.2,
-        prompt_tokens: 45_000,
-        events: 18.0,
-        ttft_target_ms: 1_500.0,
-        patience_ms: 6_000.0,
-        engines: 1,
-    },
-    Kind {
-        per_s: 3.6,
-        prompt_tokens: 190_000,
-        events: 15.0,
-        ttft_target_ms: 6_000.0,
-        patience_ms: 9_000.0,
-        engines: 8,
-    },
-];
-
-impl Kind {
-    fn prefill_ms(&self) -> f64 {
-        model().prefill_ms(self.prompt_tokens)
-    }
-
-    fn cost_ms(&self) -> f64 {
-        let model = model();
-        self.prefill_ms() + self.events * model.usual_pass_ms() / f64::from(model.slots)
-    }
-}
-
 /// Engine time that the usual load of all organisations needs, as a share of what there is.
 pub(crate) fn usual_load_share() -> f64 {
     let cost_ms: f64 = KINDS.iter().map(|kind| kind.per_s * kind.cost_ms()).sum();
@@ -168,6 +117,12 @@
     pub(crate) pinned: HashMap<usize, usize>,
     /// Gateways from this index on neither send nor receive reports.
     pub(crate) cut_off_from: usize,
+    /// Rate of long prompts of all organisations, relative to their usual rate.
+    pub(crate) long_load: f64,
+    /// Engines that are there.
+    pub(crate) engines: usize,
+    /// Whether small organisations send their long prompts in groups, at the same mean rate.
+    pub(crate) has_groups: bool,
 }
 
 impl Default for Conditions {
@@ -178,6 +133,9 @@
             engine_speed: 1.0,
             pinned: HashMap::new(),
             cut_off_from: GATEWAYS,
+            long_load: 1.0,
+            engines: ENGINES,
+            has_groups: false,
         }
     }
 }
@@ -187,6 +145,11 @@
     pub(crate) conditions: Conditions,
     pub(crate) outcomes: [Outcomes; ORGANISATIONS],
     pub(crate) now_ms: f64,
+    /// Refusals by shares while the engines had room in the last second.
+    pub(crate) refusals_with_room: f64,
+    /// Share of the engines' time in use, averaged over [`USE_MS`], and the most that it was.
+    pub(crate) use_share: f64,
+    pub(crate) use_share_max: f64,
     gateways: Vec<Gateway>,
     engines: Vec<f64>,
     reports: Vec<Report>,
@@ -203,6 +166,9 @@
             conditions,
             outcomes: [Outcomes::default(); ORGANISATIONS],
             now_ms: 0.0,
+            refusals_with_room: 0.0,
+            use_share: 0.0,
+            use_share_max: 0.0,
             gateways: Vec::new(),
             engines: vec![0.0; ENGINES],
             reports: Vec::new(),
@@ -243,9 +209,14 @@
     /// Runs for a time and returns the outcomes of its requests by organisation.
     pub(crate) fn run(&mut self, duration_s: f64) -> [Outcomes; ORGANISATIONS] {
         self.outcomes = [Outcomes::default(); ORGANISATIONS];
+        (self.refusals_with_room, self.use_share_max) = (0.0, 0.0);
         let end_ms = self.now_ms + duration_s * 1e3;
         while self.now_ms < end_ms {
             self.now_ms += STEP_MS;
+            self.start_and_stop_engines();
+            let step = STEP_MS / USE_MS;
+            self.use_share += (self.pressure().busy_share - self.use_share) * step;
+            self.use_share_max = self.use_share_max.max(self.use_share);
             if self.conditions.is_on {
                 self.exchange_reports();
             }
@@ -256,6 +227,14 @@
         self.outcomes
     }
 
+    /// Takes away the engines that have most to do, which then never finish it, or adds idle ones.
+    fn start_and_stop_engines(&mut self) {
+        if self.engines.len() != self.conditions.engines {
+            self.engines.sort_by(f64::total_cmp);
+            self.engines.resize(self.conditions.engines, self.now_ms);
+        }
+    }
+
     fn exchange_reports(&mut self) {
         for index in 0..GATEWAYS {
             if self.gateways[index].report_due_ms <= self.now_ms {
@@ -323,9 +302,7 @@
             let share = size(organisation) / sizes * self.conditions.load[organisation];
             for kind in KINDS {
                 let expected = kind.per_s * share * STEP_MS / 1e3;
-                let whole = expected.floor();
-                let extra = self.arrivals.random::<f64>() < expected - whole;
-                for _ in 0..whole as usize + usize::from(extra) {
+                for _ in 0..self.arriving(organisation, &kind, expected) {
                     self.outcomes[organisation].requests += 1.0;
                     attempts.push(Attempt {
                         organisation,
@@ -338,6 +315,28 @@
         attempts
     }
 
+    /// Number of prompts of a kind that an organisation sends in this step.
+    fn arriving(&mut self, organisation: usize, kind: &Kind, expected: f64) -> usize {
+        let is_long = kind.is_long();
+        let is_grouped = self.conditions.has_groups && is_long && organisation >= FIRST_SMALL;
+        let mean_group = (1 + GROUP_MAX) as f64 / 2.0;
+        let load = if is_long {
+            self.conditions.long_load
+        } else {
+            1.0
+        };
+        let events = expected * load / if is_grouped { mean_group } else { 1.0 };
+        let whole = events.floor();
+        let extra = self.arrivals.random::<f64>() < events - whole;
+        let count = whole as usize + usize::from(extra);
+        match is_grouped {
+            true => (0..count)
+                .map(|_| self.arrivals.random_range(1..=GROUP_MAX))
+                .sum(),
+            false => count,
+        }
+    }
+
     fn serve(&mut self, attempt: Attempt) {
         let now_ms = self.now_ms;
         let cost_ms = attempt.kind.cost_ms();
@@ -354,17 +353,20 @@
             }
             if let Err(refusal) = shares.admit(now_ms, name, cost_ms, draw) {
                 self.outcomes[attempt.organisation].share_refusals += 1.0;
+                if self.use_share < ROOM_SHARE {
+                    self.refusals_with_room += 1.0;
+                }
                 return self.come_back(attempt, refusal.retry_after_ms as f64);
             }
         }
+        let shares = &mut self.gateways[index].shares;
+        shares.record_admitted(now_ms, name, cost_ms);
         let Some(wait_ms) = self.place(attempt.kind) else {
             self.outcomes[attempt.organisation].engine_refusals += 1.0;
             let shares = &mut self.gateways[index].shares;
-            shares.record_refused(now_ms, cost_ms);
+            shares.record_refused(now_ms, name, cost_ms, 0.0);
             return self.come_back(attempt, 1_000.0);
         };
-        let shares = &mut self.gateways[index].shares;
-        shares.record_admitted(now_ms, name, cost_ms);
         let outcomes = &mut self.outcomes[attempt.organisation];
         outcomes.served += 1.0;
         outcomes.served_ms += cost_ms;
@@ -389,8 +391,8 @@
     fn pressure(&self) -> EnginePressure {
         let busy = self.engines.iter().filter(|until| **until > self.now_ms);
         EnginePressure {
-            engines: ENGINES,
-            busy_share: busy.count() as f64 / ENGINES as f64,
+            engines: self.engines.len(),
+            busy_share: busy.count() as f64 / self.engines.len() as f64,
         }
     }
 
@@ -411,6 +413,12 @@
     }
 }
 
+/// On-time share of all requests.
+pub(crate) fn on_time(outcomes: &[Outcomes; ORGANISATIONS]) -> f64 {
+    let on_time: f64 = outcomes.iter().map(|row| row.on_time).sum();
+    on_time / outcomes.iter().map(|row| row.requests).sum::<f64>()
+}
+
 /// On-time share of all organisations but one, over all their requests.
 pub(crate) fn others_on_time(outcomes: &[Outcomes; ORGANISATIONS], except: usize) -> f64 {
     let others = (0..ORGANISATIONS).filter(|index| *index != except);
--- a/crates/mgs-relay/src/organisation_shares.rs
+++ b/crates/mgs-relay/src/organisation_shares.rs
@@ -116,11 +116,12 @@
     core: Rc<Core>,
     organisation: OrganisationHash,
     cost_ms: f64,
+    admitted_ms: f64,
     is_placed: bool,
 }
 
 impl AdmittedPrompt {
-    /// Counts the prompt as sent to engines.
+    /// Leaves the prompt counted as admitted.
     pub(crate) fn record_placed(mut self) {
         self.is_placed = true;
     }
@@ -128,14 +129,14 @@
 
 impl Drop for AdmittedPrompt {
     fn drop(&mut self) {
+        if self.is_placed {
+            return;
+        }
         let now_ms = self.core.now_ms();
         let mut shares = self.core.shares.borrow_mut();
-        let Some(demand) = &mut shares.demand else {
-            return;
-        };
-        match self.is_placed {
-            true => demand.record_admitted(now_ms, self.organisation, self.cost_ms),
-            false => demand.record_refused(now_ms, self.cost_ms),
+        if let Some(demand) = &mut shares.demand {
+            let waited_ms = now_ms - self.admitted_ms;
+            demand.record_refused(now_ms, self.organisation, self.cost_ms, waited_ms);
         }
     }
 }
@@ -178,12 +179,16 @@
         }
         let admitted = demand.admit(now_ms, organisation, cost_ms, draw);
         match admitted {
-            Ok(()) => Ok(Some(AdmittedPrompt {
-                core: self.clone(),
-                organisation,
-                cost_ms,
-                is_placed: false,
-            })),
+            Ok(()) => {
+                demand.record_admitted(now_ms, organisation, cost_ms);
+                Ok(Some(AdmittedPrompt {
+                    core: self.clone(),
+                    organisation,
+                    cost_ms,
+                    admitted_ms: now_ms,
+                    is_placed: false,
+                }))
+            }
             Err(refused) => {
                 self.metrics
                     .share_refusals
