Expired permits: a result of their own instead of a name, and no count to undo

Cause: the name of a failure steered the loop of the dispatcher, and a count was taken back. Change: DispatchError::PermitExpired; dispatches are counted once they are known to have been made. Names in metrics and logs and the number of a dispatch in the log are unchanged.

--- a/crates/mgs-relay/src/dispatch_outcome.rs
+++ b/crates/mgs-relay/src/dispatch_outcome.rs
@@ -97,7 +97,7 @@
             request_id = self.client_request.request_id,
             work:% = self.keys.request,
             endpoint = placed.endpoint.facts.incarnation.id,
-            dispatch = self.progress.dispatches,
+            dispatch = self.progress.dispatches + 1,
             helpers = placed.helper_keys.len(),
             predicted_ms = placed.first_token_ms as u64,
             took_ms = took_ms,
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -41,6 +41,7 @@
 use crate::place::PlacedRequest;
 use crate::place::Prompt;
 use crate::place::TriedEndpoints;
+use crate::progress::DispatchError;
 use crate::progress::DispatchProgress;
 use crate::progress::FailedDispatch;
 use crate::quarantine::CRASH_REPORT_DELAY;
@@ -147,13 +148,19 @@
             self.recheck_quarantine()?;
             let failed = match self.dispatch(placed, last_event_id).await {
                 Ok(response) => return Ok(response),
-                Err(failed) => failed,
+                Err(DispatchError::Failed(failed)) => failed,
+                // Nothing was sent, so placing the request again is no retry.
+                Err(DispatchError::PermitExpired) => {
+                    self.core.metrics.dispatches.inc(PERMIT_EXPIRED);
+                    if self.time_left().is_zero() {
+                        let unsent = FailedDispatch::not_run(PERMIT_EXPIRED);
+                        return unsent.into_result(self.progress.runs);
+                    }
+                    sleep(PLACEMENT_RETRY_DELAY).await;
+                    continue;
+                }
             };
             self.core.metrics.dispatches.inc(failed.name);
-            if failed.name == PERMIT_EXPIRED && !self.time_left().is_zero() {
-                sleep(PLACEMENT_RETRY_DELAY).await;
-                continue;
-            }
             if self.may_try_again(&failed) {
                 self.core.metrics.retries.inc(failed.name);
                 continue;
@@ -326,10 +333,9 @@
         &mut self,
         mut placed: PlacedRequest,
         last_event_id: Option<&str>,
-    ) -> Result<UsableResponse, FailedDispatch> {
+    ) -> Result<UsableResponse, DispatchError> {
         let request = self.build_request(&placed, last_event_id);
         let endpoint = placed.endpoint.clone();
-        self.progress.dispatches += 1;
         self.progress.in_flight = true;
         let start = Instant::now();
         let is_streaming = self.route.kind.is_streaming();
@@ -356,8 +362,13 @@
         let took_ms = start.elapsed().as_millis() as u64;
         let result = self.with_helper_at_fault(&placed, result);
         self.record_outcome(&placed, &result, took_ms);
+        if !matches!(result, DispatchResult::PermitExpired) {
+            self.progress.dispatches += 1;
+        }
         match result {
-            DispatchResult::Full { head, body } => self.accept_full(head, body, endpoint.key),
+            DispatchResult::Full { head, body } => {
+                Ok(self.accept_full(head, body, endpoint.key)?)
+            }
             DispatchResult::Started { head, stream } => {
                 placed.load_guard.record_first_token();
                 self.progress.runs += 1;
@@ -369,27 +380,24 @@
             }
             DispatchResult::NotRun { why, .. } => {
                 self.progress.tried.push(endpoint.key);
-                Err(FailedDispatch::not_run(why))
-            }
-            // Nothing was sent, so placing the request again is no retry.
-            DispatchResult::PermitExpired => {
-                self.progress.dispatches -= 1;
-                Err(FailedDispatch::not_run(PERMIT_EXPIRED))
+                Err(FailedDispatch::not_run(why).into())
             }
+            DispatchResult::PermitExpired => Err(DispatchError::PermitExpired),
             // The answering engine isn't at fault and may be chosen again.
             DispatchResult::HelperRefused { helper, .. } => {
                 self.progress.tried.push(helper.key);
                 self.progress.helper_refusals += 1;
-                Err(FailedDispatch::not_run(HELPER_REFUSED))
+                Err(FailedDispatch::not_run(HELPER_REFUSED).into())
             }
             // The endpoint isn't at fault either, and has run the request.
             DispatchResult::NotHeld(no_room) => {
                 self.progress.runs += 1;
                 // What exceeds the bound of the connection has no room at the next try either.
-                Err(FailedDispatch {
+                let failed = FailedDispatch {
                     is_final: no_room == NoRoom::Connection,
                     ..FailedDispatch::unknown(NOT_HELD)
-                })
+                };
+                Err(failed.into())
             }
             DispatchResult::Unknown { lost, .. } => {
                 self.progress.runs += 1;
@@ -397,7 +405,7 @@
                 let run = self.lost_run(&placed, 0);
                 drop(placed);
                 self.investigate_loss(run, lost).await;
-                Err(FailedDispatch::unknown("unknown"))
+                Err(FailedDispatch::unknown("unknown").into())
             }
         }
     }
--- a/crates/mgs-relay/src/progress.rs
+++ b/crates/mgs-relay/src/progress.rs
@@ -22,7 +22,7 @@
 pub(crate) struct DispatchProgress {
     /// Whether the request has been admitted; a dispatch whose permit expired doesn't count as one.
     pub(crate) is_admitted: bool,
-    /// All dispatches.
+    /// All dispatches that have ended, without those whose permit had expired.
     pub(crate) dispatches: u32,
     /// Dispatches that may have run.
     pub(crate) runs: u32,
@@ -41,6 +41,20 @@
     }
 }
 
+/// Why a dispatch brought no usable response.
+pub(crate) enum DispatchError {
+    /// It wasn't made, since its permit had expired when the connection opened.
+    PermitExpired,
+    /// It was made and failed.
+    Failed(FailedDispatch),
+}
+
+impl From<FailedDispatch> for DispatchError {
+    fn from(failed: FailedDispatch) -> Self {
+        Self::Failed(failed)
+    }
+}
+
 /// A dispatch without a usable response; `answer` is sent to the client if no later dispatch
 /// succeeds.
 pub(crate) struct FailedDispatch {
