--- a/crates/mgs-placing/tests/overload.rs
+++ b/crates/mgs-placing/tests/overload.rs
@@ -187,12 +187,14 @@
 }
 
 /// Guards against prompts that wait for seconds and are refused in the end: their clients could
-/// have gone elsewhere at once.
+/// have gone elsewhere at once. Each length is judged by itself, since most refused prompts are short
+/// and their median hides how long the others wait.
 #[test]
 fn refusals_under_overload_come_at_once() {
     let (_, overload) = capacity_and_overload();
+    let mut medians_ms = overload.refusal_median_ms_by_length.iter();
     assert!(
-        overload.refusal_median_ms <= REFUSAL_MEDIAN_MAX_MS,
+        medians_ms.all(|median_ms| *median_ms <= REFUSAL_MEDIAN_MAX_MS),
         "{}",
         overload.summary()
     );
