--- a/crates/mgs-admission/src/demand_shares.rs
+++ b/crates/mgs-admission/src/demand_shares.rs
@@ -228,7 +228,6 @@
 /// shares.refresh(0.0, &EnginePressure { engines: 4, busy_share: 0.1 });
 /// // Nothing is short.
 /// assert!(shares.admit(0.0, acme, 120.0, 0.99).is_ok());
-/// shares.record_admitted(0.0, acme, 120.0);
 /// assert_eq!(shares.report(10.0).len(), 1);
 /// ```
 #[derive(Debug)]
@@ -372,7 +371,8 @@
     }
 
     /// Decides whether a prompt of `cost_ms` milliseconds of engine time is admitted, and counts it
-    /// as asked for. `draw` is a random number in `[0, 1)`.
+    /// as asked for and as admitted if it is. A prompt that waits for engines counts as admitted, since
+    /// it would seem to be refused by them otherwise. `draw` is a random number in `[0, 1)`.
     ///
     /// # Errors
     ///
@@ -386,20 +386,13 @@
     ) -> Result<(), ShareRefusal> {
         self.own.advance(now_ms);
         self.own.add_asked(organisation, cost_ms);
-        let (Some(capacity), Some(fleet)) = (self.capacity, self.fleet.get(&organisation)) else {
-            return Ok(());
-        };
-        if draw < fleet.admitted_share() {
-            return Ok(());
+        if let (Some(capacity), Some(fleet)) = (self.capacity, self.fleet.get(&organisation)) {
+            if draw >= fleet.admitted_share() {
+                return Err(self.refusal(now_ms, fleet, capacity, draw));
+            }
         }
-        Err(self.refusal(now_ms, fleet, capacity, draw))
-    }
-
-    /// Counts a prompt that is admitted. To be called at once, not when engines take it: what waits for
-    /// engines would seem to be refused by them.
-    pub fn record_admitted(&mut self, now_ms: f64, organisation: OrganisationHash, cost_ms: f64) {
-        self.own.advance(now_ms);
         self.own.add_admitted(organisation, cost_ms);
+        Ok(())
     }
 
     /// Counts a prompt that was admitted `waited_ms` milliseconds ago and that no engine takes.
@@ -479,8 +472,8 @@
     }
 
     /// Divides the capacity: first the part that everyone keeps, then by weight. During a surge, usual
-    /// costs go before the excess, and those of the others aren't bounded by the reduced capacity. If all that the others ask for
-    /// fits, none of them is throttled.
+    /// costs go before the excess, and those of the others aren't bounded by the reduced capacity. If
+    /// all that the others ask for fits, none of them is throttled.
     fn set_allowed(&mut self, has_surge: bool) {
         let Some(capacity) = self.capacity else {
             return;
--- a/crates/mgs-admission/src/demand_shares/rates.rs
+++ b/crates/mgs-admission/src/demand_shares/rates.rs
@@ -42,7 +42,7 @@
 const NEGLIGIBLE: f64 = 0.01;
 
 /// Milliseconds in a second.
-const MS_PER_S: f64 = 1_000.0;
+pub(super) const MS_PER_S: f64 = 1_000.0;
 
 /// How the usual cost of an organisation follows its rate.
 #[derive(Debug, Clone, Copy, PartialEq)]
--- a/crates/mgs-admission/src/demand_shares/surge.rs
+++ b/crates/mgs-admission/src/demand_shares/surge.rs
@@ -2,6 +2,7 @@
 
 use std::collections::HashMap;
 
+use super::rates::MS_PER_S;
 use super::rates::RATE_MS;
 use super::FleetDemand;
 use super::OrganisationHash;
@@ -23,9 +24,6 @@
 /// Most evidence that is kept, so that what was a surge is forgotten within seconds after it.
 const EVIDENCE_MAX: f64 = 12.0;
 
-/// Milliseconds in a second.
-const MS_PER_S: f64 = 1_000.0;
-
 /// Evidence for the surge of one organisation.
 #[derive(Debug, Clone, Copy, Default)]
 struct Evidence {
--- a/crates/mgs-admission/tests/demand_shares.rs
+++ b/crates/mgs-admission/tests/demand_shares.rs
@@ -336,7 +336,6 @@
     };
     for _ in 0..60 {
         let _ = shares.admit(20_000.0, hash(0), 50.0, 0.0);
-        shares.record_admitted(20_000.0, hash(0), 50.0);
     }
     shares.refresh(20_000.0, &busy);
     let refusal = shares.admit(20_000.0, hash(0), 50.0, 0.99).unwrap_err();
@@ -390,7 +389,6 @@
         let now_ms = f64::from(step) * 50.0;
         for organisation in 0..organisations {
             let _ = shares.admit(now_ms, hash(organisation), 5.0, 0.0);
-            shares.record_admitted(now_ms, hash(organisation), 5.0);
         }
     }
     shares
--- a/crates/mgs-admission/tests/demand_shares_ordinary.rs
+++ b/crates/mgs-admission/tests/demand_shares_ordinary.rs
@@ -138,12 +138,10 @@
         let now_ms = f64::from(step) * 50.0;
         for organisation in 0..2 {
             let _ = shares.admit(now_ms, hash(organisation), 5.0, 0.0);
-            shares.record_admitted(now_ms, hash(organisation), 5.0);
         }
     }
     for _ in 0..60 {
         let _ = shares.admit(20_000.0, hash(0), 50.0, 0.0);
-        shares.record_admitted(20_000.0, hash(0), 50.0);
         if is_refused {
             shares.record_refused(20_000.0, hash(0), 50.0, 0.0);
         }
--- a/crates/mgs-admission/tests/share_fleet/mod.rs
+++ b/crates/mgs-admission/tests/share_fleet/mod.rs
@@ -359,8 +359,6 @@
                 return self.come_back(attempt, refusal.retry_after_ms as f64);
             }
         }
-        let shares = &mut self.gateways[index].shares;
-        shares.record_admitted(now_ms, name, cost_ms);
         let Some(wait_ms) = self.place(attempt.kind) else {
             self.outcomes[attempt.organisation].engine_refusals += 1.0;
             let shares = &mut self.gateways[index].shares;
--- a/crates/mgs-placing/src/zone.rs
+++ b/crates/mgs-placing/src/zone.rs
@@ -7,8 +7,8 @@
 //!
 //! The preference applies only where a zone has enough engines: for the widest prompt or, where
 //! many gateways choose at the same time, for short streams if one engine prefills the prompt. It
-//! applies only to prompts with time to spare in the zone. Any other prompt is also evaluated over all engines and goes
-//! where it loses least.
+//! applies only to prompts with time to spare in the zone. Any other prompt is also evaluated over all
+//! engines and goes where it loses least.
 
 use crate::choose::choose_engines;
 use crate::choose::RandomDraw;
--- a/crates/mgs-quarantine/src/table.rs
+++ b/crates/mgs-quarantine/src/table.rs
@@ -96,18 +96,17 @@
         events: u32,
         now_ms: f64,
     ) {
-        let completed_ms = self.completed.last_ms(fingerprint);
-        let status = match completed_ms.is_some_and(|completed_ms| completed_ms > now_ms) {
-            true => CrashStatus::Cleared,
-            false => CrashStatus::Counts,
-        };
         let crash = Crash {
             incarnation,
             at_ms: now_ms,
             events,
-            status,
+            status: CrashStatus::Counts,
         };
-        self.update(fingerprint, now_ms, |record| record.add(crash));
+        let completed_ms = self.completed.last_ms(fingerprint);
+        self.update(fingerprint, now_ms, |record| {
+            let is_new = record.add(crash);
+            completed_ms.is_some_and(|at_ms| record.mark_cleared_before(at_ms)) || is_new
+        });
     }
 
     /// Records that an endpoint ended when a run on a prompt with these parts had written next to
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -361,6 +361,6 @@
     }
 }
 
-fn incarnation(endpoint: &Endpoint) -> IncarnationHash {
+pub(crate) fn incarnation(endpoint: &Endpoint) -> IncarnationHash {
     IncarnationHash(endpoint.facts.incarnation.hash_64())
 }
--- a/crates/mgs-relay/src/client.rs
+++ b/crates/mgs-relay/src/client.rs
@@ -27,7 +27,6 @@
 use crate::request_body::DISCARD_TIMEOUT;
 use crate::serve::refuse;
 use crate::serve::serve;
-use crate::view::Limits;
 
 /// Connections that the system queues until they are accepted; covers a burst after a stall of some
 /// hundred milliseconds.
@@ -102,7 +101,7 @@
         return;
     }
     let refusal_slot = core.connections_refused.clone();
-    let limits = client_limits(core);
+    let limits = core.published.client_limits();
     let refusing = core.clone();
     tokio::task::spawn_local(async move {
         let service = service_fn(move |request| refuse(refusing.clone(), request));
@@ -117,19 +116,11 @@
     });
 }
 
-/// Limits of clients' requests.
-fn client_limits(core: &Core) -> Limits {
-    let configuration = core.published.configuration();
-    configuration
-        .map(|configuration| configuration.limits)
-        .unwrap_or_default()
-}
-
 async fn serve_connection(core: Rc<Core>, stream: TcpStream, _room: HeldGuard) {
     if let Err(error) = stream.set_nodelay(true) {
         log::debug!(error:% = error; "failed to set socket options");
     }
-    let limits = client_limits(&core);
+    let limits = core.published.client_limits();
     // hyper's single timeout covers both the idle time between requests and the time to read a
     // head.
     let idle_ms = limits.idle_timeout_ms.max(limits.head_timeout_ms) + IDLE_GRACE_MS;
--- a/crates/mgs-relay/src/client_response.rs
+++ b/crates/mgs-relay/src/client_response.rs
@@ -22,6 +22,7 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
+use crate::attached_bytes::attach;
 use crate::dialect::Dialect;
 use crate::fault::Refusal;
 
@@ -99,23 +100,7 @@
 /// system has taken them, or the client has disconnected.
 pub(crate) fn watched(bytes: Bytes) -> (ResponseBody, oneshot::Receiver<()>) {
     let (held_until_taken, taken) = oneshot::channel();
-    let bytes = Bytes::from_owner(WatchedBytes {
-        bytes,
-        _held_until_taken: held_until_taken,
-    });
-    (whole(bytes), taken)
-}
-
-/// Bytes whose drop closes a channel.
-struct WatchedBytes {
-    bytes: Bytes,
-    _held_until_taken: oneshot::Sender<()>,
-}
-
-impl AsRef<[u8]> for WatchedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
+    (whole(attach(bytes, held_until_taken)), taken)
 }
 
 /// A body whose chunks come from another task, and the sender for that task.
--- a/crates/mgs-relay/src/held_bytes.rs
+++ b/crates/mgs-relay/src/held_bytes.rs
@@ -3,8 +3,8 @@
 //!
 //! Request bodies and open connections leave a part of the account to answers, since the request of
 //! an answer has run already. Complete answers leave a part to streams, and a stream may hold only a
-//! share of what is free. So clients that never read, however
-//! many, reach their bound before those that read lose anything.
+//! share of what is free. So clients that never read, however many, reach their bound before those
+//! that read lose anything.
 
 use std::sync::atomic::AtomicU64;
 use std::sync::atomic::Ordering;
@@ -12,6 +12,8 @@
 
 use bytes::Bytes;
 
+use crate::attached_bytes::attach;
+
 /// Share of the account up to which request bodies are accepted, in percent. The rest is left to
 /// the answers of what was accepted.
 const BODY_SHARE_PERCENT: u64 = 75;
@@ -291,10 +293,7 @@
     /// assert_eq!(account.total_bytes(), 0);
     /// ```
     pub fn attach(self, bytes: Bytes) -> Bytes {
-        Bytes::from_owner(GuardedBytes {
-            bytes,
-            _guard: self,
-        })
+        attach(bytes, self)
     }
 
     /// Takes room for `more` bytes. If there is none, the guard keeps what it has.
@@ -321,18 +320,6 @@
     }
 }
 
-/// Bytes with the room that they take.
-struct GuardedBytes {
-    bytes: Bytes,
-    _guard: HeldGuard,
-}
-
-impl AsRef<[u8]> for GuardedBytes {
-    fn as_ref(&self) -> &[u8] {
-        &self.bytes
-    }
-}
-
 /// A body that is being read, with the room that it takes.
 #[derive(Debug)]
 pub struct HeldBuffer {
--- a/crates/mgs-relay/src/link_use.rs
+++ b/crates/mgs-relay/src/link_use.rs
@@ -3,8 +3,8 @@
 //!
 //! This takes effect only if the width of the link is known. A narrow link is noticed in two ways:
 //! by the bytes carried; and by the time for which the socket for peers takes nothing more, if the
-//! link was reduced to less. As the use grows, messages to peers become rarer. Only when they are as rare as they may
-//! be are requests refused.
+//! link was reduced to less. As the use grows, messages to peers become rarer. Only when they are as
+//! rare as they may be are requests refused.
 
 /// Time constant of the averages, in milliseconds. A link that was half used counts as full after
 /// 1.6 s without a pause.
--- a/crates/mgs-relay/src/lost_run.rs
+++ b/crates/mgs-relay/src/lost_run.rs
@@ -21,7 +21,7 @@
 use crate::view::Endpoint;
 
 /// Timeout of a connection attempt that probes whether an endpoint still listens.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
+pub(crate) const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
 
 /// Delays between further probes of an endpoint. One that still listens after a second has only cut
 /// connections.
--- a/crates/mgs-relay/src/organisation_shares.rs
+++ b/crates/mgs-relay/src/organisation_shares.rs
@@ -179,16 +179,13 @@
         }
         let admitted = demand.admit(now_ms, organisation, cost_ms, draw);
         match admitted {
-            Ok(()) => {
-                demand.record_admitted(now_ms, organisation, cost_ms);
-                Ok(Some(AdmittedPrompt {
-                    core: self.clone(),
-                    organisation,
-                    cost_ms,
-                    admitted_ms: now_ms,
-                    is_placed: false,
-                }))
-            }
+            Ok(()) => Ok(Some(AdmittedPrompt {
+                core: self.clone(),
+                organisation,
+                cost_ms,
+                admitted_ms: now_ms,
+                is_placed: false,
+            })),
             Err(refused) => {
                 self.metrics
                     .share_refusals
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -228,8 +228,7 @@
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
     let (head, body) = request.into_parts();
-    let limits = core.published.configuration().map(|c| c.limits);
-    let most = limits.unwrap_or_default().body_bytes;
+    let most = core.published.client_limits().body_bytes;
     request_body::discard_in_background(&core, &head, body, most);
     let parsed = core.dialect.parse_request(&head).ok();
     let request_id = parsed.as_ref().map(|parsed| parsed.request_id.as_str());
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -395,6 +395,12 @@
         self.gateway_list.store(Arc::new(list));
     }
 
+    /// Limits on what a client may send: the usual ones until a configuration is known.
+    pub fn client_limits(&self) -> Limits {
+        let configuration = self.configuration();
+        configuration.map(|c| c.limits).unwrap_or_default()
+    }
+
     /// Whether the configuration in force limits requests to cold endpoints.
     pub fn has_warm_up_limits(&self) -> bool {
         let configuration = self.configuration.load();
--- a/crates/mgs-relay/src/warm_up.rs
+++ b/crates/mgs-relay/src/warm_up.rs
@@ -6,7 +6,6 @@
 use std::collections::HashSet;
 use std::rc::Rc;
 use std::sync::Arc;
-use std::time::Duration;
 
 use mgs_backpressure::table::CheckTime;
 use mgs_backpressure::table::IncarnationHash;
@@ -18,19 +17,18 @@
 use serde::Serialize;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::advice::incarnation;
 use crate::connection::Connection;
 use crate::core::Core;
 use crate::dialect::ClientRequest;
 use crate::evacuation_state::Zones;
+use crate::lost_run::PROBE_TIMEOUT;
 use crate::view::Configuration;
 use crate::view::Endpoint;
 use crate::view::Fleet;
 use crate::view::LiveSettings;
 use crate::view::Published;
 
-/// Timeout of a connection attempt that finds out whether an endpoint that ended listens again.
-const PROBE_TIMEOUT: Duration = Duration::from_millis(150);
-
 /// How many requests the endpoints of a service tolerate while they are cold.
 #[derive(Debug, Clone, Copy, PartialEq, Serialize, Deserialize)]
 pub struct ServiceWarmUp {
@@ -68,13 +66,16 @@
     pub listed_ms: Option<u64>,
 }
 
-impl ColdSigns {
-    /// Until when the endpoint is cold, in milliseconds.
-    fn cold_until_ms(self, restored_ms: Option<u64>, start_ms: u64) -> u64 {
-        let starts_ms = self.listed_ms.into_iter().chain(restored_ms);
-        let starts_ms = starts_ms.map(|at_ms| at_ms + start_ms);
-        starts_ms.max().unwrap_or(0).max(self.entry_until_ms)
-    }
+/// Until when an endpoint is cold by the store and the operators, in milliseconds on the process's
+/// clock.
+fn cold_until_ms(endpoint: &Endpoint, zones: &Zones, warm_up: &ServiceWarmUp) -> u64 {
+    let restored_ms = zones.restored_ms.get(&endpoint.facts.zone).copied();
+    let starts_ms = endpoint.cold.listed_ms.into_iter().chain(restored_ms);
+    let starts_ms = starts_ms.map(|at_ms| at_ms + warm_up.start_ms);
+    starts_ms
+        .max()
+        .unwrap_or(0)
+        .max(endpoint.cold.entry_until_ms)
 }
 
 /// What gateways tell a starting peer about cold endpoints.
@@ -101,8 +102,7 @@
         let mut cold = Vec::new();
         for (name, warm_up) in &services {
             for endpoint in published.fleet().of_service(name) {
-                let restored_ms = zones.restored_ms.get(&endpoint.facts.zone).copied();
-                let until_ms = endpoint.cold.cold_until_ms(restored_ms, warm_up.start_ms);
+                let until_ms = cold_until_ms(endpoint, &zones, warm_up);
                 if until_ms > now_ms {
                     let id = endpoint.facts.incarnation.id.clone();
                     cold.push((id, u32::try_from(until_ms - now_ms).unwrap_or(u32::MAX)));
@@ -166,8 +166,7 @@
                 start_ms: warm_up.start_ms as f64,
             };
             for endpoint in self.fleet.of_service(name) {
-                let restored_ms = self.zones.restored_ms.get(&endpoint.facts.zone).copied();
-                let until_ms = endpoint.cold.cold_until_ms(restored_ms, warm_up.start_ms);
+                let until_ms = cold_until_ms(endpoint, &self.zones, &warm_up);
                 endpoints.push(ColdEndpoint {
                     incarnation: incarnation(endpoint),
                     identifier: xxh3_64(endpoint.facts.incarnation.id.as_bytes()),
@@ -362,7 +361,3 @@
     }
     core.warm_up.is_probing.set(false);
 }
-
-fn incarnation(endpoint: &Endpoint) -> IncarnationHash {
-    IncarnationHash(endpoint.facts.incarnation.hash_64())
-}
