--- a/crates/mgs-admission/tests/demand_shares.rs
+++ b/crates/mgs-admission/tests/demand_shares.rs
@@ -19,6 +19,7 @@
 use rstest::rstest;
 use share_fleet::hash;
 use share_fleet::jain_index;
+use share_fleet::learned_shares;
 use share_fleet::others_on_time;
 use share_fleet::print_outcomes;
 use share_fleet::usual_load_share;
@@ -382,18 +383,6 @@
         .is_ok());
 }
 
-/// Shares of a gateway that has learned equal usual costs of some organisations.
-fn learned_shares(organisations: usize) -> DemandShares {
-    let mut shares = DemandShares::started_at(0.0);
-    for step in 0..400 {
-        let now_ms = f64::from(step) * 50.0;
-        for organisation in 0..organisations {
-            let _ = shares.admit(now_ms, hash(organisation), 5.0, 0.0);
-        }
-    }
-    shares
-}
-
 /// What the organisation 0 asks for.
 fn asked(shares: &mut DemandShares, now_ms: f64) -> f64 {
     let report = shares.report(now_ms);
--- a/crates/mgs-admission/tests/demand_shares_ordinary.rs
+++ b/crates/mgs-admission/tests/demand_shares_ordinary.rs
@@ -7,10 +7,10 @@
 #[allow(dead_code, reason = "shared with the tests of shortages")]
 mod share_fleet;
 
-use mgs_admission::demand_shares::DemandShares;
 use mgs_admission::demand_shares::EnginePressure;
 use rstest::rstest;
 use share_fleet::hash;
+use share_fleet::learned_shares;
 use share_fleet::on_time;
 use share_fleet::usual_load_share;
 use share_fleet::Conditions;
@@ -133,13 +133,7 @@
 #[case::waiting(false)]
 #[case::refused(true)]
 fn only_what_engines_refuse_counts_as_refused(#[case] is_refused: bool) {
-    let mut shares = DemandShares::started_at(0.0);
-    for step in 0..400 {
-        let now_ms = f64::from(step) * 50.0;
-        for organisation in 0..2 {
-            let _ = shares.admit(now_ms, hash(organisation), 5.0, 0.0);
-        }
-    }
+    let mut shares = learned_shares(2);
     for _ in 0..60 {
         let _ = shares.admit(20_000.0, hash(0), 50.0, 0.0);
         if is_refused {
--- a/crates/mgs-admission/tests/share_fleet/mod.rs
+++ b/crates/mgs-admission/tests/share_fleet/mod.rs
@@ -411,6 +411,18 @@
     }
 }
 
+/// Shares of a gateway that has learned equal usual costs of some organisations.
+pub(crate) fn learned_shares(organisations: usize) -> DemandShares {
+    let mut shares = DemandShares::started_at(0.0);
+    for step in 0..400 {
+        let now_ms = f64::from(step) * 50.0;
+        for organisation in 0..organisations {
+            let _ = shares.admit(now_ms, hash(organisation), 5.0, 0.0);
+        }
+    }
+    shares
+}
+
 /// On-time share of all requests.
 pub(crate) fn on_time(outcomes: &[Outcomes; ORGANISATIONS]) -> f64 {
     let on_time: f64 = outcomes.iter().map(|row| row.on_time).sum();
