fix(start): a gateway without the store asks the peers that know, side by side

Seen: after a power loss of all hosts, with links of one zone cut, its gateways refused 179 requests as no_configuration for 2.7 s. Cause: only the peers of the settings were asked, one after the other, each with a timeout of a second, although messages of peers with a configuration arrived after 0.2 s. A gateway whose settings name unreachable peers only got no configuration at all.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -86,9 +86,12 @@
     /// Delay after a failed read at a gateway that isn't a reader, in milliseconds: readers report
     /// when the store is back.
     pub long_retry_ms: u64,
-    /// Time that the first read may take before peers are asked for their state, in milliseconds. A
-    /// slow store takes some hundred milliseconds, and without a configuration no request is
-    /// served.
+    /// Time that the first read may take before a peer that reports to know a configuration is
+    /// asked for its state, in milliseconds. Requests wait up to 250 ms for a configuration.
+    pub informed_peer_delay_ms: u64,
+    /// Time that the first read may take before other peers are asked, in milliseconds. A slow
+    /// store takes some hundred milliseconds, and peers that start at the same time know nothing
+    /// either.
     pub bootstrap_delay_ms: u64,
     /// Time over which gateways spread their full reads where many would read at once, in
     /// milliseconds.
@@ -114,6 +117,7 @@
             gather_all_from: 25,
             retry_ms: 500,
             long_retry_ms: 2_000,
+            informed_peer_delay_ms: 150,
             bootstrap_delay_ms: 400,
             reread_jitter_ms: 500,
             expiry_grace_ms: 2_200,
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -66,6 +66,7 @@
 mod request_body;
 mod reservations;
 mod serve;
+pub mod snapshot_search;
 pub mod source;
 mod store_calls;
 mod stream;
--- a/crates/mgs-relay/src/peer_fallback.rs
+++ b/crates/mgs-relay/src/peer_fallback.rs
@@ -6,12 +6,17 @@
 //! configuration, and the first read of the store takes precedence.
 
 use std::cell::RefCell;
+use std::hash::DefaultHasher;
+use std::hash::Hash;
+use std::hash::Hasher;
 use std::net::SocketAddr;
 use std::rc::Rc;
 use std::sync::Arc;
 use std::time::Duration;
 
+use tokio::task::JoinSet;
 use tokio::time::sleep;
+use tokio::time::timeout;
 
 use crate::evacuation_state::OrderOrigin;
 use crate::follow::Options;
@@ -19,6 +24,8 @@
 use crate::membership::Endpoints;
 use crate::peer_snapshot;
 use crate::peer_snapshot::PeerSnapshot;
+use crate::snapshot_search::SnapshotSearch;
+use crate::snapshot_search::HEDGE_DELAY_MS;
 use crate::view::Configuration;
 use crate::view::Published;
 use crate::warm_up::WarmUpSnapshot;
@@ -26,34 +33,77 @@
 /// Interval between checks whether a peer has newer data while the store is unreachable.
 const PEER_CHECK_INTERVAL: Duration = Duration::from_millis(500);
 
-/// Delay between two attempts to ask peers at the start.
-const START_RETRY_DELAY: Duration = Duration::from_millis(300);
-
 /// Takes data from peers when needed, until the process ends.
 pub(crate) async fn run(
     options: Options,
     published: Arc<Published>,
     endpoints: Rc<RefCell<Endpoints>>,
 ) {
-    sleep(Duration::from_millis(options.bootstrap_delay_ms)).await;
-    while !published.is_complete() {
-        if let Some(handover) = peer_snapshot::fetch_first(&options.seed_peers).await {
-            apply_handover(&published, &endpoints, handover);
-        }
-        sleep(START_RETRY_DELAY).await;
-    }
+    sleep(Duration::from_millis(options.informed_peer_delay_ms)).await;
+    fetch_first_snapshot(&options, &published, &endpoints).await;
     let mut ahead = NewerPeer::default();
     loop {
         sleep(PEER_CHECK_INTERVAL).await;
         let peer = fresher_peer(&published).or_else(|| ahead.peer(&published));
         if let Some(peer) = peer {
-            if let Some(handover) = peer_snapshot::fetch_first(&[peer]).await {
+            if let Some(handover) = peer_snapshot::fetch(peer).await {
                 apply_handover(&published, &endpoints, handover);
             }
         }
     }
 }
 
+/// Asks peers until everything is known that serving needs, from the store or from one of them.
+async fn fetch_first_snapshot(
+    options: &Options,
+    published: &Published,
+    endpoints: &RefCell<Endpoints>,
+) {
+    let mut search = SnapshotSearch::with_seed(search_seed(options));
+    let mut fetches = JoinSet::new();
+    while !published.is_complete() {
+        let informed = published.informed_peers();
+        let now_ms = published.now_ms();
+        let seeds = match now_ms >= options.bootstrap_delay_ms {
+            true => options.seed_peers.as_slice(),
+            false => &[],
+        };
+        let peer = search.next_peer(&informed, seeds, now_ms);
+        if let Some(peer) = peer {
+            fetches.spawn_local(peer_snapshot::fetch(peer));
+        }
+        let Some(ended) = next_end(&mut fetches).await else {
+            continue;
+        };
+        search.record_end();
+        if let Some(handover) = ended {
+            apply_handover(published, endpoints, handover);
+        }
+    }
+}
+
+/// The snapshot of the next fetch that ends, or `Some(None)` if its peer had none; `None` once it is
+/// time to ask a further peer.
+async fn next_end(fetches: &mut JoinSet<Option<PeerSnapshot>>) -> Option<Option<PeerSnapshot>> {
+    let delay = Duration::from_millis(HEDGE_DELAY_MS);
+    if fetches.is_empty() {
+        sleep(delay).await;
+        return None;
+    }
+    let ended = timeout(delay, fetches.join_next()).await.ok()??;
+    Some(ended.unwrap_or_else(|error| {
+        log::error!(error:% = error; "the task that asks a peer has failed");
+        None
+    }))
+}
+
+/// A number that differs between gateways.
+fn search_seed(options: &Options) -> u64 {
+    let mut hasher = DefaultHasher::new();
+    options.peer_address.hash(&mut hasher);
+    hasher.finish()
+}
+
 /// Checks during which a peer must have a newer configuration before it is asked; usually the store
 /// delivers it sooner.
 const CHECKS_BEFORE_ASKING: u32 = 2;
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -123,22 +123,20 @@
         .expect("BUG: a snapshot is plain data")
 }
 
-/// Asks peers one after the other, and returns the first snapshot received.
-pub(crate) async fn fetch_first(peers: &[SocketAddr]) -> Option<PeerSnapshot> {
-    for peer in peers {
-        match timeout(EXCHANGE_TIMEOUT, fetch(*peer)).await {
-            Ok(Ok(Received { reply, warm_up })) => match reply {
-                Reply::NothingYet => log::info!(peer:% = peer; "a peer knows nothing yet"),
-                Reply::All(snapshot) => {
-                    return Some(received(*peer, snapshot, Vec::new(), warm_up));
-                }
-                Reply::AllWithOrders(snapshot, orders) => {
-                    return Some(received(*peer, snapshot, orders, warm_up));
-                }
-            },
-            Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
-            Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
-        }
+/// Asks a peer for its snapshot; `None` if it has none or doesn't answer.
+pub(crate) async fn fetch(peer: SocketAddr) -> Option<PeerSnapshot> {
+    match timeout(EXCHANGE_TIMEOUT, receive(peer)).await {
+        Ok(Ok(Received { reply, warm_up })) => match reply {
+            Reply::NothingYet => log::info!(peer:% = peer; "a peer knows nothing yet"),
+            Reply::All(snapshot) => {
+                return Some(received(peer, snapshot, Vec::new(), warm_up));
+            }
+            Reply::AllWithOrders(snapshot, orders) => {
+                return Some(received(peer, snapshot, orders, warm_up));
+            }
+        },
+        Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
+        Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
     }
     None
 }
@@ -162,7 +160,7 @@
     }
 }
 
-async fn fetch(peer: SocketAddr) -> Result<Received, String> {
+async fn receive(peer: SocketAddr) -> Result<Received, String> {
     let stream = TcpStream::connect(peer).await;
     let stream = stream.map_err(|error| error.to_string())?;
     let mut message = Vec::new();
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -294,6 +294,9 @@
 fn record_peer_reports(core: &Core, from: SocketAddr, message: &PeerMessage) {
     let published = &core.published;
     let now_ms = core.now_whole_ms();
+    if message.configuration.is_some() {
+        published.record_informed_peer(from);
+    }
     let record = |freshness: &Freshness, knows: Option<TopicVersion>| {
         let Some(knows) = knows else {
             return;
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -265,6 +265,8 @@
     fleet: ArcSwap<Fleet>,
     endpoint_keys_by_hash: ArcSwap<HashMap<u64, EndpointKey>>,
     peers: ArcSwap<Vec<SocketAddr>>,
+    /// Peers that reported to know a configuration while this gateway knew none.
+    informed_peers: ArcSwap<Vec<SocketAddr>>,
     /// Number of gateways that the store lists, including this one; 0 before the list was read.
     listed_gateways: AtomicUsize,
     gateway_list: ArcSwap<GatewayList>,
@@ -286,6 +288,7 @@
             fleet: ArcSwap::from_pointee(Fleet::default()),
             endpoint_keys_by_hash: ArcSwap::default(),
             peers: ArcSwap::default(),
+            informed_peers: ArcSwap::default(),
             listed_gateways: AtomicUsize::new(0),
             gateway_list: ArcSwap::default(),
             live_settings: ArcSwap::default(),
@@ -482,6 +485,23 @@
         }
     }
 
+    /// Records that a peer knows a configuration, while this gateway lacks what serving needs.
+    pub fn record_informed_peer(&self, peer: SocketAddr) {
+        if self.is_complete() || self.informed_peers.load().contains(&peer) {
+            return;
+        }
+        self.informed_peers.rcu(|known| {
+            let mut peers = Vec::clone(known);
+            peers.push(peer);
+            peers
+        });
+    }
+
+    /// The peers that know a configuration, in the order in which they were heard.
+    pub fn informed_peers(&self) -> Arc<Vec<SocketAddr>> {
+        self.informed_peers.load_full()
+    }
+
     /// Whether everything is known that serving needs: a configuration, and a list of endpoints
     /// from the store or a peer.
     pub fn is_complete(&self) -> bool {
