fix(relay): the list of gateways is polled for the lease as soon as limits of cold endpoints are known

Cause: a process that read the list of gateways before its configuration waited for changes of the list as long as without limits, 20 s, and its lease on the right to send to cold endpoints ended meanwhile. At a start of all gateways both reads are in flight at once, so that any number of gateways were not entitled in the 6 s that the test observes; where all were affected, no request reached a cold endpoint. With the usual settings the right came after 20 s instead of 17 s, and as late after limits were configured.

Change: a longer poll that is pending when limits come into force is given up, and the next one is short. The test of the start waits up to 12 s for both endpoints to be used, less than the wait without limits.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -68,7 +68,8 @@
     /// long, since new gateways send messages to their peers.
     pub gateways_wait_ms: u64,
     /// The same while the configuration limits requests to cold endpoints, since the right to send
-    /// to them depends on it. Two polls are within the lease of that right.
+    /// to them depends on it. Two polls are within the lease of that right. A longer poll that is
+    /// pending when the limits come into force is given up.
     pub gateways_warm_up_wait_ms: u64,
     /// Delay after a read that returned additions only, in milliseconds: endpoints and gateways
     /// start many at a time, and each start would otherwise cost every gateway a call. Shutdowns
@@ -327,8 +328,8 @@
     }
 
     /// Reads the topic in full, or waits for changes. Returns `None` if the wait was given up
-    /// because a peer has newer content, or because nothing has confirmed the known content
-    /// recently.
+    /// because a peer has newer content, because nothing has confirmed the known content recently,
+    /// or because the list of gateways must be polled at shorter intervals.
     async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
         self.call_boot_ms = self.published.boot_ms();
         let now_ms = self.published.now_ms();
@@ -348,16 +349,26 @@
             (_, true) => CallReason::LongWait,
         });
         let call = source.read_changes(self.topic, after, wait_ms);
-        match self.freshness().filter(|_| is_long) {
-            None => Some(call.await),
-            Some(freshness) => tokio::select! {
-                read = call => Some(read),
-                () = self.until_outdated(freshness) => None,
-            },
+        tokio::select! {
+            read = call => Some(read),
+            () = self.until_aborted(wait_ms) => None,
         }
     }
 
     /// Completes when a pending long poll should be given up.
+    async fn until_aborted(&self, wait_ms: u64) {
+        match self.freshness() {
+            Some(freshness) if wait_ms > self.options.wait_ms => {
+                self.until_outdated(freshness).await
+            }
+            None if wait_ms > self.options.gateways_warm_up_wait_ms => {
+                self.published.until_warm_up_limits().await
+            }
+            _ => std::future::pending().await,
+        }
+    }
+
+    /// Completes when the content of a topic is outdated, or may be.
     async fn until_outdated(&self, freshness: &Freshness) {
         loop {
             freshness.notified().await;
@@ -409,9 +420,13 @@
 
     /// Records that a long poll was given up.
     fn note_aborted_wait(&mut self) -> ReadPause {
-        let age_ms = self
-            .freshness()
-            .and_then(|freshness| freshness.age_ms(self.published.now_ms()));
+        let Some(freshness) = self.freshness() else {
+            log::info!(
+                "requests to cold endpoints are limited; the list of gateways is polled more often"
+            );
+            return ReadPause::None;
+        };
+        let age_ms = freshness.age_ms(self.published.now_ms());
         log::info!(
             topic = self.topic.name(), age_ms = age_ms.unwrap_or(u64::MAX);
             "a call to the store that waits isn't trusted"
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -409,6 +409,18 @@
             .is_some_and(|configuration| configuration.has_warm_up_limits())
     }
 
+    /// Waits until the configuration in force limits requests to cold endpoints.
+    pub async fn until_warm_up_limits(&self) {
+        loop {
+            let mut changed = std::pin::pin!(self.completion.notified());
+            changed.as_mut().enable();
+            if self.has_warm_up_limits() {
+                return;
+            }
+            changed.await;
+        }
+    }
+
     /// Replaces the fleet.
     pub fn put_fleet(&self, fleet: Fleet) {
         let hash = |endpoint: &Arc<Endpoint>| endpoint.facts.incarnation.hash_64();
