refactor(relay): the confinement of a request, in place of a permission

The enum Permission says on which endpoints a request may run that is suspected to crash them; mgs-backpressure has types Permission and Permit for the right to send. Names only, behaviour as it was.

--- a/crates/mgs-relay/src/permission.rs
+++ b/crates/mgs-relay/src/confinement.rs
@@ -1,4 +1,5 @@
-//! Whether a request may be dispatched, or is held as one that crashes endpoints.
+//! Whether a request may be dispatched, and on which endpoints, if it or a part of its prompt is
+//! suspected to crash endpoints.
 
 use std::collections::BTreeSet;
 
@@ -18,75 +19,75 @@
 /// nothing will have changed by then.
 const RETRY_AFTER_HELD_MS: u64 = 30_000;
 
-/// What is allowed for one request.
+/// On which endpoints a request may run.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
-pub(crate) enum Permission {
-    /// May run on any endpoint.
-    Free,
-    /// May run on a single endpoint, the same at all gateways for this key.
-    Confined(Fingerprint),
-    /// May run once, on a single endpoint, to test whether what is held still crashes it.
+pub(crate) enum Confinement {
+    /// On any endpoint.
+    None,
+    /// On a single endpoint, the same at all gateways for this key.
+    SingleEndpoint(Fingerprint),
+    /// Once, on a single endpoint, to test whether what is held still crashes it.
     Trial(Fingerprint),
 }
 
-impl Permission {
+impl Confinement {
     /// The key by which all gateways choose the same endpoint; `None` if any endpoint will do.
-    pub(crate) fn confined_by(self) -> Option<Fingerprint> {
+    pub(crate) fn key(self) -> Option<Fingerprint> {
         match self {
-            Self::Free => None,
-            Self::Confined(key) | Self::Trial(key) => Some(key),
+            Self::None => None,
+            Self::SingleEndpoint(key) | Self::Trial(key) => Some(key),
         }
     }
 }
 
 impl Core {
-    /// What is allowed for a request, or the refusal if it or a part of its prompt is held.
-    pub(crate) fn permission(&self, keys: &CrashKeys) -> Result<Permission, Refusal> {
+    /// The confinement of a request, or the refusal if it or a part of its prompt is held.
+    pub(crate) fn confinement(&self, keys: &CrashKeys) -> Result<Confinement, Refusal> {
         let table = self.crashes.table.borrow();
         if table.is_empty() {
-            return Ok(Permission::Free);
+            return Ok(Confinement::None);
         }
-        let mut permission = Permission::Free;
+        let mut confinement = Confinement::None;
         for key in keys.all() {
             match table.verdict(key) {
                 Verdict::Allowed => {}
-                Verdict::Confined => permission = Permission::Confined(key),
+                Verdict::Confined => confinement = Confinement::SingleEndpoint(key),
                 Verdict::Held => return Err(Refusal::after(Fault::Held, RETRY_AFTER_HELD_MS)),
             }
         }
-        Ok(permission)
+        Ok(confinement)
     }
 
-    /// Like [`Core::permission`], for a request that is refused if a key is held; logs which.
-    pub(crate) fn permission_to_go_on(
+    /// Like [`Core::confinement`], for a request that has begun; logs which key is held.
+    pub(crate) fn confinement_before_dispatch(
         &self,
         request_id: &str,
         keys: &CrashKeys,
-    ) -> Result<Permission, Refusal> {
-        let permission = self.permission(keys);
-        if permission.is_err() {
+    ) -> Result<Confinement, Refusal> {
+        let confinement = self.confinement(keys);
+        if confinement.is_err() {
             self.log_held_request(request_id, keys, &self.held_keys(keys));
         }
-        permission
+        confinement
     }
 
-    /// Like [`Core::permission`], for a request that begins. If one of its keys is held, it may become
+    /// Like [`Core::confinement`], for a request that begins. If one of its keys is held, it may become
     /// the trial of that key. Only one gateway runs the trial: the first by rank among those that hear
     /// each other.
-    pub(crate) fn permission_to_begin(
+    pub(crate) fn confinement_at_start(
         &self,
         request_id: &str,
         keys: &CrashKeys,
-    ) -> Result<Permission, Refusal> {
+    ) -> Result<Confinement, Refusal> {
         self.begin(keys.request);
-        let refused = match self.permission(keys) {
-            Ok(permission) => return Ok(permission),
+        let refused = match self.confinement(keys) {
+            Ok(confinement) => return Ok(confinement),
             Err(refused) => refused,
         };
         let held = self.held_keys(keys);
         if let [key] = held.as_slice() {
             if self.take_trial(*key) {
-                return Ok(Permission::Trial(*key));
+                return Ok(Confinement::Trial(*key));
             }
         }
         self.log_held_request(request_id, keys, &held);
--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -19,6 +19,8 @@
 use crate::attempt::DispatchResult;
 use crate::attempt::EventStream;
 use crate::client_connection::ClientConnection;
+use crate::confinement::barred_endpoints;
+use crate::confinement::Confinement;
 use crate::connection::LossCause;
 use crate::core::Core;
 use crate::crash_keys::CrashKeys;
@@ -35,8 +37,6 @@
 use crate::lost_run::LostRun;
 use crate::organisation_shares::AdmittedPrompt;
 use crate::organisation_shares::ShareRequest;
-use crate::permission::barred_endpoints;
-use crate::permission::Permission;
 use crate::place;
 use crate::place::PlacedRequest;
 use crate::place::Prompt;
@@ -86,7 +86,7 @@
     pub(crate) deadline: Instant,
     pub(crate) progress: DispatchProgress,
     /// What the quarantine allows for this request, since it may have crashed endpoints.
-    pub(crate) permission: Permission,
+    pub(crate) confinement: Confinement,
 }
 
 /// A complete response of an endpoint.
@@ -175,11 +175,13 @@
             return Ok(());
         }
         let request_id = &self.client_request.request_id;
-        let permission = match is_first {
-            true => self.core.permission_to_begin(request_id, &self.keys),
-            false => self.core.permission_to_go_on(request_id, &self.keys),
+        let confinement = match is_first {
+            true => self.core.confinement_at_start(request_id, &self.keys),
+            false => self
+                .core
+                .confinement_before_dispatch(request_id, &self.keys),
         };
-        self.permission = permission.map_err(|refusal| self.unknown_if_run(refusal))?;
+        self.confinement = confinement.map_err(|refusal| self.unknown_if_run(refusal))?;
         Ok(())
     }
 
@@ -202,8 +204,10 @@
             return Ok(());
         }
         let request_id = &self.client_request.request_id;
-        let permission = self.core.permission_to_go_on(request_id, &self.keys);
-        permission
+        let confinement = self
+            .core
+            .confinement_before_dispatch(request_id, &self.keys);
+        confinement
             .map(|_| ())
             .map_err(|refusal| self.unknown_if_run(refusal))
     }
@@ -286,7 +290,7 @@
     /// exceeds the memory of one engine needs several and isn't confined.
     fn barred_endpoints(&self) -> Option<TriedEndpoints> {
         let exceeds = |model: &Arc<EngineModel>| self.need().memory_tokens() > model.memory_tokens;
-        let key = self.permission.confined_by()?;
+        let key = self.confinement.key()?;
         if self.model.as_ref().is_some_and(exceeds) {
             return None;
         }
@@ -465,7 +469,7 @@
     }
 
     fn is_trial(&self) -> bool {
-        matches!(self.permission, Permission::Trial(_))
+        matches!(self.confinement, Confinement::Trial(_))
     }
 
     fn is_repeatable_route(&self) -> bool {
@@ -473,7 +477,7 @@
     }
 
     fn may_try_again(&self, failed: &FailedDispatch) -> bool {
-        if self.is_trial() || self.core.permission(&self.keys).is_err() {
+        if self.is_trial() || self.core.confinement(&self.keys).is_err() {
             return false;
         }
         if failed.is_final {
--- a/crates/mgs-relay/src/quarantine.rs
+++ b/crates/mgs-relay/src/quarantine.rs
@@ -1,7 +1,7 @@
 //! Tracks endpoint crashes and holds the requests that cause them.
 //!
 //! `mgs-quarantine` decides which request or part of prompts is held, that is, refused at all
-//! gateways; [`crate::permission`] refuses it, and [`crate::crash_gossip`] tells peers. Identical
+//! gateways; [`crate::confinement`] refuses it, and [`crate::crash_gossip`] tells peers. Identical
 //! requests share a [`Fingerprint`] and count as one request here.
 
 use std::cell::RefCell;
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -22,6 +22,7 @@
 use crate::client_response;
 use crate::client_response::ClientResponse;
 use crate::client_response::ResponseBody;
+use crate::confinement::Confinement;
 use crate::core::Core;
 use crate::crash_keys::CrashKeys;
 use crate::dialect::ClientRequest;
@@ -32,7 +33,6 @@
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::metrics;
-use crate::permission::Permission;
 use crate::progress::DispatchProgress;
 use crate::request_body;
 use crate::stream::StreamForwarder;
@@ -300,7 +300,7 @@
         arrived,
         deadline,
         progress: DispatchProgress::default(),
-        permission: Permission::Free,
+        confinement: Confinement::None,
     };
     let response = match timeout_at(deadline, dispatcher.run(None)).await {
         Ok(response) => response?,
