feat(placing): estimate each engine's speed from what gateways observe

Cause: engines are slow for three to eight seconds at a time. With 30 gateways and 69 engines, a gateway sees a first token of a given engine about every 25 s, so each one finds slow engines by its own late prompts, and its ratio of observed to predicted times has no age.

Change: `engine_speed` keeps the ratio of actual to declared times by engine, from pauses between events and first events. Evidence decays with its age, little of it is shrunk towards 1, and peers' evidence counts up to a bound for each engine and each peer. Pauses of this process itself (`process_pauses`) aren't evidence. Nothing uses the estimate yet.

--- a/crates/mgs-placing/src/lib.rs
+++ b/crates/mgs-placing/src/lib.rs
@@ -35,6 +35,7 @@
 pub mod choose;
 pub mod concurrent_choices;
 pub mod dispatch;
+pub mod engine_speed;
 mod engine_state;
 mod evaluation;
 mod late_prompt;
@@ -47,6 +48,7 @@
 pub mod peer_message;
 pub mod placement;
 pub mod plain;
+pub mod process_pauses;
 pub mod queue_order;
 mod setting_text;
 pub mod spare_slots;
--- a/crates/mgs-placing/src/load_table.rs
+++ b/crates/mgs-placing/src/load_table.rs
@@ -130,6 +130,8 @@
     /// Recently placed prefill with exponential decay, in milliseconds, as of `recent_at_ms`.
     recent_prefill_ms: f64,
     recent_at_ms: f64,
+    /// All prefill ever placed, in milliseconds.
+    prefill_total_ms: f64,
 }
 
 impl EndpointWork {
@@ -264,6 +266,7 @@
         work.prefill_done_ms = (start_ms + prefill_ms).min(now_ms + BACKLOG_MAX_MS);
         work.recent_prefill_ms = work.recent_prefill_ms(now_ms) + prefill_ms;
         work.recent_at_ms = now_ms;
+        work.prefill_total_ms += prefill_ms;
         let is_decoding = work.total.running() > 0;
         work.passes.add_prefill(now_ms, prefill_ms, is_decoding);
     }
@@ -437,6 +440,13 @@
         self.work_mut(endpoint).passes.record_event(now_ms);
     }
 
+    /// All prefill ever placed on an endpoint, in milliseconds; the difference of two values is what
+    /// was placed in between.
+    pub fn prefill_total_ms(&self, endpoint: EndpointKey) -> f64 {
+        self.work(endpoint)
+            .map_or(0.0, |work| work.prefill_total_ms)
+    }
+
     /// The predicted pass boundaries of an endpoint.
     pub fn pass_timeline(&self, endpoint: EndpointKey) -> PassTimeline {
         self.work(endpoint)
