fix(placing): many gateways dispatch the next long prompt before the first token of the last is known

Cause: until the first token of a shared prompt is known, a quarter of its part counts as backlog. A part of 270 ms then counts as 68 ms, more than the 60 ms at which the next prompt is dispatched, and peers learn of the first token some 35 ms late.

Change: where 36 gateways and more share the engines, the share is 0.12 on engines without short streams.

--- a/crates/mgs-placing/src/engine_state.rs
+++ b/crates/mgs-placing/src/engine_state.rs
@@ -80,9 +80,11 @@
     ) -> Self {
         let load = load_table.load(candidate.key);
         let used_tokens = u64::from(load.memory_tokens);
+        let gateways = load_table.peer_count() + 1;
+        let unknown_share = options.unknown_share_on(load.running_short(), gateways);
         let mut engine = Self {
             key: candidate.key,
-            backlog_ms: load_table.backlog_ms(candidate.key, now_ms, options.unknown_share),
+            backlog_ms: load_table.backlog_ms(candidate.key, now_ms, unknown_share),
             load,
             running: load.running(),
             running_short: load.running_short(),
--- a/crates/mgs-placing/src/options.rs
+++ b/crates/mgs-placing/src/options.rs
@@ -65,6 +65,12 @@
     /// Share of the prefill of shared prompts without a first token that counts as unfinished: half
     /// of the parts, which end together at best, are finished when the prompt is halfway through.
     pub unknown_share: f64,
+    /// The same share on engines without short streams where at least `near_gateways_min` gateways
+    /// share the engines: for parts of 270 ms, the 35 ms after which peers learn of a first token. With
+    /// a quarter, such parts stayed above the backlog at which the next prompt is dispatched until
+    /// then, and 23% of the engines' time passed without prefill while long prompts waited. Engines
+    /// that decode short streams fall further behind the prediction.
+    pub unknown_share_of_many: f64,
     /// Share of the expected answer length that an answer is assumed to reach at least. Expected
     /// lengths are right at the median; at a spread of a half, nine of ten answers are longer than
     /// half of them.
@@ -124,6 +130,7 @@
             overtake_units: 1.0,
             wait_units: 0.3,
             unknown_share: 0.25,
+            unknown_share_of_many: 0.12,
             believed_share: 0.5,
             unseen_ms: 5.0,
             unseen_ms_per_peer: 0.25,
@@ -156,6 +163,21 @@
         apply_settings(self, text, Self::set)
     }
 
+    /// Whether so many gateways share the engines that reports arrive later than choices follow each
+    /// other.
+    pub(crate) fn are_many(&self, gateways: usize) -> bool {
+        gateways >= self.near_gateways_min
+    }
+
+    /// Share of the prefill of shared prompts without a first token that counts as unfinished on an
+    /// engine with `running_short` short streams, where this number of gateways shares the engines.
+    pub(crate) fn unknown_share_on(&self, running_short: u32, gateways: usize) -> f64 {
+        match self.are_many(gateways) && running_short == 0 {
+            true => self.unknown_share_of_many,
+            false => self.unknown_share,
+        }
+    }
+
     fn set(&mut self, setting: &Setting) -> bool {
         let value = setting.value;
         match setting.name.as_str() {
@@ -189,6 +211,7 @@
             "crowd_factor" => self.crowd_factor = value,
             "believed_share" => self.believed_share = value,
             "unknown_share" => self.unknown_share = value,
+            "unknown_share_of_many" => self.unknown_share_of_many = value,
             _ => return false,
         }
         true
--- a/crates/mgs-placing/src/zone.rs
+++ b/crates/mgs-placing/src/zone.rs
@@ -142,7 +142,7 @@
     model: &EngineModel,
     options: &PlacementOptions,
 ) -> bool {
-    let are_many = gateways >= options.near_gateways_min;
+    let are_many = options.are_many(gateways);
     let least = match are_many && !may_share_prefill(need, model, options) {
         true => options.near_engines_min as f64,
         false => options.engines_max as f64 * options.near_engines_factor,
