feat(placing): prompts that can't be served are refused at arrival

Cause: prompts wait for seconds and are refused in the end, since no gateway knows how much goes ahead of them. Change: gateways count what waits and what is asked for, by position in the queue, and decide on a prompt when it arrives.

--- a/crates/mgs-placing/src/dispatch.rs
+++ b/crates/mgs-placing/src/dispatch.rs
@@ -203,12 +203,12 @@
 
 impl WaitingPrompt<'_> {
     /// Prefill of the whole prompt on one engine, in milliseconds.
-    fn single_engine_ms(&self) -> f64 {
+    pub(crate) fn single_engine_ms(&self) -> f64 {
         self.model.prefill_ms(self.need.prompt_tokens)
     }
 
     /// Time to decode the answer on an engine with half of its slots taken, in milliseconds.
-    fn decode_ms(&self) -> f64 {
+    pub(crate) fn decode_ms(&self) -> f64 {
         let passes = self.model.passes_for(self.need.expected_tokens);
         passes as f64 * self.model.usual_pass_ms()
     }
--- a/crates/mgs-placing/tests/emulator/gateway.rs
+++ b/crates/mgs-placing/tests/emulator/gateway.rs
@@ -25,8 +25,13 @@
 use mgs_placing::placement::Candidate;
 use mgs_placing::placement::FleetSnapshot;
 use mgs_placing::placement::Placement;
+use mgs_placing::queue_demand::QueueDemand;
+use mgs_placing::queue_demand::QueuedPrompt;
 use mgs_placing::queue_order::QueueHeads;
 use mgs_placing::queue_order::Score;
+use mgs_placing::refusal_at_arrival;
+use mgs_placing::refusal_at_arrival::Estimate;
+use mgs_placing::refusal_at_arrival::RefusalOptions;
 use mgs_placing::spare_slots::SpareSlotRate;
 use mgs_placing::stream_group::StreamGroup;
 use mgs_placing::zone::place_prompt;
@@ -149,6 +154,9 @@
     pub(super) load_table: LoadTable,
     pub(super) options: options::PlacementOptions,
     dispatch_options: dispatch::DispatchOptions,
+    refusal_options: RefusalOptions,
+    /// What is asked of the engines, here and at peers.
+    pub(super) demand: QueueDemand,
     /// Prompts that wait to be dispatched.
     pub(super) waiting: Vec<usize>,
     spare_slots: SpareSlotRate,
@@ -167,6 +175,8 @@
 struct LastScore {
     score: Score,
     at_ms: f64,
+    /// Prefill of the prompt on one engine.
+    prefill_ms: f64,
 }
 
 impl LastScore {
@@ -220,6 +230,8 @@
             load_table,
             options,
             dispatch_options,
+            refusal_options: RefusalOptions::default(),
+            demand: QueueDemand::started_at(0.0),
             waiting: Vec::new(),
             spare_slots: SpareSlotRate::default(),
             length_counter: LengthCounter::default(),
@@ -337,11 +349,16 @@
             self.length_counter.count_asked(band, emulator.now_ms);
         }
         self.waiting.push(prompt);
-        self.dispatch_waiting(emulator);
+        self.dispatch(emulator, Some(prompt));
     }
 
     /// Decides for each waiting prompt whether it is sent now, keeps waiting or is refused.
     pub(super) fn dispatch_waiting(&mut self, emulator: &mut Emulator) {
+        self.dispatch(emulator, None);
+    }
+
+    /// Decides for each waiting prompt, among them the one that arrives now.
+    fn dispatch(&mut self, emulator: &mut Emulator, arrival: Option<usize>) {
         self.observe(&std::mem::take(&mut emulator.observations));
         let now_ms = emulator.now_ms;
         let mut scored = Vec::new();
@@ -406,7 +423,10 @@
                 spare_per_s: self.spare_slots.per_s(now_ms),
                 gateways,
             };
-            let decision = dispatch::decide(&waiting, &self.dispatch_options);
+            let mut decision = dispatch::decide(&waiting, &self.dispatch_options);
+            if arrival == Some(prompt) && self.is_refused_at_arrival(&waiting, decision, now_ms) {
+                decision = DispatchDecision::Refuse;
+            }
             if decision == DispatchDecision::Dispatch
                 && waiting.is_short(&self.dispatch_options)
                 && dispatch::needs_spare_slot(&waiting, &self.dispatch_options)
@@ -422,6 +442,7 @@
                     let last_score = LastScore {
                         score: own_score,
                         at_ms: now_ms,
+                        prefill_ms: emulator.model.prefill_ms(need.prompt_tokens),
                     };
                     self.last_scores.insert(prompt, last_score);
                 }
@@ -432,6 +453,46 @@
         }
     }
 
+    /// Records the demand of a prompt that arrives now, and returns whether it is refused at once.
+    fn is_refused_at_arrival(
+        &mut self,
+        waiting: &dispatch::WaitingPrompt<'_>,
+        decision: DispatchDecision,
+        now_ms: f64,
+    ) -> bool {
+        if self.gateway_count < self.options.near_gateways_min {
+            return false;
+        }
+        let (dispatch_options, options) = (&self.dispatch_options, &self.refusal_options);
+        let queued = self.queued();
+        let ahead = self.demand.ahead_of(waiting.score, &queued, now_ms);
+        refusal_at_arrival::record_arrival(&mut self.demand, waiting, dispatch_options, now_ms);
+        let estimate = Estimate::of(
+            waiting,
+            &ahead,
+            self.engines.len(),
+            dispatch_options,
+            options,
+        );
+        refusal_at_arrival::is_refused_at_arrival(
+            waiting,
+            decision,
+            &estimate,
+            dispatch_options,
+            options,
+        )
+    }
+
+    /// The prompts that wait in the queue of long ones.
+    pub(super) fn queued(&self) -> Vec<QueuedPrompt> {
+        let last_scores = self.last_scores.values();
+        let queued = last_scores.map(|last_score| QueuedPrompt {
+            score: last_score.score,
+            prefill_ms: last_score.prefill_ms,
+        });
+        queued.collect()
+    }
+
     /// Updates the load from observations of the prompts that this gateway has sent.
     pub(super) fn observe(&mut self, observations: &Observations) {
         let is_own = |event: &&StreamEvent| self.sent.contains_key(&event.prompt);
--- a/crates/mgs-placing/tests/emulator/many_gateways.rs
+++ b/crates/mgs-placing/tests/emulator/many_gateways.rs
@@ -4,6 +4,7 @@
 use mgs_placing::load_table::PeerKey;
 use mgs_placing::load_table::PeerReport;
 use mgs_placing::load_table::ZoneKey;
+use mgs_placing::queue_demand::GatewayDemand;
 
 use super::gateway::Deployment;
 use super::gateway::Gateway;
@@ -76,6 +77,8 @@
     report: PeerReport,
     /// Prefill placed since the last report.
     prefill: Vec<PlacedPrefill>,
+    /// The demand at the sender; in full reports only.
+    demand: GatewayDemand,
 }
 
 /// A run of many gateways.
@@ -192,7 +195,12 @@
             },
         };
         let prefill = std::mem::take(&mut gateway.unreported_prefill);
+        let demand = match is_full {
+            true => gateway.demand.report(&gateway.queued(), now_ms),
+            false => GatewayDemand::default(),
+        };
         self.messages.push(Message {
+            demand,
             from,
             is_full,
             report,
@@ -204,9 +212,9 @@
     }
 
     /// Enters a report at each peer that receives it.
-    fn receive_report(&mut self, message: usize) {
+    fn receive_report(&mut self, message_index: usize) {
         let now_ms = self.emulator.now_ms;
-        let message = &self.messages[message];
+        let message = &self.messages[message_index];
         for (index, gateway) in self.gateways.iter_mut().enumerate() {
             let is_lost = self.rng.uniform() < self.setup.lost_share;
             if index == message.from || is_lost {
@@ -220,6 +228,10 @@
             }
             let peer = PeerKey(message.from as u64);
             let report = message.report.clone();
+            if message.is_full {
+                let (sequence, demand) = (message_index as u64, message.demand.clone());
+                gateway.demand.record_peer(now_ms, peer, sequence, demand);
+            }
             match message.is_full {
                 true => gateway.load_table.replace_peer(peer, now_ms, report),
                 false => gateway
