feat(relay): refuse prompts that can't be served when they arrive

Cause: a client that is refused after seconds can't go elsewhere any more. Change: the datagram Waiting carries what waits and what is asked for at a gateway, with the full messages and only while there is demand; a prompt that arrives is refused with 503, no_turn and the Retry-After of the estimate.

--- a/crates/mgs-relay/src/broadcast.rs
+++ b/crates/mgs-relay/src/broadcast.rs
@@ -114,6 +114,10 @@
             self.send(&encode(&demand), to_all, TrafficKind::FullMessages)
                 .await;
         }
+        if let Some(waiting) = core.waiting_datagram() {
+            self.send(&encode(&waiting), to_all, TrafficKind::FullMessages)
+                .await;
+        }
         self.full_messages_sent += 1;
     }
 
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -17,14 +17,15 @@
 use mgs_placing::load_table::LoadTable;
 use mgs_placing::load_table::ZoneKey;
 use mgs_placing::peer_message::PrefillPart;
+use mgs_placing::queue_demand::QueuedPrompt;
 use mgs_placing::queue_order::QueueHeads;
-use mgs_placing::queue_order::Score;
 use mgs_placing::spare_slots::SpareSlotRate;
 use mgs_routing::outlier::OutlierDetector;
 use rand::Rng;
 use rand_chacha::ChaCha8Rng;
 use tokio::sync::Notify;
 
+use crate::arrival_refusal::ArrivalDemand;
 use crate::budget::RetryBudget;
 use crate::dialect::Dialect;
 use crate::drain::Drain;
@@ -87,7 +88,7 @@
     /// Wakes the broadcast task: load was placed, or the queue of waiting prompts has changed.
     pub(crate) broadcast_wanted: Notify,
     /// Prompts queued at this gateway, by serial number.
-    pub(crate) waiting: RefCell<HashMap<u64, Score>>,
+    pub(crate) waiting: RefCell<HashMap<u64, QueuedPrompt>>,
     /// Short prompts queued at this gateway for a spare slot on an engine, by serial number.
     pub(crate) waiting_for_spare: RefCell<BTreeSet<u64>>,
     /// How many late short prompts recently found a spare slot.
@@ -106,6 +107,8 @@
     pub(crate) budget: RefCell<RetryBudget>,
     /// Demand of organisations, and their shares when engines are short.
     pub(crate) shares: RefCell<OrganisationShares>,
+    /// What is asked of the engines, here and at peers.
+    pub(crate) arrival_demand: RefCell<ArrivalDemand>,
     /// Probes in flight that check whether an endpoint's process has ended.
     pub(crate) endpoint_probes: RefCell<EndpointProbes>,
     /// What is known of requests that crash endpoints.
@@ -291,9 +294,9 @@
     /// The scores of the prompts that are first in the queue of this gateway.
     pub(crate) fn queue_heads(&self) -> QueueHeads {
         let waiting = self.waiting.borrow();
-        let scores = waiting.values();
-        scores.fold(QueueHeads::default(), |heads, score| {
-            heads.with_score(*score)
+        let queued = waiting.values();
+        queued.fold(QueueHeads::default(), |heads, prompt| {
+            heads.with_score(prompt.score)
         })
     }
 
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -41,6 +41,8 @@
     OverShare,
     /// the deadline would pass before it could be served
     TooLate,
+    /// it would wait too long for its engines
+    NoTurn,
     /// the request has crashed the endpoints that ran it, and isn't sent to others
     Held,
     /// the endpoints said that they didn't run it
@@ -88,6 +90,7 @@
             Self::TooLarge => "too_large",
             Self::OverShare => "over_share",
             Self::TooLate => "too_late",
+            Self::NoTurn => "no_turn",
             Self::Held => "quarantined",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -18,6 +18,7 @@
 #![forbid(unsafe_code)]
 
 mod advice;
+mod arrival_refusal;
 mod attached_bytes;
 mod attempt;
 mod bad_rows;
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -17,6 +17,7 @@
 use mgs_placing::load_table::PEER_SILENCE_MS;
 use mgs_placing::peer_message::PeerMessage;
 use mgs_placing::peer_message::TopicVersion;
+use mgs_placing::queue_demand::GatewayDemand;
 use mgs_quarantine::shared::SharedRecord;
 use serde::Deserialize;
 use serde::Serialize;
@@ -76,6 +77,15 @@
         /// The organisations with the most cost.
         demands: Vec<OrganisationDemand>,
     },
+    /// What waits and is asked for at the sender.
+    Waiting {
+        /// Incarnation of the sender.
+        from: u64,
+        /// Number of the report; the newest counts.
+        sequence: u64,
+        /// The demand by position in the queue.
+        demand: GatewayDemand,
+    },
 }
 
 /// The last message from one address.
@@ -192,6 +202,14 @@
                 },
                 _,
             )) => core.record_peer_demand(from, peer, sequence, &demands),
+            Ok((
+                Datagram::Waiting {
+                    from: peer,
+                    sequence,
+                    demand,
+                },
+                _,
+            )) => core.record_peer_waiting(from, peer, sequence, demand),
             Err(error) => {
                 core.metrics.peer_faults.inc();
                 log::warn!(peer:% = from, error:% = error; "a peer's message can't be decoded");
@@ -350,6 +368,7 @@
             peer_table.leaving.remove(&peer);
             drop(peer_table);
             core.drop_peer_demand(peer);
+            core.drop_peer_waiting(peer);
             log::info!(peer = format!("{:x}", peer.0); "a peer fell silent");
         }
         core.metrics.peers.set(peers as i64);
--- a/crates/mgs-relay/src/place_log.rs
+++ b/crates/mgs-relay/src/place_log.rs
@@ -4,6 +4,8 @@
 use mgs_placing::need::Need;
 use mgs_placing::placement::PlacementError;
 use mgs_placing::placement::Shortage;
+use mgs_placing::queue_demand::DemandAhead;
+use mgs_placing::refusal_at_arrival::Estimate;
 
 use crate::core::Core;
 use crate::fault::Refusal;
@@ -42,6 +44,38 @@
     );
 }
 
+/// Logs that a prompt is refused at its arrival, with the estimate behind it.
+pub(crate) fn refused_at_arrival(
+    prompt: &Prompt<'_>,
+    waiting: &dispatch::WaitingPrompt<'_>,
+    ahead: &DemandAhead,
+    estimate: &Estimate,
+    retry_after_ms: u64,
+) {
+    let snapshot = &waiting.placement.snapshot;
+    log::info!(
+        request_id = prompt.request_id,
+        service = prompt.service,
+        prompt_tokens = waiting.need.prompt_tokens,
+        aim_ms = waiting.need.ttft_left_ms as i64,
+        left_ms = waiting.need.deadline_left_ms as u64,
+        waiting_ahead_ms = ahead.waiting_ms as u64,
+        backlog_ms = snapshot.backlog_ms,
+        asked_ahead_ms_per_s = (ahead.asked_engines * 1e3) as u64,
+        asked_by_all_ms_per_s = (ahead.asked_engines_of_all * 1e3) as u64,
+        candidate_engines = snapshot.engines,
+        room = snapshot.engines_for_long,
+        load_permille = (estimate.load_ratio * 1e3) as u64,
+        predicted_wait_ms = estimate.wait_ms as u64,
+        predicted_first_token_ms = estimate.first_token_ms as u64,
+        predicted_late_end_ms = estimate.late_end_ms as u64,
+        peers = prompt.core.load_table.borrow().peer_count(),
+        oldest_report_ms = ahead.oldest_report_ms as u64,
+        retry_after_ms = retry_after_ms;
+        "refused at arrival since it would wait too long"
+    );
+}
+
 /// The resource that engines lack, as log fields.
 #[derive(Debug, Default)]
 struct MissingResource {
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -18,6 +18,7 @@
 use mgs_placing::load_table::LoadTable;
 use mgs_placing::load_table::ZoneKey;
 use mgs_placing::options;
+use mgs_placing::refusal_at_arrival::RefusalOptions;
 use mgs_placing::spare_slots::SpareSlotRate;
 use mgs_routing::outlier;
 use mgs_routing::outlier::OutlierDetector;
@@ -31,6 +32,7 @@
 use tokio::task::LocalSet;
 use xxhash_rust::xxh3::xxh3_64;
 
+use crate::arrival_refusal::ArrivalDemand;
 use crate::budget::RetryBudget;
 use crate::client;
 use crate::core::Core;
@@ -76,6 +78,8 @@
     pub placing: options::PlacementOptions,
     /// Order in which long prompts are dispatched.
     pub dispatch: dispatch::DispatchOptions,
+    /// Refusal of prompts that would wait too long.
+    pub refusal: RefusalOptions,
     /// Detection of failing endpoints, which are then skipped for a while.
     pub outliers: outlier::Options,
     /// Quarantine of requests that crash endpoints.
@@ -100,6 +104,7 @@
             connect_timeout_ms: 300,
             placing: options::PlacementOptions::default(),
             dispatch: dispatch::DispatchOptions::default(),
+            refusal: RefusalOptions::default(),
             outliers: outlier::Options {
                 // An unreachable endpoint never answers, and each request that finds this out costs
                 // its client the time to connect elsewhere.
@@ -195,6 +200,7 @@
         warm_up: WarmUpState::default(),
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
         shares: RefCell::new(OrganisationShares::default()),
+        arrival_demand: RefCell::new(ArrivalDemand::default()),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
         crashes: CrashTracker::new(options.quarantine.clone()),
         evacuation_newcomers: RefCell::default(),
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -256,6 +256,8 @@
     pub warm_up: warm_up::Bounds,
     /// Whether organisations are held to shares when engines are short, if there are organisations.
     pub organisation_shares: bool,
+    /// Whether prompts that can't be served are refused at arrival, however few gateways there are.
+    pub refusal_at_arrival: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -15,6 +15,7 @@
 use mgs_placing::placement::Candidate;
 use mgs_placing::placement::Placement;
 use mgs_placing::placement::PlacementError;
+use mgs_placing::queue_demand::QueuedPrompt;
 use mgs_placing::queue_order::QueueHeads;
 use mgs_placing::queue_order::Score;
 use mgs_placing::zone::place_prompt;
@@ -85,6 +86,7 @@
 ) -> Result<ReadyPrompt, Refusal> {
     let core = prompt.core;
     let entry = QueueEntry::new(core);
+    let mut is_arrival = prompt.tried.is_empty() && tried.is_empty();
     loop {
         let need = need();
         let fleet = core.published.fleet();
@@ -105,7 +107,12 @@
             gateways: gateways(core, scope),
         };
         let is_short = waiting.is_short(options);
-        match dispatch::decide(&waiting, options) {
+        let decision = dispatch::decide(&waiting, options);
+        if is_arrival {
+            core.check_arrival(prompt, &fleet, &waiting, decision)?;
+            is_arrival = false;
+        }
+        match decision {
             DispatchDecision::Dispatch
                 if is_short && dispatch::needs_spare_slot(&waiting, options) =>
             {
@@ -127,7 +134,10 @@
         }
         let is_new = match is_short {
             true => entry.list_for_spare(),
-            false => entry.list(own),
+            false => entry.list(QueuedPrompt {
+                score: own,
+                prefill_ms: prompt.model.prefill_ms(need.prompt_tokens),
+            }),
         };
         match (is_new, is_short) {
             (true, true) => place_log::waits_for_slot(prompt, &waiting),
@@ -176,10 +186,10 @@
         }
     }
 
-    /// Lists the prompt with a score; returns whether it wasn't listed before.
-    fn list(&self, score: Score) -> bool {
-        let before = self.core.waiting.borrow_mut().insert(self.number, score);
-        if before != Some(score) {
+    /// Lists the prompt with its score; returns whether it wasn't listed before.
+    fn list(&self, queued: QueuedPrompt) -> bool {
+        let before = self.core.waiting.borrow_mut().insert(self.number, queued);
+        if before != Some(queued) {
             self.core.broadcast_wanted.notify_one();
         }
         before.is_none()
@@ -230,8 +240,8 @@
     fn others(&self, scope: Scope) -> QueueHeads {
         let waiting = self.core.waiting.borrow();
         let others = waiting.iter().filter(|(number, _)| **number != self.number);
-        let here = others.fold(QueueHeads::default(), |heads, (_, score)| {
-            heads.with_score(*score)
+        let here = others.fold(QueueHeads::default(), |heads, (_, queued)| {
+            heads.with_score(queued.score)
         });
         let load_table = self.core.load_table.borrow();
         here.merge(match scope {
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -77,6 +77,10 @@
         "zones_evacuated" => return describe_evacuated_zones(trace),
         "endpoints_shut" => return describe_shut_endpoints(trace),
         "over_share" => return describe_used_up_share(trace),
+        "no_turn" => {
+            "by the estimate at its arrival it would have waited too long for its engines; it has not run (look for \
+             \"refused at arrival\" on its host)"
+        }
         "full" | "too_late" | "timeout_before_dispatch" => {
             return describe_no_capacity(trace, detail)
         }
