--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -258,6 +258,8 @@
     pub organisation_shares: bool,
     /// Whether speeds of engines are estimated from what all gateways observe.
     pub shared_speeds: bool,
+    /// Whether prompts that can't be served are refused at arrival, however few gateways there are.
+    pub refusal_at_arrival: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
