admission, relay: prompts beyond a share are admitted while engines have room

Cause: during a surge the capacity followed a fixed share of busy time (0.7), so a surge that nearly fits was refused. Without a surge it was all of the engines' time, which kept the wait at two seconds, where short prompts are late or refused; shares then refused long prompts by chance, the only ones that were on time. No test covered the on-time share of all prompts together.

Change: a gateway also sees how long a prompt that arrives now waits for an engine. A prompt beyond its share is admitted if that is less than 100 ms; during a surge less if short prompts are late, and not while engines refuse. Without a surge the capacity follows this wait. The share of engines' time over a second rises by at most 100 ms for each sample (200 before), since gateways that had missed an idle period refused prompts with 0.84 in use.

The literals of EnginePressure in the existing tests have the new field; their bounds are unchanged.

--- a/crates/mgs-admission/src/demand_shares.rs
+++ b/crates/mgs-admission/src/demand_shares.rs
@@ -4,28 +4,35 @@
 //! core-stateless fair queueing. The cost of a prompt is engine time. While capacity isn't short,
 //! everything is admitted. Otherwise each organisation may use its usual cost, and what others leave
 //! unused is divided in proportion to the usual costs. Prompts of an organisation that asks for more
-//! are admitted at random, so that the admitted cost is what it may use.
+//! are admitted at random, so that the admitted cost is what it may use. Beyond that they are admitted
+//! as long as the engines begin at once with what arrives: what is left of their time is used, and
+//! nobody waits for it.
 //!
 //! [`DemandShares`] is the state of one gateway. It has no clock and no random source.
 
+mod figures;
 mod rates;
+mod room;
 mod shortage;
 mod surge;
 mod water_filling;
 
 use std::collections::HashMap;
 
-use serde::Deserialize;
-use serde::Serialize;
-use xxhash_rust::xxh3::xxh3_64;
-
 use rates::Growth;
 use rates::OwnRates;
 use rates::RATE_MS;
+use room::Room;
+use room::WAIT_COUNTED_MAX_MS;
 use shortage::Shortage;
 use shortage::Strain;
 use surge::SurgeEvidence;
 
+pub use figures::EnginePressure;
+pub use figures::OrganisationDemand;
+pub use figures::OrganisationHash;
+pub use figures::ShareRefusal;
+pub use figures::ShortageChange;
 pub use water_filling::water_level;
 pub use water_filling::WeightedDemand;
 
@@ -89,86 +96,6 @@
 /// doesn't return at the same time.
 const RETRY_SPREAD_FACTOR: f64 = 1.5;
 
-/// Hash of an organisation's name, by which gateways refer to it.
-#[derive(
-    Debug, Clone, Copy, PartialEq, Eq, PartialOrd, Ord, Hash, Default, Serialize, Deserialize,
-)]
-pub struct OrganisationHash(pub u64);
-
-impl OrganisationHash {
-    /// The hash of a name.
-    pub fn of(name: &str) -> Self {
-        Self(xxh3_64(name.as_bytes()))
-    }
-}
-
-/// Demand of one organisation at one gateway, in milliseconds of engine time per second.
-#[derive(Debug, Clone, Copy, PartialEq, Default, Serialize, Deserialize)]
-pub struct OrganisationDemand {
-    /// The organisation.
-    pub organisation: OrganisationHash,
-    /// Cost asked for, over about a second.
-    pub asked: f32,
-    /// Cost admitted and not refused by engines since, over about a second. What waits for engines is
-    /// included.
-    pub admitted: f32,
-    /// Usual cost; 0 for all organisations of a gateway that doesn't know it yet.
-    pub usual: f32,
-}
-
-impl OrganisationDemand {
-    /// Whether all figures are finite and not negative.
-    fn is_valid(&self) -> bool {
-        let figures = [self.asked, self.admitted, self.usual];
-        figures
-            .iter()
-            .all(|figure| figure.is_finite() && *figure >= 0.0)
-    }
-}
-
-/// What a gateway sees of the engines.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct EnginePressure {
-    /// Engines that may be used.
-    pub engines: usize,
-    /// Share of their time in use, by prefill and by slots that are taken.
-    pub busy_share: f64,
-}
-
-/// Figures behind a refusal. Rates are in milliseconds of engine time per second, over all gateways.
-#[derive(Debug, Clone, Copy, PartialEq, Default)]
-pub struct ShareRefusal {
-    /// Cost that the organisation asks for.
-    pub asked: f64,
-    /// Cost that it may use.
-    pub allowed: f64,
-    /// Its usual cost.
-    pub usual: f64,
-    /// Cost that all organisations ask for.
-    pub asked_by_all: f64,
-    /// Capacity that they share.
-    pub capacity: f64,
-    /// Peers whose figures are included.
-    pub peers: usize,
-    /// Age of the oldest of these figures, in milliseconds.
-    pub oldest_report_ms: f64,
-    /// When the excess will have passed, in milliseconds from now.
-    pub retry_after_ms: u64,
-}
-
-/// A change of whether capacity is short.
-#[derive(Debug, Clone, Copy, PartialEq)]
-pub struct ShortageChange {
-    /// Whether it is short now.
-    pub is_short: bool,
-    /// Cost that all organisations ask for, in milliseconds of engine time per second.
-    pub asked: f64,
-    /// Cost sent to engines, in milliseconds of engine time per second.
-    pub admitted: f64,
-    /// Capacity, in milliseconds of engine time per second; 0 if it isn't short.
-    pub capacity: f64,
-}
-
 /// The last report of a peer.
 #[derive(Debug)]
 struct PeerDemands {
@@ -225,7 +152,8 @@
 ///
 /// let mut shares = DemandShares::started_at(0.0);
 /// let acme = OrganisationHash::of("acme");
-/// shares.refresh(0.0, &EnginePressure { engines: 4, busy_share: 0.1 });
+/// let calm = EnginePressure { engines: 4, busy_share: 0.1, wait_ms: 0.0 };
+/// shares.refresh(0.0, &calm);
 /// // Nothing is short.
 /// assert!(shares.admit(0.0, acme, 120.0, 0.99).is_ok());
 /// assert_eq!(shares.report(10.0).len(), 1);
@@ -244,6 +172,8 @@
     all: FleetDemand,
     /// The capacity while it is short.
     capacity: Option<f64>,
+    /// Whether the engines can begin with more at once.
+    room: Room,
     /// Time of all usable engines, in milliseconds per second.
     engine_time: f64,
     refreshed_ms: Option<f64>,
@@ -262,6 +192,7 @@
             fleet: HashMap::new(),
             all: FleetDemand::default(),
             capacity: None,
+            room: Room::started_at(now_ms),
             engine_time: 0.0,
             refreshed_ms: None,
         }
@@ -351,9 +282,11 @@
             asked: self.all.demand,
             admitted: self.all.admitted,
             busy_share: engines.busy_share,
+            wait_ms: engines.wait_ms.clamp(0.0, WAIT_COUNTED_MAX_MS),
             refused_share: self.refused_share(now_ms),
             has_surge: is_known && self.has_surge(engine_time),
         };
+        self.room.update(now_ms, &strain, was_short);
         // Without engines, as while all zones are evacuated, refusals say nothing about the capacity.
         let capacity = match engine_time > 0.0 {
             true => self.shortage.update(now_ms, &strain),
@@ -376,7 +309,8 @@
     ///
     /// # Errors
     ///
-    /// Returns the figures behind the refusal if the organisation's share is used up.
+    /// Returns the figures behind the refusal if the organisation's share is used up and the engines
+    /// have no room.
     pub fn admit(
         &mut self,
         now_ms: f64,
@@ -387,10 +321,12 @@
         self.own.advance(now_ms);
         self.own.add_asked(organisation, cost_ms);
         if let (Some(capacity), Some(fleet)) = (self.capacity, self.fleet.get(&organisation)) {
-            if draw >= fleet.admitted_share() {
+            let factor = priority_factor(&self.priorities, organisation);
+            if draw >= fleet.admitted_share() && !self.room.is_left(factor) {
                 return Err(self.refusal(now_ms, fleet, capacity, draw));
             }
         }
+        self.room.take(cost_ms);
         self.own.add_admitted(organisation, cost_ms);
         Ok(())
     }
--- a/crates/mgs-admission/src/demand_shares/shortage.rs
+++ b/crates/mgs-admission/src/demand_shares/shortage.rs
@@ -1,5 +1,7 @@
 //! Whether capacity is short, and how much there is.
 
+use super::room::ROOM_WAIT_MS;
+
 /// Part of the engines' time that serves requests when all of them are busy. The rest passes between
 /// the end of a request and the dispatch of the next, and in chunks that are only partly filled.
 const USABLE_SHARE: f64 = 0.9;
@@ -18,13 +20,17 @@
 /// together made others late: 0.040 of their on-time share was lost at worst, 0.027 with this.
 const TARGET_BUSY_SHARE: f64 = 0.7;
 
+/// Most by which the wait for engines counts as too long or short without a surge: as much as
+/// engines that are all busy during one.
+const EXCESS_MAX: f64 = 1.0 - TARGET_BUSY_SHARE;
+
 /// Share of the cost sent to engines that they refuse from which on they count as short. A single
 /// long prompt that comes too late is less than that of two seconds' cost.
 const REFUSED_SHARE: f64 = 0.05;
 
 /// Share of refused cost from which on the capacity is taken to be lower than the engines' figures
 /// say, if one organisation asks for much more than usual.
-const OVERESTIMATED_SHARE: f64 = 0.1;
+pub(super) const OVERESTIMATED_SHARE: f64 = 0.1;
 
 /// Shortage ends when less than this share of what makes it begin is asked for, so that it doesn't
 /// begin and end with each long prompt.
@@ -35,7 +41,7 @@
 const CORRECTION_MIN: f64 = 0.4;
 const CORRECTION_MAX: f64 = 2.0;
 
-/// Time constant of the shares of refused cost and of busy engines, in milliseconds: longer than
+/// Time constant of the shares of refused cost and of busy engines, and of the wait for engines, in milliseconds: longer than
 /// several long prompts that come together keep the engines busy, and short enough to notice an
 /// overload within half a second.
 const SMOOTHING_MS: f64 = 400.0;
@@ -46,8 +52,9 @@
 const SUSTAINED_MS: f64 = 1_000.0;
 
 /// Longest time for which one update raises that share, in milliseconds. A gateway that gets a prompt
-/// in a second would take one moment in which all engines are busy for most of a second.
-const SUSTAINED_STEP_MAX_MS: f64 = 200.0;
+/// in a second would take one moment in which all engines are busy for most of a second. With 200 ms,
+/// gateways that had missed an idle period refused prompts while 0.84 was in use over a second.
+const SUSTAINED_STEP_MAX_MS: f64 = 100.0;
 
 /// Time in which the capacity is reduced by the share that is refused or too busy, in milliseconds.
 /// What came before the shortage was noticed must be served first, and all others are late until
@@ -76,6 +83,8 @@
     pub(super) admitted: f64,
     /// Share of the engines' time in use.
     pub(super) busy_share: f64,
+    /// Time until an engine begins with a prompt that arrives now, in milliseconds.
+    pub(super) wait_ms: f64,
     /// Share of what was to be sent to engines that they refused.
     pub(super) refused_share: f64,
     /// Whether one organisation asks for much more than usual, compared with the others.
@@ -93,6 +102,7 @@
     busy_share: f64,
     /// The same over [`SUSTAINED_MS`]; `None` before the first update.
     sustained_busy_share: Option<f64>,
+    wait_ms: f64,
     refused_share: f64,
     updated_ms: f64,
 }
@@ -104,6 +114,7 @@
             correction: 1.0,
             busy_share: 0.0,
             sustained_busy_share: None,
+            wait_ms: 0.0,
             refused_share: 0.0,
             updated_ms: now_ms,
         }
@@ -117,9 +128,10 @@
         self.busy_share += (strain.busy_share - self.busy_share) * step;
         self.sustain(elapsed_ms, strain.busy_share);
         self.refused_share += (strain.refused_share - self.refused_share) * step;
+        self.wait_ms += (strain.wait_ms - self.wait_ms) * step;
         let declared = strain.engine_time * USABLE_SHARE;
-        if self.is_short && strain.has_surge {
-            self.correct(elapsed_ms.min(CORRECTED_MAX_MS));
+        if self.is_short {
+            self.correct(elapsed_ms.min(CORRECTED_MAX_MS), strain.has_surge);
         } else {
             self.correction += (1.0 - self.correction) * (elapsed_ms / FORGET_MS).min(1.0);
         }
@@ -127,10 +139,7 @@
             true => self.lasts(declared, strain),
             false => self.begins(declared, strain),
         };
-        self.is_short.then_some(match strain.has_surge {
-            true => declared * self.correction,
-            false => bound(declared, strain),
-        })
+        self.is_short.then_some(declared * self.correction)
     }
 
     /// Follows the share of the engines' time in use. The first update takes it as it is.
@@ -177,13 +186,17 @@
         strain.asked > bound * END_SHARE && !has_room
     }
 
-    /// Admits less while engines refuse what was admitted or are too busy, and more while they have
-    /// room.
-    fn correct(&mut self, elapsed_ms: f64) {
+    /// Admits less while engines refuse what was admitted, are too busy (during a surge) or are waited
+    /// for too long (otherwise), and more while they have room.
+    fn correct(&mut self, elapsed_ms: f64, has_surge: bool) {
         let refused = (self.refused_share - REFUSED_SHARE).max(0.0);
+        let used = match has_surge {
+            true => self.busy_share - TARGET_BUSY_SHARE,
+            false => (self.wait_ms / ROOM_WAIT_MS - 1.0).clamp(-EXCESS_MAX, EXCESS_MAX),
+        };
         let excess = match refused > 0.0 {
-            true => refused.max(self.busy_share - TARGET_BUSY_SHARE),
-            false => self.busy_share - TARGET_BUSY_SHARE,
+            true => refused.max(used),
+            false => used,
         };
         let time_ms = if excess > 0.0 { REDUCE_MS } else { RAISE_MS };
         let change = (-excess * elapsed_ms / time_ms).exp();
--- a/crates/mgs-admission/tests/demand_shares.rs
+++ b/crates/mgs-admission/tests/demand_shares.rs
@@ -193,6 +193,7 @@
     let busy = EnginePressure {
         engines: 1,
         busy_share: 1.0,
+        wait_ms: 1_000.0,
     };
     let surge = OrganisationDemand {
         organisation: hash(0),
@@ -215,6 +216,7 @@
     let calm = EnginePressure {
         engines: 10,
         busy_share: 0.1,
+        wait_ms: 0.0,
     };
     let demand = OrganisationDemand {
         organisation: hash(0),
@@ -334,6 +336,7 @@
     let busy = EnginePressure {
         engines: 1,
         busy_share: 1.0,
+        wait_ms: 1_000.0,
     };
     for _ in 0..60 {
         let _ = shares.admit(20_000.0, hash(0), 50.0, 0.0);
@@ -348,6 +351,7 @@
     let calm = EnginePressure {
         engines: 1,
         busy_share: 0.75,
+        wait_ms: 0.0,
     };
     for step in 1..=60 {
         let now_ms = 20_000.0 + f64::from(step) * 50.0;
@@ -376,6 +380,7 @@
     let engines = EnginePressure {
         engines: 4,
         busy_share: 1.0,
+        wait_ms: 1_000.0,
     };
     shares.refresh(20_000.0, &engines);
     assert!(shares
--- a/crates/mgs-admission/tests/demand_shares_ordinary.rs
+++ b/crates/mgs-admission/tests/demand_shares_ordinary.rs
@@ -143,6 +143,7 @@
     let half_busy = EnginePressure {
         engines: 1,
         busy_share: 0.5,
+        wait_ms: 0.0,
     };
     for step in 0..10 {
         shares.refresh(20_000.0 + f64::from(step) * 50.0, &half_busy);
@@ -150,3 +151,35 @@
     let next = shares.admit(20_450.0, hash(0), 50.0, 0.99);
     assert_eq!(next.is_err(), is_refused, "{next:?}");
 }
+
+// Guards against refusals while engines have room for a prompt at once, against admitting more than
+// shares allow while prompts wait, and against a wait without a bound that is never forgotten.
+#[rstest]
+#[case::idle_engine(0.0, true)]
+#[case::wait(200.0, false)]
+#[case::no_slot(f64::INFINITY, false)]
+fn what_is_beyond_a_share_is_admitted_if_engines_have_room(
+    #[case] wait_ms: f64,
+    #[case] is_admitted: bool,
+) {
+    let mut shares = learned_shares(2);
+    let pressure = |wait_ms| EnginePressure {
+        engines: 1,
+        busy_share: 1.0,
+        wait_ms,
+    };
+    let mut play = |from_ms: f64, wait_ms: f64| {
+        for step in 0..30 {
+            let now_ms = from_ms + f64::from(step) * 50.0;
+            for _ in 0..10 {
+                let _ = shares.admit(now_ms, hash(0), 50.0, 0.0);
+            }
+            shares.refresh(now_ms, &pressure(wait_ms));
+        }
+        shares.admit(from_ms + 1_450.0, hash(0), 50.0, 0.99)
+    };
+    let next = play(20_000.0, wait_ms);
+    assert_eq!(next.is_ok(), is_admitted, "{next:?}");
+    let later = play(21_500.0, 0.0);
+    assert!(later.is_ok(), "{later:?}");
+}
--- a/crates/mgs-admission/tests/share_fleet/mod.rs
+++ b/crates/mgs-admission/tests/share_fleet/mod.rs
@@ -388,9 +388,11 @@
     /// What each gateway sees of the engines in its load table.
     fn pressure(&self) -> EnginePressure {
         let busy = self.engines.iter().filter(|until| **until > self.now_ms);
+        let free_first = self.engines.iter().copied().fold(f64::INFINITY, f64::min);
         EnginePressure {
             engines: self.engines.len(),
             busy_share: busy.count() as f64 / self.engines.len() as f64,
+            wait_ms: (free_first - self.now_ms).max(0.0),
         }
     }
 
--- a/crates/mgs-relay/src/organisation_shares.rs
+++ b/crates/mgs-relay/src/organisation_shares.rs
@@ -210,11 +210,15 @@
         };
         let with_engines = configuration.services.iter();
         let with_engines = with_engines.filter(|(_, service)| service.engine.is_some());
-        let mut pressure = EnginePressure::default();
+        let mut pressure = EnginePressure {
+            wait_ms: FULL_BACKLOG_MS,
+            ..EnginePressure::default()
+        };
         for (name, _) in with_engines {
             for endpoint in fleet.of_service(name).iter().filter(is_usable) {
                 pressure.engines += 1;
                 pressure.busy_share += self.busy_share(endpoint, now_ms);
+                pressure.wait_ms = pressure.wait_ms.min(self.wait_at_ms(endpoint, now_ms));
             }
         }
         pressure.busy_share /= pressure.engines.max(1) as f64;
@@ -231,6 +235,17 @@
         (recent.max(due) + slots_taken).min(1.0)
     }
 
+    /// Time until an engine begins with a prompt that arrives now, in milliseconds: the prefill that
+    /// is due there, and [`FULL_BACKLOG_MS`] without a free slot.
+    fn wait_at_ms(&self, endpoint: &Endpoint, now_ms: f64) -> f64 {
+        let load_table = self.load_table.borrow();
+        let running = load_table.load(endpoint.key).running();
+        match running < endpoint.facts.slots {
+            true => load_table.backlog_ms(endpoint.key, now_ms, 0.0).max(0.0),
+            false => FULL_BACKLOG_MS,
+        }
+    }
+
     /// The datagram with this gateway's demand; `None` while shares aren't in use or there is no
     /// demand.
     pub(crate) fn demand_datagram(&self) -> Option<Datagram> {
@@ -285,6 +300,7 @@
         capacity_ms_per_s = change.capacity as u64,
         engines = pressure.engines,
         busy_permille = (pressure.busy_share * 1e3) as u64,
+        wait_ms = pressure.wait_ms as u64,
         peers = peers;
         "whether engines are short for all organisations has changed"
     );
