feat(backpressure, relay): endpoints that have answered are preferred to those whose limits can't be known yet

Cause: until an endpoint's first answer, a process knows neither its limit nor a back-off, and sends it what arrives meanwhile. After a power loss of all hosts, each new process does.

Change: first_answers decides, from the endpoints that have answered and the requests in progress at the others. A further request goes to an endpoint before its first answer only if no other has room: for calls a free slot, for prompts a placement whose first token is on time. `placed` logs how many endpoints are awaited.

--- a/crates/mgs-backpressure/src/lib.rs
+++ b/crates/mgs-backpressure/src/lib.rs
@@ -9,12 +9,14 @@
 //! - [`share`]: how gateways divide a limit that applies to all of them together.
 //! - [`peer_update`]: what gateways exchange about limits.
 //! - [`warm_up`]: how many requests may be sent to an endpoint that has just started.
+//! - [`first_answers`]: which endpoints are preferred while the limits of others aren't known.
 //! - [`table`]: the state of all endpoints at one gateway, and whether a request may be sent now.
 
 #![deny(missing_docs)]
 #![forbid(unsafe_code)]
 
 pub mod advice;
+pub mod first_answers;
 mod limit;
 pub mod options;
 pub mod peer_update;
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -112,6 +112,9 @@
         head: &response::Parts,
         sent_ms: f64,
     ) {
+        self.first_answers
+            .borrow_mut()
+            .record_answer(incarnation(endpoint));
         let mut advice = self.dialect.advice(client_request, head);
         if !self.has_warm_up_limit(endpoint) {
             advice.cold_ms = Field::Unknown;
@@ -327,6 +330,9 @@
         table.expire(self.now_ms(), |incarnation| {
             by_hash.contains_key(&incarnation.0)
         });
+        self.first_answers
+            .borrow_mut()
+            .retain_listed(|incarnation| by_hash.contains_key(&incarnation.0));
     }
 }
 
--- a/crates/mgs-relay/src/core.rs
+++ b/crates/mgs-relay/src/core.rs
@@ -9,6 +9,7 @@
 use std::rc::Rc;
 use std::sync::Arc;
 
+use mgs_backpressure::first_answers::FirstAnswers;
 use mgs_backpressure::table::Backpressure;
 use mgs_fleet::view::EndpointKey;
 use mgs_placing::length_counts::LengthBand;
@@ -102,6 +103,8 @@
     /// Rate limits, pauses and shutdown notices that endpoints ask their senders to observe.
     pub(crate) backpressure: RefCell<Backpressure>,
     pub(crate) warm_up: WarmUpState,
+    /// Which endpoints have answered this process.
+    pub(crate) first_answers: RefCell<FirstAnswers>,
     /// Budget of retries.
     pub(crate) budget: RefCell<RetryBudget>,
     /// Demand of organisations, and their shares when engines are short.
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -39,6 +39,7 @@
 pub mod evacuation_state;
 mod event_splitter;
 mod fault;
+mod first_answers;
 pub mod follow;
 pub mod freshness;
 pub mod gateway_count;
--- a/crates/mgs-relay/src/place.rs
+++ b/crates/mgs-relay/src/place.rs
@@ -21,6 +21,7 @@
 use crate::dialect::Helper;
 use crate::fault::Fault;
 use crate::fault::Refusal;
+use crate::first_answers::InProgress;
 use crate::load_guard::LoadGuard;
 use crate::place_log;
 use crate::reservations::Reservations;
@@ -40,6 +41,8 @@
     pub(crate) helpers: Vec<Helper>,
     pub(crate) helper_keys: Vec<EndpointKey>,
     pub(crate) load_guard: LoadGuard,
+    /// Kept until the request ends or is placed elsewhere.
+    pub(crate) _in_progress: InProgress,
     /// Kept until the request ends or is dispatched elsewhere.
     pub(crate) reservations: Reservations,
     /// Predicted time to the first token, in milliseconds; 0 without a prediction.
@@ -127,6 +130,8 @@
         return Err(blocked.refusal(&present, request_id));
     }
     let mut endpoints = eligible_endpoints(core, &allowed, tried);
+    let awaited = core.awaited_endpoints(&endpoints, |endpoint| has_free_slot(core, endpoint));
+    endpoints.retain(|endpoint| !awaited.contains(&endpoint.key));
     core.put_cold_last(&mut endpoints);
     let candidate = |endpoint: &Arc<Endpoint>| plain::Candidate {
         key: endpoint.key,
@@ -145,6 +150,7 @@
         running_calls = core.load_table.borrow().load(endpoint.key).calls,
         usable_endpoints = candidates.len(),
         shut_endpoints = present.len() - allowed.len(),
+        awaited_endpoints = awaited.len(),
         tried = tried.len(),
         fleet_age_ms = core.published.fleet_age_ms().unwrap_or(u64::MAX);
         "placed"
@@ -159,6 +165,7 @@
         helpers: Vec::new(),
         helper_keys: Vec::new(),
         load_guard,
+        _in_progress: InProgress::begin(core, endpoint),
         reservations: Reservations::none(core),
         first_token_ms: 0.0,
         hold_ms: 0.0,
@@ -166,6 +173,11 @@
     })
 }
 
+fn has_free_slot(core: &Core, endpoint: &Endpoint) -> bool {
+    let calls = core.load_table.borrow().load(endpoint.key).calls;
+    u32::from(calls) < endpoint.facts.slots
+}
+
 pub(crate) fn no_endpoint() -> Refusal {
     Refusal::after(Fault::NoEndpoint, RETRY_AFTER_NO_ENDPOINT_MS)
 }
@@ -209,13 +221,29 @@
         place_log::placed(core, prompt.request_id, &ready);
         let (need, placement, fleet) = (ready.need, ready.placement, ready.fleet);
         let load_guard = take_load_guard(prompt, &need, &placement);
+        let lead = fleet.by_key.get(&placement.lead).ok_or_else(no_endpoint)?;
+        let in_progress = InProgress::begin(core, lead);
         if placement.reservations.is_empty() {
             let none = Reservations::none(core);
-            return placed_request(&fleet, placement, load_guard, none);
+            return Ok(placed_request(
+                &fleet,
+                lead,
+                placement,
+                load_guard,
+                in_progress,
+                none,
+            ));
         }
         if let Some(taken) = Reservations::reserve_all(core, &fleet, &placement.reservations).await
         {
-            return placed_request(&fleet, placement, load_guard, taken);
+            return Ok(placed_request(
+                &fleet,
+                lead,
+                placement,
+                load_guard,
+                in_progress,
+                taken,
+            ));
         }
         // An engine that refused has less memory free than the load table shows.
         avoided.push(placement.lead);
@@ -266,12 +294,13 @@
 
 fn placed_request(
     fleet: &Fleet,
+    lead: &Arc<Endpoint>,
     placement: Placement,
     load_guard: LoadGuard,
+    in_progress: InProgress,
     reservations: Reservations,
-) -> Result<PlacedRequest, Refusal> {
+) -> PlacedRequest {
     let address_of = |key: &EndpointKey| fleet.by_key.get(key).map(|e| e.facts.address);
-    let first = fleet.by_key.get(&placement.lead).ok_or_else(no_endpoint)?;
     // Engines fill reservations in this order, so the helpers that hold them come first, as placed.
     let addresses: Vec<SocketAddr> = placement.helpers.iter().filter_map(address_of).collect();
     let helper = |address: SocketAddr| Helper {
@@ -279,14 +308,15 @@
         reservation: reservations.id_at(address),
     };
     let helpers = addresses.into_iter().map(helper).collect();
-    Ok(PlacedRequest {
-        endpoint: first.clone(),
+    PlacedRequest {
+        endpoint: lead.clone(),
         helpers,
         helper_keys: placement.helpers,
         load_guard,
+        _in_progress: in_progress,
         reservations,
         first_token_ms: placement.first_token_ms,
         hold_ms: placement.hold_ms,
         permit: Permit::default(),
-    })
+    }
 }
--- a/crates/mgs-relay/src/place_log.rs
+++ b/crates/mgs-relay/src/place_log.rs
@@ -135,6 +135,7 @@
         harm_milliunits = (placement.harm_units * 1e3) as u64,
         room = placement.snapshot.engines_for_long,
         usable_engines = placement.snapshot.engines,
+        awaited_endpoints = core.first_answers.borrow().awaited_endpoints(),
         engines_with_short_streams = placement.snapshot.with_short_streams,
         engines_with_other_streams = placement.snapshot.with_other_streams,
         engines_without_reading = placement.snapshot.without_prefill,
--- a/crates/mgs-relay/src/relay.rs
+++ b/crates/mgs-relay/src/relay.rs
@@ -193,6 +193,7 @@
         helpers: RefCell::new(HelperRefusals::default()),
         backpressure: RefCell::new(Backpressure::new(options.backpressure.clone())),
         warm_up: WarmUpState::default(),
+        first_answers: RefCell::default(),
         budget: RefCell::new(RetryBudget::started_at(started_ms)),
         shares: RefCell::new(OrganisationShares::default()),
         endpoint_probes: RefCell::new(EndpointProbes::default()),
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -256,6 +256,9 @@
     pub warm_up: warm_up::Bounds,
     /// Whether organisations are held to shares when engines are short, if there are organisations.
     pub organisation_shares: bool,
+    /// Whether endpoints that have answered this process, and those that have none of its requests,
+    /// are preferred.
+    pub prefer_answered: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -290,29 +290,49 @@
     };
     let all: Vec<Candidate> = endpoints.iter().map(candidate).collect();
     register_pass_times(core, &all, prompt.model);
-    let field = ZoneCandidates {
-        own_zone: &all[..near],
-        all: &all,
-    };
     let load_table = core.load_table.borrow();
     let options = &core.options.placing;
     let (draw, now_ms) = (core.random_unit(), core.now_ms());
-    let chosen = place_prompt(
-        need,
-        &field,
-        &load_table,
-        prompt.model,
-        options,
-        draw,
-        now_ms,
-    );
-    chosen.map_err(|error| {
+    let place_among = |all: &[Candidate]| {
+        let field = ZoneCandidates {
+            own_zone: &all[..near],
+            all,
+        };
+        place_prompt(
+            need,
+            &field,
+            &load_table,
+            prompt.model,
+            options,
+            draw,
+            now_ms,
+        )
+    };
+    let awaited = core.awaited_endpoints(&endpoints, |endpoint| !blocked.contains(endpoint));
+    if !awaited.is_empty() {
+        let preferred = without_leads(&all, &awaited);
+        let chosen = place_among(&preferred).ok();
+        let in_time = |c: &ScopedPlacement| c.placement.first_token_ms <= need.ttft_left_ms;
+        if let Some(chosen) = chosen.filter(in_time) {
+            return Ok(chosen);
+        }
+    }
+    place_among(&all).map_err(|error| {
         let refusal = refusal_for(error);
         place_log::not_placed(prompt, need, all.len(), &error, &refusal);
         refusal
     })
 }
 
+/// The candidates, of which `others` may only help.
+fn without_leads(candidates: &[Candidate], others: &HashSet<EndpointKey>) -> Vec<Candidate> {
+    let restricted = |candidate: &Candidate| Candidate {
+        can_lead: candidate.can_lead && !others.contains(&candidate.key),
+        ..*candidate
+    };
+    candidates.iter().map(restricted).collect()
+}
+
 /// Endpoints among these that shouldn't be asked to help.
 fn refusing_help(core: &Core, endpoints: &[Arc<Endpoint>]) -> HashSet<EndpointKey> {
     let helpers = core.helpers.borrow();
