--- a/crates/mgs-backpressure/src/limit.rs
+++ b/crates/mgs-backpressure/src/limit.rs
@@ -10,6 +10,9 @@
 use crate::share::Gateways;
 use crate::table::IncarnationHash;
 
+/// Requests that may be sent when a limit becomes known.
+const FIRST_REQUESTS: f64 = 1.0;
+
 /// An allocation and how long it is valid.
 #[derive(Debug, Clone, Copy)]
 struct CachedAllocation {
@@ -25,6 +28,8 @@
     latest: Option<LimitUpdate>,
     /// Whether this gateway got `latest` from the endpoint rather than from a peer.
     is_first_hand: bool,
+    /// When a limit became known that follows none, in milliseconds.
+    limited_since_ms: f64,
     /// Requests that this gateway has sent under the limit.
     sent_requests: u32,
     /// Requests that other gateways report to have sent under it, by their incarnations.
@@ -44,7 +49,12 @@
     }
 
     /// Applies an update if it is newer than the known one. Returns whether the limit changes.
-    pub(crate) fn apply_update(&mut self, update: LimitUpdate, is_first_hand: bool) -> bool {
+    pub(crate) fn apply_update(
+        &mut self,
+        update: LimitUpdate,
+        is_first_hand: bool,
+        now_ms: f64,
+    ) -> bool {
         if self
             .latest
             .is_some_and(|latest| !update.supersedes(&latest))
@@ -52,6 +62,9 @@
             return false;
         }
         let is_changed = update.per_s != self.per_s();
+        if self.per_s().is_none() {
+            self.limited_since_ms = now_ms;
+        }
         self.latest = Some(update);
         self.is_first_hand = is_first_hand;
         if is_changed {
@@ -114,6 +127,19 @@
         true
     }
 
+    /// Records a request that was sent at `sent_ms` without being counted if no limit was known
+    /// then. Returns whether it counts against a limit.
+    pub(crate) fn record_sent_before(&mut self, sent_ms: f64) -> bool {
+        if sent_ms >= self.limited_since_ms || self.per_s().is_none() {
+            return false;
+        }
+        if self.refilled_ms.is_none() {
+            self.refilled_ms = Some(self.limited_since_ms);
+            self.available_requests = FIRST_REQUESTS;
+        }
+        self.record_sent()
+    }
+
     fn allocation(
         &mut self,
         incarnation: IncarnationHash,
@@ -145,7 +171,7 @@
     fn refill(&mut self, limit_per_s: f64, allocation: &Allocation, context: &SharingContext<'_>) {
         let now_ms = context.now_ms;
         let Some(refilled_ms) = self.refilled_ms.replace(now_ms) else {
-            self.available_requests = 1.0;
+            self.available_requests = FIRST_REQUESTS;
             return;
         };
         let per_s = limit_per_s.max(context.options.min_per_s) * allocation.share;
--- a/crates/mgs-backpressure/src/table.rs
+++ b/crates/mgs-backpressure/src/table.rs
@@ -234,6 +234,38 @@
         changes.chain(cold).collect()
     }
 
+    /// Counts an answered request that was sent at `sent_ms` against the limit of its endpoint, if
+    /// no limit was known then. Without this, the gateways of a fleet that starts together would
+    /// use the whole limit on top of what they have sent before their first answers. Returns
+    /// whether peers should be told.
+    ///
+    /// ```
+    /// use mgs_backpressure::advice::Advice;
+    /// use mgs_backpressure::advice::Field;
+    /// use mgs_backpressure::options::Options;
+    /// use mgs_backpressure::share::Gateways;
+    /// use mgs_backpressure::table::Backpressure;
+    /// use mgs_backpressure::table::IncarnationHash;
+    ///
+    /// let mut table = Backpressure::new(Options::default());
+    /// table.set_gateways(Gateways { count: Some(1), ..Gateways::default() });
+    /// let limit = Advice { limit_per_s: Field::Value(1.0), ..Advice::default() };
+    /// table.apply_advice(IncarnationHash(7), limit, 0.0, 20.0);
+    /// assert!(table.record_uncounted(IncarnationHash(7), 0.0));
+    /// assert!(table.permit(IncarnationHash(7), 30.0).is_err());
+    /// assert!(!table.record_uncounted(IncarnationHash(7), 30.0));
+    /// ```
+    pub fn record_uncounted(&mut self, incarnation: IncarnationHash, sent_ms: f64) -> bool {
+        let Some(state) = self.states.get_mut(&incarnation) else {
+            return false;
+        };
+        let is_counted = state.limit.record_sent_before(sent_ms);
+        if is_counted {
+            state.sent_to_peers_ms = None;
+        }
+        is_counted
+    }
+
     /// Applies an update from a peer.
     pub fn apply_peer_update(
         &mut self,
@@ -247,7 +279,7 @@
         state.limit.record_peer_sent(peer, update.sent_requests);
         state.is_leaving |= update.is_leaving;
         if let Some(limit) = update.limit {
-            state.limit.apply_update(limit, false);
+            state.limit.apply_update(limit, false, now_ms);
         }
     }
 
@@ -436,7 +468,8 @@
             Field::Unknown => return None,
             Field::Invalid => return self.report_invalid(AdviceChange::InvalidLimit),
         };
-        if !self.limit.apply_update(LimitUpdate { per_s, at_ms }, true) {
+        let update = LimitUpdate { per_s, at_ms };
+        if !self.limit.apply_update(update, true, now_ms) {
             return None;
         }
         self.sent_to_peers_ms = None;
--- a/crates/mgs-backpressure/tests/table.rs
+++ b/crates/mgs-backpressure/tests/table.rs
@@ -54,6 +54,31 @@
         .count()
 }
 
+/// Guards against gateways that use a whole limit on top of what they sent before they knew it.
+#[test]
+fn requests_sent_before_the_limit_was_known_count_against_it() {
+    let mut table = single_gateway();
+    table.apply_advice(INCARNATION, limit(2.0), 0.0, 150.0);
+    assert!(table.record_uncounted(INCARNATION, 0.0));
+    table.apply_advice(INCARNATION, limit(2.0), 10.0, 160.0);
+    assert!(table.record_uncounted(INCARNATION, 10.0));
+    // Of the one request that may be sent when the limit becomes known, two are used.
+    assert_eq!(accepted_requests(&mut table, 640.0), 0);
+    assert_eq!(accepted_requests(&mut table, 1_160.0), 1);
+    let updates = table.take_peer_updates(true, 1_200.0);
+    assert_eq!(updates[0].1.sent_requests, 3);
+}
+
+#[test]
+fn a_request_that_was_counted_when_it_was_sent_is_not_counted_again() {
+    let mut table = single_gateway();
+    assert!(!table.record_uncounted(INCARNATION, 0.0));
+    table.apply_advice(INCARNATION, limit(2.0), 0.0, 150.0);
+    assert_eq!(accepted_requests(&mut table, 160.0), 1);
+    table.apply_advice(INCARNATION, limit(2.0), 160.0, 310.0);
+    assert!(!table.record_uncounted(INCARNATION, 160.0));
+}
+
 #[test]
 fn a_limit_applies_until_a_response_lacks_it() {
     let mut table = single_gateway();
--- a/crates/mgs-relay/src/advice.rs
+++ b/crates/mgs-relay/src/advice.rs
@@ -122,6 +122,10 @@
         let time = self.check_time();
         let mut table = self.backpressure.borrow_mut();
         let mut changes = table.apply_advice(incarnation(endpoint), advice, sent_ms, time.now_ms);
+        let prefers_answered = self.published.live_settings().prefer_answered;
+        if prefers_answered && table.record_uncounted(incarnation(endpoint), sent_ms) {
+            self.broadcast_wanted.notify_one();
+        }
         if let Field::Value(cold_ms) = advice.cold_ms {
             let warm_up = table.warm_up();
             if warm_up.extend_cold(incarnation(endpoint), cold_ms, time.boot_ms) {
