--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -260,6 +260,9 @@
     pub shared_speeds: bool,
     /// Whether prompts that can't be served are refused at arrival, however few gateways there are.
     pub refusal_at_arrival: bool,
+    /// Whether endpoints that have answered this process, and those that have none of its requests,
+    /// are preferred.
+    pub prefer_answered: bool,
 }
 
 /// The state that the thread following the store publishes and the serving thread reads.
