relay: refusal at arrival only where the settings list the contract pressure

Cause: the estimate takes engines for busier than they are in ordinary times, so late answers that would have come are refused, and clients that return are refused again.

--- a/crates/mgs-relay/src/arrival_refusal.rs
+++ b/crates/mgs-relay/src/arrival_refusal.rs
@@ -41,13 +41,10 @@
 }
 
 impl Core {
-    /// Whether prompts are refused at arrival: the settings ask for it, or so many gateways share the
-    /// engines that each sees little of the queue. Forgets all figures otherwise, since they would be
+    /// Whether prompts are refused at arrival. Forgets all figures otherwise, since they would be
     /// outdated later.
     fn refuses_at_arrival(&self) -> bool {
-        let gateways_min = self.options.placing.near_gateways_min;
-        let is_on = self.published.live_settings().refusal_at_arrival
-            || self.gateway_count.borrow().heard_gateways() >= gateways_min;
+        let is_on = self.published.live_settings().refusal_at_arrival;
         if !is_on {
             self.arrival_demand.borrow_mut().demand = None;
         }
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -258,7 +258,7 @@
     pub organisation_shares: bool,
     /// Whether speeds of engines are estimated from what all gateways observe.
     pub shared_speeds: bool,
-    /// Whether prompts that can't be served are refused at arrival, however few gateways there are.
+    /// Whether prompts that can't be served are refused at arrival.
     pub refusal_at_arrival: bool,
     /// Whether endpoints that have answered this process, and those that have none of its requests,
     /// are preferred.
