refactor(tests): one play of a load that begins after usual costs are learned

The new test of all prompts together repeated it and its times from the tests of shares; both call share_fleet now, and the third test takes its learning time from there.

--- a/crates/mgs-admission/tests/demand_shares.rs
+++ b/crates/mgs-admission/tests/demand_shares.rs
@@ -21,19 +21,17 @@
 use share_fleet::jain_index;
 use share_fleet::learned_shares;
 use share_fleet::others_on_time;
+use share_fleet::outcomes_under;
 use share_fleet::print_outcomes;
 use share_fleet::usual_load_share;
 use share_fleet::Conditions;
 use share_fleet::Fleet;
 use share_fleet::Outcomes;
 use share_fleet::GATEWAYS;
+use share_fleet::LEARN_S;
+use share_fleet::MEASURE_S;
 use share_fleet::ORGANISATIONS;
-
-/// Time in which gateways learn usual costs, in seconds.
-const LEARN_S: f64 = 40.0;
-/// Time that a shortage lasts before outcomes count, in seconds: the shares need about one.
-const SETTLE_S: f64 = 2.0;
-const MEASURE_S: f64 = 40.0;
+use share_fleet::SETTLE_S;
 
 /// Most that the on-time share of the others may fall beside one organisation's surge.
 const LOSS_MAX: f64 = 0.03;
@@ -46,19 +44,6 @@
     load
 }
 
-/// Outcomes under a load that begins after the gateways have learned the usual one.
-fn outcomes_under(
-    seed: u64,
-    conditions: Conditions,
-    load: [f64; ORGANISATIONS],
-) -> [Outcomes; ORGANISATIONS] {
-    let mut fleet = Fleet::new(seed, conditions);
-    fleet.run(LEARN_S);
-    fleet.conditions.load = load;
-    fleet.run(SETTLE_S);
-    fleet.run(MEASURE_S)
-}
-
 fn share_refusals(outcomes: &[Outcomes; ORGANISATIONS]) -> f64 {
     outcomes.iter().map(|row| row.share_refusals).sum()
 }
--- a/crates/mgs-admission/tests/demand_shares_ordinary.rs
+++ b/crates/mgs-admission/tests/demand_shares_ordinary.rs
@@ -15,11 +15,9 @@
 use share_fleet::usual_load_share;
 use share_fleet::Conditions;
 use share_fleet::Fleet;
+use share_fleet::LEARN_S;
 use share_fleet::ORGANISATIONS;
 
-/// Time in which gateways learn usual costs, in seconds.
-const LEARN_S: f64 = 40.0;
-
 /// Engines of the first deployment, and those that are left without a third of them.
 const ENGINES: usize = 69;
 const ENGINES_LEFT: usize = 46;
--- a/crates/mgs-admission/tests/demand_shares_together.rs
+++ b/crates/mgs-admission/tests/demand_shares_together.rs
@@ -8,18 +8,11 @@
 
 use rstest::rstest;
 use share_fleet::on_time;
+use share_fleet::outcomes_under;
 use share_fleet::usual_load_share;
 use share_fleet::Conditions;
-use share_fleet::Fleet;
-use share_fleet::Outcomes;
 use share_fleet::ORGANISATIONS;
 
-/// Time in which gateways learn usual costs, in seconds.
-const LEARN_S: f64 = 40.0;
-/// Time that a load lasts before outcomes count, in seconds: the shares need about one.
-const SETTLE_S: f64 = 2.0;
-const MEASURE_S: f64 = 40.0;
-
 /// Most that the on-time share of all prompts may be lower with shares than without.
 const LOSS_MAX: f64 = 0.01;
 
@@ -37,18 +30,6 @@
     assert!(with >= without - LOSS_MAX, "{title}: {with} {without}");
 }
 
-fn outcomes_under(
-    seed: u64,
-    conditions: Conditions,
-    load: [f64; ORGANISATIONS],
-) -> [Outcomes; ORGANISATIONS] {
-    let mut fleet = Fleet::new(seed, conditions);
-    fleet.run(LEARN_S);
-    fleet.conditions.load = load;
-    fleet.run(SETTLE_S);
-    fleet.run(MEASURE_S)
-}
-
 // Guards against a surge that is refused although engines would have served it on time.
 #[rstest]
 fn a_surge_costs_all_prompts_together_nothing(
--- a/crates/mgs-admission/tests/share_fleet/mod.rs
+++ b/crates/mgs-admission/tests/share_fleet/mod.rs
@@ -464,3 +464,25 @@
         );
     }
 }
+
+/// Time in which gateways learn usual costs, in seconds.
+pub(crate) const LEARN_S: f64 = 40.0;
+
+/// Time that a load lasts before outcomes count, in seconds: the shares need about one.
+pub(crate) const SETTLE_S: f64 = 2.0;
+
+/// Time over which outcomes are counted, in seconds.
+pub(crate) const MEASURE_S: f64 = 40.0;
+
+/// Outcomes under a load that begins after the gateways have learned the usual one.
+pub(crate) fn outcomes_under(
+    seed: u64,
+    conditions: Conditions,
+    load: [f64; ORGANISATIONS],
+) -> [Outcomes; ORGANISATIONS] {
+    let mut fleet = Fleet::new(seed, conditions);
+    fleet.run(LEARN_S);
+    fleet.conditions.load = load;
+    fleet.run(SETTLE_S);
+    fleet.run(MEASURE_S)
+}
