--- /dev/null
+++ b/review/standin/relay.rs
@@ -0,0 +1,87 @@
+//! Starts `marigoldstage relay` as the deploy file does, on a loopback address of its own, and ends it.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::process::Child;
+use std::process::Command;
+use std::process::Stdio;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::Connection;
+
+pub struct Relay {
+    pub child: Child,
+    pub client: SocketAddr,
+    pub ready: SocketAddr,
+}
+
+impl Drop for Relay {
+    fn drop(&mut self) {
+        let _ = self.child.kill();
+        let _ = self.child.wait();
+    }
+}
+
+/// A loopback network of this run, such as `127.91.7`, so that runs don't share addresses.
+pub fn network() -> String {
+    let id = std::process::id();
+    format!("127.{}.{}", 64 + id / 250 % 128, 1 + id % 250)
+}
+
+fn free_port(ip: &str) -> u16 {
+    let listener = TcpListener::bind((ip, 0)).expect("a free port");
+    listener.local_addr().expect("an address").port()
+}
+
+impl Relay {
+    /// Starts the relay of one host and waits until it reports that it is ready.
+    pub fn start(folder: &Path, name: &str, zone: &str, ip: &str, peers: &[String], store: SocketAddr) -> Self {
+        let (client, ready, control) = (free_port(ip), free_port(ip), free_port(ip));
+        let (peer, seeds) = (7340, peers.iter().map(|ip| format!("\"{ip}:{control}\"")));
+        let seeds: Vec<String> = seeds.collect();
+        let text = format!(
+            "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\nserves = [\"front\",\"control\"]\n\
+             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"brasov\"\ninternalPortRange = [{peer},{}]\n\
+             seedNodes = [{}]\ninitialBoot = true\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n\
+             contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"spans\"]\n\
+             [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\ncontrol = \"{ip}:{control}\"\n\
+             [limits]\ncpuShare = 0.19\ncpuCores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n\
+             [bounds]\nstableWindowMs = 3000\ndrainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\n\
+             rollbackSlackMs = 250\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtraRetries = 104\nrecoveryS = 12\n\
+             passMs = 120\nstall_ms = 1500\nholdMaxMs = 20000\nfreeMs = 4000\nidleMaxMs = 9000\n\
+             [platformSettings]\naddress = \"{store}\"\nform = \"table\"\nwritesPerS = 400\nreadsPerS = 2000\n",
+            peer + 15,
+            seeds.join(",")
+        );
+        let settings = folder.join(format!("{name}.toml"));
+        std::fs::write(&settings, text).expect("a settings file");
+        let log = std::fs::File::create(folder.join(format!("{name}.log"))).expect("a log file");
+        let child = Command::new("target/release/marigoldstage")
+            .arg("relay")
+            .env("MARIGOLDSTAGE_BOOT", &settings)
+            .stdin(Stdio::null())
+            .stdout(log.try_clone().expect("a log file"))
+            .stderr(log)
+            .spawn()
+            .expect("the relay");
+        let address = |port| SocketAddr::new(ip.parse().expect("an address"), port);
+        let relay = Self { child, client: address(client), ready: address(ready) };
+        let start = Instant::now();
+        while relay.readiness() != 200 {
+            assert!(start.elapsed() < Duration::from_secs(10), "{name} isn't ready");
+            std::thread::sleep(Duration::from_millis(20));
+        }
+        relay
+    }
+
+    /// Status of the readiness check; 0 without a response.
+    pub fn readiness(&self) -> u16 {
+        let Some(mut connection) = Connection::open(self.ready, Duration::from_millis(500)) else {
+            return 0;
+        };
+        connection.write(b"GET /readiness HTTP/1.1\r\nHost: ready\r\nConnection: close\r\n\r\n");
+        connection.read_response().map_or(0, |response| response.status())
+    }
+}
--- /dev/null
+++ b/review/standin/silent_channel.rs
@@ -0,0 +1,177 @@
+//! A worker leaves, without a status report of its leaving, a little over `stableWindowMs` after the open connections to
+//! the store have gone silent.
+
+use std::net::SocketAddr;
+use std::net::TcpListener;
+use std::path::Path;
+use std::sync::atomic::AtomicBool;
+use std::sync::atomic::Ordering;
+use std::sync::Arc;
+use std::sync::Mutex;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use crate::http::Connection;
+use crate::relay::network;
+use crate::relay::Relay;
+use crate::store::Store;
+use crate::Outcome;
+use crate::Record;
+
+const DRAIN_MS: u64 = 2_000;
+const STABLE_WINDOW_MS: u64 = 3_000;
+
+/// Requesters of each host; each sends a request, waits for its answer and pauses.
+const REQUESTERS: usize = 4;
+const PAUSE: Duration = Duration::from_millis(40);
+
+/// A worker of an application service, with the times and identifiers of the requests that reached it.
+struct Worker {
+    id: String,
+    address: SocketAddr,
+    arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
+}
+
+impl Worker {
+    fn start(ip: &str, id: &str) -> Self {
+        let listener = TcpListener::bind((ip, 0)).expect("a free port");
+        let address = listener.local_addr().expect("an address");
+        let arrivals: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
+        let (own_id, seen) = (id.to_string(), arrivals.clone());
+        thread::spawn(move || {
+            for stream in listener.incoming().flatten() {
+                let (id, seen) = (own_id.clone(), seen.clone());
+                thread::spawn(move || answer(Connection::new(stream), &id, &seen));
+            }
+        });
+        Self { id: id.to_string(), address, arrivals }
+    }
+
+    fn entry(&self) -> String {
+        format!(
+            "{{\"service\":\"shop-app\",\"address\":\"{}\",\"zone\":\"hala-nord\",\"version\":\"v1\",\"slots\":6,\
+             \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}}",
+            self.address
+        )
+    }
+}
+
+fn answer(mut connection: Connection, id: &str, seen: &Mutex<Vec<(Instant, String)>>) {
+    while let Some(request) = connection.read_request() {
+        let request_id = request.header("request-id").unwrap_or("").to_string();
+        if request.header("expect-instance").is_some_and(|expected| expected != id) {
+            connection.write(b"HTTP/1.1 421 Misdirected Request\r\nContent-Length: 0\r\n\r\n");
+            continue;
+        }
+        seen.lock().unwrap().push((Instant::now(), request_id.clone()));
+        thread::sleep(Duration::from_millis(15));
+        let head = format!(
+            "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: {id}.1\r\nContent-Length: 7\r\n\r\nlooked\n"
+        );
+        if !connection.write(head.as_bytes()) {
+            return;
+        }
+    }
+}
+
+const CONFIG: &str = "{\"version\":7,\"routes\":[{\"name\":\"lookup\",\"host\":\"shop.example\",\"pathPrefix\":\"/lookup/\",\
+    \"kind\":\"idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":100,\"priority\":2,\"service\":\"shop-app\",\
+    \"maxAttempts\":2,\"public\":false}],\"services\":[{\"name\":\"shop-app\",\"healthPath\":\"/health\",\
+    \"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\
+    \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\
+    \"tenants\":[{\"name\":\"depot\",\"apiKeys\":[\"key-1\"],\"priority\":1}]}";
+
+fn send_requests(host: usize, requester: usize, address: SocketAddr, record: &Record, is_over: &AtomicBool) {
+    let mut number = 0;
+    while !is_over.load(Ordering::SeqCst) {
+        number += 1;
+        let id = format!("h{host}r{requester}n{number}");
+        let text = format!(
+            "GET /lookup/{number} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 600\r\n\
+             Credential: key-1\r\n\r\n"
+        );
+        let sent = Instant::now();
+        let status = Connection::open(address, Duration::from_secs(1))
+            .and_then(|mut connection| {
+                connection.write(text.as_bytes());
+                connection.read_response()
+            })
+            .map_or(0, |response| response.status());
+        record.line_at(sent, &format!("sent {id} to host {host}, answered {status}"));
+        thread::sleep(PAUSE);
+    }
+}
+
+pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Outcome {
+    let net = network();
+    let store = Store::start(&format!("{net}.200"));
+    let workers: Vec<Worker> = (1..=3).map(|n| Worker::start(&format!("{net}.{}", 100 + n), &format!("i-{n}"))).collect();
+    store.write("op", "config", Some(CONFIG));
+    for worker in &workers {
+        store.write("servers", &worker.id, Some(&worker.entry()));
+    }
+    let ips: Vec<String> = (1..=2).map(|n| format!("{net}.{n}")).collect();
+    let relays: Vec<Relay> = ips
+        .iter()
+        .enumerate()
+        .map(|(n, ip)| Relay::start(scratch, &format!("front-{}", n + 1), "hala-nord", ip, &ips, store.address))
+        .collect();
+    let is_over = Arc::new(AtomicBool::new(false));
+    let mut requesters = Vec::new();
+    for (host, relay) in relays.iter().enumerate() {
+        for requester in 0..REQUESTERS {
+            let (address, record, is_over) = (relay.client, record.clone(), is_over.clone());
+            requesters.push(thread::spawn(move || send_requests(host + 1, requester, address, &record, &is_over)));
+        }
+    }
+    thread::sleep(Duration::from_secs(6));
+
+    let silent_at = silence(record, &store, has_trouble);
+    let leave_at = silent_at + Duration::from_millis(STABLE_WINDOW_MS + 50);
+    thread::sleep(leave_at.saturating_duration_since(Instant::now()));
+    let leaver = &workers[2];
+    let accepted = store.write("servers", &leaver.id, None);
+    record.line_at(accepted, &format!("the store has accepted that {} is gone; it serves on", leaver.id));
+    thread::sleep(Duration::from_millis(DRAIN_MS + 3_000));
+    is_over.store(true, Ordering::SeqCst);
+    for requester in requesters {
+        let _ = requester.join();
+    }
+
+    let mut late = 0;
+    for worker in &workers {
+        for (at, id) in worker.arrivals.lock().unwrap().iter() {
+            record.line_at(*at, &format!("{id} reached {}", worker.id));
+            let is_late = worker.id == leaver.id && *at > accepted + Duration::from_millis(DRAIN_MS);
+            late += u32::from(is_late);
+        }
+    }
+    let arrivals = leaver.arrivals.lock().unwrap();
+    let last_ms = arrivals.last().map_or(0, |(at, _)| at.saturating_duration_since(accepted).as_millis());
+    record.line(&format!(
+        "{late} requests reached {} later than {DRAIN_MS} ms after its leaving was accepted; the last after {last_ms} ms",
+        leaver.id
+    ));
+    assert!(!arrivals.is_empty(), "no request reached the worker that leaves");
+    match late {
+        0 => Outcome::Held,
+        _ => Outcome::Broken,
+    }
+}
+
+/// Makes the open connections to the store silent, just after a host has sent a call that waits for changes of the
+/// workers; returns when.
+fn silence(record: &Record, store: &Store, has_trouble: bool) -> Instant {
+    let since = Instant::now();
+    let is_wait = |target: &str| target.contains("table=servers") && !target.contains("waitMs=0");
+    while !store.targets_since(since).iter().any(|target| is_wait(target)) {
+        thread::sleep(Duration::from_millis(5));
+    }
+    thread::sleep(Duration::from_millis(20));
+    if has_trouble {
+        store.silence_connections();
+        record.line("the open connections to the store are silent from now on; new ones work");
+    }
+    Instant::now()
+}
