--- a/review/standin/relay.rs
+++ b/review/standin/relay.rs
@@ -30,17 +30,18 @@
     format!("127.{}.{}", 64 + id / 250 % 128, 1 + id % 250)
 }
 
-fn free_port(ip: &str) -> u16 {
-    let listener = TcpListener::bind((ip, 0)).expect("a free port");
-    listener.local_addr().expect("an address").port()
+/// Ports that were free at the same time.
+fn free_ports<const N: usize>(ip: &str) -> [u16; N] {
+    let listeners = [(); N].map(|()| TcpListener::bind((ip, 0)).expect("a free port"));
+    listeners.map(|listener| listener.local_addr().expect("an address").port())
 }
 
 impl Relay {
     /// Starts the relay of one host and waits until it reports that it is ready.
     pub fn start(folder: &Path, name: &str, zone: &str, ip: &str, peers: &[String], store: SocketAddr) -> Self {
-        let (client, ready, control) = (free_port(ip), free_port(ip), free_port(ip));
-        let (peer, seeds) = (7340, peers.iter().map(|ip| format!("\"{ip}:{control}\"")));
-        let seeds: Vec<String> = seeds.collect();
+        let [client, ready, control] = free_ports(ip);
+        let peer = 7340;
+        let seeds: Vec<String> = peers.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\nserves = [\"front\",\"control\"]\n\
              ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"brasov\"\ninternalPortRange = [{peer},{}]\n\
@@ -67,9 +68,11 @@
             .spawn()
             .expect("the relay");
         let address = |port| SocketAddr::new(ip.parse().expect("an address"), port);
-        let relay = Self { child, client: address(client), ready: address(ready) };
+        let mut relay = Self { child, client: address(client), ready: address(ready) };
         let start = Instant::now();
         while relay.readiness() != 200 {
+            let ended = relay.child.try_wait().expect("a state");
+            assert!(ended.is_none(), "{name} has ended: {ended:?}");
             assert!(start.elapsed() < Duration::from_secs(10), "{name} isn't ready");
             std::thread::sleep(Duration::from_millis(20));
         }
