--- a/review/standin/silent_channel.rs
+++ b/review/standin/silent_channel.rs
@@ -23,29 +23,43 @@
 const STABLE_WINDOW_MS: u64 = 3_000;
 
 /// Requesters of each host; each sends a request, waits for its answer and pauses.
-const REQUESTERS: usize = 4;
+const REQUESTERS: usize = 8;
 const PAUSE: Duration = Duration::from_millis(40);
 
+/// Time that a request takes at a worker.
+const WORK: Duration = Duration::from_millis(40);
+
+/// How much longer than `drainMs` the worker that leaves serves before its process exits.
+const LINGER_MS: u64 = 300;
+
 /// A worker of an application service, with the times and identifiers of the requests that reached it.
 struct Worker {
     id: String,
     address: SocketAddr,
     arrivals: Arc<Mutex<Vec<(Instant, String)>>>,
+    /// Whether its process has exited: nothing listens at its address, and open channels are closed.
+    has_exited: Arc<AtomicBool>,
 }
 
 impl Worker {
     fn start(ip: &str, id: &str) -> Self {
         let listener = TcpListener::bind((ip, 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
-        let arrivals: Arc<Mutex<Vec<(Instant, String)>>> = Arc::default();
-        let (own_id, seen) = (id.to_string(), arrivals.clone());
+        listener.set_nonblocking(true).expect("a listener");
+        let worker = Self { id: id.to_string(), address, arrivals: Arc::default(), has_exited: Arc::default() };
+        let (own_id, seen, has_exited) = (id.to_string(), worker.arrivals.clone(), worker.has_exited.clone());
         thread::spawn(move || {
-            for stream in listener.incoming().flatten() {
-                let (id, seen) = (own_id.clone(), seen.clone());
-                thread::spawn(move || answer(Connection::new(stream), &id, &seen));
+            while !has_exited.load(Ordering::SeqCst) {
+                let Ok((stream, _)) = listener.accept() else {
+                    thread::sleep(Duration::from_millis(1));
+                    continue;
+                };
+                stream.set_nonblocking(false).expect("a channel");
+                let (id, seen, has_exited) = (own_id.clone(), seen.clone(), has_exited.clone());
+                thread::spawn(move || answer(Connection::new(stream), &id, &seen, &has_exited));
             }
         });
-        Self { id: id.to_string(), address, arrivals }
+        worker
     }
 
     fn entry(&self) -> String {
@@ -57,7 +71,7 @@
     }
 }
 
-fn answer(mut connection: Connection, id: &str, seen: &Mutex<Vec<(Instant, String)>>) {
+fn answer(mut connection: Connection, id: &str, seen: &Mutex<Vec<(Instant, String)>>, has_exited: &AtomicBool) {
     while let Some(request) = connection.read_request() {
         let request_id = request.header("request-id").unwrap_or("").to_string();
         if request.header("expect-instance").is_some_and(|expected| expected != id) {
@@ -65,31 +79,32 @@
             continue;
         }
         seen.lock().unwrap().push((Instant::now(), request_id.clone()));
-        thread::sleep(Duration::from_millis(15));
+        thread::sleep(WORK);
         let head = format!(
-            "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: {id}.1\r\nContent-Length: 7\r\n\r\nlooked\n"
+            "HTTP/1.1 200 OK\r\nRequest-Id: {request_id}\r\nServer-Stamp: {id}.1\r\nContent-Length: 5\r\n\r\nsent\n"
         );
-        if !connection.write(head.as_bytes()) {
+        if has_exited.load(Ordering::SeqCst) || !connection.write(head.as_bytes()) {
             return;
         }
     }
 }
 
-const CONFIG: &str = "{\"version\":7,\"routes\":[{\"name\":\"lookup\",\"host\":\"shop.example\",\"pathPrefix\":\"/lookup/\",\
-    \"kind\":\"idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":100,\"priority\":2,\"service\":\"shop-app\",\
-    \"maxAttempts\":2,\"public\":false}],\"services\":[{\"name\":\"shop-app\",\"healthPath\":\"/health\",\
+const CONFIG: &str = "{\"version\":7,\"routes\":[{\"name\":\"notice\",\"host\":\"shop.example\",\"pathPrefix\":\"/notice/\",\
+    \"kind\":\"non_idempotent\",\"timeoutMs\":600,\"targetLatencyMs\":100,\"priority\":2,\"service\":\"shop-app\",\
+    \"maxAttempts\":1,\"public\":false}],\"services\":[{\"name\":\"shop-app\",\"healthPath\":\"/health\",\
     \"maxConnections\":110,\"protocol\":\"h1\",\"tls\":false}],\"limits\":{\"maxHeaderBytes\":16384,\
     \"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\
     \"tenants\":[{\"name\":\"depot\",\"apiKeys\":[\"key-1\"],\"priority\":1}]}";
 
-fn send_requests(host: usize, requester: usize, address: SocketAddr, record: &Record, is_over: &AtomicBool) {
-    let mut number = 0;
+fn send_requests(host: usize, requester: usize, address: SocketAddr, record: &Record, is_over: &AtomicBool) -> Vec<(String, u16)> {
+    let mut answers = Vec::new();
+    let mut number = 0u64;
     while !is_over.load(Ordering::SeqCst) {
         number += 1;
         let id = format!("h{host}r{requester}n{number}");
         let text = format!(
-            "GET /lookup/{number} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 600\r\n\
-             Credential: key-1\r\n\r\n"
+            "POST /notice/{number} HTTP/1.1\r\nHost: shop.example\r\nRequest-Id: {id}\r\nDeadline-Ms: 600\r\n\
+             Credential: key-1\r\nContent-Length: 5\r\n\r\nhello"
         );
         let sent = Instant::now();
         let status = Connection::open(address, Duration::from_secs(1))
@@ -99,8 +114,11 @@
             })
             .map_or(0, |response| response.status());
         record.line_at(sent, &format!("sent {id} to host {host}, answered {status}"));
-        thread::sleep(PAUSE);
+        answers.push((id, status));
+        // Pauses differ, so that the requesters don't send in step.
+        thread::sleep(PAUSE + Duration::from_millis(3 * requester as u64 + number % 7));
     }
+    answers
 }
 
 pub fn run(record: &Record, scratch: &Path, has_trouble: bool) -> Outcome {
@@ -133,24 +151,28 @@
     let leaver = &workers[2];
     let accepted = store.write("servers", &leaver.id, None);
     record.line_at(accepted, &format!("the store has accepted that {} is gone; it serves on", leaver.id));
-    thread::sleep(Duration::from_millis(DRAIN_MS + 3_000));
+    thread::sleep(Duration::from_millis(DRAIN_MS + LINGER_MS));
+    leaver.has_exited.store(true, Ordering::SeqCst);
+    record.line(&format!("the process of {} exits", leaver.id));
+    thread::sleep(Duration::from_secs(2));
     is_over.store(true, Ordering::SeqCst);
-    for requester in requesters {
-        let _ = requester.join();
-    }
+    let answers: Vec<(String, u16)> = requesters.into_iter().flat_map(|requester| requester.join().unwrap_or_default()).collect();
 
-    let mut late = 0;
+    let (mut late, mut lost) = (0, 0);
     for worker in &workers {
         for (at, id) in worker.arrivals.lock().unwrap().iter() {
             record.line_at(*at, &format!("{id} reached {}", worker.id));
-            let is_late = worker.id == leaver.id && *at > accepted + Duration::from_millis(DRAIN_MS);
-            late += u32::from(is_late);
+            if worker.id == leaver.id && *at > accepted + Duration::from_millis(DRAIN_MS) {
+                late += 1;
+                lost += u32::from(answers.iter().any(|(answered, status)| answered == id && *status != 200));
+            }
         }
     }
     let arrivals = leaver.arrivals.lock().unwrap();
     let last_ms = arrivals.last().map_or(0, |(at, _)| at.saturating_duration_since(accepted).as_millis());
     record.line(&format!(
-        "{late} requests reached {} later than {DRAIN_MS} ms after its leaving was accepted; the last after {last_ms} ms",
+        "{late} requests reached {} later than {DRAIN_MS} ms after its leaving was accepted, the last after {last_ms} ms; \
+         {lost} of them were cut off when it exited",
         leaver.id
     ));
     assert!(!arrivals.is_empty(), "no request reached the worker that leaves");
--- a/review/standin/slow_body.rs
+++ b/review/standin/slow_body.rs
@@ -146,7 +146,7 @@
     let settings = scratch.join("front-1.toml");
     let text = std::fs::read_to_string(&settings).expect("the settings");
     std::fs::write(&settings, text + "# changed\n").expect("the settings");
-    let hangup = Command::new("kill").args(["-HUP", &relay.child.id().to_string()]).status();
+    let hangup = Command::new("sh").args(["-c", &format!("kill -HUP {}", relay.child.id())]).status();
     assert!(hangup.is_ok_and(|status| status.success()));
     record.line("the settings file has changed, and front-1 got SIGHUP");
     let mut requesters = Vec::new();
