review: a host that stops gracefully cuts off streams that are read slowly

Cause: a stream's body counts as delivered when hyper asks for the chunk after the last, while up to 16 kB are in hyper's write buffer; the shutdown then sees no open request and the process ends.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -7,6 +7,7 @@
 mod relay;
 mod silent_channel;
 mod slow_body;
+mod slow_reader;
 mod store;
 mod unframed_crash;
 
@@ -62,6 +63,7 @@
         "silent-channel" => silent_channel::run(&record, &scratch, has_trouble),
         "unframed-crash" => unframed_crash::run(&record, &scratch, has_trouble),
         "slow-body" => slow_body::run(&record, &scratch, has_trouble),
+        "slow-reader" => slow_reader::run(&record, &scratch, has_trouble),
         _ => panic!("no such case: {case}"),
     });
     if std::env::var_os("KEEP_LOGS").is_none() {
