review: a worker that left while channels to the store were silent stays in use

Cause: a host takes its failed call for an outage of the store and keeps the entry that the next read reports as removed for 2.2 s more; with up to 3.5 s until that read this exceeds stableWindowMs and drainMs. Added: review/2, a script with four hosts, a silence at any moment and a worker that leaves 0.5 s later.

--- a/review/standin/main.rs
+++ b/review/standin/main.rs
@@ -6,6 +6,7 @@
 mod http;
 mod relay;
 mod silent_channel;
+mod silent_store;
 mod slow_body;
 mod slow_reader;
 mod store;
@@ -62,6 +63,7 @@
     let result = std::panic::catch_unwind(|| match case {
         "silent-channel" => silent_channel::run(&record, &scratch, has_trouble),
         "unframed-crash" => unframed_crash::run(&record, &scratch, has_trouble),
+        "silent-store" => silent_store::run(&record, &scratch, has_trouble),
         "slow-body" => slow_body::run(&record, &scratch, has_trouble),
         "slow-reader" => slow_reader::run(&record, &scratch, has_trouble),
         _ => panic!("no such case: {case}"),
