--- a/review/standin/relay.rs
+++ b/review/standin/relay.rs
@@ -36,22 +36,50 @@
     listeners.map(|listener| listener.local_addr().expect("an address").port())
 }
 
+/// Settings that differ between deployments.
+pub struct Site {
+    region: &'static str,
+    limits: &'static str,
+    bounds: &'static str,
+}
+
+/// ract-brasov.
+const SMALL: Site = Site {
+    region: "brasov",
+    limits: "cpuShare = 0.19\ncpuCores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n",
+    bounds: "stableWindowMs = 3000\ndrainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\n\
+             rollbackSlackMs = 250\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtraRetries = 104\nrecoveryS = 12\n\
+             passMs = 120\nstall_ms = 1500\nholdMaxMs = 20000\nfreeMs = 4000\nidleMaxMs = 9000\n",
+};
+
+/// dar-vozila-grown, with the limits of its larger hosts.
+pub const SLOW_READERS: Site = Site {
+    region: "hr-kontinent",
+    limits: "cpuShare = 0.5\ncpuCores = 1\nmemoryMb = 512\nmaxFds = 8192\nlinkMbps = 200.0\ndiskMb = 0\n",
+    bounds: "stableWindowMs = 4000\ndrainMs = 3000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 3000\n\
+             rollbackSlackMs = 250\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtraRetries = 218\nrecoveryS = 15\n\
+             passMs = 200\nstall_ms = 1500\nholdMaxMs = 20000\nfreeMs = 4000\nidleMaxMs = 9000\n",
+};
+
 impl Relay {
-    /// Starts the relay of one host and waits until it reports that it is ready.
+    /// Starts the relay of one host of ract-brasov and waits until it reports that it is ready.
     pub fn start(folder: &Path, name: &str, zone: &str, ip: &str, peers: &[String], store: SocketAddr) -> Self {
+        Self::start_at(&SMALL, folder, name, zone, ip, peers, store)
+    }
+
+    /// Starts the relay of one host of a deployment and waits until it reports that it is ready.
+    pub fn start_at(site: &Site, folder: &Path, name: &str, zone: &str, ip: &str, peers: &[String], store: SocketAddr) -> Self {
+        let Site { region, limits, bounds } = site;
         let [client, ready, control] = free_ports(ip);
         let peer = 7340;
         let seeds: Vec<String> = peers.iter().map(|ip| format!("\"{ip}:{control}\"")).collect();
         let text = format!(
             "nodeName = \"{name}\"\nrole = \"gateway\"\nmachineClass = \"front\"\nserves = [\"front\",\"control\"]\n\
-             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"brasov\"\ninternalPortRange = [{peer},{}]\n\
+             ip = \"{ip}\"\nzone = \"{zone}\"\nregion = \"{region}\"\ninternalPortRange = [{peer},{}]\n\
              seedNodes = [{}]\ninitialBoot = true\ndiscovery = \"platform\"\nentry = \"vip\"\nheartbeatMs = 1200\n\
              contracts = [\"base\",\"drain\",\"config\",\"cost\",\"retry\",\"recover\",\"engine\",\"stream\",\"tenants\",\"platform\",\"spans\"]\n\
              [listen]\nfront = \"{ip}:{client}\"\nready = \"{ip}:{ready}\"\ncontrol = \"{ip}:{control}\"\n\
-             [limits]\ncpuShare = 0.19\ncpuCores = 1\nmemoryMb = 260\nmaxFds = 4100\nlinkMbps = 1000.0\ndiskMb = 0\n\
-             [bounds]\nstableWindowMs = 3000\ndrainMs = 2000\ngraceS = 8\nlossSlackMs = 200\nconfigApplyMs = 2000\n\
-             rollbackSlackMs = 250\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\nbudgetExtraRetries = 104\nrecoveryS = 12\n\
-             passMs = 120\nstall_ms = 1500\nholdMaxMs = 20000\nfreeMs = 4000\nidleMaxMs = 9000\n\
+             [limits]\n{limits}[bounds]\n{bounds}\
              [platformSettings]\naddress = \"{store}\"\nform = \"table\"\nwritesPerS = 400\nreadsPerS = 2000\n",
             peer + 15,
             seeds.join(",")
--- a/review/standin/slow_reader.rs
+++ b/review/standin/slow_reader.rs
@@ -14,6 +14,7 @@
 use crate::http::Connection;
 use crate::relay::network;
 use crate::relay::Relay;
+use crate::relay::SLOW_READERS;
 use crate::store::Store;
 use crate::Outcome;
 use crate::Record;
@@ -47,11 +48,11 @@
 
 const CONFIG: &str = "{\"version\":7,\"routes\":[\
     {\"name\":\"audit\",\"host\":\"shop.example\",\"pathPrefix\":\"/audit/\",\"kind\":\"streaming\",\"timeoutMs\":15000,\
-    \"targetLatencyMs\":3000,\"gapAimMs\":1000,\"priority\":1,\"service\":\"calc-llm\",\"maxAttempts\":2,\"public\":false,\
+    \"targetLatencyMs\":3000,\"gapAimMs\":1000,\"priority\":1,\"service\":\"savjetnik-llm\",\"maxAttempts\":2,\"public\":false,\
     \"sessionAffinity\":true,\"streamResume\":true}],\
-    \"services\":[{\"name\":\"calc-llm\",\"healthPath\":\"/health\",\"maxConnections\":274,\"protocol\":\"h1\",\"tls\":false,\
-    \"engine\":{\"slots\":16,\"kvCapacityTokens\":315000,\"stride\":51,\"step_ms\":0.85,\"per_seq_ms\":0.00425,\
-    \"context_per_k\":0.00285,\"read_per_s\":177000.0,\"pairs_per_m\":0.184,\"chunk\":2048,\
+    \"services\":[{\"name\":\"savjetnik-llm\",\"healthPath\":\"/health\",\"maxConnections\":621,\"protocol\":\"h1\",\"tls\":false,\
+    \"engine\":{\"slots\":12,\"kvCapacityTokens\":197200,\"stride\":48,\"step_ms\":1.02,\"per_seq_ms\":0.00425,\
+    \"context_per_k\":0.00285,\"read_per_s\":206000.0,\"pairs_per_m\":0.184,\"chunk\":2048,\
     \"usual\":{\"prompt\":11121,\"answer\":1622}}}],\
     \"limits\":{\"maxHeaderBytes\":16384,\"maxBodyBytes\":4194304,\"headerTimeoutMs\":3000,\"idleTimeoutMs\":15000},\
     \"tenants\":[{\"name\":\"depot\",\"apiKeys\":[\"key-1\"],\"priority\":1}]}";
@@ -168,7 +169,7 @@
         let listener = TcpListener::bind((ip.as_str(), 0)).expect("a free port");
         let address = listener.local_addr().expect("an address");
         let entry = format!(
-            "{{\"service\":\"calc-llm\",\"address\":\"{address}\",\"zone\":\"hala-nord\",\"version\":\"v1\",\"slots\":16,\
+            "{{\"service\":\"savjetnik-llm\",\"address\":\"{address}\",\"zone\":\"zagreb-a\",\"version\":\"v1\",\"slots\":12,\
              \"state\":\"ready\",\"coldRemainingMs\":0,\"sequence\":1}}"
         );
         store.write("servers", &id, Some(&entry));
@@ -194,7 +195,7 @@
 fn roll(round: usize, ips: &[String], store: &Store, scratch: &Path, has_trouble: bool, record: &Record) -> usize {
     record.line(&format!("round {round}: hosts start"));
     let start = |(n, ip): (usize, &String)| {
-        Relay::start(scratch, &format!("front-{}", n + 1), "hala-nord", ip, ips, store.address)
+        Relay::start_at(&SLOW_READERS, scratch, &format!("front-{}", n + 1), "zagreb-a", ip, ips, store.address)
     };
     let mut relays: Vec<Relay> = ips.iter().enumerate().map(start).collect();
     thread::sleep(Duration::from_secs(4));
