--- a/review/build.sh
+++ b/review/build.sh
@@ -1,6 +1,7 @@
 #!/bin/sh
-# Builds the stand-ins of the review's cases with the toolchain that builds the project; no dependency.
-set -eu
-cd "$(dirname "$0")/.."
-mkdir -p target/review
-rustc --edition 2021 -O -o target/review/standin review/standin/main.rs
+# Builds the stand-ins of the scripts: Python programs without dependencies, compiled to find errors.
+set -e
+cd "$(dirname "$0")"
+python3 -c 'import ast, sys
+for path in sys.argv[1:]:
+    ast.parse(open(path).read(), path)' standin/standin.py */case.py
