--- a/review/standin/standin.py
+++ b/review/standin/standin.py
@@ -115,9 +115,35 @@
         # Channels opened before this number of the counter deliver nothing further.
         self.opened = 0
         self.silent_below = 0
-        self.listener = listen()
-        self.address = "127.0.0.1:%d" % self.listener.getsockname()[1]
-        spawn(self.accept)
+        # Channels that wait for changes, as pairs of entrance and table, by number; those that are silent.
+        self.waiting = {}
+        self.silent = set()
+        # Entrances at which each call is answered 503.
+        self.refusing = set()
+        self.address = self.open_entrance(0)
+
+    def open_entrance(self, entrance):
+        """Opens an address of the store, so that machines can be told apart."""
+        listener = listen()
+        spawn(self.accept, listener, entrance)
+        return "127.0.0.1:%d" % listener.getsockname()[1]
+
+    def silence_feed(self, entrance, table):
+        """The channel on which this entrance waits for changes of a table goes silent for good."""
+        with self.changed:
+            numbers = [one for one, of in self.waiting.items() if of == (entrance, table)]
+            self.silent.update(numbers)
+            return len(numbers)
+
+    def refuse(self, entrance):
+        """Turns a machine away: 503 to all its calls, those that wait included."""
+        with self.changed:
+            self.refusing.add(entrance)
+            self.changed.notify_all()
+
+    def serve_again(self, entrance):
+        with self.changed:
+            self.refusing.discard(entrance)
 
     def put(self, table, key, value):
         """Writes a row; the moment of return is that of the ack."""
@@ -150,25 +176,25 @@
             self.silent_below = self.opened
             self.changed.notify_all()
 
-    def accept(self):
+    def accept(self, listener, entrance):
         while True:
-            channel, _ = self.listener.accept()
+            channel, _ = listener.accept()
             channel.setsockopt(socket.IPPROTO_TCP, socket.TCP_NODELAY, 1)
             with self.changed:
                 number = self.opened
                 self.opened += 1
-            spawn(self.serve, channel, number)
+            spawn(self.serve, channel, number, entrance)
 
-    def serve(self, channel, number):
+    def serve(self, channel, number, entrance):
         reader = channel.makefile("rb")
         while True:
             request = read_request(reader)
             if request is None:
                 channel.close()
                 return
-            status, body = self.answer(request)
+            status, body = self.answer(request, number, entrance)
             time.sleep(0.004)
-            if number < self.silent_below:
+            if number < self.silent_below or number in self.silent:
                 # The channel stays open and silent.
                 continue
             text = json.dumps(body).encode()
@@ -178,7 +204,9 @@
             except OSError:
                 return
 
-    def answer(self, request):
+    def answer(self, request, number, entrance):
+        if entrance in self.refusing:
+            return 503, {}
         method, target = request.first[0], request.first[1]
         path, _, query = target.partition("?")
         given = dict(pair.split("=", 1) for pair in query.split("&") if "=" in pair)
@@ -188,7 +216,12 @@
                         if table == given["table"]]
                 return 200, self.page(rows)
         if (method, path) == ("GET", "/rows-feed"):
-            return self.feed(given["table"], int(given["afterRevision"]), int(given["waitMs"]))
+            self.waiting[number] = (entrance, given["table"])
+            try:
+                return self.feed(given["table"], int(given["afterRevision"]),
+                                 int(given["waitMs"]), entrance)
+            finally:
+                del self.waiting[number]
         if (method, path) == ("POST", "/rows-tx"):
             call = json.loads(request.body)
             with self.changed:
@@ -200,10 +233,12 @@
                 return 200, {"ver": self.ver, "nowMs": int(now() * 1e3)}
         return 404, {}
 
-    def feed(self, table, after, wait_ms):
+    def feed(self, table, after, wait_ms, entrance):
         end = time.monotonic() + wait_ms / 1e3
         with self.changed:
             while True:
+                if entrance in self.refusing:
+                    return 503, {}
                 rows = {row["key"]: row for row in self.history
                         if row["table"] == table and row["ver"] > after}
                 left = end - time.monotonic()
@@ -345,14 +380,17 @@
         self.log.close()
 
 
-def start_relays(record, folder, zones, store, bounds=BOUNDS):
+def start_relays(record, folder, zones, store, bounds=BOUNDS, entrances=None):
     """Starts one relay in each zone, each at an address of its own and at the same ports."""
-    ips = ["127.0.0.%d" % (11 + number) for number in range(len(zones))]
+    entrances = entrances or [store.address] * len(zones)
+    # Addresses of its own for each script, so that two of them can run beside each other.
+    network = os.getpid() % 250
+    ips = ["127.1.%d.%d" % (network, 11 + number) for number in range(len(zones))]
     ports = free_ports(ips[0], 3)
     relays = []
     for number, zone in enumerate(zones):
         relays.append(Relay(record, folder, "front-%s-%d" % (zone, number + 1), zone, ips[number], ports,
-                            ips[:3], store.address, bounds))
+                            ips[:3], entrances[number], bounds))
     return relays
 
 
