fix(relay): a response is open until the system has taken all of it

Cause: a stream counted as delivered when the HTTP library asked for what follows its last chunk, while up to 16 kB were in the library's buffer. Nothing else kept the process, so it ended with them.

Evidence: on the code before, streams held bytes while no request was open, and only at lengths just above what the system buffers; shorter and much longer ones were whole. That rules out a close with unread input and a connection closed early.

Fix: the body of each response, streams, complete answers and refusals alike, keeps its request open until the library has dropped it and then flushed the socket, which it does only once its buffer is empty. The guard on the bytes of complete answers is gone: it stood for the same and didn't cover the last chunk. A stream whose end the client never read is no longer logged as answered.

--- a/crates/mgs-relay/src/client.rs
+++ b/crates/mgs-relay/src/client.rs
@@ -7,7 +7,6 @@
 
 use hyper::server::conn::http1;
 use hyper::service::service_fn;
-use hyper_util::rt::TokioIo;
 use hyper_util::rt::TokioTimer;
 use socket2::Domain;
 use socket2::Protocol;
@@ -18,7 +17,6 @@
 use tokio::net::TcpStream;
 use tokio::time::timeout;
 
-use crate::client_connection::ClientConnection;
 use crate::client_connection::ClientSocket;
 use crate::connection::describe;
 use crate::core::Core;
@@ -104,12 +102,13 @@
     let limits = core.published.client_limits();
     let refusing = core.clone();
     tokio::task::spawn_local(async move {
-        let service = service_fn(move |request| refuse(refusing.clone(), request));
+        let (socket, client) = ClientSocket::new(stream, REFUSAL_TIMEOUT);
+        let service = service_fn(move |request| refuse(refusing.clone(), client.clone(), request));
         let connection = http1::Builder::new()
             .timer(TokioTimer::new())
             .header_read_timeout(REFUSAL_HEAD_TIMEOUT)
             .max_buf_size(limits.head_bytes.max(HEAD_BUFFER_MIN_BYTES))
-            .serve_connection(TokioIo::new(stream), service);
+            .serve_connection(socket, service);
         // A client that sends nothing sees its connection closed.
         let _ = timeout(REFUSAL_TIMEOUT, connection).await;
         drop(refusal_slot);
@@ -130,9 +129,8 @@
             log::debug!(error:% = error; "failed to set socket options");
         }
     }
-    let client = Rc::new(ClientConnection::default());
     let patience = Duration::from_millis(held_options.stall_ms);
-    let socket = ClientSocket::new(stream, client.clone(), patience);
+    let (socket, client) = ClientSocket::new(stream, patience);
     let (serving, serving_client) = (core.clone(), client.clone());
     let service =
         service_fn(move |request| serve(serving.clone(), serving_client.clone(), request));
--- a/crates/mgs-relay/src/client_connection.rs
+++ b/crates/mgs-relay/src/client_connection.rs
@@ -7,6 +7,7 @@
 use std::io::IoSlice;
 use std::pin::Pin;
 use std::rc::Rc;
+use std::rc::Weak;
 use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
@@ -22,6 +23,7 @@
 use tokio::time::Sleep;
 
 use crate::core::Core;
+use crate::delivery::UnflushedResponses;
 use crate::held_bytes::ConnectionBytes;
 use crate::held_bytes::NoRoom;
 
@@ -29,8 +31,9 @@
 const TIME_BOUND: &str = "time";
 
 /// A client's connection, as its requests see it.
-#[derive(Debug, Default)]
 pub(crate) struct ClientConnection {
+    /// Responses that wait for the socket.
+    pub(crate) unflushed: Weak<UnflushedResponses>,
     /// Bytes that the client has yet to read.
     pub(crate) held: ConnectionBytes,
     /// Identifier of the last request, for the log.
@@ -41,6 +44,16 @@
 }
 
 impl ClientConnection {
+    fn new(unflushed: Weak<UnflushedResponses>) -> Self {
+        Self {
+            unflushed,
+            held: ConnectionBytes::default(),
+            request_id: RefCell::default(),
+            closing: Notify::default(),
+            has_stalled: Cell::default(),
+        }
+    }
+
     /// Records which request the connection serves.
     pub(crate) fn begin_request(&self, request_id: &str) {
         self.request_id.replace(request_id.to_string());
@@ -85,6 +98,7 @@
 pub(crate) struct ClientSocket {
     stream: TokioIo<TcpStream>,
     connection: Rc<ClientConnection>,
+    unflushed: Rc<UnflushedResponses>,
     /// How long the client may take nothing.
     patience: Duration,
     /// Ends the wait for the client, if there is one.
@@ -92,17 +106,18 @@
 }
 
 impl ClientSocket {
-    pub(crate) fn new(
-        stream: TcpStream,
-        connection: Rc<ClientConnection>,
-        patience: Duration,
-    ) -> Self {
-        Self {
+    /// A socket, and the connection that requests see.
+    pub(crate) fn new(stream: TcpStream, patience: Duration) -> (Self, Rc<ClientConnection>) {
+        let unflushed = Rc::new(UnflushedResponses::default());
+        let connection = Rc::new(ClientConnection::new(Rc::downgrade(&unflushed)));
+        let socket = Self {
             stream: TokioIo::new(stream),
-            connection,
+            connection: connection.clone(),
+            unflushed,
             patience,
             stall: None,
-        }
+        };
+        (socket, connection)
     }
 
     /// Passes on the result of a write, or fails if writes have been blocked for too long.
@@ -144,7 +159,11 @@
     }
 
     fn poll_flush(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
-        Pin::new(&mut self.stream).poll_flush(context)
+        let flushed = Pin::new(&mut self.stream).poll_flush(context);
+        if matches!(flushed, Poll::Ready(Ok(()))) {
+            self.unflushed.record_flush();
+        }
+        flushed
     }
 
     fn poll_shutdown(mut self: Pin<&mut Self>, context: &mut Context<'_>) -> Poll<io::Result<()>> {
--- a/crates/mgs-relay/src/client_response.rs
+++ b/crates/mgs-relay/src/client_response.rs
@@ -2,6 +2,8 @@
 
 use std::io;
 use std::pin::Pin;
+use std::rc::Rc;
+use std::rc::Weak;
 use std::task::ready;
 use std::task::Context;
 use std::task::Poll;
@@ -13,8 +15,6 @@
 use http::header::RETRY_AFTER;
 use http::HeaderValue;
 use http::Response;
-use http_body_util::combinators::UnsyncBoxBody;
-use http_body_util::BodyExt;
 use http_body_util::Full;
 use hyper::body::Body;
 use hyper::body::Frame;
@@ -22,13 +22,13 @@
 use tokio::sync::mpsc;
 use tokio::sync::oneshot;
 
-use crate::attached_bytes::attach;
+use crate::client_connection::ClientConnection;
+use crate::delivery::Delivery;
+use crate::delivery::OpenRequest;
+use crate::delivery::UnflushedResponses;
 use crate::dialect::Dialect;
 use crate::fault::Refusal;
 
-/// Body of a response to a client.
-pub(crate) type ResponseBody = UnsyncBoxBody<Bytes, io::Error>;
-
 /// A response to a client.
 pub(crate) type ClientResponse = Response<ResponseBody>;
 
@@ -61,13 +61,60 @@
     }
 }
 
-/// A body whose chunks come from another task; an error aborts the connection.
-struct ChannelBody {
-    receiver: mpsc::UnboundedReceiver<BodyChunk>,
+/// Where the bytes of a body come from.
+enum BodySource {
+    /// They are all here.
+    Whole(Full<Bytes>),
+    /// Another task sends them in chunks; an error aborts the connection.
+    Task(mpsc::UnboundedReceiver<BodyChunk>),
+}
+
+/// Body of a response to a client.
+pub(crate) struct ResponseBody {
+    source: BodySource,
+    /// Tells the task that sends the chunks that they are delivered.
     delivered: Option<oneshot::Sender<()>>,
+    /// Whether the HTTP library has asked for what follows the last chunk.
+    is_at_end: bool,
+    /// The request that stays open until the response is delivered, and where it waits for that.
+    open_request: Option<(Rc<OpenRequest>, Weak<UnflushedResponses>)>,
+}
+
+impl ResponseBody {
+    /// A body of known length.
+    pub(crate) fn whole(bytes: Bytes) -> Self {
+        Self {
+            source: BodySource::Whole(Full::new(bytes)),
+            delivered: None,
+            is_at_end: false,
+            open_request: None,
+        }
+    }
+
+    /// A body whose chunks come from another task, and the sender for that task.
+    pub(crate) fn streamed() -> (BodySender, Self) {
+        let (chunks, receiver) = mpsc::unbounded_channel();
+        let (delivered_sender, delivered) = oneshot::channel();
+        let body = Self {
+            source: BodySource::Task(receiver),
+            delivered: Some(delivered_sender),
+            is_at_end: false,
+            open_request: None,
+        };
+        (BodySender { chunks, delivered }, body)
+    }
+
+    /// Keeps the request open until this body is delivered on the connection.
+    pub(crate) fn keep_open(
+        &mut self,
+        open_request: Rc<OpenRequest>,
+        connection: &ClientConnection,
+    ) {
+        self.open_request = Some((open_request, connection.unflushed.clone()));
+    }
 }
 
-impl Body for ChannelBody {
+impl Body for ResponseBody {
     type Data = Bytes;
     type Error = io::Error;
 
@@ -75,43 +122,46 @@
         mut self: Pin<&mut Self>,
         context: &mut Context<'_>,
     ) -> Poll<Option<Result<Frame<Bytes>, io::Error>>> {
-        let chunk = ready!(self.receiver.poll_recv(context));
-        if chunk.is_none() {
-            if let Some(delivered) = self.delivered.take() {
-                // Nobody waits if the stream's task has ended with the runtime.
-                let _ = delivered.send(());
+        match &mut self.source {
+            BodySource::Whole(bytes) => {
+                let frame = ready!(Pin::new(bytes).poll_frame(context));
+                Poll::Ready(frame.map(|frame| frame.map_err(|never| match never {})))
+            }
+            BodySource::Task(chunks) => {
+                let chunk = ready!(chunks.poll_recv(context));
+                self.is_at_end = chunk.is_none();
+                Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
             }
         }
-        Poll::Ready(chunk.map(|chunk| chunk.map(Frame::data)))
     }
 
-    fn size_hint(&self) -> SizeHint {
-        SizeHint::default()
+    fn is_end_stream(&self) -> bool {
+        match &self.source {
+            BodySource::Whole(bytes) => bytes.is_end_stream(),
+            BodySource::Task(_) => false,
+        }
     }
-}
-
-/// A body of known length.
-pub(crate) fn whole(bytes: Bytes) -> ResponseBody {
-    let body = Full::new(bytes).map_err(|never| match never {});
-    body.boxed_unsync()
-}
 
-/// A body of known length, and a receiver that fails once the body and its bytes are dropped: the
-/// system has taken them, or the client has disconnected.
-pub(crate) fn watched(bytes: Bytes) -> (ResponseBody, oneshot::Receiver<()>) {
-    let (held_until_taken, taken) = oneshot::channel();
-    (whole(attach(bytes, held_until_taken)), taken)
+    fn size_hint(&self) -> SizeHint {
+        match &self.source {
+            BodySource::Whole(bytes) => bytes.size_hint(),
+            BodySource::Task(_) => SizeHint::default(),
+        }
+    }
 }
 
-/// A body whose chunks come from another task, and the sender for that task.
-pub(crate) fn streamed() -> (BodySender, ResponseBody) {
-    let (chunks, receiver) = mpsc::unbounded_channel();
-    let (delivered_sender, delivered) = oneshot::channel();
-    let body = ChannelBody {
-        receiver,
-        delivered: Some(delivered_sender),
-    };
-    (BodySender { chunks, delivered }, body.boxed_unsync())
+impl Drop for ResponseBody {
+    /// The HTTP library has taken all of the body, or given it up with its connection.
+    fn drop(&mut self) {
+        let delivered = self.delivered.take().filter(|_| self.is_at_end);
+        let Some((open_request, unflushed)) = self.open_request.take() else {
+            return;
+        };
+        // Without a socket, nothing is delivered any more.
+        if let Some(unflushed) = unflushed.upgrade() {
+            unflushed.add(Delivery::new(open_request, delivered));
+        }
+    }
 }
 
 /// This host's own response to a request that no endpoint answered.
@@ -125,7 +175,7 @@
         refusal.fault.name(),
         refusal.fault
     );
-    let mut response = Response::new(whole(Bytes::from(text)));
+    let mut response = Response::new(ResponseBody::whole(Bytes::from(text)));
     *response.status_mut() = refusal.fault.status();
     *response.headers_mut() = dialect.own_fields(request_id);
     set_header(&mut response, CONTENT_TYPE, "application/json");
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -32,6 +32,7 @@
 mod core;
 mod crash_gossip;
 mod crash_keys;
+mod delivery;
 pub mod dialect;
 mod dispatch_outcome;
 mod dispatcher;
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -25,6 +25,7 @@
 use crate::confinement::Confinement;
 use crate::core::Core;
 use crate::crash_keys::CrashKeys;
+use crate::delivery::OpenRequest;
 use crate::dialect::ClientRequest;
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::UsableResponse;
@@ -77,26 +78,6 @@
     }
 }
 
-/// Counts a request as open until dropped.
-struct OpenRequest {
-    core: Rc<Core>,
-}
-
-impl OpenRequest {
-    fn begin(core: &Rc<Core>) -> Self {
-        core.drain.begin_request();
-        core.metrics.open_requests.inc();
-        Self { core: core.clone() }
-    }
-}
-
-impl Drop for OpenRequest {
-    fn drop(&mut self) {
-        self.core.drain.end_request();
-        self.core.metrics.open_requests.dec();
-    }
-}
-
 /// Logs and counts the outcome of a request; reports that the client left if dropped before an
 /// outcome is known.
 struct OutcomeLog {
@@ -174,11 +155,9 @@
             core.metrics.requests.inc("refused");
             core.metrics.refusals.inc(Fault::Malformed.name());
             let refusal = Refusal::of(Fault::Malformed);
-            return Ok(client_response::refusal(
-                core.dialect.as_ref(),
-                refusal,
-                None,
-            ));
+            let mut response = client_response::refusal(core.dialect.as_ref(), refusal, None);
+            response.body_mut().keep_open(open_request, &client);
+            return Ok(response);
         }
     };
     let mut outcome_log = OutcomeLog {
@@ -201,7 +180,7 @@
         head,
         body,
         &mut outcome_log,
-        open_request,
+        &open_request,
     )
     .await;
     let mut response = match result {
@@ -219,14 +198,17 @@
     if core.drain.phase() != Phase::Serving {
         client_response::close_after(&mut response);
     }
+    response.body_mut().keep_open(open_request, &client);
     Ok(response)
 }
 
 /// Refuses a request since there is no memory for its connection.
 pub(crate) async fn refuse(
     core: Rc<Core>,
+    client: Rc<ClientConnection>,
     request: Request<Incoming>,
 ) -> Result<ClientResponse, Infallible> {
+    let open_request = OpenRequest::begin(&core);
     let (head, body) = request.into_parts();
     let most = core.published.client_limits().body_bytes;
     request_body::discard_in_background(&core, &head, body, most);
@@ -246,6 +228,7 @@
     );
     let mut response = client_response::refusal(core.dialect.as_ref(), refusal, request_id);
     client_response::close_after(&mut response);
+    response.body_mut().keep_open(open_request, &client);
     Ok(response)
 }
 
@@ -256,7 +239,7 @@
     head: request::Parts,
     body: Incoming,
     outcome_log: &mut OutcomeLog,
-    open_request: OpenRequest,
+    open_request: &Rc<OpenRequest>,
 ) -> Result<ClientResponse, Refusal> {
     let arrived = outcome_log.arrived;
     if core.drain.phase() == Phase::Ending {
@@ -353,23 +336,18 @@
     core: &Rc<Core>,
     dispatcher: Dispatcher,
     response: UsableResponse,
-    open_request: OpenRequest,
+    open_request: &Rc<OpenRequest>,
 ) -> ClientResponse {
     match response {
         UsableResponse::Full(whole) => {
-            let (body, taken) = client_response::watched(whole.body);
-            // A shutdown waits for answers that are still being read.
-            tokio::task::spawn_local(async move {
-                // The sender is dropped, never used.
-                let _ = taken.await;
-                drop(open_request);
-            });
-            forwarded_response(core, &whole.head, body)
+            forwarded_response(core, &whole.head, ResponseBody::whole(whole.body))
         }
         UsableResponse::Stream(started) => {
             let head = started.head;
             let (forwarder, body) =
                 StreamForwarder::new(dispatcher, started.stream, started.placed);
+            // A shutdown waits until the outcome is recorded.
+            let open_request = open_request.clone();
             tokio::task::spawn_local(async move {
                 forwarder.run().await;
                 drop(open_request);
--- a/crates/mgs-relay/src/stream.rs
+++ b/crates/mgs-relay/src/stream.rs
@@ -9,7 +9,6 @@
 use tokio::time::timeout_at;
 
 use crate::attempt::EventStream;
-use crate::client_response;
 use crate::client_response::BodySender;
 use crate::client_response::ResponseBody;
 use crate::connection::describe;
@@ -110,7 +109,7 @@
         stream: EventStream,
         placed: PlacedRequest,
     ) -> (Self, ResponseBody) {
-        let (client, body) = client_response::streamed();
+        let (client, body) = ResponseBody::streamed();
         let forwarder = Self {
             dispatcher,
             stream,
--- /dev/null
+++ b/tests/relay_stop.rs
@@ -0,0 +1,159 @@
+//! What clients get of their responses while a host stops, and how long the stop takes.
+
+#[path = "../platform/tests/standin/mod.rs"]
+mod standin;
+
+mod common;
+mod relay_process;
+
+use std::io::Write;
+use std::net::TcpStream;
+use std::thread;
+use std::time::Duration;
+use std::time::Instant;
+
+use common::wait_until;
+use relay_process::Relay;
+use rustix::process::Signal;
+use standin::client::read_response;
+use standin::client::send_on;
+use standin::client::send_slowly_read;
+use standin::client::ClientRequest;
+use standin::client::Response;
+use standin::endpoint::Behaviour;
+use standin::endpoint::Endpoint;
+use standin::gateway::configuration_with_timeout;
+use standin::gateway::store_with;
+use standin::store::Store;
+
+/// Payload of an event, in bytes.
+const EVENT_BYTES: usize = 1_000;
+
+/// Settings of a host with a memory limit, which bounds the send buffers of its clients.
+const MEMORY_LIMIT: &str = "[limits]\nmemoryMb = 260\n";
+
+/// Time from the signal to the end of a host that has nothing to deliver, with some to spare.
+const IDLE_STOP_MAX: Duration = Duration::from_millis(3_800);
+
+/// Time from the signal until the platform kills the process.
+const GRACE: Duration = Duration::from_secs(8);
+
+fn prompt() -> ClientRequest {
+    ClientRequest {
+        deadline_ms: 30_000,
+        ..ClientRequest::to("/talk/1").with_header("Token-Count", "900,200")
+    }
+}
+
+/// An engine whose streams have this many events, and a store with time for clients that read slowly.
+fn engine_with_store(events: u32) -> (Endpoint, Store) {
+    let stream = Behaviour::LargeStream(events, EVENT_BYTES);
+    let engine = Endpoint::start("i-1", "model", &[stream]);
+    let store = store_with(&[&engine]);
+    store.put("op", "config", &configuration_with_timeout("talk", 30_000));
+    (engine, store)
+}
+
+/// Sends a prompt on a connection that reads nothing yet, and waits until the engine has ended the stream.
+fn send_unread(relay: &Relay, engine: &Endpoint) -> TcpStream {
+    let client = send_slowly_read(relay.client_address, &prompt());
+    wait_until("the stream at the engine", || !engine.runs().is_empty());
+    thread::sleep(Duration::from_millis(500));
+    client
+}
+
+/// Time from now to the end of the process, which ends by itself.
+fn time_to_end(relay: &mut Relay) -> Duration {
+    let start = Instant::now();
+    let status = relay.child.wait().expect("an end");
+    assert!(status.success(), "{status}");
+    start.elapsed()
+}
+
+/// Stops a host while its client has read nothing of a stream of this many events; the client reads it when a host that
+/// waits for nothing has ended.
+fn read_after_stop(events: u32) -> Response {
+    let (engine, store) = engine_with_store(events);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let mut client = send_unread(&relay, &engine);
+    relay.signal(Signal::TERM);
+    thread::sleep(IDLE_STOP_MAX);
+    let response = read_response(&mut client);
+    assert!(time_to_end(&mut relay) < Duration::from_secs(1));
+    response
+}
+
+/// Guards against a stop that cuts off streams whose end is in the HTTP library's buffer, as far as their clients read
+/// slowly. Streams of several lengths, since only those just above what the system buffers end there.
+#[test]
+fn a_stop_delivers_the_end_of_streams_that_the_http_library_holds() {
+    let lengths: Vec<u32> = (120..=180).step_by(6).collect();
+    let responses: Vec<(u32, Response)> = thread::scope(|scope| {
+        let stops = lengths.iter().map(|events| {
+            let events = *events;
+            (events, scope.spawn(move || read_after_stop(events)))
+        });
+        let stops: Vec<_> = stops.collect();
+        let responses = stops.into_iter();
+        responses
+            .map(|(events, stop)| (events, stop.join().expect("a response")))
+            .collect()
+    });
+    let cut_off: Vec<u32> = responses
+        .iter()
+        .filter(|(_, response)| !response.is_complete)
+        .map(|(events, _)| *events)
+        .collect();
+    assert!(cut_off.is_empty(), "cut off, by events: {cut_off:?}");
+}
+
+/// Guards against a connection that is closed while the next request waits unread in its socket: the system then resets
+/// it, and the client loses what it has yet to read.
+#[test]
+fn a_stop_delivers_a_stream_to_a_client_that_has_sent_its_next_request() {
+    let (engine, store) = engine_with_store(200);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let client = send_unread(&relay, &engine);
+    let mut client = send_on(client, &prompt());
+    relay.signal(Signal::TERM);
+    thread::sleep(IDLE_STOP_MAX);
+    let response = read_response(&mut client);
+    assert!(response.is_complete, "{} bytes", response.body.len());
+    assert!(time_to_end(&mut relay) < Duration::from_secs(2));
+}
+
+/// Guards against a stop that waits for connections on which nothing is to be delivered.
+#[test]
+fn a_stop_with_idle_connections_ends_early() {
+    let (_engine, store) = engine_with_store(1);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let _idle = TcpStream::connect(relay.client_address).expect("a relay");
+    let mut half_a_head = TcpStream::connect(relay.client_address).expect("a relay");
+    half_a_head
+        .write_all(b"POST /talk/1 HTTP/1.1\r\nHost: ")
+        .expect("a relay");
+    relay.signal(Signal::TERM);
+    assert!(time_to_end(&mut relay) < IDLE_STOP_MAX);
+}
+
+/// Guards against a stop that waits for clients that have disconnected.
+#[test]
+fn a_stop_whose_clients_have_left_ends_early() {
+    let (engine, store) = engine_with_store(170);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let client = send_unread(&relay, &engine);
+    relay.signal(Signal::TERM);
+    thread::sleep(Duration::from_millis(500));
+    drop(client);
+    assert!(time_to_end(&mut relay) < IDLE_STOP_MAX);
+}
+
+/// Guards against a stop that waits for a client that never reads until the process is killed.
+#[test]
+fn a_client_that_never_reads_holds_a_stop_within_the_grace_only() {
+    let (engine, store) = engine_with_store(2_000);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let _client = send_unread(&relay, &engine);
+    relay.signal(Signal::TERM);
+    assert!(time_to_end(&mut relay) < GRACE);
+}
