fix(follow): an outage is one in which entries may have expired

Cause: a lost call of the gateway's own, and content that was old when an answer reported a removal, each counted as an outage of the store, after which missing entries are used for 2.2 s. Neither says that endpoints couldn't report. A silent connection was noticed after 3.5 s.

Fix: entries may have expired only if the store refused calls, or if no gateway is known to have had an answer on endpoints for two status report intervals (an entry expires after three). Empty answers confirm as of the end of the wait, so that content counts as old after 2.25 s instead of 3.4 s without more calls, and a long poll is given up 0.5 s after its answer was due.

Waiting and contact are modules of their own, as follow.rs had grown.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -5,6 +5,8 @@
 //! is read in full again. The version of the configuration never decreases, whatever is read.
 
 mod apply;
+mod contact;
+mod waiting;
 mod zones;
 
 use std::cell::RefCell;
@@ -39,6 +41,8 @@
 use crate::store_calls::StoreCalls;
 use crate::view::Published;
 
+use self::contact::StoreLoss;
+use self::waiting::AbortReason;
 use crate::holds::HoldWrite;
 use crate::membership::Endpoints;
 pub use crate::store_calls::StoreMetrics;
@@ -55,10 +59,9 @@
     pub seed_peers: Vec<SocketAddr>,
     /// Duration of a long poll for changes of the configuration or the endpoints, in milliseconds,
     /// while this gateway is a reader or hears no fresh report from one. Each answer, also an empty
-    /// one, shows that the connection works. The time that is confirmed is that at which the call
-    /// began, so what readers know is at most twice this old. A call that hangs since an outage is
-    /// given up 1.5 s later, at the latest 3 s after the end of the outage, and hosts must follow
-    /// changes 5 s after it.
+    /// one, shows that the connection works, and an empty one confirms what is known as of the end
+    /// of the wait. A call on a connection that has fallen silent is given up half a second after
+    /// its answer was due, since hosts must follow changes 3 s after such a silence.
     pub wait_ms: u64,
     /// The same while peers report often that nothing else is known, in milliseconds. The store
     /// allows 30 s; this is half of it, since a call is the only traffic that keeps a connection
@@ -97,6 +100,8 @@
     /// Time over which gateways spread their full reads where many would read at once, in
     /// milliseconds.
     pub reread_jitter_ms: u64,
+    /// Interval between two status reports of an endpoint, in milliseconds.
+    pub report_interval_ms: u64,
     /// How long after an outage endpoints that aren't listed any more are still used, in
     /// milliseconds. Their entries may have expired during the outage; live endpoints write theirs
     /// again within two seconds.
@@ -121,6 +126,7 @@
             informed_peer_delay_ms: 150,
             bootstrap_delay_ms: 400,
             reread_jitter_ms: 500,
+            report_interval_ms: 1_200,
             expiry_grace_ms: 2_200,
         }
     }
@@ -188,8 +194,11 @@
     loop {
         let start_ms = follower.published.now_ms();
         let pause = match follower.read(source.as_mut()).await {
-            Some(read) => follower.handle_read(read, start_ms),
-            None => follower.note_aborted_wait(),
+            ReadEnd::Read { read, waited_ms } => {
+                let as_of_ms = follower.time_call(&read, start_ms, waited_ms);
+                follower.handle_read(read, as_of_ms)
+            }
+            ReadEnd::Aborted(reason) => follower.note_aborted_wait(reason),
         };
         follower.pause(pause).await;
         follower.register_again(source.as_mut()).await;
@@ -230,6 +239,17 @@
     batch.updates.iter().any(is_removal)
 }
 
+/// How a read ended.
+enum ReadEnd {
+    /// With the store's answer, for which it was asked to wait, or an error.
+    Read {
+        read: Result<Batch, SourceError>,
+        waited_ms: u64,
+    },
+    /// It was given up while it waited.
+    Aborted(AbortReason),
+}
+
 /// Follows one topic.
 struct Follower {
     topic: Topic,
@@ -245,8 +265,10 @@
     full_read_at_ms: Option<u64>,
     /// Whether the store has lost this gateway's entry, so that it must be written again.
     needs_registration: bool,
-    /// Time since which the topic can't be read, in milliseconds.
-    store_lost_since_ms: Option<u64>,
+    /// How the store was lost, while the topic can't be read.
+    store_loss: Option<StoreLoss>,
+    /// How long the last call without a wait took, in milliseconds.
+    call_ms: u64,
     /// Whether the last long poll was given up, so that the next call must not wait.
     wait_was_aborted: bool,
     endpoints: Rc<RefCell<Endpoints>>,
@@ -284,7 +306,8 @@
             era: None,
             full_read_at_ms: None,
             needs_registration: false,
-            store_lost_since_ms: None,
+            store_loss: None,
+            call_ms: 0,
             wait_was_aborted: false,
             endpoints,
             gateways: HashMap::new(),
@@ -331,10 +354,8 @@
         self.published.put_gateway_list(self.gateway_list.clone());
     }
 
-    /// Reads the topic in full, or waits for changes. Returns `None` if the wait was given up
-    /// because a peer has newer content, because nothing has confirmed the known content recently,
-    /// or because the list of gateways must be polled at shorter intervals.
-    async fn read(&mut self, source: &mut dyn Source) -> Option<Result<Batch, SourceError>> {
+    /// Reads the topic in full, or waits for changes.
+    async fn read(&mut self, source: &mut dyn Source) -> ReadEnd {
         self.call_boot_ms = self.published.boot_ms();
         let now_ms = self.published.now_ms();
         if self.full_read_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
@@ -343,9 +364,10 @@
         }
         let Some(after) = self.revision else {
             self.calls.count(CallReason::Whole);
-            return Some(source.read_all(self.topic).await);
+            let read = source.read_all(self.topic).await;
+            return ReadEnd::Read { read, waited_ms: 0 };
         };
-        let wait_ms = self.wait_ms();
+        let wait_ms = self.next_wait_ms();
         let is_long = wait_ms > self.options.wait_ms;
         self.calls.count(match (wait_ms, is_long) {
             (0, _) => CallReason::Probe,
@@ -354,98 +376,42 @@
         });
         let call = source.read_changes(self.topic, after, wait_ms);
         tokio::select! {
-            read = call => Some(read),
-            () = self.until_aborted(wait_ms) => None,
-        }
-    }
-
-    /// Completes when a pending long poll should be given up.
-    async fn until_aborted(&self, wait_ms: u64) {
-        match self.freshness() {
-            Some(freshness) if wait_ms > self.options.wait_ms => {
-                self.until_outdated(freshness).await
-            }
-            None if wait_ms > self.options.gateways_warm_up_wait_ms => {
-                self.published.until_warm_up_limits().await
-            }
-            _ => std::future::pending().await,
+            biased;
+            read = call => ReadEnd::Read { read, waited_ms: wait_ms },
+            reason = self.until_aborted(wait_ms) => ReadEnd::Aborted(reason),
         }
     }
 
-    /// Completes when the content of a topic is outdated, or may be.
-    async fn until_outdated(&self, freshness: &Freshness) {
-        loop {
-            freshness.notified().await;
-            if self.is_stale(freshness) {
-                return;
-            }
-            // The change that a peer has just read should arrive here too, unless this call's
-            // connection is dead.
-            sleep(Duration::from_millis(self.options.gather_ms)).await;
-            if freshness.should_abort_wait() {
-                return;
-            }
-        }
-    }
-
-    fn is_stale(&self, freshness: &Freshness) -> bool {
-        freshness.is_stale(self.published.now_ms())
-    }
-
-    fn wait_ms(&mut self) -> u64 {
-        let wait_was_aborted = std::mem::take(&mut self.wait_was_aborted);
-        if self.store_lost_since_ms.is_some() {
-            // Detect the end of an outage when it comes, not with the next change.
-            return 0;
-        }
-        let Some(freshness) = self.freshness() else {
-            let wait_ms = self.options.gateways_wait_ms;
-            return match self.published.has_warm_up_limits() {
-                true => wait_ms.min(self.options.gateways_warm_up_wait_ms),
-                false => wait_ms,
-            };
+    /// Records how long a call took that began at `start_ms` and asked the store to wait for
+    /// `waited_ms`, and returns the time as of which its answer tells what the store holds, in
+    /// milliseconds: an answer without changes was given at the end of the wait.
+    fn time_call(
+        &mut self,
+        read: &Result<Batch, SourceError>,
+        start_ms: u64,
+        waited_ms: u64,
+    ) -> u64 {
+        let took_ms = self.published.now_ms().saturating_sub(start_ms);
+        let Ok(batch) = read else {
+            return start_ms;
         };
-        if wait_was_aborted || self.is_stale(freshness) {
-            // Tell past changes apart from future ones, see `note_store_answered`.
-            return 0;
+        if waited_ms == 0 {
+            self.call_ms = took_ms;
         }
-        let longest_ms = match self.published.is_reader() {
-            true => self.options.wait_ms,
-            false => self.options.long_wait_ms,
-        };
-        let now_ms = self.published.now_ms();
-        let due_ms = self.full_read_at_ms.unwrap_or(u64::MAX);
-        let longest_ms = longest_ms.min(due_ms.saturating_sub(now_ms));
-        match self.topic {
-            Topic::Endpoints => self.endpoints.borrow().bounded_wait_ms(longest_ms, now_ms),
-            _ => longest_ms,
+        let has_waited = batch.updates.is_empty() && took_ms >= waited_ms;
+        match has_waited {
+            true => start_ms + waited_ms,
+            false => start_ms,
         }
     }
 
-    /// Records that a long poll was given up.
-    fn note_aborted_wait(&mut self) -> ReadPause {
-        let Some(freshness) = self.freshness() else {
-            log::info!(
-                "requests to cold endpoints are limited; the list of gateways is polled more often"
-            );
-            return ReadPause::None;
-        };
-        let age_ms = freshness.age_ms(self.published.now_ms());
-        log::info!(
-            topic = self.topic.name(), age_ms = age_ms.unwrap_or(u64::MAX);
-            "a call to the store that waits isn't trusted"
-        );
-        self.wait_was_aborted = true;
-        ReadPause::None
-    }
-
-    /// Applies the result of a read, and returns the pause before the next one.
-    fn handle_read(&mut self, read: Result<Batch, SourceError>, start_ms: u64) -> ReadPause {
+    /// Applies the result of a read as of `as_of_ms`, and returns the pause before the next one.
+    fn handle_read(&mut self, read: Result<Batch, SourceError>, as_of_ms: u64) -> ReadPause {
         match read {
             Ok(batch) => {
                 let pause = self.pause_after(&batch);
                 self.note_store_answered(has_removed_endpoints(&batch));
-                self.apply(batch, start_ms);
+                self.apply(batch, as_of_ms);
                 pause
             }
             Err(SourceError::EraChanged { from, to }) => {
@@ -481,53 +447,6 @@
         are_many && !self.published.is_reader()
     }
 
-    fn note_store_lost(&mut self, error: &SourceError) {
-        if self.store_lost_since_ms.is_some() {
-            return;
-        }
-        log::warn!(topic = self.topic.name(), error:% = error; "the store is lost");
-        let now_ms = self.published.now_ms();
-        self.store_lost_since_ms = Some(now_ms);
-        if let Some(freshness) = self.freshness() {
-            freshness.mark_store_lost(now_ms);
-        }
-    }
-
-    /// Records that the store answered. `has_removed_endpoints` says whether entries were removed
-    /// by this answer, or may have been.
-    fn note_store_answered(&mut self, has_removed_endpoints: bool) {
-        let now_ms = self.published.now_ms();
-        if self.store_lost_since_ms.is_some() {
-            log::info!(topic = self.topic.name(); "the store is back");
-        }
-        // An outage may also begin and end between two calls. But content also becomes stale when
-        // the readers are silent. The first call after that doesn't wait, so entries that it
-        // doesn't report as removed haven't expired, and endpoints removed later have left. When
-        // every stale period was taken for an outage, endpoints that had left were used for four
-        // seconds.
-        let unseen_since_ms = self
-            .stale_since_ms(now_ms)
-            .filter(|_| has_removed_endpoints);
-        if let Some(began_ms) = self.store_lost_since_ms.or(unseen_since_ms) {
-            self.endpoints
-                .borrow_mut()
-                .note_outage_end(began_ms, now_ms);
-        }
-        if let Some(freshness) = self.freshness() {
-            freshness.mark_store_recovered();
-        }
-        self.store_lost_since_ms = None;
-    }
-
-    /// When the known content was last confirmed, if it is stale; `None` before the first read.
-    fn stale_since_ms(&self, now_ms: u64) -> Option<u64> {
-        let freshness = self
-            .freshness()
-            .filter(|freshness| freshness.is_stale(now_ms))?;
-        let age_ms = freshness.age_ms(now_ms).unwrap_or(now_ms);
-        self.revision.map(|_| now_ms.saturating_sub(age_ms))
-    }
-
     /// Writes this gateway's entry again if the store has lost it.
     async fn register_again(&mut self, source: &mut dyn Source) {
         if !self.needs_registration {
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -24,8 +24,8 @@
 const LOGGED_COLD_MAX: usize = 10_000;
 
 impl Follower {
-    /// Applies the result of a read that began at `start_ms`.
-    pub(super) fn apply(&mut self, batch: Batch, start_ms: u64) {
+    /// Applies the result of a read, which holds as of `as_of_ms`.
+    pub(super) fn apply(&mut self, batch: Batch, as_of_ms: u64) {
         for update in &batch.updates {
             self.track_bad_row(update);
         }
@@ -37,8 +37,8 @@
         match self.topic {
             Topic::Configuration => {
                 // Before the configuration, without which no request is served.
-                self.apply_zone_orders(&batch.updates, batch.revision, is_full_read, start_ms);
-                self.apply_configuration(batch.updates, start_ms);
+                self.apply_zone_orders(&batch.updates, batch.revision, is_full_read, as_of_ms);
+                self.apply_configuration(batch.updates, as_of_ms);
             }
             Topic::Endpoints => {
                 if has_rolled_back {
@@ -47,7 +47,7 @@
                     self.full_read_at_ms = Some(now_ms + ENTRY_EXPIRY_MS);
                 }
                 let listed_ms = (!is_first_read).then(|| self.published.now_ms());
-                self.apply_endpoints(batch.updates, is_full_read, start_ms, listed_ms);
+                self.apply_endpoints(batch.updates, is_full_read, as_of_ms, listed_ms);
             }
             Topic::Gateways if has_rolled_back => {
                 self.extend_gateway_list(&batch.updates);
@@ -130,7 +130,7 @@
         }
     }
 
-    fn apply_configuration(&mut self, updates: Vec<Update>, start_ms: u64) {
+    fn apply_configuration(&mut self, updates: Vec<Update>, as_of_ms: u64) {
         for update in updates {
             let Update::Configuration(configuration) = update else {
                 continue;
@@ -144,7 +144,7 @@
                 self.log_engines(before.as_deref());
             }
         }
-        self.published.configuration_freshness().confirm(start_ms);
+        self.published.configuration_freshness().confirm(as_of_ms);
     }
 
     /// Logs the performance models that operators declare for engines, where they differ from the
@@ -183,7 +183,7 @@
         &mut self,
         updates: Vec<Update>,
         is_full_read: bool,
-        start_ms: u64,
+        as_of_ms: u64,
         listed_ms: Option<u64>,
     ) {
         let now_ms = self.published.now_ms();
@@ -245,7 +245,7 @@
         if endpoints.take_changed() || is_full_read {
             self.published.put_fleet(endpoints.fleet());
         }
-        freshness.confirm(start_ms);
+        freshness.confirm(as_of_ms);
     }
 
     /// Logs a malformed time for which an endpoint is cold, unless it was logged before. The rest of
--- a/crates/mgs-relay/src/freshness.rs
+++ b/crates/mgs-relay/src/freshness.rs
@@ -18,10 +18,10 @@
 /// Stands for "never" in timestamps.
 const NEVER_MS: u64 = 0;
 
-/// Age above which a confirmation counts as stale, in milliseconds. Readers confirm every 1.5 s the
-/// time at which their call began, so their content is at most 3 s old, and their report takes a
-/// few hundred milliseconds to arrive.
-pub const STALE_MS: u64 = 3_400;
+/// Age above which a confirmation counts as stale, in milliseconds. Readers confirm every 1.5 s, and
+/// their report takes up to half a second to arrive. Below twice the interval of endpoints' status
+/// reports, so that a gateway without news has asked the store before an entry can expire.
+pub const STALE_MS: u64 = 2_250;
 
 /// What a peer reports about one topic.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
@@ -50,6 +50,8 @@
     content_kind: ContentKind,
     content_id: AtomicU64,
     confirmed_ms: AtomicU64,
+    /// When the store is last known to have answered any gateway, whatever it told.
+    answered_ms: AtomicU64,
     store_lost_ms: AtomicU64,
     /// The report with the latest confirmation among those received.
     latest_report: ArcSwapOption<TopicReport>,
@@ -65,6 +67,7 @@
             content_kind,
             content_id: AtomicU64::new(0),
             confirmed_ms: AtomicU64::new(NEVER_MS),
+            answered_ms: AtomicU64::new(NEVER_MS),
             store_lost_ms: AtomicU64::new(NEVER_MS),
             latest_report: ArcSwapOption::empty(),
             aborted_for: AtomicU64::new(0),
@@ -107,6 +110,39 @@
         }
     }
 
+    /// Time until the last confirmation is stale, in milliseconds; 0 if it is or there was none.
+    pub fn stale_in_ms(&self, now_ms: u64) -> u64 {
+        let age_ms = self.age_ms(now_ms);
+        age_ms.map_or(0, |age_ms| (STALE_MS + 1).saturating_sub(age_ms))
+    }
+
+    /// Records that the store has answered a gateway about this topic.
+    pub fn record_answer(&self, at_ms: u64) {
+        self.answered_ms.fetch_max(at_ms.max(1), Ordering::Relaxed);
+    }
+
+    /// Time since the last answer of the store that any gateway is known to have had, in
+    /// milliseconds; `None` if none is known.
+    ///
+    /// ```
+    /// use mgs_relay::freshness::ContentKind;
+    /// use mgs_relay::freshness::Freshness;
+    /// use mgs_relay::freshness::TopicReport;
+    ///
+    /// let freshness = Freshness::new(ContentKind::Hashes);
+    /// freshness.set_content_id(7);
+    /// freshness.record_answer(100);
+    /// let from = ([127, 0, 0, 1], 1).into();
+    /// freshness.record_report(TopicReport { content_id: 8, confirmed_ms: 900, from });
+    /// assert_eq!(freshness.unanswered_ms(1_000), Some(100));
+    /// ```
+    pub fn unanswered_ms(&self, now_ms: u64) -> Option<u64> {
+        match self.answered_ms.load(Ordering::Relaxed) {
+            NEVER_MS => None,
+            at_ms => Some(now_ms.saturating_sub(at_ms)),
+        }
+    }
+
     /// Whether the last confirmation is older than [`STALE_MS`], or there was none.
     pub fn is_stale(&self, now_ms: u64) -> bool {
         self.age_ms(now_ms).is_none_or(|age_ms| age_ms > STALE_MS)
@@ -131,6 +167,7 @@
 
     /// Takes the report of a peer. A report of the content that is known here confirms it.
     pub fn record_report(&self, report: TopicReport) {
+        self.record_answer(report.confirmed_ms);
         if report.content_id == self.content_id() {
             self.confirm(report.confirmed_ms);
         }
@@ -189,13 +226,8 @@
         last_aborted_for != report.content_id
     }
 
-    /// Wakes the task that waits in [`Self::notified`].
-    pub fn wake(&self) {
-        self.notify.notify_one();
-    }
-
-    /// Completes when a peer reports newer content, when a peer has read the store after this
-    /// gateway lost it, or after [`Self::wake`].
+    /// Completes when a peer reports newer content, or when a peer has read the store after this
+    /// gateway lost it.
     pub async fn notified(&self) {
         self.notify.notified().await;
     }
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -57,6 +57,7 @@
 pub mod message_schedule;
 pub mod metrics;
 mod organisation_shares;
+pub mod outage;
 mod peer_fallback;
 mod peer_snapshot;
 mod peers;
--- a/crates/mgs-relay/src/peers.rs
+++ b/crates/mgs-relay/src/peers.rs
@@ -347,25 +347,13 @@
     record(published.endpoint_freshness(), message.endpoints);
 }
 
-/// Updates whether this gateway is a reader, and wakes the followers of topics whose content has
-/// become stale. A follower that has lost the store calls it again by itself; woken up each time,
-/// every gateway called it twice a second for as long as an outage lasted.
+/// Updates whether this gateway is a reader.
 fn refresh_reader_role(core: &Core, peer_table: &PeerTable) {
     let published = &core.published;
     let is_reader = peer_table.is_reader(core.options.peer_listen, core.now_ms());
     if published.set_is_reader(is_reader) {
         log::info!(reader = is_reader; "who asks the store often has changed");
     }
-    let now_ms = core.now_whole_ms();
-    for freshness in [
-        published.configuration_freshness(),
-        published.endpoint_freshness(),
-    ] {
-        let is_lost = freshness.store_lost_since_ms().is_some();
-        if freshness.is_stale(now_ms) && !is_lost {
-            freshness.wake();
-        }
-    }
 }
 
 /// Regularly updates the number of gateways, and forgets peers that fell silent.
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -243,6 +243,8 @@
         /// The current era of the store.
         to: u64,
     },
+    /// the store refuses the call: {0}
+    Refused(String),
     /// the store can't be read: {0}
     Unavailable(String),
 }
