fix(follow): a peer's list of endpoints never replaces one read at a later revision

Its list of endpoints replaced the own one whenever the own store was lost; nothing said which of the two was read later. The row doesn't change any more, so no later read repaired it.

Evidence: "a peer told what the store can't" is followed by "endpoint changed" with leaving false, before the store is back.

Fix: a list carries the era and revision of the store at which it was read and keeps it when it is passed on; only a later one is taken. A list of a later era counts as one of a restored copy. An answer that is older than the list in force isn't applied, and all is read again. Lists of earlier releases, without a revision, are taken if nothing is known or if their gateway reports a later confirmation of other endpoints. Entries that a peer keeps only after an outage are named apart, and dropped when it drops them.

The new message beside a gateway of the release before was not run.

--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -40,12 +40,20 @@
                 self.apply_zone_orders(&batch.updates, batch.revision, is_full_read, as_of_ms);
                 self.apply_configuration(batch.updates, as_of_ms);
             }
+            Topic::Endpoints if !is_full_read && self.is_outdated(batch.revision) => {
+                log::info!(
+                    revision = batch.revision.number;
+                    "an answer of the store is older than a peer's list; all is read again"
+                );
+                self.revision = None;
+            }
             Topic::Endpoints => {
                 if has_rolled_back {
                     let now_ms = self.published.now_ms();
                     self.endpoints.borrow_mut().note_rollback(now_ms);
                     self.full_read_at_ms = Some(now_ms + ENTRY_EXPIRY_MS);
                 }
+                self.endpoints.borrow_mut().set_revision(batch.revision);
                 let listed_ms = (!is_first_read).then(|| self.published.now_ms());
                 self.apply_endpoints(batch.updates, is_full_read, as_of_ms, listed_ms);
             }
@@ -64,6 +72,11 @@
         }
     }
 
+    /// Whether a list that was read at a later revision is in force.
+    fn is_outdated(&self, revision: Revision) -> bool {
+        self.endpoints.borrow().is_newer_than(revision)
+    }
+
     /// Records the era of a read; returns whether the store has been restored from an older copy
     /// since the last one.
     fn update_era(&mut self, revision: Revision) -> bool {
@@ -194,6 +207,7 @@
             false => Origin::Change,
         };
         let listed = is_full_read.then(|| Endpoints::listed_ids(&updates));
+        let has_updates = !updates.is_empty() || is_full_read;
         let configuration = self.published.configuration();
         for update in updates {
             match update {
@@ -240,12 +254,11 @@
             endpoints.mark_missing_except(&listed, now_ms);
         }
         endpoints.drop_missing(now_ms);
-        let freshness = self.published.endpoint_freshness();
-        freshness.set_content_id(endpoints.content_hash());
-        if endpoints.take_changed() || is_full_read {
-            self.published.put_fleet(endpoints.fleet());
+        let is_changed = endpoints.take_changed() || is_full_read;
+        if has_updates || is_changed {
+            self.published.put_endpoints(&endpoints, is_changed);
         }
-        freshness.confirm(as_of_ms);
+        self.published.endpoint_freshness().confirm(as_of_ms);
     }
 
     /// Logs a malformed time for which an endpoint is cold, unless it was logged before. The rest of
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -37,6 +37,7 @@
 mod dispatch_outcome;
 mod dispatcher;
 pub mod drain;
+pub mod endpoint_list;
 mod engine_speeds;
 pub mod evacuation;
 mod evacuation_gossip;
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -14,8 +14,10 @@
 
 use mgs_fleet::view::EndpointKey;
 
+use crate::endpoint_list::EndpointList;
 use crate::source::EndpointFacts;
 use crate::source::Incarnation;
+use crate::source::Revision;
 use crate::source::RowFault;
 use crate::source::Update;
 use crate::view::Endpoint;
@@ -75,6 +77,10 @@
     /// then may be older than what was learnt before.
     rolled_back_ms: Option<u64>,
     next_key: u32,
+    /// Revision of the store as of which the list holds, if it is known.
+    revision: Option<Revision>,
+    /// Whether the list was taken from a peer since the last own read of the store.
+    is_from_peer: bool,
     expiry_grace_ms: u64,
     outage_ended_ms: Option<u64>,
     is_changed: bool,
@@ -90,6 +96,8 @@
             removed_ms: HashMap::new(),
             rolled_back_ms: None,
             next_key: 0,
+            revision: None,
+            is_from_peer: false,
             expiry_grace_ms,
             outage_ended_ms: None,
             is_changed: false,
@@ -335,7 +343,73 @@
         }
     }
 
-    /// Replaces the list by that of a peer, which has read the store.
+    /// Records that the list holds as of a revision, which this gateway read itself.
+    pub fn set_revision(&mut self, revision: Revision) {
+        self.revision = Some(revision);
+        self.is_from_peer = false;
+    }
+
+    /// Whether the list holds as of a later revision than this one.
+    pub fn is_newer_than(&self, revision: Revision) -> bool {
+        self.revision.is_some_and(|own| own > revision)
+    }
+
+    /// Whether the list is a peer's, or nothing is known yet.
+    pub fn is_provisional(&self) -> bool {
+        self.is_from_peer || self.revision.is_none()
+    }
+
+    /// Takes the list of a peer if it is newer than the own one; returns whether it was taken. A
+    /// list without a revision is taken if `is_reported_newer`, or if nothing else is known.
+    pub fn take_list(&mut self, list: EndpointList, is_reported_newer: bool, now_ms: u64) -> bool {
+        let is_newer = match (list.revision, self.revision) {
+            (Some(theirs), Some(own)) => theirs > own,
+            (Some(_), None) => true,
+            // An empty one is that of a peer which has read nothing yet.
+            (None, own) => !list.listed.is_empty() && (own.is_none() || is_reported_newer),
+        };
+        if !is_newer {
+            return false;
+        }
+        let is_restored =
+            |theirs: Revision| self.revision.is_some_and(|r| r.is_outdated_by(theirs));
+        if list.revision.is_some_and(is_restored) {
+            self.note_rollback(now_ms);
+        }
+        if !list.expiring.is_empty() {
+            let ended_ms = list.expiring_until_ms.saturating_sub(self.expiry_grace_ms);
+            self.outage_ended_ms = self.outage_ended_ms.max(Some(ended_ms));
+        }
+        let expiring = list.expiring.iter();
+        let expiring: Vec<String> = expiring.map(|f| f.incarnation.id.clone()).collect();
+        let mut all = list.listed;
+        all.extend(list.expiring);
+        self.replace_all(all, now_ms);
+        for id in expiring {
+            self.mark_missing(&id, now_ms);
+        }
+        self.drop_missing(now_ms);
+        // Without one, the own revision stays: what is read next is applied to what was read last.
+        self.revision = list.revision.or(self.revision);
+        self.is_from_peer = true;
+        true
+    }
+
+    /// The list for peers.
+    pub fn list(&self) -> EndpointList {
+        let used = self.entries.values().filter(|entry| !entry.is_unreadable);
+        let (listed, expiring): (Vec<&Entry>, Vec<&Entry>) =
+            used.partition(|entry| entry.is_listed());
+        let facts = |entries: Vec<&Entry>| entries.into_iter().map(|e| e.facts.clone()).collect();
+        EndpointList {
+            revision: self.revision,
+            listed: facts(listed),
+            expiring: facts(expiring),
+            expiring_until_ms: self.outage_ended_ms.unwrap_or(0) + self.expiry_grace_ms,
+        }
+    }
+
+    /// Replaces the list by one that was read from the store.
     pub fn replace_all(&mut self, listed: Vec<EndpointFacts>, now_ms: u64) {
         let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
         let listed = Self::listed_ids(&updates);
--- a/crates/mgs-relay/src/peer_fallback.rs
+++ b/crates/mgs-relay/src/peer_fallback.rs
@@ -2,8 +2,8 @@
 //!
 //! Otherwise, a rolling restart during an outage of the store would leave no gateway with a
 //! configuration, and a store that rejects some gateways would leave these with revoked keys and
-//! endpoints that have left. A peer's data may be older than the store's: it never replaces a newer
-//! configuration, and the first read of the store takes precedence.
+//! endpoints that have left. A peer's data may be older than what is known here: it never replaces a
+//! newer configuration, nor a list of endpoints that was read at a later revision of the store.
 
 use std::cell::RefCell;
 use std::hash::DefaultHasher;
@@ -47,9 +47,10 @@
         let peer = fresher_peer(&published).or_else(|| ahead.peer(&published));
         if let Some(peer) = peer {
             if let Some(handover) = peer_snapshot::fetch(peer).await {
-                apply_handover(&published, &endpoints, handover);
+                apply_handover(&published, &endpoints, peer, handover);
             }
         }
+        drop_expired(&published, &endpoints);
     }
 }
 
@@ -70,31 +71,37 @@
         };
         let peer = search.next_peer(&informed, seeds, now_ms);
         if let Some(peer) = peer {
-            fetches.spawn_local(peer_snapshot::fetch(peer));
+            fetches.spawn_local(async move { (peer, peer_snapshot::fetch(peer).await) });
         }
         let Some(ended) = next_end(&mut fetches).await else {
             continue;
         };
         search.record_end();
-        if let Some(handover) = ended {
-            apply_handover(published, endpoints, handover);
+        if let Some((peer, handover)) = ended {
+            apply_handover(published, endpoints, peer, handover);
         }
     }
 }
 
-/// The snapshot of the next fetch that ends, or `Some(None)` if its peer had none; `None` once it is
-/// time to ask a further peer.
-async fn next_end(fetches: &mut JoinSet<Option<PeerSnapshot>>) -> Option<Option<PeerSnapshot>> {
+/// A peer that was asked, and its snapshot if it had one.
+type Fetched = (SocketAddr, Option<PeerSnapshot>);
+
+/// The peer and snapshot of the next fetch that ends, or `Some(None)` if its peer had none; `None`
+/// once it is time to ask a further peer.
+async fn next_end(fetches: &mut JoinSet<Fetched>) -> Option<Option<(SocketAddr, PeerSnapshot)>> {
     let delay = Duration::from_millis(HEDGE_DELAY_MS);
     if fetches.is_empty() {
         sleep(delay).await;
         return None;
     }
     let ended = timeout(delay, fetches.join_next()).await.ok()??;
-    Some(ended.unwrap_or_else(|error| {
-        log::error!(error:% = error; "the task that asks a peer has failed");
-        None
-    }))
+    match ended {
+        Ok((peer, handover)) => Some(handover.map(|handover| (peer, handover))),
+        Err(error) => {
+            log::error!(error:% = error; "the task that asks a peer has failed");
+            Some(None)
+        }
+    }
 }
 
 /// A number that differs between gateways.
@@ -145,9 +152,12 @@
     better(published.configuration_freshness()).or_else(|| better(published.endpoint_freshness()))
 }
 
-fn apply_handover(published: &Published, endpoints: &RefCell<Endpoints>, handover: PeerSnapshot) {
-    let is_lost =
-        |belief: &Freshness| belief.store_lost_since_ms().is_some() || belief.content_id() == 0;
+fn apply_handover(
+    published: &Published,
+    endpoints: &RefCell<Endpoints>,
+    peer: SocketAddr,
+    mut handover: PeerSnapshot,
+) {
     let now_ms = published.now_ms();
     // Before the configuration, without which no request is served.
     published.update_evacuations(OrderOrigin::Snapshot, |evacuations| {
@@ -159,19 +169,34 @@
     }
     // `put_configuration` ignores an older configuration.
     published.put_configuration(configuration);
-    if is_lost(published.endpoint_freshness()) {
-        let mut endpoints = endpoints.borrow_mut();
-        let now_ms = published.now_ms();
-        // Any endpoint of the first list may have run for long; the peer tells which are cold.
-        let listed_ms = (!endpoints.is_empty()).then_some(now_ms);
-        endpoints.replace_all(handover.endpoints, now_ms);
-        endpoints.date_new(listed_ms);
-        for (id, remaining_ms) in handover.warm_up.iter().flat_map(WarmUpSnapshot::cold) {
-            endpoints.extend_cold(id, now_ms + remaining_ms);
-        }
-        published
-            .endpoint_freshness()
-            .set_content_id(endpoints.content_hash());
-        published.put_fleet(endpoints.fleet());
+    let freshness = published.endpoint_freshness();
+    let is_lost = freshness.store_lost_since_ms().is_some();
+    let mut endpoints = endpoints.borrow_mut();
+    if !is_lost && !endpoints.is_provisional() {
+        return;
+    }
+    let is_reported_newer = freshness.newer_report().is_some_and(|r| r.from == peer);
+    // Any endpoint of the first list may have run for long; the peer tells which are cold.
+    let listed_ms = (!endpoints.is_empty()).then_some(now_ms);
+    let list = handover.take_endpoints(now_ms);
+    if !endpoints.take_list(list, is_reported_newer, now_ms) {
+        log::info!(peer:% = peer; "a peer's list of endpoints isn't newer than the own one");
+        return;
+    }
+    endpoints.date_new(listed_ms);
+    for (id, remaining_ms) in handover.warm_up.iter().flat_map(WarmUpSnapshot::cold) {
+        endpoints.extend_cold(id, now_ms + remaining_ms);
+    }
+    endpoints.take_changed();
+    published.put_endpoints(&endpoints, true);
+}
+
+/// Drops endpoints whose entry may have expired in an outage and wasn't written again in time, also
+/// while no read of the store does it.
+fn drop_expired(published: &Published, endpoints: &RefCell<Endpoints>) {
+    let mut endpoints = endpoints.borrow_mut();
+    endpoints.drop_missing(published.now_ms());
+    if endpoints.take_changed() {
+        published.put_endpoints(&endpoints, true);
     }
 }
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -6,6 +6,7 @@
 use std::sync::Arc;
 use std::time::Duration;
 
+use serde::de::DeserializeOwned;
 use serde::Deserialize;
 use serde::Serialize;
 use tokio::io::AsyncReadExt;
@@ -15,6 +16,8 @@
 use tokio::time::timeout;
 
 use crate::core::Core;
+use crate::endpoint_list::EndpointList;
+use crate::endpoint_list::ListOrigin;
 use crate::evacuation::ZoneOrder;
 use crate::source::EndpointFacts;
 use crate::view::Configuration;
@@ -39,18 +42,23 @@
     AllWithOrders(PeerSnapshot, Vec<ZoneOrder>),
 }
 
-/// A reply with what follows it where the configuration limits requests to cold endpoints. Earlier
-/// releases ignore bytes after the reply.
+/// A reply with what follows it: limits and cold endpoints, empty if the configuration has no
+/// limits, and where the list of endpoints is from. Earlier releases send neither, or the first only,
+/// and ignore what they don't know.
 struct Received {
     reply: Reply,
     warm_up: Option<WarmUpSnapshot>,
+    origin: Option<ListOrigin>,
 }
 
 /// All that a gateway needs to serve.
 #[derive(Debug, Clone, Serialize, Deserialize)]
 pub(crate) struct PeerSnapshot {
     pub(crate) configuration: Arc<Configuration>,
-    pub(crate) endpoints: Vec<EndpointFacts>,
+    endpoints: Vec<EndpointFacts>,
+    /// Where the list of endpoints is from; follows the reply.
+    #[serde(skip)]
+    origin: ListOrigin,
     /// Orders to evacuate zones; they travel in a reply of their own.
     #[serde(skip)]
     pub(crate) orders: Vec<ZoneOrder>,
@@ -62,16 +70,30 @@
 impl PeerSnapshot {
     fn of(published: &Published) -> Option<Self> {
         let configuration = published.configuration()?;
-        let fleet = published.fleet();
-        let endpoints = fleet.by_key.values().map(|endpoint| endpoint.facts.clone());
+        let list = published.endpoint_list();
+        let (endpoints, origin) = list.to_message(published.now_ms());
         Some(Self {
             configuration,
-            endpoints: endpoints.collect(),
+            endpoints,
+            origin,
             orders: published.evacuations().zones().orders.clone(),
             warm_up: WarmUpSnapshot::of(published),
         })
     }
 
+    /// What follows the reply that carries this snapshot.
+    fn encode_further(&self) -> Vec<u8> {
+        let mut further = encode(&self.warm_up.clone().unwrap_or_default());
+        further.extend(encode(&self.origin));
+        further
+    }
+
+    /// Takes the list of endpoints out of it.
+    pub(crate) fn take_endpoints(&mut self, now_ms: u64) -> EndpointList {
+        let endpoints = std::mem::take(&mut self.endpoints);
+        EndpointList::from_message(endpoints, &self.origin, now_ms)
+    }
+
     /// The reply that carries this snapshot.
     fn into_reply(mut self) -> Reply {
         let orders = std::mem::take(&mut self.orders);
@@ -96,12 +118,10 @@
 
 async fn send(core: Rc<Core>, mut stream: TcpStream, peer: SocketAddr) {
     let snapshot = PeerSnapshot::of(&core.published);
-    let warm_up = snapshot.as_ref().and_then(|s| s.warm_up.clone());
+    let further = snapshot.as_ref().map(PeerSnapshot::encode_further);
     let reply = snapshot.map_or(Reply::NothingYet, PeerSnapshot::into_reply);
     let mut message = encode(&reply);
-    if let Some(warm_up) = &warm_up {
-        message.extend(encode(warm_up));
-    }
+    message.extend(further.unwrap_or_default());
     let sending = async {
         stream.write_all(&message).await?;
         stream.shutdown().await
@@ -126,37 +146,37 @@
 /// Asks a peer for its snapshot; `None` if it has none or doesn't answer.
 pub(crate) async fn fetch(peer: SocketAddr) -> Option<PeerSnapshot> {
     match timeout(EXCHANGE_TIMEOUT, receive(peer)).await {
-        Ok(Ok(Received { reply, warm_up })) => match reply {
-            Reply::NothingYet => log::info!(peer:% = peer; "a peer knows nothing yet"),
-            Reply::All(snapshot) => {
-                return Some(received(peer, snapshot, Vec::new(), warm_up));
-            }
-            Reply::AllWithOrders(snapshot, orders) => {
-                return Some(received(peer, snapshot, orders, warm_up));
-            }
-        },
+        Ok(Ok(received)) => return received.into_snapshot(peer),
         Ok(Err(error)) => log::info!(peer:% = peer, error = error; "a peer told nothing"),
         Err(_) => log::info!(peer:% = peer; "a peer didn't answer in time"),
     }
     None
 }
 
-/// Logs a received snapshot, and adds what came beside it.
-fn received(
-    peer: SocketAddr,
-    snapshot: PeerSnapshot,
-    orders: Vec<ZoneOrder>,
-    warm_up: Option<WarmUpSnapshot>,
-) -> PeerSnapshot {
-    log::info!(
-        peer:% = peer, configuration = snapshot.configuration.version,
-        endpoints = snapshot.endpoints.len(), zone_orders = orders.len();
-        "a peer told what the store can't"
-    );
-    PeerSnapshot {
-        orders,
-        warm_up,
-        ..snapshot
+impl Received {
+    /// The snapshot with what came beside it; `None` if the peer knows nothing yet.
+    fn into_snapshot(self, peer: SocketAddr) -> Option<PeerSnapshot> {
+        let (snapshot, orders) = match self.reply {
+            Reply::NothingYet => {
+                log::info!(peer:% = peer; "a peer knows nothing yet");
+                return None;
+            }
+            Reply::All(snapshot) => (snapshot, Vec::new()),
+            Reply::AllWithOrders(snapshot, orders) => (snapshot, orders),
+        };
+        let origin = self.origin.unwrap_or_default();
+        log::info!(
+            peer:% = peer, configuration = snapshot.configuration.version,
+            endpoints = snapshot.endpoints.len(), zone_orders = orders.len(),
+            revision:? = origin.revision();
+            "a peer told what the store can't"
+        );
+        Some(PeerSnapshot {
+            orders,
+            warm_up: self.warm_up,
+            origin,
+            ..snapshot
+        })
     }
 }
 
@@ -169,9 +189,18 @@
     reading.map_err(|error| error.to_string())?;
     let decoded = bincode::serde::decode_from_slice(&message, bincode::config::standard());
     let (reply, length) = decoded.map_err(|error| error.to_string())?;
-    let rest = &message[length..];
-    // A reply of an earlier release ends here.
-    let warm_up = bincode::serde::decode_from_slice(rest, bincode::config::standard());
-    let warm_up = warm_up.ok().map(|(warm_up, _)| warm_up);
-    Ok(Received { reply, warm_up })
+    let mut rest = &message[length..];
+    Ok(Received {
+        reply,
+        warm_up: decode_next(&mut rest),
+        origin: decode_next(&mut rest),
+    })
+}
+
+/// Decodes what comes next, if anything does: a message of an earlier release ends sooner.
+fn decode_next<T: DeserializeOwned>(rest: &mut &[u8]) -> Option<T> {
+    let decoded = bincode::serde::decode_from_slice(rest, bincode::config::standard());
+    let (next, length) = decoded.ok()?;
+    *rest = &rest[length..];
+    Some(next)
 }
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -22,6 +22,7 @@
 
 use crate::budget::Options as BudgetOptions;
 use crate::drain;
+use crate::endpoint_list::EndpointList;
 use crate::evacuation::Evacuations;
 use crate::evacuation::ZoneOrder;
 use crate::evacuation_state::EvacuationState;
@@ -31,6 +32,7 @@
 use crate::held_bytes;
 use crate::holds::Holds;
 use crate::link_use;
+use crate::membership::Endpoints;
 use crate::source::EndpointFacts;
 use crate::source::Incarnation;
 use crate::warm_up;
@@ -271,6 +273,8 @@
     configuration: ArcSwapOption<Configuration>,
     fleet: ArcSwap<Fleet>,
     endpoint_keys_by_hash: ArcSwap<HashMap<u64, EndpointKey>>,
+    /// The endpoints as they are handed to peers.
+    endpoint_list: ArcSwap<EndpointList>,
     peers: ArcSwap<Vec<SocketAddr>>,
     /// Peers that reported to know a configuration while this gateway knew none.
     informed_peers: ArcSwap<Vec<SocketAddr>>,
@@ -294,6 +298,7 @@
             configuration: ArcSwapOption::empty(),
             fleet: ArcSwap::from_pointee(Fleet::default()),
             endpoint_keys_by_hash: ArcSwap::default(),
+            endpoint_list: ArcSwap::default(),
             peers: ArcSwap::default(),
             informed_peers: ArcSwap::default(),
             listed_gateways: AtomicUsize::new(0),
@@ -440,6 +445,22 @@
         self.completion.notify_waiters();
     }
 
+    /// Publishes the endpoints: the list for peers, what identifies it, and, if `is_changed`, the
+    /// fleet.
+    pub(crate) fn put_endpoints(&self, endpoints: &Endpoints, is_changed: bool) {
+        self.endpoint_list.store(Arc::new(endpoints.list()));
+        self.endpoint_freshness
+            .set_content_id(endpoints.content_hash());
+        if is_changed {
+            self.put_fleet(endpoints.fleet());
+        }
+    }
+
+    /// The endpoints as they are handed to peers.
+    pub(crate) fn endpoint_list(&self) -> Arc<EndpointList> {
+        self.endpoint_list.load_full()
+    }
+
     /// Freshness of the configuration.
     pub fn configuration_freshness(&self) -> &Freshness {
         &self.configuration_freshness
