fix(relay): a connection reads only so much without a part of a response

What callers saw: nothing recorded.

Cause: the HTTP library bounds heads, extensions and trailers, but an interim response begins a new head, and a leading zero or a blank leaves its decoder as it is, so it reads on for as long as bytes are there. All connections share one thread.

Fix: a connection to an endpoint or the store may read 256 KiB until the next part of its response, the head or a piece of the body, has arrived, from a buffer of 64 KiB at most. Beyond it the response is unusable, the connection is closed, and the endpoint counts as failing. The bound is on progress, not on one of the forms. The search for the end of an event goes on where it stopped; it began at the first byte with each piece.

Not tried: a release build, many such answers at once.

--- a/crates/mgs-relay/src/attempt.rs
+++ b/crates/mgs-relay/src/attempt.rs
@@ -13,7 +13,6 @@
 use http::Request;
 use http_body_util::BodyExt;
 use hyper::body::Body;
-use hyper::body::Incoming;
 use mgs_backpressure::warm_up::Permit;
 
 use crate::client_connection::ClientConnection;
@@ -29,6 +28,7 @@
 use crate::event_splitter::EventSplitter;
 use crate::held_bytes::HoldKind;
 use crate::held_bytes::NoRoom;
+use crate::read_allowance::ResponseBytes;
 use crate::view::Endpoint;
 
 /// Longest complete response that is forwarded, in bytes. It is read to its end first, so that a
@@ -45,7 +45,7 @@
 pub(crate) struct EventStream {
     /// Kept open as long as the stream is read.
     pub(crate) _connection: Connection,
-    pub(crate) body: Incoming,
+    pub(crate) body: ResponseBytes,
     /// What it means that the body ends within an event.
     pub(crate) incomplete_cause: LossCause,
     pub(crate) events: EventSplitter,
@@ -166,7 +166,7 @@
     client: &ClientConnection,
     connection: Connection,
     head: response::Parts,
-    mut body: Incoming,
+    mut body: ResponseBytes,
 ) -> DispatchResult {
     let announced_bytes = body.size_hint().exact().map(|bytes| bytes as usize);
     if announced_bytes.is_some_and(|bytes| bytes > ANSWER_BYTES_MAX) {
@@ -204,7 +204,7 @@
     client: &ClientConnection,
     connection: Connection,
     head: response::Parts,
-    mut body: Incoming,
+    mut body: ResponseBytes,
 ) -> DispatchResult {
     let mut events = EventSplitter::default();
     let mut partial_event = None;
--- a/crates/mgs-relay/src/connection.rs
+++ b/crates/mgs-relay/src/connection.rs
@@ -12,7 +12,6 @@
 use http::Request;
 use http::Response;
 use http_body_util::Full;
-use hyper::body::Incoming;
 use hyper::client::conn::http1;
 use hyper::client::conn::http1::SendRequest;
 use hyper_util::rt::TokioIo;
@@ -22,6 +21,11 @@
 use tokio::task::AbortHandle;
 use tokio::time::timeout;
 
+use crate::read_allowance::BoundedSocket;
+use crate::read_allowance::ReadAllowance;
+use crate::read_allowance::ResponseBytes;
+use crate::read_allowance::READ_BUFFER_MAX_BYTES;
+
 /// How long sent bytes may stay unacknowledged before the connection is closed, as with a host
 /// behind a broken link or without power. Covers some round trips and two lost packets.
 const TCP_USER_TIMEOUT: Duration = Duration::from_millis(1_500);
@@ -72,6 +76,8 @@
 pub struct Connection {
     sender: SendRequest<Full<Bytes>>,
     task: AbortHandle,
+    /// Renewed by each part of a response.
+    allowance: ReadAllowance,
 }
 
 impl Drop for Connection {
@@ -97,7 +103,12 @@
         if let Err(error) = set_socket_options(&stream) {
             log::warn!(error:% = error; "failed to set socket options");
         }
-        let handshake = http1::Builder::new().handshake(TokioIo::new(stream)).await;
+        let allowance = ReadAllowance::new();
+        let socket = BoundedSocket::new(stream, allowance.clone());
+        let handshake = http1::Builder::new()
+            .max_buf_size(READ_BUFFER_MAX_BYTES)
+            .handshake(TokioIo::new(socket))
+            .await;
         let (sender, connection) =
             handshake.map_err(|error| CallError::NotConnected(error.to_string()))?;
         let task = tokio::task::spawn_local(async move {
@@ -107,6 +118,7 @@
         Ok(Self {
             sender,
             task: task.abort_handle(),
+            allowance,
         })
     }
 
@@ -116,10 +128,17 @@
     }
 
     /// Sends a request and waits for the head of its response.
-    pub async fn send(&mut self, request: Request<Bytes>) -> Result<Response<Incoming>, CallError> {
+    pub async fn send(
+        &mut self,
+        request: Request<Bytes>,
+    ) -> Result<Response<ResponseBytes>, CallError> {
         let request = request.map(Full::new);
+        self.allowance.renew();
         match self.sender.try_send_request(request).await {
-            Ok(response) => Ok(response),
+            Ok(response) => {
+                self.allowance.renew();
+                Ok(response.map(|body| ResponseBytes::new(body, self.allowance.clone())))
+            }
             Err(mut error) => {
                 let unsent = error.take_message().is_some();
                 let reason = describe(error.error());
--- a/crates/mgs-relay/src/event_splitter.rs
+++ b/crates/mgs-relay/src/event_splitter.rs
@@ -13,6 +13,8 @@
 #[derive(Debug, Default)]
 pub(crate) struct EventSplitter {
     partial: BytesMut,
+    /// Number of bytes of the event that has begun in which its end was sought already.
+    searched_bytes: usize,
     last_id: Option<String>,
 }
 
@@ -20,10 +22,15 @@
     /// Adds received bytes; returns all events that are complete now, unchanged.
     pub(crate) fn take(&mut self, arrived: &[u8]) -> Bytes {
         self.partial.extend_from_slice(arrived);
-        let Some(end) = last_boundary(&self.partial) else {
+        // The end may have begun in what was searched.
+        let from = self.searched_bytes.saturating_sub(EVENT_END.len() - 1);
+        let Some(end) = last_boundary(&self.partial[from..]) else {
+            self.searched_bytes = self.partial.len();
             return Bytes::new();
         };
+        let end = from + end;
         let whole = self.partial.split_to(end).freeze();
+        self.searched_bytes = self.partial.len();
         if let Some(id) = last_id(&whole) {
             self.last_id = Some(id);
         }
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -66,6 +66,7 @@
 mod place_log;
 mod progress;
 mod quarantine;
+pub mod read_allowance;
 mod read_pause;
 mod readiness;
 pub mod relay;
