--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -362,6 +362,9 @@
             self.full_read_at_ms = None;
             self.revision = None;
         }
+        if self.topic == Topic::Endpoints && self.endpoints.borrow().needs_full_read() {
+            self.revision = None;
+        }
         let Some(after) = self.revision else {
             self.calls.count(CallReason::Whole);
             let read = source.read_all(self.topic).await;
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -1,7 +1,6 @@
 //! Applies the result of a read to what is known of a topic.
 
 use std::net::SocketAddr;
-use std::sync::Arc;
 
 use mgs_backpressure::warm_up::COLD_MAX_MS;
 use mgs_quarantine::shared::SharedRecord;
@@ -154,6 +153,8 @@
             let is_newer = self.published.put_configuration(*configuration);
             log::info!(version = version, routes = routes, in_force = is_newer; "configuration read");
             if is_newer {
+                self.published
+                    .apply_services(&mut self.endpoints.borrow_mut());
                 self.log_engines(before.as_deref());
             }
         }
@@ -208,17 +209,16 @@
         };
         let listed = is_full_read.then(|| Endpoints::listed_ids(&updates));
         let has_updates = !updates.is_empty() || is_full_read;
-        let configuration = self.published.configuration();
+        let mut applied = Vec::new();
+        if is_full_read {
+            endpoints.begin_full_read();
+        }
         for update in updates {
             match update {
-                Update::Endpoint(facts) => {
-                    let id = facts.incarnation.id.clone();
-                    // Without a configuration, no service is known to be missing.
-                    let has_service =
-                        |c: &Arc<Configuration>| c.services.contains_key(&facts.service);
-                    let is_service_known = configuration.as_ref().is_none_or(has_service);
-                    match endpoints.apply(facts, is_service_known, origin, now_ms) {
-                        Ok(()) => self.bad_rows.clear(self.topic, &id),
+                Update::Endpoint(row) => {
+                    let id = row.facts.incarnation.id.clone();
+                    match endpoints.apply(row, origin, now_ms) {
+                        Ok(()) => applied.push(id),
                         Err(fault) => self
                             .bad_rows
                             .report(self.topic, &BadRow::without_detail(&id, fault)),
@@ -248,12 +248,15 @@
             }
         }
         endpoints.date_new(listed_ms);
-        // After the updates: an endpoint that is missing now may still be replaced by a later
-        // incarnation at its address.
         if let Some(listed) = listed {
             endpoints.mark_missing_except(&listed, now_ms);
         }
         endpoints.drop_missing(now_ms);
+        let judged = match endpoints.take_services_changed() {
+            true => endpoints.listed_keys(),
+            false => applied,
+        };
+        self.report_unused(&judged, &endpoints);
         let is_changed = endpoints.take_changed() || is_full_read;
         if has_updates || is_changed {
             self.published.put_endpoints(&endpoints, is_changed);
@@ -261,6 +264,23 @@
         self.published.endpoint_freshness().confirm(as_of_ms);
     }
 
+    /// Logs which of these rows aren't used although they can be parsed, and which are right again.
+    fn report_unused(&mut self, ids: &[String], endpoints: &Endpoints) {
+        if ids.is_empty() {
+            return;
+        }
+        let faults = endpoints.faults();
+        for id in ids {
+            match faults.get(id.as_str()) {
+                None => self.bad_rows.clear(self.topic, id),
+                Some(fault) => {
+                    let row = BadRow::without_detail(id, *fault);
+                    self.bad_rows.report(self.topic, &row);
+                }
+            }
+        }
+    }
+
     /// Logs a malformed time for which an endpoint is cold, unless it was logged before. The rest of
     /// the entry is used.
     fn log_malformed_cold(&mut self, id: String, value: String) {
--- a/crates/mgs-relay/src/lib.rs
+++ b/crates/mgs-relay/src/lib.rs
@@ -70,6 +70,7 @@
 mod read_pause;
 mod readiness;
 pub mod relay;
+pub mod replacement;
 mod request_body;
 mod reservations;
 mod serve;
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -1,6 +1,13 @@
 //! The endpoints that the store lists, and those whose entry may merely have expired during an
 //! outage of the store.
 //!
+//! Rows are kept as they were last read. Which endpoints are used follows from them, from the
+//! services that the configuration names, and from what is remembered of shutdowns and starts; it
+//! is derived anew whenever one of these changes. A conclusion (an endpoint is replaced by another
+//! at its address, or its service isn't named) therefore never outlives what it was drawn from: the
+//! store reports a row only when it changes, so a row that was deleted on account of a conclusion
+//! would be missing for good.
+//!
 //! Everything recorded here belongs to an incarnation. An endpoint that starts again, under another
 //! identifier or under the same one with a later start, gets a new key, so no knowledge about the
 //! earlier incarnation is applied to the new one. Late reports about an earlier incarnation (from a
@@ -8,26 +15,33 @@
 //! names no endpoint; the endpoint that it named before isn't used until the entry can be parsed
 //! again.
 
+mod entry;
+
 use std::collections::HashMap;
 use std::collections::HashSet;
-use std::net::SocketAddr;
 
 use mgs_fleet::view::EndpointKey;
 
+use self::entry::Entry;
+use self::entry::Identity;
 use crate::endpoint_list::EndpointList;
-use crate::source::EndpointFacts;
+use crate::replacement::replaced;
+use crate::source::EndpointRow;
 use crate::source::Incarnation;
 use crate::source::Revision;
 use crate::source::RowFault;
 use crate::source::Update;
 use crate::view::Endpoint;
 use crate::view::Fleet;
-use crate::warm_up::ColdSigns;
 
 /// Maximum number of identifiers and of removed incarnations that are remembered although they
 /// aren't listed any more, so that a writer of ever new identifiers can't fill a host's memory.
 const REMEMBERED_MAX: usize = 10_000;
 
+/// Maximum number of rows that are kept. Beyond it rows of services that the configuration doesn't
+/// name are dropped, those written last first, and read again once it names other services.
+pub const ROWS_MAX: usize = 10_000;
+
 /// How long a removed incarnation is remembered, in milliseconds: a copy of the store that is some
 /// seconds old, restored after an outage of any usual length, may list it again.
 const REMOVED_KEPT_MS: u64 = 120_000;
@@ -46,30 +60,15 @@
     Snapshot,
 }
 
-/// A known endpoint.
-#[derive(Debug, Clone)]
-struct Entry {
-    key: EndpointKey,
-    facts: EndpointFacts,
-    missing_since_ms: Option<u64>,
-    /// Whether its row can't be parsed any more.
-    is_unreadable: bool,
-    cold: ColdSigns,
-    /// Whether it was inserted since the last call of [`Endpoints::date_new`].
-    is_new: bool,
-}
-
-impl Entry {
-    fn is_listed(&self) -> bool {
-        self.missing_since_ms.is_none() && !self.is_unreadable
-    }
-}
-
-/// The endpoints that are listed, and those whose entry may merely have expired during an outage.
+/// The rows of endpoints as they were last read, and what is remembered besides.
 #[derive(Debug)]
 pub struct Endpoints {
+    /// Rows by key.
     entries: HashMap<String, Entry>,
-    /// Latest start of each identifier that has ever reported one, in Unix milliseconds.
+    /// Services that the configuration in force names; `None` while no configuration is known.
+    services: Option<HashSet<String>>,
+    /// Latest start of each identifier that has ever reported one, in Unix milliseconds. Rows of
+    /// services that aren't named say nothing about an endpoint.
     starts_ms: HashMap<String, u64>,
     /// Time of removal of each remembered incarnation, in milliseconds.
     removed_ms: HashMap<Incarnation, u64>,
@@ -81,8 +80,19 @@
     revision: Option<Revision>,
     /// Whether the list was taken from a peer since the last own read of the store.
     is_from_peer: bool,
+    /// Whether the named services have changed since the last call of
+    /// [`Self::take_services_changed`].
+    are_services_changed: bool,
+    /// Whether rows of unnamed services were dropped, here or by the peer that handed the list over.
+    lacks_rows: bool,
+    /// Whether the store must be read in full, since rows that were dropped may be needed.
+    needs_full_read: bool,
     expiry_grace_ms: u64,
     outage_ended_ms: Option<u64>,
+    /// Identifiers of the endpoints that were replaced when rows were last settled.
+    last_replaced: HashSet<String>,
+    /// Whether no row has changed since the last call of [`Self::settle`].
+    is_settled: bool,
     is_changed: bool,
 }
 
@@ -92,18 +102,63 @@
     pub fn new(expiry_grace_ms: u64) -> Self {
         Self {
             entries: HashMap::new(),
+            services: None,
             starts_ms: HashMap::new(),
             removed_ms: HashMap::new(),
             rolled_back_ms: None,
             next_key: 0,
             revision: None,
             is_from_peer: false,
+            are_services_changed: false,
+            lacks_rows: false,
+            needs_full_read: false,
             expiry_grace_ms,
             outage_ended_ms: None,
+            last_replaced: HashSet::new(),
+            is_settled: true,
             is_changed: false,
         }
     }
 
+    /// Sets the services that the configuration in force names. Only endpoints of these can replace
+    /// others at their address.
+    pub fn set_services<'a>(&mut self, services: impl IntoIterator<Item = &'a str>) {
+        let services: HashSet<String> = services.into_iter().map(str::to_string).collect();
+        if self.services.as_ref() == Some(&services) {
+            return;
+        }
+        self.services = Some(services);
+        self.are_services_changed = true;
+        self.is_changed |= !self.entries.is_empty();
+        self.is_settled = false;
+        self.needs_full_read |= self.lacks_rows;
+        let named: Vec<Incarnation> = self
+            .entries
+            .values()
+            .filter(|entry| entry.is_listed() && self.is_named(entry))
+            .map(|entry| entry.incarnation().clone())
+            .collect();
+        named.iter().for_each(|own| self.remember_start(own));
+        self.settle();
+    }
+
+    /// Whether the configuration in force names a service.
+    fn has_service(&self, service: &str) -> bool {
+        let services = self.services.as_ref();
+        services.is_some_and(|services| services.contains(service))
+    }
+
+    fn is_named(&self, entry: &Entry) -> bool {
+        self.has_service(&entry.row.facts.service)
+    }
+
+    /// Identifiers of the endpoints that another one at their address has replaced.
+    fn replaced(&self) -> HashSet<&str> {
+        let valid = self.entries.values().filter(|entry| entry.is_valid());
+        let claims = valid.map(|entry| entry.claim(self.is_named(entry)));
+        replaced(claims.collect())
+    }
+
     /// Records that the store can be read again, after an outage that began at `began_ms`. Each
     /// topic notices the end of the same outage by itself, up to one retry interval later. Only the
     /// first notice counts; otherwise an endpoint that has left would be used for that much longer.
@@ -129,34 +184,64 @@
         ended_ms.is_some_and(|ended_ms| now_ms < ended_ms + self.expiry_grace_ms)
     }
 
-    /// Applies an entry, or returns why it is rejected. Once the store was restored from an older
-    /// copy, a shutdown or removal that was seen before takes precedence over an entry of a
-    /// snapshot, which may predate it. A live endpoint writes its entry again, which counts as a
-    /// change; or it had already done so, and then its entry doesn't expire.
-    pub fn apply(
-        &mut self,
-        facts: EndpointFacts,
-        is_service_known: bool,
-        origin: Origin,
-        now_ms: u64,
-    ) -> Result<(), RowFault> {
+    /// Applies a row, or returns why what it says doesn't count. Once the store was restored from an
+    /// older copy, a shutdown or removal that was seen before takes precedence over a row of a
+    /// snapshot, which may predate it. A live endpoint writes its row again, which counts as a
+    /// change; or it had already done so, and then its row doesn't expire.
+    pub fn apply(&mut self, row: EndpointRow, origin: Origin, now_ms: u64) -> Result<(), RowFault> {
+        self.check_start(&row.facts.incarnation)?;
+        if self.has_service(&row.facts.service) {
+            self.remember_start(&row.facts.incarnation);
+        }
         let rolled_back_ms = self.rolled_back_ms.filter(|_| origin == Origin::Snapshot);
-        let Some(rolled_back_ms) = rolled_back_ms else {
-            self.removed_ms.remove(&facts.incarnation);
-            return self.upsert(facts, is_service_known);
+        let may_still_expire = rolled_back_ms.is_some_and(|at_ms| now_ms < at_ms + ENTRY_EXPIRY_MS);
+        let incarnation = row.facts.incarnation.clone();
+        let is_outdated = may_still_expire && self.removed_ms.contains_key(&incarnation);
+        if rolled_back_ms.is_none() {
+            self.removed_ms.remove(&incarnation);
+        }
+        let was_leaving = rolled_back_ms.is_some() && self.is_leaving(&incarnation);
+        self.update_or_insert(row);
+        self.weigh(&incarnation.id, was_leaving, is_outdated);
+        match is_outdated {
+            true => Err(RowFault::Gone),
+            false => Ok(()),
+        }
+    }
+
+    /// Whether this incarnation is known and was seen to shut down.
+    fn is_leaving(&self, incarnation: &Incarnation) -> bool {
+        let known = self.entries.get(&incarnation.id);
+        known.is_some_and(|entry| entry.incarnation() == incarnation && entry.is_leaving())
+    }
+
+    /// Records what outweighs the row just read under a key: a shutdown, or a removal, that was seen
+    /// before the store was restored from an older copy.
+    fn weigh(&mut self, id: &str, was_leaving: bool, is_outdated: bool) {
+        let Some(entry) = self.entries.get_mut(id) else {
+            return;
         };
-        let may_still_expire = now_ms < rolled_back_ms + ENTRY_EXPIRY_MS;
-        if may_still_expire && self.removed_ms.contains_key(&facts.incarnation) {
-            return Err(RowFault::Gone);
+        if (entry.was_leaving, entry.is_outdated) != (was_leaving, is_outdated) {
+            entry.was_leaving = was_leaving;
+            entry.is_outdated = is_outdated;
+            self.is_changed = true;
+            self.is_settled = false;
         }
-        let known = self.entries.get(&facts.incarnation.id);
-        let known = known.filter(|entry| entry.facts.incarnation == facts.incarnation);
-        let has_left = known.is_some_and(|entry| entry.facts.is_leaving);
-        let facts = EndpointFacts {
-            is_leaving: facts.is_leaving || has_left,
-            ..facts
+    }
+
+    /// Returns why a row says nothing about the current incarnation under its key, if it doesn't.
+    fn check_start(&mut self, own: &Incarnation) -> Result<(), RowFault> {
+        let Some(newest_ms) = self.starts_ms.get(&own.id) else {
+            return Ok(());
         };
-        self.upsert(facts, is_service_known)
+        match own.born_ms {
+            None => {
+                self.mark_unreadable(&own.id);
+                Err(RowFault::NoStart)
+            }
+            Some(born_ms) if born_ms < *newest_ms => Err(RowFault::OlderStart),
+            Some(_) => Ok(()),
+        }
     }
 
     /// Remembers removed incarnations.
@@ -169,126 +254,159 @@
         }
     }
 
-    /// Adds or updates a listed endpoint, or returns why the entry is rejected. `is_service_known`
-    /// says whether the configuration names its service; an endpoint of an unknown service replaces
-    /// no other one at its address.
-    pub fn upsert(&mut self, facts: EndpointFacts, is_service_known: bool) -> Result<(), RowFault> {
-        let id = facts.incarnation.id.clone();
-        match self.rejection_reason(&facts, is_service_known) {
-            Some(RowFault::NoStart) => {
-                self.mark_unreadable(&id);
-                return Err(RowFault::NoStart);
-            }
-            Some(fault) => return Err(fault),
-            None => {}
-        }
-        self.remember_start(&facts.incarnation);
-        if is_service_known {
-            self.remove_superseded(facts.address, &facts.incarnation);
-        }
-        self.update_or_insert(facts);
-        match is_service_known {
-            true => Ok(()),
-            false => Err(RowFault::Service),
-        }
-    }
-
-    /// Why an entry doesn't describe the current incarnation of its endpoint, if it doesn't.
-    fn rejection_reason(&self, facts: &EndpointFacts, is_service_known: bool) -> Option<RowFault> {
-        let own = &facts.incarnation;
-        if let Some(newest_ms) = self.starts_ms.get(&own.id) {
-            match own.born_ms {
-                None => return Some(RowFault::NoStart),
-                Some(born_ms) if born_ms < *newest_ms => return Some(RowFault::OlderStart),
-                Some(_) => {}
-            }
-        }
-        let is_later = |entry: &&Entry| {
-            let other = &entry.facts.incarnation;
-            let is_start_later = own.born_ms.is_some() && other.supersedes(own);
-            entry.facts.address == facts.address && entry.is_listed() && is_start_later
-        };
-        let is_superseded = is_service_known && self.entries.values().any(|entry| is_later(&entry));
-        is_superseded.then_some(RowFault::OlderStart)
-    }
-
     fn remember_start(&mut self, incarnation: &Incarnation) {
         let Some(born_ms) = incarnation.born_ms else {
             return;
         };
-        self.starts_ms.insert(incarnation.id.clone(), born_ms);
+        let start_ms = self.starts_ms.entry(incarnation.id.clone());
+        let start_ms = start_ms.or_insert(born_ms);
+        *start_ms = born_ms.max(*start_ms);
         if self.starts_ms.len() > REMEMBERED_MAX {
             let entries = &self.entries;
             self.starts_ms.retain(|id, _| entries.contains_key(id));
         }
     }
 
-    /// Removes endpoints that a later incarnation at the same address replaces.
-    fn remove_superseded(&mut self, address: SocketAddr, later: &Incarnation) {
-        let is_superseded = |entry: &Entry| {
-            let earlier = &entry.facts.incarnation;
-            entry.facts.address == address && earlier.id != later.id && later.supersedes(earlier)
-        };
-        let before = self.entries.len();
-        self.entries.retain(|id, entry| {
-            let is_superseded = is_superseded(entry);
-            if is_superseded {
-                log::info!(endpoint = id, by = later.id; "endpoint ended by another at its address");
+    /// Why what the store lists under a key isn't used, although it can be parsed.
+    pub fn faults(&self) -> HashMap<&str, RowFault> {
+        let replaced = self.replaced();
+        let fault = |entry: &Entry| match () {
+            () if entry.is_outdated => Some(RowFault::Gone),
+            () if self.services.is_some() && !self.is_named(entry) => Some(RowFault::Service),
+            () if replaced.contains(entry.incarnation().id.as_str()) => {
+                entry.incarnation().born_ms.map(|_| RowFault::OlderStart)
             }
-            !is_superseded
-        });
-        self.is_changed |= self.entries.len() != before;
+            () => None,
+        };
+        let listed = self.entries.iter().filter(|(_, entry)| entry.is_listed());
+        listed
+            .filter_map(|(id, entry)| Some((id.as_str(), fault(entry)?)))
+            .collect()
+    }
+
+    /// Whether the named services have changed since the last call, and with them the rows that can't
+    /// be used.
+    pub fn take_services_changed(&mut self) -> bool {
+        std::mem::take(&mut self.are_services_changed)
+    }
+
+    /// Keys of the listed rows that can be parsed.
+    pub fn listed_keys(&self) -> Vec<String> {
+        let listed = self.entries.iter().filter(|(_, entry)| entry.is_listed());
+        listed.map(|(id, _)| id.clone()).collect()
     }
 
-    fn update_or_insert(&mut self, facts: EndpointFacts) {
-        let known = self.entries.get_mut(&facts.incarnation.id);
-        match known.filter(|entry| entry.facts.incarnation == facts.incarnation) {
+    /// Keeps a row as it was read.
+    fn update_or_insert(&mut self, row: EndpointRow) {
+        let id = row.facts.incarnation.id.clone();
+        let known = self.entries.get_mut(&id);
+        let is_known = known.filter(|entry| *entry.incarnation() == row.facts.incarnation);
+        match is_known {
             Some(entry) => {
-                if entry.facts == facts && entry.is_listed() {
-                    return;
+                let is_same = entry.row.facts == row.facts && entry.is_listed();
+                if !is_same {
+                    log::info!(
+                        endpoint = id, leaving = row.facts.is_leaving;
+                        "endpoint changed"
+                    );
                 }
-                log::info!(
-                    endpoint = facts.incarnation.id, leaving = facts.is_leaving;
-                    "endpoint changed"
-                );
-                entry.facts = facts;
                 entry.missing_since_ms = None;
                 entry.is_unreadable = false;
+                self.is_changed |= !is_same;
+                self.is_settled &= is_same && entry.row == row;
+                entry.row = row;
             }
-            None => self.insert(facts),
+            None => self.insert(row),
         }
-        self.is_changed = true;
     }
 
-    /// Adds a new incarnation, in place of an earlier one of the same identifier.
-    fn insert(&mut self, facts: EndpointFacts) {
-        let is_restart = self.entries.contains_key(&facts.incarnation.id);
+    /// Adds an incarnation, in place of another one of the same identifier.
+    fn insert(&mut self, row: EndpointRow) {
+        let facts = &row.facts;
+        let id = facts.incarnation.id.clone();
+        let before = self.entries.remove(&id);
         log::info!(
-            endpoint = facts.incarnation.id, service = facts.service, address:% = facts.address,
-            born_ms = facts.incarnation.born_ms.unwrap_or(0), restarted = is_restart,
+            endpoint = id, service = facts.service, address:% = facts.address,
+            born_ms = facts.incarnation.born_ms.unwrap_or(0), restarted = before.is_some(),
             leaving = facts.is_leaving;
             "endpoint listed"
         );
-        let key = EndpointKey(self.next_key);
-        self.next_key += 1;
-        let id = facts.incarnation.id.clone();
-        let entry = Entry {
-            key,
-            facts,
-            missing_since_ms: None,
-            is_unreadable: false,
-            cold: ColdSigns::default(),
-            is_new: true,
-        };
+        let (identity, set_aside) = self.identify(&row, before);
+        let mut entry = Entry::new(row, identity);
+        entry.set_aside = set_aside;
         self.entries.insert(id, entry);
+        self.is_changed = true;
+        self.is_settled = false;
+    }
+
+    /// The identity of the incarnation that a row names, and the one that its key keeps besides. A
+    /// row of an unnamed service doesn't end the endpoint under its key, which may be listed again.
+    fn identify(
+        &mut self,
+        row: &EndpointRow,
+        before: Option<Entry>,
+    ) -> (Identity, Option<(Incarnation, Identity)>) {
+        let is_named = self.has_service(&row.facts.service);
+        let was_named = before.as_ref().is_some_and(|entry| self.is_named(entry));
+        let kept = before.and_then(|entry| match was_named {
+            true => Some((entry.row.facts.incarnation, entry.identity)),
+            false => entry.set_aside,
+        });
+        match kept {
+            Some((incarnation, identity)) if incarnation == row.facts.incarnation => {
+                (identity, None)
+            }
+            kept => {
+                let key = EndpointKey(self.next_key);
+                self.next_key += 1;
+                (Identity::new(key), kept.filter(|_| !is_named))
+            }
+        }
+    }
+
+    /// Drops rows of unnamed services while there are more rows than are kept.
+    fn drop_excess_rows(&mut self) {
+        let excess = self.entries.len().saturating_sub(ROWS_MAX);
+        if excess == 0 || self.services.is_none() {
+            return;
+        }
+        let unnamed = self.entries.iter().filter(|(_, e)| !self.is_named(e));
+        let mut unnamed: Vec<(Revision, String)> = unnamed
+            .map(|(id, entry)| (entry.row.written, id.clone()))
+            .collect();
+        unnamed.sort_unstable();
+        let first_dropped = unnamed.len().saturating_sub(excess);
+        for (_, id) in unnamed.drain(first_dropped..) {
+            self.entries.remove(&id);
+            self.lacks_rows = true;
+        }
+    }
+
+    /// Takes notice of which endpoints have been replaced, or aren't any longer, if rows have changed
+    /// since the last call.
+    fn settle(&mut self) {
+        if std::mem::replace(&mut self.is_settled, true) {
+            return;
+        }
+        self.drop_excess_rows();
+        let replaced: HashSet<String> = self.replaced().into_iter().map(str::to_string).collect();
+        for id in replaced.difference(&self.last_replaced) {
+            log::info!(endpoint = id; "endpoint replaced by another at its address");
+        }
+        for id in self.last_replaced.difference(&replaced) {
+            log::info!(endpoint = id; "endpoint not replaced any more, or not listed");
+        }
+        self.is_changed |= replaced != self.last_replaced;
+        self.last_replaced = replaced;
     }
 
     /// Records that an endpoint's entry says it is cold until this time, in milliseconds. The hash
     /// that gateways compare doesn't depend on it, since each reads the entry at another time.
     pub fn extend_cold(&mut self, id: &str, until_ms: u64) {
         if let Some(entry) = self.entries.get_mut(id) {
-            self.is_changed |= until_ms > entry.cold.entry_until_ms;
-            entry.cold.entry_until_ms = entry.cold.entry_until_ms.max(until_ms);
+            let cold = &mut entry.identity.cold;
+            self.is_changed |= until_ms > cold.entry_until_ms;
+            cold.entry_until_ms = cold.entry_until_ms.max(until_ms);
         }
     }
 
@@ -296,8 +414,8 @@
     /// milliseconds; `None` if they may have been listed at any time before.
     pub fn date_new(&mut self, listed_ms: Option<u64>) {
         for entry in self.entries.values_mut() {
-            if std::mem::take(&mut entry.is_new) {
-                entry.cold.listed_ms = listed_ms;
+            if std::mem::take(&mut entry.identity.is_new) {
+                entry.identity.cold.listed_ms = listed_ms;
             }
         }
     }
@@ -307,6 +425,7 @@
     pub fn mark_unreadable(&mut self, id: &str) {
         if let Some(entry) = self.entries.get_mut(id) {
             self.is_changed |= !entry.is_unreadable;
+            self.is_settled = false;
             entry.is_unreadable = true;
             entry.missing_since_ms = None;
         }
@@ -320,13 +439,14 @@
         if entry.missing_since_ms.is_none() {
             log::info!(endpoint = id; "endpoint not listed any more");
             entry.missing_since_ms = Some(now_ms);
+            self.is_settled = false;
         }
     }
 
     /// The identifiers that a full read lists.
     pub fn listed_ids(updates: &[Update]) -> HashSet<String> {
         let id = |update: &Update| match update {
-            Update::Endpoint(facts) => Some(facts.incarnation.id.clone()),
+            Update::Endpoint(row) => Some(row.facts.incarnation.id.clone()),
             Update::Unreadable { key, .. } => Some(key.clone()),
             _ => None,
         };
@@ -381,10 +501,13 @@
             self.outage_ended_ms = self.outage_ended_ms.max(Some(ended_ms));
         }
         let expiring = list.expiring.iter();
-        let expiring: Vec<String> = expiring.map(|f| f.incarnation.id.clone()).collect();
+        let expiring: Vec<String> = expiring.map(|r| r.facts.incarnation.id.clone()).collect();
         let mut all = list.listed;
+        all.extend(list.unused);
         all.extend(list.expiring);
         self.replace_all(all, now_ms);
+        self.lacks_rows = list.lacks_rows;
+        self.needs_full_read = list.lacks_rows;
         for id in expiring {
             self.mark_missing(&id, now_ms);
         }
@@ -397,26 +520,35 @@
 
     /// The list for peers.
     pub fn list(&self) -> EndpointList {
-        let used = self.entries.values().filter(|entry| !entry.is_unreadable);
+        let replaced = self.replaced();
+        let is_used = |entry: &&Entry| {
+            let is_replaced = replaced.contains(entry.incarnation().id.as_str());
+            let may_be_named = self.services.is_none() || self.is_named(entry);
+            !is_replaced && may_be_named
+        };
+        let valid = self.entries.values().filter(|entry| entry.is_valid());
+        let (used, unused): (Vec<&Entry>, Vec<&Entry>) = valid.partition(is_used);
         let (listed, expiring): (Vec<&Entry>, Vec<&Entry>) =
-            used.partition(|entry| entry.is_listed());
-        let facts = |entries: Vec<&Entry>| entries.into_iter().map(|e| e.facts.clone()).collect();
+            used.into_iter().partition(|entry| entry.is_listed());
+        let unused = unused.into_iter().filter(|entry| entry.is_listed());
         EndpointList {
             revision: self.revision,
-            listed: facts(listed),
-            expiring: facts(expiring),
+            listed: rows_by_write(listed),
+            expiring: rows_by_write(expiring),
+            unused: rows_by_write(unused.collect()),
+            lacks_rows: self.lacks_rows,
             expiring_until_ms: self.outage_ended_ms.unwrap_or(0) + self.expiry_grace_ms,
         }
     }
 
     /// Replaces the list by one that was read from the store.
-    pub fn replace_all(&mut self, listed: Vec<EndpointFacts>, now_ms: u64) {
+    pub fn replace_all(&mut self, listed: Vec<EndpointRow>, now_ms: u64) {
         let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
         let listed = Self::listed_ids(&updates);
         for update in updates {
-            if let Update::Endpoint(facts) = update {
-                let id = facts.incarnation.id.clone();
-                if let Err(fault) = self.apply(facts, true, Origin::Snapshot, now_ms) {
+            if let Update::Endpoint(row) = update {
+                let id = row.facts.incarnation.id.clone();
+                if let Err(fault) = self.apply(row, Origin::Snapshot, now_ms) {
                     log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
                 }
             }
@@ -425,6 +557,17 @@
         self.drop_missing(now_ms);
     }
 
+    /// Records that all rows that the store lists are about to be applied.
+    pub fn begin_full_read(&mut self) {
+        self.lacks_rows = false;
+        self.needs_full_read = false;
+    }
+
+    /// Whether the store must be read in full, since rows that were dropped may be needed.
+    pub fn needs_full_read(&self) -> bool {
+        self.needs_full_read
+    }
+
     /// Removes endpoints that aren't listed, except shortly after an outage. Those that were
     /// shutting down, and those whose row couldn't be parsed, are removed without that grace.
     pub fn drop_missing(&mut self, now_ms: u64) {
@@ -433,16 +576,19 @@
         let mut removed = HashSet::new();
         self.entries.retain(|id, entry| {
             let is_missing = entry.missing_since_ms.is_some();
-            let may_have_expired = !entry.facts.is_leaving && !entry.is_unreadable;
+            let may_have_expired = !entry.is_leaving() && entry.is_valid();
             let is_kept = !is_missing || (in_grace && may_have_expired);
             if !is_kept {
                 log::info!(endpoint = id; "endpoint dropped");
-                removed.insert(entry.facts.incarnation.clone());
+                removed.insert(entry.incarnation().clone());
             }
             is_kept
         });
-        self.is_changed |= self.entries.len() != before;
+        let is_any_removed = self.entries.len() != before;
+        self.is_changed |= is_any_removed;
+        self.is_settled &= !is_any_removed;
         self.remember_removed(removed, now_ms);
+        self.settle();
     }
 
     /// The time to wait for changes, at most `longest_ms`: entries that expired in an outage must
@@ -466,14 +612,14 @@
         self.entries.is_empty()
     }
 
-    /// Hash of the listed endpoints, equal at all gateways that have read the same list; not 0 for
-    /// an empty list, since 0 stands for a list that was never read.
+    /// Hash of the listed rows, equal at all gateways that have read the same rows, whatever they
+    /// conclude from them; not 0 for an empty list, since 0 stands for a list that was never read.
     pub fn content_hash(&self) -> u64 {
         let listed = self.entries.values().filter(|entry| entry.is_listed());
         // An endpoint that is shutting down hashes differently from before.
         let hash = |entry: &Entry| {
-            let hash = entry.facts.incarnation.hash_64();
-            match entry.facts.is_leaving {
+            let hash = entry.incarnation().hash_64();
+            match entry.row.facts.is_leaving {
                 true => !hash,
                 false => hash,
             }
@@ -484,12 +630,16 @@
 
     /// All usable endpoints, including those whose entry may have expired during an outage.
     pub fn fleet(&self) -> Fleet {
+        let replaced = self.replaced();
+        let is_used = |entry: &&Entry| {
+            entry.is_valid() && !replaced.contains(entry.incarnation().id.as_str())
+        };
         let endpoint = |entry: &Entry| Endpoint {
-            key: entry.key,
-            facts: entry.facts.clone(),
-            cold: entry.cold,
+            key: entry.identity.key,
+            facts: entry.facts(),
+            cold: entry.identity.cold,
         };
-        let used = self.entries.values().filter(|entry| !entry.is_unreadable);
+        let used = self.entries.values().filter(is_used);
         let mut endpoints: Vec<Endpoint> = used.map(endpoint).collect();
         // The same order at each gateway: endpoints of one zone are adjacent, and of equally good
         // engines the first is taken.
@@ -500,3 +650,11 @@
         Fleet::of(endpoints)
     }
 }
+
+/// Rows as peers get them, in the order in which they were written, in which peers of earlier
+/// releases apply them.
+fn rows_by_write(entries: Vec<&Entry>) -> Vec<EndpointRow> {
+    let mut rows: Vec<EndpointRow> = entries.into_iter().map(Entry::row_in_force).collect();
+    rows.sort_by_key(|row| row.written);
+    rows
+}
--- a/crates/mgs-relay/src/peer_fallback.rs
+++ b/crates/mgs-relay/src/peer_fallback.rs
@@ -169,9 +169,10 @@
     }
     // `put_configuration` ignores an older configuration.
     published.put_configuration(configuration);
+    let mut endpoints = endpoints.borrow_mut();
+    published.apply_services(&mut endpoints);
     let freshness = published.endpoint_freshness();
     let is_lost = freshness.store_lost_since_ms().is_some();
-    let mut endpoints = endpoints.borrow_mut();
     if !is_lost && !endpoints.is_provisional() {
         return;
     }
--- a/crates/mgs-relay/src/peer_snapshot.rs
+++ b/crates/mgs-relay/src/peer_snapshot.rs
@@ -18,6 +18,7 @@
 use crate::core::Core;
 use crate::endpoint_list::EndpointList;
 use crate::endpoint_list::ListOrigin;
+use crate::endpoint_list::RowDetails;
 use crate::evacuation::ZoneOrder;
 use crate::source::EndpointFacts;
 use crate::view::Configuration;
@@ -43,12 +44,13 @@
 }
 
 /// A reply with what follows it: limits and cold endpoints, empty if the configuration has no
-/// limits, and where the list of endpoints is from. Earlier releases send neither, or the first only,
-/// and ignore what they don't know.
+/// limits, where the list of endpoints is from, and what else its rows say. Earlier releases send
+/// none of these, or the first ones only, and ignore what they don't know.
 struct Received {
     reply: Reply,
     warm_up: Option<WarmUpSnapshot>,
     origin: Option<ListOrigin>,
+    details: Option<RowDetails>,
 }
 
 /// All that a gateway needs to serve.
@@ -59,6 +61,9 @@
     /// Where the list of endpoints is from; follows the reply.
     #[serde(skip)]
     origin: ListOrigin,
+    /// What else the rows of the endpoints say; follows the reply.
+    #[serde(skip)]
+    details: RowDetails,
     /// Orders to evacuate zones; they travel in a reply of their own.
     #[serde(skip)]
     pub(crate) orders: Vec<ZoneOrder>,
@@ -71,11 +76,12 @@
     fn of(published: &Published) -> Option<Self> {
         let configuration = published.configuration()?;
         let list = published.endpoint_list();
-        let (endpoints, origin) = list.to_message(published.now_ms());
+        let (endpoints, origin, details) = list.to_message(published.now_ms());
         Some(Self {
             configuration,
             endpoints,
             origin,
+            details,
             orders: published.evacuations().zones().orders.clone(),
             warm_up: WarmUpSnapshot::of(published),
         })
@@ -85,13 +91,15 @@
     fn encode_further(&self) -> Vec<u8> {
         let mut further = encode(&self.warm_up.clone().unwrap_or_default());
         further.extend(encode(&self.origin));
+        further.extend(encode(&self.details));
         further
     }
 
     /// Takes the list of endpoints out of it.
     pub(crate) fn take_endpoints(&mut self, now_ms: u64) -> EndpointList {
         let endpoints = std::mem::take(&mut self.endpoints);
-        EndpointList::from_message(endpoints, &self.origin, now_ms)
+        let details = std::mem::take(&mut self.details);
+        EndpointList::from_message(endpoints, &self.origin, details, now_ms)
     }
 
     /// The reply that carries this snapshot.
@@ -175,6 +183,7 @@
             orders,
             warm_up: self.warm_up,
             origin,
+            details: self.details.unwrap_or_default(),
             ..snapshot
         })
     }
@@ -194,6 +203,7 @@
         reply,
         warm_up: decode_next(&mut rest),
         origin: decode_next(&mut rest),
+        details: decode_next(&mut rest),
     })
 }
 
--- a/crates/mgs-relay/src/read_pause.rs
+++ b/crates/mgs-relay/src/read_pause.rs
@@ -39,7 +39,7 @@
 /// Whether a batch contains only newcomers, which more may follow.
 fn has_newcomers_only(batch: &Batch) -> bool {
     let is_newcomer = |update: &Update| match update {
-        Update::Endpoint(facts) => !facts.is_leaving,
+        Update::Endpoint(row) => !row.facts.is_leaving,
         // It follows the update for its endpoint.
         Update::Gateway { .. } | Update::EndpointCold { .. } => true,
         Update::Configuration(_)
--- a/crates/mgs-relay/src/source.rs
+++ b/crates/mgs-relay/src/source.rs
@@ -92,18 +92,6 @@
             Some(born_ms) => xxh3_64(format!("{}\n{born_ms}", self.id).as_bytes()),
         }
     }
-
-    /// Whether this incarnation replaces an `other` one at the same address. If both report when
-    /// they started, the later start does; if neither does, the one written later. If only one of
-    /// them does, both stay listed: a request names the incarnation that it is meant for, and the
-    /// other one refuses it without running it.
-    pub fn supersedes(&self, other: &Self) -> bool {
-        match (self.born_ms, other.born_ms) {
-            (Some(own_ms), Some(other_ms)) => own_ms > other_ms,
-            (None, None) => true,
-            _ => false,
-        }
-    }
 }
 
 /// What an endpoint reports about itself in its entry.
@@ -123,6 +111,15 @@
     pub is_leaving: bool,
 }
 
+/// A row of the store in which an endpoint describes itself.
+#[derive(Debug, Clone, PartialEq, Eq, Serialize, Deserialize)]
+pub struct EndpointRow {
+    /// What it says.
+    pub facts: EndpointFacts,
+    /// Revision at which it was written; number 0 if unknown, as from a peer of an earlier release.
+    pub written: Revision,
+}
+
 /// Why a row of the store can't be used; rows may come from other writers. The texts are logged.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
 pub enum RowFault {
@@ -175,7 +172,7 @@
     /// A new configuration.
     Configuration(Box<Configuration>),
     /// An endpoint was added, or its entry changed.
-    Endpoint(EndpointFacts),
+    Endpoint(EndpointRow),
     /// How long an endpoint stays cold after its entry was read; follows [`Self::Endpoint`].
     EndpointCold {
         /// Its identifier.
--- a/crates/mgs-relay/src/view.rs
+++ b/crates/mgs-relay/src/view.rs
@@ -445,6 +445,17 @@
         self.completion.notify_waiters();
     }
 
+    /// Derives the endpoints anew from the services that the configuration in force names, and
+    /// publishes them if that changes anything.
+    pub(crate) fn apply_services(&self, endpoints: &mut Endpoints) {
+        if let Some(configuration) = self.configuration() {
+            endpoints.set_services(configuration.services.keys().map(String::as_str));
+        }
+        if endpoints.take_changed() {
+            self.put_endpoints(endpoints, true);
+        }
+    }
+
     /// Publishes the endpoints: the list for peers, what identifies it, and, if `is_changed`, the
     /// fleet.
     pub(crate) fn put_endpoints(&self, endpoints: &Endpoints, is_changed: bool) {
--- a/crates/mgs-relay/tests/endpoint_lists.rs
+++ b/crates/mgs-relay/tests/endpoint_lists.rs
@@ -3,6 +3,7 @@
 use mgs_relay::endpoint_list::EndpointList;
 use mgs_relay::membership::Endpoints;
 use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
 use mgs_relay::source::Revision;
 use rstest::rstest;
@@ -10,8 +11,8 @@
 /// How long entries that may have expired are kept, in milliseconds.
 const GRACE_MS: u64 = 2_200;
 
-fn facts(number: u16, is_leaving: bool) -> EndpointFacts {
-    EndpointFacts {
+fn row(number: u16, is_leaving: bool) -> EndpointRow {
+    let facts = EndpointFacts {
         incarnation: Incarnation {
             id: format!("i-{number}"),
             born_ms: None,
@@ -21,14 +22,16 @@
         zone: "north".to_string(),
         slots: 4,
         is_leaving,
-    }
+    };
+    let written = Revision { era: 1, number: 1 };
+    EndpointRow { facts, written }
 }
 
 fn revision(era: u64, number: u64) -> Revision {
     Revision { era, number }
 }
 
-fn list(revision: Option<Revision>, listed: Vec<EndpointFacts>) -> EndpointList {
+fn list(revision: Option<Revision>, listed: Vec<EndpointRow>) -> EndpointList {
     EndpointList {
         revision,
         listed,
@@ -39,7 +42,7 @@
 /// A gateway that has read at this revision that the first endpoint drains.
 fn gateway_at(revision: Revision) -> Endpoints {
     let mut endpoints = Endpoints::new(GRACE_MS);
-    endpoints.replace_all(vec![facts(1, true), facts(2, false)], 0);
+    endpoints.replace_all(vec![row(1, true), row(2, false)], 0);
     endpoints.set_revision(revision);
     endpoints
 }
@@ -73,7 +76,7 @@
 ) {
     let mut endpoints = gateway_at(revision(1, 90));
     let before = endpoints.list();
-    let received = list(theirs, vec![facts(1, false), facts(3, false)]);
+    let received = list(theirs, vec![row(1, false), row(3, false)]);
     assert_eq!(
         endpoints.take_list(received, is_reported_newer, 100),
         is_taken
@@ -86,7 +89,7 @@
     let mut endpoints = Endpoints::new(GRACE_MS);
     assert!(!endpoints.take_list(list(None, Vec::new()), false, 0));
     assert!(endpoints.is_provisional());
-    assert!(endpoints.take_list(list(None, vec![facts(1, false)]), false, 0));
+    assert!(endpoints.take_list(list(None, vec![row(1, false)]), false, 0));
     assert_eq!(count(&endpoints), 1);
 }
 
@@ -97,7 +100,7 @@
 fn the_newest_of_two_first_lists_counts(#[case] numbers: [u64; 2]) {
     let mut endpoints = Endpoints::new(GRACE_MS);
     for number in numbers {
-        let theirs = vec![facts(1, number == 20)];
+        let theirs = vec![row(1, number == 20)];
         endpoints.take_list(list(Some(revision(1, number)), theirs), false, 0);
         assert!(endpoints.is_provisional(), "the own read still counts");
     }
@@ -108,7 +111,7 @@
 #[test]
 fn a_list_that_is_passed_on_grows_no_newer() {
     let mut old = Endpoints::new(GRACE_MS);
-    old.replace_all(vec![facts(1, false)], 0);
+    old.replace_all(vec![row(1, false)], 0);
     old.set_revision(revision(1, 80));
     let mut between = Endpoints::new(GRACE_MS);
     assert!(between.take_list(old.list(), false, 10));
@@ -121,10 +124,7 @@
 #[test]
 fn a_list_of_a_later_era_brings_back_no_endpoint_that_drains() {
     let mut endpoints = gateway_at(revision(1, 90));
-    let copy = list(
-        Some(revision(2, 70)),
-        vec![facts(1, false), facts(2, false)],
-    );
+    let copy = list(Some(revision(2, 70)), vec![row(1, false), row(2, false)]);
     assert!(endpoints.take_list(copy, false, 100));
     assert!(is_draining(&endpoints, 1));
 }
@@ -132,11 +132,7 @@
 #[test]
 fn an_answer_is_outdated_if_a_later_list_was_taken() {
     let mut endpoints = gateway_at(revision(1, 90));
-    assert!(endpoints.take_list(
-        list(Some(revision(1, 95)), vec![facts(2, false)]),
-        false,
-        100
-    ));
+    assert!(endpoints.take_list(list(Some(revision(1, 95)), vec![row(2, false)]), false, 100));
     assert!(endpoints.is_newer_than(revision(1, 94)));
     assert!(!endpoints.is_newer_than(revision(1, 95)));
     assert!(!endpoints.is_newer_than(revision(2, 1)));
@@ -146,13 +142,13 @@
 #[test]
 fn what_a_peer_keeps_after_an_outage_is_dropped_when_it_drops_it() {
     let mut peer = Endpoints::new(GRACE_MS);
-    peer.replace_all(vec![facts(1, false), facts(2, false)], 0);
+    peer.replace_all(vec![row(1, false), row(2, false)], 0);
     peer.note_outage_end(0, 1_000);
     peer.mark_missing("i-1", 1_000);
     peer.set_revision(revision(1, 50));
     peer.drop_missing(1_000);
     let handed = peer.list();
-    assert_eq!(handed.expiring, vec![facts(1, false)]);
+    assert_eq!(handed.expiring, vec![row(1, false)]);
     let mut endpoints = Endpoints::new(GRACE_MS);
     assert!(endpoints.take_list(handed, false, 2_000));
     assert_eq!(count(&endpoints), 2);
--- a/crates/mgs-relay/tests/incarnations.rs
+++ b/crates/mgs-relay/tests/incarnations.rs
@@ -9,8 +9,11 @@
 
 use mgs_fleet::view::EndpointKey;
 use mgs_relay::membership::Endpoints;
+use mgs_relay::membership::Origin;
 use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
+use mgs_relay::source::Revision;
 use mgs_relay::source::RowFault;
 use proptest::prelude::prop;
 use proptest::prelude::prop_assert;
@@ -36,6 +39,23 @@
     }
 }
 
+/// A row that is written at this revision.
+fn row(facts: EndpointFacts, number: u64) -> EndpointRow {
+    let written = Revision { era: 1, number };
+    EndpointRow { facts, written }
+}
+
+/// A gateway that knows a configuration and has read no endpoint.
+fn gateway() -> Endpoints {
+    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
+    endpoints.set_services(["model", "other"]);
+    endpoints
+}
+
+fn read(endpoints: &mut Endpoints, facts: EndpointFacts) -> Result<(), RowFault> {
+    endpoints.apply(row(facts, 1), Origin::Change, 0)
+}
+
 fn key_of(endpoints: &Endpoints, id: u8) -> Option<EndpointKey> {
     let id = format!("i-{id}");
     let fleet = endpoints.fleet();
@@ -46,15 +66,11 @@
 
 #[test]
 fn a_restart_under_the_same_identifier_is_a_new_endpoint() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints
-        .upsert(facts(1, Some(10)), true)
-        .expect("accepted");
+    let mut endpoints = gateway();
+    read(&mut endpoints, facts(1, Some(10))).expect("accepted");
     let first = key_of(&endpoints, 1);
     let before = endpoints.content_hash();
-    endpoints
-        .upsert(facts(1, Some(20)), true)
-        .expect("accepted");
+    read(&mut endpoints, facts(1, Some(20))).expect("accepted");
     assert_ne!(key_of(&endpoints, 1), first);
     assert_ne!(
         endpoints.content_hash(),
@@ -77,16 +93,12 @@
     #[case] expected: Result<(), RowFault>,
     #[case] is_used: bool,
 ) {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints
-        .upsert(facts(1, Some(20)), true)
-        .expect("accepted");
+    let mut endpoints = gateway();
+    read(&mut endpoints, facts(1, Some(20))).expect("accepted");
     let key = key_of(&endpoints, 1);
-    assert_eq!(endpoints.upsert(facts(1, born_ms), true), expected);
+    assert_eq!(read(&mut endpoints, facts(1, born_ms)), expected);
     assert_eq!(key_of(&endpoints, 1), key.filter(|_| is_used));
-    endpoints
-        .upsert(facts(1, Some(20)), true)
-        .expect("accepted");
+    read(&mut endpoints, facts(1, Some(20))).expect("accepted");
     assert_eq!(
         key_of(&endpoints, 1),
         key,
@@ -96,23 +108,21 @@
 
 #[test]
 fn an_endpoint_that_never_reported_its_start_stays_in_use() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints.upsert(facts(1, None), true).expect("accepted");
+    let mut endpoints = gateway();
+    read(&mut endpoints, facts(1, None)).expect("accepted");
     let key = key_of(&endpoints, 1);
-    endpoints.upsert(facts(1, None), true).expect("accepted");
+    read(&mut endpoints, facts(1, None)).expect("accepted");
     assert_eq!(key_of(&endpoints, 1), key);
 }
 
 #[test]
 fn the_latest_start_is_remembered_after_the_endpoint_is_removed() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints
-        .upsert(facts(1, Some(20)), true)
-        .expect("accepted");
+    let mut endpoints = gateway();
+    read(&mut endpoints, facts(1, Some(20))).expect("accepted");
     endpoints.mark_missing("i-1", 100);
     endpoints.drop_missing(100);
     assert_eq!(
-        endpoints.upsert(facts(1, Some(10)), true),
+        read(&mut endpoints, facts(1, Some(10))),
         Err(RowFault::OlderStart)
     );
     assert_eq!(key_of(&endpoints, 1), None);
@@ -140,21 +150,23 @@
     #[case] is_service_known: bool,
     #[case] is_kept: bool,
 ) {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints
-        .upsert(facts(1, listed_born_ms), true)
-        .expect("accepted");
-    let result = endpoints.upsert(facts_at_address_of_1(born_ms, "other"), is_service_known);
+    let mut endpoints = gateway();
+    read(&mut endpoints, facts(1, listed_born_ms)).expect("accepted");
+    let service = if is_service_known {
+        "other"
+    } else {
+        "nobody-s"
+    };
+    let written_later = row(facts_at_address_of_1(born_ms, service), 2);
+    let result = endpoints.apply(written_later, Origin::Change, 0);
     assert_eq!(key_of(&endpoints, 1).is_some(), is_kept, "{result:?}");
 }
 
 #[test]
 fn an_unreadable_row_hides_its_endpoint_until_it_is_readable_again() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
+    let mut endpoints = gateway();
     for id in 1..=2 {
-        endpoints
-            .upsert(facts(id, Some(10)), true)
-            .expect("accepted");
+        read(&mut endpoints, facts(id, Some(10))).expect("accepted");
     }
     let key = key_of(&endpoints, 1);
     endpoints.mark_unreadable("i-1");
@@ -164,9 +176,7 @@
         key_of(&endpoints, 2).is_some(),
         "the other endpoints are unaffected"
     );
-    endpoints
-        .upsert(facts(1, Some(10)), true)
-        .expect("accepted");
+    read(&mut endpoints, facts(1, Some(10))).expect("accepted");
     assert_eq!(key_of(&endpoints, 1), key);
     endpoints.mark_unreadable("i-1");
     endpoints.note_outage_end(0, 100);
@@ -225,7 +235,7 @@
                 ..facts(*id, *born_ms)
             };
             // The properties check whether it is accepted.
-            let _ = endpoints.upsert(entry, true);
+            let _ = endpoints.apply(row(entry, 1), Origin::Change, now_ms);
         }
         Event::Unreadable { id } => endpoints.mark_unreadable(&format!("i-{id}")),
         Event::Gone { id } => endpoints.mark_missing(&format!("i-{id}"), now_ms),
@@ -233,7 +243,7 @@
         Event::Peer { entries } => {
             let listed = entries
                 .iter()
-                .map(|(id, born_ms)| facts(*id, Some(*born_ms)));
+                .map(|(id, born_ms)| row(facts(*id, Some(*born_ms)), 1));
             endpoints.replace_all(listed.collect(), now_ms);
         }
     }
@@ -286,7 +296,7 @@
     /// another incarnation.
     #[test]
     fn only_the_newest_incarnation_is_used(events in prop::collection::vec(event(), 1..60)) {
-        let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
+        let mut endpoints = gateway();
         let mut expected = Expected::default();
         let mut incarnations: HashMap<EndpointKey, Incarnation> = HashMap::new();
         for (step, event) in events.iter().enumerate() {
@@ -312,10 +322,7 @@
     /// Two gateways that have read the same in the end agree, whatever each read before.
     #[test]
     fn gateways_that_read_the_same_list_agree(events in prop::collection::vec(event(), 1..40)) {
-        let (mut one, mut other) = (
-            Endpoints::new(EXPIRY_GRACE_MS),
-            Endpoints::new(EXPIRY_GRACE_MS),
-        );
+        let (mut one, mut other) = (gateway(), gateway());
         for (step, event) in events.iter().enumerate() {
             apply(&mut one, event, step as u64 * 700);
         }
--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -5,7 +5,9 @@
 use mgs_relay::membership::Endpoints;
 use mgs_relay::membership::Origin;
 use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
+use mgs_relay::source::Revision;
 use mgs_relay::view::Endpoint;
 use mgs_relay::warm_up::ColdSigns;
 
@@ -25,11 +27,18 @@
     }
 }
 
+fn row(facts: EndpointFacts) -> EndpointRow {
+    EndpointRow {
+        facts,
+        written: Revision::default(),
+    }
+}
+
 fn listed(numbers: &[u16]) -> Endpoints {
     let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
     for number in numbers {
         endpoints
-            .upsert(facts(*number), true)
+            .apply(row(facts(*number)), Origin::Change, 0)
             .expect("a valid entry");
     }
     endpoints
@@ -59,7 +68,9 @@
         is_leaving: true,
         ..facts(2)
     };
-    leaving.upsert(leaving_facts, true).expect("a valid entry");
+    leaving
+        .apply(row(leaving_facts), Origin::Change, 0)
+        .expect("a valid entry");
     assert_ne!(leaving.content_hash(), listed(&[1, 2]).content_hash());
     let mut expired = listed(&[1, 2]);
     expired.note_outage_end(0, 100);
@@ -78,7 +89,7 @@
         known.find(|e| e.facts.incarnation.id == id).map(|e| e.key)
     };
     let before = key(&endpoints, "i-2");
-    endpoints.replace_all(vec![facts(2), facts(3)], 100);
+    endpoints.replace_all(vec![row(facts(2)), row(facts(3))], 100);
     assert_eq!(key(&endpoints, "i-1"), None);
     assert_eq!(key(&endpoints, "i-2"), before);
     assert!(key(&endpoints, "i-3").is_some());
@@ -129,13 +140,9 @@
 #[test]
 fn the_hash_of_the_list_does_not_depend_on_cold_times() {
     let mut endpoints = Endpoints::new(1_000);
-    endpoints
-        .apply(facts(1), true, Origin::Snapshot, 0)
-        .unwrap();
+    endpoints.apply(row(facts(1)), Origin::Snapshot, 0).unwrap();
     endpoints.date_new(None);
-    endpoints
-        .apply(facts(2), true, Origin::Change, 100)
-        .unwrap();
+    endpoints.apply(row(facts(2)), Origin::Change, 100).unwrap();
     endpoints.date_new(Some(100));
     assert!(endpoints.take_changed());
     let hash = endpoints.content_hash();
--- a/crates/mgs-relay/tests/rollback.rs
+++ b/crates/mgs-relay/tests/rollback.rs
@@ -8,7 +8,9 @@
 use mgs_relay::membership::Endpoints;
 use mgs_relay::membership::Origin;
 use mgs_relay::source::EndpointFacts;
+use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
+use mgs_relay::source::Revision;
 use mgs_relay::source::RowFault;
 use mgs_relay::source::Update;
 use proptest::prelude::prop;
@@ -48,6 +50,13 @@
     Gone,
 }
 
+/// A gateway that knows a configuration and has read no endpoint.
+fn gateway() -> Endpoints {
+    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
+    endpoints.set_services(["desk"]);
+    endpoints
+}
+
 struct Simulation {
     log: Vec<(String, Option<EndpointFacts>)>,
     era: u64,
@@ -63,25 +72,25 @@
     apply_entry: ApplyEntry,
 }
 
-type ApplyEntry = fn(&mut Endpoints, EndpointFacts, Origin, u64) -> Result<(), RowFault>;
+type ApplyEntry = fn(&mut Endpoints, EndpointRow, Origin, u64) -> Result<(), RowFault>;
 
 fn apply_entry(
     endpoints: &mut Endpoints,
-    facts: EndpointFacts,
+    row: EndpointRow,
     origin: Origin,
     now_ms: u64,
 ) -> Result<(), RowFault> {
-    endpoints.apply(facts, true, origin, now_ms)
+    endpoints.apply(row, origin, now_ms)
 }
 
 /// Applies each entry as a change, so that a restored copy overrides what was known.
 fn apply_as_change(
     endpoints: &mut Endpoints,
-    facts: EndpointFacts,
+    row: EndpointRow,
     _: Origin,
     now_ms: u64,
 ) -> Result<(), RowFault> {
-    endpoints.apply(facts, true, Origin::Change, now_ms)
+    endpoints.apply(row, Origin::Change, now_ms)
 }
 
 impl Simulation {
@@ -90,7 +99,7 @@
             log: Vec::new(),
             era: 1,
             states: vec![(1, State::Ready); ENDPOINT_COUNT],
-            endpoints: Endpoints::new(EXPIRY_GRACE_MS),
+            endpoints: gateway(),
             cursor: None,
             known_ended: HashSet::new(),
             known: HashSet::new(),
@@ -174,8 +183,8 @@
     }
 
     fn read_changes(&mut self, from: usize) {
-        let changes: Vec<_> = self.log[from..].to_vec();
-        for (id, facts) in changes {
+        let changes: Vec<_> = self.log.iter().cloned().enumerate().skip(from).collect();
+        for (position, (id, facts)) in changes {
             let Some(facts) = facts else {
                 self.endpoints.mark_missing(&id, self.now_ms);
                 continue;
@@ -185,30 +194,39 @@
                 // again.
                 self.known_ended.remove(&facts.incarnation);
             }
-            self.submit(facts, Origin::Change);
+            self.submit(self.row(facts, position), Origin::Change);
         }
     }
 
     /// Applies an entry; whether it is accepted shows in which endpoints are used.
-    fn submit(&mut self, facts: EndpointFacts, origin: Origin) {
-        let _ = (self.apply_entry)(&mut self.endpoints, facts, origin, self.now_ms);
+    fn submit(&mut self, row: EndpointRow, origin: Origin) {
+        let _ = (self.apply_entry)(&mut self.endpoints, row, origin, self.now_ms);
+    }
+
+    /// The row of an entry at a position of the log, as read now.
+    fn row(&self, facts: EndpointFacts, position: usize) -> EndpointRow {
+        let written = Revision {
+            era: self.era,
+            number: position as u64 + 1,
+        };
+        EndpointRow { facts, written }
     }
 
     fn read_all(&mut self, is_rollback: bool) {
         if is_rollback {
             self.endpoints.note_rollback(self.now_ms);
         }
-        let mut rows: BTreeMap<String, EndpointFacts> = BTreeMap::new();
-        for (id, facts) in self.log.clone() {
+        let mut rows: BTreeMap<String, EndpointRow> = BTreeMap::new();
+        for (position, (id, facts)) in self.log.clone().into_iter().enumerate() {
             match facts {
-                Some(facts) => rows.insert(id, facts),
+                Some(facts) => rows.insert(id, self.row(facts, position)),
                 None => rows.remove(&id),
             };
         }
         let updates: Vec<Update> = rows.into_values().map(Update::Endpoint).collect();
         for update in updates.clone() {
-            if let Update::Endpoint(facts) = update {
-                self.submit(facts, Origin::Snapshot);
+            if let Update::Endpoint(row) = update {
+                self.submit(row, Origin::Snapshot);
             }
         }
         let listed = Endpoints::listed_ids(&updates);
