--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -17,6 +17,7 @@
 
 mod entry;
 
+use std::borrow::Cow;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -153,10 +154,18 @@
     }
 
     /// Identifiers of the endpoints that another one at their address has replaced.
-    fn replaced(&self) -> HashSet<&str> {
+    fn replaced(&self) -> Cow<'_, HashSet<String>> {
+        match self.is_settled {
+            true => Cow::Borrowed(&self.last_replaced),
+            false => Cow::Owned(self.find_replaced()),
+        }
+    }
+
+    fn find_replaced(&self) -> HashSet<String> {
         let valid = self.entries.values().filter(|entry| entry.is_valid());
         let claims = valid.map(|entry| entry.claim(self.is_named(entry)));
-        replaced(claims.collect())
+        let replaced = replaced(claims.collect()).into_iter();
+        replaced.map(str::to_string).collect()
     }
 
     /// Records that the store can be read again, after an outage that began at `began_ms`. Each
@@ -389,7 +398,7 @@
             return;
         }
         self.drop_excess_rows();
-        let replaced: HashSet<String> = self.replaced().into_iter().map(str::to_string).collect();
+        let replaced = self.find_replaced();
         for id in replaced.difference(&self.last_replaced) {
             log::info!(endpoint = id; "endpoint replaced by another at its address");
         }
