fix(relay): at the end of a stop, requests without a response get one

What callers saw: requests that an endpoint still ran 7.7 s after the SIGTERM of their host, also ones that may run once, ended with a closed connection and no answer.

Cause: a stop ends when its time is up, and the process with it; a request without a response was one more open connection. Change: 0.2 s before that, each such request is answered: 502 if it may have run, 503 if it was never sent. `explain` and `account` know the new end. Evidence: requests_that_run_at_the_end_of_a_stop_are_told_so fails on the code before (status 0, connection closed) and passes now. It is a wait beside the request's own timeout, so it covers the body, the queue and the endpoint's answer alike.

Two further tests hold on both: all that runs during a stop on kept connections is answered, and a second signal changes nothing.

--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -29,6 +29,7 @@
 use crate::dispatch_outcome::HELPER_REFUSED;
 use crate::dispatch_outcome::NOT_HELD;
 use crate::dispatch_outcome::PERMIT_EXPIRED;
+use crate::drain::RETRY_AFTER_LEAVING_MS;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::held_bytes::NoRoom;
@@ -116,14 +117,25 @@
 
     /// The refusal to send if the deadline passes now.
     pub(crate) fn timed_out(&self) -> Refusal {
-        let may_have_run = self.progress.in_flight || self.progress.runs > 0;
-        let fault = match may_have_run {
+        let fault = match self.may_have_run() {
             true => Fault::TimeoutRunning,
             false => Fault::TimeoutBefore,
         };
         Refusal::of(fault)
     }
 
+    /// The refusal to send if this host must stop now.
+    pub(crate) fn stopped(&self) -> Refusal {
+        match self.may_have_run() {
+            true => Refusal::of(Fault::Stopped),
+            false => Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS),
+        }
+    }
+
+    fn may_have_run(&self) -> bool {
+        self.progress.in_flight || self.progress.runs > 0
+    }
+
     /// Dispatches until there is a response. `last_event_id` is the last event that was forwarded,
     /// if a stream is continued.
     pub(crate) async fn run(
--- a/crates/mgs-relay/src/drain.rs
+++ b/crates/mgs-relay/src/drain.rs
@@ -9,6 +9,10 @@
 /// `Retry-After` while this host shuts down, in milliseconds; the client then reaches another host.
 pub(crate) const RETRY_AFTER_LEAVING_MS: u64 = 50;
 
+/// Time before the end at which requests without a response are told that they get none: it takes as
+/// long until the last of these answers is sent.
+const LAST_ANSWERS: Duration = Duration::from_millis(200);
+
 /// Settings of the graceful shutdown.
 #[derive(Debug, Clone, Copy, PartialEq, Eq)]
 pub struct Options {
@@ -70,6 +74,18 @@
         Some(left.as_secs_f64() * 1e3)
     }
 
+    /// Returns when requests that have no response yet must be told that they get none, shortly before
+    /// they would be aborted; never without a shutdown.
+    pub(crate) async fn until_last_answers(&self) {
+        let mut phase = self.subscribe();
+        // The sender lives as long as this.
+        let _ = phase.wait_for(|phase| *phase != Phase::Serving).await;
+        match self.end_at.get() {
+            Some(end_at) => tokio::time::sleep_until((end_at - LAST_ANSWERS).into()).await,
+            None => std::future::pending().await,
+        }
+    }
+
     pub(crate) fn subscribe(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -49,6 +49,8 @@
     NotRun,
     /// the endpoint gave no usable answer; it may have run
     Unknown,
+    /// this host has stopped while an endpoint was at work
+    Stopped,
     /// the deadline passed before it was sent
     TimeoutBefore,
     /// the deadline passed while an endpoint was at work
@@ -64,7 +66,7 @@
             Self::Malformed => StatusCode::BAD_REQUEST,
             Self::BodyTooLong => StatusCode::PAYLOAD_TOO_LARGE,
             Self::BodyTooSlow => StatusCode::REQUEST_TIMEOUT,
-            Self::Unknown => StatusCode::BAD_GATEWAY,
+            Self::Unknown | Self::Stopped => StatusCode::BAD_GATEWAY,
             Self::TimeoutRunning => StatusCode::GATEWAY_TIMEOUT,
             _ => StatusCode::SERVICE_UNAVAILABLE,
         }
@@ -94,6 +96,7 @@
             Self::Held => "quarantined",
             Self::NotRun => "not_run",
             Self::Unknown => "unknown",
+            Self::Stopped => "stopped",
             Self::TimeoutBefore => "timeout_before_dispatch",
             Self::TimeoutRunning => "timeout_running",
         }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -243,7 +243,7 @@
 ) -> Result<ClientResponse, Refusal> {
     let arrived = outcome_log.arrived;
     if core.drain.phase() == Phase::Ending {
-        return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
+        return Err(leaving());
     }
     let configuration = known_configuration(core)
         .await
@@ -258,8 +258,11 @@
     outcome_log.timeout_ms = timeout_ms;
     let deadline = arrived + Duration::from_millis(timeout_ms);
     let most = configuration.limits.body_bytes;
-    let body =
-        request_body::read(core, client, &client_request, &head, body, most, deadline).await?;
+    let reading = request_body::read(core, client, &client_request, &head, body, most, deadline);
+    let body = tokio::select! {
+        body = reading => body?,
+        () = core.drain.until_last_answers() => return Err(leaving()),
+    };
     let service = pick_service(core, &admitted.route);
     let model = configuration
         .services
@@ -285,9 +288,14 @@
         progress: DispatchProgress::default(),
         confinement: Confinement::None,
     };
-    let response = match timeout_at(deadline, dispatcher.run(None)).await {
-        Ok(response) => response?,
-        Err(_) => return Err(dispatcher.timed_out()),
+    let response = tokio::select! {
+        response = timeout_at(deadline, dispatcher.run(None)) => Some(response),
+        () = core.drain.until_last_answers() => None,
+    };
+    let response = match response {
+        Some(Ok(response)) => response?,
+        Some(Err(_)) => return Err(dispatcher.timed_out()),
+        None => return Err(dispatcher.stopped()),
     };
     let took_ms = arrived.elapsed().as_secs_f64() * 1e3;
     let length = metrics::length_label(dispatcher.client_request.prompt_tokens);
@@ -295,6 +303,10 @@
     Ok(into_response(core, dispatcher, response, open_request))
 }
 
+fn leaving() -> Refusal {
+    Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS)
+}
+
 /// Computes the fingerprint of a request. The caller is its organisation, whichever of its API keys
 /// it uses.
 fn fingerprint(
--- a/src/account/outcome.rs
+++ b/src/account/outcome.rs
@@ -150,7 +150,7 @@
 
 /// Whether a request that ended with this error may have run.
 fn may_have_run(end: &str) -> bool {
-    ["unknown", "timeout_running"]
+    ["unknown", "timeout_running", "stopped"]
         .iter()
         .any(|fault| end.ends_with(fault))
 }
--- a/src/explain/explanation.rs
+++ b/src/explain/explanation.rs
@@ -102,6 +102,12 @@
                 describe_dispatches(trace)
             )
         }
+        "stopped" => {
+            return format!(
+                "its host stopped while an endpoint was processing it, so it may have run{}",
+                describe_dispatches(trace)
+            )
+        }
         other => return format!("{other}{}", describe_dispatches(trace)),
     };
     text.to_string()
--- a/tests/relay_process/mod.rs
+++ b/tests/relay_process/mod.rs
@@ -9,6 +9,7 @@
 use std::path::PathBuf;
 use std::process::Child;
 use std::process::Stdio;
+use std::thread;
 
 use rustix::process::kill_process;
 use rustix::process::Pid;
@@ -114,6 +115,12 @@
         }
     }
 
+    /// Reads the log and throws it away, since a process whose log nobody reads stops when the pipe is full.
+    pub(crate) fn discard_log(&mut self) {
+        let mut log = self.child.stdout.take().expect("a log that nobody reads");
+        thread::spawn(move || std::io::copy(&mut log, &mut std::io::sink()));
+    }
+
     pub(crate) fn signal(&self, signal: Signal) {
         let pid = Pid::from_child(&self.child);
         kill_process(pid, signal).expect("a running process");
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -16,8 +16,10 @@
 use relay_process::Relay;
 use rustix::process::Signal;
 use standin::client::read_response;
+use standin::client::send;
 use standin::client::send_on;
 use standin::client::send_slowly_read;
+use standin::client::try_send;
 use standin::client::ClientRequest;
 use standin::client::Response;
 use standin::endpoint::Behaviour;
@@ -157,3 +159,122 @@
     relay.signal(Signal::TERM);
     assert!(time_to_end(&mut relay) < GRACE);
 }
+
+/// An endpoint that answers after this time, and a store whose routes allow a request this long.
+fn desk_with_store(answer_after: Duration, timeout_ms: u64) -> (Endpoint, Store) {
+    let answer = Behaviour::AnswerAfter(answer_after.as_millis() as u64);
+    let desk = Endpoint::start("i-1", "desk", &[answer]);
+    let store = store_with(&[&desk]);
+    store.put(
+        "op",
+        "config",
+        &configuration_with_timeout("once", timeout_ms),
+    );
+    (desk, store)
+}
+
+/// A request that may run once, and whose client waits for long.
+fn once() -> ClientRequest {
+    ClientRequest {
+        deadline_ms: 30_000,
+        ..ClientRequest::to("/once/1")
+    }
+}
+
+fn sleep_until(at: Instant) {
+    thread::sleep(at.saturating_duration_since(Instant::now()));
+}
+
+/// Guards against requests that were passed on, and whose connection is closed at the end of a stop without an answer.
+#[test]
+fn requests_that_run_at_the_end_of_a_stop_are_told_so() {
+    let (desk, store) = desk_with_store(Duration::from_secs(20), 30_000);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let mut clients = vec![send(relay.client_address, &once())];
+    wait_until("the first run", || desk.runs().len() == 1);
+    let signal_at = Instant::now();
+    relay.signal(Signal::TERM);
+    for at_s in [1, 2] {
+        sleep_until(signal_at + Duration::from_secs(at_s));
+        clients.push(send(relay.client_address, &once()));
+    }
+    for mut client in clients {
+        let response = read_response(&mut client);
+        assert!(response.is_complete, "{response:?}");
+        // It may have run, so that nothing else may be said.
+        assert!([502, 504].contains(&response.status), "{response:?}");
+    }
+    time_to_end(&mut relay);
+    assert!(signal_at.elapsed() < GRACE);
+}
+
+/// Guards against a second signal that ends the process at once.
+#[test]
+fn a_second_signal_changes_nothing() {
+    let (desk, store) = desk_with_store(Duration::from_secs(4), 30_000);
+    let relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let mut client = send(relay.client_address, &once());
+    wait_until("the run", || desk.runs().len() == 1);
+    for _ in 0..2 {
+        relay.signal(Signal::TERM);
+        thread::sleep(Duration::from_secs(1));
+    }
+    let response = read_response(&mut client);
+    assert_eq!((response.status, response.is_complete), (200, true));
+}
+
+/// Sends requests on one connection, and on a new one after each refusal or close, until nobody listens any more. Returns
+/// the number of answers, and whether a request that was read got none.
+fn send_until_gone(relay: &Relay, number: usize) -> (usize, Vec<Response>) {
+    let mut answered = 0;
+    let mut unanswered = Vec::new();
+    while let Ok(mut stream) = TcpStream::connect(relay.client_address) {
+        for sequence in 0.. {
+            let request = ClientRequest {
+                request_id: format!("r-{number}-{answered}-{sequence}"),
+                ..once()
+            };
+            let Some(sent) = try_send(&stream, &request) else {
+                break;
+            };
+            stream = sent;
+            let response = read_response(&mut stream);
+            match (response.is_complete, response.status) {
+                (true, 200) => answered += 1,
+                (true, _) => break,
+                (false, _) => {
+                    unanswered.push(response);
+                    break;
+                }
+            }
+            let is_last = response.head.header("connection") == Some("close");
+            if is_last {
+                break;
+            }
+        }
+        thread::sleep(Duration::from_millis(20));
+    }
+    (answered, unanswered)
+}
+
+/// Guards against requests on kept connections that are taken late in a stop and cut off at its end.
+#[test]
+fn whatever_runs_during_a_stop_is_answered() {
+    const CLIENTS: usize = 16;
+    let (desk, store) = desk_with_store(Duration::from_millis(700), 5_000);
+    let mut relay = Relay::start_with(&store, MEMORY_LIMIT);
+    relay.discard_log();
+    let seen: Vec<(usize, Vec<Response>)> = thread::scope(|scope| {
+        let shared = &relay;
+        let clients: Vec<_> = (0..CLIENTS)
+            .map(|number| scope.spawn(move || send_until_gone(shared, number)))
+            .collect();
+        thread::sleep(Duration::from_millis(500));
+        relay.signal(Signal::TERM);
+        let ended = clients.into_iter().map(|client| client.join());
+        ended.map(|seen| seen.expect("a client")).collect()
+    });
+    let answered: usize = seen.iter().map(|(answered, _)| answered).sum();
+    assert_eq!(answered, desk.runs().len(), "{seen:?}");
+    time_to_end(&mut relay);
+}
