fix(relay): a request whose body ends late in a stop isn't passed on if it could be cut

What callers would see: a request that must not run twice is taken shortly after the SIGTERM, its body arrives until seconds later, and its endpoint is at work when the process ends; nobody can tell whether it ran.

Cause: whether new requests are refused was asked when the head was read, 2.8 s after the signal at the latest, and not when the body was there. Change: after the body it is asked again. One whose timeout is later than the end is refused with 503, which is true, and runs at another host; one that ends in time, or may be repeated, is passed on. Evidence: a_body_that_ends_late_in_a_stop (a body that ends 5 s after the signal, on a route of 30 s) gets 200 after a run 2.7 s before the end on the code before, and 503 without a run now; with a route of 0.8 s it is answered as before.

--- a/crates/mgs-relay/src/drain.rs
+++ b/crates/mgs-relay/src/drain.rs
@@ -86,6 +86,12 @@
         }
     }
 
+    /// Whether new requests are refused, and one that may last as long as this could be aborted.
+    pub(crate) fn may_abort(&self, longest: Duration) -> bool {
+        let end_at = self.end_at.get().filter(|_| self.phase() == Phase::Ending);
+        end_at.is_some_and(|end_at| Instant::now() + longest > end_at - LAST_ANSWERS)
+    }
+
     pub(crate) fn subscribe(&self) -> watch::Receiver<Phase> {
         self.phase.subscribe()
     }
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -263,6 +263,7 @@
         body = reading => body?,
         () = core.drain.until_last_answers() => return Err(leaving()),
     };
+    check_stop(core, &admitted.route, deadline)?;
     let service = pick_service(core, &admitted.route);
     let model = configuration
         .services
@@ -307,6 +308,16 @@
     Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS)
 }
 
+/// Refuses a request that must not run twice if its body has arrived so late in a stop that its
+/// endpoint may be at work until the end: another host can still run it whole.
+fn check_stop(core: &Core, route: &Route, deadline: Instant) -> Result<(), Refusal> {
+    let longest = deadline.saturating_duration_since(Instant::now());
+    match !route.kind.is_repeatable() && core.drain.may_abort(longest) {
+        true => Err(leaving()),
+        false => Ok(()),
+    }
+}
+
 /// Computes the fingerprint of a request. The caller is its organisation, whichever of its API keys
 /// it uses.
 fn fingerprint(
--- a/tests/relay_stop.rs
+++ b/tests/relay_stop.rs
@@ -14,6 +14,7 @@
 
 use common::wait_until;
 use relay_process::Relay;
+use rstest::rstest;
 use rustix::process::Signal;
 use standin::client::read_response;
 use standin::client::send;
@@ -26,6 +27,8 @@
 use standin::endpoint::Endpoint;
 use standin::gateway::configuration_with_timeout;
 use standin::gateway::store_with;
+use standin::gateway::API_KEY;
+use standin::gateway::HOST_NAME;
 use standin::store::Store;
 
 /// Payload of an event, in bytes.
@@ -208,6 +211,49 @@
     assert!(signal_at.elapsed() < GRACE);
 }
 
+/// Sends a request whose body is complete only at this time.
+fn send_slowly(relay: &Relay, end_at: Instant) -> TcpStream {
+    let mut stream = TcpStream::connect(relay.client_address).expect("a relay");
+    let timeout = Some(Duration::from_secs(10));
+    stream.set_read_timeout(timeout).expect("a timeout");
+    let head = format!(
+        "POST /once/1 HTTP/1.1\r\nHost: {HOST_NAME}\r\nRequest-Id: r-1\r\nDeadline-Ms: 30000\r\n\
+         Credential: {API_KEY}\r\nContent-Length: 10\r\n\r\n"
+    );
+    stream.write_all(head.as_bytes()).expect("a relay");
+    for part in 0..10 {
+        let left = end_at.saturating_duration_since(Instant::now());
+        thread::sleep(left / (10 - part));
+        stream.write_all(b"u").expect("a relay that reads");
+    }
+    stream
+}
+
+/// Guards against a request that is passed on late in the grace, since its body took long, though it can't be sure to end
+/// before the process does: another host could run it.
+#[rstest]
+#[case::that_may_take_longer_than_the_rest_of_the_grace(30_000, 503, 0)]
+#[case::that_ends_in_time(800, 200, 1)]
+fn a_body_that_ends_late_in_a_stop(
+    #[case] timeout_ms: u64,
+    #[case] status: u16,
+    #[case] run_count: usize,
+) {
+    let (desk, store) = desk_with_store(Duration::from_millis(100), timeout_ms);
+    let relay = Relay::start_with(&store, MEMORY_LIMIT);
+    let signal_at = Instant::now();
+    relay.signal(Signal::TERM);
+    let upload_ms = match run_count {
+        0 => 5_000,
+        _ => 3_000,
+    };
+    sleep_until(signal_at + Duration::from_millis(2_500));
+    let mut client = send_slowly(&relay, signal_at + Duration::from_millis(upload_ms));
+    let response = read_response(&mut client);
+    assert_eq!((response.status, response.is_complete), (status, true));
+    assert_eq!(desk.runs().len(), run_count);
+}
+
 /// Guards against a second signal that ends the process at once.
 #[test]
 fn a_second_signal_changes_nothing() {
