fix(relay): the full read after a restoration is due wherever it was learnt

Found by the property that a gateway with any history uses what one uses that starts now: a live endpoint stayed unused at a gateway that had learnt from a peer's list that the store was restored from an older copy.

Change: it is planned where the restoration is noted.

--- a/crates/mgs-relay/src/follow.rs
+++ b/crates/mgs-relay/src/follow.rs
@@ -259,9 +259,8 @@
     revision: Option<Revision>,
     /// Era of the last read.
     era: Option<u64>,
-    /// When the topic must be read in full again, in milliseconds. By then, the entries of a
-    /// restored older copy have expired unless their endpoints are alive, and operators have written
-    /// again the orders that it lacks.
+    /// When the operators' table must be read in full again, in milliseconds. By then, operators
+    /// have written again the orders that a restored older copy lacks.
     full_read_at_ms: Option<u64>,
     /// Whether the store has lost this gateway's entry, so that it must be written again.
     needs_registration: bool,
@@ -362,7 +361,7 @@
             self.full_read_at_ms = None;
             self.revision = None;
         }
-        if self.topic == Topic::Endpoints && self.endpoints.borrow().needs_full_read() {
+        if self.topic == Topic::Endpoints && self.endpoints.borrow().needs_full_read(now_ms) {
             self.revision = None;
         }
         let Some(after) = self.revision else {
--- a/crates/mgs-relay/src/follow/apply.rs
+++ b/crates/mgs-relay/src/follow/apply.rs
@@ -10,7 +10,6 @@
 use crate::holds::HoldUpdate;
 use crate::membership::Endpoints;
 use crate::membership::Origin;
-use crate::membership::ENTRY_EXPIRY_MS;
 use crate::source::Batch;
 use crate::source::Revision;
 use crate::source::RowFault;
@@ -50,7 +49,6 @@
                 if has_rolled_back {
                     let now_ms = self.published.now_ms();
                     self.endpoints.borrow_mut().note_rollback(now_ms);
-                    self.full_read_at_ms = Some(now_ms + ENTRY_EXPIRY_MS);
                 }
                 self.endpoints.borrow_mut().set_revision(batch.revision);
                 let listed_ms = (!is_first_read).then(|| self.published.now_ms());
@@ -211,7 +209,7 @@
         let has_updates = !updates.is_empty() || is_full_read;
         let mut applied = Vec::new();
         if is_full_read {
-            endpoints.begin_full_read();
+            endpoints.begin_full_read(now_ms);
         }
         for update in updates {
             match update {
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -88,6 +88,9 @@
     lacks_rows: bool,
     /// Whether the store must be read in full, since rows that were dropped may be needed.
     needs_full_read: bool,
+    /// When the store must be read in full, since it was restored from an older copy, in
+    /// milliseconds. By then, the entries of the copy have expired unless their endpoints are alive.
+    full_read_due_ms: Option<u64>,
     expiry_grace_ms: u64,
     outage_ended_ms: Option<u64>,
     /// Identifiers of the endpoints that were replaced when rows were last settled.
@@ -113,6 +116,7 @@
             are_services_changed: false,
             lacks_rows: false,
             needs_full_read: false,
+            full_read_due_ms: None,
             expiry_grace_ms,
             outage_ended_ms: None,
             last_replaced: HashSet::new(),
@@ -184,6 +188,7 @@
     /// be older than what was learnt before, since the store may be restored again.
     pub fn note_rollback(&mut self, now_ms: u64) {
         self.rolled_back_ms = Some(now_ms);
+        self.full_read_due_ms = Some(now_ms + ENTRY_EXPIRY_MS);
         self.outage_ended_ms = Some(now_ms);
     }
 
@@ -567,14 +572,17 @@
     }
 
     /// Records that all rows that the store lists are about to be applied.
-    pub fn begin_full_read(&mut self) {
+    pub fn begin_full_read(&mut self, now_ms: u64) {
         self.lacks_rows = false;
         self.needs_full_read = false;
+        self.full_read_due_ms = self.full_read_due_ms.filter(|due_ms| *due_ms > now_ms);
     }
 
-    /// Whether the store must be read in full, since rows that were dropped may be needed.
-    pub fn needs_full_read(&self) -> bool {
-        self.needs_full_read
+    /// Whether the store must be read in full: rows that were dropped may be needed, or those of an
+    /// older copy have had time to expire.
+    pub fn needs_full_read(&self, now_ms: u64) -> bool {
+        let is_due = self.full_read_due_ms.is_some_and(|due_ms| due_ms <= now_ms);
+        self.needs_full_read || is_due
     }
 
     /// Removes endpoints that aren't listed, except shortly after an outage. Those that were
@@ -601,14 +609,14 @@
     }
 
     /// The time to wait for changes, at most `longest_ms`: entries that expired in an outage must
-    /// be removed in time.
+    /// be removed in time, and a full read that is due must be made.
     pub fn bounded_wait_ms(&self, longest_ms: u64, now_ms: u64) -> u64 {
         let has_missing = self.entries.values().any(|e| e.missing_since_ms.is_some());
-        let Some(ended_ms) = self.outage_ended_ms.filter(|_| has_missing) else {
-            return longest_ms;
-        };
-        let due_ms = (ended_ms + self.expiry_grace_ms).saturating_sub(now_ms);
-        longest_ms.min(due_ms.max(50))
+        let ended_ms = self.outage_ended_ms.filter(|_| has_missing);
+        let grace_ends_ms = ended_ms.map(|ended_ms| ended_ms + self.expiry_grace_ms);
+        let due_ms = grace_ends_ms.into_iter().chain(self.full_read_due_ms).min();
+        let wait_ms = due_ms.map(|due_ms| due_ms.saturating_sub(now_ms).max(50));
+        wait_ms.map_or(longest_ms, |wait_ms| longest_ms.min(wait_ms))
     }
 
     /// Returns whether something changed since the last call.
--- a/crates/mgs-relay/tests/present_rows.rs
+++ b/crates/mgs-relay/tests/present_rows.rs
@@ -175,7 +175,6 @@
     /// Era and position of the log up to which it has read.
     cursor: Option<(u64, usize)>,
     last_era: Option<u64>,
-    full_read_at_ms: Option<u64>,
     /// The endpoints as it last published them.
     published: Vec<EndpointFacts>,
     /// Whether it deletes the rows of endpoints that it doesn't use.
@@ -191,7 +190,6 @@
             services: None,
             cursor: None,
             last_era: None,
-            full_read_at_ms: None,
         }
     }
 
@@ -206,11 +204,7 @@
     }
 
     fn read_rows(&mut self, store: &Store, now_ms: u64) {
-        if self.full_read_at_ms.is_some_and(|at_ms| at_ms <= now_ms) {
-            self.full_read_at_ms = None;
-            self.cursor = None;
-        }
-        if self.endpoints.needs_full_read() {
+        if self.endpoints.needs_full_read(now_ms) {
             self.cursor = None;
         }
         let revision = store.revision(store.log.len());
@@ -225,7 +219,6 @@
             None => {
                 if self.last_era.is_some_and(|era| era < store.era) {
                     self.endpoints.note_rollback(now_ms);
-                    self.full_read_at_ms = Some(now_ms + ENTRY_EXPIRY_MS);
                 }
                 self.endpoints.set_revision(revision);
                 self.read_all(store, now_ms);
@@ -264,7 +257,7 @@
         let rows = store.rows().into_iter();
         let updates = rows.map(|(at, key, content)| update(key, content, store.revision(at)));
         let updates: Vec<Update> = updates.collect();
-        self.endpoints.begin_full_read();
+        self.endpoints.begin_full_read(now_ms);
         for update in updates.clone() {
             self.apply(update, Origin::Snapshot, now_ms);
         }
@@ -618,11 +611,11 @@
     endpoints.drop_missing(0);
     assert_eq!(endpoints.listed_keys().len(), ROWS_MAX);
     assert_eq!(endpoints.fleet().of_service("desk").len(), 1);
-    assert!(!endpoints.needs_full_read());
+    assert!(!endpoints.needs_full_read(0));
     endpoints.set_services(["desk", "host-agent"]);
-    assert!(endpoints.needs_full_read());
-    endpoints.begin_full_read();
-    assert!(!endpoints.needs_full_read());
+    assert!(endpoints.needs_full_read(0));
+    endpoints.begin_full_read(0);
+    assert!(!endpoints.needs_full_read(0));
 }
 
 /// Guards against load that is counted anew for an endpoint that comes back into use: its key, by which all else is
@@ -658,3 +651,28 @@
     read(&mut endpoints, own).expect("accepted");
     assert_eq!(key(&endpoints), before);
 }
+
+/// Guards against an endpoint that is refused for good after the store was restored from an older copy, at a gateway that
+/// learnt of the copy from a peer's list and therefore never read the store in full once the copy's entries had expired.
+#[test]
+fn an_endpoint_of_an_older_copy_is_used_again_where_a_peer_told_of_the_copy() {
+    let report = |is_leaving| Event::Report {
+        key: 2,
+        service: 0,
+        address: 0,
+        is_leaving,
+    };
+    let history = [
+        Event::Configure(BTreeSet::from([0])),
+        Event::ReadConfiguration(1),
+        report(true),
+        Event::ReadRows(1),
+        Event::RollBack(1),
+        Event::Handover(0),
+        Event::ReadRows(1),
+        Event::Handover(0),
+        report(false),
+        Event::ReadRows(0),
+    ];
+    check(&history, false).expect("the same endpoints");
+}
