fix(relay): a shutdown that was seen outweighs a late report of readiness

Cause: a status report that got no answer was performed 3.1 s later, and each change of a row replaced what was known.

--- a/crates/mgs-relay/src/endpoint_list.rs
+++ b/crates/mgs-relay/src/endpoint_list.rs
@@ -30,6 +30,9 @@
     /// configuration doesn't name their service. The receiver may know another configuration, and
     /// the row of the other one may be removed.
     pub unused: Vec<EndpointRow>,
+    /// Identifiers of endpoints whose rows say that they are ready, although they were seen to shut
+    /// down, as their facts here say.
+    pub ready_again: Vec<String>,
     /// Whether further rows of unnamed services are listed.
     pub lacks_rows: bool,
     /// When the endpoints in `expiring` are used no longer, in milliseconds.
@@ -60,6 +63,9 @@
     written: Vec<Revision>,
     /// Rows of endpoints that aren't used. Earlier releases would let these replace others.
     unused: Vec<EndpointRow>,
+    /// Identifiers of endpoints whose rows say that they are ready, although they were seen to shut
+    /// down.
+    ready_again: Vec<String>,
     /// Whether further rows of unnamed services are listed.
     lacks_rows: bool,
 }
@@ -77,6 +83,7 @@
         let details = RowDetails {
             written: used().map(|row| row.written).collect(),
             unused: self.unused.iter().take(UNUSED_MAX).cloned().collect(),
+            ready_again: self.ready_again.clone(),
             lacks_rows: self.lacks_rows || self.unused.len() > UNUSED_MAX,
         };
         let facts = used().map(|row| row.facts.clone()).collect();
@@ -103,6 +110,7 @@
             listed,
             expiring,
             unused: details.unused,
+            ready_again: details.ready_again,
             lacks_rows: details.lacks_rows,
             expiring_until_ms: now_ms + origin.expiring_for_ms,
         }
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -201,7 +201,9 @@
     /// Applies a row, or returns why what it says doesn't count. Once the store was restored from an
     /// older copy, a shutdown or removal that was seen before takes precedence over a row of a
     /// snapshot, which may predate it. A live endpoint writes its row again, which counts as a
-    /// change; or it had already done so, and then its row doesn't expire.
+    /// change; or it had already done so, and then its row doesn't expire. A shutdown also takes
+    /// precedence over a change, which may be a status report that the store performs late, until
+    /// the row has stood for [`ENTRY_EXPIRY_MS`].
     pub fn apply(&mut self, row: EndpointRow, origin: Origin, now_ms: u64) -> Result<(), RowFault> {
         self.check_start(&row.facts.incarnation)?;
         if self.has_service(&row.facts.service) {
@@ -214,9 +216,11 @@
         if rolled_back_ms.is_none() {
             self.removed_ms.remove(&incarnation);
         }
-        let was_leaving = rolled_back_ms.is_some() && self.is_leaving(&incarnation);
+        let was_leaving = !row.facts.is_leaving && self.is_leaving(&incarnation);
+        let is_late = was_leaving && rolled_back_ms.is_none();
         self.update_or_insert(row);
         self.weigh(&incarnation.id, was_leaving, is_outdated);
+        self.time_readiness(&incarnation.id, is_late.then_some(now_ms));
         match is_outdated {
             true => Err(RowFault::Gone),
             false => Ok(()),
@@ -243,6 +247,28 @@
         }
     }
 
+    /// Records since when a row has said that its endpoint is ready, although the endpoint was seen to
+    /// shut down; `None` if it doesn't say so.
+    fn time_readiness(&mut self, id: &str, ready_ms: Option<u64>) {
+        if let Some(entry) = self.entries.get_mut(id) {
+            entry.ready_since_ms = ready_ms.and(entry.ready_since_ms).or(ready_ms);
+        }
+    }
+
+    /// Takes endpoints for ready again whose rows have said so for so long that they would have been
+    /// written again, or have expired, if the endpoints were shutting down.
+    fn believe_ready(&mut self, now_ms: u64) {
+        let has_stood = |since_ms: u64| now_ms >= since_ms + ENTRY_EXPIRY_MS;
+        for entry in self.entries.values_mut().filter(|entry| entry.is_listed()) {
+            if entry.ready_since_ms.is_some_and(has_stood) {
+                log::info!(endpoint = entry.row.facts.incarnation.id; "endpoint ready again");
+                entry.ready_since_ms = None;
+                entry.was_leaving = false;
+                self.is_changed = true;
+            }
+        }
+    }
+
     /// Returns why a row says nothing about the current incarnation under its key, if it doesn't.
     fn check_start(&mut self, own: &Incarnation) -> Result<(), RowFault> {
         let Some(newest_ms) = self.starts_ms.get(&own.id) else {
@@ -519,7 +545,15 @@
         let mut all = list.listed;
         all.extend(list.unused);
         all.extend(list.expiring);
+        let ready_again = all
+            .iter()
+            .filter(|row| list.ready_again.contains(&row.facts.incarnation.id));
+        let ready_again: Vec<EndpointRow> = ready_again.cloned().collect();
         self.replace_all(all, now_ms);
+        for mut row in ready_again {
+            row.facts.is_leaving = false;
+            self.apply_of_peer(row, now_ms);
+        }
         self.lacks_rows = list.lacks_rows;
         self.needs_full_read = list.lacks_rows;
         for id in expiring {
@@ -545,11 +579,14 @@
         let (listed, expiring): (Vec<&Entry>, Vec<&Entry>) =
             used.into_iter().partition(|entry| entry.is_listed());
         let unused = unused.into_iter().filter(|entry| entry.is_listed());
+        let is_ready_again = |entry: &&Entry| entry.was_leaving && !entry.row.facts.is_leaving;
+        let ready_again = self.entries.values().filter(is_ready_again);
         EndpointList {
             revision: self.revision,
             listed: rows_by_write(listed),
             expiring: rows_by_write(expiring),
             unused: rows_by_write(unused.collect()),
+            ready_again: ready_again.map(|e| e.incarnation().id.clone()).collect(),
             lacks_rows: self.lacks_rows,
             expiring_until_ms: self.outage_ended_ms.unwrap_or(0) + self.expiry_grace_ms,
         }
@@ -561,16 +598,20 @@
         let listed = Self::listed_ids(&updates);
         for update in updates {
             if let Update::Endpoint(row) = update {
-                let id = row.facts.incarnation.id.clone();
-                if let Err(fault) = self.apply(row, Origin::Snapshot, now_ms) {
-                    log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
-                }
+                self.apply_of_peer(row, now_ms);
             }
         }
         self.mark_missing_except(&listed, now_ms);
         self.drop_missing(now_ms);
     }
 
+    fn apply_of_peer(&mut self, row: EndpointRow, now_ms: u64) {
+        let id = row.facts.incarnation.id.clone();
+        if let Err(fault) = self.apply(row, Origin::Snapshot, now_ms) {
+            log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
+        }
+    }
+
     /// Records that all rows that the store lists are about to be applied.
     pub fn begin_full_read(&mut self, now_ms: u64) {
         self.lacks_rows = false;
@@ -588,6 +629,7 @@
     /// Removes endpoints that aren't listed, except shortly after an outage. Those that were
     /// shutting down, and those whose row couldn't be parsed, are removed without that grace.
     pub fn drop_missing(&mut self, now_ms: u64) {
+        self.believe_ready(now_ms);
         let in_grace = self.is_in_grace(now_ms);
         let before = self.entries.len();
         let mut removed = HashSet::new();
--- a/crates/mgs-relay/src/membership/entry.rs
+++ b/crates/mgs-relay/src/membership/entry.rs
@@ -38,9 +38,12 @@
     /// Whether the row is from an older copy of the store, and the incarnation had gone before the
     /// copy was restored.
     pub(super) is_outdated: bool,
-    /// Whether the incarnation was seen to shut down, although its row, which is from an older copy
-    /// of the store, doesn't say so.
+    /// Whether the incarnation was seen to shut down, although its row doesn't say so: the row is
+    /// from an older copy of the store, or a status report that the store has performed late.
     pub(super) was_leaving: bool,
+    /// Since when its row has said again that it is ready, in milliseconds, if that isn't an older
+    /// copy of the store.
+    pub(super) ready_since_ms: Option<u64>,
     pub(super) identity: Identity,
     /// The incarnation that the key named until a row of an unnamed service took its place.
     pub(super) set_aside: Option<(Incarnation, Identity)>,
@@ -54,6 +57,7 @@
             is_unreadable: false,
             is_outdated: false,
             was_leaving: false,
+            ready_since_ms: None,
             identity,
             set_aside: None,
         }
--- a/crates/mgs-relay/tests/membership.rs
+++ b/crates/mgs-relay/tests/membership.rs
@@ -4,6 +4,7 @@
 
 use mgs_relay::membership::Endpoints;
 use mgs_relay::membership::Origin;
+use mgs_relay::membership::ENTRY_EXPIRY_MS;
 use mgs_relay::source::EndpointFacts;
 use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
@@ -166,3 +167,38 @@
     endpoints.extend_cold(&facts(1).incarnation.id, 2_000);
     assert!(!endpoints.take_changed(), "an earlier end changes nothing");
 }
+
+/// Guards against requests to an endpoint that is shutting down, after a status report from before was performed late; and
+/// against an endpoint that isn't used for good though its row goes on to say that it is ready.
+#[test]
+fn a_late_report_of_readiness_is_believed_once_it_has_stood() {
+    let mut endpoints = listed(&[1]);
+    let is_leaving = |endpoints: &Endpoints| {
+        let fleet = endpoints.fleet();
+        let mut known = fleet.by_key.values();
+        known.next().expect("it is listed").facts.is_leaving
+    };
+    let report = |endpoints: &mut Endpoints, is_leaving, now_ms| {
+        let facts = EndpointFacts {
+            is_leaving,
+            ..facts(1)
+        };
+        let _ = endpoints.apply(row(facts), Origin::Change, now_ms);
+        endpoints.drop_missing(now_ms);
+    };
+    report(&mut endpoints, true, 1_000);
+    assert!(is_leaving(&endpoints));
+    report(&mut endpoints, false, 4_000);
+    assert!(is_leaving(&endpoints), "performed late");
+    report(&mut endpoints, true, 5_000);
+    report(&mut endpoints, false, 8_000);
+    endpoints.drop_missing(8_000 + ENTRY_EXPIRY_MS - 1);
+    assert!(
+        is_leaving(&endpoints),
+        "a dead endpoint's row could still stand"
+    );
+    assert!(endpoints.take_changed());
+    endpoints.drop_missing(8_000 + ENTRY_EXPIRY_MS);
+    assert!(!is_leaving(&endpoints));
+    assert!(endpoints.take_changed());
+}
