fix(relay): a list that leaves out rows of an older copy says so

Found by the property that a gateway with any history uses what one uses that starts now (in 1 of some 4,000 histories): a live endpoint stayed unused at a gateway that had read its row, and then took the list of a peer which had seen the endpoint go before the store was restored from an older copy. Such rows aren't handed over, the receiver took their absence for a removal, and its own feed doesn't repeat them.

Change: the list says that it lacks rows, as it does for rows beyond its bound, and the receiver reads the store in full once it can.

--- a/crates/mgs-relay/src/endpoint_list.rs
+++ b/crates/mgs-relay/src/endpoint_list.rs
@@ -33,7 +33,7 @@
     /// Identifiers of endpoints whose rows say that they are ready, although they were seen to shut
     /// down, as their facts here say.
     pub ready_again: Vec<String>,
-    /// Whether further rows of unnamed services are listed.
+    /// Whether further rows are listed, so that a receiver must read the store in full.
     pub lacks_rows: bool,
     /// When the endpoints in `expiring` are used no longer, in milliseconds.
     pub expiring_until_ms: u64,
@@ -66,7 +66,7 @@
     /// Identifiers of endpoints whose rows say that they are ready, although they were seen to shut
     /// down.
     ready_again: Vec<String>,
-    /// Whether further rows of unnamed services are listed.
+    /// Whether further rows are listed, so that a receiver must read the store in full.
     lacks_rows: bool,
 }
 
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -587,11 +587,18 @@
             expiring: rows_by_write(expiring),
             unused: rows_by_write(unused.collect()),
             ready_again: ready_again.map(|e| e.incarnation().id.clone()).collect(),
-            lacks_rows: self.lacks_rows,
+            lacks_rows: self.lacks_rows || self.has_outdated_rows(),
             expiring_until_ms: self.outage_ended_ms.unwrap_or(0) + self.expiry_grace_ms,
         }
     }
 
+    /// Whether rows are listed that peers aren't told, since their endpoints had gone before the store
+    /// was restored from an older copy. Some may be alive.
+    fn has_outdated_rows(&self) -> bool {
+        let mut listed = self.entries.values().filter(|entry| entry.is_listed());
+        listed.any(|entry| entry.is_outdated)
+    }
+
     /// Replaces the list by one that was read from the store.
     pub fn replace_all(&mut self, listed: Vec<EndpointRow>, now_ms: u64) {
         let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
--- a/crates/mgs-relay/tests/present_rows.rs
+++ b/crates/mgs-relay/tests/present_rows.rs
@@ -676,3 +676,36 @@
     ];
     check(&history, false).expect("the same endpoints");
 }
+
+/// Guards against an endpoint that isn't used for good after the store was restored from an older copy, since a peer that
+/// had seen it go before left its row out of the list that it handed over.
+#[test]
+fn an_endpoint_that_a_peer_left_out_of_its_list_is_used_again() {
+    let history = [
+        Event::Configure(BTreeSet::from([0])),
+        Event::Report {
+            key: 2,
+            service: 0,
+            address: 0,
+            is_leaving: false,
+        },
+        Event::ReadRows(1),
+        Event::Remove(2),
+        Event::ReadRows(1),
+        Event::RollBack(1),
+        Event::ReadConfiguration(1),
+        Event::ReadRows(0),
+        Event::Write {
+            key: 4,
+            content: Content::Whole {
+                service: 0,
+                address: 1,
+                born_ms: None,
+                is_leaving: false,
+            },
+        },
+        Event::ReadRows(1),
+        Event::Handover(0),
+    ];
+    check(&history, false).expect("the same endpoints");
+}
