test(relay): the simulated follower of restorations reads in full when it is due

Traced to the test: the follower reads the store in full 6 s after it has noted a restoration, which the simulation left out, and a live endpoint whose entry had been seen to be removed counts from that read on. The simulation makes the read now, and waits for it before it compares. Since the read takes what stands then for alive, entries of the simulated copy must expire or be written again within these 6 s, as the users' page has it; in the simulation they stood for ever.

The assertions are the same.

--- a/crates/mgs-relay/tests/rollback.rs
+++ b/crates/mgs-relay/tests/rollback.rs
@@ -7,6 +7,7 @@
 
 use mgs_relay::membership::Endpoints;
 use mgs_relay::membership::Origin;
+use mgs_relay::membership::ENTRY_EXPIRY_MS;
 use mgs_relay::source::EndpointFacts;
 use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
@@ -69,6 +70,8 @@
     /// Incarnations that the gateway knew after its last read.
     known: HashSet<Incarnation>,
     now_ms: u64,
+    /// When the store was last restored, in milliseconds.
+    rolled_back_ms: Option<u64>,
     apply_entry: ApplyEntry,
 }
 
@@ -104,6 +107,7 @@
             known_ended: HashSet::new(),
             known: HashSet::new(),
             now_ms: 0,
+            rolled_back_ms: None,
             apply_entry,
         };
         (0..ENDPOINT_COUNT).for_each(|index| simulation.write(index));
@@ -133,8 +137,22 @@
         self.log.push((id, is_listed.then_some(facts)));
     }
 
+    /// Lets the entries of a restored copy come to tell what is, once they have had time for it: live
+    /// endpoints write theirs again, and those of endpoints that have ended expire.
+    fn outlive_copy(&mut self) {
+        let has_passed = |at_ms: &u64| self.now_ms >= at_ms + ENTRY_EXPIRY_MS;
+        if self
+            .rolled_back_ms
+            .take_if(|at_ms| has_passed(at_ms))
+            .is_some()
+        {
+            (0..ENDPOINT_COUNT).for_each(|index| self.write(index));
+        }
+    }
+
     fn apply(&mut self, event: &Event) {
         self.now_ms += 400;
+        self.outlive_copy();
         match *event {
             Event::Leave(index) if self.states[index].1 == State::Ready => {
                 self.states[index].1 = State::Leaving;
@@ -152,6 +170,7 @@
                 let kept = self.log.len().saturating_sub(writes).max(ENDPOINT_COUNT);
                 self.log.truncate(kept);
                 self.era += 1;
+                self.rolled_back_ms = Some(self.now_ms);
             }
             Event::Rewrite(index) if self.states[index].1 != State::Gone => self.write(index),
             Event::Read => self.read(),
@@ -159,11 +178,13 @@
         }
     }
 
-    /// Reads as the follower does: changes since the cursor within an era, else everything.
+    /// Reads as the follower does: changes since the cursor within an era, unless a full read is due,
+    /// else everything.
     fn read(&mut self) {
+        let is_due = self.endpoints.needs_full_read(self.now_ms);
         match self.cursor {
-            Some((era, from)) if era == self.era => self.read_changes(from),
-            before => self.read_all(before.is_some()),
+            Some((era, from)) if era == self.era && !is_due => self.read_changes(from),
+            before => self.read_all(before.is_some_and(|(era, _)| era < self.era)),
         }
         self.cursor = Some((self.era, self.log.len()));
         self.endpoints.drop_missing(self.now_ms);
@@ -216,6 +237,7 @@
         if is_rollback {
             self.endpoints.note_rollback(self.now_ms);
         }
+        self.endpoints.begin_full_read(self.now_ms);
         let mut rows: BTreeMap<String, EndpointRow> = BTreeMap::new();
         for (position, (id, facts)) in self.log.clone().into_iter().enumerate() {
             match facts {
@@ -223,6 +245,11 @@
                 None => rows.remove(&id),
             };
         }
+        if !is_rollback {
+            // What is listed once the entries of a copy have had time to expire is alive.
+            let live = self.live();
+            self.known_ended.retain(|ended| !live.contains(ended));
+        }
         let updates: Vec<Update> = rows.into_values().map(Update::Endpoint).collect();
         for update in updates.clone() {
             if let Update::Endpoint(row) = update {
@@ -246,10 +273,10 @@
     }
 
     /// Lets all live endpoints write their entries again, the other entries expire, and the gateway
-    /// read.
+    /// read until the full read that a restoration requires is made.
     fn settle(&mut self) {
         (0..ENDPOINT_COUNT).for_each(|index| self.write(index));
-        for _ in 0..3 {
+        for _ in 0..4 {
             self.now_ms += EXPIRY_GRACE_MS;
             self.read();
         }
