refactor(relay): what is concluded from rows, and lists of peers, in modules of their own

Code was moved, nothing else: conclusions.rs holds what follows from rows and configuration, lists.rs what gateways hand to each other; membership.rs keeps the rows, how they are applied and what is remembered (449 lines).

--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -15,9 +15,10 @@
 //! names no endpoint; the endpoint that it named before isn't used until the entry can be parsed
 //! again.
 
+mod conclusions;
 mod entry;
+mod lists;
 
-use std::borrow::Cow;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
@@ -25,15 +26,11 @@
 
 use self::entry::Entry;
 use self::entry::Identity;
-use crate::endpoint_list::EndpointList;
-use crate::replacement::replaced;
 use crate::source::EndpointRow;
 use crate::source::Incarnation;
 use crate::source::Revision;
 use crate::source::RowFault;
 use crate::source::Update;
-use crate::view::Endpoint;
-use crate::view::Fleet;
 
 /// Maximum number of identifiers and of removed incarnations that are remembered although they
 /// aren't listed any more, so that a writer of ever new identifiers can't fill a host's memory.
@@ -125,53 +122,6 @@
         }
     }
 
-    /// Sets the services that the configuration in force names. Only endpoints of these can replace
-    /// others at their address.
-    pub fn set_services<'a>(&mut self, services: impl IntoIterator<Item = &'a str>) {
-        let services: HashSet<String> = services.into_iter().map(str::to_string).collect();
-        if self.services.as_ref() == Some(&services) {
-            return;
-        }
-        self.services = Some(services);
-        self.are_services_changed = true;
-        self.is_changed |= !self.entries.is_empty();
-        self.is_settled = false;
-        self.needs_full_read |= self.lacks_rows;
-        let named: Vec<Incarnation> = self
-            .entries
-            .values()
-            .filter(|entry| entry.is_listed() && self.is_named(entry))
-            .map(|entry| entry.incarnation().clone())
-            .collect();
-        named.iter().for_each(|own| self.remember_start(own));
-        self.settle();
-    }
-
-    /// Whether the configuration in force names a service.
-    fn has_service(&self, service: &str) -> bool {
-        let services = self.services.as_ref();
-        services.is_some_and(|services| services.contains(service))
-    }
-
-    fn is_named(&self, entry: &Entry) -> bool {
-        self.has_service(&entry.row.facts.service)
-    }
-
-    /// Identifiers of the endpoints that another one at their address has replaced.
-    fn replaced(&self) -> Cow<'_, HashSet<String>> {
-        match self.is_settled {
-            true => Cow::Borrowed(&self.last_replaced),
-            false => Cow::Owned(self.find_replaced()),
-        }
-    }
-
-    fn find_replaced(&self) -> HashSet<String> {
-        let valid = self.entries.values().filter(|entry| entry.is_valid());
-        let claims = valid.map(|entry| entry.claim(self.is_named(entry)));
-        let replaced = replaced(claims.collect()).into_iter();
-        replaced.map(str::to_string).collect()
-    }
-
     /// Records that the store can be read again, after an outage that began at `began_ms`. Each
     /// topic notices the end of the same outage by itself, up to one retry interval later. Only the
     /// first notice counts; otherwise an endpoint that has left would be used for that much longer.
@@ -307,35 +257,6 @@
         }
     }
 
-    /// Why what the store lists under a key isn't used, although it can be parsed.
-    pub fn faults(&self) -> HashMap<&str, RowFault> {
-        let replaced = self.replaced();
-        let fault = |entry: &Entry| match () {
-            () if entry.is_outdated => Some(RowFault::Gone),
-            () if self.services.is_some() && !self.is_named(entry) => Some(RowFault::Service),
-            () if replaced.contains(entry.incarnation().id.as_str()) => {
-                entry.incarnation().born_ms.map(|_| RowFault::OlderStart)
-            }
-            () => None,
-        };
-        let listed = self.entries.iter().filter(|(_, entry)| entry.is_listed());
-        listed
-            .filter_map(|(id, entry)| Some((id.as_str(), fault(entry)?)))
-            .collect()
-    }
-
-    /// Whether the named services have changed since the last call, and with them the rows that can't
-    /// be used.
-    pub fn take_services_changed(&mut self) -> bool {
-        std::mem::take(&mut self.are_services_changed)
-    }
-
-    /// Keys of the listed rows that can be parsed.
-    pub fn listed_keys(&self) -> Vec<String> {
-        let listed = self.entries.iter().filter(|(_, entry)| entry.is_listed());
-        listed.map(|(id, _)| id.clone()).collect()
-    }
-
     /// Keeps a row as it was read.
     fn update_or_insert(&mut self, row: EndpointRow) {
         let id = row.facts.incarnation.id.clone();
@@ -404,42 +325,6 @@
         }
     }
 
-    /// Drops rows of unnamed services while there are more rows than are kept.
-    fn drop_excess_rows(&mut self) {
-        let excess = self.entries.len().saturating_sub(ROWS_MAX);
-        if excess == 0 || self.services.is_none() {
-            return;
-        }
-        let unnamed = self.entries.iter().filter(|(_, e)| !self.is_named(e));
-        let mut unnamed: Vec<(Revision, String)> = unnamed
-            .map(|(id, entry)| (entry.row.written, id.clone()))
-            .collect();
-        unnamed.sort_unstable();
-        let first_dropped = unnamed.len().saturating_sub(excess);
-        for (_, id) in unnamed.drain(first_dropped..) {
-            self.entries.remove(&id);
-            self.lacks_rows = true;
-        }
-    }
-
-    /// Takes notice of which endpoints have been replaced, or aren't any longer, if rows have changed
-    /// since the last call.
-    fn settle(&mut self) {
-        if std::mem::replace(&mut self.is_settled, true) {
-            return;
-        }
-        self.drop_excess_rows();
-        let replaced = self.find_replaced();
-        for id in replaced.difference(&self.last_replaced) {
-            log::info!(endpoint = id; "endpoint replaced by another at its address");
-        }
-        for id in self.last_replaced.difference(&replaced) {
-            log::info!(endpoint = id; "endpoint not replaced any more, or not listed");
-        }
-        self.is_changed |= replaced != self.last_replaced;
-        self.last_replaced = replaced;
-    }
-
     /// Records that an endpoint's entry says it is cold until this time, in milliseconds. The hash
     /// that gateways compare doesn't depend on it, since each reads the entry at another time.
     pub fn extend_cold(&mut self, id: &str, until_ms: u64) {
@@ -503,122 +388,6 @@
         }
     }
 
-    /// Records that the list holds as of a revision, which this gateway read itself.
-    pub fn set_revision(&mut self, revision: Revision) {
-        self.revision = Some(revision);
-        self.is_from_peer = false;
-    }
-
-    /// Whether the list holds as of a later revision than this one.
-    pub fn is_newer_than(&self, revision: Revision) -> bool {
-        self.revision.is_some_and(|own| own > revision)
-    }
-
-    /// Whether the list is a peer's, or nothing is known yet.
-    pub fn is_provisional(&self) -> bool {
-        self.is_from_peer || self.revision.is_none()
-    }
-
-    /// Takes the list of a peer if it is newer than the own one; returns whether it was taken. A
-    /// list without a revision is taken if `is_reported_newer`, or if nothing else is known.
-    pub fn take_list(&mut self, list: EndpointList, is_reported_newer: bool, now_ms: u64) -> bool {
-        let is_newer = match (list.revision, self.revision) {
-            (Some(theirs), Some(own)) => theirs > own,
-            (Some(_), None) => true,
-            // An empty one is that of a peer which has read nothing yet.
-            (None, own) => !list.listed.is_empty() && (own.is_none() || is_reported_newer),
-        };
-        if !is_newer {
-            return false;
-        }
-        let is_restored =
-            |theirs: Revision| self.revision.is_some_and(|r| r.is_outdated_by(theirs));
-        if list.revision.is_some_and(is_restored) {
-            self.note_rollback(now_ms);
-        }
-        if !list.expiring.is_empty() {
-            let ended_ms = list.expiring_until_ms.saturating_sub(self.expiry_grace_ms);
-            self.outage_ended_ms = self.outage_ended_ms.max(Some(ended_ms));
-        }
-        let expiring = list.expiring.iter();
-        let expiring: Vec<String> = expiring.map(|r| r.facts.incarnation.id.clone()).collect();
-        let mut all = list.listed;
-        all.extend(list.unused);
-        all.extend(list.expiring);
-        let ready_again = all
-            .iter()
-            .filter(|row| list.ready_again.contains(&row.facts.incarnation.id));
-        let ready_again: Vec<EndpointRow> = ready_again.cloned().collect();
-        self.replace_all(all, now_ms);
-        for mut row in ready_again {
-            row.facts.is_leaving = false;
-            self.apply_of_peer(row, now_ms);
-        }
-        self.lacks_rows = list.lacks_rows;
-        self.needs_full_read = list.lacks_rows;
-        for id in expiring {
-            self.mark_missing(&id, now_ms);
-        }
-        self.drop_missing(now_ms);
-        // Without one, the own revision stays: what is read next is applied to what was read last.
-        self.revision = list.revision.or(self.revision);
-        self.is_from_peer = true;
-        true
-    }
-
-    /// The list for peers.
-    pub fn list(&self) -> EndpointList {
-        let replaced = self.replaced();
-        let is_used = |entry: &&Entry| {
-            let is_replaced = replaced.contains(entry.incarnation().id.as_str());
-            let may_be_named = self.services.is_none() || self.is_named(entry);
-            !is_replaced && may_be_named
-        };
-        let valid = self.entries.values().filter(|entry| entry.is_valid());
-        let (used, unused): (Vec<&Entry>, Vec<&Entry>) = valid.partition(is_used);
-        let (listed, expiring): (Vec<&Entry>, Vec<&Entry>) =
-            used.into_iter().partition(|entry| entry.is_listed());
-        let unused = unused.into_iter().filter(|entry| entry.is_listed());
-        let is_ready_again = |entry: &&Entry| entry.was_leaving && !entry.row.facts.is_leaving;
-        let ready_again = self.entries.values().filter(is_ready_again);
-        EndpointList {
-            revision: self.revision,
-            listed: rows_by_write(listed),
-            expiring: rows_by_write(expiring),
-            unused: rows_by_write(unused.collect()),
-            ready_again: ready_again.map(|e| e.incarnation().id.clone()).collect(),
-            lacks_rows: self.lacks_rows || self.has_outdated_rows(),
-            expiring_until_ms: self.outage_ended_ms.unwrap_or(0) + self.expiry_grace_ms,
-        }
-    }
-
-    /// Whether rows are listed that peers aren't told, since their endpoints had gone before the store
-    /// was restored from an older copy. Some may be alive.
-    fn has_outdated_rows(&self) -> bool {
-        let mut listed = self.entries.values().filter(|entry| entry.is_listed());
-        listed.any(|entry| entry.is_outdated)
-    }
-
-    /// Replaces the list by one that was read from the store.
-    pub fn replace_all(&mut self, listed: Vec<EndpointRow>, now_ms: u64) {
-        let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
-        let listed = Self::listed_ids(&updates);
-        for update in updates {
-            if let Update::Endpoint(row) = update {
-                self.apply_of_peer(row, now_ms);
-            }
-        }
-        self.mark_missing_except(&listed, now_ms);
-        self.drop_missing(now_ms);
-    }
-
-    fn apply_of_peer(&mut self, row: EndpointRow, now_ms: u64) {
-        let id = row.facts.incarnation.id.clone();
-        if let Err(fault) = self.apply(row, Origin::Snapshot, now_ms) {
-            log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
-        }
-    }
-
     /// Records that all rows that the store lists are about to be applied.
     pub fn begin_full_read(&mut self, now_ms: u64) {
         self.lacks_rows = false;
@@ -677,50 +446,4 @@
     pub fn is_empty(&self) -> bool {
         self.entries.is_empty()
     }
-
-    /// Hash of the listed rows, equal at all gateways that have read the same rows, whatever they
-    /// conclude from them; not 0 for an empty list, since 0 stands for a list that was never read.
-    pub fn content_hash(&self) -> u64 {
-        let listed = self.entries.values().filter(|entry| entry.is_listed());
-        // An endpoint that is shutting down hashes differently from before.
-        let hash = |entry: &Entry| {
-            let hash = entry.incarnation().hash_64();
-            match entry.row.facts.is_leaving {
-                true => !hash,
-                false => hash,
-            }
-        };
-        // A sum doesn't depend on the order, which differs between gateways.
-        listed.map(hash).fold(1, u64::wrapping_add)
-    }
-
-    /// All usable endpoints, including those whose entry may have expired during an outage.
-    pub fn fleet(&self) -> Fleet {
-        let replaced = self.replaced();
-        let is_used = |entry: &&Entry| {
-            entry.is_valid() && !replaced.contains(entry.incarnation().id.as_str())
-        };
-        let endpoint = |entry: &Entry| Endpoint {
-            key: entry.identity.key,
-            facts: entry.facts(),
-            cold: entry.identity.cold,
-        };
-        let used = self.entries.values().filter(is_used);
-        let mut endpoints: Vec<Endpoint> = used.map(endpoint).collect();
-        // The same order at each gateway: endpoints of one zone are adjacent, and of equally good
-        // engines the first is taken.
-        endpoints.sort_by_cached_key(|endpoint| {
-            let facts = &endpoint.facts;
-            (facts.zone.clone(), facts.incarnation.hash_64())
-        });
-        Fleet::of(endpoints)
-    }
-}
-
-/// Rows as peers get them, in the order in which they were written, in which peers of earlier
-/// releases apply them.
-fn rows_by_write(entries: Vec<&Entry>) -> Vec<EndpointRow> {
-    let mut rows: Vec<EndpointRow> = entries.into_iter().map(Entry::row_in_force).collect();
-    rows.sort_by_key(|row| row.written);
-    rows
 }
