--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -81,9 +81,9 @@
     /// Whether the named services have changed since the last call of
     /// [`Self::take_services_changed`].
     are_services_changed: bool,
-    /// Whether rows of unnamed services were dropped, here or by the peer that handed the list over.
+    /// Whether the store lists rows that aren't kept: beyond the bound, or left out of a peer's list.
     lacks_rows: bool,
-    /// Whether the store must be read in full, since rows that were dropped may be needed.
+    /// Whether the store must be read in full, since rows that aren't kept may be needed.
     needs_full_read: bool,
     /// When the store must be read in full, since it was restored from an older copy, in
     /// milliseconds. By then, the entries of the copy have expired unless their endpoints are alive.
@@ -183,8 +183,8 @@
         known.is_some_and(|entry| entry.incarnation() == incarnation && entry.is_leaving())
     }
 
-    /// Records what outweighs the row just read under a key: a shutdown, or a removal, that was seen
-    /// before the store was restored from an older copy.
+    /// Records what outweighs the row just read under a key: a shutdown that was seen, or a removal
+    /// that was seen before the store was restored from an older copy.
     fn weigh(&mut self, id: &str, was_leaving: bool, is_outdated: bool) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
--- a/crates/mgs-relay/src/membership/conclusions.rs
+++ b/crates/mgs-relay/src/membership/conclusions.rs
@@ -62,7 +62,7 @@
         }
     }
 
-    pub(super) fn find_replaced(&self) -> HashSet<String> {
+    fn find_replaced(&self) -> HashSet<String> {
         let valid = self.entries.values().filter(|entry| entry.is_valid());
         let claims = valid.map(|entry| entry.claim(self.is_named(entry)));
         let replaced = replaced(claims.collect()).into_iter();
@@ -111,7 +111,7 @@
     }
 
     /// Drops rows of unnamed services while there are more rows than are kept.
-    pub(super) fn drop_excess_rows(&mut self) {
+    fn drop_excess_rows(&mut self) {
         let excess = self.entries.len().saturating_sub(ROWS_MAX);
         if excess == 0 || self.services.is_none() {
             return;
--- a/crates/mgs-relay/src/membership/lists.rs
+++ b/crates/mgs-relay/src/membership/lists.rs
@@ -69,7 +69,7 @@
 
     /// Whether rows are listed that peers aren't told, since their endpoints had gone before the store
     /// was restored from an older copy. Some may be alive.
-    pub(super) fn has_outdated_rows(&self) -> bool {
+    fn has_outdated_rows(&self) -> bool {
         let mut listed = self.entries.values().filter(|entry| entry.is_listed());
         listed.any(|entry| entry.is_outdated)
     }
@@ -134,7 +134,7 @@
         self.drop_missing(now_ms);
     }
 
-    pub(super) fn apply_of_peer(&mut self, row: EndpointRow, now_ms: u64) {
+    fn apply_of_peer(&mut self, row: EndpointRow, now_ms: u64) {
         let id = row.facts.incarnation.id.clone();
         if let Err(fault) = self.apply(row, Origin::Snapshot, now_ms) {
             log::info!(endpoint = id, fault = fault.name(); "a peer's entry isn't taken");
