refactor(relay): one constructor for leaving refusals, one look-up for what outweighs a row

Cause: the refusal of a host that stops stood in three places, one of them new; what outweighs a row was recorded in two look-ups of its entry; and replace_all wrapped rows into updates only to list their identifiers. Change: Refusal::leaving serves dispatcher, queue and arrival; weigh records both; replace_all takes the identifiers from the rows.

--- a/crates/mgs-relay/src/dispatcher.rs
+++ b/crates/mgs-relay/src/dispatcher.rs
@@ -29,7 +29,6 @@
 use crate::dispatch_outcome::HELPER_REFUSED;
 use crate::dispatch_outcome::NOT_HELD;
 use crate::dispatch_outcome::PERMIT_EXPIRED;
-use crate::drain::RETRY_AFTER_LEAVING_MS;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::held_bytes::NoRoom;
@@ -128,7 +127,7 @@
     pub(crate) fn stopped(&self) -> Refusal {
         match self.may_have_run() {
             true => Refusal::of(Fault::Stopped),
-            false => Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS),
+            false => Refusal::leaving(),
         }
     }
 
--- a/crates/mgs-relay/src/fault.rs
+++ b/crates/mgs-relay/src/fault.rs
@@ -3,6 +3,8 @@
 use displaydoc::Display;
 use http::StatusCode;
 
+use crate::drain::RETRY_AFTER_LEAVING_MS;
+
 /// Why a request ends without an endpoint's response. The doc comment of a variant is the message
 /// in the response to the client.
 #[derive(Debug, Clone, Copy, PartialEq, Eq, Display)]
@@ -124,4 +126,9 @@
             retry_after_ms: Some(retry_after_ms),
         }
     }
+
+    /// Returns the request to the client, which then reaches another host.
+    pub(crate) fn leaving() -> Self {
+        Self::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS)
+    }
 }
--- a/crates/mgs-relay/src/membership.rs
+++ b/crates/mgs-relay/src/membership.rs
@@ -169,8 +169,8 @@
         let was_leaving = !row.facts.is_leaving && self.is_leaving(&incarnation);
         let is_late = was_leaving && rolled_back_ms.is_none();
         self.update_or_insert(row);
-        self.weigh(&incarnation.id, was_leaving, is_outdated);
-        self.time_readiness(&incarnation.id, is_late.then_some(now_ms));
+        let late_ms = is_late.then_some(now_ms);
+        self.weigh(&incarnation.id, was_leaving, is_outdated, late_ms);
         match is_outdated {
             true => Err(RowFault::Gone),
             false => Ok(()),
@@ -184,11 +184,13 @@
     }
 
     /// Records what outweighs the row just read under a key: a shutdown that was seen, or a removal
-    /// that was seen before the store was restored from an older copy.
-    fn weigh(&mut self, id: &str, was_leaving: bool, is_outdated: bool) {
+    /// that was seen before the store was restored from an older copy. `late_ms` is the time of the
+    /// read if the row says again that its endpoint is ready, and isn't from such a copy.
+    fn weigh(&mut self, id: &str, was_leaving: bool, is_outdated: bool, late_ms: Option<u64>) {
         let Some(entry) = self.entries.get_mut(id) else {
             return;
         };
+        entry.ready_since_ms = late_ms.and(entry.ready_since_ms).or(late_ms);
         if (entry.was_leaving, entry.is_outdated) != (was_leaving, is_outdated) {
             entry.was_leaving = was_leaving;
             entry.is_outdated = is_outdated;
@@ -197,14 +199,6 @@
         }
     }
 
-    /// Records since when a row has said that its endpoint is ready, although the endpoint was seen to
-    /// shut down; `None` if it doesn't say so.
-    fn time_readiness(&mut self, id: &str, ready_ms: Option<u64>) {
-        if let Some(entry) = self.entries.get_mut(id) {
-            entry.ready_since_ms = ready_ms.and(entry.ready_since_ms).or(ready_ms);
-        }
-    }
-
     /// Takes endpoints for ready again whose rows have said so for so long that they would have been
     /// written again, or have expired, if the endpoints were shutting down.
     fn believe_ready(&mut self, now_ms: u64) {
--- a/crates/mgs-relay/src/membership/lists.rs
+++ b/crates/mgs-relay/src/membership/lists.rs
@@ -1,12 +1,13 @@
 //! The list as gateways hand it to each other and compare it, and as of when it holds.
 
+use std::collections::HashSet;
+
 use super::entry::Entry;
 use super::Endpoints;
 use super::Origin;
 use crate::endpoint_list::EndpointList;
 use crate::source::EndpointRow;
 use crate::source::Revision;
-use crate::source::Update;
 
 impl Endpoints {
     /// Records that the list holds as of a revision, which this gateway read itself.
@@ -123,14 +124,12 @@
 
     /// Replaces the list by one that was read from the store.
     pub fn replace_all(&mut self, listed: Vec<EndpointRow>, now_ms: u64) {
-        let updates: Vec<Update> = listed.into_iter().map(Update::Endpoint).collect();
-        let listed = Self::listed_ids(&updates);
-        for update in updates {
-            if let Update::Endpoint(row) = update {
-                self.apply_of_peer(row, now_ms);
-            }
+        let ids = listed.iter().map(|row| row.facts.incarnation.id.clone());
+        let ids: HashSet<String> = ids.collect();
+        for row in listed {
+            self.apply_of_peer(row, now_ms);
         }
-        self.mark_missing_except(&listed, now_ms);
+        self.mark_missing_except(&ids, now_ms);
         self.drop_missing(now_ms);
     }
 
--- a/crates/mgs-relay/src/serve.rs
+++ b/crates/mgs-relay/src/serve.rs
@@ -30,7 +30,6 @@
 use crate::dispatcher::Dispatcher;
 use crate::dispatcher::UsableResponse;
 use crate::drain::Phase;
-use crate::drain::RETRY_AFTER_LEAVING_MS;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::metrics;
@@ -243,7 +242,7 @@
 ) -> Result<ClientResponse, Refusal> {
     let arrived = outcome_log.arrived;
     if core.drain.phase() == Phase::Ending {
-        return Err(leaving());
+        return Err(Refusal::leaving());
     }
     let configuration = known_configuration(core)
         .await
@@ -261,7 +260,7 @@
     let reading = request_body::read(core, client, &client_request, &head, body, most, deadline);
     let body = tokio::select! {
         body = reading => body?,
-        () = core.drain.until_last_answers() => return Err(leaving()),
+        () = core.drain.until_last_answers() => return Err(Refusal::leaving()),
     };
     check_stop(core, &admitted.route, deadline)?;
     let service = pick_service(core, &admitted.route);
@@ -304,16 +303,12 @@
     Ok(into_response(core, dispatcher, response, open_request))
 }
 
-fn leaving() -> Refusal {
-    Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS)
-}
-
 /// Refuses a request that must not run twice if its body has arrived so late in a stop that its
 /// endpoint may be at work until the end: another host can still run it whole.
 fn check_stop(core: &Core, route: &Route, deadline: Instant) -> Result<(), Refusal> {
     let longest = deadline.saturating_duration_since(Instant::now());
     match !route.kind.is_repeatable() && core.drain.may_abort(longest) {
-        true => Err(leaving()),
+        true => Err(Refusal::leaving()),
         false => Ok(()),
     }
 }
--- a/crates/mgs-relay/src/wait.rs
+++ b/crates/mgs-relay/src/wait.rs
@@ -25,7 +25,6 @@
 use tokio::time::sleep;
 
 use crate::core::Core;
-use crate::drain::RETRY_AFTER_LEAVING_MS;
 use crate::fault::Fault;
 use crate::fault::Refusal;
 use crate::place::active_endpoints;
@@ -128,7 +127,7 @@
                 return Err(refuse_too_late(prompt, &need, &placement, wait_ms));
             }
             DispatchDecision::Wait if is_returned_on_drain(core, &waiting) => {
-                return Err(Refusal::after(Fault::Leaving, RETRY_AFTER_LEAVING_MS));
+                return Err(Refusal::leaving());
             }
             DispatchDecision::Wait => {}
         }
