test(relay): drawn histories of rows in a module of their own

Cause: present_rows.rs (711 lines) held the drawn events, the simulated store and gateway, the property and unit tests of what is kept.

--- a/crates/mgs-relay/tests/present_rows.rs
+++ b/crates/mgs-relay/tests/present_rows.rs
@@ -4,33 +4,32 @@
 //! when it changes; a gateway that deleted or refused one, since its service wasn't named yet or
 //! another row had its address, didn't use that endpoint until the process ended.
 
-use std::collections::BTreeMap;
+mod row_history;
+
 use std::collections::BTreeSet;
 use std::collections::HashMap;
 use std::collections::HashSet;
 
 use mgs_fleet::view::EndpointKey;
-use mgs_relay::membership::Endpoints;
-use mgs_relay::membership::Origin;
 use mgs_relay::membership::ENTRY_EXPIRY_MS;
-use mgs_relay::membership::ROWS_MAX;
 use mgs_relay::source::EndpointFacts;
-use mgs_relay::source::EndpointRow;
 use mgs_relay::source::Incarnation;
 use mgs_relay::source::Revision;
-use mgs_relay::source::RowFault;
 use mgs_relay::source::Update;
-use proptest::prelude::prop;
-use proptest::prelude::Just;
-use proptest::prelude::Strategy;
 use proptest::prop_assert_eq;
-use proptest::prop_oneof;
 use proptest::proptest;
 use proptest::test_runner::Config;
 use proptest::test_runner::TestCaseError;
 use proptest::test_runner::TestRunner;
-
-const EXPIRY_GRACE_MS: u64 = 2_200;
+use row_history::gateway::Gateway;
+use row_history::history;
+use row_history::update;
+use row_history::Content;
+use row_history::Event;
+use row_history::Store;
+use row_history::GATEWAYS;
+use row_history::KEYS;
+use row_history::TELL_START;
 
 /// Duration of a step, in milliseconds: histories cover the grace after an outage and the time in
 /// which entries of a restored copy may expire.
@@ -39,255 +38,6 @@
 /// Number of histories that are drawn.
 const HISTORIES: u32 = 3_000;
 
-/// Keys of rows. Workers restart with later starts, which only some tell; what other writers write
-/// has any start.
-const WORKERS: u8 = 4;
-const TELL_START: u8 = 2;
-const KEYS: u8 = 8;
-
-/// Number of addresses, which rows share.
-const ADDRESSES: u16 = 3;
-
-/// Number of services that a configuration may name.
-const SERVICES: u8 = 3;
-
-const GATEWAYS: usize = 2;
-
-/// Content of a row.
-#[derive(Debug, Clone, Copy, PartialEq, Eq)]
-enum Content {
-    /// One that describes an endpoint.
-    Whole {
-        service: u8,
-        address: u16,
-        born_ms: Option<u64>,
-        is_leaving: bool,
-    },
-    /// One that lacks fields.
-    Incomplete,
-}
-
-/// A step of a history.
-#[derive(Debug, Clone)]
-enum Event {
-    /// A worker writes its row: the first time, or with another state.
-    Report {
-        key: u8,
-        service: u8,
-        address: u16,
-        is_leaving: bool,
-    },
-    /// The next start of a worker will be a later one.
-    End(u8),
-    /// Any writer writes any content under any key.
-    Write { key: u8, content: Content },
-    /// A row is removed.
-    Remove(u8),
-    /// The operators name these services.
-    Configure(BTreeSet<u8>),
-    /// The store is restored from a copy that lacks this many of the last writes.
-    RollBack(usize),
-    /// A gateway reads the configuration.
-    ReadConfiguration(usize),
-    /// A gateway reads the rows.
-    ReadRows(usize),
-    /// The store has dropped the history that a gateway needs for its next read.
-    Compact(usize),
-    /// An outage of the store ends for a gateway.
-    EndOutage(usize),
-    /// The other gateway hands its configuration and its list to this one.
-    Handover(usize),
-}
-
-/// The store's rows and configuration.
-#[derive(Debug, Default)]
-struct Store {
-    era: u64,
-    log: Vec<(u8, Option<Content>)>,
-    services: Option<BTreeSet<u8>>,
-}
-
-impl Store {
-    fn revision(&self, position: usize) -> Revision {
-        Revision {
-            era: self.era,
-            number: position as u64 + 1,
-        }
-    }
-
-    /// The present rows in the order in which they were written.
-    fn rows(&self) -> Vec<(usize, u8, Content)> {
-        let mut rows = BTreeMap::new();
-        for (position, (key, content)) in self.log.iter().enumerate() {
-            rows.insert(*key, (position, *content));
-        }
-        let present = rows.into_iter();
-        let present = present.filter_map(|(key, (at, content))| Some((at, key, content?)));
-        let mut present: Vec<_> = present.collect();
-        present.sort_by_key(|(position, _, _)| *position);
-        present
-    }
-}
-
-fn id(key: u8) -> String {
-    format!("i-{key}")
-}
-
-fn service(number: u8) -> String {
-    format!("service-{number}")
-}
-
-/// The update that a read of a row yields.
-fn update(key: u8, content: Content, written: Revision) -> Update {
-    match content {
-        Content::Whole {
-            service: number,
-            address,
-            born_ms,
-            is_leaving,
-        } => Update::Endpoint(EndpointRow {
-            facts: EndpointFacts {
-                incarnation: Incarnation {
-                    id: id(key),
-                    born_ms,
-                },
-                service: service(number),
-                address: ([10, 0, 0, 1], address).into(),
-                zone: "north".to_string(),
-                slots: 4,
-                is_leaving,
-            },
-            written,
-        }),
-        Content::Incomplete => Update::Unreadable {
-            key: id(key),
-            fault: RowFault::Content,
-            detail: String::new(),
-            revision: written,
-        },
-    }
-}
-
-/// A gateway, which follows the store as `mgs_relay::follow` does.
-struct Gateway {
-    endpoints: Endpoints,
-    services: Option<BTreeSet<u8>>,
-    /// Era and position of the log up to which it has read.
-    cursor: Option<(u64, usize)>,
-    last_era: Option<u64>,
-    /// The endpoints as it last published them.
-    published: Vec<EndpointFacts>,
-    /// Whether it deletes the rows of endpoints that it doesn't use.
-    forgets_unused: bool,
-}
-
-impl Gateway {
-    fn new(forgets_unused: bool) -> Self {
-        Self {
-            endpoints: Endpoints::new(EXPIRY_GRACE_MS),
-            published: Vec::new(),
-            forgets_unused,
-            services: None,
-            cursor: None,
-            last_era: None,
-        }
-    }
-
-    fn apply_services(&mut self, services: Option<&BTreeSet<u8>>) {
-        if let Some(services) = services {
-            self.services = Some(services.clone());
-            let names: Vec<String> = services.iter().copied().map(service).collect();
-            self.endpoints
-                .set_services(names.iter().map(String::as_str));
-        }
-        self.publish();
-    }
-
-    fn read_rows(&mut self, store: &Store, now_ms: u64) {
-        if self.endpoints.needs_full_read(now_ms) {
-            self.cursor = None;
-        }
-        let revision = store.revision(store.log.len());
-        let cursor = self.cursor.filter(|(era, _)| *era == store.era);
-        self.cursor = Some((store.era, store.log.len()));
-        match cursor {
-            Some(_) if self.endpoints.is_newer_than(revision) => self.cursor = None,
-            Some((_, from)) => {
-                self.endpoints.set_revision(revision);
-                self.read_changes(store, from, now_ms);
-            }
-            None => {
-                if self.last_era.is_some_and(|era| era < store.era) {
-                    self.endpoints.note_rollback(now_ms);
-                }
-                self.endpoints.set_revision(revision);
-                self.read_all(store, now_ms);
-            }
-        }
-        self.last_era = Some(store.era);
-        if self.forgets_unused {
-            self.forget_unused(now_ms);
-        }
-        self.endpoints.drop_missing(now_ms);
-        self.publish();
-    }
-
-    fn forget_unused(&mut self, now_ms: u64) {
-        let faults = self.endpoints.faults().into_iter();
-        let replaced = faults.filter(|(_, fault)| *fault == RowFault::OlderStart);
-        let replaced: Vec<String> = replaced.map(|(id, _)| id.to_string()).collect();
-        for id in replaced {
-            self.endpoints.mark_missing(&id, now_ms);
-        }
-    }
-
-    fn read_changes(&mut self, store: &Store, from: usize, now_ms: u64) {
-        for (position, (key, content)) in store.log.iter().enumerate().skip(from) {
-            match content {
-                Some(content) => {
-                    let update = update(*key, *content, store.revision(position));
-                    self.apply(update, Origin::Change, now_ms);
-                }
-                None => self.endpoints.mark_missing(&id(*key), now_ms),
-            }
-        }
-    }
-
-    fn read_all(&mut self, store: &Store, now_ms: u64) {
-        let rows = store.rows().into_iter();
-        let updates = rows.map(|(at, key, content)| update(key, content, store.revision(at)));
-        let updates: Vec<Update> = updates.collect();
-        self.endpoints.begin_full_read(now_ms);
-        for update in updates.clone() {
-            self.apply(update, Origin::Snapshot, now_ms);
-        }
-        let listed = Endpoints::listed_ids(&updates);
-        self.endpoints.mark_missing_except(&listed, now_ms);
-    }
-
-    /// Applies an update; whether it counts shows in which endpoints are used.
-    fn apply(&mut self, update: Update, origin: Origin, now_ms: u64) {
-        match update {
-            Update::Endpoint(row) => {
-                let _ = self.endpoints.apply(row, origin, now_ms);
-            }
-            Update::Unreadable { key, .. } => self.endpoints.mark_unreadable(&key),
-            _ => {}
-        }
-    }
-
-    fn publish(&mut self) {
-        if !self.endpoints.take_changed() {
-            return;
-        }
-        let fleet = self.endpoints.fleet();
-        let used = fleet.by_key.values().map(|e| e.facts.clone());
-        self.published = used.collect();
-        self.published
-            .sort_by_key(|facts| facts.incarnation.id.clone());
-    }
-}
-
 /// A history as it happens.
 struct Simulation {
     store: Store,
@@ -488,57 +238,6 @@
     }
 }
 
-impl Content {
-    fn born_ms(&self) -> Option<u64> {
-        match self {
-            Self::Whole { born_ms, .. } => *born_ms,
-            Self::Incomplete => None,
-        }
-    }
-}
-
-fn content() -> impl Strategy<Value = Content> {
-    let whole = (
-        0..SERVICES,
-        0..ADDRESSES,
-        prop::option::weighted(0.7, 1..40_u64),
-        prop::bool::weighted(0.2),
-    );
-    prop_oneof![
-        4 => whole.prop_map(|(service, address, born_ms, is_leaving)| Content::Whole {
-            service,
-            address,
-            born_ms,
-            is_leaving,
-        }),
-        1 => Just(Content::Incomplete),
-    ]
-}
-
-fn event() -> impl Strategy<Value = Event> {
-    let report = (0..WORKERS, 0..2_u8, 0..ADDRESSES, prop::bool::weighted(0.2));
-    let foreign = (WORKERS..KEYS, content());
-    prop_oneof![
-        6 => report.prop_map(|(key, service, address, is_leaving)| Event::Report {
-            key,
-            service,
-            address,
-            is_leaving,
-        }),
-        2 => (0..WORKERS).prop_map(Event::End),
-        3 => foreign.prop_map(|(key, content)| Event::Write { key, content }),
-        1 => (0..KEYS, content()).prop_map(|(key, content)| Event::Write { key, content }),
-        3 => (0..KEYS).prop_map(Event::Remove),
-        2 => prop::collection::btree_set(0..SERVICES, 0..3).prop_map(Event::Configure),
-        1 => (1..5_usize).prop_map(Event::RollBack),
-        2 => (0..GATEWAYS).prop_map(Event::ReadConfiguration),
-        8 => (0..GATEWAYS).prop_map(Event::ReadRows),
-        1 => (0..GATEWAYS).prop_map(Event::Compact),
-        1 => (0..GATEWAYS).prop_map(Event::EndOutage),
-        2 => (0..GATEWAYS).prop_map(Event::Handover),
-    ]
-}
-
 /// Checks the property for one history.
 fn check(history: &[Event], forgets_unused: bool) -> Result<(), TestCaseError> {
     let mut simulation = Simulation::new(forgets_unused);
@@ -549,10 +248,6 @@
     simulation.check_settled()
 }
 
-fn history() -> impl Strategy<Value = Vec<Event>> {
-    prop::collection::vec(event(), 1..60)
-}
-
 proptest! {
     #![proptest_config(Config { cases: HISTORIES, ..Config::default() })]
 
@@ -575,83 +270,6 @@
         .is_err());
 }
 
-/// The row of a worker that tells no start.
-fn row(key: &str, service: &str, number: u64) -> EndpointRow {
-    let facts = EndpointFacts {
-        incarnation: Incarnation {
-            id: key.to_string(),
-            born_ms: None,
-        },
-        service: service.to_string(),
-        address: ([10, 0, 0, 1], 1).into(),
-        zone: "north".to_string(),
-        slots: 4,
-        is_leaving: false,
-    };
-    let written = Revision { era: 1, number };
-    EndpointRow { facts, written }
-}
-
-/// Guards against a host's memory filled by rows of services that nobody names, against endpoints dropped for them, and
-/// against rows that are missing for good once their service is named.
-#[test]
-fn rows_of_unnamed_services_beyond_the_bound_are_dropped_and_read_again_once_needed() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints.set_services(["desk"]);
-    for number in 0..ROWS_MAX as u64 + 500 {
-        let foreign = row(&format!("f-{number}"), "host-agent", 10 + number);
-        endpoints
-            .apply(foreign, Origin::Snapshot, 0)
-            .expect("it can be parsed");
-    }
-    let desk = row("i-1", "desk", 1);
-    endpoints
-        .apply(desk, Origin::Snapshot, 0)
-        .expect("it can be parsed");
-    endpoints.drop_missing(0);
-    assert_eq!(endpoints.listed_keys().len(), ROWS_MAX);
-    assert_eq!(endpoints.fleet().of_service("desk").len(), 1);
-    assert!(!endpoints.needs_full_read(0));
-    endpoints.set_services(["desk", "host-agent"]);
-    assert!(endpoints.needs_full_read(0));
-    endpoints.begin_full_read(0);
-    assert!(!endpoints.needs_full_read(0));
-}
-
-/// Guards against load that is counted anew for an endpoint that comes back into use: its key, by which all else is
-/// known of it, outlives its replacement, a row that can't be parsed, and a row of an unnamed service under its key.
-#[test]
-fn an_endpoint_that_comes_back_keeps_its_key() {
-    let mut endpoints = Endpoints::new(EXPIRY_GRACE_MS);
-    endpoints.set_services(["desk"]);
-    let key = |endpoints: &Endpoints| {
-        let fleet = endpoints.fleet();
-        let desk = fleet.of_service("desk").iter();
-        let found = desk.clone().find(|e| e.facts.incarnation.id == "i-1");
-        found.map(|endpoint| endpoint.key)
-    };
-    let own = row("i-1", "desk", 1);
-    let read = |endpoints: &mut Endpoints, row| endpoints.apply(row, Origin::Change, 0);
-    read(&mut endpoints, own.clone()).expect("accepted");
-    let before = key(&endpoints);
-    assert!(before.is_some());
-    read(&mut endpoints, row("i-2", "desk", 2)).expect("accepted");
-    assert_eq!(key(&endpoints), None, "it is replaced");
-    endpoints.mark_missing("i-2", 100);
-    endpoints.drop_missing(100);
-    assert_eq!(key(&endpoints), before);
-    endpoints.mark_unreadable("i-1");
-    assert_eq!(key(&endpoints), None);
-    read(&mut endpoints, own.clone()).expect("accepted");
-    assert_eq!(key(&endpoints), before);
-    let mut foreign = row("i-1", "host-agent", 4);
-    foreign.facts.incarnation.born_ms = Some(7);
-    read(&mut endpoints, foreign).expect("it can be parsed");
-    assert_eq!(key(&endpoints), None);
-    read(&mut endpoints, own).expect("accepted");
-    assert_eq!(key(&endpoints), before);
-}
-
 /// Guards against an endpoint that is refused for good after the store was restored from an older copy, at a gateway that
 /// learnt of the copy from a peer's list and therefore never read the store in full once the copy's entries had expired.
 #[test]
