test: ports of relay processes are none that the system gives out

Meanwhile the system gave one of them to the endpoint of a test beside it. The check of the relay's readiness then asked that endpoint, took its 200 for the relay's, and counted as a run there. Shown by a trial in which a relay was given an endpoint's port: the same message, one run at the endpoint, readiness 200, connections refused. The product had no part.

The checks of the tests are as they were.

--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,8 +14,8 @@
 use std::time::Instant;
 
 use common::marigoldstage;
+use common::ports::free_ports;
 use common::wait_until;
-use relay_process::free_ports;
 use relay_process::settings;
 use relay_process::Relay;
 use rustix::process::Signal;
--- a/tests/relay_process/mod.rs
+++ b/tests/relay_process/mod.rs
@@ -4,7 +4,6 @@
 
 use std::io::Write;
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::net::TcpStream;
 use std::path::PathBuf;
 use std::process::Child;
@@ -16,6 +15,7 @@
 use rustix::process::Signal;
 
 use crate::common::marigoldstage;
+use crate::common::ports::free_ports;
 use crate::common::wait_until;
 use crate::standin::client::read_response;
 use crate::standin::store::Store;
@@ -37,12 +37,6 @@
     }
 }
 
-/// Ports that were free when this was called; another process may take them.
-pub(crate) fn free_ports<const N: usize>() -> [u16; N] {
-    let listeners = [(); N].map(|()| TcpListener::bind("127.0.0.1:0").expect("a free port"));
-    listeners.map(|listener| listener.local_addr().expect("an address").port())
-}
-
 /// Settings with these ports for clients, readiness, peers and metrics.
 pub(crate) fn settings(ports: [u16; 4], store: SocketAddr) -> String {
     let [client, ready, peer, metrics] = ports;
@@ -56,7 +50,7 @@
 }
 
 impl Relay {
-    /// Starts a relay. Retries with other ports if a free port was taken before the relay bound it.
+    /// Starts a relay. Retries with other ports if another process took one before the relay bound it.
     pub(crate) fn start(store: &Store) -> Self {
         Self::start_with(store, "")
     }
--- a/tests/start_in_outage.rs
+++ b/tests/start_in_outage.rs
@@ -3,10 +3,10 @@
 mod common;
 
 use std::net::SocketAddr;
-use std::net::TcpListener;
 use std::thread;
 
 use common::marigoldstage;
+use common::ports::free_ports;
 use common::process::KillOnDrop;
 use common::wait_until;
 use common::write_first_row;
@@ -64,8 +64,8 @@
 }
 
 fn free_address() -> SocketAddr {
-    let listener = TcpListener::bind("127.0.0.1:0").unwrap();
-    listener.local_addr().unwrap()
+    let [port] = free_ports();
+    SocketAddr::from(([127, 0, 0, 1], port))
 }
 
 #[test]
