test: a relay process has an address of its own

The ports of the commit before were chosen by the process's identifier, and two test processes whose identifiers differ by a multiple of 256 chose the same ones: beside others of its kind, one of 30 runs of relay_endless had a relay that "can't listen on 127.0.0.1:20592 for clients" while another process's relay answered the check of its readiness.

Change: the addresses are loopback addresses that hold the identifier of the process, so that no other process names them, with ports that it names once. A relay that ends before it is ready fails its test; the retry with other ports, which hid such meetings, is gone. The checks of the tests are as they were.

--- a/tests/common/ports.rs
+++ b/tests/common/ports.rs
@@ -1,29 +1,27 @@
-//! Ports for processes that listen on fixed ones.
+//! Addresses for processes that listen on fixed ports.
 
-use std::net::TcpListener;
-use std::ops::Range;
-use std::sync::atomic::AtomicU32;
+use std::net::Ipv4Addr;
+use std::net::SocketAddr;
+use std::sync::atomic::AtomicU16;
 use std::sync::atomic::Ordering;
 
 /// Ports below those that Linux gives to sockets without one, unless it is set up otherwise.
-const PORTS: Range<u16> = 16_384..32_768;
+const FIRST_PORT: u16 = 16_384;
 
-/// Ports between the first candidates of processes with consecutive identifiers.
-const PORTS_PER_PROCESS: u32 = 64;
+/// Ports that this process has named so far.
+static NAMED_COUNT: AtomicU16 = AtomicU16::new(0);
 
-/// Ports that this process has considered so far.
-static CONSIDERED_COUNT: AtomicU32 = AtomicU32::new(0);
+/// A loopback address that no other process of the machine uses: its last 23 bits are the identifier of this one.
+fn own_ip() -> Ipv4Addr {
+    let [_, high, middle, low] = std::process::id().to_be_bytes();
+    Ipv4Addr::new(127, 128 | high, middle, low)
+}
 
-/// Ports on which nothing listens. None is named twice, and the system doesn't give them to a listener of a test: such a
-/// listener would answer in place of the process for which a port is meant.
-pub(crate) fn free_ports<const N: usize>() -> [u16; N] {
-    let first = std::process::id().wrapping_mul(PORTS_PER_PROCESS);
-    [(); N].map(|()| loop {
-        let considered = CONSIDERED_COUNT.fetch_add(1, Ordering::Relaxed);
-        let offset = first.wrapping_add(considered) % u32::from(PORTS.end - PORTS.start);
-        let port = PORTS.start + u16::try_from(offset).expect("an offset within the range");
-        if TcpListener::bind(("127.0.0.1", port)).is_ok() {
-            break port;
-        }
+/// Addresses that are each named once, and that the system gives to no listener of a test: one there would answer in
+/// place of the process for which the address is meant.
+pub(crate) fn own_addresses<const N: usize>() -> [SocketAddr; N] {
+    [(); N].map(|()| {
+        let port = FIRST_PORT + NAMED_COUNT.fetch_add(1, Ordering::Relaxed);
+        SocketAddr::from((own_ip(), port))
     })
 }
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -14,7 +14,7 @@
 use std::time::Instant;
 
 use common::marigoldstage;
-use common::ports::free_ports;
+use common::ports::own_addresses;
 use common::wait_until;
 use relay_process::settings;
 use relay_process::Relay;
@@ -132,9 +132,8 @@
 fn all_invalid_settings_are_reported_before_anything_starts() {
     let path =
         std::env::temp_dir().join(format!("marigoldstage-faulty-{}.toml", std::process::id()));
-    let ports = free_ports::<4>();
     let store = SocketAddr::from(([127, 0, 0, 1], 1));
-    let text = settings(ports, store).replace("127.0.0.1:1\"", "nowhere\"");
+    let text = settings(own_addresses(), store).replace("127.0.0.1:1\"", "nowhere\"");
     std::fs::write(&path, text.replace("graceS = 8", "graceS = 0")).expect("a temporary file");
     let output = marigoldstage()
         .args(["relay", "--settings"])
--- a/tests/relay_process/mod.rs
+++ b/tests/relay_process/mod.rs
@@ -15,7 +15,7 @@
 use rustix::process::Signal;
 
 use crate::common::marigoldstage;
-use crate::common::ports::free_ports;
+use crate::common::ports::own_addresses;
 use crate::common::wait_until;
 use crate::standin::client::read_response;
 use crate::standin::store::Store;
@@ -37,64 +37,56 @@
     }
 }
 
-/// Settings with these ports for clients, readiness, peers and metrics.
-pub(crate) fn settings(ports: [u16; 4], store: SocketAddr) -> String {
-    let [client, ready, peer, metrics] = ports;
+/// Settings with these addresses, of one host, for clients, readiness, peers and metrics.
+pub(crate) fn settings(addresses: [SocketAddr; 4], store: SocketAddr) -> String {
+    let [client, ready, peer, metrics] = addresses;
+    let (ip, peer_port, metrics_port) = (peer.ip(), peer.port(), metrics.port());
     format!(
-        "nodeName = \"front-1\"\nzone = \"north\"\nip = \"127.0.0.1\"\n\
-         internalPortRange = [{peer}, {metrics}]\nseedNodes = []\n\
-         [listen]\nfront = \"127.0.0.1:{client}\"\nready = \"127.0.0.1:{ready}\"\n\
+        "nodeName = \"front-1\"\nzone = \"north\"\nip = \"{ip}\"\n\
+         internalPortRange = [{peer_port}, {metrics_port}]\nseedNodes = []\n\
+         [listen]\nfront = \"{client}\"\nready = \"{ready}\"\n\
          [bounds]\ngraceS = 8\nretryBudgetRatio = 0.2\nbudgetWindowS = 10\n\
          budgetExtraRetries = 100\n[platformSettings]\naddress = \"{store}\"\n"
     )
 }
 
 impl Relay {
-    /// Starts a relay. Retries with other ports if another process took one before the relay bound it.
+    /// Starts a relay, and waits until it is ready.
     pub(crate) fn start(store: &Store) -> Self {
         Self::start_with(store, "")
     }
 
-    /// Starts a relay with further lines in its settings.
+    /// Starts a relay with further lines in its settings, and waits until it is ready.
     pub(crate) fn start_with(store: &Store, further_settings: &str) -> Self {
-        const ATTEMPTS: usize = 5;
-        for _ in 0..ATTEMPTS {
-            if let Some(relay) = Self::try_start(store, further_settings) {
-                return relay;
-            }
-        }
-        panic!("no free ports");
-    }
-
-    fn try_start(store: &Store, further_settings: &str) -> Option<Self> {
-        let ports = free_ports::<4>();
+        let addresses = own_addresses();
+        let [client_address, readiness_address, _, metrics_address] = addresses;
         let file = format!(
             "marigoldstage-relay-{}-{}.toml",
             std::process::id(),
-            ports[0]
+            client_address.port()
         );
         let path = std::env::temp_dir().join(file);
-        let text = settings(ports, store.address) + further_settings;
+        let text = settings(addresses, store.address) + further_settings;
         std::fs::write(&path, text).expect("a temporary file");
         let child = marigoldstage()
             .arg("relay")
-            .args(["--metrics-port", &ports[3].to_string()])
+            .args(["--metrics-port", &metrics_address.port().to_string()])
             .env("MARIGOLDSTAGE_BOOT", &path)
             .stdout(Stdio::piped())
             .spawn()
             .expect("the program");
         let mut relay = Self {
             child,
-            client_address: SocketAddr::from(([127, 0, 0, 1], ports[0])),
-            readiness_address: SocketAddr::from(([127, 0, 0, 1], ports[1])),
+            client_address,
+            readiness_address,
             settings: path,
         };
-        let mut has_ended = false;
         wait_until("readiness", || {
-            has_ended = relay.child.try_wait().expect("a state").is_some();
-            has_ended || relay.readiness() == 200
+            let ended = relay.child.try_wait().expect("a state");
+            assert_eq!(ended, None, "it ended before it was ready");
+            relay.readiness() == 200
         });
-        (!has_ended).then_some(relay)
+        relay
     }
 
     /// Status that the load balancer gets from the readiness check; 0 without a response.
--- a/tests/start_in_outage.rs
+++ b/tests/start_in_outage.rs
@@ -6,7 +6,7 @@
 use std::thread;
 
 use common::marigoldstage;
-use common::ports::free_ports;
+use common::ports::own_addresses;
 use common::process::KillOnDrop;
 use common::wait_until;
 use common::write_first_row;
@@ -25,7 +25,7 @@
 
 impl Gateway {
     fn start(platform: &Platform, peer_listen: SocketAddr, peers: &[SocketAddr]) -> Self {
-        let admin = free_address();
+        let [admin] = own_addresses();
         let mut command = marigoldstage();
         command
             .args(["gateway", "--platform", &platform.url()])
@@ -63,22 +63,17 @@
     }
 }
 
-fn free_address() -> SocketAddr {
-    let [port] = free_ports();
-    SocketAddr::from(([127, 0, 0, 1], port))
-}
-
 #[test]
 fn a_gateway_is_ready_in_an_outage_only_with_a_peer_that_has_the_table() {
     let platform = Platform::start(platform::Options::default()).unwrap();
     write_first_row(&platform.url());
-    let peer_address = free_address();
-    let first = Gateway::start(&platform, peer_address, &[]);
+    let [first_peers, second_peers, third_peers] = own_addresses();
+    let first = Gateway::start(&platform, first_peers, &[]);
     wait_until("the first gateway to be ready", || first.is_ready());
 
     platform.faults().set_outage(true);
-    let without_peer = Gateway::start(&platform, free_address(), &[]);
-    let with_peer = Gateway::start(&platform, free_address(), &[peer_address]);
+    let without_peer = Gateway::start(&platform, second_peers, &[]);
+    let with_peer = Gateway::start(&platform, third_peers, &[first_peers]);
     wait_until("the gateway with a peer to be ready", || {
         with_peer.is_ready()
     });
