--- a/tests/ports.rs
+++ b/tests/addresses.rs
@@ -5,7 +5,7 @@
 use std::collections::HashSet;
 use std::net::TcpListener;
 
-use common::ports::own_addresses;
+use common::addresses::own_addresses;
 
 /// Guards against an endpoint of another test that is given a relay's port and answers the check of its readiness.
 #[test]
--- a/tests/common/mod.rs
+++ b/tests/common/mod.rs
@@ -2,8 +2,8 @@
 
 #![allow(dead_code, reason = "each test file uses a part")]
 
+pub(crate) mod addresses;
 pub(crate) mod cluster;
-pub(crate) mod ports;
 pub(crate) mod process;
 
 use std::process::Command;
--- a/tests/relay.rs
+++ b/tests/relay.rs
@@ -13,8 +13,8 @@
 use std::time::Duration;
 use std::time::Instant;
 
+use common::addresses::own_addresses;
 use common::marigoldstage;
-use common::ports::own_addresses;
 use common::wait_until;
 use relay_process::settings;
 use relay_process::Relay;
--- a/tests/relay_process/mod.rs
+++ b/tests/relay_process/mod.rs
@@ -14,8 +14,8 @@
 use rustix::process::Pid;
 use rustix::process::Signal;
 
+use crate::common::addresses::own_addresses;
 use crate::common::marigoldstage;
-use crate::common::ports::own_addresses;
 use crate::common::wait_until;
 use crate::standin::client::read_response;
 use crate::standin::store::Store;
--- a/tests/start_in_outage.rs
+++ b/tests/start_in_outage.rs
@@ -5,8 +5,8 @@
 use std::net::SocketAddr;
 use std::thread;
 
+use common::addresses::own_addresses;
 use common::marigoldstage;
-use common::ports::own_addresses;
 use common::process::KillOnDrop;
 use common::wait_until;
 use common::write_first_row;
